--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bodies of the operator interface, shared by the daemon and the command-line tool.
