Add the replicated domain state and the placement of shards

Change: State applies all commands, gives views as differences and is encoded with postcard. SetHomes carries the version of its directory, so that an older list cannot bring back a shard that moved. Expire and Settle name the record's request and the home's since, so that a repeated command has no effect on a newer record or home. A VM's rights end with its session, because a later session would send under the same token. Ruled out: remembering dropped shards instead of a version; a list that is only briefly stale would then keep a shard out for good.

--- a/crates/domain/src/command.rs
+++ b/crates/domain/src/command.rs
@@ -44,9 +44,16 @@
     },
     /// Sets which shards of a service are homed here. New ones start free; one that is no longer
     /// listed is dropped only when it is parked or free.
+    ///
+    /// A shard that is no longer listed but has an owner is released first. A parked shard stays
+    /// parked until it gets a new home here, because its report may already have let the control
+    /// group give it to another domain.
     SetHomes {
         /// The service.
         service: ServiceName,
+        /// Version of the directory the list was taken from. An older list is refused: a leader
+        /// that lags behind the control group could otherwise bring back a shard that moved.
+        version: u64,
         /// The shards.
         shards: Vec<HomedShard>,
     },
@@ -120,14 +127,16 @@
     },
     /// Removes records whose lifetime has passed.
     Expire {
-        /// Their keys.
-        keys: Vec<RecordKey>,
+        /// Their keys and the requests that made them. A repeated command must not remove a newer
+        /// record of the same key.
+        keys: Vec<(RecordKey, RequestId)>,
     },
     /// The records of these shards are complete again: one record lifetime has passed since the
     /// group was formed anew or the shard moved here.
     Settle {
-        /// The shards.
-        shards: Vec<ShardRef>,
+        /// The shards and the `since` of their homes. A repeated command must not settle a shard
+        /// that left and came back in between.
+        shards: Vec<(ShardRef, u64)>,
     },
 }
 
--- a/crates/domain/src/leader_api.rs
+++ b/crates/domain/src/leader_api.rs
@@ -62,7 +62,9 @@
         /// The target.
         target: TargetId,
     },
-    /// A sender has stopped sending for a releasing shard.
+    /// A sender has stopped sending for a releasing shard. A sender repeats it until the shard is
+    /// no longer releasing, because a new leader knows nothing of earlier reports. Reports of an
+    /// incarnation without the VM's session must not be passed on.
     Released {
         /// The reporting VM.
         vm: VmId,
--- /dev/null
+++ b/crates/domain/src/state.rs
@@ -0,0 +1,335 @@
+//! The replicated state of a domain group.
+
+mod apply;
+mod diff;
+mod records;
+mod shards;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use camphordale_types::{
+    Incarnation, Service, ServiceName, SessionId, ShardIndex, ShardRef, TargetId, TargetInfo,
+    TargetState, Token, VmId,
+};
+use serde::{Deserialize, Serialize};
+
+use self::records::Records;
+
+pub use self::records::Record;
+
+/// The replicated state: sessions, owners, senders, tokens and idempotency records.
+///
+/// Two states that applied the same commands are equal.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_domain::{Command, Outcome, State};
+///
+/// let mut state = State::new(7, false);
+/// let command = Command::VmUp { vm: 1, incarnation: 11 };
+/// assert_eq!(state.apply(1, 1, &command), Outcome::Done);
+/// assert_eq!(state.vms().next().map(|(vm, session)| (vm, session.id)), Some((1, 1)));
+/// assert_eq!(State::decode(&state.encode()?)?, state);
+/// # Ok::<(), camphordale_domain::StateError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    term: u64,
+    reformed: bool,
+    index: u64,
+    epoch: u64,
+    /// Index of the last change of anything but records.
+    layout: u64,
+    version: u64,
+    services: BTreeMap<ServiceName, Service>,
+    /// Longest deadline that each service has had; requests under an older bundle may still run.
+    deadlines: BTreeMap<ServiceName, Duration>,
+    /// Services of which a shard was assigned by this group.
+    opened: BTreeSet<ServiceName>,
+    /// Largest `since` of any home seen, so that the token of a sender's right is above the
+    /// tokens of all shards that the target owns.
+    newest_home: u64,
+    vms: BTreeMap<VmId, VmSession>,
+    targets: BTreeMap<TargetId, TargetEntry>,
+    homes: BTreeMap<ServiceName, Homes>,
+    records: Records,
+    removed: VecDeque<(u64, Removed)>,
+    /// Index of the newest removal that is no longer remembered.
+    forgotten: u64,
+}
+
+/// Session of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmSession {
+    /// Log index of its `VmUp`.
+    pub id: SessionId,
+    /// The run of the VM's process.
+    pub incarnation: Incarnation,
+}
+
+/// A target with its sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetEntry {
+    /// The target.
+    pub info: TargetInfo,
+    /// The VM that alone may send keyed requests to it; none once its session ended.
+    pub sender: Option<VmId>,
+    /// Session that was last given the right to send.
+    pub holder: Option<SessionId>,
+    /// Session that had the right before `holder`.
+    pub former: Option<SessionId>,
+    /// Token of the sender's right.
+    pub token: Token,
+    /// Number of shards it owns.
+    pub owned: u32,
+    /// Log index of its last change.
+    pub changed: u64,
+}
+
+/// A shard that is homed in the domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardEntry {
+    /// Control log index at which it got this home.
+    pub since: u64,
+    /// Whether it shall be released to another domain.
+    pub leaving: bool,
+    /// Whether it is still homed here by the newest list of homes.
+    pub listed: bool,
+    /// Whether all its idempotency records are present.
+    pub settled: bool,
+    /// Log index at which this home arrived.
+    pub arrived: u64,
+    /// Owner and progress.
+    pub phase: Phase,
+    /// Its token.
+    pub token: Token,
+    /// Log index of its last change.
+    pub changed: u64,
+}
+
+/// Ownership of a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It has no owner.
+    Free,
+    /// It has an owner.
+    Held(TargetId),
+    /// Its sender stops and drains it.
+    Releasing(TargetId),
+    /// It has no owner and waits for its move to another domain.
+    Parked,
+}
+
+impl Phase {
+    /// Returns the owner.
+    pub fn owner(self) -> Option<TargetId> {
+        match self {
+            Phase::Held(owner) | Phase::Releasing(owner) => Some(owner),
+            Phase::Free | Phase::Parked => None,
+        }
+    }
+}
+
+/// The shards of one service that are homed here.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Homes {
+    version: u64,
+    shards: BTreeMap<ShardIndex, ShardEntry>,
+}
+
+/// Something that a view has to report as gone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Removed {
+    Target(TargetId),
+    Shard(ShardRef),
+}
+
+/// A state could not be encoded or decoded.
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    /// The state could not be encoded.
+    #[error("domain state cannot be encoded: {0}")]
+    Encode(postcard::Error),
+    /// The bytes are not an encoded state.
+    #[error("domain state cannot be decoded: {0}")]
+    Decode(postcard::Error),
+}
+
+impl State {
+    /// Creates the state of a group formed at control log index `term`. `reformed` tells whether
+    /// it replaces a group, so that idempotency records may be missing.
+    pub fn new(term: u64, reformed: bool) -> Self {
+        State {
+            term,
+            reformed,
+            index: 0,
+            epoch: 0,
+            layout: 0,
+            version: 0,
+            services: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            opened: BTreeSet::new(),
+            newest_home: 0,
+            vms: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            records: Records::default(),
+            removed: VecDeque::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the state cannot be serialised.
+    pub fn encode(&self) -> Result<Vec<u8>, StateError> {
+        postcard::to_stdvec(self).map_err(StateError::Encode)
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `bytes` are not an encoded state.
+    pub fn decode(bytes: &[u8]) -> Result<Self, StateError> {
+        postcard::from_bytes(bytes).map_err(StateError::Decode)
+    }
+
+    /// Returns the term of the group.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Tells whether the group replaced another.
+    pub fn reformed(&self) -> bool {
+        self.reformed
+    }
+
+    /// Returns the log index of the last command applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Returns the epoch of the last command applied.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the log index of the last change of anything but records.
+    pub fn layout(&self) -> u64 {
+        self.layout
+    }
+
+    /// Returns the version of the bundle in force, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the services in force, in order of their names.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
+    /// Returns the service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Returns the longest deadline that service `name` has had under this group.
+    pub fn deadline(&self, name: &str) -> Duration {
+        self.deadlines.get(name).copied().unwrap_or_default()
+    }
+
+    /// Tells whether this group has assigned a shard of service `name`.
+    pub fn opened(&self, name: &str) -> bool {
+        self.opened.contains(name)
+    }
+
+    /// Returns the VMs with a session, in order.
+    pub fn vms(&self) -> impl Iterator<Item = (VmId, VmSession)> {
+        self.vms.iter().map(|(&vm, &session)| (vm, session))
+    }
+
+    /// Returns the session of `vm`.
+    pub fn vm(&self, vm: VmId) -> Option<VmSession> {
+        self.vms.get(&vm).copied()
+    }
+
+    /// Returns all targets, in order of their sessions.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.targets.values()
+    }
+
+    /// Returns the target with session `id`.
+    pub fn target(&self, id: TargetId) -> Option<&TargetEntry> {
+        self.targets.get(&id)
+    }
+
+    /// Returns the names of services with shards homed here, whether or not they are in force.
+    pub fn homed(&self) -> impl Iterator<Item = &ServiceName> {
+        self.homes.keys()
+    }
+
+    /// Returns the shards of service `name` homed here, in order.
+    pub fn shards(&self, name: &str) -> impl Iterator<Item = (ShardIndex, &ShardEntry)> {
+        self.homes
+            .get(name)
+            .into_iter()
+            .flat_map(|homes| homes.shards.iter().map(|(&index, shard)| (index, shard)))
+    }
+
+    /// Returns one shard.
+    pub fn shard(&self, shard: &ShardRef) -> Option<&ShardEntry> {
+        self.homes.get(&shard.service)?.shards.get(&shard.index)
+    }
+
+    /// Returns the token that a request for `shard` carries: the larger of the shard's token and
+    /// the token of its owner's sender.
+    pub fn request_token(&self, shard: &ShardRef) -> Option<Token> {
+        let entry = self.shard(shard)?;
+        let owner = self.targets.get(&entry.phase.owner()?)?;
+        Some(entry.token.max(owner.token))
+    }
+
+    /// Returns the record with `key`.
+    pub fn record(&self, key: &crate::RecordKey) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// Returns the number of records.
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns up to `limit` records of service `name` made up to log index `index`, oldest first.
+    pub fn records_until(
+        &self,
+        name: &str,
+        index: u64,
+        limit: usize,
+    ) -> Vec<(crate::RecordKey, camphordale_types::RequestId)> {
+        self.records.until(name, index, limit)
+    }
+
+    fn touch(&mut self) {
+        self.layout = self.index;
+    }
+
+    /// Removes a lost target that owns no shard any more.
+    fn collect(&mut self, id: TargetId) {
+        let unused = self
+            .targets
+            .get(&id)
+            .is_some_and(|t| t.info.state == TargetState::Lost && t.owned == 0);
+        if unused {
+            self.targets.remove(&id);
+            self.forget(Removed::Target(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/state/apply.rs
@@ -0,0 +1,218 @@
+//! Commands that concern sessions and services.
+
+use std::mem;
+
+use camphordale_types::{
+    Incarnation, Service, TargetId, TargetInfo, TargetSpec, TargetState, Token, VmId,
+};
+
+use crate::{
+    Command,
+    Outcome, //
+};
+
+use super::{
+    State,
+    TargetEntry,
+    VmSession, //
+};
+
+impl State {
+    /// Applies the command at log `index` of Raft term `epoch`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_domain::{Command, Outcome, State};
+    ///
+    /// let mut state = State::new(1, false);
+    /// let lost = state.apply(1, 1, &Command::TargetLost(5));
+    /// assert!(matches!(lost, Outcome::Refused(_)));
+    /// ```
+    pub fn apply(&mut self, index: u64, epoch: u64, command: &Command) -> Outcome {
+        self.index = index;
+        self.epoch = epoch;
+        match command {
+            Command::VmUp { vm, incarnation } => self.vm_up(*vm, *incarnation),
+            Command::VmDown { vm, incarnation } => self.vm_down(*vm, *incarnation),
+            Command::TargetUp(spec) => self.target_up(spec),
+            Command::TargetLeaving(id) => self.target_leaving(*id),
+            Command::TargetLost(id) => self.target_lost(*id),
+            Command::SetServices { version, services } => self.set_services(*version, services),
+            Command::SetHomes {
+                service,
+                version,
+                shards,
+            } => self.set_homes(service, *version, shards),
+            Command::SetSender {
+                target,
+                expect,
+                sender,
+            } => self.set_sender(*target, *expect, *sender),
+            Command::Assign {
+                shard,
+                expect,
+                owner,
+            } => self.assign(shard, *expect, *owner),
+            Command::Release { shard, expect } => self.release(shard, *expect),
+            Command::Free { shard, expect } => self.free(shard, *expect),
+            Command::Park { shard, expect } => self.park(shard, *expect),
+            Command::Record {
+                shard,
+                token,
+                key,
+                request,
+            } => self.record_request(shard, *token, *key, *request),
+            Command::Finish {
+                key,
+                request,
+                answer,
+            } => self.finish(*key, *request, answer.as_ref()),
+            Command::Erase { key, request } => self.erase(*key, *request),
+            Command::Expire { keys } => self.expire(keys),
+            Command::Settle { shards } => self.settle(shards),
+        }
+    }
+
+    fn vm_up(&mut self, vm: VmId, incarnation: Incarnation) -> Outcome {
+        if self
+            .vms
+            .get(&vm)
+            .is_some_and(|s| s.incarnation == incarnation)
+        {
+            return Outcome::Done;
+        }
+        self.drop_senders(vm);
+        let id = self.index;
+        self.vms.insert(vm, VmSession { id, incarnation });
+        self.touch();
+        Outcome::Done
+    }
+
+    fn vm_down(&mut self, vm: VmId, incarnation: Incarnation) -> Outcome {
+        match self.vms.get(&vm) {
+            Some(session) if session.incarnation == incarnation => {
+                self.vms.remove(&vm);
+                self.drop_senders(vm);
+                self.touch();
+                Outcome::Done
+            }
+            _ => Outcome::Refused("the VM has no such session".into()),
+        }
+    }
+
+    /// Ends the rights of a VM's session. A later session of the same VM must not inherit them:
+    /// it would send under the same token as the earlier one.
+    fn drop_senders(&mut self, vm: VmId) {
+        for target in self.targets.values_mut().filter(|t| t.sender == Some(vm)) {
+            target.sender = None;
+            target.changed = self.index;
+        }
+    }
+
+    fn target_up(&mut self, spec: &TargetSpec) -> Outcome {
+        let earlier: Vec<TargetId> = self
+            .targets
+            .values()
+            .filter(|t| t.info.spec.name == spec.name && t.info.state != TargetState::Lost)
+            .map(|t| t.info.id)
+            .collect();
+        for id in earlier {
+            self.set_target_state(id, TargetState::Lost);
+            self.collect(id);
+        }
+        let id = self.index;
+        let info = TargetInfo {
+            id,
+            spec: spec.clone(),
+            state: TargetState::Serving,
+        };
+        let entry = TargetEntry {
+            info,
+            sender: None,
+            holder: None,
+            former: None,
+            token: Token::default(),
+            owned: 0,
+            changed: id,
+        };
+        self.targets.insert(id, entry);
+        self.touch();
+        Outcome::Session(id)
+    }
+
+    fn target_leaving(&mut self, id: TargetId) -> Outcome {
+        match self.targets.get(&id).map(|t| t.info.state) {
+            Some(TargetState::Serving) => {
+                self.set_target_state(id, TargetState::Leaving);
+                Outcome::Done
+            }
+            Some(TargetState::Leaving) => Outcome::Done,
+            _ => Outcome::Refused("the target has no session".into()),
+        }
+    }
+
+    fn target_lost(&mut self, id: TargetId) -> Outcome {
+        match self.targets.get(&id).map(|t| t.info.state) {
+            Some(TargetState::Serving | TargetState::Leaving) => {
+                self.set_target_state(id, TargetState::Lost);
+                self.collect(id);
+                Outcome::Done
+            }
+            _ => Outcome::Refused("the target has no session".into()),
+        }
+    }
+
+    fn set_target_state(&mut self, id: TargetId, state: TargetState) {
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.info.state = state;
+            target.changed = self.index;
+            self.touch();
+        }
+    }
+
+    fn set_services(&mut self, version: u64, services: &[Service]) -> Outcome {
+        if version < self.version {
+            return Outcome::Refused("a later bundle is in force".into());
+        }
+        if version == self.version {
+            return Outcome::Done;
+        }
+        for service in services {
+            let longest = self.deadlines.entry(service.name.clone()).or_default();
+            *longest = service.deadline.max(*longest);
+        }
+        self.version = version;
+        self.services = services
+            .iter()
+            .map(|s| (s.name.clone(), s.clone()))
+            .collect();
+        self.touch();
+        Outcome::Done
+    }
+
+    fn set_sender(&mut self, id: TargetId, expect: Option<VmId>, sender: VmId) -> Outcome {
+        let Some(session) = self.vms.get(&sender) else {
+            return Outcome::Refused("the VM has no session".into());
+        };
+        let Some(target) = self.targets.get_mut(&id) else {
+            return Outcome::Refused("the target has no session".into());
+        };
+        if target.sender != expect {
+            return Outcome::Refused("the target has another sender".into());
+        }
+        if target.sender.is_some() {
+            return Outcome::Refused("the target's sender has a session".into());
+        }
+        target.sender = Some(sender);
+        target.former = mem::replace(&mut target.holder, Some(session.id));
+        target.token = Token {
+            term: self.term.max(self.newest_home),
+            epoch: self.epoch,
+            seq: self.index,
+        };
+        target.changed = self.index;
+        self.touch();
+        Outcome::Done
+    }
+}
--- /dev/null
+++ b/crates/domain/src/state/records.rs
@@ -0,0 +1,159 @@
+//! Idempotency records.
+
+use std::collections::BTreeMap;
+
+use camphordale_types::{RequestId, ServiceName, ShardRef, Token};
+use serde::{Deserialize, Serialize};
+
+use crate::{Outcome, RecordKey, StoredAnswer};
+
+use super::{Phase, State};
+
+/// An idempotency record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The shard of the request.
+    pub shard: ShardRef,
+    /// The request that made the record.
+    pub request: RequestId,
+    /// Log index at which it was made.
+    pub made: u64,
+    /// Whether the request ended with an answer.
+    pub finished: bool,
+    /// The answer, if it was small enough to keep.
+    pub answer: Option<StoredAnswer>,
+}
+
+/// All records, by key and by age.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct Records {
+    by_key: BTreeMap<RecordKey, Record>,
+    by_age: BTreeMap<ServiceName, BTreeMap<u64, RecordKey>>,
+}
+
+impl Records {
+    pub(super) fn get(&self, key: &RecordKey) -> Option<&Record> {
+        self.by_key.get(key)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    pub(super) fn until(
+        &self,
+        service: &str,
+        index: u64,
+        limit: usize,
+    ) -> Vec<(RecordKey, RequestId)> {
+        self.by_age
+            .get(service)
+            .into_iter()
+            .flat_map(|ages| ages.range(..=index))
+            .filter_map(|(_, key)| Some((*key, self.by_key.get(key)?.request)))
+            .take(limit)
+            .collect()
+    }
+
+    fn insert(&mut self, key: RecordKey, record: Record) {
+        self.by_age
+            .entry(record.shard.service.clone())
+            .or_default()
+            .insert(record.made, key);
+        self.by_key.insert(key, record);
+    }
+
+    fn remove(&mut self, key: &RecordKey) {
+        if let Some(record) = self.by_key.remove(key)
+            && let Some(ages) = self.by_age.get_mut(&record.shard.service)
+        {
+            ages.remove(&record.made);
+            if ages.is_empty() {
+                self.by_age.remove(&record.shard.service);
+            }
+        }
+    }
+
+    fn find(&mut self, key: &RecordKey, request: RequestId) -> Option<&mut Record> {
+        self.by_key.get_mut(key).filter(|r| r.request == request)
+    }
+}
+
+impl State {
+    pub(super) fn record_request(
+        &mut self,
+        shard: &ShardRef,
+        token: Token,
+        key: RecordKey,
+        request: RequestId,
+    ) -> Outcome {
+        let Some(entry) = self.shard(shard) else {
+            return Outcome::Refused("the shard is not homed here".into());
+        };
+        if !matches!(entry.phase, Phase::Held(_)) {
+            return Outcome::Refused("the shard is not held".into());
+        }
+        if token != entry.token && Some(token) != self.request_token(shard) {
+            return Outcome::Refused("the token is not the shard's token".into());
+        }
+        let settled = entry.settled;
+        match self.records.get(&key) {
+            Some(Record {
+                answer: Some(answer),
+                ..
+            }) => Outcome::Replay(answer.clone()),
+            Some(_) => Outcome::Pending,
+            None if !settled => Outcome::Unsettled,
+            None => {
+                let record = Record {
+                    shard: shard.clone(),
+                    request,
+                    made: self.index,
+                    finished: false,
+                    answer: None,
+                };
+                self.records.insert(key, record);
+                Outcome::Fresh
+            }
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        key: RecordKey,
+        request: RequestId,
+        answer: Option<&StoredAnswer>,
+    ) -> Outcome {
+        match self.records.find(&key, request) {
+            Some(record) if !record.finished => {
+                record.finished = true;
+                record.answer = answer.cloned();
+                Outcome::Done
+            }
+            Some(_) => Outcome::Done,
+            None => Outcome::Refused("no record of this request".into()),
+        }
+    }
+
+    pub(super) fn erase(&mut self, key: RecordKey, request: RequestId) -> Outcome {
+        match self.records.find(&key, request) {
+            Some(record) if record.finished => {
+                Outcome::Refused("the recorded request has finished".into())
+            }
+            Some(_) => {
+                self.records.remove(&key);
+                Outcome::Done
+            }
+            None => Outcome::Refused("no record of this request".into()),
+        }
+    }
+
+    pub(super) fn expire(&mut self, keys: &[(RecordKey, RequestId)]) -> Outcome {
+        for (key, request) in keys {
+            if self.records.find(key, *request).is_some() {
+                self.records.remove(key);
+            }
+        }
+        Outcome::Done
+    }
+}
--- /dev/null
+++ b/crates/domain/src/state/shards.rs
@@ -0,0 +1,214 @@
+//! Commands that concern shards.
+
+use std::collections::BTreeSet;
+
+use camphordale_types::{
+    ServiceName, ShardIndex, ShardRef, TargetId, TargetState, Token, //
+};
+
+use crate::{
+    HomedShard,
+    Outcome, //
+};
+
+use super::{
+    Phase,
+    Removed,
+    ShardEntry,
+    State, //
+};
+
+impl State {
+    pub(super) fn set_homes(
+        &mut self,
+        service: &ServiceName,
+        version: u64,
+        shards: &[HomedShard],
+    ) -> Outcome {
+        let homes = self.homes.entry(service.clone()).or_default();
+        if version < homes.version {
+            return Outcome::Refused("a later list of homes is in force".into());
+        }
+        homes.version = version;
+        let listed: BTreeSet<ShardIndex> = shards.iter().map(|s| s.index).collect();
+        for home in shards {
+            self.newest_home = self.newest_home.max(home.since);
+            match homes.shards.get_mut(&home.index) {
+                None => {
+                    let shard = ShardEntry {
+                        since: home.since,
+                        leaving: home.leaving,
+                        listed: true,
+                        // A home given after the group was formed had no earlier records here.
+                        settled: !home.moved && (!self.reformed || home.since > self.term),
+                        arrived: self.index,
+                        phase: Phase::Free,
+                        token: Token::default(),
+                        changed: self.index,
+                    };
+                    homes.shards.insert(home.index, shard);
+                }
+                Some(shard) if home.since > shard.since => {
+                    shard.since = home.since;
+                    shard.leaving = home.leaving;
+                    shard.listed = true;
+                    shard.settled = false;
+                    shard.arrived = self.index;
+                    if shard.phase == Phase::Parked {
+                        shard.phase = Phase::Free;
+                    }
+                    shard.changed = self.index;
+                }
+                Some(shard) if home.since == shard.since => {
+                    if shard.leaving != home.leaving || !shard.listed {
+                        shard.leaving = home.leaving;
+                        shard.listed = true;
+                        shard.changed = self.index;
+                    }
+                }
+                Some(_) => {}
+            }
+        }
+        let mut dropped = Vec::new();
+        for (&index, shard) in &mut homes.shards {
+            if listed.contains(&index) {
+                continue;
+            }
+            if shard.phase.owner().is_none() {
+                dropped.push(index);
+            } else if shard.listed {
+                shard.listed = false;
+                shard.changed = self.index;
+            }
+        }
+        self.touch();
+        for index in dropped {
+            self.drop_shard(&ShardRef::new(service, index));
+        }
+        Outcome::Done
+    }
+
+    fn drop_shard(&mut self, shard: &ShardRef) {
+        if let Some(homes) = self.homes.get_mut(&shard.service) {
+            homes.shards.remove(&shard.index);
+        }
+        self.forget(Removed::Shard(shard.clone()));
+    }
+
+    /// Returns the shard if its token is the expected one.
+    fn expected(&mut self, shard: &ShardRef, expect: Token) -> Result<&mut ShardEntry, Outcome> {
+        let entry = self
+            .homes
+            .get_mut(&shard.service)
+            .and_then(|homes| homes.shards.get_mut(&shard.index));
+        match entry {
+            None => Err(Outcome::Refused("the shard is not homed here".into())),
+            Some(entry) if entry.token != expect => {
+                Err(Outcome::Refused("the shard has another token".into()))
+            }
+            Some(entry) => Ok(entry),
+        }
+    }
+
+    fn set_phase(&mut self, shard: &ShardRef, phase: Phase) {
+        let index = self.index;
+        if let Some(homes) = self.homes.get_mut(&shard.service)
+            && let Some(entry) = homes.shards.get_mut(&shard.index)
+        {
+            entry.phase = phase;
+            entry.changed = index;
+        }
+        self.touch();
+    }
+
+    pub(super) fn assign(&mut self, shard: &ShardRef, expect: Token, owner: TargetId) -> Outcome {
+        let (term, epoch, seq) = (self.term, self.epoch, self.index);
+        let Some(service) = self.services.get(&shard.service).filter(|s| s.is_keyed()) else {
+            return Outcome::Refused("no service with keys of this name is in force".into());
+        };
+        let side = service.side_of(shard.index);
+        let fits = self.targets.get(&owner).is_some_and(|t| {
+            t.info.state == TargetState::Serving
+                && t.info.spec.service == shard.service
+                && t.info.spec.side == side
+        });
+        if !fits {
+            return Outcome::Refused("the target does not serve the shard".into());
+        }
+        let entry = match self.expected(shard, expect) {
+            Ok(entry) => entry,
+            Err(refused) => return refused,
+        };
+        if entry.phase != Phase::Free || entry.leaving || !entry.listed {
+            return Outcome::Refused("the shard is not free".into());
+        }
+        entry.token = Token {
+            term: term.max(entry.since),
+            epoch,
+            seq,
+        };
+        self.set_phase(shard, Phase::Held(owner));
+        if let Some(target) = self.targets.get_mut(&owner) {
+            target.owned += 1;
+        }
+        self.opened.insert(shard.service.clone());
+        Outcome::Done
+    }
+
+    pub(super) fn release(&mut self, shard: &ShardRef, expect: Token) -> Outcome {
+        match self.expected(shard, expect).map(|entry| entry.phase) {
+            Err(refused) => refused,
+            Ok(Phase::Held(owner)) => {
+                self.set_phase(shard, Phase::Releasing(owner));
+                Outcome::Done
+            }
+            Ok(_) => Outcome::Refused("the shard is not held".into()),
+        }
+    }
+
+    pub(super) fn free(&mut self, shard: &ShardRef, expect: Token) -> Outcome {
+        let (owner, listed) = match self.expected(shard, expect) {
+            Err(refused) => return refused,
+            Ok(ShardEntry {
+                phase: Phase::Releasing(owner),
+                listed,
+                ..
+            }) => (*owner, *listed),
+            Ok(_) => return Outcome::Refused("the shard is not releasing".into()),
+        };
+        self.set_phase(shard, Phase::Free);
+        if let Some(target) = self.targets.get_mut(&owner) {
+            target.owned = target.owned.saturating_sub(1);
+        }
+        if !listed {
+            self.drop_shard(shard);
+        }
+        self.collect(owner);
+        Outcome::Done
+    }
+
+    pub(super) fn park(&mut self, shard: &ShardRef, expect: Token) -> Outcome {
+        match self.expected(shard, expect) {
+            Err(refused) => refused,
+            Ok(entry) if entry.phase == Phase::Free && entry.leaving => {
+                self.set_phase(shard, Phase::Parked);
+                Outcome::Done
+            }
+            Ok(_) => Outcome::Refused("the shard is not free and leaving".into()),
+        }
+    }
+
+    pub(super) fn settle(&mut self, shards: &[(ShardRef, u64)]) -> Outcome {
+        for (shard, since) in shards {
+            if let Some(homes) = self.homes.get_mut(&shard.service)
+                && let Some(entry) = homes.shards.get_mut(&shard.index)
+                && entry.since == *since
+                && !entry.settled
+            {
+                entry.settled = true;
+                self.layout = self.index;
+            }
+        }
+        Outcome::Done
+    }
+}
--- /dev/null
+++ b/crates/placement/src/baseline.rs
@@ -0,0 +1,69 @@
+//! Simpler placements that [`place`](crate::place) is measured against.
+
+use camphordale_types::{
+    ShardIndex,
+    TargetId, //
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    Input,
+    place, //
+};
+
+/// Gives each shard to the target at its hash modulo the number of targets.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_placement::baseline::modulo;
+///
+/// assert_eq!(modulo(&[0, 1, 2], &[7]), [7, 7, 7]);
+/// ```
+pub fn modulo(shards: &[ShardIndex], targets: &[TargetId]) -> Vec<TargetId> {
+    let hash = |shard: &ShardIndex| xxh3_64_with_seed(&shard.to_le_bytes(), 0);
+    shards
+        .iter()
+        .filter_map(|shard| {
+            let at = hash(shard).checked_rem(targets.len() as u64)?;
+            targets.get(at as usize).copied()
+        })
+        .collect()
+}
+
+/// Gives each shard to the target with the highest hash of shard and target.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_placement::baseline::rendezvous;
+///
+/// assert_eq!(rendezvous(&[0, 1, 2], &[7]), [7, 7, 7]);
+/// ```
+pub fn rendezvous(shards: &[ShardIndex], targets: &[TargetId]) -> Vec<TargetId> {
+    let score = |shard: ShardIndex, target: TargetId| {
+        xxh3_64_with_seed(&target.to_le_bytes(), u64::from(shard))
+    };
+    shards
+        .iter()
+        .filter_map(|&shard| targets.iter().copied().max_by_key(|&t| score(shard, t)))
+        .collect()
+}
+
+/// Forgets all owners and places every shard on the least loaded target, heaviest first.
+pub fn greedy(input: &Input) -> Vec<Option<TargetId>> {
+    let mut empty = input.clone();
+    empty.moves = 0;
+    for shard in &mut empty.shards {
+        shard.owner = None;
+    }
+    let moves = place(&empty);
+    empty
+        .shards
+        .iter()
+        .map(|shard| {
+            let at = moves.binary_search_by_key(&shard.index, |m| m.shard);
+            Some(moves.get(at.ok()?)?.to)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/placement/src/choose/baseline.rs
@@ -0,0 +1,110 @@
+//! Simpler choices that [`Chooser`](super::Chooser) is measured against.
+
+use camphordale_types::TargetId;
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+use super::Candidate;
+
+/// A policy that does not weigh what the sender sees.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Any candidate with a free slot.
+    Random,
+    /// The candidates in turn.
+    RoundRobin,
+    /// The candidate that reports the least load.
+    LeastReported,
+    /// The one with fewer requests in flight of two random candidates.
+    TwoChoices,
+    /// A Metropolis-Hastings random walk over neighbour lists, whose stationary distribution is
+    /// proportional to the free slots of the candidates. A node knows only its neighbours.
+    RandomWalk {
+        /// Neighbours on each side in a ring of the candidates.
+        reach: usize,
+        /// Steps for each choice.
+        steps: usize,
+    },
+}
+
+/// Runs a [`Policy`].
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_placement::choose::baseline::{Baseline, Policy};
+///
+/// let mut baseline = Baseline::new(Policy::RoundRobin, 1);
+/// assert_eq!(baseline.choose(&[]), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Baseline {
+    policy: Policy,
+    random: StdRng,
+    next: usize,
+}
+
+impl Baseline {
+    /// Creates a baseline that draws from `seed`.
+    pub fn new(policy: Policy, seed: u64) -> Self {
+        Baseline {
+            policy,
+            random: StdRng::seed_from_u64(seed),
+            next: 0,
+        }
+    }
+
+    /// Returns a candidate with a free slot.
+    pub fn choose(&mut self, candidates: &[Candidate]) -> Option<TargetId> {
+        let free: Vec<&Candidate> = candidates.iter().filter(|c| c.free()).collect();
+        if free.is_empty() {
+            return None;
+        }
+        let chosen = match self.policy {
+            Policy::Random => free[self.random.random_range(0..free.len())],
+            Policy::RoundRobin => {
+                self.next = self.next.wrapping_add(1);
+                free[self.next % free.len()]
+            }
+            Policy::LeastReported => free
+                .iter()
+                .copied()
+                .min_by(|a, b| a.reported_load.total_cmp(&b.reported_load))?,
+            Policy::TwoChoices => {
+                let one = free[self.random.random_range(0..free.len())];
+                let two = free[self.random.random_range(0..free.len())];
+                if two.in_flight < one.in_flight {
+                    two
+                } else {
+                    one
+                }
+            }
+            Policy::RandomWalk { reach, steps } => free[self.walk(&free, reach, steps)],
+        };
+        Some(chosen.id)
+    }
+
+    fn walk(&mut self, nodes: &[&Candidate], reach: usize, steps: usize) -> usize {
+        let reach = reach.clamp(1, nodes.len());
+        let mut at = self.next % nodes.len();
+        for _ in 0..steps {
+            let hop = self.random.random_range(1..=reach);
+            let forward: bool = self.random.random();
+            let to = if forward {
+                (at + hop) % nodes.len()
+            } else {
+                (at + nodes.len() - hop % nodes.len()) % nodes.len()
+            };
+            // All nodes have the same degree, so the acceptance depends on the weights alone.
+            let weight = |c: &Candidate| f64::from(c.room() - c.in_flight);
+            if self.random.random::<f64>() < weight(nodes[to]) / weight(nodes[at]) {
+                at = to;
+            }
+        }
+        self.next = at;
+        at
+    }
+}
