--- a/crates/domain/src/command.rs
+++ b/crates/domain/src/command.rs
@@ -1,10 +1,22 @@
 //! Commands of a domain group and their outcomes.
 
 use camphordale_types::{
-    Digest, Incarnation, RequestId, Service, ServiceName, ShardIndex, ShardRef, TargetId,
-    TargetSpec, Token, VmId,
+    Digest,
+    Incarnation,
+    RequestId,
+    Service,
+    ServiceName,
+    ShardIndex,
+    ShardRef,
+    TargetId,
+    TargetSpec,
+    Token,
+    VmId, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
 };
-use serde::{Deserialize, Serialize};
 
 /// Digest over service, routing key, method, path and the caller's idempotency key.
 pub type RecordKey = Digest;
--- a/crates/domain/src/leader_api.rs
+++ b/crates/domain/src/leader_api.rs
@@ -3,7 +3,14 @@
 use std::time::Duration;
 
 use camphordale_types::{
-    Incarnation, LoadReport, ServiceName, ShardIndex, ShardRef, TargetId, Token, VmId,
+    Incarnation,
+    LoadReport,
+    ServiceName,
+    ShardIndex,
+    ShardRef,
+    TargetId,
+    Token,
+    VmId, //
 };
 
 use crate::Command;
--- a/crates/domain/src/state.rs
+++ b/crates/domain/src/state.rs
@@ -6,15 +6,31 @@
 mod shards;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    time::Duration,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    time::Duration, //
 };
 
 use camphordale_types::{
-    Incarnation, Service, ServiceName, SessionId, ShardIndex, ShardRef, TargetId, TargetInfo,
-    TargetState, Token, VmId,
+    Incarnation,
+    Service,
+    ServiceName,
+    SessionId,
+    ShardIndex,
+    ShardRef,
+    TargetId,
+    TargetInfo,
+    TargetState,
+    Token,
+    VmId, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
 };
-use serde::{Deserialize, Serialize};
 
 use self::records::Records;
 
--- a/crates/domain/src/state/apply.rs
+++ b/crates/domain/src/state/apply.rs
@@ -1,9 +1,14 @@
 //! Commands that concern sessions and services.
 
-use std::mem;
-
 use camphordale_types::{
-    Incarnation, Service, TargetId, TargetInfo, TargetSpec, TargetState, Token, VmId,
+    Incarnation,
+    Service,
+    TargetId,
+    TargetInfo,
+    TargetSpec,
+    TargetState,
+    Token,
+    VmId, //
 };
 
 use crate::{
@@ -205,7 +210,7 @@
             return Outcome::Refused("the target's sender has a session".into());
         }
         target.sender = Some(sender);
-        target.former = mem::replace(&mut target.holder, Some(session.id));
+        target.former = target.holder.replace(session.id);
         target.token = Token {
             term: self.term.max(self.newest_home),
             epoch: self.epoch,
--- a/crates/domain/src/state/records.rs
+++ b/crates/domain/src/state/records.rs
@@ -2,12 +2,27 @@
 
 use std::collections::BTreeMap;
 
-use camphordale_types::{RequestId, ServiceName, ShardRef, Token};
-use serde::{Deserialize, Serialize};
-
-use crate::{Outcome, RecordKey, StoredAnswer};
-
-use super::{Phase, State};
+use camphordale_types::{
+    RequestId,
+    ServiceName,
+    ShardRef,
+    Token, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    Outcome,
+    RecordKey,
+    StoredAnswer, //
+};
+
+use super::{
+    Phase,
+    State, //
+};
 
 /// An idempotency record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/domain/src/state/shards.rs
+++ b/crates/domain/src/state/shards.rs
@@ -3,7 +3,12 @@
 use std::collections::BTreeSet;
 
 use camphordale_types::{
-    ServiceName, ShardIndex, ShardRef, TargetId, TargetState, Token, //
+    ServiceName,
+    ShardIndex,
+    ShardRef,
+    TargetId,
+    TargetState,
+    Token, //
 };
 
 use crate::{
--- a/crates/domain/src/view.rs
+++ b/crates/domain/src/view.rs
@@ -1,7 +1,17 @@
 //! The part of the state that routers need, sent as differences.
 
-use camphordale_types::{ServiceName, ShardIndex, TargetId, TargetInfo, Token, VmId};
-use serde::{Deserialize, Serialize};
+use camphordale_types::{
+    ServiceName,
+    ShardIndex,
+    TargetId,
+    TargetInfo,
+    Token,
+    VmId, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Changes of a domain group's state after log index `since`, up to `index`.
 ///
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -1,4 +1,4 @@
-//! Simpler placements that [`place`](crate::place) is measured against.
+//! Simpler placements that [`place`] is measured against.
 
 use camphordale_types::{
     ShardIndex,
