--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -75,12 +75,14 @@
         result: RecordResult,
     },
     /// The connection is open and the request is about to be written: the last check of lease,
-    /// ownership and deadline. Answered by `Proceed` or by another effect for the request.
+    /// ownership and deadline. Answered by `Proceed` or by another effect for the request, in
+    /// which case nothing is written, the connection is free, and no `Done` is raised.
     Ready {
         /// The request.
         id: RequestId,
     },
-    /// A `Send` or `Forward` ended.
+    /// A `Send` or `Forward` ended. Raised once for each, unless `Ready` was not answered by
+    /// `Proceed`.
     Done {
         /// The request.
         id: RequestId,
@@ -92,6 +94,13 @@
         /// The request.
         id: RequestId,
     },
+    /// The VM takes part in the domain group of this term. Raised before the first lease of the
+    /// group; leases and views of another term are void from then on, because a fence says
+    /// nothing about a view of another group.
+    Term {
+        /// Term of the group.
+        term: u64,
+    },
     /// This VM's lease was renewed.
     Lease {
         /// Valid until this time.
@@ -199,6 +208,11 @@
         /// The request.
         id: RequestId,
     },
+    /// The request must not be written now and waits; it stays with its connection to the caller.
+    Hold {
+        /// The request.
+        id: RequestId,
+    },
     /// Forward the request to a VM and raise `Done` with the result.
     Forward {
         /// The request.
@@ -260,7 +274,8 @@
         /// The answer.
         answer: StoredAnswer,
     },
-    /// Abort the connection of a request in flight; its `Done` will follow.
+    /// Abort the connection of a request in flight; its `Done` will follow. A `Ready` that was
+    /// raised before is not answered.
     Abort {
         /// The request.
         id: RequestId,
