Test admission and keyed requests of the router

Cause: the reducer needs tests that name the failure they guard against.

Change: tests of keys, deadlines, bundles, drain, tokens, the last check before the write, order of views, slots, queues and explain.

--- /dev/null
+++ b/crates/route/tests/admission.rs
@@ -0,0 +1,129 @@
+//! Which requests are admitted, with which key and deadline.
+
+mod common;
+
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use rstest::rstest;
+
+fn keyed_by(source: KeySource) -> Router {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[0].key = source;
+    router.step(Event::Bundle(bundle), ms(0));
+    router
+}
+
+/// Guards against a key that differs from the one the target reads, which sends a request to a
+/// server that does not own its key.
+#[rstest]
+#[case::segment(KeySource::Segment(1), "/k/a%2Fb", None, Some("a/b"))]
+#[case::segment_before_query(KeySource::Segment(1), "/k/a?x=1", None, Some("a"))]
+#[case::no_segment(KeySource::Segment(2), "/k/a", None, None)]
+#[case::empty_segment(KeySource::Segment(1), "/k/", None, None)]
+#[case::bad_escape(KeySource::Segment(1), "/k/a%2", None, None)]
+#[case::not_utf8(KeySource::Segment(1), "/k/%ff", None, None)]
+#[case::query(KeySource::Query("id".into()), "/k?x=1&id=a+%62", None, Some("a b"))]
+#[case::two_values(KeySource::Query("id".into()), "/k?id=a&id=b", None, None)]
+#[case::header(KeySource::Header("X-Key".into()), "/k", Some("50%"), Some("50%"))]
+#[case::no_header(KeySource::Header("X-Key".into()), "/k", None, None)]
+fn key_is_read(
+    #[case] source: KeySource,
+    #[case] path: &str,
+    #[case] header: Option<&str>,
+    #[case] key: Option<&str>,
+) {
+    let mut router = keyed_by(source);
+    let mut request = request(1, "GET", path);
+    request.headers = header
+        .map(|v| ("x-key".into(), v.into()))
+        .into_iter()
+        .collect();
+    let effects = arrive(&mut router, request, 0);
+    let Some(key) = key else {
+        assert_eq!(effects, [not_run(1, NotRun::NoKey)]);
+        return;
+    };
+    let shard = router.explain("k", key).unwrap().shard.index;
+    match &effects[..] {
+        [Effect::Send(send)] => assert_eq!(send.grant.as_ref().unwrap().0.index, shard),
+        [Effect::Forward { vm: 2, .. }] => assert_eq!(shard, 2),
+        [] => assert_eq!(shard, 3),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a deadline beyond what the service or the caller allows.
+#[rstest]
+#[case(None, 1000)]
+#[case(Some(300), 300)]
+#[case(Some(5000), 1000)]
+fn deadline_is_the_smaller(#[case] allowed: Option<u64>, #[case] expected: u64) {
+    let mut router = router();
+    let mut request = keyed(1, "GET", 0);
+    request.allowed = allowed.map(ms);
+    let effects = arrive(&mut router, request, 50);
+    let [Effect::Send(send)] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(send.deadline, ms(50 + expected));
+}
+
+/// Guards against serving under no bundle, or under one that does not list the service.
+#[test]
+fn unknown_services_are_refused() {
+    let mut router = Router::new(RouterConfig::new(VM, "east", 7));
+    let effects = arrive(&mut router, keyed(1, "GET", 0), 0);
+    assert_eq!(effects, [not_run(1, NotRun::NoBundle)]);
+    router.step(Event::Bundle(bundle(1)), ms(0));
+    let effects = arrive(&mut router, request(2, "GET", "/other"), 0);
+    assert_eq!(effects, [not_run(2, NotRun::NoService)]);
+}
+
+/// Guards against an older bundle coming back into force.
+#[test]
+fn older_bundle_is_ignored() {
+    let mut router = router();
+    router.step(Event::Bundle(bundle(5)), ms(0));
+    let mut old = bundle(4);
+    old.services.clear();
+    router.step(Event::Bundle(old), ms(0));
+    assert_eq!(router.status().bundle, Some(5));
+    assert_eq!(
+        sends(&arrive(&mut router, keyed(1, "GET", 0), 0)),
+        [(1, 11)]
+    );
+}
+
+/// Guards against a drain that takes new callers, or that cuts off the VMs that still forward.
+#[test]
+fn drain_refuses_callers_only() {
+    let mut router = router();
+    write(&mut router, keyed(1, "POST", 0), 11, 0);
+    assert_eq!(router.step(Event::Drain, ms(1)), []);
+    let effects = arrive(&mut router, keyed(2, "GET", 0), 1);
+    assert_eq!(effects, [not_run(2, NotRun::ShuttingDown)]);
+    let mut forwarded = keyed(3, "GET", 0);
+    forwarded.origin = Origin::Vm { vm: 2, hops: 1 };
+    assert_eq!(sends(&arrive(&mut router, forwarded, 1)), [(3, 11)]);
+    assert_eq!(done(&mut router, 1, answered(), 2), []);
+}
+
+/// Guards against a key that stays in its old shard after a bundle has isolated it.
+#[test]
+fn waiting_requests_follow_a_new_bundle() {
+    let mut router = router();
+    assert_eq!(arrive(&mut router, keyed(1, "GET", 3), 0), []);
+    let mut next = bundle(2);
+    next.services[0].hot_keys = vec![key(3).into()];
+    router.step(Event::Bundle(next), ms(1));
+    let effects = router.step(
+        Event::View(change(2, vec![], vec![shard(4, Some(11), 9)])),
+        ms(2),
+    );
+    let [Effect::Send(send)] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(send.grant, Some((ShardRef::new("k", 4), token(9))));
+}
--- /dev/null
+++ b/crates/route/tests/keyed.rs
@@ -0,0 +1,257 @@
+//! Requests with a key: leases, owners, senders, slots and queues.
+
+mod common;
+
+use camphordale_domain::View;
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use rstest::rstest;
+
+/// Guards against a request that carries less than the newest token, which a target refuses.
+#[rstest]
+#[case(3, 5)]
+#[case(8, 8)]
+fn request_carries_the_larger_token(#[case] right: u64, #[case] expected: u64) {
+    let mut router = router();
+    let mut owner = target(11, "k", Some(1));
+    owner.token = token(right);
+    router.step(Event::View(change(2, vec![owner], vec![])), ms(0));
+    let effects = arrive(&mut router, keyed(1, "GET", 0), 0);
+    let [Effect::Send(send)] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(send.grant, Some((ShardRef::new("k", 0), token(expected))));
+    assert_eq!(send.connections, 60);
+}
+
+/// What makes a send illegal between the choice of the target and the write.
+#[derive(Clone, Copy)]
+enum Loss {
+    LeaseLost,
+    LeaseOver,
+    Fence,
+    Sender,
+    Releasing,
+    OwnerLost,
+    OtherOwner,
+    NewToken,
+    Term,
+    DomainLease,
+}
+
+/// Guards against a write on rights that ended after the target was chosen.
+#[rstest]
+fn last_check_holds_the_request(
+    #[values(
+        Loss::LeaseLost,
+        Loss::LeaseOver,
+        Loss::Fence,
+        Loss::Sender,
+        Loss::Releasing,
+        Loss::OwnerLost,
+        Loss::OtherOwner,
+        Loss::NewToken,
+        Loss::Term,
+        Loss::DomainLease
+    )]
+    loss: Loss,
+) {
+    let mut router = Router::new(RouterConfig::new(VM, "east", 7));
+    let mut bundle = bundle(1);
+    bundle.services[0].domain_lease = Some(ms(400));
+    router.step(Event::Bundle(bundle), ms(0));
+    router.step(directory(), ms(0));
+    router.step(Event::View(view(1)), ms(0));
+    let grant = |until, fence, control| Event::Lease {
+        until: ms(until),
+        fence,
+        control: ms(control),
+    };
+    router.step(grant(500, 1, 100), ms(0));
+    assert_eq!(
+        sends(&arrive(&mut router, keyed(1, "GET", 0), 10)),
+        [(1, 11)]
+    );
+    let mut owner = target(11, "k", Some(1));
+    let mut held = shard(0, Some(11), 5);
+    let mut now = 20;
+    match loss {
+        Loss::LeaseLost => drop(router.step(Event::LeaseLost, ms(20))),
+        Loss::LeaseOver => now = 500,
+        Loss::Fence => drop(router.step(grant(600, 2, 100), ms(20))),
+        Loss::Sender => owner.sender = Some(2),
+        Loss::Releasing => held.releasing = true,
+        Loss::OwnerLost => owner.info.state = TargetState::Lost,
+        Loss::OtherOwner => held = shard(0, None, 6),
+        Loss::NewToken => held.token = token(6),
+        Loss::Term => drop(router.step(Event::Term { term: 2 }, ms(20))),
+        Loss::DomainLease => {
+            router.step(grant(900, 1, 100), ms(20));
+            now = 500;
+        }
+    }
+    let others = [Loss::Fence as u8, Loss::Term as u8].contains(&(loss as u8));
+    if !others {
+        let changed = Event::View(change(2, vec![owner], vec![held]));
+        let effects = router.step(changed, ms(20));
+        let aborted = matches!(loss, Loss::Sender | Loss::OwnerLost);
+        assert_eq!(effects.contains(&Effect::Abort { id: 1 }), aborted);
+        if aborted {
+            // The end of the aborted attempt decides.
+            assert_eq!(ready(&mut router, 1, now), []);
+            return;
+        }
+    }
+    let effects = ready(&mut router, 1, now);
+    assert_eq!(
+        effects.first(),
+        Some(&Effect::Hold { id: 1 }),
+        "{effects:?}"
+    );
+    // With a new token the request is sent again under it.
+    let again = matches!(loss, Loss::NewToken);
+    assert_eq!(sends(&effects), if again { vec![(1, 11)] } else { vec![] });
+}
+
+/// Guards against a request that is dropped while its shard moves.
+#[test]
+fn waiting_request_follows_the_owner() {
+    let mut router = router();
+    assert_eq!(arrive(&mut router, keyed(1, "GET", 3), 0), []);
+    let assigned = Event::View(change(2, vec![], vec![shard(3, Some(11), 6)]));
+    assert_eq!(sends(&router.step(assigned, ms(5))), [(1, 11)]);
+}
+
+/// Guards against requests that wait beyond their deadline, and against a wrong reason.
+#[test]
+fn waiting_ends_before_the_deadline() {
+    let mut router = router();
+    assert_eq!(arrive(&mut router, keyed(1, "GET", 3), 0), []);
+    assert_eq!(router.step(Event::Tick, ms(979)), []);
+    assert_eq!(
+        router.step(Event::Tick, ms(980)),
+        [not_run(1, NotRun::NoOwner)]
+    );
+    router.step(Event::LeaseLost, ms(981));
+    assert_eq!(arrive(&mut router, keyed(2, "GET", 0), 981), []);
+    assert_eq!(
+        router.step(Event::Tick, ms(1981)),
+        [not_run(2, NotRun::NoLease)]
+    );
+}
+
+/// Guards against a lease of one group that is used with the view of another.
+#[test]
+fn lease_is_bound_to_its_group() {
+    let mut router = router();
+    let mut other = view(1);
+    other.term = 2;
+    router.step(Event::View(other), ms(1));
+    assert_eq!(arrive(&mut router, keyed(1, "GET", 0), 2), []);
+    let effects = router.step(lease(ms(4_000_000)), ms(3));
+    assert_eq!(sends(&effects), [(1, 11)]);
+}
+
+/// Guards against acting on a view that skips changes, or on an old one.
+#[test]
+fn views_apply_in_order() {
+    let mut router = router();
+    let mut gap = change(9, vec![], vec![shard(0, None, 9)]);
+    gap.since = 8;
+    router.step(Event::View(gap), ms(0));
+    assert_eq!(router.status().index, 1);
+    router.step(
+        Event::View(change(2, vec![], vec![shard(0, None, 6)])),
+        ms(0),
+    );
+    // Index 1 again, from before shard 0 was freed.
+    router.step(Event::View(view(1)), ms(0));
+    assert_eq!(arrive(&mut router, keyed(1, "GET", 0), 0), []);
+    let explanation = router.explain("k", &key(0)).unwrap();
+    assert_eq!(explanation.blocked, Some(Blocked::NoOwner));
+}
+
+/// Guards against more requests at a target than it has slots.
+#[test]
+fn slots_bound_requests_in_flight() {
+    let mut router = router();
+    write(&mut router, keyed(1, "GET", 0), 11, 0);
+    write(&mut router, keyed(2, "GET", 1), 11, 0);
+    assert_eq!(arrive(&mut router, keyed(3, "GET", 0), 0), []);
+    assert_eq!(sends(&done(&mut router, 1, answered(), 1)), [(3, 11)]);
+    // The end of a request that is not in flight any more frees nothing.
+    assert_eq!(arrive(&mut router, keyed(4, "GET", 0), 1), []);
+    assert_eq!(done(&mut router, 1, answered(), 2), []);
+}
+
+/// Guards against a hot shard that starves the others of its target.
+#[test]
+fn queue_is_fair_between_shards() {
+    let mut router = router();
+    write(&mut router, keyed(1, "GET", 0), 11, 0);
+    write(&mut router, keyed(2, "GET", 0), 11, 0);
+    for id in 3..9 {
+        assert_eq!(arrive(&mut router, keyed(id, "GET", 0), 0), []);
+    }
+    assert_eq!(
+        arrive(&mut router, keyed(9, "GET", 0), 0),
+        [not_run(9, NotRun::QueueFull)]
+    );
+    // The newest of the long queue gives way, and the other shard gets the second turn.
+    assert_eq!(
+        arrive(&mut router, keyed(10, "GET", 1), 0),
+        [not_run(8, NotRun::QueueFull)]
+    );
+    assert_eq!(sends(&done(&mut router, 1, answered(), 1)), [(3, 11)]);
+    assert_eq!(sends(&done(&mut router, 2, answered(), 1)), [(10, 11)]);
+    assert_eq!(sends(&done(&mut router, 3, answered(), 1)), [(4, 11)]);
+}
+
+/// Guards against a caller that waits in a queue that cannot be served in time.
+#[test]
+fn hopeless_wait_is_refused_at_once() {
+    let mut router = router();
+    write(&mut router, keyed(1, "GET", 0), 11, 0);
+    done(&mut router, 1, answered(), 600);
+    write(&mut router, keyed(2, "GET", 0), 11, 600);
+    write(&mut router, keyed(3, "GET", 0), 11, 600);
+    assert_eq!(arrive(&mut router, keyed(4, "GET", 0), 600), []);
+    assert_eq!(arrive(&mut router, keyed(5, "GET", 0), 600), []);
+    let mut hasty = keyed(6, "GET", 0);
+    hasty.allowed = Some(ms(200));
+    assert_eq!(
+        arrive(&mut router, hasty, 600),
+        [not_run(6, NotRun::Deadline)]
+    );
+}
+
+/// Guards against a request that is written with no time left to be answered.
+#[test]
+fn late_connection_is_not_used() {
+    let mut router = router();
+    arrive(&mut router, keyed(1, "POST", 0), 0);
+    assert_eq!(ready(&mut router, 1, 985), [not_run(1, NotRun::Deadline)]);
+}
+
+/// Guards against `explain` naming another obstacle than the one that holds.
+#[test]
+fn explain_names_the_obstacle() {
+    let mut router = router();
+    let blocked = |router: &Router, index| router.explain("k", &key(index)).unwrap().blocked;
+    assert_eq!(blocked(&router, 0), None);
+    assert_eq!(blocked(&router, 2), Some(Blocked::OtherSender(2)));
+    assert_eq!(blocked(&router, 3), Some(Blocked::NoOwner));
+    let mut held = shard(0, Some(11), 5);
+    held.releasing = true;
+    router.step(Event::View(change(2, vec![], vec![held])), ms(0));
+    assert_eq!(blocked(&router, 0), Some(Blocked::Releasing));
+    router.step(Event::LeaseLost, ms(0));
+    assert_eq!(blocked(&router, 1), Some(Blocked::NoLease));
+    let view = View {
+        dropped: vec![("k".into(), 1)],
+        ..change(3, vec![], vec![])
+    };
+    router.step(Event::View(view), ms(0));
+    assert_eq!(blocked(&router, 1), Some(Blocked::NoOwner));
+}
