net: Add peer server, peer client and datagrams

Cause: VMs exchange calls, casts and datagrams over the formats of wire.

Change: PeerServer has a thread for each connection, with separate limits before and after the handshake. PeerClient keeps connections with one call in flight and states whether a failed call may have been delivered; casts go through a bounded queue and one writer for each peer, which replaces connections that stay silent. Datagrams refuse repeats.

Other paths are not tested yet.

Ruled out: a reader thread for each cast connection. The writer polls for confirmations every 50 ms instead, and only while one is awaited.

--- /dev/null
+++ b/crates/net/src/datagrams.rs
@@ -0,0 +1,280 @@
+//! Messages over UDP.
+
+use std::{
+    io::ErrorKind::{
+        ConnectionRefused,
+        TimedOut,
+        WouldBlock, //
+    },
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    panic::{
+        AssertUnwindSafe,
+        catch_unwind, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use camphordale_wire::{
+    DATAGRAM_OVERHEAD,
+    Datagram,
+    Keyring,
+    MAX_DATAGRAM_PAYLOAD,
+    ReplayGuard, //
+};
+
+use crate::{
+    counters::{
+        Count,
+        DatagramStats,
+        Traffic, //
+    },
+    error::{
+        NetError,
+        SendError,
+        Step, //
+    },
+    handler::Handler, //
+};
+
+/// Stack of the receiver in bytes. The handler runs on it.
+const STACK: usize = 512 * 1024;
+
+/// Longest time until the receiver notices a shutdown whose wake-up was lost.
+const WAKE_TIME: Duration = Duration::from_millis(500);
+
+/// Pause after a failure of the socket, which could otherwise repeat without end.
+const ERROR_PAUSE: Duration = Duration::from_millis(10);
+
+/// Sends and receives authenticated datagrams.
+///
+/// # Examples
+///
+/// ```
+/// use std::{net::SocketAddr, sync::{Arc, Mutex, mpsc}};
+///
+/// use camphordale_net::{Datagrams, Handler};
+/// use camphordale_wire::{ClusterKey, Keyring};
+///
+/// struct Collect(Mutex<mpsc::Sender<(u32, Vec<u8>)>>);
+///
+/// impl Handler for Collect {
+///     fn call(&self, _from: u32, request: Vec<u8>) -> Vec<u8> {
+///         request
+///     }
+///     fn cast(&self, _from: u32, _message: Vec<u8>) {}
+///     fn datagram(&self, from: u32, message: Vec<u8>, _source: SocketAddr) {
+///         if let Ok(sender) = self.0.lock() {
+///             let _ = sender.send((from, message));
+///         }
+///     }
+/// }
+///
+/// let keyring = Keyring::new(vec![ClusterKey { id: 1, secret: [7; 32] }], 1)?;
+/// let (sender, received) = mpsc::channel();
+/// let handler = Arc::new(Collect(Mutex::new(sender)));
+/// let any = "127.0.0.1:0".parse()?;
+/// let one = Datagrams::start(any, 1, 1, keyring.clone(), handler.clone())?;
+/// let two = Datagrams::start(any, 2, 1, keyring, handler)?;
+/// one.send(two.local_addr(), b"renew")?;
+/// assert_eq!(received.recv()?, (1, b"renew".to_vec()));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub struct Datagrams {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    receiver: Mutex<Option<JoinHandle<()>>>,
+}
+
+struct Shared {
+    socket: UdpSocket,
+    vm: u32,
+    incarnation: u64,
+    counter: AtomicU64,
+    keyring: Keyring,
+    traffic: Traffic,
+    panics: Count,
+    closing: AtomicBool,
+}
+
+impl Datagrams {
+    /// Opens a socket and starts to receive. `incarnation` must rise each time the VM starts.
+    ///
+    /// # Errors
+    ///
+    /// [`NetError`] if the socket cannot be opened or no thread can be started.
+    pub fn start(
+        bind: SocketAddr,
+        vm: u32,
+        incarnation: u64,
+        keyring: Keyring,
+        handler: Arc<dyn Handler>,
+    ) -> Result<Datagrams, NetError> {
+        let at = |step| {
+            move |source| NetError {
+                step,
+                address: bind,
+                source,
+            }
+        };
+        let socket = UdpSocket::bind(bind).map_err(at(Step::Bind))?;
+        let address = socket.local_addr().map_err(at(Step::Bind))?;
+        socket
+            .set_read_timeout(Some(WAKE_TIME))
+            .map_err(at(Step::Bind))?;
+        let shared = Arc::new(Shared {
+            socket,
+            vm,
+            incarnation,
+            counter: AtomicU64::new(0),
+            keyring,
+            traffic: Traffic::default(),
+            panics: Count::default(),
+            closing: AtomicBool::new(false),
+        });
+        let receiver = thread::Builder::new()
+            .name("peer-datagrams".into())
+            .stack_size(STACK)
+            .spawn({
+                let shared = shared.clone();
+                move || shared.receive(&*handler)
+            })
+            .map_err(at(Step::Spawn))?;
+        Ok(Datagrams {
+            shared,
+            address,
+            receiver: Mutex::new(Some(receiver)),
+        })
+    }
+
+    /// Returns the address of the socket.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a message of at most [`MAX_DATAGRAM_PAYLOAD`] bytes. It may be lost, or arrive late.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`] if the message is too long or the socket refuses it.
+    pub fn send(&self, to: SocketAddr, message: &[u8]) -> Result<(), SendError> {
+        let shared = &self.shared;
+        let datagram = Datagram {
+            vm: shared.vm,
+            incarnation: shared.incarnation,
+            counter: shared.counter.fetch_add(1, Ordering::Relaxed),
+            payload: message.to_vec(),
+        };
+        let bytes = datagram
+            .seal(&shared.keyring)
+            .map_err(|source| SendError::Datagram { peer: to, source })?;
+        let sent = shared
+            .socket
+            .send_to(&bytes, to)
+            .map_err(|source| SendError::Io { peer: to, source })?;
+        shared.traffic.bytes_out.add(sent);
+        shared.traffic.messages_out.add(1);
+        Ok(())
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> DatagramStats {
+        let Shared {
+            traffic, panics, ..
+        } = &*self.shared;
+        DatagramStats {
+            bytes_in: traffic.bytes_in.get(),
+            bytes_out: traffic.bytes_out.get(),
+            messages_in: traffic.messages_in.get(),
+            messages_out: traffic.messages_out.get(),
+            panics: panics.get(),
+            refused: traffic.refused.get(),
+        }
+    }
+
+    /// Stops to receive, once a running handler has returned.
+    pub fn shutdown(&self) {
+        self.shared.closing.store(true, Ordering::SeqCst);
+        // Wakes the receiver; if this is lost, it wakes after WAKE_TIME.
+        let _ = self.shared.socket.send_to(&[], self.address);
+        let receiver = self
+            .receiver
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(receiver) = receiver {
+            // Handler panics are caught, so there is none to report.
+            let _ = receiver.join();
+        }
+    }
+}
+
+impl Drop for Datagrams {
+    fn drop(&mut self) {
+        self.shutdown();
+    }
+}
+
+impl Shared {
+    fn receive(&self, handler: &dyn Handler) {
+        let mut guard = ReplayGuard::default();
+        // One byte more than the longest datagram, so that a longer one is noticed.
+        let mut buffer = [0; DATAGRAM_OVERHEAD + MAX_DATAGRAM_PAYLOAD + 1];
+        loop {
+            let received = self.socket.recv_from(&mut buffer);
+            if self.closing.load(Ordering::SeqCst) {
+                return;
+            }
+            let (length, source) = match received {
+                Ok(received) => received,
+                Err(error) if matches!(error.kind(), WouldBlock | TimedOut | ConnectionRefused) => {
+                    continue;
+                }
+                Err(_) => {
+                    self.traffic.refused.add("receive");
+                    thread::sleep(ERROR_PAUSE);
+                    continue;
+                }
+            };
+            self.traffic.bytes_in.add(length);
+            let datagram = match Datagram::open(&buffer[..length], &self.keyring) {
+                Ok(datagram) => datagram,
+                Err(error) => {
+                    self.traffic.refused.add(error.reason());
+                    continue;
+                }
+            };
+            let Datagram {
+                vm,
+                incarnation,
+                counter,
+                payload,
+            } = datagram;
+            if let Err(error) = guard.accept(vm, incarnation, counter) {
+                self.traffic.refused.add(error.reason());
+                continue;
+            }
+            self.traffic.messages_in.add(1);
+            let run = || handler.datagram(vm, payload, source);
+            if catch_unwind(AssertUnwindSafe(run)).is_err() {
+                self.panics.add(1);
+            }
+        }
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,39 @@
-//! Placeholder.
+//! Transport between VMs: authenticated TCP connections and UDP datagrams, on blocking sockets.
+//!
+//! Start with [`Handler`], which receives what peers send to a [`PeerServer`] or [`Datagrams`].
+//! [`PeerClient`] sends: `call` awaits a response, `cast` does not.
+
+mod cast;
+mod client;
+mod config;
+mod counters;
+mod datagrams;
+mod error;
+mod handler;
+mod link;
+mod pool;
+mod server;
+mod slots;
+
+pub use client::PeerClient;
+pub use config::{
+    PeerClientConfig,
+    PeerServerConfig,
+    ServerLimits, //
+};
+pub use counters::{
+    ClientStats,
+    DatagramStats,
+    ServerStats, //
+};
+pub use datagrams::Datagrams;
+pub use error::{
+    CallError,
+    CallFailure,
+    LinkError,
+    NetError,
+    SendError,
+    Step, //
+};
+pub use handler::Handler;
+pub use server::PeerServer;
