Read, check, sign and compare bundles

Cause: the crate had only the interface of signed bundles.

Change: YAML with durations and percentages becomes a checked bundle; services are sorted so that equal content has equal bytes. A failed check names the field and its line: the text is read a second time with a visitor that fails at the field, because the parser reports positions only with errors. Decoding repeats all checks and refuses trailing or non-canonical bytes. Signatures cover a fixed prefix and the digest and are verified strictly. A record life shorter than the deadline is refused, because a duplicate could then run.

Ruled out: collecting line numbers with a second YAML parser, which would be another dependency.

--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -1,7 +1,23 @@
 //! Bundles: written in YAML, checked, turned into canonical bytes, signed and verified.
 //!
-//! Start with [`SignedBundle`].
+//! Start with [`parse_bundle`], which reads what an operator wrote, then [`SignedBundle`], which
+//! carries the canonical bytes and the signatures. [`diff()`] shows what a bundle changes.
 
+mod adapt;
+mod check;
+mod codec;
+mod diff;
+mod error;
+mod key;
+mod locate;
+mod raw;
 mod signed;
+mod yaml;
 
+pub use codec::{decode, encode};
+pub use diff::{Difference, diff};
+pub use ed25519_dalek::SigningKey;
+pub use error::BundleError;
+pub use key::{generate_key, key_from_text, key_to_text, public_from_text, public_to_text};
 pub use signed::{Signature, SignedBundle};
+pub use yaml::{parse_bundle, to_yaml};
