Add the control state, the directory and the planner

Cause: the crate had only its commands.

Change: State applies commands: bundles by compare-and-set on the previous digest, VM registrations, groups, homes kept as runs of equal homes, lost domains, and a hash-chained audit trail of at most 10,000 entries. Directory carries the parts that are newer than the asker's; DirectoryCache merges them and never goes back. Planner forms and replaces domain groups, gives first homes, and moves shards by consent or after every lease has run out.

Three rules go beyond the first design, each because the plain rule could give a key two owners: - A cut-off domain follows the domain lease of the bundle it has, which may be longer than the standing one. Reports name the bundle in force, InForce records it, and waits use the longest lease and deadline since. - Shards and key source of a service cannot change, and homes outlive a service that is removed, because VMs put bundles in force one after the other and two mappings in force give one key two shards. - A withdrawn move gets a new `since`, so that a late report of a parked shard cannot move it after its home has assigned it again.

--- /dev/null
+++ b/crates/control/src/audit.rs
@@ -0,0 +1,179 @@
+//! The audit trail of operators' changes, chained by hashes.
+
+use std::collections::VecDeque;
+
+use camphordale_types::{Digest, OperatorName};
+use serde::{Deserialize, Serialize};
+
+/// Entries that are kept; older ones are dropped, and the hash that the first kept entry builds
+/// on remains.
+pub(crate) const MAX_ENTRIES: usize = 10_000;
+/// Hash that the first entry builds on.
+const ORIGIN: Digest = Digest([0; 32]);
+/// Precedes the content of an entry in its hash.
+const HASH_CONTEXT: &str = "camphordale 2026 audit trail entry v1";
+
+/// One change that operators made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditEntry {
+    /// Number, counted from 1.
+    pub number: u64,
+    /// Seconds since the Unix epoch, as the submitter's VM saw them.
+    pub at: u64,
+    /// The operators, separated by commas.
+    pub by: OperatorName,
+    /// What was done.
+    pub action: Box<str>,
+    /// Digest of the bundle that stood before.
+    pub before: Option<Digest>,
+    /// Digest of the bundle that stands after.
+    pub after: Option<Digest>,
+    /// Hash of the entry before.
+    pub previous: Digest,
+    /// Hash of all other fields.
+    pub hash: Digest,
+}
+
+/// An audit trail was altered.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AuditError {
+    /// The entry's own hash does not fit its content.
+    #[error("audit entry {0} does not fit its hash")]
+    Content(u64),
+    /// The entry does not follow the one before it.
+    #[error("audit entry {0} does not follow the entry before it")]
+    Chain(u64),
+}
+
+impl AuditEntry {
+    fn own_hash(&self) -> Digest {
+        let content = (
+            self.number,
+            self.at,
+            &self.by,
+            &self.action,
+            self.before,
+            self.after,
+            self.previous,
+        );
+        let bytes = postcard::to_stdvec(&content).expect("all fields have a postcard encoding");
+        Digest(blake3::derive_key(HASH_CONTEXT, &bytes))
+    }
+}
+
+/// Checks the hashes of `entries`, which follow each other and may start anywhere in the trail.
+///
+/// # Errors
+///
+/// [`AuditError`] with the number of the first entry that was altered or is out of place.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_control::{Command, State, verify_audit};
+/// use camphordale_types::Operators;
+///
+/// let mut state = State::new(Operators { needed: 1, keys: Vec::new() });
+/// for index in 1..=3 {
+///     state.apply(index, &Command::Note {
+///         action: "rotated the cluster key".into(),
+///         by: "asha".into(),
+///         at: 1_790_000_000,
+///     });
+/// }
+/// let mut entries = state.audit().to_vec();
+/// assert_eq!(verify_audit(&entries), Ok(()));
+/// entries[1].by = "baraka".into();
+/// assert!(verify_audit(&entries).is_err());
+/// ```
+pub fn verify_audit(entries: &[AuditEntry]) -> Result<(), AuditError> {
+    for entry in entries {
+        if entry.hash != entry.own_hash() {
+            return Err(AuditError::Content(entry.number));
+        }
+        if entry.number == 0 || (entry.number == 1) != (entry.previous == ORIGIN) {
+            return Err(AuditError::Chain(entry.number));
+        }
+    }
+    match entries
+        .windows(2)
+        .find(|pair| pair[1].previous != pair[0].hash || pair[1].number != pair[0].number + 1)
+    {
+        Some(pair) => Err(AuditError::Chain(pair[1].number)),
+        None => Ok(()),
+    }
+}
+
+/// The kept part of the trail.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditTrail {
+    entries: VecDeque<AuditEntry>,
+    /// Number and hash of the entry before the first kept one.
+    base: (u64, Digest),
+}
+
+impl AuditTrail {
+    pub(crate) fn new() -> Self {
+        AuditTrail {
+            entries: VecDeque::new(),
+            base: (0, ORIGIN),
+        }
+    }
+
+    /// Returns the kept entries, oldest first.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &AuditEntry> + ExactSizeIterator {
+        self.entries.iter()
+    }
+
+    /// Returns copies of the kept entries, oldest first.
+    pub fn to_vec(&self) -> Vec<AuditEntry> {
+        self.entries.iter().cloned().collect()
+    }
+
+    /// Returns the number and the hash that the first kept entry builds on.
+    pub fn base(&self) -> (u64, Digest) {
+        self.base
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        at: u64,
+        by: &str,
+        action: impl Into<Box<str>>,
+        digests: (Option<Digest>, Option<Digest>),
+    ) {
+        let (number, previous) = match self.entries.back() {
+            Some(last) => (last.number, last.hash),
+            None => self.base,
+        };
+        let mut entry = AuditEntry {
+            number: number + 1,
+            at,
+            by: by.into(),
+            action: action.into(),
+            before: digests.0,
+            after: digests.1,
+            previous,
+            hash: ORIGIN,
+        };
+        entry.hash = entry.own_hash();
+        self.entries.push_back(entry);
+        while self.entries.len() > MAX_ENTRIES {
+            if let Some(dropped) = self.entries.pop_front() {
+                self.base = (dropped.number, dropped.hash);
+            }
+        }
+    }
+
+    /// Checks the trail, its base included.
+    pub(crate) fn check(&self) -> Result<(), AuditError> {
+        let entries = self.to_vec();
+        verify_audit(&entries)?;
+        match entries.first() {
+            Some(first) if (first.number, first.previous) != (self.base.0 + 1, self.base.1) => {
+                Err(AuditError::Chain(first.number))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -61,6 +61,16 @@
         /// Seconds since the Unix epoch.
         at: u64,
     },
+    /// A domain group has put a bundle in force. A cut-off domain follows the domain leases of
+    /// the bundle that it has, so the last version known here bounds how long it may serve.
+    InForce {
+        /// The domain.
+        domain: DomainName,
+        /// Term of its group.
+        term: u64,
+        /// Version of the bundle.
+        version: u64,
+    },
     /// Records another operator action in the audit trail.
     Note {
         /// What was done.
@@ -92,7 +102,7 @@
     pub index: ShardIndex,
     /// `since` of the home that is replaced; 0 if it has none.
     pub expect: u64,
-    /// The change.
+    /// The new home. The home itself withdraws a request to release the shard.
     pub to: DomainName,
     /// Whether the shard moves now (its home has released it or its leases have run out), or its
     /// home is only asked to release it.
@@ -117,6 +127,9 @@
     pub domain: DomainName,
     /// Term of its group.
     pub term: u64,
+    /// Version of the bundle whose services the group has in force, as committed in the group;
+    /// 0 for none.
+    pub bundle: u64,
     /// Shards that were asked to move and are released, with the `since` of their home.
     pub parked: Vec<(ServiceName, ShardIndex, u64)>,
     /// Slots of serving targets by service and side.
--- /dev/null
+++ b/crates/control/src/directory.rs
@@ -0,0 +1,53 @@
+//! What VMs need to know of the control group's state.
+
+use camphordale_bundle::SignedBundle;
+use camphordale_types::{DomainName, ServiceName, VmInfo};
+use serde::{Deserialize, Serialize};
+
+use crate::{Group, HomeRuns};
+
+/// Control log index of the last change of each part; 0 for a part that is empty or unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// Of the standing bundle.
+    pub bundle: u64,
+    /// Of the registered VMs.
+    pub vms: u64,
+    /// Of the domain groups.
+    pub groups: u64,
+    /// Of the homes of shards.
+    pub homes: u64,
+    /// Of the domains declared lost.
+    pub lost: u64,
+}
+
+/// One part of a directory.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Part<Content> {
+    /// Control log index of its last change.
+    pub version: u64,
+    /// The complete content.
+    pub content: Content,
+}
+
+/// The parts of the state that are newer than those the asker has, all as of one log index.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Directory {
+    /// The standing bundle.
+    pub bundle: Option<Part<SignedBundle>>,
+    /// The registered VMs, in order.
+    pub vms: Option<Part<Vec<VmInfo>>>,
+    /// The domain groups, in order of their domains.
+    pub groups: Option<Part<Vec<(DomainName, Group)>>>,
+    /// The homes of shards, in order of their services.
+    pub homes: Option<Part<Vec<(ServiceName, HomeRuns)>>>,
+    /// The domains declared lost, in order.
+    pub lost: Option<Part<Vec<DomainName>>>,
+}
+
+impl Directory {
+    /// Tells whether there is nothing newer.
+    pub fn is_empty(&self) -> bool {
+        *self == Directory::default()
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,23 @@
 //! Replicated state of the control group, and the planner that its leader runs.
 //!
-//! Start with [`Command`], then `State::apply` and `Planner::step`.
+//! Start with [`Command`], then [`State::apply`] and [`Planner::step`]. VMs hold what they need of
+//! the state in a [`DirectoryCache`].
 
+mod audit;
+mod cache;
+mod chain;
 mod command;
+mod directory;
+mod homes;
+mod planner;
+mod registry;
+mod state;
 
+pub use audit::{AuditEntry, AuditError, AuditTrail, verify_audit};
+pub use cache::{DirectoryCache, Taken};
+pub use chain::Reach;
 pub use command::{Command, DomainReport, Group, Home, HomeChange, Outcome, Rejection};
+pub use directory::{Directory, Part, Versions};
+pub use homes::{HomeRun, HomeRuns};
+pub use planner::{Planner, PlannerConfig, PlannerEvent};
+pub use state::{SnapshotError, State};
--- /dev/null
+++ b/crates/control/src/registry.rs
@@ -0,0 +1,82 @@
+//! The registered VMs.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use camphordale_types::{Incarnation, VmId, VmInfo};
+use serde::{Deserialize, Serialize};
+
+/// Replaced incarnations that are remembered for each VM.
+const MAX_RETIRED: usize = 64;
+
+/// The newest run of each VM, and earlier runs, which never return.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Registry(BTreeMap<VmId, Entry>);
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    info: Option<VmInfo>,
+    retired: VecDeque<Incarnation>,
+}
+
+impl Registry {
+    pub(crate) fn get(&self, vm: VmId) -> Option<&VmInfo> {
+        self.0.get(&vm)?.info.as_ref()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &VmInfo> {
+        self.0.values().filter_map(|entry| entry.info.as_ref())
+    }
+
+    /// Registers a run of a VM; tells whether that changed anything.
+    pub(crate) fn register(&mut self, info: &VmInfo) -> Result<bool, Box<str>> {
+        let entry = self.0.entry(info.vm).or_default();
+        if entry.retired.contains(&info.incarnation) {
+            return Err(format!(
+                "incarnation {} of VM {} was replaced",
+                info.incarnation, info.vm
+            )
+            .into());
+        }
+        match &entry.info {
+            Some(known) if known == info => return Ok(false),
+            // Seals and votes belong to an incarnation, so it stays where it began.
+            Some(known)
+                if known.incarnation == info.incarnation
+                    && (&known.domain, known.entry) != (&info.domain, info.entry) =>
+            {
+                return Err(format!(
+                    "VM {} changed its domain or role without a restart",
+                    info.vm
+                )
+                .into());
+            }
+            Some(known) if known.incarnation == info.incarnation => {}
+            Some(_) => entry.retire(),
+            None => {}
+        }
+        entry.info = Some(info.clone());
+        Ok(true)
+    }
+
+    /// Removes a VM; tells whether it was registered.
+    pub(crate) fn remove(&mut self, vm: VmId) -> bool {
+        match self.0.get_mut(&vm) {
+            Some(entry) if entry.info.is_some() => {
+                entry.retire();
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+impl Entry {
+    fn retire(&mut self) {
+        if let Some(info) = self.info.take() {
+            self.retired.push_back(info.incarnation);
+            if self.retired.len() > MAX_RETIRED {
+                self.retired.pop_front();
+            }
+        }
+    }
+}
