Add the root logger

Cause: the daemon has to log state changes in the form that the settings choose, without ever blocking on a slow reader of its output.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,4 +2,5 @@
 //!
 //! Start with [`settings::Settings`].
 
+pub mod log;
 pub mod settings;
