Add the bodies of the operator interface

Cause: the daemon and the tool must agree on every body of the operator interface, and operators keep signed bundles as files.

Change: serde types for status, bundles, VMs, targets, shards, moves, members, explanations, the audit trail and errors. Bytes, digests and tokens are text in JSON. A signed bundle is checked for form (signature length, one signature an operator) when it is turned into plain vectors. Audit records carry a hash over their fields and the hash before; `broken_link` finds the first record that does not follow. Acceptance of a bundle is decided by digest, not by version.

--- /dev/null
+++ b/crates/api/src/bundle.rs
@@ -0,0 +1,135 @@
+//! Bundles on their way to the control group.
+
+use camphordale_types::{Digest, OperatorName};
+use serde::{Deserialize, Serialize};
+
+use crate::{Hex, hex};
+
+/// Length of an ed25519 signature.
+const SIGNATURE_BYTES: usize = 64;
+
+/// A bundle with its signatures: the content of a `.signed` file and the body of
+/// `POST /v1/bundle`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SignedBundleBody {
+    /// Canonical bytes of the bundle.
+    pub bytes: Hex,
+    /// Signatures, one an operator.
+    pub signatures: Vec<SignatureBody>,
+}
+
+/// The signature of one operator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SignatureBody {
+    /// The operator.
+    pub operator: OperatorName,
+    /// 64 bytes of ed25519 signature over the digest of the canonical bytes.
+    pub bytes: Hex,
+}
+
+/// A body does not have the form that its type requires.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// The bundle has no content.
+    #[error("the bundle is empty")]
+    Empty,
+    /// A signature has the wrong length.
+    #[error("the signature of {operator} has {found} bytes instead of 64")]
+    Length {
+        /// The operator.
+        operator: OperatorName,
+        /// Its length in bytes.
+        found: usize,
+    },
+    /// An operator signed twice.
+    #[error("{0} signed twice")]
+    Twice(OperatorName),
+}
+
+/// Canonical bytes of a bundle and the signatures by operator.
+pub type PlainBundle = (Vec<u8>, Vec<(OperatorName, Vec<u8>)>);
+
+impl SignedBundleBody {
+    /// Returns the digest of the canonical bytes.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.bytes.0)
+    }
+}
+
+impl From<PlainBundle> for SignedBundleBody {
+    fn from((bytes, signatures): PlainBundle) -> Self {
+        let signatures = signatures
+            .into_iter()
+            .map(|(operator, bytes)| SignatureBody {
+                operator,
+                bytes: Hex(bytes),
+            });
+        SignedBundleBody {
+            bytes: Hex(bytes),
+            signatures: signatures.collect(),
+        }
+    }
+}
+
+impl TryFrom<SignedBundleBody> for PlainBundle {
+    type Error = BodyError;
+
+    /// Checks the form; whether the signatures are right is for the bundle crate to say.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_api::{BodyError, PlainBundle, SignedBundleBody};
+    ///
+    /// let plain: PlainBundle = (vec![1, 2], vec![("amina".into(), vec![7; 64])]);
+    /// let body = SignedBundleBody::from(plain.clone());
+    /// assert_eq!(PlainBundle::try_from(body), Ok(plain));
+    ///
+    /// let empty = SignedBundleBody::from((Vec::new(), Vec::new()));
+    /// assert_eq!(PlainBundle::try_from(empty), Err(BodyError::Empty));
+    /// ```
+    fn try_from(body: SignedBundleBody) -> Result<Self, BodyError> {
+        if body.bytes.0.is_empty() {
+            return Err(BodyError::Empty);
+        }
+        let mut signatures: Vec<(OperatorName, Vec<u8>)> = Vec::new();
+        for SignatureBody { operator, bytes } in body.signatures {
+            let found = bytes.0.len();
+            if found != SIGNATURE_BYTES {
+                return Err(BodyError::Length { operator, found });
+            }
+            if signatures.iter().any(|(other, _)| *other == operator) {
+                return Err(BodyError::Twice(operator));
+            }
+            signatures.push((operator, bytes.0));
+        }
+        Ok((body.bytes.0, signatures))
+    }
+}
+
+/// Answer to `POST /v1/bundle`. The status is 200 if the submitted bundle stands and 409 if
+/// another one does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmitReply {
+    /// Version submitted.
+    pub version: u64,
+    /// Digest submitted.
+    #[serde(with = "hex::digest")]
+    pub digest: Digest,
+    /// Version of the standing bundle.
+    pub standing_version: u64,
+    /// Digest of the standing bundle; absent while there is none.
+    #[serde(with = "hex::digest_option", default)]
+    pub standing_digest: Option<Digest>,
+    /// Whether the same bundle had been accepted before.
+    pub resent: bool,
+}
+
+impl SubmitReply {
+    /// Tells whether the submitted bundle has been accepted, now or before.
+    pub fn accepted(&self) -> bool {
+        self.resent || self.standing_digest == Some(self.digest)
+    }
+}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -1,1 +1,35 @@
 //! Bodies of the operator interface, shared by the daemon and the command-line tool.
+//!
+//! Start with [`Status`], the answer to `GET /v1/status`, and [`SignedBundleBody`], the body of
+//! `POST /v1/bundle`. Every refusal carries an [`ErrorBody`].
+//!
+//! | request | body | answer |
+//! |---|---|---|
+//! | `GET /v1/status` | | [`Status`] |
+//! | `GET /v1/bundle[?version=N]` | | [`SignedBundleBody`] |
+//! | `POST /v1/bundle` | [`SignedBundleBody`] | [`SubmitReply`] |
+//! | `GET /v1/vms` | | list of [`VmBody`] |
+//! | `GET /v1/targets` | | list of [`TargetBody`] |
+//! | `POST /v1/targets/{id}/drain` | [`Action`] | [`Done`] |
+//! | `GET /v1/shards?service=S` | | list of [`ShardBody`] |
+//! | `POST /v1/shards/move` | [`MoveRequest`] | [`Done`] |
+//! | `POST /v1/domains/{name}/lost` | [`Action`] | [`Done`] |
+//! | `POST /v1/domains/{name}/return` | [`Action`] | [`Done`] |
+//! | `GET /v1/explain?service=S&key=K` | | [`Explanation`] |
+//! | `GET /v1/audit?from=N` | | list of [`AuditBody`] |
+//! | `GET /v1/members` | | [`MembersBody`] |
+//! | `POST /v1/members/add`, `POST /v1/members/remove` | [`MemberRequest`] | [`Done`] |
+
+mod action;
+mod audit;
+mod bundle;
+mod hex;
+mod place;
+mod status;
+
+pub use action::{Action, Done, ErrorBody, MemberBody, MemberRequest, MembersBody, MoveRequest};
+pub use audit::{AuditBody, broken_link};
+pub use bundle::{BodyError, PlainBundle, SignatureBody, SignedBundleBody, SubmitReply};
+pub use hex::Hex;
+pub use place::{Explanation, ShardBody, TargetBody};
+pub use status::{Counters, LeaderBody, LeaseBody, RolesBody, Status, VmBody, VmVersion};
--- /dev/null
+++ b/crates/api/tests/bodies.rs
@@ -0,0 +1,107 @@
+//! Forms of the bodies.
+
+use camphordale_api::{
+    AuditBody, BodyError, Explanation, PlainBundle, SignedBundleBody, SubmitReply, broken_link,
+};
+use camphordale_types::{Digest, Side, Token};
+
+// Guards against a change of the form of `.signed` files, which operators keep.
+#[test]
+fn signed_bundle_form() {
+    let body = SignedBundleBody::from((vec![0, 255], vec![("amina".into(), vec![7; 64])]));
+    let text = serde_json::to_string(&body).unwrap();
+    let expected = format!(
+        r#"{{"bytes":"00ff","signatures":[{{"operator":"amina","bytes":"{}"}}]}}"#,
+        "07".repeat(64)
+    );
+    assert_eq!(text, expected);
+    assert_eq!(
+        serde_json::from_str::<SignedBundleBody>(&text).unwrap(),
+        body
+    );
+    let odd = text.replace("00ff", "00f");
+    assert!(serde_json::from_str::<SignedBundleBody>(&odd).is_err());
+}
+
+// Guards against one operator who counts twice and against signatures that are cut off.
+#[test]
+fn malformed_signatures_are_refused() {
+    let signed = |signatures| PlainBundle::try_from(SignedBundleBody::from((vec![1], signatures)));
+    let whole = ("amina".into(), vec![7; 64]);
+    assert_eq!(
+        signed(vec![whole.clone(), whole]),
+        Err(BodyError::Twice("amina".into()))
+    );
+    let operator = "budi".into();
+    let found = 63;
+    assert_eq!(
+        signed(vec![("budi".into(), vec![7; 63])]),
+        Err(BodyError::Length { operator, found })
+    );
+}
+
+// Guards against a conflict with an equal version that is taken for acceptance.
+#[test]
+fn acceptance_is_by_digest() {
+    let mut reply = SubmitReply {
+        version: 4,
+        digest: Digest::of(b"mine"),
+        standing_version: 4,
+        standing_digest: Some(Digest::of(b"other")),
+        resent: false,
+    };
+    assert!(!reply.accepted());
+    reply.standing_digest = Some(reply.digest);
+    assert!(reply.accepted());
+}
+
+// Guards against tokens and digests that become lists of numbers in JSON.
+#[test]
+fn tokens_and_absent_values() {
+    let explanation = Explanation {
+        service: "catalogue".into(),
+        key: "k".into(),
+        shard: 3,
+        side: Side::Old,
+        home: None,
+        sender: None,
+        owner: None,
+        token: Some(Token {
+            term: 1,
+            epoch: 2,
+            seq: 3,
+        }),
+        would_send_here: false,
+        why: vec!["the shard has no owner".into()],
+    };
+    let value = serde_json::to_value(&explanation).unwrap();
+    assert_eq!(value["token"], "1.2.3");
+    assert_eq!(
+        serde_json::from_value::<Explanation>(value).unwrap(),
+        explanation
+    );
+}
+
+// Guards against a trail from which a record was removed.
+#[test]
+fn gaps_in_the_trail_are_found() {
+    let mut records: Vec<AuditBody> = Vec::new();
+    for number in 1..=4 {
+        let mut record = AuditBody {
+            number,
+            at: 1_000 + number,
+            by: "amina".into(),
+            action: format!("submit bundle {number}").into(),
+            before: "".into(),
+            after: "".into(),
+            previous: records.last().map_or(Digest([0; 32]), |r| r.hash),
+            hash: Digest([0; 32]),
+        };
+        record.hash = record.expected_hash();
+        records.push(record);
+    }
+    assert_eq!(broken_link(&records), None);
+    assert_eq!(broken_link(&records[2..]), None);
+    records.remove(1);
+    assert_eq!(broken_link(&records), Some(3));
+}
