--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! The camphordale daemon: settings, logs, metrics and the boundaries of the process.
+//!
+//! Start with [`settings::Settings`].
+
+pub mod log;
+pub mod settings;
