http: Add bounded listener, client connections and pool

Cause: rouille does not bound its callers and ureq hides whether a byte of a request left, so callers and targets need their own HTTP/1.1.

Change: Server limits connections, header and body time and sizes, and refuses ambiguous lengths. Conn writes a request once, states whether a byte was written and is dead after any error. Pool counts open connections for each address. The codec is public and has no I/O.

--- /dev/null
+++ b/crates/http/src/codec/mod.rs
@@ -0,0 +1,23 @@
+//! Decoding of heads and bodies, without I/O.
+
+mod chunked;
+mod framing;
+mod request;
+mod response;
+
+pub use chunked::{
+    ChunkError,
+    Chunked, //
+};
+pub use framing::Framing;
+pub use request::{
+    Refusal,
+    RequestHead, //
+};
+pub use response::{
+    ResponseError,
+    ResponseHead, //
+};
+
+/// Header fields in one head.
+pub const MAX_HEADERS: usize = 100;
--- /dev/null
+++ b/crates/http/src/codec/response.rs
@@ -0,0 +1,93 @@
+//! Heads of responses.
+
+use std::mem::MaybeUninit;
+
+use crate::{
+    codec::{
+        Framing,
+        MAX_HEADERS,
+        framing::{
+            self,
+            FramingError, //
+        }, //
+    },
+    message::Headers, //
+};
+
+/// The head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Header fields, with names in lower case.
+    pub headers: Headers,
+    /// How the end of the body is found, if the response has one.
+    pub framing: Framing,
+    /// Whether the connection stays open after the response.
+    pub keep_alive: bool,
+    /// Whether the response announces that the connection is closed after it.
+    pub says_close: bool,
+}
+
+/// A head of a response that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("response is malformed: {0}")]
+pub struct ResponseError(pub &'static str);
+
+impl ResponseHead {
+    /// Parses the head at the start of `bytes`. Returns it with its length in bytes, or `None` if
+    /// it is not complete.
+    ///
+    /// # Errors
+    ///
+    /// [`ResponseError`] if the head is malformed or ambiguous.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_http::codec::{Framing, ResponseHead};
+    ///
+    /// let bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    /// let (head, length) = ResponseHead::parse(bytes)?.unwrap();
+    /// assert_eq!((head.status, head.framing), (200, Framing::Length(2)));
+    /// assert_eq!(&bytes[length..], b"ok");
+    /// # Ok::<(), camphordale_http::codec::ResponseError>(())
+    /// ```
+    pub fn parse(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, ResponseError> {
+        let mut headers = [MaybeUninit::uninit(); MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut []);
+        let config = httparse::ParserConfig::default();
+        let result = config.parse_response_with_uninit_headers(&mut parsed, bytes, &mut headers);
+        let length = match result {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(ResponseError("head cannot be parsed")),
+        };
+        if !framing::has_strict_lines(&bytes[..length]) {
+            return Err(ResponseError("head has a line without CR LF"));
+        }
+        let (Some(status), Some(version)) = (parsed.code, parsed.version) else {
+            return Err(ResponseError("head has no status"));
+        };
+        if status < 100 {
+            return Err(ResponseError("status is below 100"));
+        }
+        let http_10 = version == 0;
+        let headers =
+            framing::collect(parsed.headers).ok_or(ResponseError("header field is not UTF-8"))?;
+        let framing = framing::framing(&headers, http_10).map_err(|error| match error {
+            FramingError::Conflict => ResponseError("length of the body is ambiguous"),
+            FramingError::Coding => ResponseError("transfer coding is not supported"),
+        })?;
+        let says_close = framing::lists(&headers, "connection", "close");
+        let says_keep = framing::lists(&headers, "connection", "keep-alive");
+        let head = ResponseHead {
+            status,
+            headers,
+            framing,
+            keep_alive: !says_close && (!http_10 || says_keep),
+            says_close,
+        };
+        Ok(Some((head, length)))
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,1 +1,45 @@
-//! Placeholder.
+//! Bounded HTTP/1.1: a listener that no stranger can exhaust, and client connections that state
+//! whether a byte of a request may have left.
+//!
+//! Start with [`Server`] and [`Handler`] for the listener, and with [`Pool`] and [`Conn`] for
+//! requests to others. [`codec`] holds the parts without I/O.
+
+mod client;
+pub mod codec;
+mod encode;
+mod error;
+mod linger;
+mod message;
+mod places;
+mod pool;
+mod serve;
+mod server;
+mod socket;
+
+pub use client::{
+    Aborter,
+    Conn, //
+};
+pub use error::{
+    ClientError,
+    ClientFailure,
+    HttpError,
+    Step, //
+};
+pub use message::{
+    Handler,
+    Headers,
+    OutRequest,
+    Request,
+    Response, //
+};
+pub use pool::{
+    Pool,
+    PoolConfig,
+    PoolCounts, //
+};
+pub use server::{
+    Limits,
+    Server,
+    ServerStats, //
+};
--- /dev/null
+++ b/crates/http/src/serve.rs
@@ -0,0 +1,274 @@
+//! One connection of a server.
+
+use std::{
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    panic::{
+        AssertUnwindSafe,
+        catch_unwind, //
+    },
+    sync::Arc,
+    time::Instant, //
+};
+
+use crate::{
+    codec::{
+        ChunkError,
+        Chunked,
+        Framing,
+        Refusal,
+        RequestHead, //
+    },
+    encode::{
+        self,
+        After, //
+    },
+    linger,
+    message::{
+        Handler,
+        Request,
+        Response, //
+    },
+    places::Place,
+    server::{
+        Counts,
+        Limits, //
+    },
+    socket::{
+        Failure,
+        Socket, //
+    }, //
+};
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Responses that grew the buffer beyond this give it back.
+const KEEP_OUT: usize = 64 * 1024;
+
+/// What a connection needs of its server.
+pub(crate) struct Context {
+    pub(crate) limits: Limits,
+    pub(crate) handler: Arc<dyn Handler>,
+    pub(crate) counts: Counts,
+}
+
+/// Why a connection ends.
+enum End {
+    /// The caller has closed it, or it was idle.
+    Quiet,
+    /// A request is refused.
+    Refused(Refusal),
+    /// The last response was written.
+    Answered,
+}
+
+impl From<Refusal> for End {
+    fn from(refusal: Refusal) -> Self {
+        End::Refused(refusal)
+    }
+}
+
+/// Serves a connection to its end.
+pub(crate) fn serve(context: &Context, stream: Arc<TcpStream>, peer: SocketAddr, place: &Place) {
+    let Ok(socket) = Socket::new(stream) else {
+        return;
+    };
+    let mut connection = Connection {
+        context,
+        place,
+        socket,
+        peer,
+        out: Vec::new(),
+    };
+    let mut header_deadline = Instant::now() + context.limits.header_time;
+    let mut is_first = true;
+    let end = loop {
+        if let Err(end) = connection.exchange(is_first, header_deadline) {
+            break end;
+        }
+        is_first = false;
+        header_deadline = Instant::now() + context.limits.header_time;
+    };
+    match end {
+        End::Quiet => return,
+        End::Refused(refusal) => {
+            context.counts.refused(refusal.reason);
+            let response = Response::text(refusal.status, refusal.reason);
+            // The connection ends either way.
+            let _ = connection.write(&response, false, After::Close);
+        }
+        End::Answered => {}
+    }
+    linger::close(connection.socket.stream());
+}
+
+struct Connection<'a> {
+    context: &'a Context,
+    place: &'a Place,
+    socket: Socket,
+    peer: SocketAddr,
+    out: Vec<u8>,
+}
+
+impl Connection<'_> {
+    /// Serves one request.
+    fn exchange(&mut self, is_first: bool, header_deadline: Instant) -> Result<(), End> {
+        let limits = &self.context.limits;
+        let mut deadline = header_deadline;
+        if self.socket.data().is_empty() {
+            if !self.place.rest() {
+                return Err(End::Answered);
+            }
+            let idle_deadline = Instant::now() + limits.idle_time;
+            let wait = if is_first { deadline } else { idle_deadline };
+            let filled = self.socket.fill(wait);
+            self.place.work();
+            if filled.is_err() {
+                return Err(End::Quiet);
+            }
+            if !is_first {
+                deadline = Instant::now() + limits.header_time;
+            }
+        }
+        let head = self.head(deadline)?;
+        let body = self.body(&head)?;
+        let RequestHead {
+            method,
+            path,
+            headers,
+            keep_alive,
+            http_10,
+            ..
+        } = head;
+        let is_head = &*method == "HEAD";
+        let request = Request {
+            method,
+            path,
+            headers,
+            body,
+            peer: self.peer,
+        };
+        self.context.counts.request();
+        let handle = || self.context.handler.handle(request);
+        let handled = catch_unwind(AssertUnwindSafe(handle));
+        let panicked = handled.is_err();
+        let response = handled.unwrap_or_else(|_| {
+            self.context.counts.panic();
+            Response::text(500, "request handler failed")
+        });
+        let after = match (keep_alive, http_10) {
+            (true, _) if panicked || self.place.is_draining() => After::Close,
+            (true, false) => After::Open,
+            (true, true) => After::OpenSaid,
+            (false, _) => After::Close,
+        };
+        self.write(&response, is_head, after)
+            .map_err(|_| End::Quiet)?;
+        if after == After::Close {
+            return Err(End::Answered);
+        }
+        Ok(())
+    }
+
+    fn head(&mut self, deadline: Instant) -> Result<RequestHead, End> {
+        let limit = self.context.limits.header_size;
+        let mut searched = 0;
+        loop {
+            let data = self.socket.data();
+            // The head cannot have become complete, nor wrong in a new way, without a line end.
+            if data[searched..].contains(&b'\n') {
+                let window = &data[..data.len().min(limit)];
+                if let Some((head, length)) = RequestHead::parse(window)? {
+                    self.socket.consume(length);
+                    return Ok(head);
+                }
+            }
+            if data.len() >= limit {
+                return Err(Refusal::new(431, "request head is too long").into());
+            }
+            searched = data.len();
+            match self.socket.fill(deadline) {
+                Ok(_) => {}
+                Err(Failure::Timeout) => {
+                    return Err(Refusal::new(408, "request head took too long").into());
+                }
+                Err(_) => return Err(self.cut()),
+            }
+        }
+    }
+
+    /// Returns how a connection ends whose request stopped half way. During a drain the request
+    /// may have been cut by this side, and the caller is told that it was not run.
+    fn cut(&self) -> End {
+        if self.place.is_draining() {
+            return Refusal::new(503, "server is shutting down").into();
+        }
+        End::Quiet
+    }
+
+    fn body(&mut self, head: &RequestHead) -> Result<Vec<u8>, End> {
+        let limits = &self.context.limits;
+        let too_large = Refusal::new(413, "request body is too long");
+        let length = match head.framing {
+            Framing::Unstated | Framing::Length(0) => return Ok(Vec::new()),
+            Framing::Length(length) => match usize::try_from(length) {
+                Ok(length) if length <= limits.body_size => Some(length),
+                _ => return Err(too_large.into()),
+            },
+            Framing::Chunked => None,
+        };
+        let deadline = Instant::now() + limits.body_time;
+        if head.expects_continue && self.socket.data().is_empty() {
+            self.socket
+                .write(CONTINUE, b"", deadline)
+                .map_err(|_| End::Quiet)?;
+        }
+        let mut body = Vec::new();
+        let result = match length {
+            Some(length) => self.socket.read_body(&mut body, length, deadline),
+            None => {
+                let mut chunked = Chunked::new(limits.body_size);
+                loop {
+                    let used = chunked
+                        .decode(self.socket.data(), &mut body)
+                        .map_err(|error| match error {
+                            ChunkError::TooLarge => too_large,
+                            ChunkError::Malformed => Refusal::new(400, "chunk is malformed"),
+                        })?;
+                    self.socket.consume(used);
+                    if chunked.is_done() {
+                        break Ok(());
+                    }
+                    if let Err(failure) = self.socket.fill(deadline) {
+                        break Err(failure);
+                    }
+                }
+            }
+        };
+        match result {
+            Ok(()) => Ok(body),
+            Err(Failure::Timeout) => Err(Refusal::new(408, "request body took too long").into()),
+            Err(_) => Err(self.cut()),
+        }
+    }
+
+    fn write(&mut self, response: &Response, is_head: bool, after: After) -> Result<(), ()> {
+        self.out.clear();
+        let invalid;
+        let body = match encode::response(&mut self.out, response, is_head, after) {
+            Some(body) => body,
+            None => {
+                self.context.counts.refused("response");
+                self.out.clear();
+                invalid = Response::text(500, "response of the handler is invalid");
+                encode::response(&mut self.out, &invalid, is_head, after).unwrap_or_default()
+            }
+        };
+        let deadline = Instant::now() + self.context.limits.write_time;
+        let result = self.socket.write(&self.out, body, deadline);
+        self.out.shrink_to(KEEP_OUT);
+        result.map_err(|_| self.context.counts.refused("write"))
+    }
+}
