Add the stand-in target

Cause: tests and the quickstart need targets that follow docs/protocols.md and that misbehave on request.

Ruled out: rouille for the request listener, because it offers no way to cut an answer short or to silence a connection.

--- /dev/null
+++ b/crates/standin/src/cli.rs
@@ -0,0 +1,37 @@
+//! Helpers of the command lines.
+
+use std::str::FromStr;
+
+use camphordale_types::Side;
+
+/// Either system, as an option of a command line.
+#[derive(Clone, Copy, Debug)]
+pub struct SideArg(pub Side);
+
+impl FromStr for SideArg {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "old" => Ok(SideArg(Side::Old)),
+            "new" => Ok(SideArg(Side::New)),
+            _ => Err("a side is old or new"),
+        }
+    }
+}
+
+/// A header, as an option of a command line: `name: value`.
+#[derive(Clone, Debug)]
+pub struct HeaderArg(pub Box<str>, pub Box<str>);
+
+impl FromStr for HeaderArg {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (name, value) = text.split_once(':').ok_or("a header is NAME: VALUE")?;
+        if name.is_empty() || text.contains(['\r', '\n']) {
+            return Err("a header is NAME: VALUE on one line");
+        }
+        Ok(HeaderArg(name.into(), value.trim().into()))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/clock.rs
@@ -0,0 +1,30 @@
+//! Clocks.
+
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+/// Monotonic time since the process started.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// Starts a clock at zero.
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+/// Returns the wall clock in microseconds since the Unix epoch.
+pub fn wall_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_micros() as u64
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,255 @@
+//! The stand-in target.
+
+use std::{
+    io,
+    net::{
+        IpAddr,
+        SocketAddr,
+        TcpListener, //
+    },
+    path::PathBuf,
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU32,
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    thread,
+    time::Duration,
+};
+
+use camphordale_types::Side;
+
+use crate::{
+    Clock,
+    Fence,
+    LineWriter,
+    Server,
+    Switches,
+    run,
+    serve,
+    session,
+    switch_api, //
+};
+
+/// Time between two looks at whether a drain is complete.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// Time that connections get for their last answers after a drain.
+const LAST_ANSWERS: Duration = Duration::from_millis(50);
+
+/// Settings of a target.
+#[derive(Clone, Debug)]
+pub struct TargetOptions {
+    /// Name, unique in the failure domain.
+    pub name: Box<str>,
+    /// The service it serves.
+    pub service: Box<str>,
+    /// The system it belongs to.
+    pub side: Side,
+    /// Where it listens; calls to the entry VMs come from the same IP address.
+    pub listen: SocketAddr,
+    /// Target listeners of entry VMs.
+    pub entries: Vec<SocketAddr>,
+    /// Bearer key.
+    pub key: Box<str>,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Connections it accepts.
+    pub connections: usize,
+    /// Whether it checks tokens and its lease.
+    pub checks_tokens: bool,
+    /// Time that each run takes.
+    pub work: Duration,
+    /// Padding of each answer in bytes.
+    pub body_size: usize,
+    /// Header that holds the key, in lower case; only noted in journal and answer.
+    pub key_header: Box<str>,
+    /// File for the journal.
+    pub journal: Option<PathBuf>,
+}
+
+impl TargetOptions {
+    pub(crate) fn bearer(&self) -> String {
+        format!("Bearer {}", self.key)
+    }
+}
+
+/// A running target.
+#[derive(Debug)]
+pub struct Target {
+    pub(crate) options: TargetOptions,
+    pub(crate) address: SocketAddr,
+    pub(crate) clock: Clock,
+    pub(crate) switches: Switches,
+    pub(crate) journal: Option<LineWriter>,
+    pub(crate) running: AtomicU32,
+    pub(crate) runs: AtomicU64,
+    pub(crate) commits: AtomicU64,
+    pub(crate) refused: AtomicU64,
+    pub(crate) draining: AtomicBool,
+    fence: Mutex<Fence>,
+    server: Mutex<Option<Server>>,
+    left: Mutex<Left>,
+    nudged: Mutex<bool>,
+    nudge: Condvar,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Left {
+    leaving: bool,
+    shards: u32,
+}
+
+impl Target {
+    /// Starts a target: it listens, announces itself and renews until the process ends. Without
+    /// entry VMs it only listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of listening, of opening the journal, or of starting a thread.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_standin::{Target, TargetOptions};
+    /// use camphordale_types::Side;
+    ///
+    /// let target = Target::start(TargetOptions {
+    ///     name: "cat-1".into(),
+    ///     service: "catalogue".into(),
+    ///     side: Side::New,
+    ///     listen: ([127, 0, 0, 1], 0).into(),
+    ///     entries: Vec::new(),
+    ///     key: "k".into(),
+    ///     slots: 4,
+    ///     connections: 110,
+    ///     checks_tokens: false,
+    ///     work: Duration::ZERO,
+    ///     body_size: 0,
+    ///     key_header: "x-key".into(),
+    ///     journal: None,
+    /// })?;
+    /// let url = format!("http://{}/catalogue", target.address());
+    /// let answer = ureq::get(&url).call().map_err(std::io::Error::other)?;
+    /// assert_eq!(answer.status(), 200);
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn start(options: TargetOptions) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(options.listen)?;
+        let journal = match &options.journal {
+            Some(path) => Some(LineWriter::open(path)?),
+            None => None,
+        };
+        let target = Arc::new(Target {
+            address: listener.local_addr()?,
+            clock: Clock::start(),
+            switches: Switches::default(),
+            journal,
+            running: AtomicU32::new(0),
+            runs: AtomicU64::new(0),
+            commits: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            fence: Mutex::default(),
+            server: Mutex::default(),
+            left: Mutex::default(),
+            nudged: Mutex::default(),
+            nudge: Condvar::new(),
+            options,
+        });
+        let handler = target.clone();
+        let server = serve(
+            listener,
+            target.options.connections,
+            move |request| match request.path.strip_prefix("/standin/") {
+                Some(command) => switch_api::answer(&handler, command),
+                None => run::answer(&handler, request),
+            },
+        )?;
+        *lock(&target.server) = Some(server);
+        if !target.options.entries.is_empty() {
+            let keeper = target.clone();
+            let spawned = thread::Builder::new().name("session".into());
+            spawned.spawn(move || session::keep(&keeper))?;
+        }
+        Ok(target)
+    }
+
+    /// Returns the address that the target listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the IP address from which the target calls entry VMs.
+    pub fn source(&self) -> IpAddr {
+        self.address.ip()
+    }
+
+    /// Announces that the target is leaving, and waits until it owns no shard and runs nothing,
+    /// or until `limit` has passed. Returns whether the drain was complete.
+    pub fn drain(&self, limit: Duration) -> bool {
+        self.begin_drain();
+        let until = self.clock.now() + limit;
+        let alone = self.options.entries.is_empty();
+        while self.clock.now() < until {
+            let left = *lock(&self.left);
+            let released = alone || (left.leaving && left.shards == 0);
+            if released && self.running.load(Ordering::SeqCst) == 0 {
+                thread::sleep(LAST_ANSWERS);
+                return true;
+            }
+            thread::sleep(DRAIN_POLL);
+        }
+        false
+    }
+
+    pub(crate) fn begin_drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.nudge();
+    }
+
+    pub(crate) fn fence(&self) -> MutexGuard<'_, Fence> {
+        lock(&self.fence)
+    }
+
+    pub(crate) fn silence(&self) {
+        if let Some(server) = &*lock(&self.server) {
+            server.silence();
+        }
+    }
+
+    pub(crate) fn note_left(&self, shards: u32) {
+        lock(&self.left).shards = shards;
+    }
+
+    pub(crate) fn note_leaving(&self, shards: u32) {
+        *lock(&self.left) = Left {
+            leaving: true,
+            shards,
+        };
+    }
+
+    /// Makes the session renew now.
+    pub(crate) fn nudge(&self) {
+        *lock(&self.nudged) = true;
+        self.nudge.notify_all();
+    }
+
+    /// Waits for `pause` or until [`Target::nudge`].
+    pub(crate) fn wait_nudge(&self, pause: Duration) {
+        let guard = lock(&self.nudged);
+        let waited = self
+            .nudge
+            .wait_timeout_while(guard, pause, |nudged| !*nudged);
+        let (mut nudged, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        *nudged = false;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
