Add the load tool

Cause: throughput and latency of the router have to be compared with those of a direct request, so the tool must not be the limit.

Change: standin-load sends over raw TCP connections with one thread each and reads only status, Content-Length and Connection of an answer.

Ruled out: ureq as the client, which allocates per request and hides whether a byte was sent.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod fence;
 pub mod headers;
 mod journal;
+mod load;
 pub mod protocol;
 mod run;
 mod server;
@@ -36,6 +37,11 @@
     Phase,
     read_lines, //
 };
+pub use load::{
+    LoadOptions,
+    LoadReport,
+    run_load, //
+};
 pub use protocol::Grant;
 pub use server::{
     Delivery,
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,305 @@
+//! Closed-loop load on one address.
+
+use std::{
+    collections::BTreeMap,
+    io::{
+        self,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Longest time for one answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+/// Largest header of an answer, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+/// Highest latency that is told apart, in nanoseconds.
+const MAX_LATENCY: u64 = 60_000_000_000;
+/// Pause after a connection failed, so that a closed port is not flooded.
+const CONNECT_PAUSE: Duration = Duration::from_millis(5);
+
+/// What to send, and how much of it.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Where to send it.
+    pub address: SocketAddr,
+    /// Connections, each with a thread and one request at a time.
+    pub connections: usize,
+    /// How long to send.
+    pub time: Duration,
+    /// HTTP method.
+    pub method: Box<str>,
+    /// Path with query.
+    pub path: Box<str>,
+    /// Headers besides `Host` and `Content-Length`.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+    /// Size of the body in bytes.
+    pub body_size: usize,
+}
+
+/// Result of a load run; latencies are in microseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Answers with a status below 400.
+    pub ok: u64,
+    /// Answers with a status below 400 per second.
+    pub per_second: f64,
+    /// Everything else, by kind.
+    pub errors: BTreeMap<Box<str>, u64>,
+    /// Median.
+    pub p50_us: f64,
+    /// 90th percentile.
+    pub p90_us: f64,
+    /// 99th percentile.
+    pub p99_us: f64,
+    /// 99.9th percentile.
+    pub p999_us: f64,
+    /// Maximum.
+    pub max_us: f64,
+}
+
+/// Sends requests over keep-alive connections, each as soon as the last was answered.
+///
+/// # Errors
+///
+/// Returns the error of starting a thread. Failed requests are counted in the report.
+///
+/// # Examples
+///
+/// ```
+/// use std::{net::TcpListener, time::Duration};
+/// use camphordale_standin::{LoadOptions, Reply, run_load, serve};
+///
+/// let listener = TcpListener::bind("127.0.0.1:0")?;
+/// let server = serve(listener, 4, |_| Reply { status: 200, ..Reply::default() })?;
+/// let report = run_load(&LoadOptions {
+///     address: server.address(),
+///     connections: 2,
+///     time: Duration::from_millis(50),
+///     method: "GET".into(),
+///     path: "/".into(),
+///     headers: Vec::new(),
+///     body_size: 0,
+/// })?;
+/// assert!(report.ok > 0 && report.errors.is_empty());
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub fn run_load(options: &LoadOptions) -> io::Result<LoadReport> {
+    let bytes = request_bytes(options);
+    let began = Instant::now();
+    let end = began + options.time;
+    let tallies = thread::scope(|scope| {
+        let spawn = |_| {
+            let bytes = &bytes;
+            let address = options.address;
+            let run = move || Tally::default().run(address, bytes, end);
+            thread::Builder::new().spawn_scoped(scope, run)
+        };
+        let threads: Vec<_> = (0..options.connections)
+            .map(spawn)
+            .collect::<Result<_, _>>()?;
+        let joined = threads.into_iter().map(|thread| thread.join());
+        Ok::<_, io::Error>(joined.flatten().collect::<Vec<_>>())
+    })?;
+    Ok(report(&tallies, began.elapsed()))
+}
+
+fn request_bytes(options: &LoadOptions) -> Vec<u8> {
+    let mut text = format!(
+        "{} {} HTTP/1.1\r\nhost: {}\r\n",
+        options.method, options.path, options.address
+    );
+    for (name, value) in &options.headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if options.body_size > 0 || &*options.method != "GET" {
+        text.push_str(&format!("content-length: {}\r\n", options.body_size));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.resize(bytes.len() + options.body_size, b'b');
+    bytes
+}
+
+fn report(tallies: &[Tally], took: Duration) -> LoadReport {
+    let mut report = LoadReport::default();
+    let mut sum = Tally::default();
+    for tally in tallies {
+        report.ok += tally.ok;
+        for (kind, count) in &tally.errors {
+            *report.errors.entry(kind.clone()).or_default() += count;
+        }
+        if let (Some(sum), Some(one)) = (&mut sum.latency, &tally.latency) {
+            // Both have the same bounds, so adding cannot fail.
+            let _ = sum.add(one);
+        }
+    }
+    report.per_second = report.ok as f64 / took.as_secs_f64();
+    if let Some(latency) = &sum.latency {
+        let at = |quantile| latency.value_at_quantile(quantile) as f64 / 1e3;
+        report.p50_us = at(0.5);
+        report.p90_us = at(0.9);
+        report.p99_us = at(0.99);
+        report.p999_us = at(0.999);
+        report.max_us = latency.max() as f64 / 1e3;
+    }
+    report
+}
+
+struct Tally {
+    ok: u64,
+    errors: BTreeMap<Box<str>, u64>,
+    latency: Option<Histogram<u64>>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Tally {
+            ok: 0,
+            errors: BTreeMap::new(),
+            latency: Histogram::new_with_bounds(1, MAX_LATENCY, 3).ok(),
+        }
+    }
+}
+
+impl Tally {
+    fn run(mut self, address: SocketAddr, bytes: &[u8], end: Instant) -> Self {
+        let mut connection = None;
+        let mut buffer = Vec::with_capacity(16 * 1024);
+        while Instant::now() < end {
+            let open = match connection.take() {
+                Some(open) => Ok(open),
+                None => connect(address),
+            };
+            let mut stream = match open {
+                Ok(stream) => stream,
+                Err(_) => {
+                    self.count("connect");
+                    thread::sleep(CONNECT_PAUSE);
+                    continue;
+                }
+            };
+            let sent = Instant::now();
+            match exchange(&mut stream, bytes, &mut buffer) {
+                Ok(answer) => {
+                    self.note(answer.status, sent.elapsed());
+                    if answer.keep {
+                        connection = Some(stream);
+                    }
+                }
+                Err(error) => self.count(match error.kind() {
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => "timeout",
+                    io::ErrorKind::UnexpectedEof => "short",
+                    io::ErrorKind::InvalidData => "malformed",
+                    _ => "broken",
+                }),
+            }
+        }
+        self
+    }
+
+    fn note(&mut self, status: u16, took: Duration) {
+        if status >= 400 {
+            return self.count(&format!("status {status}"));
+        }
+        self.ok += 1;
+        if let Some(latency) = &mut self.latency {
+            latency.saturating_record(took.as_nanos() as u64);
+        }
+    }
+
+    fn count(&mut self, kind: &str) {
+        *self.errors.entry(kind.into()).or_default() += 1;
+    }
+}
+
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&address, ANSWER_LIMIT)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(ANSWER_LIMIT))?;
+    Ok(stream)
+}
+
+struct Answer {
+    status: u16,
+    keep: bool,
+}
+
+/// Sends one request and reads its answer, which must have a `Content-Length`.
+fn exchange(stream: &mut TcpStream, bytes: &[u8], buffer: &mut Vec<u8>) -> io::Result<Answer> {
+    stream.write_all(bytes)?;
+    buffer.clear();
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        let count = stream.read(&mut chunk)?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        buffer.extend_from_slice(&chunk[..count]);
+        let Some(head) = parse(buffer)? else {
+            if buffer.len() > MAX_HEAD {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            continue;
+        };
+        let mut have = buffer.len();
+        let whole = head.length + head.body;
+        while have < whole {
+            let count = stream.read(&mut chunk)?;
+            if count == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            have += count;
+        }
+        if have > whole {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        return Ok(head.answer);
+    }
+}
+
+struct Head {
+    answer: Answer,
+    length: usize,
+    body: usize,
+}
+
+fn parse(buffer: &[u8]) -> io::Result<Option<Head>> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
+    };
+    let mut head = Head {
+        answer: Answer {
+            status: parsed.code.unwrap_or(0),
+            keep: true,
+        },
+        length,
+        body: 0,
+    };
+    for header in parsed.headers.iter() {
+        let value = std::str::from_utf8(header.value).unwrap_or_default();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let body = value.parse();
+            head.body = body.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            head.answer.keep = !value.eq_ignore_ascii_case("close");
+        }
+    }
+    Ok(Some(head))
+}
