Add the data plane and the listeners of the daemon

Cause: the reducers had no process around them. Requests run on the thread that received them: the router is stepped under one lock, and only requests that wait are woken from other threads.

Ruled out: a single thread for all requests, which adds two thread switches to each.

--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,669 @@
+//! The operators' listener: status, bundles, targets, shards, members, audit, health, metrics.
+
+use std::{
+    io::Read,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use camphordale_api::{
+    Action,
+    AuditBody,
+    Done,
+    ErrorBody,
+    Explanation,
+    LeaderBody,
+    LeaseBody,
+    MemberBody,
+    MemberRequest,
+    MembersBody,
+    MoveRequest,
+    PlainBundle,
+    RolesBody,
+    ShardBody,
+    SignedBundleBody,
+    Status,
+    SubmitReply,
+    TargetBody,
+    VmBody,
+    VmVersion, //
+};
+use camphordale_bundle::{
+    Signature,
+    SignedBundle, //
+};
+use camphordale_control::{
+    AuditEntry,
+    Command as ControlCommand,
+    HomeChange,
+    Outcome as ControlOutcome,
+    Rejection, //
+};
+use camphordale_domain::Outcome as DomainOutcome;
+use camphordale_node::{
+    ControlCall,
+    ControlReply,
+    DomainCall,
+    DomainReply,
+    EntryNode,
+    MemberList,
+    member_vm, //
+};
+use camphordale_types::{
+    Digest,
+    ShardRef,
+    VmId, //
+};
+use rouille::{
+    Request,
+    Response, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+use crate::{
+    Clock,
+    handle::NodeHandle,
+    metrics::Metrics,
+    plane::Plane,
+    settings::Settings, //
+};
+
+/// Longest wait for a group's leader.
+const LIMIT: Duration = Duration::from_secs(6);
+
+/// Largest body of an operator's request, in bytes.
+const BODY_SIZE: u64 = 4 * 1024 * 1024;
+
+/// Serves the operators' listener.
+pub(crate) struct OperatorListener {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) clock: Clock,
+    pub(crate) node: NodeHandle,
+    pub(crate) plane: Arc<Plane>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) draining: Arc<AtomicBool>,
+}
+
+/// Why a request is refused.
+struct Refused {
+    status: u16,
+    step: &'static str,
+    error: Box<str>,
+}
+
+type Served<T> = Result<T, Refused>;
+
+impl OperatorListener {
+    /// Answers one request.
+    pub(crate) fn serve(&self, request: &Request) -> Response {
+        let url = request.url();
+        let parts: Vec<&str> = url.split('/').skip(1).collect();
+        let result = match (request.method(), &parts[..]) {
+            ("GET", ["healthz"]) => return Response::text("ok"),
+            ("GET", ["readyz"]) => return self.ready(),
+            ("GET", ["metrics"]) => return self.render_metrics(),
+            ("POST", ["v1", "bundle"]) => return answer_with(self.submit(request)),
+            _ => match self.authorize(request) {
+                Ok(()) => self.act(request, &parts),
+                Err(refused) => Err(refused),
+            },
+        };
+        result.unwrap_or_else(|refused| error(&refused))
+    }
+
+    fn authorize(&self, request: &Request) -> Served<()> {
+        let header = request.header("Authorization").unwrap_or_default();
+        if self.settings.operators.key.accepts(header) {
+            Ok(())
+        } else {
+            refuse(401, "authorize", "the bearer key is missing or wrong")
+        }
+    }
+
+    fn act(&self, request: &Request, parts: &[&str]) -> Served<Response> {
+        match (request.method(), parts) {
+            ("GET", ["v1", "status"]) => Ok(json(&self.status()?)),
+            ("GET", ["v1", "bundle"]) => self.bundle(request),
+            ("GET", ["v1", "vms"]) => Ok(json(&self.vms()?)),
+            ("GET", ["v1", "targets"]) => Ok(json(&self.targets()?)),
+            ("POST", ["v1", "targets", id, "drain"]) => self.drain_target(request, id),
+            ("GET", ["v1", "shards"]) => Ok(json(&self.shards(request)?)),
+            ("POST", ["v1", "shards", "move"]) => self.move_shard(request),
+            ("POST", ["v1", "domains", name, "lost"]) => {
+                let by = body::<Action>(request)?.by;
+                let (domain, at) = ((*name).into(), unix_time());
+                let command = ControlCommand::DeclareLost { domain, by, at };
+                self.operate(command, &format!("domain {name} is declared lost"))
+            }
+            ("POST", ["v1", "domains", name, "return"]) => {
+                let by = body::<Action>(request)?.by;
+                let (domain, at) = ((*name).into(), unix_time());
+                let command = ControlCommand::ReturnDomain { domain, by, at };
+                self.operate(command, &format!("domain {name} may take part again"))
+            }
+            ("GET", ["v1", "explain"]) => Ok(json(&self.explain(request)?)),
+            ("GET", ["v1", "audit"]) => Ok(json(&self.audit(request)?)),
+            ("GET", ["v1", "members"]) => Ok(json(&self.members()?)),
+            ("POST", ["v1", "members", "add"]) => {
+                let asked: MemberRequest = body(request)?;
+                // A new voter joins by itself once its settings give it the control role; the
+                // operator's command only leaves its mark in the audit trail.
+                let command = ControlCommand::Note {
+                    action: format!("add VM {} to the control group", asked.vm).into(),
+                    by: asked.by,
+                    at: unix_time(),
+                };
+                self.operate(command, &format!("VM {} may join", asked.vm))
+            }
+            ("POST", ["v1", "members", "remove"]) => self.remove_member(request),
+            _ => refuse(404, "route", "there is no such path"),
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let draining = self.draining.load(Ordering::Relaxed);
+        let status = self.plane.with_router(|router| router.status());
+        if draining {
+            Response::text("draining").with_status_code(503)
+        } else if status.bundle.is_none() {
+            Response::text("no bundle in force").with_status_code(503)
+        } else {
+            Response::text("ready")
+        }
+    }
+
+    fn render_metrics(&self) -> Response {
+        match self.metrics.render() {
+            Ok(text) => Response::from_data("text/plain; version=0.0.4", text),
+            Err(err) => Response::text(err.to_string()).with_status_code(500),
+        }
+    }
+
+    fn inspect<T, F>(&self, read: F) -> Served<T>
+    where
+        T: Send + 'static,
+        F: FnOnce(&EntryNode, Duration) -> T + Send + 'static,
+    {
+        match self.node.inspect(read) {
+            Some(value) => Ok(value),
+            None => refuse(503, "inspect", "the node did not answer"),
+        }
+    }
+
+    fn control(&self, call: ControlCall) -> Served<ControlReply> {
+        match self.node.control(call, LIMIT) {
+            Some(ControlReply::Failed { sent, reason }) => {
+                refuse(if sent { 504 } else { 503 }, "control", &reason)
+            }
+            Some(ControlReply::NotLeader(_)) | None => {
+                refuse(503, "control", "the control group has no leader")
+            }
+            Some(reply) => Ok(reply),
+        }
+    }
+
+    fn operate(&self, command: ControlCommand, done: &str) -> Served<Response> {
+        match self.control(ControlCall::Operate(command))? {
+            ControlReply::Applied(ControlOutcome::Rejected(rejection)) => {
+                refuse(409, "apply", &rejection.to_string())
+            }
+            _ => Ok(json(&Done { done: done.into() })),
+        }
+    }
+
+    fn status(&self) -> Served<Status> {
+        let (own, incarnation, digest) = self.inspect(|node, now| {
+            let digest = node.directory().cache().digest();
+            (node.status(now), node.incarnation(), digest)
+        })?;
+        let router = self.plane.with_router(|router| router.status());
+        let now = self.clock.now();
+        let settings = &self.settings;
+        let versions = match self.control(ControlCall::InForce) {
+            Ok(ControlReply::InForce(versions)) => self.with_domains(versions)?,
+            _ => Vec::new(),
+        };
+        let mut counters = self.metrics.counters();
+        counters.inflight = self.plane.in_flight() as u64;
+        counters.queued = router.waiting as u64;
+        Ok(Status {
+            vm: settings.vm,
+            incarnation,
+            domain: settings.domain.clone(),
+            roles: RolesBody {
+                entry: settings.roles.entry,
+                control: settings.roles.control,
+            },
+            program: env!("CARGO_PKG_VERSION").into(),
+            bundle_version: router.bundle.unwrap_or(0),
+            bundle_digest: digest,
+            versions,
+            control: LeaderBody {
+                term: 0,
+                epoch: 0,
+                leader: own.control,
+                voter: settings.roles.control,
+            },
+            group: LeaderBody {
+                term: own.group,
+                epoch: own.epoch,
+                leader: own.leader,
+                voter: own.group != 0,
+            },
+            lease: LeaseBody {
+                valid: own.lease,
+                left_ms: router.until.saturating_sub(now).as_millis() as u64,
+            },
+            draining: router.draining,
+            counters,
+        })
+    }
+
+    fn with_domains(&self, versions: Vec<camphordale_node::VmVersion>) -> Served<Vec<VmVersion>> {
+        self.inspect(move |node, _| {
+            let cache = node.directory().cache();
+            versions
+                .into_iter()
+                .map(|seen| VmVersion {
+                    vm: seen.vm,
+                    domain: cache
+                        .vm(seen.vm)
+                        .map(|info| info.domain.clone())
+                        .unwrap_or_default(),
+                    version: seen.version,
+                    age_ms: Some(seen.age.as_millis() as u64),
+                })
+                .collect()
+        })
+    }
+
+    fn bundle(&self, request: &Request) -> Served<Response> {
+        let version = match request.get_param("version") {
+            None => None,
+            Some(text) => match text.parse() {
+                Ok(version) => Some(version),
+                Err(_) => return refuse(400, "parse", "version must be a number"),
+            },
+        };
+        match self.control(ControlCall::Bundle(version))? {
+            ControlReply::Bundle(Some(signed)) => {
+                let signatures = signed
+                    .signatures
+                    .into_iter()
+                    .map(|signature| (signature.operator, signature.bytes))
+                    .collect();
+                Ok(json(&SignedBundleBody::from((signed.bytes, signatures))))
+            }
+            _ => refuse(404, "bundle", "there is no such bundle"),
+        }
+    }
+
+    fn submit(&self, request: &Request) -> Served<Response> {
+        let asked: SignedBundleBody = body(request)?;
+        let (bytes, signatures) = PlainBundle::try_from(asked)
+            .or_else(|err| refuse(400, "parse", &err.to_string()))?;
+        let signatures = signatures
+            .into_iter()
+            .map(|(operator, bytes)| Signature { operator, bytes })
+            .collect();
+        let signed = SignedBundle { bytes, signatures };
+        let digest = signed.digest();
+        let version = camphordale_bundle::decode(&signed.bytes)
+            .or_else(|err| refuse(400, "parse", &err.to_string()))?
+            .version;
+        let before = self.inspect(|node, _| node.directory().cache().digest())?;
+        let command = ControlCommand::SubmitBundle {
+            signed,
+            at: unix_time(),
+        };
+        let mut reply = SubmitReply {
+            version,
+            digest,
+            standing_version: version,
+            standing_digest: Some(digest),
+            resent: before == Some(digest),
+        };
+        match self.control(ControlCall::Operate(command))? {
+            ControlReply::Applied(ControlOutcome::Rejected(Rejection::Conflict {
+                standing_version,
+                standing,
+                ..
+            })) => {
+                reply.standing_version = standing_version;
+                reply.standing_digest = standing;
+                Ok(json(&reply).with_status_code(409))
+            }
+            ControlReply::Applied(ControlOutcome::Rejected(rejection)) => {
+                refuse(400, "apply", &rejection.to_string())
+            }
+            _ => Ok(json(&reply)),
+        }
+    }
+
+    fn vms(&self) -> Served<Vec<VmBody>> {
+        let members = match self.control(ControlCall::Members) {
+            Ok(ControlReply::Members(members)) => Some(members),
+            _ => None,
+        };
+        let versions = match self.control(ControlCall::InForce) {
+            Ok(ControlReply::InForce(versions)) => versions,
+            _ => Vec::new(),
+        };
+        self.inspect(move |node, _| {
+            let votes = |vm| votes(members.as_ref(), vm);
+            let version = |vm| versions.iter().find(|seen| seen.vm == vm);
+            node.directory()
+                .cache()
+                .vms()
+                .iter()
+                .map(|info| VmBody {
+                    vm: info.vm,
+                    incarnation: info.incarnation,
+                    domain: info.domain.clone(),
+                    inner: info.inner,
+                    outer: info.outer,
+                    entry: info.entry,
+                    control_voter: votes(info.vm),
+                    group_voter: None,
+                    version: version(info.vm).map(|seen| seen.version),
+                })
+                .collect()
+        })
+    }
+
+    fn targets(&self) -> Served<Vec<TargetBody>> {
+        self.inspect(|node, _| {
+            let Some(state) = node.domain_state() else {
+                return Vec::new();
+            };
+            state
+                .targets()
+                .map(|entry| TargetBody {
+                    id: entry.info.id,
+                    name: entry.info.spec.name.clone(),
+                    service: entry.info.spec.service.clone(),
+                    side: entry.info.spec.side,
+                    address: entry.info.spec.address,
+                    checks_tokens: entry.info.spec.checks_tokens,
+                    slots: entry.info.spec.slots,
+                    state: entry.info.state,
+                    sender: entry.sender,
+                    shards: entry.owned,
+                })
+                .collect()
+        })
+    }
+
+    fn drain_target(&self, request: &Request, id: &str) -> Served<Response> {
+        let by = body::<Action>(request)?.by;
+        let Ok(id) = id.parse() else {
+            return refuse(404, "parse", "there is no such target");
+        };
+        match self.node.domain(DomainCall::Drain(id), LIMIT) {
+            Some(DomainReply::Applied(DomainOutcome::Done)) => {}
+            Some(DomainReply::Applied(_)) => {
+                return refuse(404, "drain", "there is no such target in this domain");
+            }
+            _ => return refuse(503, "drain", "the domain group has no leader"),
+        }
+        let note = ControlCommand::Note {
+            action: format!("drain target {id} in domain {}", self.settings.domain).into(),
+            by,
+            at: unix_time(),
+        };
+        self.operate(note, &format!("target {id} is leaving"))
+    }
+
+    fn shards(&self, request: &Request) -> Served<Vec<ShardBody>> {
+        let Some(service) = request.get_param("service") else {
+            return refuse(400, "parse", "the parameter service is missing");
+        };
+        self.inspect(move |node, _| shard_bodies(node, &service))
+    }
+
+    fn move_shard(&self, request: &Request) -> Served<Response> {
+        let asked: MoveRequest = body(request)?;
+        let (service, index) = (asked.service.clone(), asked.shard);
+        let since = self.inspect(move |node, _| {
+            let cache = node.directory().cache();
+            cache.home(&service, index).map(|home| home.since)
+        })?;
+        let Some(expect) = since else {
+            return refuse(404, "move", "the shard has no home");
+        };
+        let note = ControlCommand::Note {
+            action: format!("move {}/{} to {}", asked.service, asked.shard, asked.to).into(),
+            by: asked.by,
+            at: unix_time(),
+        };
+        self.operate(note, "")?;
+        let change = HomeChange {
+            index: asked.shard,
+            expect,
+            to: asked.to.clone(),
+            now: false,
+        };
+        let command = ControlCommand::SetHomes {
+            service: asked.service.clone(),
+            changes: vec![change],
+        };
+        let done = format!(
+            "shard {}/{} moves to {} once its home has released it",
+            asked.service, asked.shard, asked.to
+        );
+        self.operate(command, &done)
+    }
+
+    fn explain(&self, request: &Request) -> Served<Explanation> {
+        let (Some(service), Some(key)) = (request.get_param("service"), request.get_param("key"))
+        else {
+            return refuse(400, "parse", "the parameters service and key are needed");
+        };
+        let found = self
+            .plane
+            .with_router(|router| router.explain(&service, &key));
+        let Some(found) = found else {
+            return refuse(404, "explain", "the bundle has no such service with keys");
+        };
+        let mut why: Vec<Box<str>> = Vec::new();
+        why.push(format!("the key belongs to shard {}", found.shard).into());
+        if let Some(home) = &found.home {
+            why.push(format!("the shard is homed in domain {home}").into());
+        }
+        if let Some(name) = &found.name {
+            why.push(format!("its owner is target {name}").into());
+        }
+        if let Some(sender) = found.sender {
+            why.push(format!("VM {sender} sends to the owner").into());
+        }
+        why.push(match &found.blocked {
+            Some(blocked) => format!("this VM would not send: {blocked}").into(),
+            None => "this VM would send the request".into(),
+        });
+        Ok(Explanation {
+            service: service.into(),
+            key: key.into(),
+            shard: found.shard.index,
+            side: found.side,
+            home: found.home,
+            sender: found.sender,
+            owner: found.name,
+            token: found.token,
+            would_send_here: found.blocked.is_none(),
+            why,
+        })
+    }
+
+    fn audit(&self, request: &Request) -> Served<Vec<AuditBody>> {
+        let from = request
+            .get_param("from")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(1);
+        match self.control(ControlCall::Audit(from))? {
+            ControlReply::Audit(entries) => Ok(entries.into_iter().map(audit_body).collect()),
+            _ => refuse(503, "control", "the control group did not answer"),
+        }
+    }
+
+    fn members(&self) -> Served<MembersBody> {
+        match self.control(ControlCall::Members)? {
+            ControlReply::Members(list) => Ok(MembersBody {
+                epoch: list.term,
+                leader: Some(member_vm(list.leader)),
+                commit: list.commit,
+                members: member_bodies(&list),
+                tolerate: self.settings.control.tolerate as u32,
+            }),
+            _ => refuse(503, "control", "the control group did not answer"),
+        }
+    }
+
+    fn remove_member(&self, request: &Request) -> Served<Response> {
+        let asked: MemberRequest = body(request)?;
+        let ControlReply::Members(list) = self.control(ControlCall::Members)? else {
+            return refuse(503, "control", "the control group did not answer");
+        };
+        let mut members = list.voters.iter().chain(&list.learners).copied();
+        let Some(member) = members.find(|&member| member_vm(member) == asked.vm) else {
+            return refuse(404, "remove", "the VM is no member of the control group");
+        };
+        let left = list.voters.iter().filter(|&&voter| voter != member).count();
+        if left < 2 * self.settings.control.tolerate + 1 {
+            let error = format!("{left} voters could not tolerate the losses in the settings");
+            return refuse(409, "remove", &error);
+        }
+        let call = ControlCall::Remove {
+            member,
+            by: asked.by,
+            at: unix_time(),
+        };
+        self.control(call)?;
+        let done = format!("VM {} is removed from the control group", asked.vm).into();
+        Ok(json(&Done { done }))
+    }
+}
+
+fn shard_bodies(node: &EntryNode, service: &str) -> Vec<ShardBody> {
+    let cache = node.directory().cache();
+    let Some(content) = cache.bundle().and_then(|bundle| bundle.service(service)) else {
+        return Vec::new();
+    };
+    let state = node.domain_state();
+    (0..content.shard_count())
+        .map(|index| {
+            let home = cache.home(service, index);
+            let entry = state.and_then(|state| state.shard(&ShardRef::new(service, index)));
+            let owner = entry
+                .and_then(|entry| entry.phase.owner())
+                .and_then(|owner| state.and_then(|state| state.target(owner)));
+            ShardBody {
+                service: service.into(),
+                shard: index,
+                side: content.side_of(index),
+                home: home.map(|home| home.domain.clone()),
+                next: home.and_then(|home| home.next.clone()),
+                owner: owner.map(|owner| owner.info.spec.name.clone()),
+                sender: owner.and_then(|owner| owner.sender),
+                releasing: entry.is_some_and(|entry| {
+                    matches!(entry.phase, camphordale_domain::Phase::Releasing(_))
+                }),
+                token: entry.map(|entry| entry.token),
+            }
+        })
+        .collect()
+}
+
+fn member_bodies(list: &MemberList) -> Vec<MemberBody> {
+    let body = |member: u64, voter| MemberBody {
+        member,
+        vm: Some(member_vm(member)),
+        voter,
+        matched: None,
+    };
+    let voters = list.voters.iter().map(|&member| body(member, true));
+    let learners = list.learners.iter().map(|&member| body(member, false));
+    voters.chain(learners).collect()
+}
+
+fn audit_body(entry: AuditEntry) -> AuditBody {
+    let text = |digest: Option<Digest>| digest.map(|d| d.to_string()).unwrap_or_default();
+    AuditBody {
+        number: entry.number,
+        at: entry.at,
+        by: entry.by,
+        action: entry.action,
+        before: text(entry.before).into(),
+        after: text(entry.after).into(),
+        previous: entry.previous,
+        hash: entry.hash,
+    }
+}
+
+fn votes(members: Option<&MemberList>, vm: VmId) -> bool {
+    members.is_some_and(|list| list.voters.iter().any(|&member| member_vm(member) == vm))
+}
+
+fn body<T>(request: &Request) -> Served<T>
+where
+    T: DeserializeOwned,
+{
+    let Some(data) = request.data() else {
+        return refuse(400, "parse", "the body was read before");
+    };
+    let mut bytes = Vec::new();
+    if data.take(BODY_SIZE + 1).read_to_end(&mut bytes).is_err() {
+        return refuse(400, "read", "the body could not be read");
+    }
+    if bytes.len() as u64 > BODY_SIZE {
+        return refuse(413, "read", "the body is too large");
+    }
+    serde_json::from_slice(&bytes)
+        .or_else(|err| refuse(400, "parse", &format!("malformed body: {err}")))
+}
+
+fn json<T>(body: &T) -> Response
+where
+    T: Serialize,
+{
+    Response::json(body)
+}
+
+fn answer_with(result: Served<Response>) -> Response {
+    result.unwrap_or_else(|refused| error(&refused))
+}
+
+fn error(refused: &Refused) -> Response {
+    let body = ErrorBody {
+        error: refused.error.clone(),
+        step: refused.step.into(),
+    };
+    json(&body).with_status_code(refused.status)
+}
+
+fn refuse<T>(status: u16, step: &'static str, error: &str) -> Served<T> {
+    Err(Refused {
+        status,
+        step,
+        error: error.into(),
+    })
+}
+
+/// Returns the seconds since the Unix epoch, for the audit trail only.
+fn unix_time() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_secs())
+}
--- /dev/null
+++ b/crates/daemon/src/plane.rs
@@ -0,0 +1,511 @@
+//! The data plane: serves callers' and forwarded requests by carrying out the router's effects
+//! on the thread that received the request.
+
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use camphordale_domain::{
+    Command,
+    Outcome,
+    StoredAnswer, //
+};
+use camphordale_http::{
+    ClientError,
+    ClientErrorKind,
+    Conn,
+    OutRequest,
+    Pool,
+    Request as HttpRequest,
+    Response, //
+};
+use camphordale_net::PeerClient;
+use camphordale_node::{
+    Call,
+    DomainCall,
+    DomainReply,
+    ForwardedAnswer,
+    ForwardedRequest,
+    Reply,
+    SenderReport, //
+};
+use camphordale_route::{
+    Attempt,
+    Effect,
+    Event,
+    Origin,
+    RecordResult,
+    Request,
+    Router,
+    Send, //
+};
+use camphordale_types::{
+    NotRun,
+    Refusal,
+    RequestId,
+    Unknown,
+    VmId, //
+};
+
+use crate::{
+    Clock,
+    answers,
+    flights::{
+        Flight,
+        Flights, //
+    },
+    handle::NodeHandle,
+    metrics::Metrics,
+    probe::Prober,
+    sync::lock, //
+};
+
+/// Time after a request's deadline at which its thread stops waiting for the router.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Longest time a request without a known deadline may wait for the router.
+const WAIT_LIMIT: Duration = Duration::from_secs(610);
+
+/// Largest body that is kept in an idempotency record, in bytes.
+const STORED_BODY: usize = 64 * 1024;
+
+/// Settings of the data plane.
+#[derive(Clone, Debug)]
+pub(crate) struct PlaneConfig {
+    /// This VM.
+    pub(crate) vm: VmId,
+    /// Source address of connections to targets.
+    pub(crate) source: Option<IpAddr>,
+    /// Largest answer of a target, in bytes.
+    pub(crate) answer_size: usize,
+}
+
+/// The data plane of one VM.
+pub(crate) struct Plane {
+    config: PlaneConfig,
+    clock: Clock,
+    router: Mutex<Router>,
+    flights: Flights,
+    pool: Arc<Pool>,
+    peers: Arc<PeerClient>,
+    node: NodeHandle,
+    prober: Prober,
+    metrics: Arc<Metrics>,
+}
+
+/// A request with its body, as the thread that serves it holds it.
+struct Job {
+    id: RequestId,
+    method: Box<str>,
+    path: Box<str>,
+    headers: Vec<(Box<str>, Box<str>)>,
+    body: Vec<u8>,
+}
+
+/// What a request ends with.
+enum End {
+    Answer(StoredAnswer),
+    Refuse(Refusal),
+    Redirect(Option<VmId>),
+}
+
+impl Plane {
+    pub(crate) fn new(
+        config: PlaneConfig,
+        clock: Clock,
+        router: Router,
+        pool: Arc<Pool>,
+        peers: Arc<PeerClient>,
+        node: NodeHandle,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        Arc::new_cyclic(|plane| Plane {
+            prober: Prober::new(plane.clone(), Arc::clone(&pool), config.source),
+            config,
+            clock,
+            router: Mutex::new(router),
+            flights: Flights::new(),
+            pool,
+            peers,
+            node,
+            metrics,
+        })
+    }
+
+    /// Serves a caller's request.
+    pub(crate) fn serve(&self, request: HttpRequest) -> Response {
+        let started = self.clock.now();
+        let allowed = match answers::allowed_time(&request) {
+            Ok(allowed) => allowed,
+            Err(message) => return answers::bad_request(message),
+        };
+        let job = Job {
+            id: rand::random(),
+            method: request.method,
+            path: request.path,
+            headers: answers::from_caller(request.headers),
+            body: request.body,
+        };
+        let end = self.run(&job, Origin::Caller, allowed);
+        let elapsed = self.clock.now().saturating_sub(started);
+        let service = self.service_of(&job);
+        match end {
+            End::Answer(answer) => {
+                self.metrics.answered(&service, elapsed);
+                answers::pass_on(answer)
+            }
+            End::Refuse(refusal) => {
+                self.metrics.refused(&service, refusal, elapsed);
+                answers::refusal(refusal)
+            }
+            End::Redirect(_) => answers::refusal(Refusal::NotRun(NotRun::TooManyHops)),
+        }
+    }
+
+    /// Serves a request that another VM forwarded.
+    pub(crate) fn forwarded(&self, from: VmId, request: ForwardedRequest) -> ForwardedAnswer {
+        let job = Job {
+            id: request.id,
+            method: request.method,
+            path: request.path,
+            headers: request.headers,
+            body: request.body,
+        };
+        let origin = Origin::Vm {
+            vm: from,
+            hops: request.hops,
+        };
+        match self.run(&job, origin, Some(request.allowed)) {
+            End::Answer(answer) => ForwardedAnswer::Answer {
+                status: answer.status,
+                headers: answer.headers,
+                body: answer.body,
+            },
+            End::Refuse(Refusal::NotRun(reason)) => ForwardedAnswer::NotRun(reason),
+            End::Refuse(Refusal::Unknown(reason)) => ForwardedAnswer::Unknown(reason),
+            End::Redirect(vm) => ForwardedAnswer::Redirect(vm),
+        }
+    }
+
+    /// Takes an event to the router and carries out the effects that belong to no waiting
+    /// request.
+    pub(crate) fn route(&self, event: Event) {
+        let effects = self.step(event);
+        self.dispatch(effects, None);
+    }
+
+    /// Runs `read` on the router.
+    pub(crate) fn with_router<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Router) -> T,
+    {
+        read(&lock(&self.router))
+    }
+
+    /// Returns the number of requests under way.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    fn step(&self, event: Event) -> Vec<Effect> {
+        let now = self.clock.now();
+        lock(&self.router).step(event, now)
+    }
+
+    fn service_of(&self, job: &Job) -> Box<str> {
+        let host = answers::host(&job.headers);
+        lock(&self.router)
+            .service_name(host.as_deref(), &job.path)
+            .unwrap_or_else(|| "none".into())
+    }
+
+    fn run(&self, job: &Job, origin: Origin, allowed: Option<Duration>) -> End {
+        let flight = self.flights.start(job.id);
+        let request = Request {
+            id: job.id,
+            origin,
+            method: job.method.clone(),
+            host: answers::host(&job.headers),
+            path: job.path.clone(),
+            headers: job.headers.clone(),
+            allowed,
+        };
+        let mut next = self.own(Event::Request(request), job.id);
+        let mut deadline = self.clock.now() + allowed.unwrap_or(WAIT_LIMIT);
+        let end = loop {
+            let effect = match next.take() {
+                Some(effect) => effect,
+                None => match flight.next(self.clock.instant(deadline + GRACE)) {
+                    Some(effect) => effect,
+                    // The router refuses each waiting request at its deadline, so this is the
+                    // answer only if it failed to.
+                    None => break self.abandon(job.id),
+                },
+            };
+            next = match effect {
+                Effect::Send(send) => {
+                    deadline = deadline.min(send.deadline);
+                    match self.send(job, &flight, send) {
+                        Ok(answer) => break End::Answer(answer),
+                        Err(next) => next,
+                    }
+                }
+                Effect::Forward {
+                    vm,
+                    hops,
+                    deadline: until,
+                    ..
+                } => {
+                    deadline = deadline.min(until);
+                    match self.forward(job, vm, hops, until) {
+                        Ok(answer) => break End::Answer(answer),
+                        Err(next) => next,
+                    }
+                }
+                Effect::Record {
+                    shard,
+                    token,
+                    key,
+                    deadline: until,
+                    ..
+                } => {
+                    let command = Command::Record {
+                        shard,
+                        token,
+                        key,
+                        request: job.id,
+                    };
+                    let result = self.record(command, until);
+                    self.own(Event::Recorded { id: job.id, result }, job.id)
+                }
+                Effect::Refuse { refusal, .. } => break End::Refuse(refusal),
+                Effect::Replay { answer, .. } => break End::Answer(answer),
+                Effect::Redirect { vm, .. } => break End::Redirect(vm),
+                _ => None,
+            };
+        };
+        self.flights.end(job.id);
+        end
+    }
+
+    /// Steps the router, carries out the effects for others and returns the one for `id`.
+    fn own(&self, event: Event, id: RequestId) -> Option<Effect> {
+        let effects = self.step(event);
+        self.dispatch(effects, Some(id))
+    }
+
+    fn abandon(&self, id: RequestId) -> End {
+        self.route(Event::Cancel { id });
+        End::Refuse(Refusal::Unknown(Unknown::Timeout))
+    }
+
+    /// Sends the request to a target. Returns the answer, or the router's next effect for it.
+    fn send(
+        &self,
+        job: &Job,
+        flight: &Flight,
+        send: Send,
+    ) -> Result<StoredAnswer, Option<Effect>> {
+        let until = self.clock.instant(send.deadline);
+        let limit = send.connections as usize;
+        let conn = self
+            .pool
+            .acquire(send.address, self.config.source, limit, until);
+        let conn = match conn {
+            Ok(conn) => conn,
+            Err(_) => return Err(self.done(job.id, Attempt::NotRun(NotRun::Connect))),
+        };
+        match self.own(Event::Ready { id: job.id }, job.id) {
+            Some(Effect::Proceed { .. }) => {}
+            other => {
+                self.pool.put(conn);
+                return Err(other);
+            }
+        }
+        if !flight.arm(conn.aborter()) {
+            flight.disarm();
+            self.pool.put(conn);
+            return Err(self.done(job.id, Attempt::NotRun(NotRun::NoOwner)));
+        }
+        let result = self.exchange(job, &send, conn);
+        flight.disarm();
+        match result {
+            Ok(answer) => {
+                let stored = answers::is_storable(&job.headers, &answer, STORED_BODY);
+                let attempt = Attempt::Answered {
+                    status: answer.status,
+                    stored: stored.then(|| answer.clone()),
+                };
+                self.done(job.id, attempt);
+                Ok(answer)
+            }
+            Err(attempt) => Err(self.done(job.id, attempt)),
+        }
+    }
+
+    /// Writes the request and reads the whole answer.
+    fn exchange(&self, job: &Job, send: &Send, mut conn: Conn) -> Result<StoredAnswer, Attempt> {
+        let left = send.deadline.saturating_sub(self.clock.now());
+        let request = OutRequest {
+            method: job.method.clone(),
+            path: job.path.clone(),
+            headers: answers::to_target(&job.headers, job.id, send, left),
+            body: job.body.clone(),
+        };
+        let until = self.clock.instant(send.deadline);
+        let response = match conn.exchange(&request, until, self.config.answer_size) {
+            Ok(response) => response,
+            Err(err) => return Err(attempt_of(&err)),
+        };
+        // A wrong id shows that the connection is out of step, so it is dropped.
+        if !answers::echoes(&response, job.id) {
+            return Err(Attempt::Unknown(Unknown::BadAnswer));
+        }
+        self.pool.put(conn);
+        if answers::says_not_run(&response) {
+            return Err(Attempt::NotRun(NotRun::Shed));
+        }
+        Ok(StoredAnswer {
+            status: response.status,
+            headers: answers::from_target(response.headers),
+            body: response.body,
+        })
+    }
+
+    fn forward(
+        &self,
+        job: &Job,
+        vm: VmId,
+        hops: u8,
+        deadline: Duration,
+    ) -> Result<StoredAnswer, Option<Effect>> {
+        let left = deadline.saturating_sub(self.clock.now());
+        let call = Call::Forward(ForwardedRequest {
+            id: job.id,
+            hops,
+            allowed: left,
+            method: job.method.clone(),
+            path: job.path.clone(),
+            headers: job.headers.clone(),
+            body: job.body.clone(),
+        });
+        let attempt = match self.ask(vm, &call, left) {
+            Ok(Reply::Forwarded(ForwardedAnswer::Answer {
+                status,
+                headers,
+                body,
+            })) => {
+                let answer = StoredAnswer {
+                    status,
+                    headers,
+                    body,
+                };
+                let stored = None;
+                self.done(job.id, Attempt::Answered { status, stored });
+                return Ok(answer);
+            }
+            Ok(Reply::Forwarded(ForwardedAnswer::NotRun(reason))) => Attempt::NotRun(reason),
+            Ok(Reply::Forwarded(ForwardedAnswer::Unknown(reason))) => Attempt::Unknown(reason),
+            Ok(Reply::Forwarded(ForwardedAnswer::Redirect(vm))) => Attempt::Redirect { vm },
+            Ok(_) => Attempt::Unknown(Unknown::BadAnswer),
+            Err(false) => Attempt::NotRun(NotRun::DomainUnreachable),
+            Err(true) => Attempt::Unknown(Unknown::VmLost),
+        };
+        Err(self.done(job.id, attempt))
+    }
+
+    /// Calls another VM; the error tells whether the call may have been delivered.
+    fn ask(&self, vm: VmId, call: &Call, timeout: Duration) -> Result<Reply, bool> {
+        let address: SocketAddr = self.node.address(vm).ok_or(false)?;
+        let bytes = postcard::to_stdvec(call).map_err(|_| false)?;
+        let answer = self
+            .peers
+            .call(address, Some(vm), &bytes, timeout)
+            .map_err(|err| err.maybe_delivered)?;
+        postcard::from_bytes(&answer).map_err(|_| true)
+    }
+
+    fn record(&self, command: Command, deadline: Duration) -> RecordResult {
+        let left = deadline.saturating_sub(self.clock.now());
+        match self.node.domain(DomainCall::Propose(command), left) {
+            Some(DomainReply::Applied(Outcome::Fresh)) => RecordResult::Fresh,
+            Some(DomainReply::Applied(Outcome::Replay(answer))) => RecordResult::Replay(answer),
+            Some(DomainReply::Applied(Outcome::Pending)) => RecordResult::Pending,
+            Some(DomainReply::Applied(Outcome::Unsettled)) => RecordResult::Unsettled,
+            Some(DomainReply::Failed { sent: true, .. }) | None => RecordResult::Uncertain,
+            Some(_) => RecordResult::Failed,
+        }
+    }
+
+    fn done(&self, id: RequestId, attempt: Attempt) -> Option<Effect> {
+        self.own(Event::Done { id, attempt }, id)
+    }
+
+    /// Carries out effects. Those for waiting requests are delivered to their threads; the first
+    /// one for `own` is returned instead.
+    fn dispatch(&self, effects: Vec<Effect>, own: Option<RequestId>) -> Option<Effect> {
+        let mut first = None;
+        for effect in effects {
+            match effect {
+                Effect::Send(Send { id, .. })
+                | Effect::Proceed { id }
+                | Effect::Forward { id, .. }
+                | Effect::Redirect { id, .. }
+                | Effect::Record { id, .. }
+                | Effect::Refuse { id, .. }
+                | Effect::Replay { id, .. } => {
+                    if own == Some(id) && first.is_none() {
+                        first = Some(effect);
+                    } else {
+                        self.flights.deliver(id, effect);
+                    }
+                }
+                Effect::Abort { id } => self.flights.abort(id),
+                Effect::Finish { key, id, answer } => {
+                    let request = id;
+                    self.node.propose(Command::Finish {
+                        key,
+                        request,
+                        answer,
+                    });
+                }
+                Effect::Erase { key, id } => {
+                    self.node.propose(Command::Erase { key, request: id });
+                }
+                Effect::Probe { target, address } => self.prober.probe(target, address),
+                Effect::Suspect { target } => self.node.report(SenderReport::Suspect(target)),
+                Effect::Released {
+                    shard,
+                    token,
+                    clear,
+                } => self.node.report(SenderReport::Released {
+                    shard,
+                    token,
+                    clear,
+                }),
+                Effect::Load { shards } => self.node.report(SenderReport::Load(shards)),
+            }
+        }
+        first
+    }
+}
+
+/// Returns how an exchange that failed ended for the request.
+fn attempt_of(err: &ClientError) -> Attempt {
+    if !err.wrote {
+        return Attempt::NotRun(NotRun::Connect);
+    }
+    Attempt::Unknown(match err.kind {
+        ClientErrorKind::Timeout => Unknown::Timeout,
+        ClientErrorKind::Closed | ClientErrorKind::Io(_) => Unknown::Broken,
+        _ => Unknown::BadAnswer,
+    })
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -40,6 +40,7 @@
     ControlCall,
     ControlReply,
     MemberList,
+    VmVersion,
     member_vm, //
 };
 
@@ -140,6 +141,8 @@
     joins: BTreeMap<MemberId, Duration>,
     /// Whether a change of members is proposed and not yet applied or dropped.
     changing: Option<u64>,
+    /// Bundle version in force on each VM, and when it was reported.
+    in_force: BTreeMap<VmId, (u64, Duration)>,
 }
 
 impl ControlNode {
@@ -172,6 +175,7 @@
             waiting: BTreeMap::new(),
             joins: BTreeMap::new(),
             changing: None,
+            in_force: BTreeMap::new(),
         })
     }
 
@@ -230,7 +234,14 @@
                 return self.propose(Some(id), Command::RegisterVm(info), now, out);
             }
             ControlCall::Operate(command) => return self.propose(Some(id), command, now, out),
-            ControlCall::Report { report, versions } => {
+            ControlCall::Report {
+                report,
+                versions,
+                in_force,
+            } => {
+                for (vm, version) in in_force {
+                    self.in_force.insert(vm, (version, now));
+                }
                 let domain = report.domain.clone();
                 self.plan(PlannerEvent::Report(report), now, out);
                 ControlReply::News {
@@ -244,7 +255,9 @@
                 term,
                 sealed,
                 versions,
+                in_force,
             } => {
+                self.in_force.insert(info.vm, (in_force, now));
                 let seal = self.planner.sealing(&info.domain);
                 let event = PlannerEvent::Leaderless {
                     vm: info.vm,
@@ -279,6 +292,7 @@
             ControlCall::Bundle(version) => ControlReply::Bundle(self.bundle(version)),
             ControlCall::Audit(from) => ControlReply::Audit(self.audit(from)),
             ControlCall::Members => ControlReply::Members(self.member_list()),
+            ControlCall::InForce => ControlReply::InForce(self.versions_in_force(now)),
         };
         out.push(ControlEffect::Reply { id, reply });
     }
@@ -304,11 +318,32 @@
             .collect()
     }
 
+    /// Returns what every registered VM last reported; one that did not report to this leader
+    /// counts as having none.
+    fn versions_in_force(&self, now: Duration) -> Vec<VmVersion> {
+        self.state
+            .vms()
+            .map(|info| {
+                let (version, at) = self
+                    .in_force
+                    .get(&info.vm)
+                    .copied()
+                    .unwrap_or((0, Duration::ZERO));
+                VmVersion {
+                    vm: info.vm,
+                    version,
+                    age: now.saturating_sub(at),
+                }
+            })
+            .collect()
+    }
+
     fn member_list(&self) -> MemberList {
         let members = self.raft.members();
         MemberList {
             term: self.raft.term(),
             leader: self.id,
+            commit: self.raft.commit(),
             voters: members.voters.iter().copied().collect(),
             learners: members.learners.iter().copied().collect(),
         }
@@ -476,6 +511,7 @@
         self.ready = false;
         self.changing = None;
         self.joins.clear();
+        self.in_force.clear();
         self.plan(PlannerEvent::Deposed, now, out);
     }
 
--- a/crates/node/src/domain.rs
+++ b/crates/node/src/domain.rs
@@ -109,6 +109,7 @@
 struct Known {
     index: u64,
     sent: Duration,
+    bundle: u64,
 }
 
 struct Waiter {
@@ -292,8 +293,16 @@
         if behind && (waited || !lost) {
             self.send_view(vm, view, now, out);
         } else if !behind {
-            let sent = now;
-            self.views.insert(vm, Known { index: view, sent });
+            let (index, sent, bundle) = (view, now, has.bundle);
+            let known = Known {
+                index,
+                sent,
+                bundle,
+            };
+            self.views.insert(vm, known);
+        }
+        if let Some(known) = self.views.get_mut(&vm) {
+            known.bundle = has.bundle;
         }
     }
 
@@ -355,7 +364,11 @@
             DomainCall::Announce(spec) => {
                 self.propose(Some(id), &Command::TargetUp(spec), now, out);
             }
-            DomainCall::RenewTarget { target, load } => {
+            DomainCall::RenewTarget {
+                target,
+                load,
+                seen: _,
+            } => {
                 let event = LeaderEvent::RenewTarget {
                     target,
                     load,
@@ -610,10 +623,24 @@
     fn send_view(&mut self, vm: VmId, since: u64, now: Duration, out: &mut Vec<MemberEffect>) {
         let view = self.state.view(since);
         let (index, sent) = (view.index, now);
-        self.views.insert(vm, Known { index, sent });
+        let bundle = self.views.get(&vm).map_or(0, |known| known.bundle);
+        let known = Known {
+            index,
+            sent,
+            bundle,
+        };
+        self.views.insert(vm, known);
         out.push(MemberEffect::View { vm, view });
     }
 
+    /// Returns the bundle versions in force on the VMs that renew here.
+    pub(crate) fn in_force(&self) -> Vec<(VmId, u64)> {
+        self.views
+            .iter()
+            .map(|(&vm, known)| (vm, known.bundle))
+            .collect()
+    }
+
     /// Returns the shards that wait for their next home and the capacity of serving targets.
     pub(crate) fn report(&self, domain: &str) -> camphordale_control::DomainReport {
         camphordale_control::DomainReport {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -361,7 +361,11 @@
                 if let Some(member) = &self.member {
                     let report = member.report(&self.config.info.domain);
                     let versions = self.directory.versions();
-                    let call = ControlCall::Report { report, versions };
+                    let call = ControlCall::Report {
+                        report,
+                        versions,
+                        in_force: member.in_force(),
+                    };
                     self.internal(Call::Control(call), Dest::Control, now);
                 }
             }
@@ -376,6 +380,7 @@
                     term,
                     sealed: self.sealed >= term,
                     versions: self.directory.versions(),
+                    in_force: self.directory.bundle_version(),
                 };
                 self.internal(Call::Control(call), Dest::Control, now);
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,7 +43,8 @@
     ForwardedRequest,
     MemberList,
     Reply,
-    SenderReport, //
+    SenderReport,
+    VmVersion, //
 };
 
 /// Id of a call, chosen by whoever makes it.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -171,6 +171,8 @@
         report: DomainReport,
         /// What the domain has of the directory.
         versions: Versions,
+        /// Bundle versions in force on the domain's VMs.
+        in_force: Vec<(VmId, u64)>,
     },
     /// A VM without a domain leader asks for news.
     Leaderless {
@@ -182,6 +184,8 @@
         sealed: bool,
         /// What it has of the directory.
         versions: Versions,
+        /// Version of the bundle in force there.
+        in_force: u64,
     },
     /// An operator's command.
     Operate(ControlCommand),
@@ -202,6 +206,8 @@
     Audit(u64),
     /// The members of the control group.
     Members,
+    /// The bundle versions in force on all VMs.
+    InForce,
 }
 
 /// The control leader's answer.
@@ -226,6 +232,8 @@
     Audit(Vec<AuditEntry>),
     /// The control group.
     Members(MemberList),
+    /// Bundle versions in force, as last reported.
+    InForce(Vec<VmVersion>),
     /// The call failed.
     Failed {
         /// Whether the command may still be applied.
@@ -235,6 +243,17 @@
     },
 }
 
+/// The bundle version in force on a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmVersion {
+    /// The VM.
+    pub vm: VmId,
+    /// The version, 0 for none.
+    pub version: u64,
+    /// Time since the report.
+    pub age: Duration,
+}
+
 /// Members of the control group.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberList {
@@ -242,6 +261,8 @@
     pub term: u64,
     /// The leader.
     pub leader: MemberId,
+    /// Index of the last committed entry.
+    pub commit: u64,
     /// Voting members.
     pub voters: Vec<MemberId>,
     /// Members that do not vote yet.
@@ -266,6 +287,8 @@
         target: TargetId,
         /// Its load.
         load: LoadReport,
+        /// Version of the grants that it has.
+        seen: u64,
     },
     /// A target is leaving.
     Drain(TargetId),
