Put the daemon together: start, listeners, graceful shutdown

Cause: the roles and listeners existed but no process ran them.

Ruled out: founding without a command, because a voter that lost its disk could not be told from a new one.

--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -4,8 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
+        Arc, Mutex,
         mpsc::{
             self,
             Receiver,
@@ -22,6 +21,7 @@
 
 use camphordale_net::PeerClient;
 use camphordale_node::{
+    Call,
     CallId,
     Cast,
     ControlCall,
@@ -32,6 +32,7 @@
     Reply,
     member_vm, //
 };
+use camphordale_raft::Role;
 use camphordale_store::Store;
 use camphordale_types::{
     MemberId,
@@ -45,14 +46,22 @@
 
 use crate::{
     Clock,
-    handle::NodeHandle,
-    metrics::Metrics,
-    sync::lock, //
+    handle::{
+        NodeHandle,
+        NodeInput, //
+    },
+    metrics::{
+        GroupKind,
+        Metrics, //
+    }, //
 };
 
 /// Time between ticks.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time between requests of a voter with a new identity to join.
+const JOIN_EVERY: Duration = Duration::from_secs(1);
+
 /// Takes the answer to a call.
 type Answer = Box<dyn FnOnce(Result<Reply, bool>) + Send>;
 
@@ -62,18 +71,10 @@
     Stop,
 }
 
-/// What other threads may know of the control role.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ControlStatus {
-    pub(crate) leader: Option<VmId>,
-    pub(crate) term: u64,
-}
-
 /// Handle on the control role's thread.
 #[derive(Clone)]
 pub(crate) struct ControlHandle {
     input: Sender<Input>,
-    status: Arc<Mutex<ControlStatus>>,
 }
 
 impl ControlHandle {
@@ -99,10 +100,6 @@
         output.recv_timeout(limit).ok()?.ok()
     }
 
-    pub(crate) fn status(&self) -> ControlStatus {
-        lock(&self.status).clone()
-    }
-
     pub(crate) fn stop(&self) {
         let _ = self.input.send(Input::Stop);
     }
@@ -130,34 +127,29 @@
     /// The system may refuse the thread.
     pub(crate) fn start(self) -> std::io::Result<(ControlHandle, JoinHandle<()>)> {
         let (input, output) = mpsc::channel();
-        let status = Arc::default();
-        let handle = ControlHandle {
-            input,
-            status: Arc::clone(&status),
-        };
         let thread = thread::Builder::new()
             .name("control".into())
-            .spawn(move || Runner::new(self, status).run(&output))?;
-        Ok((handle, thread))
+            .spawn(move || Runner::new(self).run(&output))?;
+        Ok((ControlHandle { input }, thread))
     }
 }
 
 struct Runner {
     role: ControlLoop,
-    status: Arc<Mutex<ControlStatus>>,
     waiting: HashMap<CallId, Answer>,
     next: CallId,
     failed: bool,
+    joined: Duration,
 }
 
 impl Runner {
-    fn new(role: ControlLoop, status: Arc<Mutex<ControlStatus>>) -> Self {
+    fn new(role: ControlLoop) -> Self {
         Runner {
             role,
-            status,
             waiting: HashMap::new(),
             next: 1,
             failed: false,
+            joined: Duration::ZERO,
         }
     }
 
@@ -179,10 +171,24 @@
             if self.role.clock.now() >= ticked + TICK {
                 ticked = self.role.clock.now();
                 self.event(ControlEvent::Tick);
+                self.join(ticked);
             }
         }
     }
 
+    /// Asks to join the group while this identity has never voted in it.
+    fn join(&mut self, now: Duration) {
+        if !self.role.node.is_new() || now < self.joined + JOIN_EVERY {
+            return;
+        }
+        self.joined = now;
+        self.role.entry.send(NodeInput::Call {
+            from: None,
+            call: Call::Control(ControlCall::Join(self.role.member)),
+            answer: None,
+        });
+    }
+
     fn event(&mut self, event: ControlEvent) {
         let now = self.role.clock.now();
         for effect in self.role.node.step(event, now) {
@@ -225,8 +231,9 @@
                 }
             }
             ControlEffect::Role { role, term, leader } => {
-                *lock(&self.status) = ControlStatus { leader, term };
-                self.role.metrics.control_role(role, term);
+                if role == Role::Leader {
+                    self.role.metrics.election(GroupKind::Control);
+                }
                 info!(self.role.log, "control group role changed"; "role" => ?role,
                       "term" => term, "leader" => ?leader);
             }
--- a/crates/daemon/src/entry_loop.rs
+++ b/crates/daemon/src/entry_loop.rs
@@ -29,6 +29,7 @@
     EntryNode,
     Reply, //
 };
+use camphordale_raft::Role;
 use camphordale_route::Event as RouteEvent;
 use camphordale_types::VmId;
 use slog::{
@@ -49,7 +50,10 @@
         NodeHandle,
         NodeInput, //
     },
-    metrics::Metrics,
+    metrics::{
+        GroupKind,
+        Metrics, //
+    },
     plane::Plane,
     records::BundleFile,
     sync::lock, //
@@ -156,7 +160,7 @@
                 let digest = signed.digest();
                 info!(self.log, "bundle in force"; "version" => bundle.version,
                       "digest" => %digest.short());
-                self.metrics.bundle_in_force(bundle.version);
+                self.metrics.set_bundle(bundle.version);
                 if let Some(file) = &self.file
                     && let Err(err) = file.save(&signed)
                 {
@@ -169,12 +173,17 @@
                 epoch,
                 leader,
             } => {
-                self.metrics.domain_role(role, epoch);
+                if role == Role::Leader {
+                    self.metrics.election(GroupKind::Domain);
+                }
                 info!(self.log, "domain group role changed"; "group" => group,
                       "role" => ?role, "epoch" => epoch, "leader" => ?leader);
             }
+            EntryEffect::Refused { reason } => {
+                warn!(self.log, "newer bundle refused"; "reason" => &*reason);
+            }
             EntryEffect::Lease { valid } => {
-                self.metrics.lease(valid);
+                self.metrics.set_lease(valid);
                 info!(self.log, "lease changed"; "valid" => valid);
             }
         }
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -4,8 +4,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
+        Arc, Mutex,
         mpsc::{
             self,
             Receiver,
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -313,8 +313,8 @@
 
     fn submit(&self, request: &Request) -> Served<Response> {
         let asked: SignedBundleBody = body(request)?;
-        let (bytes, signatures) = PlainBundle::try_from(asked)
-            .or_else(|err| refuse(400, "parse", &err.to_string()))?;
+        let (bytes, signatures) =
+            PlainBundle::try_from(asked).or_else(|err| refuse(400, "parse", &err.to_string()))?;
         let signatures = signatures
             .into_iter()
             .map(|(operator, bytes)| Signature { operator, bytes })
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -2,13 +2,16 @@
 //! on the thread that received the request.
 
 use std::{
+    collections::HashMap,
     net::{
         IpAddr,
         SocketAddr, //
     },
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        PoisonError,
+        RwLock, //
     },
     time::Duration,
 };
@@ -20,7 +23,7 @@
 };
 use camphordale_http::{
     ClientError,
-    ClientErrorKind,
+    ClientFailure,
     Conn,
     OutRequest,
     Pool,
@@ -48,9 +51,11 @@
     Send, //
 };
 use camphordale_types::{
+    Bundle,
     NotRun,
     Refusal,
     RequestId,
+    ServiceName,
     Unknown,
     VmId, //
 };
@@ -63,7 +68,11 @@
         Flights, //
     },
     handle::NodeHandle,
-    metrics::Metrics,
+    metrics::{
+        Ending,
+        Metrics,
+        ServiceMetrics, //
+    },
     probe::Prober,
     sync::lock, //
 };
@@ -80,8 +89,6 @@
 /// Settings of the data plane.
 #[derive(Clone, Debug)]
 pub(crate) struct PlaneConfig {
-    /// This VM.
-    pub(crate) vm: VmId,
     /// Source address of connections to targets.
     pub(crate) source: Option<IpAddr>,
     /// Largest answer of a target, in bytes.
@@ -98,9 +105,40 @@
     peers: Arc<PeerClient>,
     node: NodeHandle,
     prober: Prober,
+    services: RwLock<Services>,
     metrics: Arc<Metrics>,
 }
 
+/// The bundle in force and the metrics of its services.
+struct Services {
+    bundle: Option<Bundle>,
+    metrics: HashMap<ServiceName, ServiceMetrics>,
+    /// For requests that match no service.
+    none: ServiceMetrics,
+}
+
+impl Services {
+    fn new(metrics: &Metrics, bundle: &Bundle) -> Self {
+        let names = bundle.services.iter().map(|service| &service.name);
+        Services {
+            metrics: names
+                .map(|name| (name.clone(), metrics.service(name)))
+                .collect(),
+            bundle: Some(bundle.clone()),
+            none: metrics.service("none"),
+        }
+    }
+
+    fn of(&self, job: &Job) -> &ServiceMetrics {
+        let host = answers::host(&job.headers);
+        self.bundle
+            .as_ref()
+            .and_then(|bundle| bundle.route(host.as_deref(), &job.path))
+            .and_then(|service| self.metrics.get(&service.name))
+            .unwrap_or(&self.none)
+    }
+}
+
 /// A request with its body, as the thread that serves it holds it.
 struct Job {
     id: RequestId,
@@ -129,6 +167,11 @@
     ) -> Arc<Self> {
         Arc::new_cyclic(|plane| Plane {
             prober: Prober::new(plane.clone(), Arc::clone(&pool), config.source),
+            services: RwLock::new(Services {
+                bundle: None,
+                metrics: HashMap::new(),
+                none: metrics.service("none"),
+            }),
             config,
             clock,
             router: Mutex::new(router),
@@ -156,18 +199,21 @@
         };
         let end = self.run(&job, Origin::Caller, allowed);
         let elapsed = self.clock.now().saturating_sub(started);
-        let service = self.service_of(&job);
-        match end {
-            End::Answer(answer) => {
-                self.metrics.answered(&service, elapsed);
-                answers::pass_on(answer)
+        let (ending, response) = match end {
+            End::Answer(answer) => (Ending::Answered, answers::pass_on(answer)),
+            End::Refuse(refusal) => (Ending::Refused(refusal), answers::refusal(refusal)),
+            // Only forwarded requests are redirected.
+            End::Redirect(_) => {
+                let refusal = Refusal::NotRun(NotRun::TooManyHops);
+                (Ending::Refused(refusal), answers::refusal(refusal))
             }
-            End::Refuse(refusal) => {
-                self.metrics.refused(&service, refusal, elapsed);
-                answers::refusal(refusal)
-            }
-            End::Redirect(_) => answers::refusal(Refusal::NotRun(NotRun::TooManyHops)),
-        }
+        };
+        self.services
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .of(&job)
+            .ended(ending, elapsed);
+        response
     }
 
     /// Serves a request that another VM forwarded.
@@ -198,6 +244,12 @@
     /// Takes an event to the router and carries out the effects that belong to no waiting
     /// request.
     pub(crate) fn route(&self, event: Event) {
+        if let Event::Bundle(bundle) = &event {
+            *self
+                .services
+                .write()
+                .unwrap_or_else(PoisonError::into_inner) = Services::new(&self.metrics, bundle);
+        }
         let effects = self.step(event);
         self.dispatch(effects, None);
     }
@@ -210,6 +262,12 @@
         read(&lock(&self.router))
     }
 
+    /// Returns the number of requests that this VM has at targets.
+    pub(crate) fn at_targets(&self) -> u32 {
+        let status = self.with_router(|router| router.status());
+        status.targets.iter().map(|target| target.in_flight).sum()
+    }
+
     /// Returns the number of requests under way.
     pub(crate) fn in_flight(&self) -> usize {
         self.flights.len()
@@ -220,13 +278,6 @@
         lock(&self.router).step(event, now)
     }
 
-    fn service_of(&self, job: &Job) -> Box<str> {
-        let host = answers::host(&job.headers);
-        lock(&self.router)
-            .service_name(host.as_deref(), &job.path)
-            .unwrap_or_else(|| "none".into())
-    }
-
     fn run(&self, job: &Job, origin: Origin, allowed: Option<Duration>) -> End {
         let flight = self.flights.start(job.id);
         let request = Request {
@@ -264,6 +315,7 @@
                     deadline: until,
                     ..
                 } => {
+                    self.metrics.forward();
                     deadline = deadline.min(until);
                     match self.forward(job, vm, hops, until) {
                         Ok(answer) => break End::Answer(answer),
@@ -308,33 +360,37 @@
     }
 
     /// Sends the request to a target. Returns the answer, or the router's next effect for it.
-    fn send(
-        &self,
-        job: &Job,
-        flight: &Flight,
-        send: Send,
-    ) -> Result<StoredAnswer, Option<Effect>> {
+    fn send(&self, job: &Job, flight: &Flight, send: Send) -> Result<StoredAnswer, Option<Effect>> {
         let until = self.clock.instant(send.deadline);
         let limit = send.connections as usize;
-        let conn = self
-            .pool
-            .acquire(send.address, self.config.source, limit, until);
-        let conn = match conn {
+        let conn = match self.pool.acquire(send.address, limit, until) {
             Ok(conn) => conn,
             Err(_) => return Err(self.done(job.id, Attempt::NotRun(NotRun::Connect))),
         };
+        // Nothing is written before `Proceed`, so until then an abort means that the request did
+        // not run.
+        if !flight.arm(conn.aborter()) {
+            flight.disarm();
+            self.pool.put(conn);
+            return Err(self.done(job.id, Attempt::NotRun(NotRun::NoOwner)));
+        }
         match self.own(Event::Ready { id: job.id }, job.id) {
             Some(Effect::Proceed { .. }) => {}
+            Some(Effect::Hold { .. }) => {
+                flight.disarm();
+                self.pool.put(conn);
+                return Err(None);
+            }
+            None => {
+                flight.disarm();
+                return Err(self.done(job.id, Attempt::NotRun(NotRun::NoOwner)));
+            }
             other => {
+                flight.disarm();
                 self.pool.put(conn);
                 return Err(other);
             }
         }
-        if !flight.arm(conn.aborter()) {
-            flight.disarm();
-            self.pool.put(conn);
-            return Err(self.done(job.id, Attempt::NotRun(NotRun::NoOwner)));
-        }
         let result = self.exchange(job, &send, conn);
         flight.disarm();
         match result {
@@ -354,11 +410,12 @@
     /// Writes the request and reads the whole answer.
     fn exchange(&self, job: &Job, send: &Send, mut conn: Conn) -> Result<StoredAnswer, Attempt> {
         let left = send.deadline.saturating_sub(self.clock.now());
+        let headers = answers::to_target(&job.headers, job.id, send, left);
         let request = OutRequest {
-            method: job.method.clone(),
-            path: job.path.clone(),
-            headers: answers::to_target(&job.headers, job.id, send, left),
-            body: job.body.clone(),
+            method: &job.method,
+            path: &job.path,
+            headers: &headers,
+            body: &job.body,
         };
         let until = self.clock.instant(send.deadline);
         let response = match conn.exchange(&request, until, self.config.answer_size) {
@@ -457,6 +514,7 @@
             match effect {
                 Effect::Send(Send { id, .. })
                 | Effect::Proceed { id }
+                | Effect::Hold { id }
                 | Effect::Forward { id, .. }
                 | Effect::Redirect { id, .. }
                 | Effect::Record { id, .. }
@@ -504,8 +562,8 @@
         return Attempt::NotRun(NotRun::Connect);
     }
     Attempt::Unknown(match err.kind {
-        ClientErrorKind::Timeout => Unknown::Timeout,
-        ClientErrorKind::Closed | ClientErrorKind::Io(_) => Unknown::Broken,
+        ClientFailure::Timeout => Unknown::Timeout,
+        ClientFailure::Closed | ClientFailure::Io(_) | ClientFailure::Aborted => Unknown::Broken,
         _ => Unknown::BadAnswer,
     })
 }
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -6,8 +6,7 @@
         SocketAddr, //
     },
     sync::{
-        Arc,
-        Weak,
+        Arc, Weak,
         atomic::{
             AtomicUsize,
             Ordering, //
@@ -77,7 +76,11 @@
                 plane.route(Event::Probed { target, alive });
             }
         };
-        if thread::Builder::new().name("probe".into()).spawn(probe).is_err() {
+        if thread::Builder::new()
+            .name("probe".into())
+            .spawn(probe)
+            .is_err()
+        {
             self.running.fetch_sub(1, Ordering::Relaxed);
         }
     }
@@ -89,10 +92,10 @@
         return false;
     };
     let request = OutRequest {
-        method: "GET".into(),
-        path: PATH.into(),
-        headers: vec![("host".into(), address.to_string().into())],
-        body: Vec::new(),
+        method: "GET",
+        path: PATH,
+        headers: &[],
+        body: &[],
     };
     conn.exchange(&request, until, ANSWER_SIZE).is_ok()
 }
--- a/crates/daemon/src/records.rs
+++ b/crates/daemon/src/records.rs
@@ -12,7 +12,7 @@
 const NAME: &str = "bundle";
 
 /// The file.
-pub(crate) struct BundleFile(AtomicFile);
+pub(crate) struct BundleFile(AtomicFile<SignedBundle>);
 
 impl BundleFile {
     pub(crate) fn new(folder: &Path) -> Self {
@@ -26,18 +26,10 @@
     /// A file that cannot be read or is damaged is an error: without it this VM could act on an
     /// older bundle.
     pub(crate) fn load(&self) -> Result<Option<SignedBundle>, StoreError> {
-        match self.0.read()? {
-            None => Ok(None),
-            Some(bytes) => match postcard::from_bytes(&bytes) {
-                Ok(signed) => Ok(Some(signed)),
-                Err(_) => Err(self.0.damaged("the content is not a signed bundle")),
-            },
-        }
+        self.0.read()
     }
 
     pub(crate) fn save(&self, signed: &SignedBundle) -> Result<(), StoreError> {
-        let bytes = postcard::to_stdvec(signed)
-            .map_err(|_| self.0.damaged("the bundle cannot be encoded"))?;
-        self.0.write(&bytes)
+        self.0.write(signed)
     }
 }
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -49,8 +49,7 @@
     pub(crate) keys: Vec<BearerKey>,
     pub(crate) node: NodeHandle,
     pub(crate) plane: Arc<Plane>,
-    /// Lease and renewal time that are told to a target.
-    pub(crate) lease: Duration,
+    /// Renewal time that is told to a target.
     pub(crate) renew: Duration,
 }
 
@@ -133,7 +132,10 @@
     fn announce(&self, asked: Announcement) -> Served<Lease> {
         let named = |text: &str| !text.is_empty() && text.len() <= NAME_LIMIT;
         if !named(&asked.name) || !named(&asked.service) || asked.name.contains('/') {
-            return refuse(400, "name and service must have 1 to 128 bytes and no slash");
+            return refuse(
+                400,
+                "name and service must have 1 to 128 bytes and no slash",
+            );
         }
         if asked.slots == 0 {
             return refuse(400, "slots must be at least 1");
@@ -203,9 +205,7 @@
 
     fn drain(&self, id: TargetId) -> Served<Lease> {
         match self.node.domain(DomainCall::Drain(id), LIMIT) {
-            Some(DomainReply::Applied(Outcome::Done)) => {
-                self.lease(id, LoadReport::default(), 0)
-            }
+            Some(DomainReply::Applied(Outcome::Done)) => self.lease(id, LoadReport::default(), 0),
             Some(DomainReply::Applied(_)) => refuse(404, "the session does not exist"),
             other => unavailable(other),
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -194,6 +194,13 @@
         self.raft.term()
     }
 
+    /// Tells whether this identity has to join the group: it has not been a voter in it. One that
+    /// was removed does not come back.
+    pub fn is_new(&self) -> bool {
+        let members = self.raft.members();
+        members.voters.is_empty() || members.learners.contains(&self.id)
+    }
+
     /// Handles one event.
     pub fn step(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         let mut out = Vec::new();
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -216,6 +216,7 @@
             services: bundle.services.clone(),
             homes_version: self.cache.versions().homes,
             homes,
+            confirmed: false,
         }
     }
 }
--- a/crates/node/src/domain.rs
+++ b/crates/node/src/domain.rs
@@ -94,6 +94,8 @@
     /// Version of the directory's homes.
     pub(crate) homes_version: u64,
     pub(crate) homes: BTreeMap<ServiceName, Vec<HomedShard>>,
+    /// Whether the control leader confirmed this while the VM led the group.
+    pub(crate) confirmed: bool,
 }
 
 /// What a VM that renews its lease has.
@@ -101,8 +103,10 @@
 pub(crate) struct Has {
     /// Index of its view.
     pub(crate) view: u64,
-    /// Version of its bundle.
+    /// Version of the newest bundle that it has.
     pub(crate) bundle: u64,
+    /// Version of the bundle in force there.
+    pub(crate) in_force: u64,
 }
 
 /// What is known of the view that a VM has.
@@ -205,6 +209,11 @@
         members.voters.contains(&self.id) || members.learners.contains(&self.id)
     }
 
+    /// Returns the version of the bundle that the group has committed.
+    pub(crate) fn bundle_version(&self) -> u64 {
+        self.state.version()
+    }
+
     /// Returns the index of the last change that routers must learn of.
     pub(crate) fn view_index(&self) -> u64 {
         self.state.layout()
@@ -293,7 +302,7 @@
         if behind && (waited || !lost) {
             self.send_view(vm, view, now, out);
         } else if !behind {
-            let (index, sent, bundle) = (view, now, has.bundle);
+            let (index, sent, bundle) = (view, now, has.in_force);
             let known = Known {
                 index,
                 sent,
@@ -302,7 +311,7 @@
             self.views.insert(vm, known);
         }
         if let Some(known) = self.views.get_mut(&vm) {
-            known.bundle = has.bundle;
+            known.bundle = has.in_force;
         }
     }
 
@@ -376,6 +385,9 @@
                 };
                 self.lead(event, now, out);
             }
+            DomainCall::Leave { vm, incarnation } => {
+                self.propose(Some(id), &Command::VmDown { vm, incarnation }, now, out);
+            }
             DomainCall::Drain(target) => {
                 self.propose(Some(id), &Command::TargetLeaving(target), now, out);
             }
@@ -414,7 +426,10 @@
             return;
         }
         self.synced = Some(now);
-        if self.state.version() < self.assigned.version {
+        // The first bundle of a group comes straight from the control group: a copy that lags
+        // could bring back a bundle that VMs of an earlier group have left behind.
+        let known = self.state.version();
+        if known < self.assigned.version && (known > 0 || self.assigned.confirmed) {
             let command = Command::SetServices {
                 version: self.assigned.version,
                 services: self.assigned.services.clone(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -72,6 +72,9 @@
 /// Renewals whose answers may still be used.
 const RENEWALS: usize = 16;
 
+/// Id of a call whose answer nobody waits for; the process counts its own from 1.
+const NO_CALLER: CallId = 0;
+
 /// Settings of an entry node.
 #[derive(Clone, Debug)]
 pub struct EntryConfig {
@@ -133,6 +136,12 @@
     },
     /// This VM's router has something to tell the domain leader.
     Sender(SenderReport),
+    /// The VM is shutting down and sends nothing from now on. Raised again once all requests at
+    /// targets have ended, it gives up the lease.
+    Leave {
+        /// Whether requests are still running at targets.
+        busy: bool,
+    },
 }
 
 /// Output of an entry node, to be carried out in order.
@@ -240,11 +249,18 @@
     directory: DirectoryView,
     member: Option<DomainMember>,
     sealed: u64,
+    /// The newest bundle, until the domain group has committed it.
+    accepted: Option<(SignedBundle, Bundle)>,
+    /// Version of the bundle in force.
+    in_force: u64,
+    leaving: bool,
     leader: Option<VmId>,
     session: Session,
     view: (u64, u64),
     calls: Calls,
+    /// Start of the domain's last renewal with the control group that this VM made as leader.
     control_ok: Option<Duration>,
+    /// The latest such start that this VM knows of.
     control_seen: Duration,
     reported: Option<Duration>,
     asked: Option<Duration>,
@@ -263,6 +279,9 @@
             directory,
             member: None,
             sealed: 0,
+            accepted: None,
+            in_force: 0,
+            leaving: false,
             leader: None,
             session: Session::default(),
             view: (0, 0),
@@ -313,6 +332,7 @@
             EntryEvent::Call { id, from, call } => self.call(id, from, call, now, &mut out),
             EntryEvent::Returned { id, result } => self.returned(id, result, now, &mut out),
             EntryEvent::Sender(report) => self.report_sender(report, now, &mut out),
+            EntryEvent::Leave { busy } => self.leave(busy, now, &mut out),
         }
         out
     }
@@ -338,6 +358,19 @@
         self.pump_calls(now, out);
     }
 
+    fn leave(&mut self, busy: bool, now: Duration, out: &mut Vec<EntryEffect>) {
+        if !self.leaving {
+            self.leaving = true;
+            self.lose_lease(out);
+        }
+        if !busy {
+            let (vm, incarnation) = (self.config.info.vm, self.config.info.incarnation);
+            let call = Call::Domain(DomainCall::Leave { vm, incarnation });
+            self.internal(call, Dest::Domain, now);
+            self.pump_calls(now, out);
+        }
+    }
+
     fn lose_lease(&mut self, out: &mut Vec<EntryEffect>) {
         // Answers to renewals sent before the pause must not bring the lease back.
         self.session.sent.clear();
@@ -380,7 +413,7 @@
                     term,
                     sealed: self.sealed >= term,
                     versions: self.directory.versions(),
-                    in_force: self.directory.bundle_version(),
+                    in_force: self.in_force,
                 };
                 self.internal(Call::Control(call), Dest::Control, now);
             }
@@ -408,6 +441,7 @@
             let has = Has {
                 view: self.view.1,
                 bundle: self.directory.bundle_version(),
+                in_force: self.in_force,
             };
             self.with_member(now, out, |member, now, effects| {
                 member.renew_vm(vm, incarnation, nonce, has, now, effects);
@@ -427,6 +461,7 @@
             term: self.view.0,
             view: self.view.1,
             bundle: self.directory.bundle_version(),
+            in_force: self.in_force,
         };
         for vm in self.directory.entry_vms(&self.config.info.domain) {
             if vm != own && leader.is_none_or(|leader| leader == vm) {
@@ -503,6 +538,7 @@
                 term,
                 view,
                 bundle,
+                in_force,
             } if vm == from => {
                 let own = self.member.as_ref().map_or(0, DomainMember::term);
                 let leads = self.member.as_ref().is_some_and(|m| m.leads(now));
@@ -512,7 +548,11 @@
                     return;
                 }
                 let view = if term == own { view } else { 0 };
-                let has = Has { view, bundle };
+                let has = Has {
+                    view,
+                    bundle,
+                    in_force,
+                };
                 self.with_member(now, out, |member, now, effects| {
                     member.renew_vm(vm, incarnation, nonce, has, now, effects);
                 });
@@ -525,9 +565,11 @@
                 fence,
                 control_age,
                 versions,
+                bundle,
             } => {
                 if self.member.as_ref().is_some_and(|m| m.term() == term) {
                     self.leader = Some(from);
+                    self.put_in_force(bundle, out);
                     self.renewed(nonce, lease, fence, control_age, now, out);
                 }
                 self.fetch(from, &versions, now);
@@ -555,7 +597,7 @@
             return;
         };
         self.session.renewed = Some(now);
-        if lease.is_zero() {
+        if lease.is_zero() || self.leaving {
             return;
         }
         let until = sent + lease - lease / 10;
@@ -672,8 +714,11 @@
 
     /// Runs a waiting domain call here, after this VM became the leader.
     fn run_own(&mut self, id: CallId, call: Call, now: Duration, out: &mut Vec<EntryEffect>) {
-        let Some(Origin::Listener(caller)) = self.calls.finish(id).map(|f| f.origin) else {
-            return;
+        let caller = match self.calls.finish(id).map(|finished| finished.origin) {
+            Some(Origin::Listener(caller)) => caller,
+            // Nobody waits for the answer to a call of the node itself.
+            Some(Origin::Node) => NO_CALLER,
+            None => return,
         };
         let Call::Domain(call) = call else {
             return;
@@ -727,10 +772,15 @@
                 }),
             ) => {
                 let leads = self.member.as_ref().is_some_and(|m| m.leads(now));
+                let first = self.control_ok.is_none();
                 if leads && renewed && finished.report {
                     self.control_ok = self.control_ok.max(Some(finished.started));
                 }
-                self.take_directory(directory, now, out);
+                if !directory.is_empty() {
+                    self.take_directory(directory, now, out);
+                } else if first && self.control_ok.is_some() {
+                    self.assign_member();
+                }
                 self.seal(seal, now, out);
             }
             (Origin::Node, Reply::Directory(directory)) => {
@@ -763,17 +813,38 @@
         if let Some(reason) = changes.refused {
             out.push(EntryEffect::Refused { reason });
         }
-        if let Some((signed, bundle)) = changes.bundle {
-            out.push(EntryEffect::Route(RouteEvent::Bundle(bundle.clone())));
-            let bundle = Box::new(bundle);
-            out.push(EntryEffect::InForce { signed, bundle });
+        if let Some(accepted) = changes.bundle {
+            self.accepted = Some(accepted);
+            if !self.config.info.entry {
+                self.put_in_force(u64::MAX, out);
+            }
         }
         if changes.homes {
             out.push(EntryEffect::Route(self.directory.route_event()));
         }
         self.start_member(now, out);
+        self.assign_member();
+    }
+
+    fn assign_member(&mut self) {
         if let Some(member) = &mut self.member {
-            member.assign(self.directory.assigned(&self.config.info.domain));
+            let mut assigned = self.directory.assigned(&self.config.info.domain);
+            assigned.confirmed = self.control_ok.is_some();
+            member.assign(assigned);
+        }
+    }
+
+    /// Puts the newest accepted bundle in force once the domain group has committed `version`.
+    ///
+    /// A VM without a disk that restarts learns at least the version that its group has
+    /// committed, so no VM goes back to a bundle before one that it acted on.
+    fn put_in_force(&mut self, version: u64, out: &mut Vec<EntryEffect>) {
+        let ready = |(_, bundle): &mut (SignedBundle, Bundle)| bundle.version <= version;
+        if let Some((signed, bundle)) = self.accepted.take_if(ready) {
+            self.in_force = bundle.version;
+            out.push(EntryEffect::Route(RouteEvent::Bundle(bundle.clone())));
+            let bundle = Box::new(bundle);
+            out.push(EntryEffect::InForce { signed, bundle });
         }
     }
 
@@ -878,7 +949,9 @@
                 fence,
             } => {
                 let control_age = self.control_ok.map(|at| now.saturating_sub(at));
+                let bundle = self.member.as_ref().map_or(0, DomainMember::bundle_version);
                 if vm == self.config.info.vm {
+                    self.put_in_force(bundle, out);
                     self.renewed(nonce, lease, fence, control_age, now, out);
                     return;
                 }
@@ -889,6 +962,7 @@
                     fence,
                     control_age,
                     versions: self.directory.versions(),
+                    bundle,
                 };
                 self.send_datagram(vm, datagram, out);
             }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -105,8 +105,10 @@
         term: u64,
         /// Index of the VM's view.
         view: u64,
-        /// Version of the VM's bundle.
+        /// Version of the newest bundle that the VM has.
         bundle: u64,
+        /// Version of the bundle in force on the VM.
+        in_force: u64,
     },
     /// The lease is renewed.
     Renewed {
@@ -122,6 +124,8 @@
         control_age: Option<Duration>,
         /// What the leader has of the directory.
         versions: Versions,
+        /// Version of the bundle that the group has committed; the VM puts it in force.
+        bundle: u64,
     },
     /// The receiver does not lead the domain group.
     NotLeader {
@@ -290,6 +294,13 @@
         /// Version of the grants that it has.
         seen: u64,
     },
+    /// A VM has stopped sending and gives up its lease.
+    Leave {
+        /// The VM.
+        vm: VmId,
+        /// The run of its process.
+        incarnation: Incarnation,
+    },
     /// A target is leaving.
     Drain(TargetId),
     /// A sender's command about an idempotency record, or an operator's about a shard.
