Add the stand-in caller

Cause: tests need traffic whose every answer is checked and recorded.

Change: standin-caller draws requests from a script by seed and number, starts them at fixed times, checks marker, echoed body and length of each answer, records every attempt, and prints latencies and the time without an answer per key and service. The swap of answers in the target now also works for requests that came without an id.

Ruled out: one generator per thread, which makes the requests depend on how threads are scheduled.

Conclusion: the summary counts late starts, so that runs which the machine may have disturbed can be told apart.

--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,292 @@
+//! Open-loop caller.
+
+use std::{
+    io,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use ureq::Agent;
+
+use crate::{
+    LineWriter, agent,
+    attempt::{
+        Ended,
+        Work,
+        attempt, //
+    },
+    record::{
+        Outcome,
+        Record, //
+    },
+    script::{
+        Draw,
+        Mix,
+        Script, //
+    },
+    summary::{
+        Finished,
+        Summary,
+        summarize, //
+    },
+    wall_us,
+};
+
+/// Stack of a thread, in bytes.
+const STACK: usize = 512 * 1024;
+/// Start after the due time that counts as late.
+const LATE: Duration = Duration::from_millis(10);
+
+/// What a caller does.
+#[derive(Clone, Debug)]
+pub struct CallerOptions {
+    /// Begins the ids of all requests; must differ between callers whose records are checked
+    /// together.
+    pub name: Box<str>,
+    /// Caller listeners of the entry VMs.
+    pub vms: Vec<SocketAddr>,
+    /// The mix.
+    pub script: Script,
+    /// Seed of the mix.
+    pub seed: u64,
+    /// Requests per second from all threads together.
+    pub rate: f64,
+    /// Threads, which bound the requests in flight.
+    pub threads: usize,
+    /// How long requests are started.
+    pub time: Duration,
+    /// Time after which an attempt is given up as unknown.
+    pub timeout: Duration,
+    /// Deadline sent with each request.
+    pub deadline_ms: Option<u64>,
+    /// Most further attempts of a request that was not run.
+    pub resend: u32,
+    /// Pause before a further attempt.
+    pub resend_pause: Duration,
+    /// Whether a POST with an idempotency key is sent again after an unknown outcome.
+    pub resend_unknown: bool,
+    /// How often the hottest keys change places, and when.
+    pub hot: (usize, Duration),
+    /// IP address that connections come from.
+    pub source: Option<IpAddr>,
+    /// File for the records.
+    pub records: Option<PathBuf>,
+}
+
+/// Sends the mix and returns its summary.
+///
+/// Requests are due at fixed times whether or not earlier ones were answered; latency counts
+/// from the due time.
+///
+/// # Errors
+///
+/// Returns the error of opening or writing the records, or of starting a thread.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use camphordale_standin::{CallerOptions, Script, run_caller};
+///
+/// let script: Script =
+///     serde_norway::from_str("services: [{name: cat, path: /cat}]").map_err(std::io::Error::other)?;
+/// let summary = run_caller(CallerOptions {
+///     name: "c1".into(),
+///     vms: vec![([127, 0, 0, 1], 1).into()],
+///     script,
+///     seed: 1,
+///     rate: 100.0,
+///     threads: 2,
+///     time: Duration::from_millis(50),
+///     timeout: Duration::from_secs(1),
+///     deadline_ms: None,
+///     resend: 0,
+///     resend_pause: Duration::ZERO,
+///     resend_unknown: false,
+///     hot: (0, Duration::ZERO),
+///     source: None,
+///     records: None,
+/// })?;
+/// assert_eq!(summary.requests, 5);
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub fn run_caller(options: CallerOptions) -> io::Result<Summary> {
+    let writer = match &options.records {
+        Some(path) => Some(LineWriter::open(path)?),
+        None => None,
+    };
+    let shared = Arc::new(Shared {
+        began: Instant::now(),
+        began_us: wall_us(),
+        next: AtomicU64::new(0),
+        late: AtomicU64::new(0),
+        writer,
+        mix: Mix::new(&options.script, options.seed),
+        options,
+    });
+    let spawn = |_| {
+        let shared = shared.clone();
+        let builder = thread::Builder::new().stack_size(STACK);
+        builder.spawn(move || Sender::new(shared).run())
+    };
+    let threads: Vec<_> = (0..shared.options.threads.max(1))
+        .map(spawn)
+        .collect::<Result<_, _>>()?;
+    let mut finished = Vec::new();
+    for thread in threads {
+        let result = thread.join();
+        finished.extend(result.map_err(|_| io::Error::other("a caller thread panicked"))??);
+    }
+    let mut summary = summarize(&shared.options.script, finished);
+    summary.late_starts = shared.late.load(Ordering::Relaxed);
+    Ok(summary)
+}
+
+struct Shared {
+    began: Instant,
+    began_us: u64,
+    next: AtomicU64,
+    late: AtomicU64,
+    writer: Option<LineWriter>,
+    mix: Mix,
+    options: CallerOptions,
+}
+
+impl Shared {
+    /// Returns the wall clock of the start plus the time since, which is monotonic.
+    fn now_us(&self) -> u64 {
+        self.began_us + self.began.elapsed().as_micros() as u64
+    }
+}
+
+struct Sender {
+    shared: Arc<Shared>,
+    agent: Agent,
+}
+
+impl Sender {
+    fn new(shared: Arc<Shared>) -> Self {
+        let agent = agent(shared.options.source, shared.options.timeout);
+        Sender { shared, agent }
+    }
+
+    fn run(&self) -> io::Result<Vec<Finished>> {
+        let options = &self.shared.options;
+        let (times, hot_at) = options.hot;
+        let mut finished = Vec::new();
+        loop {
+            let number = self.shared.next.fetch_add(1, Ordering::Relaxed);
+            let due = Duration::from_secs_f64(number as f64 / options.rate);
+            if due >= options.time {
+                return Ok(finished);
+            }
+            let hot = if due >= hot_at { times } else { 0 };
+            let draw = self.shared.mix.draw(number, hot);
+            let now = self.shared.began.elapsed();
+            thread::sleep(due.saturating_sub(now));
+            if self.shared.began.elapsed() > due + LATE {
+                self.shared.late.fetch_add(1, Ordering::Relaxed);
+            }
+            finished.push(self.request(number, due, &draw)?);
+        }
+    }
+
+    fn request(&self, number: u64, due: Duration, draw: &Draw) -> io::Result<Finished> {
+        let options = &self.shared.options;
+        let work = self.work(number, draw);
+        let due_us = self.shared.began_us + due.as_micros() as u64;
+        let mut start_us = due_us;
+        let mut count = 1;
+        loop {
+            let vm = options.vms[(draw.vm.wrapping_add(count as usize)) % options.vms.len()];
+            let ended = attempt(&self.agent, vm, &work);
+            let end_us = self.shared.now_us();
+            let last = count > options.resend || !self.may_resend(&work, &ended);
+            if let Some(writer) = &self.shared.writer {
+                writer.write(&Record {
+                    id: work.id.clone(),
+                    idempotency: work.idempotency.clone(),
+                    service: options.script.services[draw.service].name.clone(),
+                    key: draw.key.map(key_name),
+                    method: if draw.post { "POST" } else { "GET" }.into(),
+                    start_us,
+                    latency_us: end_us.saturating_sub(start_us),
+                    outcome: ended.outcome,
+                    status: ended.status,
+                    reason: ended.reason,
+                    target: ended.target,
+                    attempt: count,
+                    last,
+                    vm: vm.to_string().into(),
+                })?;
+            }
+            if last {
+                return Ok(Finished {
+                    service: draw.service,
+                    key: draw.key,
+                    start_us: due_us,
+                    end_us,
+                    outcome: ended.outcome,
+                    attempts: count,
+                });
+            }
+            thread::sleep(options.resend_pause);
+            start_us = self.shared.now_us();
+            count += 1;
+        }
+    }
+
+    fn work(&self, number: u64, draw: &Draw) -> Work {
+        let options = &self.shared.options;
+        let service = &options.script.services[draw.service];
+        let id: Box<str> = format!("{}-{number}", options.name).into();
+        let key = draw.key.map(key_name);
+        let path = match &key {
+            Some(key) => service.path.replace("{key}", key).into(),
+            None => service.path.clone(),
+        };
+        let body = draw.post.then(|| {
+            let mut body = id.as_bytes().to_vec();
+            body.resize(body.len().max(service.body_size), b'b');
+            body
+        });
+        Work {
+            idempotency: (draw.post && service.idempotent).then(|| id.clone()),
+            path,
+            key: service.key_header.clone().zip(key),
+            body,
+            deadline_ms: options.deadline_ms,
+            id,
+        }
+    }
+
+    fn may_resend(&self, work: &Work, ended: &Ended) -> bool {
+        match ended.outcome {
+            Outcome::ConnectFailed => true,
+            // A repetition of 400 or 404 has the same result.
+            Outcome::NotRun => ended.status == Some(503),
+            Outcome::Unknown if work.body.is_none() => true,
+            Outcome::Unknown => self.shared.options.resend_unknown && work.idempotency.is_some(),
+            Outcome::Ok | Outcome::Refused | Outcome::Wrong | Outcome::Short => false,
+        }
+    }
+}
+
+fn key_name(key: usize) -> Box<str> {
+    format!("key-{key}").into()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,9 +1,12 @@
 //! Stand-ins for the programs around camphordale, for tests and the quickstart.
 //!
 //! [`Target`] is a target that follows `docs/protocols.md` and misbehaves on request; [`Fence`]
-//! holds its lease and token rules.
+//! holds its lease and token rules. [`run_caller`] sends a mix of requests at a fixed rate and
+//! checks the answers; [`run_load`] measures throughput.
 
 mod agent;
+mod attempt;
+mod caller;
 mod cli;
 mod clock;
 mod fence;
@@ -11,14 +14,21 @@
 mod journal;
 mod load;
 pub mod protocol;
+mod record;
 mod run;
+mod script;
 mod server;
 mod session;
+mod summary;
 mod switch_api;
 mod switches;
 mod target;
 
 pub use agent::agent;
+pub use caller::{
+    CallerOptions,
+    run_caller, //
+};
 pub use cli::{
     HeaderArg,
     SideArg, //
@@ -43,6 +53,17 @@
     run_load, //
 };
 pub use protocol::Grant;
+pub use record::{
+    Outcome,
+    Record, //
+};
+pub use script::{
+    Draw,
+    Mix,
+    Script,
+    ScriptError,
+    ScriptService, //
+};
 pub use server::{
     Delivery,
     Reply,
@@ -51,6 +72,13 @@
     serve, //
 };
 pub use session::SessionError;
+pub use summary::{
+    Finished,
+    Gap,
+    ServiceSummary,
+    Summary,
+    summarize, //
+};
 pub use switches::{
     Answer,
     Fault,
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -224,17 +224,21 @@
     }
     let swap = switches.hits(Fault::Swap);
     let wrong = switches.hits(Fault::WrongId);
-    let id = reply
-        .headers
-        .iter_mut()
-        .find(|(n, _)| *n == headers::REQUEST);
-    if let Some((_, id)) = id {
-        if swap {
-            let body = std::mem::take(&mut reply.body);
-            (*id, reply.body) = switches.swap((std::mem::take(id), body));
-        } else if wrong {
-            *id = id.chars().rev().collect::<String>().into();
-        }
+    let headers = &mut reply.headers;
+    let place = headers.iter().position(|(n, _)| *n == headers::REQUEST);
+    let id = place.map(|at| headers[at].1.clone()).unwrap_or_default();
+    let id = if swap {
+        let body = std::mem::take(&mut reply.body);
+        let (id, body) = switches.swap((id, body));
+        reply.body = body;
+        id
+    } else if wrong {
+        id.chars().rev().collect::<String>().into()
+    } else {
+        id
+    };
+    if let Some(at) = place {
+        headers[at].1 = id;
     }
     reply
 }
--- /dev/null
+++ b/crates/standin/src/script.rs
@@ -0,0 +1,252 @@
+//! The mix of requests that a caller sends.
+
+use std::{
+    fs,
+    io,
+    path::Path, //
+};
+
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use serde::Deserialize;
+
+/// Hottest keys that change places in a shift.
+const HOTTEST: usize = 11;
+/// Exponent of the distribution of keys.
+const ZIPF: f64 = 0.99;
+/// Spreads seeds, so that neighbouring ones do not share requests.
+const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Largest number of keys of a service, which bounds the table of the distribution.
+const MAX_KEYS: usize = 1_000_000;
+
+/// A script could not be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ScriptError {
+    /// The file could not be read.
+    #[error("read {path}: {source}")]
+    Read {
+        /// The file.
+        path: Box<str>,
+        /// The error of the file system.
+        source: io::Error,
+    },
+    /// The file is not valid YAML or JSON of the right form.
+    #[error("parse {path}: {source}")]
+    Parse {
+        /// The file.
+        path: Box<str>,
+        /// The error with its line.
+        source: serde_norway::Error,
+    },
+    /// A value is out of range.
+    #[error("service {service:?}: {text}")]
+    Value {
+        /// The service.
+        service: Box<str>,
+        /// What is wrong.
+        text: &'static str,
+    },
+    /// There is no service.
+    #[error("the script has no services")]
+    Empty,
+}
+
+/// The services to call.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Script {
+    /// The services.
+    pub services: Vec<ScriptService>,
+}
+
+/// One service of a script.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ScriptService {
+    /// Name, for the records.
+    pub name: Box<str>,
+    /// Path; `{key}` stands for the key.
+    pub path: Box<str>,
+    /// Header for the key.
+    #[serde(default)]
+    pub key_header: Option<Box<str>>,
+    /// Number of keys; 0 for a service without keys.
+    #[serde(default)]
+    pub keys: usize,
+    /// Share of requests with method POST and a body, in percent.
+    #[serde(default)]
+    pub post_percent: u8,
+    /// Share of this service in all requests, relative to the others.
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// Size of the body of a POST in bytes; the marker is its start.
+    #[serde(default)]
+    pub body_size: usize,
+    /// Whether a POST carries an `Idempotency-Key`.
+    #[serde(default = "yes")]
+    pub idempotent: bool,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Script {
+    /// Reads a script from a YAML or JSON file and checks it.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, line or service at fault.
+    pub fn read(path: &Path) -> Result<Self, ScriptError> {
+        let name = || path.display().to_string().into();
+        let text = fs::read_to_string(path).map_err(|source| ScriptError::Read {
+            path: name(),
+            source,
+        })?;
+        let script: Script = serde_norway::from_str(&text).map_err(|source| {
+            let path = name();
+            ScriptError::Parse { path, source }
+        })?;
+        script.check()?;
+        Ok(script)
+    }
+
+    fn check(&self) -> Result<(), ScriptError> {
+        if self.services.is_empty() {
+            return Err(ScriptError::Empty);
+        }
+        for service in &self.services {
+            let has_place = service.key_header.is_some() || service.path.contains("{key}");
+            let text = if !service.path.starts_with('/') {
+                "path must begin with /"
+            } else if service.keys > MAX_KEYS {
+                "keys must be at most 1000000"
+            } else if (service.keys > 0) != has_place {
+                "keys need key_header or {key} in the path, and the other way round"
+            } else if !(service.weight > 0.0 && service.weight.is_finite()) {
+                "weight must be above 0"
+            } else if service.post_percent > 100 {
+                "post_percent must be at most 100"
+            } else {
+                continue;
+            };
+            let service = service.name.clone();
+            return Err(ScriptError::Value { service, text });
+        }
+        Ok(())
+    }
+}
+
+/// One request of a mix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Draw {
+    /// Position of the service in the script.
+    pub service: usize,
+    /// Position of the key in the service; none without keys.
+    pub key: Option<usize>,
+    /// Whether the method is POST.
+    pub post: bool,
+    /// A number to choose an entry VM by.
+    pub vm: usize,
+}
+
+/// Draws requests from a script; the same seed and number give the same request.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_standin::{Mix, Script};
+///
+/// let script: Script = serde_norway::from_str(
+///     "services: [{name: cat, path: '/cat/{key}', keys: 100, post_percent: 50}]",
+/// )?;
+/// let (one, two) = (Mix::new(&script, 7), Mix::new(&script, 7));
+/// assert_eq!(one.draw(12, 0), two.draw(12, 0));
+/// # Ok::<(), serde_norway::Error>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Mix {
+    seed: u64,
+    /// Sums of the services' weights.
+    weights: Vec<f64>,
+    /// Sums of the keys' weights, by service.
+    keys: Vec<Vec<f64>>,
+    posts: Vec<u8>,
+}
+
+impl Mix {
+    /// Creates a mix of `script`.
+    pub fn new(script: &Script, seed: u64) -> Self {
+        let services = &script.services;
+        Mix {
+            seed,
+            weights: sums(services.iter().map(|service| service.weight)),
+            keys: services.iter().map(|service| zipf(service.keys)).collect(),
+            posts: services
+                .iter()
+                .map(|service| service.post_percent)
+                .collect(),
+        }
+    }
+
+    /// Draws request `number`. `hot` counts how often the hottest keys have changed places with
+    /// others.
+    pub fn draw(&self, number: u64, hot: usize) -> Draw {
+        // A generator per request lets threads draw without sharing one.
+        let random = &mut StdRng::seed_from_u64(self.seed.wrapping_mul(SEED_STEP) ^ number);
+        let service = pick(&self.weights, random);
+        let keys = &self.keys[service];
+        let key = (!keys.is_empty()).then(|| shift(pick(keys, random), hot, keys.len()));
+        Draw {
+            service,
+            key,
+            post: random.random_range(0..100) < self.posts[service],
+            vm: random.random_range(0..usize::MAX),
+        }
+    }
+}
+
+fn zipf(keys: usize) -> Vec<f64> {
+    sums((1..=keys).map(|rank| (rank as f64).powf(-ZIPF)))
+}
+
+fn sums(weights: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut sum = 0.0;
+    let add = |weight| {
+        sum += weight;
+        sum
+    };
+    weights.map(add).collect()
+}
+
+fn pick(sums: &[f64], random: &mut StdRng) -> usize {
+    let Some(total) = sums.last() else {
+        return 0;
+    };
+    let at = random.random_range(0.0..*total);
+    sums.partition_point(|sum| *sum <= at).min(sums.len() - 1)
+}
+
+/// Returns the key of `rank` after the hottest keys changed places with the `hot`th group of
+/// keys behind them.
+fn shift(rank: usize, hot: usize, keys: usize) -> usize {
+    let groups = keys / HOTTEST;
+    if groups < 2 {
+        return (rank + hot) % keys;
+    }
+    let first = hot % groups * HOTTEST;
+    if rank < HOTTEST {
+        rank + first
+    } else if (first..first + HOTTEST).contains(&rank) {
+        rank - first
+    } else {
+        rank
+    }
+}
--- /dev/null
+++ b/crates/standin/src/summary.rs
@@ -0,0 +1,189 @@
+//! Summary of a caller's run.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::{
+    record::Outcome,
+    script::Script, //
+};
+
+/// A request after its last attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finished {
+    /// Position of the service in the script.
+    pub service: usize,
+    /// Position of the key.
+    pub key: Option<usize>,
+    /// When it was due, in microseconds of the wall clock.
+    pub start_us: u64,
+    /// When the last attempt ended.
+    pub end_us: u64,
+    /// Outcome of the last attempt.
+    pub outcome: Outcome,
+    /// Attempts made.
+    pub attempts: u32,
+}
+
+/// Summary of a run. Latencies are those of `ok` requests, from when they were due, further
+/// attempts included.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Summary {
+    /// Requests.
+    pub requests: u64,
+    /// Attempts beyond the first of each request.
+    pub resent: u64,
+    /// Requests that started more than 10 ms late for want of a free thread; if there are many,
+    /// more threads are needed for the rate.
+    pub late_starts: u64,
+    /// Requests by outcome of the last attempt.
+    pub outcomes: BTreeMap<Outcome, u64>,
+    /// Median latency in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile of the latency in milliseconds.
+    pub p99_ms: f64,
+    /// Maximum latency in milliseconds.
+    pub max_ms: f64,
+    /// By service.
+    pub services: Vec<ServiceSummary>,
+}
+
+/// Summary of one service.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServiceSummary {
+    /// The service.
+    pub service: Box<str>,
+    /// Requests.
+    pub requests: u64,
+    /// Requests with an answer.
+    pub ok: u64,
+    /// Longest time between two successive answers of one key.
+    pub longest_gap: Gap,
+    /// Longest such time in which a request for the key failed. The ends of the run count as
+    /// answers here, so that a key that never came back is not missed.
+    pub unavailable: Gap,
+}
+
+/// Time without an answer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Gap {
+    /// Milliseconds.
+    pub ms: f64,
+    /// The key; none for a service without keys.
+    pub key: Option<Box<str>>,
+}
+
+/// Summarises `finished` requests of `script`.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_standin::{Finished, Outcome, Script, summarize};
+///
+/// let script: Script = serde_norway::from_str("services: [{name: cat, path: /cat}]")?;
+/// let at = |ms: u64, outcome| Finished {
+///     service: 0,
+///     key: None,
+///     start_us: ms * 1000,
+///     end_us: (ms + 1) * 1000,
+///     outcome,
+///     attempts: 1,
+/// };
+/// let finished = vec![at(0, Outcome::Ok), at(5, Outcome::NotRun), at(9, Outcome::Ok)];
+/// let summary = summarize(&script, finished);
+/// assert_eq!(summary.services[0].unavailable.ms, 9.0);
+/// # Ok::<(), serde_norway::Error>(())
+/// ```
+pub fn summarize(script: &Script, mut finished: Vec<Finished>) -> Summary {
+    finished.sort_by_key(|request| request.end_us);
+    let mut summary = Summary::default();
+    let mut latencies = Vec::new();
+    for request in &finished {
+        summary.requests += 1;
+        summary.resent += u64::from(request.attempts.saturating_sub(1));
+        *summary.outcomes.entry(request.outcome).or_default() += 1;
+        if request.outcome == Outcome::Ok {
+            latencies.push(request.end_us.saturating_sub(request.start_us));
+        }
+    }
+    latencies.sort_unstable();
+    summary.p50_ms = quantile(&latencies, 0.5);
+    summary.p99_ms = quantile(&latencies, 0.99);
+    summary.max_ms = quantile(&latencies, 1.0);
+    let names = script.services.iter().map(|service| service.name.clone());
+    summary.services = names
+        .enumerate()
+        .map(|(i, name)| service_summary(i, name, &finished))
+        .collect();
+    summary
+}
+
+fn quantile(sorted: &[u64], share: f64) -> f64 {
+    let place = (sorted.len() as f64 * share).ceil() as usize;
+    let value = sorted.get(place.saturating_sub(1));
+    value.copied().unwrap_or(0) as f64 / 1e3
+}
+
+fn service_summary(service: usize, name: Box<str>, finished: &[Finished]) -> ServiceSummary {
+    let mut summary = ServiceSummary {
+        service: name,
+        requests: 0,
+        ok: 0,
+        longest_gap: Gap::default(),
+        unavailable: Gap::default(),
+    };
+    let began = finished.iter().map(|request| request.start_us).min();
+    let ended = finished.iter().map(|request| request.end_us).max();
+    let (Some(began), Some(ended)) = (began, ended) else {
+        return summary;
+    };
+    let mut keys: BTreeMap<Option<usize>, KeyState> = BTreeMap::new();
+    for request in finished.iter().filter(|request| request.service == service) {
+        summary.requests += 1;
+        let state = keys.entry(request.key).or_insert(KeyState {
+            last: began,
+            answered: false,
+            failed: false,
+        });
+        if request.outcome != Outcome::Ok {
+            state.failed = true;
+            continue;
+        }
+        summary.ok += 1;
+        let gap = request.end_us - state.last;
+        if state.answered {
+            summary.longest_gap.raise(gap, request.key);
+        }
+        if state.failed {
+            summary.unavailable.raise(gap, request.key);
+        }
+        *state = KeyState {
+            last: request.end_us,
+            answered: true,
+            failed: false,
+        };
+    }
+    for (key, state) in keys {
+        if state.failed {
+            summary.unavailable.raise(ended - state.last, key);
+        }
+    }
+    summary
+}
+
+struct KeyState {
+    last: u64,
+    answered: bool,
+    failed: bool,
+}
+
+impl Gap {
+    fn raise(&mut self, us: u64, key: Option<usize>) {
+        let ms = us as f64 / 1e3;
+        if ms > self.ms {
+            let key = key.map(|key| format!("key-{key}").into());
+            *self = Gap { ms, key };
+        }
+    }
+}
