Add the relay between failure domains

Cause: tests of partitions need cuts that are silent, in one direction if asked, and that hit established connections.

Change: standin-link maps listen addresses to destinations, tells source domains by IP prefix, and is cut, reset and healed by HTTP commands. A cut also takes way=in|out and peer=Y. What arrives during a cut is passed on when it heals, as TCP would send it again.

By hand: a new connection from a cut domain is accepted and times out without a byte, one from another prefix passes, and a request sent during the cut is answered after the heal.

Ruled out: looking at the receive buffer to notice a caller that gave up during a cut, because unread data hides the end of stream; the relay reads up to 16 KiB before it connects instead.

Conclusion: only TCP is relayed; datagrams between VMs are not.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,17 +2,22 @@
 //!
 //! [`Target`] is a target that follows `docs/protocols.md` and misbehaves on request; [`Fence`]
 //! holds its lease and token rules. [`run_caller`] sends a mix of requests at a fixed rate and
-//! checks the answers; [`run_load`] measures throughput.
+//! checks the answers; [`run_load`] measures throughput, and [`Link`] relays connections that can be
+//! cut.
 
 mod agent;
 mod attempt;
 mod caller;
 mod cli;
 mod clock;
+mod cuts;
 mod fence;
 pub mod headers;
 mod journal;
+mod link;
+mod link_api;
 mod load;
+mod prefix;
 pub mod protocol;
 mod record;
 mod run;
@@ -37,6 +42,10 @@
     Clock,
     wall_us, //
 };
+pub use cuts::{
+    Cut,
+    Cuts, //
+};
 pub use fence::{
     Denied,
     Fence, //
@@ -47,11 +56,23 @@
     Phase,
     read_lines, //
 };
+pub use link::{
+    Link,
+    LinkEntry,
+    LinkError,
+    LinkFile,
+    SourceDomain, //
+};
+pub use link_api::answer_link;
 pub use load::{
     LoadOptions,
     LoadReport,
     run_load, //
 };
+pub use prefix::{
+    Prefix,
+    PrefixError, //
+};
 pub use protocol::Grant;
 pub use record::{
     Outcome,
