--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,24 +1,39 @@
 //! Stand-ins for the programs around camphordale, for tests and the quickstart.
 //!
 //! [`Target`] is a target that follows `docs/protocols.md` and misbehaves on request; [`Fence`]
-//! holds its lease and token rules.
+//! holds its lease and token rules. [`run_caller`] sends a mix of requests at a fixed rate and
+//! checks the answers; [`run_load`] measures throughput, and [`Link`] relays connections that can be
+//! cut.
 
 mod agent;
+mod attempt;
+mod caller;
 mod cli;
 mod clock;
+mod cuts;
 mod fence;
 pub mod headers;
 mod journal;
+mod link;
+mod link_api;
 mod load;
+mod prefix;
 pub mod protocol;
+mod record;
 mod run;
+mod script;
 mod server;
 mod session;
+mod summary;
 mod switch_api;
 mod switches;
 mod target;
 
 pub use agent::agent;
+pub use caller::{
+    CallerOptions,
+    run_caller, //
+};
 pub use cli::{
     HeaderArg,
     SideArg, //
@@ -27,6 +42,10 @@
     Clock,
     wall_us, //
 };
+pub use cuts::{
+    Cut,
+    Cuts, //
+};
 pub use fence::{
     Denied,
     Fence, //
@@ -37,12 +56,35 @@
     Phase,
     read_lines, //
 };
+pub use link::{
+    Link,
+    LinkEntry,
+    LinkError,
+    LinkFile,
+    SourceDomain, //
+};
+pub use link_api::answer_link;
 pub use load::{
     LoadOptions,
     LoadReport,
     run_load, //
 };
+pub use prefix::{
+    Prefix,
+    PrefixError, //
+};
 pub use protocol::Grant;
+pub use record::{
+    Outcome,
+    Record, //
+};
+pub use script::{
+    Draw,
+    Mix,
+    Script,
+    ScriptError,
+    ScriptService, //
+};
 pub use server::{
     Delivery,
     Reply,
@@ -51,6 +93,13 @@
     serve, //
 };
 pub use session::SessionError;
+pub use summary::{
+    Finished,
+    Gap,
+    ServiceSummary,
+    Summary,
+    summarize, //
+};
 pub use switches::{
     Answer,
     Fault,
