Run a single VM from bundle to answer as a real process

Cause: nothing proved that the parts fit. A test founds a node, submits a signed bundle, lets two targets announce themselves, asks for keyed and unkeyed work and ends the daemon by SIGTERM.

--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc,
         mpsc::{
             self,
             Receiver,
--- /dev/null
+++ b/crates/daemon/tests/whole_path.rs
@@ -0,0 +1,122 @@
+//! One VM as a real process, from the bundle to the answer of a target.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::Duration, //
+};
+
+use camphordale_standin::{
+    Target, TargetOptions,
+    fleet::{
+        ACCESS_KEY,
+        CALLERS,
+        Fleet,
+        FleetOptions,
+        Place,
+        Programs,
+        TARGETS, //
+    },
+};
+use camphordale_types::Side;
+
+const SERVICES: &str = "
+  - name: catalogue
+    route: {prefix: /catalogue}
+    key: none
+    deadline: 2s
+    slots: 4
+    connections: 110
+  - name: reservations
+    route: {prefix: /reservations}
+    key: {header: X-Key}
+    shards: 16
+    deadline: 2s
+    slots: 4
+    connections: 110
+";
+
+const VM: Place = Place { domain: 1, vm: 1 };
+
+fn start(folder: PathBuf, domains: u8, vms: u8) -> Fleet {
+    Fleet::start(FleetOptions {
+        programs: Programs {
+            daemon: env!("CARGO_BIN_EXE_camphordaled").into(),
+            target: None,
+            link: None,
+        },
+        folder,
+        domains,
+        vms,
+        extra: String::new(),
+    })
+    .unwrap()
+}
+
+fn target(fleet: &Fleet, service: &str, key_header: &str) -> Arc<Target> {
+    Target::start(TargetOptions {
+        name: format!("{service}-1").into(),
+        service: service.into(),
+        side: Side::Old,
+        listen: "127.0.0.1:0".parse().unwrap(),
+        entries: vec![fleet.address(VM, TARGETS)],
+        key: ACCESS_KEY.into(),
+        slots: 4,
+        connections: 64,
+        checks_tokens: true,
+        work: Duration::ZERO,
+        body_size: 0,
+        key_header: key_header.into(),
+        journal: None,
+    })
+    .unwrap()
+}
+
+/// Sends a request until it is answered by a target; returns the target's name.
+fn ask(address: SocketAddr, path: &str, key: &str) -> String {
+    let until = std::time::Instant::now() + Duration::from_secs(10);
+    loop {
+        let answer = ureq::get(format!("http://{address}{path}"))
+            .header("X-Key", key)
+            .config()
+            .http_status_as_error(false)
+            .build()
+            .call()
+            .unwrap();
+        if answer.status() == 200 {
+            return answer.headers()["camphordale-target"]
+                .to_str()
+                .unwrap()
+                .to_owned();
+        }
+        let reason = answer.headers().get("camphordale-reason").cloned();
+        assert!(
+            std::time::Instant::now() < until,
+            "{path} is refused with {} {reason:?}",
+            answer.status()
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against a single node that cannot found itself, accept a bundle, take in targets and
+/// serve, or that cannot shut down in good order.
+#[test]
+fn a_single_vm_serves_from_bundle_to_answer() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut fleet = start(folder.path().into(), 1, 1);
+    let limit = Duration::from_secs(15);
+    fleet.await_control(limit).unwrap();
+    let version = fleet.submit(SERVICES, VM).unwrap();
+    fleet.await_in_force(version, limit).unwrap();
+    let _catalogue = target(&fleet, "catalogue", "x-key");
+    let _reservations = target(&fleet, "reservations", "x-key");
+    let callers = fleet.address(VM, CALLERS);
+    assert_eq!(ask(callers, "/catalogue/books", "-"), "catalogue-1");
+    assert_eq!(ask(callers, "/reservations", "group-7"), "reservations-1");
+    let daemon = fleet.daemon(VM).unwrap();
+    daemon.signal("TERM").unwrap();
+    let ended = daemon.wait(Duration::from_secs(20));
+    assert_eq!(ended, Some(true), "{}", daemon.log_text());
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,476 @@
+//! Runs a deployment of real processes on loopback: daemons, targets and the relay between
+//! failure domains.
+//!
+//! Each VM has an IP address of its own in `127.0.0.0/8`, so that the relay can tell failure
+//! domains apart. Start with [`Fleet::start`]. All processes end when the fleet is dropped.
+
+use std::{
+    fs, io,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_bundle::{
+    SignedBundle,
+    SigningKey,
+    generate_key,
+    parse_bundle,
+    public_to_text, //
+};
+use serde_json::Value;
+
+mod client;
+mod process;
+mod settings;
+
+pub use client::{
+    FleetError,
+    get_json,
+    post_json, //
+};
+pub use process::Process;
+
+/// Port of the callers' listener of each VM.
+pub const CALLERS: u16 = 8080;
+/// Port of the targets' listener.
+pub const TARGETS: u16 = 8081;
+/// Port of the operators' listener.
+pub const OPERATORS: u16 = 8082;
+/// Port for other VMs.
+pub const PEERS: u16 = 8083;
+/// Port of the relay's commands.
+const LINK_CONTROL: u16 = 9000;
+/// Port of a target's requests.
+const TARGET_REQUESTS: u16 = 9100;
+/// Added to a VM's last address byte for the address that other domains use.
+const OUTER: u8 = 100;
+/// Added to a target's number for its last address byte.
+const TARGET_BASE: u8 = 20;
+
+/// Key that targets and operators present.
+pub const ACCESS_KEY: &str = "c0ffee00112233445566778899aabbccddeeff00112233445566778899aabbccdd";
+
+/// The programs to run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// `camphordaled`.
+    pub daemon: PathBuf,
+    /// `standin-target`; none if no targets are started as processes.
+    pub target: Option<PathBuf>,
+    /// `standin-link`; none if domains reach each other directly.
+    pub link: Option<PathBuf>,
+}
+
+/// Shape of a deployment.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// The programs.
+    pub programs: Programs,
+    /// Folder for settings, data and logs.
+    pub folder: PathBuf,
+    /// Number of failure domains, at most 9.
+    pub domains: u8,
+    /// Entry VMs in each, at most 9.
+    pub vms: u8,
+    /// Further settings in YAML, added to those of each VM.
+    pub extra: String,
+}
+
+/// A VM's place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Failure domain, from 1.
+    pub domain: u8,
+    /// VM in the domain, from 1.
+    pub vm: u8,
+}
+
+impl Place {
+    /// Returns the number of the VM.
+    pub fn number(self) -> u32 {
+        u32::from(self.domain) * 10 + u32::from(self.vm)
+    }
+}
+
+/// A running deployment.
+pub struct Fleet {
+    options: FleetOptions,
+    net: u8,
+    operator: SigningKey,
+    link: Option<Process>,
+    daemons: Vec<(Place, Option<Process>)>,
+    targets: Vec<FleetTarget>,
+    standing: Option<(u64, String)>,
+}
+
+/// A target process.
+pub struct FleetTarget {
+    /// Failure domain.
+    pub domain: u8,
+    /// Name.
+    pub name: String,
+    /// Where it serves requests and the switches of the stand-in.
+    pub address: SocketAddr,
+    /// Its journal.
+    pub journal: PathBuf,
+    /// The process; none after it was killed.
+    pub process: Option<Process>,
+}
+
+/// What a target process is started with.
+#[derive(Clone, Debug)]
+pub struct TargetSetup {
+    /// Failure domain.
+    pub domain: u8,
+    /// Number of the target in the domain, at most 70.
+    pub number: u8,
+    /// Service.
+    pub service: String,
+    /// `old` or `new`.
+    pub side: &'static str,
+    /// Slots.
+    pub slots: u32,
+    /// Time per request in microseconds.
+    pub work_us: u64,
+    /// Whether it checks fencing tokens.
+    pub checks_tokens: bool,
+    /// Header with the key, which the journal records.
+    pub key_header: String,
+}
+
+impl Fleet {
+    /// Starts the relay and all daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be written or a process cannot be started.
+    pub fn start(options: FleetOptions) -> Result<Fleet, FleetError> {
+        let net = free_net()?;
+        let mut fleet = Fleet {
+            net,
+            operator: generate_key().map_err(|err| FleetError::new("make a key", err))?,
+            link: None,
+            daemons: Vec::new(),
+            targets: Vec::new(),
+            standing: None,
+            options,
+        };
+        fs::create_dir_all(&fleet.options.folder).map_err(FleetError::io("make the folder"))?;
+        if let Some(program) = fleet.options.programs.link.clone() {
+            fleet.start_link(&program)?;
+        }
+        for domain in 1..=fleet.options.domains {
+            for vm in 1..=fleet.options.vms {
+                let place = Place { domain, vm };
+                fleet.write_settings(place)?;
+                if vm == 1 {
+                    fleet.init(place)?;
+                }
+                fleet.daemons.push((place, None));
+            }
+        }
+        for place in fleet.places() {
+            fleet.start_daemon(place)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns all VMs.
+    pub fn places(&self) -> Vec<Place> {
+        self.daemons.iter().map(|&(place, _)| place).collect()
+    }
+
+    /// Returns the address of one of a VM's listeners.
+    pub fn address(&self, place: Place, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(place.domain, place.vm), port)
+    }
+
+    /// Returns the callers' listeners of all VMs.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let places = self.places().into_iter();
+        places.map(|place| self.address(place, CALLERS)).collect()
+    }
+
+    /// Returns the target processes.
+    pub fn targets(&self) -> &[FleetTarget] {
+        &self.targets
+    }
+
+    /// Returns the process of a VM, if it runs.
+    pub fn daemon(&mut self, place: Place) -> Option<&mut Process> {
+        let found = self.daemons.iter_mut().find(|(own, _)| *own == place);
+        found.and_then(|(_, process)| process.as_mut())
+    }
+
+    /// Starts the process of a VM, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_daemon(&mut self, place: Place) -> Result<(), FleetError> {
+        let log = self.file(place, "log");
+        let config = self.file(place, "yaml");
+        let process = Process::start(&self.options.programs.daemon, &log, |command| {
+            command.arg("--config").arg(config);
+        })?;
+        if let Some(entry) = self.daemons.iter_mut().find(|(own, _)| *own == place) {
+            entry.1 = Some(process);
+        }
+        Ok(())
+    }
+
+    /// Kills the process of a VM.
+    pub fn kill_daemon(&mut self, place: Place) {
+        if let Some(entry) = self.daemons.iter_mut().find(|(own, _)| *own == place) {
+            entry.1 = None;
+        }
+    }
+
+    /// Removes the data folder of a VM that does not run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder cannot be removed.
+    pub fn lose_disk(&mut self, place: Place) -> Result<(), FleetError> {
+        let data = self.file(place, "data");
+        fs::remove_dir_all(data).map_err(FleetError::io("remove the data folder"))
+    }
+
+    /// Starts a target process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_target(&mut self, setup: &TargetSetup) -> Result<(), FleetError> {
+        let Some(program) = self.options.programs.target.clone() else {
+            return Err(FleetError::new("start a target", "no program is given"));
+        };
+        let ip = self.ip(setup.domain, TARGET_BASE + setup.number);
+        let address = SocketAddr::new(ip, TARGET_REQUESTS);
+        let name = format!("{}-{}-{}", setup.service, setup.domain, setup.number);
+        let journal = self.options.folder.join(format!("{name}.journal"));
+        let entries: Vec<String> = (1..=self.options.vms)
+            .map(|vm| {
+                let domain = setup.domain;
+                self.address(Place { domain, vm }, TARGETS).to_string()
+            })
+            .collect();
+        let log = self.options.folder.join(format!("{name}.log"));
+        let process = Process::start(&program, &log, |command| {
+            command.args(["--name", &name, "--service", &setup.service]);
+            command.args(["--side", setup.side, "--listen", &address.to_string()]);
+            command.args(["--key", ACCESS_KEY, "--key-header", &setup.key_header]);
+            command.args(["--slots", &setup.slots.to_string()]);
+            command.args(["--work-us", &setup.work_us.to_string()]);
+            command.arg("--journal").arg(&journal);
+            for entry in &entries {
+                command.args(["--entry", entry]);
+            }
+            if setup.checks_tokens {
+                command.arg("--checks-tokens");
+            }
+        })?;
+        self.targets.push(FleetTarget {
+            domain: setup.domain,
+            name,
+            address,
+            journal,
+            process: Some(process),
+        });
+        Ok(())
+    }
+
+    /// Kills a target process.
+    pub fn kill_target(&mut self, name: &str) {
+        if let Some(target) = self.targets.iter_mut().find(|target| target.name == name) {
+            target.process = None;
+        }
+    }
+
+    /// Returns the process of a target, if it runs.
+    pub fn target(&mut self, name: &str) -> Option<&mut Process> {
+        let found = self.targets.iter_mut().find(|target| target.name == name);
+        found.and_then(|target| target.process.as_mut())
+    }
+
+    /// Signs and submits a bundle with these services in YAML, as the next version, to one VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bundle is wrong or not accepted.
+    pub fn submit(&mut self, services: &str, to: Place) -> Result<u64, FleetError> {
+        let (version, previous) = match &self.standing {
+            None => (1, String::new()),
+            Some((version, digest)) => (version + 1, format!("previous: {digest}\n")),
+        };
+        let key = public_to_text(&self.operator);
+        let yaml = format!(
+            "version: {version}\n{previous}operators:\n  needed: 1\n  keys:\n    - name: amina\n      \
+             key: {key}\nservices:\n{services}"
+        );
+        let bundle = parse_bundle(&yaml).map_err(|err| FleetError::new("parse the bundle", err))?;
+        let mut signed = SignedBundle::new(&bundle);
+        signed.sign("amina", &self.operator);
+        let digest = signed.digest().to_string();
+        let body = client::bundle_body(&signed);
+        post_json(self.address(to, OPERATORS), "/v1/bundle", &body)?;
+        self.standing = Some((version, digest));
+        Ok(version)
+    }
+
+    /// Waits until every VM that runs has bundle `version` in force; returns how long it took.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they have not by `limit`.
+    pub fn await_in_force(&self, version: u64, limit: Duration) -> Result<Duration, FleetError> {
+        self.await_each("bundle in force", limit, |status| {
+            status["bundle_version"].as_u64() >= Some(version)
+        })
+    }
+
+    /// Waits until every VM that runs has a valid lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they have not by `limit`.
+    pub fn await_leases(&self, limit: Duration) -> Result<Duration, FleetError> {
+        self.await_each("lease", limit, |status| {
+            status["lease"]["valid"].as_bool() == Some(true)
+        })
+    }
+
+    /// Waits until the control group has a leader.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it has none by `limit`.
+    pub fn await_control(&self, limit: Duration) -> Result<Duration, FleetError> {
+        self.await_each("control leader", limit, |status| {
+            status["control"]["leader"].is_u64()
+        })
+    }
+
+    fn await_each<F>(
+        &self,
+        what: &'static str,
+        limit: Duration,
+        holds: F,
+    ) -> Result<Duration, FleetError>
+    where
+        F: Fn(&Value) -> bool,
+    {
+        let start = Instant::now();
+        let mut left: Vec<Place> = self
+            .daemons
+            .iter()
+            .filter(|(_, process)| process.is_some())
+            .map(|&(place, _)| place)
+            .collect();
+        while !left.is_empty() {
+            if start.elapsed() > limit {
+                let numbers: Vec<u32> = left.iter().map(|place| place.number()).collect();
+                let text = format!("not on VMs {numbers:?} after {limit:?}");
+                return Err(FleetError::new(what, text));
+            }
+            left.retain(|&place| {
+                let status = get_json(self.address(place, OPERATORS), "/v1/status");
+                !status.is_ok_and(|status| holds(&status))
+            });
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Cuts a domain off from the others, or ends all cuts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no relay or it does not answer.
+    pub fn cut(&self, domain: Option<u8>) -> Result<(), FleetError> {
+        let path = match domain {
+            Some(domain) => format!("/cut?domain={}", domain_name(domain)),
+            None => "/heal".into(),
+        };
+        post_json(self.link_control(), &path, &Value::Null).map(|_| ())
+    }
+
+    fn link_control(&self) -> SocketAddr {
+        SocketAddr::new(self.ip(0, 1), LINK_CONTROL)
+    }
+
+    fn start_link(&mut self, program: &Path) -> Result<(), FleetError> {
+        let file = self.options.folder.join("link.yaml");
+        fs::write(&file, settings::link_file(self)).map_err(FleetError::io("write the links"))?;
+        let log = self.options.folder.join("link.log");
+        let control = self.link_control().to_string();
+        self.link = Some(Process::start(program, &log, |command| {
+            command.arg("--file").arg(&file);
+            command.args(["--control", &control]);
+        })?);
+        Ok(())
+    }
+
+    fn write_settings(&self, place: Place) -> Result<(), FleetError> {
+        let text = settings::daemon_file(self, place);
+        let file = self.file(place, "yaml");
+        settings::write_private(&file, &text).map_err(FleetError::io("write settings"))
+    }
+
+    fn init(&self, place: Place) -> Result<(), FleetError> {
+        let log = self.file(place, "init.log");
+        let config = self.file(place, "yaml");
+        let mut process = Process::start(&self.options.programs.daemon, &log, |command| {
+            command.arg("--init").arg("--config").arg(config);
+        })?;
+        match process.wait(Duration::from_secs(10)) {
+            Some(true) => Ok(()),
+            _ => Err(FleetError::new("init", process.log_text())),
+        }
+    }
+
+    fn file(&self, place: Place, kind: &str) -> PathBuf {
+        let name = format!("vm{}.{kind}", place.number());
+        self.options.folder.join(name)
+    }
+
+    fn ip(&self, domain: u8, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.net, domain, host))
+    }
+
+    fn outer_ip(&self, place: Place) -> IpAddr {
+        self.ip(place.domain, OUTER + place.vm)
+    }
+}
+
+/// Returns the name of a failure domain.
+pub fn domain_name(domain: u8) -> String {
+    format!("domain-{domain}")
+}
+
+/// Finds a second address byte that no other fleet on this machine uses.
+fn free_net() -> Result<u8, FleetError> {
+    let first = (std::process::id() % 180) as u8;
+    for step in 0..180u8 {
+        let net = 20 + ((u16::from(first) + u16::from(step)) % 180) as u8;
+        let probe = SocketAddr::from(([127, net, 1, 1], PEERS));
+        let control = SocketAddr::from(([127, net, 0, 1], LINK_CONTROL));
+        if TcpListener::bind(probe).is_ok() && TcpListener::bind(control).is_ok() {
+            return Ok(net);
+        }
+    }
+    let source = io::Error::from(io::ErrorKind::AddrInUse);
+    Err(FleetError::io("find a free network")(source))
+}
--- /dev/null
+++ b/crates/standin/src/fleet/process.rs
@@ -0,0 +1,105 @@
+//! A child process that ends with its handle.
+
+use std::{
+    fs::{
+        self,
+        File, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use super::FleetError;
+
+/// Time between looks at whether a process has ended.
+const POLL: Duration = Duration::from_millis(5);
+
+/// A running process. Dropping it kills it.
+pub struct Process {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts `program` with its output appended to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be opened or the program cannot be started.
+    pub fn start<F>(program: &Path, log: &Path, arrange: F) -> Result<Process, FleetError>
+    where
+        F: FnOnce(&mut Command),
+    {
+        let out = File::options().create(true).append(true).open(log);
+        let out = out.map_err(FleetError::io("open a log"))?;
+        let err = out.try_clone().map_err(FleetError::io("open a log"))?;
+        let mut command = Command::new(program);
+        command.stdin(Stdio::null()).stdout(out).stderr(err);
+        arrange(&mut command);
+        let child = command.spawn().map_err(FleetError::io("start a process"))?;
+        let log = log.to_path_buf();
+        Ok(Process { child, log })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn signal(&self, name: &str) -> Result<(), FleetError> {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()
+            .map_err(FleetError::io("send a signal"))?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(FleetError::new("send a signal", "the process is gone"))
+        }
+    }
+
+    /// Waits for the end; tells whether it was a success, or nothing if it still runs.
+    pub fn wait(&mut self, limit: Duration) -> Option<bool> {
+        let until = Instant::now() + limit;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Returns what the process wrote.
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet/settings.rs
@@ -0,0 +1,107 @@
+//! Settings files of a fleet's processes.
+
+use std::{
+    fmt::Write,
+    fs::File,
+    io,
+    os::unix::fs::OpenOptionsExt,
+    path::Path, //
+};
+
+use camphordale_bundle::public_to_text;
+
+use super::{
+    ACCESS_KEY,
+    CALLERS,
+    Fleet,
+    OPERATORS,
+    PEERS,
+    Place,
+    TARGETS,
+    domain_name, //
+};
+
+/// Secret between the VMs of a fleet.
+const PEER_SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+/// Writes a file that only its owner can read, as the daemon demands of files with keys.
+pub(super) fn write_private(file: &Path, text: &str) -> io::Result<()> {
+    let mut options = File::options();
+    let out = options.create(true).write(true).truncate(true).mode(0o600);
+    io::Write::write_all(&mut out.open(file)?, text.as_bytes())
+}
+
+/// Returns the settings of one daemon.
+pub(super) fn daemon_file(fleet: &Fleet, place: Place) -> String {
+    let number = place.number();
+    let control = place.vm == 1;
+    let at = |port| fleet.address(place, port);
+    let outer = match fleet.options.programs.link {
+        Some(_) => (fleet.outer_ip(place), PEERS).into(),
+        None => at(PEERS),
+    };
+    let operator = public_to_text(&fleet.operator);
+    let mut text = format!(
+        "vm: {number}\ndomain: {}\nroles: {{entry: true, control: {control}}}\n\
+         callers: {{listen: \"{}\", limits: {{per_source: 1000}}}}\n\
+         targets: {{listen: \"{}\", keys: [{ACCESS_KEY}], limits: {{per_source: 1000}}}}\n\
+         operators:\n  listen: \"{}\"\n  key: {ACCESS_KEY}\n  first:\n    needed: 1\n    keys:\n      \
+         - {{name: amina, key: {operator}}}\n\
+         peers:\n  listen: \"{}\"\n  inner: \"{}\"\n  outer: \"{outer}\"\n  source_ip: {}\n  \
+         send: 1\n  keys: [{{id: 1, secret: {PEER_SECRET}}}]\n",
+        domain_name(place.domain),
+        at(CALLERS),
+        at(TARGETS),
+        at(OPERATORS),
+        at(PEERS),
+        at(PEERS),
+        at(PEERS).ip(),
+    );
+    if control {
+        let _ = writeln!(text, "data: vm{number}.data");
+    }
+    text.push_str("control:\n  voters:\n");
+    for domain in 1..=fleet.options.domains {
+        let voter = Place { domain, vm: 1 };
+        let relayed = fleet.options.programs.link.is_some() && domain != place.domain;
+        let ip = match relayed {
+            true => fleet.outer_ip(voter),
+            false => fleet.address(voter, PEERS).ip(),
+        };
+        let _ = writeln!(
+            text,
+            "    - {{vm: {}, address: \"{ip}:{PEERS}\"}}",
+            voter.number()
+        );
+    }
+    let _ = writeln!(text, "group: {{size: {}}}", fleet.options.vms.min(5));
+    text.push_str(&fleet.options.extra);
+    text
+}
+
+/// Returns the relay's file.
+pub(super) fn link_file(fleet: &Fleet) -> String {
+    let mut text = String::from("domains:\n");
+    for domain in 1..=fleet.options.domains {
+        let _ = writeln!(
+            text,
+            "  - {{name: {}, prefix: \"{}/24\"}}",
+            domain_name(domain),
+            fleet.ip(domain, 0)
+        );
+    }
+    text.push_str("links:\n");
+    for domain in 1..=fleet.options.domains {
+        for vm in 1..=fleet.options.vms {
+            let place = Place { domain, vm };
+            let _ = writeln!(
+                text,
+                "  - {{listen: \"{}:{PEERS}\", to: \"{}\", domain: {}}}",
+                fleet.outer_ip(place),
+                fleet.address(place, PEERS),
+                domain_name(domain)
+            );
+        }
+    }
+    text
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod cuts;
 mod fence;
+pub mod fleet;
 pub mod headers;
 mod journal;
 mod link;
