Add the checker of journals and records

Cause: the outcome of a test with faults has to be judged from what the targets committed and what the callers were told.

Overlaps of owners are reported apart for targets that check tokens and for those that don't; both fail.

--- /dev/null
+++ b/crates/standin/src/check_shards.rs
@@ -0,0 +1,124 @@
+//! Checks that the owners of a shard follow one another.
+
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+
+use camphordale_types::Token;
+
+use crate::{
+    check::{
+        CheckReport,
+        Rule, //
+    },
+    journal::{
+        Entry,
+        Phase, //
+    },
+};
+
+/// Checks that no commit follows one with a higher token of the same shard.
+pub(crate) fn check_order(report: &mut CheckReport, commits: &[&Entry]) {
+    let mut shards: BTreeMap<&str, Vec<(Token, &Entry)>> = BTreeMap::new();
+    for entry in commits {
+        if let (Some(shard), Some(token)) = (&entry.shard, entry.token) {
+            shards.entry(shard).or_default().push((token, entry));
+        }
+    }
+    for (shard, mut commits) in shards {
+        commits.sort_by_key(|(_, entry)| entry.wall_us);
+        let mut highest: Option<(Token, &Entry)> = None;
+        for (token, entry) in commits {
+            let checks = entry.checks_tokens;
+            let rule = if checks {
+                Rule::CheckedOrder
+            } else {
+                Rule::UncheckedOrder
+            };
+            let checked = report.rule(rule);
+            checked.count += 1;
+            let Some((seen, by)) = highest.filter(|(seen, _)| *seen > token) else {
+                highest = Some((token, entry));
+                continue;
+            };
+            // A target that does not check tokens may well end a request of an earlier sender
+            // after one of a later sender; only another owner violates the rule.
+            if checks || by.target != entry.target {
+                checked.violate(format!(
+                    "{shard}: {} run {} committed with {token}, {} us after {} run {} with {seen}",
+                    entry.target,
+                    entry.run,
+                    entry.wall_us.saturating_sub(by.wall_us),
+                    by.target,
+                    by.run
+                ));
+            }
+        }
+    }
+}
+
+struct Run<'a> {
+    entry: &'a Entry,
+    start: u64,
+    end: u64,
+}
+
+/// Checks that committed runs of different targets do not overlap on a shard.
+pub(crate) fn check_overlap(report: &mut CheckReport, entries: &[Entry]) {
+    for (shard, mut runs) in committed_runs(entries) {
+        runs.sort_by_key(|run| run.start);
+        // The run of each target that ended last, among those that started so far.
+        let mut latest: HashMap<&str, &Run<'_>> = HashMap::new();
+        for run in &runs {
+            let mut rule = if run.entry.checks_tokens {
+                Rule::CheckedOverlap
+            } else {
+                Rule::UncheckedOverlap
+            };
+            report.rule(rule).count += 1;
+            let name = &*run.entry.target;
+            let others = latest.iter().filter(|(target, _)| **target != name);
+            for (_, other) in others.filter(|(_, other)| other.end > run.start) {
+                if other.entry.checks_tokens {
+                    rule = Rule::CheckedOverlap;
+                }
+                report.rule(rule).violate(format!(
+                    "{shard}: {name} run {} started {} us before the commit of {} run {}",
+                    run.entry.run,
+                    other.end - run.start,
+                    other.entry.target,
+                    other.entry.run
+                ));
+            }
+            let last = latest.entry(name).or_insert(run);
+            if run.end > last.end {
+                *last = run;
+            }
+        }
+    }
+}
+
+fn committed_runs(entries: &[Entry]) -> BTreeMap<&str, Vec<Run<'_>>> {
+    let mut starts: HashMap<(&str, u64), u64> = HashMap::new();
+    let mut shards: BTreeMap<&str, Vec<Run<'_>>> = BTreeMap::new();
+    for entry in entries {
+        let Some(shard) = &entry.shard else {
+            continue;
+        };
+        // A restarted target counts its runs from 1 again and appends to the same journal, so
+        // the latest start is the one of the commit.
+        let id = (&*entry.target, entry.run);
+        match entry.phase {
+            Phase::Start => {
+                starts.insert(id, entry.wall_us);
+            }
+            Phase::Commit => shards.entry(shard).or_default().push(Run {
+                entry,
+                start: starts.get(&id).copied().unwrap_or(entry.wall_us),
+                end: entry.wall_us,
+            }),
+        }
+    }
+    shards
+}
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -96,7 +96,7 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the file system, or the number and error of the first malformed line.
+/// Names the file and, if a line is malformed, its number.
 ///
 /// # Examples
 ///
@@ -107,12 +107,16 @@
 /// # Ok::<(), std::io::Error>(())
 /// ```
 pub fn read_lines<T: DeserializeOwned>(path: &Path) -> io::Result<Vec<T>> {
+    let failed = |kind, text: String| {
+        let text = format!("{}: {text}", path.display());
+        io::Error::new(kind, text)
+    };
+    let file = File::open(path).map_err(|e| failed(e.kind(), e.to_string()))?;
     let mut values = Vec::new();
-    for (i, line) in BufReader::new(File::open(path)?).lines().enumerate() {
-        let value = serde_json::from_str(&line?).map_err(|e| {
-            let text = format!("{} line {}: {e}", path.display(), i + 1);
-            io::Error::new(io::ErrorKind::InvalidData, text)
-        })?;
+    for (i, line) in BufReader::new(file).lines().enumerate() {
+        let line = line.map_err(|e| failed(e.kind(), e.to_string()))?;
+        let value = serde_json::from_str(&line)
+            .map_err(|e| failed(io::ErrorKind::InvalidData, format!("line {}: {e}", i + 1)))?;
         values.push(value);
     }
     Ok(values)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,11 +3,13 @@
 //! [`Target`] is a target that follows `docs/protocols.md` and misbehaves on request; [`Fence`]
 //! holds its lease and token rules. [`run_caller`] sends a mix of requests at a fixed rate and
 //! checks the answers; [`run_load`] measures throughput, and [`Link`] relays connections that can be
-//! cut.
+//! cut. [`check`] compares the journals of targets with the records of callers.
 
 mod agent;
 mod attempt;
 mod caller;
+mod check;
+mod check_shards;
 mod cli;
 mod clock;
 mod cuts;
@@ -34,6 +36,12 @@
     CallerOptions,
     run_caller, //
 };
+pub use check::{
+    CheckReport,
+    Checked,
+    Rule,
+    check, //
+};
 pub use cli::{
     HeaderArg,
     SideArg, //
