Run both example deployments as processes and break parts of them

Cause: whole deployments had not run. scripts/quickstart starts nine entry VMs in three failure domains, the relay between them and the targets of an example, changes the split under load, kills a target and an entry VM and cuts a domain off, then checks the journals against what callers saw.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -5,6 +5,7 @@
 //! domains apart. Start with [`Fleet::start`]. All processes end when the fleet is dropped.
 
 use std::{
+    collections::BTreeSet,
     fs, io,
     net::{
         IpAddr,
@@ -29,6 +30,12 @@
     parse_bundle,
     public_to_text, //
 };
+use camphordale_types::{
+    Bundle,
+    Digest,
+    Operator,
+    Operators, //
+};
 use serde_json::Value;
 
 mod client;
@@ -112,7 +119,7 @@
     link: Option<Process>,
     daemons: Vec<(Place, Option<Process>)>,
     targets: Vec<FleetTarget>,
-    standing: Option<(u64, String)>,
+    standing: Option<(u64, Digest)>,
 }
 
 /// A target process.
@@ -311,23 +318,77 @@
     ///
     /// Fails when the bundle is wrong or not accepted.
     pub fn submit(&mut self, services: &str, to: Place) -> Result<u64, FleetError> {
-        let (version, previous) = match &self.standing {
-            None => (1, String::new()),
-            Some((version, digest)) => (version + 1, format!("previous: {digest}\n")),
-        };
         let key = public_to_text(&self.operator);
         let yaml = format!(
-            "version: {version}\n{previous}operators:\n  needed: 1\n  keys:\n    - name: amina\n      \
-             key: {key}\nservices:\n{services}"
+            "version: 1\noperators: {{needed: 1, keys: [{{name: amina, key: {key}}}]}}\n\
+             services:\n{services}"
         );
         let bundle = parse_bundle(&yaml).map_err(|err| FleetError::new("parse the bundle", err))?;
+        self.submit_bundle(bundle, to)
+    }
+
+    /// Signs and submits the services of a bundle as the next version, to one VM. The fleet's
+    /// own operator replaces those of the bundle.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bundle is not accepted.
+    pub fn submit_bundle(&mut self, mut bundle: Bundle, to: Place) -> Result<u64, FleetError> {
+        (bundle.version, bundle.previous) = match self.standing {
+            None => (1, None),
+            Some((version, digest)) => (version + 1, Some(digest)),
+        };
+        bundle.operators = Operators {
+            needed: 1,
+            keys: vec![Operator {
+                name: "amina".into(),
+                key: self.operator.verifying_key().to_bytes(),
+            }],
+        };
         let mut signed = SignedBundle::new(&bundle);
         signed.sign("amina", &self.operator);
-        let digest = signed.digest().to_string();
         let body = client::bundle_body(&signed);
         post_json(self.address(to, OPERATORS), "/v1/bundle", &body)?;
-        self.standing = Some((version, digest));
-        Ok(version)
+        self.standing = Some((bundle.version, signed.digest()));
+        Ok(bundle.version)
+    }
+
+    /// Waits until every shard of the services has an owner in its home domain.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they have not by `limit`.
+    pub fn await_owned(&self, services: &[&str], limit: Duration) -> Result<Duration, FleetError> {
+        let start = Instant::now();
+        while let Some(missing) = self.unowned(services) {
+            if start.elapsed() > limit {
+                let text = format!("{missing} shards without owner after {limit:?}");
+                return Err(FleetError::new("owners", text));
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Returns how many shards have no owner, or none if all have one.
+    fn unowned(&self, services: &[&str]) -> Option<usize> {
+        let mut missing = 0;
+        for service in services {
+            let path = format!("/v1/shards?service={service}");
+            let mut owned = BTreeSet::new();
+            let mut all = 1;
+            for domain in 1..=self.options.domains {
+                let at = self.address(Place { domain, vm: 1 }, OPERATORS);
+                let Ok(Value::Array(shards)) = get_json(at, &path) else {
+                    return Some(all);
+                };
+                all = shards.len().max(1);
+                let held = shards.iter().filter(|shard| shard["owner"].is_string());
+                owned.extend(held.filter_map(|shard| shard["shard"].as_u64()));
+            }
+            missing += all - owned.len().min(all);
+        }
+        (missing > 0).then_some(missing)
     }
 
     /// Waits until every VM that runs has bundle `version` in force; returns how long it took.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
 mod load;
 mod prefix;
 pub mod protocol;
+pub mod quickstart;
 mod record;
 mod run;
 mod script;
