Add the command-line tool

Cause: operators sign, submit and roll back bundles, drain targets, move shards, change members and read the audit trail.

Change: `camphorctl`, a thin main over `camphordale_cli::run`. Servers are tried in turn: a read after any failure, an action only when it was certainly not done (no connection, or status 421 or 503). The client keeps no connections, follows no redirects and uses no proxy, so a request is written at most once to a server. A lost or cut answer ends with exit code 3; for bundles the message says that a resend of the same file is safe. `bundle submit` then polls the versions in force and ends with code 4 if a VM lags. `audit verify` uses `verify_audit` of the control crate, so the hash has one definition. `bundle rollback` takes the services of the earlier version and keeps the standing operators unless `--with-operators` is given, because a key that was removed must not come back unnoticed.

Ruled out: trying the next server after a lost answer to a submission. It would be safe, but the operator could not tell which server accepted.

--- a/crates/api/src/action.rs
+++ b/crates/api/src/action.rs
@@ -24,7 +24,8 @@
 ///
 /// Status 400 stands for a malformed request, 401 for a missing or wrong key, 404 for an unknown
 /// object, 409 for a conflict with the state, 421 for a VM that cannot reach the group concerned,
-/// 503 for a group without a leader, and 504 for an unknown outcome.
+/// 503 for a group without a leader, and 504 for an unknown outcome. With every status but 504, the
+/// request certainly changed nothing; the tool sends an action to its next server after 421 and 503.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What is wrong.
--- /dev/null
+++ b/crates/cli/src/commands/submit.rs
@@ -0,0 +1,141 @@
+//! `bundle submit` and `bundle status`.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use camphordale_api::{Status, SubmitReply, VmVersion};
+
+use crate::{
+    CliError,
+    args::SubmitArgs,
+    client::Client,
+    console::{Console, Table, or_dash},
+    files::{read_signed, to_body},
+};
+
+/// Time between two looks at the versions in force.
+const POLL: Duration = Duration::from_millis(250);
+
+/// Advice after a lost answer. The control group accepts a bundle once: a resend of the accepted
+/// bundle gets the first answer.
+const RESEND: &str = "the bundle may have been accepted; sending the same file again is safe and \
+                      shows the outcome";
+
+pub(crate) fn run(
+    args: &SubmitArgs,
+    client: &Client,
+    console: &mut Console<'_>,
+) -> Result<(), CliError> {
+    let signed = read_signed(&args.file)?;
+    let digest = signed.digest();
+    let answer = client.post_with("/v1/bundle", &to_body(signed), false, RESEND)?;
+    let reply = match serde_json::from_str::<SubmitReply>(&answer.body) {
+        Ok(reply) => reply,
+        Err(_) => answer.parse()?,
+    };
+    if reply.digest != digest {
+        return Err(CliError::Wrong {
+            step: "read the answer",
+            reason: format!("it is about bundle {} and not {digest}", reply.digest),
+        });
+    }
+    if !reply.accepted() {
+        return Err(CliError::Conflict {
+            version: reply.version,
+            digest: digest.short(),
+            standing_version: reply.standing_version,
+            standing: reply.standing_digest.map_or("-".into(), |d| d.short()),
+        });
+    }
+    let again = if reply.resent { " before" } else { "" };
+    console.notice(&format!(
+        "bundle {} ({}) was accepted{again}",
+        reply.version,
+        digest.short()
+    ));
+    wait(reply.version, args.wait, client, console)?;
+    console.show(&reply, || {
+        format!("bundle {} is in force on every VM", reply.version)
+    })
+}
+
+/// Waits until all VMs report `version` or a later one.
+fn wait(
+    version: u64,
+    limit: Duration,
+    client: &Client,
+    console: &mut Console<'_>,
+) -> Result<(), CliError> {
+    let start = Instant::now();
+    let mut shown = String::new();
+    let mut missing = String::from("any VM, as far as known");
+    loop {
+        let progress = match client.get::<Status>("/v1/status") {
+            Ok(status) => {
+                let versions = &status.versions;
+                let behind: Vec<&VmVersion> =
+                    versions.iter().filter(|vm| vm.version < version).collect();
+                if behind.is_empty() && !versions.is_empty() {
+                    return Ok(());
+                }
+                if !behind.is_empty() {
+                    missing = names(&behind);
+                }
+                format!(
+                    "in force on {} of {} VMs",
+                    versions.len() - behind.len(),
+                    versions.len()
+                )
+            }
+            // The bundle was accepted, so a server that cannot be reached only delays the news.
+            Err(error @ (CliError::Unreachable(_) | CliError::Unknown { .. })) => error.to_string(),
+            Err(error) => return Err(error),
+        };
+        if progress != shown {
+            console.notice(&progress);
+            shown = progress;
+        }
+        if start.elapsed() >= limit {
+            return Err(CliError::NotInForce { version, missing });
+        }
+        thread::sleep(POLL.min(limit.saturating_sub(start.elapsed())));
+    }
+}
+
+fn names(vms: &[&VmVersion]) -> String {
+    let names: Vec<String> = vms
+        .iter()
+        .map(|vm| format!("VM {} ({}, version {})", vm.vm, vm.domain, vm.version))
+        .collect();
+    names.join(", ")
+}
+
+pub(crate) fn status(client: &Client, console: &mut Console<'_>) -> Result<(), CliError> {
+    let status: Status = client.get("/v1/status")?;
+    let value = serde_json::json!({
+        "version": status.bundle_version,
+        "digest": status.bundle_digest.map(|d| d.to_string()),
+        "versions": status.versions,
+    });
+    console.show(&value, || {
+        let digest = or_dash(status.bundle_digest);
+        let mut table = Table::new(["VM", "DOMAIN", "VERSION", "REPORTED"]);
+        for vm in &status.versions {
+            table.row([
+                vm.vm.to_string(),
+                vm.domain.to_string(),
+                vm.version.to_string(),
+                vm.age_ms
+                    .map_or("never".into(), |age| format!("{age} ms ago")),
+            ]);
+        }
+        format!(
+            "VM {}: bundle {}, digest {digest}\n{}",
+            status.vm,
+            status.bundle_version,
+            table.text()
+        )
+    })
+}
