Report accepted bundles as accepted, and read keys as text

Cause: three faults found in review. An operator who submits without the bearer key got exit code 1 (refused) for a bundle that was accepted, because the status after it needs the key. A shared key with signs between its digits ("+9") was read as a number. The check of tolerated losses was not available to the code that changes members.

Change: a status that cannot be read after acceptance ends with code 4 and says that the bundle was accepted. Keys must consist of hexadecimal digits. `survives` is public, and `Settings::vm_info` gives what a VM tells others.

--- a/crates/cli/src/commands/submit.rs
+++ b/crates/cli/src/commands/submit.rs
@@ -91,7 +91,11 @@
             }
             // The bundle was accepted, so a server that cannot be reached only delays the news.
             Err(error @ (CliError::Unreachable(_) | CliError::Unknown { .. })) => error.to_string(),
-            Err(error) => return Err(error),
+            // Code 1 would say that the bundle was refused.
+            Err(error) => {
+                let reason = error.to_string();
+                return Err(CliError::Unwatched { version, reason });
+            }
         };
         if progress != shown {
             console.notice(&progress);
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -17,7 +17,7 @@
     Usage = 2,
     /// No server could be reached, or the outcome is unknown.
     Unknown = 3,
-    /// The bundle was accepted and is not yet in force everywhere.
+    /// The bundle was accepted and is not yet in force everywhere, as far as known.
     NotInForce = 4,
 }
 
@@ -103,6 +103,14 @@
         /// The VMs.
         missing: String,
     },
+    /// The bundle was accepted, and whether it is in force cannot be learnt.
+    #[error("bundle {version} was accepted; the versions in force cannot be read: {reason}")]
+    Unwatched {
+        /// The version.
+        version: u64,
+        /// Why.
+        reason: String,
+    },
     /// The output could not be written.
     #[error("output: {0}")]
     Output(io::Error),
@@ -131,7 +139,7 @@
             | CliError::Wrong { .. }
             | CliError::Output(_) => Exit::Refused,
             CliError::Unreachable(_) | CliError::Unknown { .. } => Exit::Unknown,
-            CliError::NotInForce { .. } => Exit::NotInForce,
+            CliError::NotInForce { .. } | CliError::Unwatched { .. } => Exit::NotInForce,
         }
     }
 
--- a/crates/cli/tests/online.rs
+++ b/crates/cli/tests/online.rs
@@ -211,6 +211,21 @@
     assert!(err.contains(expected), "{err}");
 }
 
+// Guards against an accepted bundle that is reported as refused, because the operator gave no key
+// to read the status.
+#[test]
+fn accepted_without_status_is_not_a_refusal() {
+    let (_folder, line, digest) = submission();
+    let denied = json!({"error": "the key is wrong", "step": "authorize"});
+    let fake = Fake::answering(vec![accepted(4, digest, false), (401, denied)]);
+    let (exit, _, err) = tool(&[fake.address], &line);
+    assert_eq!(exit, Exit::NotInForce);
+    assert!(
+        err.contains("was accepted") && err.contains("the key is wrong"),
+        "{err}"
+    );
+}
+
 // Guards against a lost answer that is taken for a refusal, and against a resend without the
 // operator's knowledge. A resend of the same file then succeeds.
 #[test]
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use camphordale_types::{DomainName, Operators, VmId};
+use camphordale_types::{DomainName, Incarnation, Operators, VmId, VmInfo};
 use serde::{Deserialize, Serialize};
 
 mod check;
@@ -280,6 +280,18 @@
         parse(text, folder, || Ok(())).map_err(|error| error.located(None, text))
     }
 
+    /// Returns what the VM tells the others about itself in the run `incarnation`.
+    pub fn vm_info(&self, incarnation: Incarnation) -> VmInfo {
+        VmInfo {
+            vm: self.vm,
+            incarnation,
+            domain: self.domain.clone(),
+            inner: self.peers.inner,
+            outer: self.peers.outer,
+            entry: self.roles.entry,
+        }
+    }
+
     /// Returns the defaults in YAML. Fields without a default are left out.
     pub fn defaults_yaml() -> String {
         let raw = RawSettings {
@@ -292,6 +304,20 @@
     }
 }
 
+/// Tells whether a group of `voters` survives the loss of `lost` of them.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_daemon::settings::survives;
+///
+/// assert!(survives(3, 1));
+/// assert!(!survives(4, 2));
+/// ```
+pub fn survives(voters: usize, lost: usize) -> bool {
+    lost <= voters.saturating_sub(1) / 2
+}
+
 /// Parses, resolves and checks; `private` checks the file if keys stand in the settings themselves.
 fn parse<F>(text: &str, folder: &Path, private: F) -> Result<Settings, SettingsError>
 where
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    Control, Drain, Group, Limits, OperatorAccess, Peers, Roles, Settings, SettingsError,
+    Control, Drain, Group, Limits, OperatorAccess, Peers, Roles, Settings, SettingsError, survives,
     units::{show_duration, show_size},
 };
 
@@ -240,7 +240,7 @@
 fn check_tolerate(field: &str, tolerate: usize, voters: usize) -> Check {
     let needed = tolerate.saturating_mul(2).saturating_add(1);
     ensure(
-        needed <= voters,
+        survives(voters, tolerate),
         field,
         format_args!("the loss of {tolerate} takes {needed} voters, and there are {voters}"),
     )
--- a/crates/daemon/src/settings/secret.rs
+++ b/crates/daemon/src/settings/secret.rs
@@ -21,14 +21,20 @@
 
     /// Returns the 32 bytes that the text states in hexadecimal.
     pub(crate) fn bytes(&self) -> Option<[u8; 32]> {
+        if !self.is_hex() {
+            return None;
+        }
         let digest: Digest = self.0.parse().ok()?;
         Some(digest.0)
     }
 
     /// Returns the bearer key that the text states.
     pub(crate) fn bearer(&self) -> Option<BearerKey> {
-        let hex = self.0.bytes().all(|b| b.is_ascii_hexdigit());
-        (hex && self.0.len() >= BEARER_DIGITS).then(|| BearerKey::new(&self.0))
+        (self.is_hex() && self.0.len() >= BEARER_DIGITS).then(|| BearerKey::new(&self.0))
+    }
+
+    fn is_hex(&self) -> bool {
+        self.0.bytes().all(|b| b.is_ascii_hexdigit())
     }
 }
 
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -299,6 +299,22 @@
     assert_eq!(settings.peers.outer, settings.peers.listen);
 }
 
+// Guards against keys of digits only that YAML takes for numbers, and against signs in keys.
+#[test]
+fn keys_are_text() {
+    let digits = SINGLE.replace("00112233445566778899aabbccddeefe", &"12".repeat(16));
+    assert!(
+        load(&digits)
+            .unwrap()
+            .operators
+            .key
+            .accepts(&format!("Bearer {}", "12".repeat(16)))
+    );
+    let secret = "a".repeat(64);
+    assert!(load(&SINGLE.replace(&secret, &"98".repeat(32))).is_ok());
+    assert!(load(&SINGLE.replace(&secret, &"+9".repeat(32))).is_err());
+}
+
 // Guards against more control voters than the design allows.
 #[test]
 fn eight_control_voters_are_refused() {
