--- a/crates/bundle/src/adapt.rs
+++ b/crates/bundle/src/adapt.rs
@@ -1,4 +1,4 @@
-//! `serde_with` adapters for durations with units, percentages and the source of a key.
+//! `serde_with` adapters for durations with units, percentages, keys and the source of a key.
 
 use std::{fmt, time::Duration};
 
@@ -10,6 +10,8 @@
 };
 use serde_with::{DeserializeAs, SerializeAs};
 
+use crate::key::{hex_bytes, hex_text};
+
 /// Units of durations with their length in milliseconds, longest first.
 const UNITS: [(&str, u64); 4] = [("h", 3_600_000), ("m", 60_000), ("s", 1_000), ("ms", 1)];
 
@@ -19,6 +21,9 @@
 /// A duration as in [`DurationText`], or `none`.
 pub(crate) struct DurationOrNone;
 
+/// 32 bytes as hexadecimal digits.
+pub(crate) struct HexText;
+
 /// A percentage, with or without the sign: `25%` or `25`.
 pub(crate) struct Percent;
 
@@ -48,31 +53,28 @@
         })
 }
 
-fn duration_error<E: Error>(text: &str) -> E {
-    E::custom(format_args!(
-        "{text:?} is not a duration such as 250ms, 2s, 10m or 1h"
-    ))
-}
+/// Reads a duration. Errors are raised inside the visitor, where the parser adds line and field.
+struct DurationVisitor;
 
-/// Reads a scalar as text, and numbers without a unit too, so that the error names the value.
-struct Text;
-
-impl Visitor<'_> for Text {
-    type Value = Box<str>;
+impl Visitor<'_> for DurationVisitor {
+    type Value = Duration;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("a duration such as 250ms, 2s, 10m or 1h")
     }
 
-    fn visit_str<E: Error>(self, text: &str) -> Result<Self::Value, E> {
-        Ok(text.into())
+    fn visit_str<E: Error>(self, text: &str) -> Result<Duration, E> {
+        parse_duration(text).ok_or_else(|| {
+            E::custom(format_args!(
+                "{text:?} is not a duration such as 250ms, 2s, 10m or 1h"
+            ))
+        })
     }
 }
 
 impl<'de> DeserializeAs<'de, Duration> for DurationText {
     fn deserialize_as<D: Deserializer<'de>>(input: D) -> Result<Duration, D::Error> {
-        let text = input.deserialize_str(Text)?;
-        parse_duration(&text).ok_or_else(|| duration_error(&text))
+        input.deserialize_str(DurationVisitor)
     }
 }
 
@@ -82,18 +84,30 @@
     }
 }
 
-impl<'de> DeserializeAs<'de, Option<Duration>> for DurationOrNone {
-    fn deserialize_as<D: Deserializer<'de>>(input: D) -> Result<Option<Duration>, D::Error> {
-        let text = input.deserialize_str(Text)?;
-        match &*text {
+/// Reads a duration or `none`.
+struct DurationOrNoneVisitor;
+
+impl Visitor<'_> for DurationOrNoneVisitor {
+    type Value = Option<Duration>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("none or a duration such as 250ms, 2s, 10m or 1h")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Self::Value, E> {
+        match text {
             "none" => Ok(None),
-            _ => parse_duration(&text)
-                .map(Some)
-                .ok_or_else(|| duration_error(&text)),
+            _ => DurationVisitor.visit_str(text).map(Some),
         }
     }
 }
 
+impl<'de> DeserializeAs<'de, Option<Duration>> for DurationOrNone {
+    fn deserialize_as<D: Deserializer<'de>>(input: D) -> Result<Option<Duration>, D::Error> {
+        input.deserialize_str(DurationOrNoneVisitor)
+    }
+}
+
 impl SerializeAs<Option<Duration>> for DurationOrNone {
     fn serialize_as<S: Serializer>(value: &Option<Duration>, output: S) -> Result<S::Ok, S::Error> {
         match value {
@@ -103,6 +117,32 @@
     }
 }
 
+struct HexVisitor;
+
+impl Visitor<'_> for HexVisitor {
+    type Value = [u8; 32];
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("64 hexadecimal digits")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<[u8; 32], E> {
+        hex_bytes(text).map_err(E::custom)
+    }
+}
+
+impl<'de> DeserializeAs<'de, [u8; 32]> for HexText {
+    fn deserialize_as<D: Deserializer<'de>>(input: D) -> Result<[u8; 32], D::Error> {
+        input.deserialize_str(HexVisitor)
+    }
+}
+
+impl SerializeAs<[u8; 32]> for HexText {
+    fn serialize_as<S: Serializer>(value: &[u8; 32], output: S) -> Result<S::Ok, S::Error> {
+        output.serialize_str(&hex_text(value))
+    }
+}
+
 struct PercentVisitor;
 
 impl Visitor<'_> for PercentVisitor {
--- a/crates/bundle/src/error.rs
+++ b/crates/bundle/src/error.rs
@@ -34,8 +34,8 @@
         /// Operators needed.
         needed: u32,
     },
-    /// The text of a key file is not a key.
-    #[error("key file: {0}")]
+    /// A text is not a key.
+    #[error("key: {0}")]
     Key(&'static str),
 }
 
--- a/crates/bundle/src/key.rs
+++ b/crates/bundle/src/key.rs
@@ -69,11 +69,11 @@
     VerifyingKey::from_bytes(key).is_ok_and(|key| !key.is_weak())
 }
 
-fn hex_text(bytes: &[u8; 32]) -> String {
+pub(crate) fn hex_text(bytes: &[u8; 32]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn hex_bytes(text: &str) -> Result<[u8; 32], BundleError> {
+pub(crate) fn hex_bytes(text: &str) -> Result<[u8; 32], BundleError> {
     let bad = BundleError::Key("not 64 hexadecimal digits");
     let text = text.trim();
     if text.len() != 64 || !text.bytes().all(|digit| digit.is_ascii_hexdigit()) {
--- a/crates/bundle/src/raw.rs
+++ b/crates/bundle/src/raw.rs
@@ -6,10 +6,10 @@
     Bundle, Digest, KeySource, Operator, Operators, Repeat, Route, Service, Weights,
 };
 use serde::{Deserialize, Serialize};
-use serde_with::{DisplayFromStr, hex::Hex, serde_as};
+use serde_with::{DisplayFromStr, serde_as};
 
 use crate::{
-    adapt::{DurationOrNone, DurationText, KeyText, Percent},
+    adapt::{DurationOrNone, DurationText, HexText, KeyText, Percent},
     check::check,
     error::Fault,
 };
@@ -46,7 +46,7 @@
 #[serde(deny_unknown_fields)]
 struct RawOperator {
     name: Box<str>,
-    #[serde_as(as = "Hex")]
+    #[serde_as(as = "HexText")]
     key: [u8; 32],
 }
 
--- /dev/null
+++ b/crates/bundle/tests/mistakes.rs
@@ -0,0 +1,341 @@
+//! Each mistake in a bundle is refused with the line and the field where it is.
+
+use camphordale_bundle::{BundleError, parse_bundle};
+use rstest::rstest;
+
+const GOOD: &str = "\
+version: 2
+previous: 1111111111111111111111111111111111111111111111111111111111111111
+operators:
+  needed: 1
+  keys:
+    - name: asha
+      key: d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a
+    - name: baraka
+      key: 3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4660c
+services:
+  - name: reports
+    route: {prefix: /reports, host: books.example}
+    key:
+      header: X-School
+    shards: 64
+    hot_keys:
+      - dar
+      - tanga
+    repeat: by-method
+    deadline: 5s
+    domain_lease: 10s
+    record_life: 10m
+    new_percent: 25%
+    slots: 4
+    connections: 110
+    queue: 16
+    warm_up: 5s
+    weights:
+      imbalance: 1
+      churn: 0.5
+      unavailable: 4
+  - name: catalogue
+    route:
+      prefix: /catalogue
+    slots: 4
+    connections: 110
+";
+
+/// Replaces the part of line `line` that is `old`.
+fn edited(line: usize, old: &str, new: &str) -> String {
+    let mut lines: Vec<String> = GOOD.lines().map(str::to_owned).collect();
+    assert!(lines[line - 1].contains(old), "line {line} lacks {old}");
+    lines[line - 1] = lines[line - 1].replacen(old, new, 1);
+    lines.join("\n")
+}
+
+#[test]
+fn the_unchanged_text_is_accepted_in_order_of_names() {
+    let bundle = parse_bundle(GOOD).unwrap();
+    let names: Vec<&str> = bundle.services.iter().map(|s| &*s.name).collect();
+    assert_eq!(names, ["catalogue", "reports"]);
+}
+
+#[rstest]
+// Versions.
+#[case(1, "2", "0", 1, "version", "first version")]
+#[case(1, "2", "1", 2, "previous", "from version 2 on")]
+#[case(1, "2", "two", 1, "version", "invalid type")]
+#[case(2, "previous", "prev", 2, "bundle", "unknown field `prev`")]
+#[case(2, "1111", "111", 2, "previous", "64 hexadecimal")]
+#[case(2, "1111", "zzzz", 2, "previous", "64 hexadecimal")]
+// Operators.
+#[case(
+    4,
+    "1",
+    "0",
+    4,
+    "operators.needed",
+    "between 1 and the number of keys, 2"
+)]
+#[case(
+    4,
+    "1",
+    "3",
+    4,
+    "operators.needed",
+    "between 1 and the number of keys, 2"
+)]
+#[case(8, "baraka", "asha", 8, "operators.keys[1].name", "asha is used twice")]
+#[case(8, "baraka", "Baraka", 8, "operators.keys[1].name", "a-z, 0-9")]
+#[case(
+    9,
+    "3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4660c",
+    "d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a",
+    9,
+    "operators.keys[1].key",
+    "the key is used twice"
+)]
+#[case(
+    9,
+    "3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4660c",
+    "0100000000000000000000000000000000000000000000000000000000000000",
+    9,
+    "operators.keys[1].key",
+    "not a usable ed25519"
+)]
+#[case(
+    9,
+    "3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4660c",
+    "0200000000000000000000000000000000000000000000000000000000000000",
+    9,
+    "operators.keys[1].key",
+    "not a usable ed25519"
+)]
+#[case(
+    9,
+    "3d40",
+    "3d4",
+    9,
+    "operators.keys[1].key",
+    "not 64 hexadecimal digits"
+)]
+// Services.
+#[case(11, "reports", "Reports", 11, "services[0].name", "a-z, 0-9")]
+#[case(11, "reports", "''", 11, "services[0].name", "1 to 64")]
+#[case(
+    32,
+    "catalogue",
+    "reports",
+    32,
+    "services[1].name",
+    "reports is used twice"
+)]
+#[case(
+    12,
+    "/reports",
+    "reports",
+    12,
+    "services[0].route.prefix",
+    "must begin with /"
+)]
+#[case(
+    12,
+    "/reports",
+    "/re//ports",
+    12,
+    "services[0].route.prefix",
+    "empty segment"
+)]
+#[case(
+    12,
+    "/reports",
+    "/reports?x",
+    12,
+    "services[0].route.prefix",
+    "must begin with /"
+)]
+#[case(
+    12,
+    "books.example",
+    "books.example:80",
+    12,
+    "services[0].route.host",
+    "host name without port"
+)]
+#[case(
+    12,
+    "books.example",
+    "books_example",
+    12,
+    "services[0].route.host",
+    "host name"
+)]
+#[case(
+    12,
+    "host: books.example",
+    "port: 80",
+    12,
+    "services[0].route",
+    "unknown field `port`"
+)]
+#[case(
+    14,
+    "header",
+    "cookie",
+    14,
+    "services[0].key",
+    "unknown variant `cookie`"
+)]
+#[case(
+    14,
+    "X-School",
+    "'X School'",
+    14,
+    "services[0].key.header",
+    "not a header name"
+)]
+#[case(
+    14,
+    "header: X-School",
+    "segment: 64",
+    14,
+    "services[0].key.segment",
+    "more than 63"
+)]
+#[case(
+    14,
+    "header: X-School",
+    "query: a=b",
+    14,
+    "services[0].key.query",
+    "query parameter"
+)]
+#[case(15, "64", "0", 15, "services[0].shards", "between 1 and 65536")]
+#[case(15, "64", "65537", 15, "services[0].shards", "between 1 and 65536")]
+#[case(15, "64", "-1", 15, "services[0].shards", "invalid")]
+#[case(
+    34,
+    "/catalogue",
+    "/catalogue\n    shards: 3",
+    35,
+    "services[1].shards",
+    "must be 0"
+)]
+#[case(
+    34,
+    "/catalogue",
+    "/catalogue\n    hot_keys: [x]",
+    35,
+    "services[1].hot_keys",
+    "no hot keys"
+)]
+#[case(18, "tanga", "dar", 18, "services[0].hot_keys[1]", "dar is used twice")]
+#[case(
+    18,
+    "tanga",
+    "''",
+    18,
+    "services[0].hot_keys[1]",
+    "between 1 and 1024 bytes"
+)]
+#[case(
+    19,
+    "by-method",
+    "sometimes",
+    19,
+    "services[0].repeat",
+    "unknown variant"
+)]
+#[case(20, "5s", "0s", 20, "services[0].deadline", "between 1ms and 600s")]
+#[case(20, "5s", "601s", 20, "services[0].deadline", "between 1ms and 600s")]
+#[case(20, "5s", "5", 20, "services[0].deadline", "not a duration")]
+#[case(20, "5s", "5 s", 20, "services[0].deadline", "not a duration")]
+#[case(
+    20,
+    "5s",
+    "99999999999999999h",
+    20,
+    "services[0].deadline",
+    "not a duration"
+)]
+#[case(21, "10s", "999ms", 21, "services[0].domain_lease", "between 1s")]
+#[case(21, "10s", "never", 21, "services[0].domain_lease", "not a duration")]
+#[case(22, "10m", "4s", 22, "services[0].record_life", "between 5s")]
+#[case(
+    23,
+    "25%",
+    "101%",
+    23,
+    "services[0].new_percent",
+    "between 0% and 100%"
+)]
+#[case(23, "25%", "300", 23, "services[0].new_percent", "between 0% and 100%")]
+#[case(23, "25%", "half", 23, "services[0].new_percent", "not a percentage")]
+#[case(23, "new_percent", "new_per_cent", 23, "services[0]", "unknown field")]
+#[case(24, "4", "0", 24, "services[0].slots", "between 1 and 4096")]
+#[case(24, "4", "4097", 24, "services[0].slots", "between 1 and 4096")]
+#[case(24, "slots: 4", "repeat: never", 11, "services[0]", "duplicate field")]
+#[case(25, "110", "3", 25, "services[0].connections", "number of slots, 4")]
+#[case(
+    25,
+    "110",
+    "65537",
+    25,
+    "services[0].connections",
+    "number of slots, 4"
+)]
+#[case(26, "16", "65537", 26, "services[0].queue", "more than 65536")]
+#[case(27, "5s", "3601s", 27, "services[0].warm_up", "between 0ns and 3600s")]
+#[case(29, "1", "-1", 29, "services[0].weights.imbalance", "not negative")]
+#[case(30, "0.5", ".nan", 30, "services[0].weights.churn", "finite")]
+#[case(31, "4", ".inf", 31, "services[0].weights.unavailable", "finite")]
+#[case(31, "4", "-0.0", 31, "services[0].weights.unavailable", "not negative")]
+#[case(35, "slots: 4", "queue: 4", 32, "services[1]", "missing field `slots`")]
+#[case(10, "services:", "services: [", 11, "bundle", "")]
+fn a_mistake_names_line_and_field(
+    #[case] line: usize,
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] at: usize,
+    #[case] path: &str,
+    #[case] part: &str,
+) {
+    let error = parse_bundle(&edited(line, old, new)).unwrap_err();
+    let BundleError::Yaml {
+        line,
+        field,
+        reason,
+    } = &error
+    else {
+        panic!("{error:?}");
+    };
+    assert_eq!((*line, &**field), (at, path), "{error}");
+    assert!(reason.contains(part), "{error}");
+}
+
+/// Two services must never both match with equal rank, however the route is written.
+#[rstest]
+#[case("/reports", "books.example")]
+#[case("/reports/", "books.example")]
+#[case("/reports", "Books.Example")]
+fn routes_that_match_the_same_requests_are_refused(#[case] prefix: &str, #[case] host: &str) {
+    let text = edited(
+        34,
+        "prefix: /catalogue",
+        &format!("prefix: {prefix}\n      host: {host}"),
+    );
+    let error = parse_bundle(&text).unwrap_err().to_string();
+    assert_eq!(
+        error,
+        "line 34, services[1].route: the pair of host and prefix is used twice"
+    );
+}
+
+#[test]
+fn too_many_hot_keys_are_refused() {
+    let keys: Vec<String> = (0..65).map(|i| format!("k{i}")).collect();
+    let text = edited(16, "hot_keys:", &format!("hot_keys: [{}]", keys.join(", ")));
+    let text = text.replace("      - dar\n      - tanga\n", "");
+    let error = parse_bundle(&text).unwrap_err().to_string();
+    assert_eq!(
+        error,
+        "line 16, services[0].hot_keys: more than 64 hot keys"
+    );
+}
