Take a directory whole or not at all

Cause: a VM could take a new group while it refused the bundle of the same directory, and would then act in the group with an older domain lease than FormGroup assumes. A domain that returned and was declared lost again kept its first wait.

Change: the cache refuses the whole directory if one part is bad. The wait of a lost domain is bound to the log index of the declaration. Shards of new hot keys get the home of the shard they hash to without waiting.

--- a/crates/control/src/audit.rs
+++ b/crates/control/src/audit.rs
@@ -95,10 +95,9 @@
             return Err(AuditError::Chain(entry.number));
         }
     }
-    match entries
-        .windows(2)
-        .find(|pair| pair[1].previous != pair[0].hash || pair[1].number != pair[0].number + 1)
-    {
+    match entries.windows(2).find(|pair| {
+        pair[1].previous != pair[0].hash || pair[1].number.checked_sub(1) != Some(pair[0].number)
+    }) {
         Some(pair) => Err(AuditError::Chain(pair[1].number)),
         None => Ok(()),
     }
@@ -170,7 +169,11 @@
         let entries = self.to_vec();
         verify_audit(&entries)?;
         match entries.first() {
-            Some(first) if (first.number, first.previous) != (self.base.0 + 1, self.base.1) => {
+            None if self.base != (0, ORIGIN) => Err(AuditError::Chain(self.base.0)),
+            Some(first)
+                if (first.number.checked_sub(1), first.previous)
+                    != (Some(self.base.0), self.base.1) =>
+            {
                 Err(AuditError::Chain(first.number))
             }
             _ => Ok(()),
--- a/crates/control/src/cache.rs
+++ b/crates/control/src/cache.rs
@@ -44,7 +44,7 @@
     pub homes: bool,
     /// The lost domains.
     pub lost: bool,
-    /// Why a newer bundle was not taken.
+    /// Why nothing of the directory was taken.
     pub refused: Option<Box<str>>,
 }
 
@@ -65,32 +65,43 @@
         }
     }
 
-    /// Merges the newer parts of `directory`.
+    /// Merges the newer parts of `directory`. If one part has to be refused, none is taken,
+    /// because parts rely on each other: a group's members act only with a bundle at least as new.
     pub fn take(&mut self, directory: Directory) -> Taken {
         let mut taken = Taken::default();
+        if let Err(reason) = self.check_homes(&directory) {
+            taken.refused = Some(reason);
+            return taken;
+        }
         if let Some(part) = directory.bundle
             && part.version > self.versions.bundle
         {
             match self.take_bundle(part) {
                 Ok(()) => taken.bundle = true,
-                Err(reason) => taken.refused = Some(reason),
+                Err(reason) => {
+                    taken.refused = Some(reason);
+                    return taken;
+                }
             }
         }
-        taken.vms = replace(&mut self.vms, &mut self.versions.vms, directory.vms);
-        taken.groups = replace(
-            &mut self.groups,
-            &mut self.versions.groups,
-            directory.groups,
-        );
-        let homes = directory.homes.filter(|part| {
-            let mut services = part.content.iter();
-            services.all(|(_, runs)| runs.is_valid())
-        });
-        taken.homes = replace(&mut self.homes, &mut self.versions.homes, homes);
-        taken.lost = replace(&mut self.lost, &mut self.versions.lost, directory.lost);
+        let versions = &mut self.versions;
+        taken.vms = replace(&mut self.vms, &mut versions.vms, directory.vms);
+        taken.groups = replace(&mut self.groups, &mut versions.groups, directory.groups);
+        taken.homes = replace(&mut self.homes, &mut versions.homes, directory.homes);
+        taken.lost = replace(&mut self.lost, &mut versions.lost, directory.lost);
         taken
     }
 
+    fn check_homes(&self, directory: &Directory) -> Result<(), Box<str>> {
+        let services = directory.homes.iter().flat_map(|part| &part.content);
+        match services.clone().find(|(_, runs)| !runs.is_valid()) {
+            Some((service, _)) => {
+                Err(format!("the homes of service {service} are not in order").into())
+            }
+            None => Ok(()),
+        }
+    }
+
     fn take_bundle(&mut self, part: Part<SignedBundle>) -> Result<(), Box<str>> {
         let bundle = decode(&part.content.bytes).map_err(|error| error.to_string())?;
         if bundle.version < self.floor {
--- a/crates/control/src/homes.rs
+++ b/crates/control/src/homes.rs
@@ -9,6 +9,8 @@
 
 /// Changes of lease or deadline that are kept for a service; older ones are merged.
 const MAX_LIMITS: usize = 64;
+/// Shards that a service can have, those of hot keys included.
+const MAX_SHARDS: ShardIndex = 65_536 + 64;
 
 /// Adjacent shards with the same home.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,10 +48,13 @@
         })
     }
 
-    /// Tells whether the runs are in order and none is empty.
+    /// Tells whether the runs are in order, none is empty, and they do not end after the last
+    /// possible shard.
     pub(crate) fn is_valid(&self) -> bool {
         let ends = self.0.iter().map(|run| run.end);
-        std::iter::once(0).chain(ends).is_sorted_by(|a, b| a < b)
+        std::iter::once(0)
+            .chain(ends)
+            .is_sorted_by(|a, b| a < b && *b <= MAX_SHARDS)
     }
 
     /// Replaces the homes of some shards.
--- a/crates/control/src/planner/homes.rs
+++ b/crates/control/src/planner/homes.rs
@@ -146,7 +146,10 @@
         let since = *self.plan.open.entry(side).or_insert(self.now);
         let known = self.state.domains();
         let expected = known.iter().filter(|name| !self.state.is_lost(name));
-        if expected.count() > places.len() && self.now < since + self.config.home_wait {
+        // Shards of hot keys follow the shards that have homes already.
+        let waits = free.iter().any(|index| *index < self.service.shards);
+        let complete = expected.count() <= places.len();
+        if waits && !complete && self.now < since + self.config.home_wait {
             return;
         }
         self.spread(&free, &places, true);
@@ -202,7 +205,7 @@
             return;
         };
         let rest = self.config.vm_lease + reach.deadline + self.config.margin;
-        let declared = watch.lost.map(|at| at + rest);
+        let declared = watch.lost.map(|(_, at)| at + rest);
         let silent = reach.lease.map(|lease| {
             let granted = watch.granted.unwrap_or(self.elected).max(self.elected);
             granted + lease + lease / 10 + rest
--- a/crates/control/src/planner/watch.rs
+++ b/crates/control/src/planner/watch.rs
@@ -31,8 +31,8 @@
     pub(crate) ready: Option<Duration>,
     /// When a group was proposed that replaces `term`.
     pub(crate) forming: Option<Duration>,
-    /// When this planner saw first that the domain is declared lost.
-    pub(crate) lost: Option<Duration>,
+    /// Log index at which the domain was declared lost, and when this planner saw that first.
+    pub(crate) lost: Option<(u64, Duration)>,
     /// When the version that the group has in force was proposed last.
     pub(crate) force: Option<Duration>,
     /// Version of the bundle in the latest report.
@@ -59,7 +59,10 @@
                 ..Watch::default()
             };
         }
-        self.lost = state.is_lost(domain).then(|| self.lost.unwrap_or(now));
+        self.lost = state.lost_since(domain).map(|index| {
+            let known = self.lost.filter(|(known, _)| *known == index);
+            known.unwrap_or((index, now))
+        });
         self.leaving.retain(|(service, index), (since, _)| {
             let home = state.home(service, *index);
             home.is_some_and(|home| home.domain == *domain && home.since == *since)
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -60,7 +60,8 @@
     registry: Registry,
     groups: BTreeMap<DomainName, Group>,
     layouts: Layouts,
-    lost: BTreeSet<DomainName>,
+    /// Domains declared lost, with the log index of the declaration.
+    lost: BTreeMap<DomainName, u64>,
     /// Lowest version of the bundle that each domain's group may have in force.
     in_force: BTreeMap<DomainName, u64>,
     audit: AuditTrail,
@@ -76,7 +77,7 @@
             registry: Registry::default(),
             groups: BTreeMap::new(),
             layouts: Layouts::default(),
-            lost: BTreeSet::new(),
+            lost: BTreeMap::new(),
             in_force: BTreeMap::new(),
             audit: AuditTrail::new(),
         }
@@ -144,7 +145,7 @@
         if replaces != current {
             return stale(format!("domain {domain} has the group of term {current}"));
         }
-        if self.lost.contains(domain) {
+        if self.is_lost(domain) {
             return stale(format!("domain {domain} is declared lost"));
         }
         let vms: BTreeSet<VmId> = members.iter().map(|(vm, _)| *vm).collect();
@@ -211,7 +212,8 @@
         if !self.domains().contains(domain) {
             return stale(format!("domain {domain} is not known"));
         }
-        if self.lost.insert(domain.clone()) {
+        if !self.is_lost(domain) {
+            self.lost.insert(domain.clone(), self.index);
             self.versions.lost = self.index;
             self.record(at, by, format!("domain {domain} declared lost"));
         }
@@ -219,7 +221,7 @@
     }
 
     fn return_domain(&mut self, domain: &DomainName, by: &str, at: u64) -> Outcome {
-        if self.lost.remove(domain) {
+        if self.lost.remove(domain).is_some() {
             self.versions.lost = self.index;
             self.record(at, by, format!("domain {domain} returned"));
         }
@@ -270,7 +272,7 @@
                     .map(|(name, layout)| (name.clone(), layout.runs.clone()))
                     .collect()
             }),
-            lost: part(own.lost, have.lost, || self.lost.iter().cloned().collect()),
+            lost: part(own.lost, have.lost, || self.lost.keys().cloned().collect()),
         }
     }
 
@@ -336,7 +338,12 @@
 
     /// Tells whether a domain is declared lost.
     pub fn is_lost(&self, domain: &str) -> bool {
-        self.lost.contains(domain)
+        self.lost_since(domain).is_some()
+    }
+
+    /// Returns the log index at which a domain was declared lost.
+    pub(crate) fn lost_since(&self, domain: &str) -> Option<u64> {
+        self.lost.get(domain).copied()
     }
 
     /// Returns all domains with a registered VM, a group or a home.
