--- a/crates/control/src/cache.rs
+++ b/crates/control/src/cache.rs
@@ -69,7 +69,12 @@
     /// because parts rely on each other: a group's members act only with a bundle at least as new.
     pub fn take(&mut self, directory: Directory) -> Taken {
         let mut taken = Taken::default();
-        if let Err(reason) = self.check_homes(&directory) {
+        let fits = if self.versions.covers(&directory.since) {
+            check_homes(&directory)
+        } else {
+            Err("the directory builds on parts that are not known here".into())
+        };
+        if let Err(reason) = fits {
             taken.refused = Some(reason);
             return taken;
         }
@@ -92,16 +97,6 @@
         taken
     }
 
-    fn check_homes(&self, directory: &Directory) -> Result<(), Box<str>> {
-        let services = directory.homes.iter().flat_map(|part| &part.content);
-        match services.clone().find(|(_, runs)| !runs.is_valid()) {
-            Some((service, _)) => {
-                Err(format!("the homes of service {service} are not in order").into())
-            }
-            None => Ok(()),
-        }
-    }
-
     fn take_bundle(&mut self, part: Part<SignedBundle>) -> Result<(), Box<str>> {
         let bundle = decode(&part.content.bytes).map_err(|error| error.to_string())?;
         if bundle.version < self.floor {
@@ -203,6 +198,7 @@
         let own = &self.versions;
         let newer = |own: u64, have: u64| own > have;
         Directory {
+            since: *have,
             bundle: self
                 .signed
                 .as_ref()
@@ -216,6 +212,16 @@
     }
 }
 
+fn check_homes(directory: &Directory) -> Result<(), Box<str>> {
+    let mut services = directory.homes.iter().flat_map(|part| &part.content);
+    match services.find(|(_, runs)| !runs.is_valid()) {
+        Some((service, _)) => {
+            Err(format!("the homes of service {service} are not in order").into())
+        }
+        None => Ok(()),
+    }
+}
+
 fn part<Content>(version: u64, content: &Content) -> Part<Content>
 where
     Content: Clone,
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -21,6 +21,17 @@
     pub lost: u64,
 }
 
+impl Versions {
+    /// Tells whether every part is at least as new as in `other`.
+    pub fn covers(&self, other: &Versions) -> bool {
+        self.bundle >= other.bundle
+            && self.vms >= other.vms
+            && self.groups >= other.groups
+            && self.homes >= other.homes
+            && self.lost >= other.lost
+    }
+}
+
 /// One part of a directory.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Part<Content> {
@@ -33,6 +44,9 @@
 /// The parts of the state that are newer than those the asker has, all as of one log index.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Directory {
+    /// The parts that the asker had. Only a VM with parts at least as new can take the answer,
+    /// because what it lacks may be left out.
+    pub since: Versions,
     /// The standing bundle.
     pub bundle: Option<Part<SignedBundle>>,
     /// The registered VMs, in order.
@@ -48,6 +62,10 @@
 impl Directory {
     /// Tells whether there is nothing newer.
     pub fn is_empty(&self) -> bool {
-        *self == Directory::default()
+        let nothing = Directory {
+            since: self.since,
+            ..Directory::default()
+        };
+        *self == nothing
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -256,6 +256,7 @@
         let own = &self.versions;
         let signed = self.chain.standing();
         Directory {
+            since: *have,
             bundle: signed.and_then(|signed| part(own.bundle, have.bundle, || signed.clone())),
             vms: part(own.vms, have.vms, || {
                 self.registry.iter().cloned().collect()
--- /dev/null
+++ b/crates/control/tests/directory.rs
@@ -0,0 +1,224 @@
+//! The directory cache with stale, repeated and reordered directories from many sources.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use camphordale_bundle::SignedBundle;
+use camphordale_control::{
+    Command, Directory, DirectoryCache, HomeChange, Outcome, Part, State, Versions,
+};
+use camphordale_types::Digest;
+use common::{first_bundle, following, operators, run_histories, seeds, signed, vm};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
+/// Applies random commands that all take effect, and returns the state after each.
+fn states(rng: &mut StdRng) -> Vec<State> {
+    let mut state = State::new(operators(1, &[1, 2]));
+    let mut states = vec![state.clone()];
+    for index in 1..30 {
+        let domain: Box<str> = if rng.random() { "east" } else { "west" }.into();
+        let command = match rng.random_range(0..6) {
+            0 | 1 => {
+                let bundle = match (state.bundle(), state.standing()) {
+                    (Some(old), Some((version, digest))) => following(old, version, Some(digest)),
+                    _ => first_bundle(operators(1, &[1, 2])),
+                };
+                Command::SubmitBundle {
+                    signed: signed(&bundle, &[rng.random_range(1..3)]),
+                    at: 0,
+                }
+            }
+            2 => Command::RegisterVm(vm(rng.random_range(0..6), index, &domain)),
+            3 => {
+                let members = state.vms().filter(|info| info.domain == domain);
+                Command::FormGroup {
+                    members: members
+                        .map(|info| (info.vm, info.incarnation))
+                        .take(3)
+                        .collect(),
+                    replaces: state.group(&domain).map_or(0, |group| group.term),
+                    domain,
+                }
+            }
+            4 => {
+                let change = |index| HomeChange {
+                    index,
+                    expect: state.home("berths", index).map_or(0, |home| home.since),
+                    to: domain.clone(),
+                    now: rng.random(),
+                };
+                Command::SetHomes {
+                    service: "berths".into(),
+                    changes: (0..8).map(change).collect(),
+                }
+            }
+            _ if state.is_lost(&domain) => Command::ReturnDomain {
+                domain,
+                by: "a".into(),
+                at: 0,
+            },
+            _ => Command::DeclareLost {
+                domain,
+                by: "a".into(),
+                at: 0,
+            },
+        };
+        if !matches!(state.apply(index, &command), Outcome::Rejected(_)) {
+            states.push(state.clone());
+        }
+    }
+    states
+}
+
+/// The content of each part by its version, taken from all states.
+#[derive(Default)]
+struct Contents {
+    vms: BTreeMap<u64, String>,
+    groups: BTreeMap<u64, String>,
+    homes: BTreeMap<u64, String>,
+    lost: BTreeMap<u64, String>,
+    bundles: BTreeMap<u64, Option<Digest>>,
+}
+
+impl Contents {
+    fn of(states: &[State]) -> Self {
+        let mut contents = Contents::default();
+        for state in states {
+            let mut cache = DirectoryCache::new(0);
+            cache.take(state.directory(&Versions::default()));
+            contents.note(&cache);
+        }
+        contents
+    }
+
+    fn parts(cache: &DirectoryCache) -> [(u64, String); 4] {
+        let versions = cache.versions();
+        [
+            (versions.vms, format!("{:?}", cache.vms())),
+            (versions.groups, format!("{:?}", cache.groups())),
+            (versions.homes, format!("{:?}", cache.all_homes())),
+            (versions.lost, format!("{:?}", cache.lost())),
+        ]
+    }
+
+    fn note(&mut self, cache: &DirectoryCache) {
+        let maps = [
+            &mut self.vms,
+            &mut self.groups,
+            &mut self.homes,
+            &mut self.lost,
+        ];
+        for (map, (version, content)) in maps.into_iter().zip(Self::parts(cache)) {
+            map.insert(version, content);
+        }
+        self.bundles.insert(cache.versions().bundle, cache.digest());
+    }
+
+    fn check(&self, cache: &DirectoryCache) {
+        let maps = [&self.vms, &self.groups, &self.homes, &self.lost];
+        for (map, (version, content)) in maps.into_iter().zip(Self::parts(cache)) {
+            assert_eq!(map.get(&version), Some(&content));
+        }
+        let versions = cache.versions();
+        assert_eq!(self.bundles.get(&versions.bundle), Some(&cache.digest()));
+        // A group is never known without the bundle that stood when it was formed.
+        let formed = self.bundles.range(..=versions.groups).next_back();
+        assert!(formed.is_none_or(|(bundle, _)| *bundle <= versions.bundle));
+    }
+}
+
+fn history(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let states = states(&mut rng);
+    let contents = Contents::of(&states);
+    let mut caches = vec![DirectoryCache::new(0); 3];
+    let mut sent: Vec<Directory> = Vec::new();
+    for _ in 0..60 {
+        let at = rng.random_range(0..caches.len());
+        let asked = caches[rng.random_range(0..3)].versions();
+        let message = match rng.random_range(0..4) {
+            // An old answer arrives late or twice.
+            0 if !sent.is_empty() => sent.choose(&mut rng).expect("not empty").clone(),
+            1 => caches[rng.random_range(0..3)].directory(&caches[at].versions()),
+            // The answer of a control voter that may be far behind, to this or another VM.
+            2 => states
+                .choose(&mut rng)
+                .expect("not empty")
+                .directory(&asked),
+            _ => states
+                .choose(&mut rng)
+                .expect("not empty")
+                .directory(&caches[at].versions()),
+        };
+        sent.push(message.clone());
+        let before = caches[at].clone();
+        let mut message = message;
+        if rng.random_bool(0.1) {
+            spoil(&mut message, &states, &before, &mut rng);
+        }
+        let taken = caches[at].take(message);
+        let cache = &caches[at];
+        assert!(cache.versions().covers(&before.versions()));
+        let version = |cache: &DirectoryCache| cache.bundle().map_or(0, |bundle| bundle.version);
+        assert!(
+            version(&before) <= version(cache),
+            "the bundle in force went back"
+        );
+        assert_eq!(taken.any(), before.versions() != cache.versions());
+        assert!(taken.refused.is_none() || !taken.any());
+        contents.check(cache);
+        // After a restart, a lower bundle than the one acted on is refused.
+        if rng.random_bool(0.05) {
+            let mut fresh = DirectoryCache::new(version(cache));
+            fresh.take(sent.choose(&mut rng).expect("not empty").clone());
+            assert!(
+                fresh
+                    .bundle()
+                    .is_none_or(|bundle| bundle.version >= version(cache))
+            );
+        }
+    }
+    let last = states.last().expect("not empty");
+    for cache in &mut caches {
+        cache.take(last.directory(&cache.versions()));
+        assert_eq!(cache.versions(), last.versions());
+        assert!(last.directory(&cache.versions()).is_empty());
+        contents.check(cache);
+    }
+}
+
+/// Puts a bundle with an older or a forged content into a message, under a newer index.
+fn spoil(message: &mut Directory, states: &[State], cache: &DirectoryCache, rng: &mut StdRng) {
+    let Some(known) = cache.bundle() else {
+        return;
+    };
+    let older: Vec<&SignedBundle> = states
+        .iter()
+        .filter(|state| {
+            state
+                .bundle()
+                .is_some_and(|bundle| bundle.version < known.version)
+        })
+        .filter_map(State::signed)
+        .collect();
+    let mut other = known.clone();
+    other.services[0].new_percent = 77;
+    let forged = following(&other, known.version, cache.digest());
+    let content = match (rng.random_range(0..3), older.choose(rng)) {
+        (0, Some(older)) => (*older).clone(),
+        // Another content of the version in force.
+        (1, _) => signed(&other, &[1]),
+        // A successor that no operator signed.
+        _ => signed(&forged, &[9]),
+    };
+    message.bundle = Some(Part {
+        version: 1000,
+        content,
+    });
+}
+
+#[test]
+fn the_version_in_force_never_goes_back() {
+    run_histories(seeds(600), history);
+}
