--- a/crates/control/src/cache.rs
+++ b/crates/control/src/cache.rs
@@ -44,7 +44,7 @@
     pub homes: bool,
     /// The lost domains.
     pub lost: bool,
-    /// Why a newer bundle was not taken.
+    /// Why nothing of the directory was taken.
     pub refused: Option<Box<str>>,
 }
 
@@ -65,29 +65,35 @@
         }
     }
 
-    /// Merges the newer parts of `directory`.
+    /// Merges the newer parts of `directory`. If one part has to be refused, none is taken,
+    /// because parts rely on each other: a group's members act only with a bundle at least as new.
     pub fn take(&mut self, directory: Directory) -> Taken {
         let mut taken = Taken::default();
+        let fits = if self.versions.covers(&directory.since) {
+            check_homes(&directory)
+        } else {
+            Err("the directory builds on parts that are not known here".into())
+        };
+        if let Err(reason) = fits {
+            taken.refused = Some(reason);
+            return taken;
+        }
         if let Some(part) = directory.bundle
             && part.version > self.versions.bundle
         {
             match self.take_bundle(part) {
                 Ok(()) => taken.bundle = true,
-                Err(reason) => taken.refused = Some(reason),
+                Err(reason) => {
+                    taken.refused = Some(reason);
+                    return taken;
+                }
             }
         }
-        taken.vms = replace(&mut self.vms, &mut self.versions.vms, directory.vms);
-        taken.groups = replace(
-            &mut self.groups,
-            &mut self.versions.groups,
-            directory.groups,
-        );
-        let homes = directory.homes.filter(|part| {
-            let mut services = part.content.iter();
-            services.all(|(_, runs)| runs.is_valid())
-        });
-        taken.homes = replace(&mut self.homes, &mut self.versions.homes, homes);
-        taken.lost = replace(&mut self.lost, &mut self.versions.lost, directory.lost);
+        let versions = &mut self.versions;
+        taken.vms = replace(&mut self.vms, &mut versions.vms, directory.vms);
+        taken.groups = replace(&mut self.groups, &mut versions.groups, directory.groups);
+        taken.homes = replace(&mut self.homes, &mut versions.homes, directory.homes);
+        taken.lost = replace(&mut self.lost, &mut versions.lost, directory.lost);
         taken
     }
 
@@ -192,6 +198,7 @@
         let own = &self.versions;
         let newer = |own: u64, have: u64| own > have;
         Directory {
+            since: *have,
             bundle: self
                 .signed
                 .as_ref()
@@ -205,6 +212,16 @@
     }
 }
 
+fn check_homes(directory: &Directory) -> Result<(), Box<str>> {
+    let mut services = directory.homes.iter().flat_map(|part| &part.content);
+    match services.find(|(_, runs)| !runs.is_valid()) {
+        Some((service, _)) => {
+            Err(format!("the homes of service {service} are not in order").into())
+        }
+        None => Ok(()),
+    }
+}
+
 fn part<Content>(version: u64, content: &Content) -> Part<Content>
 where
     Content: Clone,
