--- a/crates/daemon/src/answers.rs
+++ b/crates/daemon/src/answers.rs
@@ -133,15 +133,15 @@
 /// Returns the answer for a request without an answer of a target.
 pub(crate) fn refusal(refusal: Refusal) -> Response {
     let message = refusal.to_string();
-    let reason = reason_code(refusal);
+    let reason = refusal.code();
     match refusal {
         Refusal::NotRun(_) => {
-            let status = match &*reason {
+            let status = match reason {
                 "no-service" => 404,
                 "no-key" => 400,
                 _ => 503,
             };
-            let mut response = json(status, NOT_RUN, &reason, &message);
+            let mut response = json(status, NOT_RUN, reason, &message);
             if status == 503 {
                 response.headers.push(("Retry-After".into(), "1".into()));
             }
@@ -152,27 +152,11 @@
                 camphordale_types::Unknown::Timeout => 504,
                 _ => 502,
             };
-            json(status, "unknown", &reason, &message)
+            json(status, "unknown", reason, &message)
         }
     }
 }
 
-/// Returns the kebab-case name of a refusal's reason.
-pub(crate) fn reason_code(refusal: Refusal) -> Box<str> {
-    let name = match refusal {
-        Refusal::NotRun(reason) => format!("{reason:?}"),
-        Refusal::Unknown(reason) => format!("{reason:?}"),
-    };
-    let mut code = String::with_capacity(name.len() + 2);
-    for (i, c) in name.char_indices() {
-        if c.is_ascii_uppercase() && i > 0 {
-            code.push('-');
-        }
-        code.push(c.to_ascii_lowercase());
-    }
-    code.into()
-}
-
 fn json(status: u16, outcome: &str, reason: &str, message: &str) -> Response {
     let body = serde_json::json!({
         "outcome": outcome,
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -334,7 +334,7 @@
             control,
             entry,
         };
-        Pump::start(&app.plane, &peers, &app.datagrams, &metrics)?;
+        Pump::start(&app.plane, &peers, &app.datagrams, &metrics, &app.node)?;
         info!(log, "started"; "vm" => app.settings.vm, "incarnation" => incarnation,
               "domain" => &*app.settings.domain);
         Ok(app)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,7 +21,7 @@
 mod labels;
 mod service;
 
-pub use labels::{Direction, Ending, GroupKind, Limit, Listener, Phase, reason};
+pub use labels::{Direction, Ending, GroupKind, Limit, Listener, Phase};
 pub use service::ServiceMetrics;
 use service::Totals;
 
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -1,6 +1,6 @@
 //! Closed sets of label values.
 
-use camphordale_types::{NotRun, Refusal, Unknown};
+use camphordale_types::Refusal;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,45 +95,6 @@
     }
 }
 
-/// Returns the value of the label `reason`.
-///
-/// # Examples
-///
-/// ```
-/// use camphordale_daemon::metrics::reason;
-/// use camphordale_types::{NotRun, Refusal};
-///
-/// assert_eq!(reason(Refusal::NotRun(NotRun::QueueFull)), "queue_full");
-/// ```
-pub fn reason(refusal: Refusal) -> &'static str {
-    match refusal {
-        Refusal::NotRun(reason) => match reason {
-            NotRun::NoService => "no_service",
-            NotRun::NoKey => "no_key",
-            NotRun::NoBundle => "no_bundle",
-            NotRun::NoOwner => "no_owner",
-            NotRun::DomainUnreachable => "domain_unreachable",
-            NotRun::NoLease => "no_lease",
-            NotRun::TooManyHops => "too_many_hops",
-            NotRun::NoTarget => "no_target",
-            NotRun::QueueFull => "queue_full",
-            NotRun::Deadline => "deadline",
-            NotRun::Connect => "connect",
-            NotRun::Shed => "shed",
-            NotRun::Record => "record",
-            NotRun::ShuttingDown => "shutting_down",
-        },
-        Refusal::Unknown(reason) => match reason {
-            Unknown::Timeout => "timeout",
-            Unknown::Broken => "broken",
-            Unknown::BadAnswer => "bad_answer",
-            Unknown::VmLost => "vm_lost",
-            Unknown::Duplicate => "duplicate",
-            Unknown::RecordsLost => "records_lost",
-        },
-    }
-}
-
 impl GroupKind {
     pub(crate) fn label(self) -> &'static str {
         match self {
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -13,7 +13,7 @@
     metrics::{Counter, Histogram},
 };
 
-use super::{Ending, reason};
+use super::Ending;
 
 /// Totals over all services, for the status page.
 #[derive(Debug, Default)]
@@ -68,7 +68,7 @@
         self.duration.record(time.as_secs_f64(), &*self.by_service);
         if let Ending::Refused(refusal) = ending {
             self.refusals
-                .add(1, &[KeyValue::new("reason", reason(refusal))]);
+                .add(1, &[KeyValue::new("reason", refusal.code())]);
         }
     }
 }
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -13,6 +13,58 @@
     Unknown(Unknown),
 }
 
+impl Refusal {
+    /// Returns the reason's code, as callers and metrics see it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_types::{NotRun, Refusal};
+    ///
+    /// assert_eq!(Refusal::NotRun(NotRun::QueueFull).code(), "queue-full");
+    /// ```
+    pub fn code(self) -> &'static str {
+        match self {
+            Refusal::NotRun(reason) => reason.code(),
+            Refusal::Unknown(reason) => reason.code(),
+        }
+    }
+}
+
+impl NotRun {
+    fn code(self) -> &'static str {
+        match self {
+            NotRun::NoService => "no-service",
+            NotRun::NoKey => "no-key",
+            NotRun::NoBundle => "no-bundle",
+            NotRun::NoOwner => "no-owner",
+            NotRun::DomainUnreachable => "domain-unreachable",
+            NotRun::NoLease => "no-lease",
+            NotRun::TooManyHops => "too-many-hops",
+            NotRun::NoTarget => "no-target",
+            NotRun::QueueFull => "queue-full",
+            NotRun::Deadline => "deadline",
+            NotRun::Connect => "connect",
+            NotRun::Shed => "shed",
+            NotRun::Record => "record",
+            NotRun::ShuttingDown => "shutting-down",
+        }
+    }
+}
+
+impl Unknown {
+    fn code(self) -> &'static str {
+        match self {
+            Unknown::Timeout => "timeout",
+            Unknown::Broken => "broken",
+            Unknown::BadAnswer => "bad-answer",
+            Unknown::VmLost => "vm-lost",
+            Unknown::Duplicate => "duplicate",
+            Unknown::RecordsLost => "records-lost",
+        }
+    }
+}
+
 /// Why a request was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
 pub enum NotRun {
