Reload keys, drain times and the log level on SIGHUP

Cause: the settings reference promised a reload of limits and peer keys that the daemon did not carry out. What open connections hold on to now needs a restart, and says so in the reference; keys of targets and operators, drain times and the log level are taken over at once.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -100,6 +100,7 @@
         NodeHandle,
         NodeInput, //
     },
+    live::Live,
     metrics::{
         Metrics,
         MetricsError, //
@@ -114,7 +115,8 @@
     records::BundleFile,
     settings::{
         self,
-        Settings, //
+        Settings,
+        reloadable_changes, //
     },
     targets::TargetListener,
 };
@@ -177,6 +179,7 @@
 /// A running daemon.
 pub struct App {
     settings: Arc<Settings>,
+    live: Arc<Live>,
     log: Logger,
     node: NodeHandle,
     plane: Arc<Plane>,
@@ -226,6 +229,7 @@
     ///
     /// [`AppError`] says which part could not be started.
     pub fn start(settings: Settings, log: &Logger) -> Result<App, AppError> {
+        let live = Arc::new(Live::new(&settings));
         let settings = Arc::new(settings);
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new()?);
@@ -314,6 +318,7 @@
         let draining = Arc::new(AtomicBool::new(false));
         let operators = start_operators(OperatorListener {
             settings: Arc::clone(&settings),
+            live: Arc::clone(&live),
             clock,
             node: node.clone(),
             plane: Arc::clone(&plane),
@@ -322,8 +327,9 @@
         })?;
         let app = App {
             callers: start_callers(&settings, &plane)?,
-            targets: start_targets(&settings, &node, &plane)?,
+            targets: start_targets(&settings, &live, &node, &plane)?,
             settings,
+            live,
             log: log.clone(),
             node,
             plane,
@@ -340,13 +346,25 @@
         Ok(app)
     }
 
+    /// Takes over what can be reloaded of new settings, and logs which changes need a restart.
+    pub fn reload(&mut self, new: Settings) {
+        let changes = reloadable_changes(&self.settings, &new);
+        self.live.replace(&new);
+        info!(self.log, "settings reloaded"; "sections" => changes.reload.join(","));
+        if !changes.restart.is_empty() {
+            warn!(self.log, "changed settings need a restart";
+                  "sections" => changes.restart.join(","));
+        }
+    }
+
     /// Shuts down: first tells the platform, then stops taking callers' requests and finishes
     /// those in flight, then hands over the rights to send, then ends.
     pub fn shutdown(self) {
-        let limit = self.settings.drain.limit;
+        let drain = self.live.drain();
+        let limit = drain.limit;
         info!(self.log, "shutting down");
         self.draining.store(true, Ordering::Relaxed);
-        thread::sleep(self.settings.drain.notice);
+        thread::sleep(drain.notice);
         self.plane.route(RouteEvent::Drain);
         let until = Instant::now() + limit;
         if let Some(callers) = &self.callers
@@ -540,6 +558,7 @@
 
 fn start_targets(
     settings: &Settings,
+    live: &Arc<Live>,
     node: &NodeHandle,
     plane: &Arc<Plane>,
 ) -> Result<Option<Server>, AppError> {
@@ -547,7 +566,7 @@
         return Ok(None);
     };
     let handler = TargetListener {
-        keys: targets.keys.clone(),
+        live: Arc::clone(live),
         node: node.clone(),
         plane: Arc::clone(plane),
         renew: settings.group.target_renew,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod entry_loop;
 mod flights;
 mod handle;
+mod live;
 pub mod log;
 pub mod metrics;
 mod operators;
--- /dev/null
+++ b/crates/daemon/src/live.rs
@@ -0,0 +1,67 @@
+//! The settings that a running daemon takes over on SIGHUP.
+
+use std::sync::{
+    PoisonError,
+    RwLock, //
+};
+
+use crate::settings::{
+    BearerKey,
+    Drain,
+    Settings, //
+};
+
+/// The current values.
+pub(crate) struct Live(RwLock<Values>);
+
+struct Values {
+    targets: Vec<BearerKey>,
+    operators: BearerKey,
+    drain: Drain,
+}
+
+impl Live {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Live(RwLock::new(Values::of(settings)))
+    }
+
+    /// Takes over the values of new settings.
+    pub(crate) fn replace(&self, settings: &Settings) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Values::of(settings);
+    }
+
+    /// Tells whether an `Authorization` header carries the key of a target.
+    pub(crate) fn admits_target(&self, header: &str) -> bool {
+        self.read(|values| values.targets.iter().any(|key| key.accepts(header)))
+    }
+
+    /// Tells whether an `Authorization` header carries the operators' key.
+    pub(crate) fn admits_operator(&self, header: &str) -> bool {
+        self.read(|values| values.operators.accepts(header))
+    }
+
+    pub(crate) fn drain(&self) -> Drain {
+        self.read(|values| values.drain)
+    }
+
+    fn read<T, F>(&self, f: F) -> T
+    where
+        F: FnOnce(&Values) -> T,
+    {
+        f(&self.0.read().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Values {
+    fn of(settings: &Settings) -> Self {
+        Values {
+            targets: settings
+                .targets
+                .as_ref()
+                .map(|targets| targets.keys.clone())
+                .unwrap_or_default(),
+            operators: settings.operators.key.clone(),
+            drain: settings.drain,
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,7 +24,6 @@
 };
 use slog::{
     crit,
-    info,
     warn, //
 };
 
@@ -85,7 +84,7 @@
     };
     let log = Log::to_stderr(settings.log);
     let root = log.root().clone();
-    let app = match App::start(settings, &root) {
+    let mut app = match App::start(settings, &root) {
         Ok(app) => app,
         Err(err) => {
             crit!(root, "cannot start"; "error" => %err);
@@ -99,7 +98,7 @@
         match Settings::load(config) {
             Ok(new) => {
                 log.set_level(new.log.level);
-                info!(root, "settings reloaded"; "sections" => "log");
+                app.reload(new);
             }
             Err(err) => warn!(root, "settings not reloaded"; "error" => %err),
         }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -75,6 +75,7 @@
 use crate::{
     Clock,
     handle::NodeHandle,
+    live::Live,
     metrics::Metrics,
     plane::Plane,
     settings::Settings, //
@@ -89,6 +90,7 @@
 /// Serves the operators' listener.
 pub(crate) struct OperatorListener {
     pub(crate) settings: Arc<Settings>,
+    pub(crate) live: Arc<Live>,
     pub(crate) clock: Clock,
     pub(crate) node: NodeHandle,
     pub(crate) plane: Arc<Plane>,
@@ -125,7 +127,7 @@
 
     fn authorize(&self, request: &Request) -> Served<()> {
         let header = request.header("Authorization").unwrap_or_default();
-        if self.settings.operators.key.accepts(header) {
+        if self.live.admits_operator(header) {
             Ok(())
         } else {
             refuse(401, "authorize", "the bearer key is missing or wrong")
--- a/crates/daemon/src/settings/fields.rs
+++ b/crates/daemon/src/settings/fields.rs
@@ -63,26 +63,26 @@
         "",
         "address for callers; the section is required for entry VMs; port 0 lets the system choose",
     ),
-    reloaded("callers.limits.connections", "4096", "open connections"),
-    reloaded(
+    field("callers.limits.connections", "4096", "open connections"),
+    field(
         "callers.limits.per_source",
         "2048",
         "open connections from one IP address; behind a load balancer, all callers share few addresses",
     ),
-    reloaded(
+    field(
         "callers.limits.header_time",
         "5s",
         "time to receive a header",
     ),
-    reloaded("callers.limits.header_size", "16KiB", "largest header"),
-    reloaded("callers.limits.body_time", "10s", "time to receive a body"),
-    reloaded("callers.limits.body_size", "1MiB", "largest body"),
-    reloaded(
+    field("callers.limits.header_size", "16KiB", "largest header"),
+    field("callers.limits.body_time", "10s", "time to receive a body"),
+    field("callers.limits.body_size", "1MiB", "largest body"),
+    field(
         "callers.limits.idle_time",
         "30s",
         "time that a connection stays open between requests",
     ),
-    reloaded(
+    field(
         "callers.limits.answer_size",
         "8MiB",
         "largest answer of a target that is passed on",
@@ -92,21 +92,21 @@
         "",
         "address for targets; the section is required for entry VMs; port 0 lets the system choose",
     ),
-    reloaded("targets.limits.connections", "1024", "open connections"),
-    reloaded(
+    field("targets.limits.connections", "1024", "open connections"),
+    field(
         "targets.limits.per_source",
         "64",
         "open connections from one IP address",
     ),
-    reloaded(
+    field(
         "targets.limits.header_time",
         "2s",
         "time to receive a header",
     ),
-    reloaded("targets.limits.header_size", "8KiB", "largest header"),
-    reloaded("targets.limits.body_time", "2s", "time to receive a body"),
-    reloaded("targets.limits.body_size", "64KiB", "largest body"),
-    reloaded(
+    field("targets.limits.header_size", "8KiB", "largest header"),
+    field("targets.limits.body_time", "2s", "time to receive a body"),
+    field("targets.limits.body_size", "64KiB", "largest body"),
+    field(
         "targets.limits.idle_time",
         "30s",
         "time that a connection stays open between requests",
@@ -163,14 +163,14 @@
         "",
         "own IP address from which connections are opened; chosen by the system if absent",
     ),
-    reloaded("peers.keys[].id", "", "id of a key that VMs share"),
-    reloaded("peers.keys[].secret", "", "the key, 64 hexadecimal digits"),
-    reloaded(
+    field("peers.keys[].id", "", "id of a key that VMs share"),
+    field("peers.keys[].secret", "", "the key, 64 hexadecimal digits"),
+    field(
         "peers.keys[].secret_file",
         "",
         "file with this key; instead of `secret`",
     ),
-    reloaded(
+    field(
         "peers.send",
         "the only key",
         "id of the key that the VM sends with; required if there are several keys",
--- a/crates/daemon/src/settings/reload.rs
+++ b/crates/daemon/src/settings/reload.rs
@@ -14,7 +14,8 @@
 /// Returns the sections that differ between `old` and `new`.
 ///
 /// Identity, addresses, group membership and lease times need a restart, because other VMs and
-/// running leases depend on them.
+/// running leases depend on them. So do the limits of listeners and the keys between VMs, which
+/// open connections hold on to.
 pub fn reloadable_changes(old: &Settings, new: &Settings) -> Changes {
     let callers = |s: &Settings| {
         s.callers
@@ -33,23 +34,13 @@
         ("callers.listen", callers_listen(old) != callers_listen(new)),
         ("targets.listen", targets_listen(old) != targets_listen(new)),
     ];
-    let [callers_moved, targets_moved] = listens.map(|(_, moved)| moved);
+    let targets_moved = listens[1].1;
     let reload = [
-        (
-            "callers.limits",
-            !callers_moved && callers(old) != callers(new),
-        ),
-        (
-            "targets.limits",
-            !targets_moved && target_limits(old) != target_limits(new),
-        ),
         (
             "targets.keys",
             !targets_moved && target_keys(old) != target_keys(new),
         ),
         ("operators.key", old.operators.key != new.operators.key),
-        ("peers.keys", old.peers.keys != new.peers.keys),
-        ("peers.send", old.peers.send != new.peers.send),
         ("log.level", old.log.level != new.log.level),
         ("drain", old.drain != new.drain),
     ];
@@ -60,6 +51,16 @@
         ("data", old.data != new.data),
         listens[0],
         listens[1],
+        (
+            "callers.limits",
+            !listens[0].1 && callers(old) != callers(new),
+        ),
+        (
+            "targets.limits",
+            !targets_moved && target_limits(old) != target_limits(new),
+        ),
+        ("peers.keys", old.peers.keys != new.peers.keys),
+        ("peers.send", old.peers.send != new.peers.send),
         (
             "operators.listen",
             old.operators.listen != new.operators.listen,
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -34,8 +34,8 @@
 
 use crate::{
     handle::NodeHandle,
-    plane::Plane,
-    settings::BearerKey, //
+    live::Live,
+    plane::Plane, //
 };
 
 /// Longest time that a call of a target waits for the domain leader.
@@ -46,7 +46,7 @@
 
 /// Serves the targets' listener.
 pub(crate) struct TargetListener {
-    pub(crate) keys: Vec<BearerKey>,
+    pub(crate) live: Arc<Live>,
     pub(crate) node: NodeHandle,
     pub(crate) plane: Arc<Plane>,
     /// Renewal time that is told to a target.
@@ -114,7 +114,7 @@
 impl TargetListener {
     fn serve(&self, request: &Request) -> Served<Lease> {
         let header = request.header("authorization").unwrap_or_default();
-        if !self.keys.iter().any(|key| key.accepts(header)) {
+        if !self.live.admits_target(header) {
             return refuse(401, "the bearer key is missing or wrong");
         }
         if &*request.method != "POST" {
