Test the stand-ins

Cause: a stand-in that is wrong makes every test of the router wrong.

Slow runs end when the switch is cleared, so tests need no waiting time.

Ruled out: fixed waits; tests poll a condition with a bound of 20 s, except where silence itself is tested.

--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -107,11 +107,7 @@
 
     fn run(&self) -> Result<Reply, Box<str>> {
         self.step(Phase::Start)?;
-        let slow = Duration::from_millis(self.target.switches.settings().slow_ms);
-        let work = self.target.options.work + slow;
-        if !work.is_zero() {
-            thread::sleep(work);
-        }
+        self.target.switches.work(self.target.options.work);
         self.target.switches.wait_thawed();
         self.step(Phase::Commit)?;
         self.target.commits.fetch_add(1, Ordering::Relaxed);
--- a/crates/standin/src/switches.rs
+++ b/crates/standin/src/switches.rs
@@ -8,7 +8,10 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use serde::Serialize;
@@ -135,6 +138,21 @@
         }
     }
 
+    /// Waits for `work` and the time that is switched on; ends early when that is switched off.
+    pub fn work(&self, work: Duration) {
+        let began = Instant::now();
+        let mut state = self.lock();
+        loop {
+            let slow = Duration::from_millis(state.settings.slow_ms);
+            let left = (work + slow).saturating_sub(began.elapsed());
+            if left.is_zero() {
+                return;
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
     /// Swaps `answer` with the next request that calls this within a bounded time; returns
     /// `answer` itself if none does.
     pub fn swap(&self, answer: Answer) -> Answer {
--- /dev/null
+++ b/crates/standin/tests/caller.rs
@@ -0,0 +1,240 @@
+//! The caller against scripted servers and targets.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    collections::HashSet,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use camphordale_standin::{
+    CallerOptions,
+    Delivery,
+    Mix,
+    Outcome,
+    Record,
+    Reply,
+    Request,
+    Script,
+    Summary,
+    Target,
+    read_lines,
+    run_caller,
+    serve, //
+};
+use common::{
+    options,
+    switch, //
+};
+use rstest::rstest;
+
+fn script(text: &str) -> Script {
+    serde_norway::from_str(text).unwrap()
+}
+
+fn posts() -> Script {
+    script("services: [{name: cat, path: /cat, post_percent: 100}]")
+}
+
+fn call(vms: Vec<SocketAddr>, change: impl FnOnce(&mut CallerOptions)) -> (Summary, Vec<Record>) {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("records");
+    let mut options = CallerOptions {
+        name: "c".into(),
+        vms,
+        script: posts(),
+        seed: 1,
+        rate: 1000.0,
+        threads: 4,
+        time: Duration::from_millis(20),
+        timeout: Duration::from_secs(10),
+        deadline_ms: None,
+        resend: 2,
+        resend_pause: Duration::ZERO,
+        resend_unknown: false,
+        hot: (0, Duration::ZERO),
+        source: None,
+        records: Some(path.clone()),
+    };
+    change(&mut options);
+    let summary = run_caller(options).unwrap();
+    (summary, read_lines(&path).unwrap())
+}
+
+/// A server that refuses everything with `status` and `outcome`, and notes the idempotency keys.
+fn refuser(status: u16, outcome: &'static str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let notes = seen.clone();
+    let handler = move |request: &Request| {
+        let key = request.header("idempotency-key").unwrap_or("none");
+        notes.lock().unwrap().push(key.to_owned());
+        let mut reply = Reply {
+            status,
+            ..Reply::default()
+        };
+        if !outcome.is_empty() {
+            reply.headers.push(("camphordale-outcome", outcome.into()));
+        }
+        reply
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    (serve(listener, 64, handler).unwrap().address(), seen)
+}
+
+/// Guards against a POST that is sent again although it may have run, against one that is not
+/// sent again although it did not, and against a further attempt with another key.
+#[rstest]
+#[case(503, "not-run", false, Outcome::NotRun, 3)]
+#[case(404, "not-run", false, Outcome::NotRun, 1)]
+#[case(502, "unknown", false, Outcome::Unknown, 1)]
+#[case(504, "unknown", true, Outcome::Unknown, 3)]
+#[case(503, "", true, Outcome::Refused, 1)]
+#[case(500, "", false, Outcome::Refused, 1)]
+fn posts_are_sent_again_only_if_safe(
+    #[case] status: u16,
+    #[case] outcome: &'static str,
+    #[case] resend_unknown: bool,
+    #[case] want: Outcome,
+    #[case] attempts: usize,
+) {
+    let (vm, seen) = refuser(status, outcome);
+    let (summary, records) = call(vec![vm], |o| o.resend_unknown = resend_unknown);
+    assert_eq!(summary.outcomes.get(&want), Some(&20));
+    assert_eq!(records.len(), 20 * attempts);
+    assert!(
+        records
+            .iter()
+            .all(|r| r.status == Some(status) && r.outcome == want)
+    );
+    let seen = seen.lock().unwrap();
+    let keys: HashSet<&String> = seen.iter().collect();
+    assert_eq!((seen.len(), keys.len()), (20 * attempts, 20));
+}
+
+/// Guards against a further attempt at the entry VM that just refused.
+#[test]
+fn goes_to_another_vm() {
+    let target = Target::start({
+        let mut options = options(&[]);
+        options.checks_tokens = false;
+        options.slots = 64;
+        options
+    })
+    .unwrap();
+    let (refuses, _) = refuser(503, "not-run");
+    let closed = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let vms = vec![refuses, closed, target.address()];
+    let (summary, records) = call(vms, |_| {});
+    assert_eq!(summary.outcomes.get(&Outcome::Ok), Some(&20));
+    assert!(records.iter().any(|r| r.outcome == Outcome::ConnectFailed));
+    assert!(records.iter().any(|r| r.outcome == Outcome::NotRun));
+    assert_eq!(switch(target.address(), "stats")["commits"], 20);
+}
+
+/// Guards against an answer that is accepted although it is not whole or not to this request.
+#[rstest]
+#[case(
+    r#"{"target":"t","marker":"c-M","echo":"c-M","pad_bytes":1,"pad":"x"}"#,
+    Outcome::Ok
+)]
+#[case(
+    r#"{"target":"t","marker":"c-9","echo":"c-M","pad_bytes":1,"pad":"x"}"#,
+    Outcome::Wrong
+)]
+#[case(
+    r#"{"target":"t","marker":"c-M","echo":"c-9","pad_bytes":1,"pad":"x"}"#,
+    Outcome::Wrong
+)]
+#[case(
+    r#"{"target":"t","marker":"c-M","echo":"","pad_bytes":1,"pad":"x"}"#,
+    Outcome::Wrong
+)]
+#[case(
+    r#"{"target":"t","marker":"c-M","echo":"c-M","pad_bytes":2,"pad":"x"}"#,
+    Outcome::Short
+)]
+#[case(r#"{"target":"t","marker":"c-M","echo":"c-"#, Outcome::Short)]
+fn answers_are_checked(#[case] body: &'static str, #[case] want: Outcome) {
+    let handler = move |request: &Request| {
+        let id = request.header("x-standin-marker").unwrap_or_default();
+        Reply {
+            status: 200,
+            body: body.replace("c-M", id).into_bytes(),
+            ..Reply::default()
+        }
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let vm = serve(listener, 64, handler).unwrap().address();
+    let (summary, _) = call(vec![vm], |o| {
+        // Ids of one digit, none of them 9.
+        o.time = Duration::from_millis(5);
+    });
+    assert_eq!(summary.outcomes.get(&want), Some(&5));
+}
+
+/// Guards against an answer whose connection broke in the middle counting as whole.
+#[test]
+fn cut_answers_are_short() {
+    let handler = |_: &Request| Reply {
+        status: 200,
+        body: b"{\"target\":\"t\"}".to_vec(),
+        delivery: Delivery::Cut,
+        ..Reply::default()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let vm = serve(listener, 64, handler).unwrap().address();
+    let (summary, _) = call(vec![vm], |_| {});
+    assert_eq!(summary.outcomes.get(&Outcome::Short), Some(&20));
+}
+
+/// Guards against a mix that depends on more than its seed, and against a shift of the hottest
+/// keys that moves other keys or none.
+#[test]
+fn shifts_the_hottest_keys() {
+    let keyed = "services: [{name: cat, path: '/cat/{key}', keys: 1000}]";
+    let mix = Mix::new(&script(keyed), 7);
+    let draws = |hot| (0..20_000).map(move |n| (n, hot));
+    let key = |(n, hot)| mix.draw(n, hot).key.unwrap();
+    let before: Vec<usize> = draws(0).map(key).collect();
+    let after: Vec<usize> = draws(3).map(key).collect();
+    assert_eq!(before, draws(0).map(key).collect::<Vec<_>>());
+    for (old, new) in before.iter().zip(&after) {
+        let want = match old {
+            0..11 => old + 33,
+            33..44 => old - 33,
+            _ => *old,
+        };
+        assert_eq!(*new, want);
+    }
+    let hottest = before.iter().filter(|key| **key < 11).count();
+    assert!(
+        hottest > 20_000 / 3,
+        "{hottest} requests for the hottest keys"
+    );
+}
+
+/// Guards against a script with a fault that is found only in the middle of a run.
+#[rstest]
+#[case("services: []", "no services")]
+#[case("services: [{name: a, path: a}]", "begin with /")]
+#[case("services: [{name: a, path: /, keys: 5}]", "key_header")]
+#[case("services: [{name: a, path: /, weight: 0}]", "weight")]
+#[case("services: [{name: a, path: /, odd: 1}]", "unknown field")]
+fn faulty_scripts_are_refused(#[case] text: &str, #[case] want: &str) {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text).unwrap();
+    let error = Script::read(file.path()).unwrap_err().to_string();
+    assert!(error.contains(want), "{error}");
+}
--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,208 @@
+//! Helpers of the tests: a scripted entry VM and a target that announces itself to it.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_standin::{
+    Grant,
+    Target,
+    TargetOptions, //
+};
+use camphordale_types::Side;
+use rouille::{
+    Request,
+    Response,
+    Server, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Longest wait for anything in a test.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until `done`, and fails the test if that takes too long.
+pub(crate) fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        thread::yield_now();
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct EntryState {
+    /// Status of all answers; 0 does what was asked.
+    pub(crate) status: u16,
+    pub(crate) grants: Vec<Grant>,
+    pub(crate) version: u64,
+    pub(crate) leaving: bool,
+    pub(crate) announced: Vec<Value>,
+    pub(crate) renewed: Vec<Value>,
+    pub(crate) session: u64,
+    /// Time between renewals in milliseconds.
+    pub(crate) renew_ms: u64,
+    pub(crate) lease_ms: u64,
+}
+
+/// An entry VM that answers by script.
+#[derive(Clone)]
+pub(crate) struct FakeEntry {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<EntryState>>,
+}
+
+impl FakeEntry {
+    pub(crate) fn start() -> Self {
+        let state = Arc::new(Mutex::new(EntryState {
+            renew_ms: 150,
+            lease_ms: 600,
+            ..EntryState::default()
+        }));
+        let shared = state.clone();
+        let server = Server::new("127.0.0.1:0", move |request| answer(&shared, request)).unwrap();
+        let address = server.server_addr();
+        thread::spawn(move || server.run());
+        FakeEntry { address, state }
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, EntryState> {
+        self.state.lock().unwrap()
+    }
+
+    /// Grants exactly shard `index` with `token`.
+    pub(crate) fn grant(&self, index: u32, token: &str) {
+        let mut state = self.state();
+        state.version += 1;
+        state.grants = vec![Grant {
+            service: "cat".into(),
+            shard: index,
+            token: token.parse().unwrap(),
+        }];
+    }
+}
+
+fn answer(state: &Mutex<EntryState>, request: &Request) -> Response {
+    let mut state = state.lock().unwrap();
+    if state.status != 0 {
+        return Response::json(&json!({"error": "scripted"})).with_status_code(state.status);
+    }
+    if request.header("authorization") != Some("Bearer k") {
+        return Response::json(&json!({"error": "bad key"})).with_status_code(401);
+    }
+    let body: Value = serde_json::from_reader(request.data().unwrap()).unwrap();
+    let path = request.url();
+    let session = format!("/v1/targets/{}", state.session);
+    let left = state.grants.len();
+    if path == "/v1/targets" {
+        state.session += 1;
+        state.announced.push(body);
+        return Response::json(&json!({
+            "target": state.session, "lease_ms": state.lease_ms, "renew_ms": state.renew_ms,
+            "grants_version": state.version, "grants": state.grants,
+        }));
+    }
+    if path == format!("{session}/drain") {
+        state.leaving = true;
+        return Response::json(&json!({"state": "leaving", "shards_left": left}));
+    }
+    if path != format!("{session}/renew") {
+        return Response::json(&json!({"error": "no session"})).with_status_code(404);
+    }
+    let mut answer = json!({
+        "lease_ms": state.lease_ms, "renew_ms": state.renew_ms, "grants_version": state.version,
+        "state": if state.leaving { "leaving" } else { "serving" }, "shards_left": left,
+    });
+    if body["grants_version"] != state.version {
+        answer["grants"] = json!(state.grants);
+    }
+    state.renewed.push(body);
+    Response::json(&answer)
+}
+
+pub(crate) fn options(entries: &[&FakeEntry]) -> TargetOptions {
+    TargetOptions {
+        name: "t".into(),
+        service: "cat".into(),
+        side: Side::New,
+        listen: ([127, 0, 0, 1], 0).into(),
+        entries: entries.iter().map(|entry| entry.address).collect(),
+        key: "k".into(),
+        slots: 2,
+        connections: 64,
+        checks_tokens: true,
+        work: Duration::ZERO,
+        body_size: 0,
+        key_header: "x-key".into(),
+        journal: None,
+    }
+}
+
+/// Answer to a request: status, outcome header and JSON body.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Got {
+    pub(crate) status: u16,
+    pub(crate) outcome: Option<String>,
+    pub(crate) request: Option<String>,
+    pub(crate) body: Value,
+}
+
+impl Got {
+    pub(crate) fn not_run(&self) -> bool {
+        self.status == 503 && self.outcome.as_deref() == Some("not-run")
+    }
+}
+
+/// Sends a POST with `headers` on a fresh connection.
+pub(crate) fn post(address: SocketAddr, headers: &[(&str, &str)]) -> Result<Got, ureq::Error> {
+    let agent = camphordale_standin::agent(None, PATIENCE);
+    let empty = agent.post(format!("http://{address}/cat"));
+    let request = headers
+        .iter()
+        .fold(empty, |r, (name, value)| r.header(*name, *value));
+    let mut answer = request.send("body")?;
+    let header = |name| {
+        let value = answer.headers().get(name);
+        value.map(|value| value.to_str().unwrap().to_owned())
+    };
+    Ok(Got {
+        status: answer.status().as_u16(),
+        outcome: header("camphordale-outcome"),
+        request: header("camphordale-request"),
+        body: {
+            let bytes = answer.body_mut().read_to_vec()?;
+            serde_json::from_slice(&bytes).unwrap_or(Value::Null)
+        },
+    })
+}
+
+/// Sends a request for shard 4 with `token`.
+pub(crate) fn keyed(target: &Target, token: &str) -> Got {
+    let headers = [
+        ("camphordale-request", "0d9f3c5be1a24f7788c1b20f6a7e4d13"),
+        ("camphordale-shard", "cat/4"),
+        ("camphordale-token", token),
+    ];
+    post(target.address(), &headers).unwrap()
+}
+
+/// Works a switch and returns the statistics.
+pub(crate) fn switch(address: SocketAddr, command: &str) -> Value {
+    let mut answer = ureq::get(format!("http://{address}/standin/{command}"))
+        .call()
+        .unwrap();
+    answer.body_mut().read_json().unwrap()
+}
--- /dev/null
+++ b/crates/standin/tests/switches.rs
@@ -0,0 +1,198 @@
+//! Faults of a target and what a client sees of them.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    collections::HashSet,
+    net::TcpStream,
+    sync::Arc,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_standin::Target;
+use common::{
+    FakeEntry,
+    options,
+    post,
+    switch,
+    until, //
+};
+use rstest::rstest;
+use ureq::Agent;
+
+const ID: &str = "0d9f3c5be1a24f7788c1b20f6a7e4d13";
+
+fn alone() -> Arc<Target> {
+    let mut options = options(&[]);
+    options.checks_tokens = false;
+    options.slots = 8;
+    options.body_size = 1000;
+    Target::start(options).unwrap()
+}
+
+fn agent(limit: u64) -> Agent {
+    camphordale_standin::agent(None, Duration::from_millis(limit))
+}
+
+/// Guards against a frozen target that still answers, or refuses connections.
+#[test]
+fn freeze_and_thaw() {
+    let target = alone();
+    switch(target.address(), "freeze");
+    assert!(TcpStream::connect(target.address()).is_ok());
+    let url = format!("http://{}/", target.address());
+    assert!(agent(100).get(&url).call().is_err());
+    assert_eq!(switch(target.address(), "stats")["runs"], 0);
+    switch(target.address(), "thaw");
+    assert_eq!(post(target.address(), &[]).unwrap().status, 200);
+}
+
+/// Guards against a frozen target that keeps its lease.
+#[test]
+fn freeze_stops_renewals() {
+    let entry = FakeEntry::start();
+    let target = Target::start(options(&[&entry])).unwrap();
+    until("it renews", || !entry.state().renewed.is_empty());
+    switch(target.address(), "freeze");
+    until("the lease runs out", || {
+        switch(target.address(), "stats")["lease_left_ms"] == 0
+    });
+    let renewed = entry.state().renewed.len();
+    switch(target.address(), "thaw");
+    until("it renews", || entry.state().renewed.len() > renewed);
+    assert_eq!(entry.state().announced.len(), 1);
+}
+
+/// Guards against a load report that is true while the target should lie.
+#[test]
+fn lie_reports_no_load() {
+    let entry = FakeEntry::start();
+    entry.state().lease_ms = 3_600_000;
+    let target = Target::start(options(&[&entry])).unwrap();
+    let address = target.address();
+    until("it serves", || post(address, &[]).unwrap().status == 200);
+    switch(address, "slow?ms=3600000");
+    let held = thread::spawn(move || post(address, &[]).unwrap());
+    let last = || {
+        entry
+            .state()
+            .renewed
+            .last()
+            .map(|body| body["running"].clone())
+    };
+    until("the load is reported", || last() == Some(1.into()));
+    switch(address, "lie");
+    until("no load is reported", || last() == Some(0.into()));
+    assert_eq!(switch(address, "stats")["running"], 1);
+    switch(address, "clear");
+    assert_eq!(held.join().unwrap().status, 200);
+}
+
+/// Guards against a switch that hits another share than asked for.
+#[rstest]
+#[case("shed?share=0.25", 5)]
+#[case("cut?share=0.5", 10)]
+#[case("crossed?share=0.1&mode=wrong-id", 2)]
+fn hits_its_share(#[case] command: &str, #[case] want: usize) {
+    let target = alone();
+    switch(target.address(), command);
+    let failed = (0..20).filter(
+        |_| match post(target.address(), &[("camphordale-request", ID)]) {
+            Ok(got) => got.status != 200 || got.request.as_deref() != Some(ID),
+            Err(_) => true,
+        },
+    );
+    assert_eq!(failed.count(), want);
+    switch(target.address(), "clear");
+    assert_eq!(post(target.address(), &[]).unwrap().status, 200);
+}
+
+/// Guards against a shed request that was run after all.
+#[test]
+fn shed_requests_do_not_run() {
+    let target = alone();
+    switch(target.address(), "shed");
+    assert!(post(target.address(), &[]).unwrap().not_run());
+    assert_eq!(switch(target.address(), "stats")["runs"], 0);
+}
+
+/// Guards against a cut answer that reads as whole.
+#[test]
+fn cut_answers_are_run_and_short() {
+    let target = alone();
+    switch(target.address(), "cut");
+    assert!(post(target.address(), &[]).is_err());
+    assert_eq!(switch(target.address(), "stats")["commits"], 1);
+}
+
+/// Guards against a late answer that still meets its deadline.
+#[test]
+fn late_answers_pass_the_deadline() {
+    let target = alone();
+    switch(target.address(), "late?ms=30");
+    let began = Instant::now();
+    let got = post(target.address(), &[("camphordale-deadline", "400")]).unwrap();
+    assert_eq!(got.status, 200);
+    assert!(began.elapsed() >= Duration::from_millis(430));
+}
+
+/// Guards against a swap that changes nothing: two requests get each other's answer, whole.
+#[test]
+fn crossed_answers_change_places() {
+    let target = alone();
+    let address = target.address();
+    switch(address, "crossed");
+    let ask = move |id: &'static str| {
+        loop {
+            // A swap waits a bounded time for a second request, so it can be missed.
+            let got = post(address, &[("camphordale-request", id)]).unwrap();
+            if got.request.as_deref() != Some(id) {
+                return got;
+            }
+        }
+    };
+    let other = thread::spawn(move || ask("bb"));
+    let got = [ask("aa"), other.join().unwrap()];
+    let ids: HashSet<_> = got.iter().map(|got| got.request.clone()).collect();
+    assert_eq!(ids, HashSet::from([Some("aa".into()), Some("bb".into())]));
+    for got in got {
+        assert_eq!(got.body["request"].as_str(), got.request.as_deref());
+    }
+}
+
+/// Guards against muted connections that come back, and new ones that do not work.
+#[test]
+fn mute_silences_present_connections_only() {
+    let target = alone();
+    let url = format!("http://{}/", target.address());
+    let old = agent(300);
+    assert!(
+        old.get(&url)
+            .call()
+            .unwrap()
+            .body_mut()
+            .read_to_vec()
+            .is_ok()
+    );
+    switch(target.address(), "mute");
+    let muted = old.get(&url).call();
+    assert!(matches!(muted, Err(ureq::Error::Timeout(_))), "{muted:?}");
+    assert_eq!(switch(target.address(), "stats")["runs"], 1);
+    assert!(agent(10_000).get(&url).call().is_ok());
+}
+
+/// Guards against a mistyped switch that a test believes to be on.
+#[rstest]
+#[case("nothing")]
+#[case("shed?share=many")]
+#[case("crossed?mode=odd")]
+fn unknown_switches_are_refused(#[case] command: &str) {
+    let target = alone();
+    let url = format!("http://{}/standin/{command}", target.address());
+    assert_eq!(agent(10_000).get(url).call().unwrap().status(), 400);
+}
