Refuse a caller without entry VMs or rate

Cause: the library divided by the number of entry VMs without a check; only the command line asked for one.

Change: run_caller returns an error that says what is missing.

Ruled out: a separate checked type for the options, which the other checks of the command line would not share.

--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -95,7 +95,8 @@
 ///
 /// # Errors
 ///
-/// Returns the error of opening or writing the records, or of starting a thread.
+/// Returns the error of opening or writing the records, or of starting a thread, and one for
+/// options without an entry VM or rate.
 ///
 /// # Examples
 ///
@@ -126,6 +127,10 @@
 /// # Ok::<(), std::io::Error>(())
 /// ```
 pub fn run_caller(options: CallerOptions) -> io::Result<Summary> {
+    if options.vms.is_empty() || options.rate.is_nan() || options.rate <= 0.0 {
+        let text = "a caller needs an entry VM and a rate above 0";
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, text));
+    }
     let writer = match &options.records {
         Some(path) => Some(LineWriter::open(path)?),
         None => None,
