--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -35,8 +35,9 @@
 /// Most probes at a time.
 const RUNNING: usize = 16;
 
-/// Path that a probe asks for; any HTTP answer shows that the target is alive.
-const PATH: &str = "/.well-known/camphordale";
+/// Method and path of a probe; any complete answer shows that the target is alive.
+const METHOD: &str = "OPTIONS";
+const PATH: &str = "*";
 
 /// Largest answer to a probe, in bytes.
 const ANSWER_SIZE: usize = 64 * 1024;
@@ -92,7 +93,7 @@
         return false;
     };
     let request = OutRequest {
-        method: "GET",
+        method: METHOD,
         path: PATH,
         headers: &[],
         body: &[],
--- a/crates/daemon/src/settings/fields.rs
+++ b/crates/daemon/src/settings/fields.rs
@@ -237,7 +237,7 @@
     ),
     field(
         "group.stall",
-        "250ms",
+        "100ms",
         "time that a sender may take between its last lease check and the write of a request",
     ),
     field(
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -70,6 +70,9 @@
         let state = Arc::new(Mutex::new(EntryState {
             renew_ms: 150,
             lease_ms: 600,
+            // Above the sequence numbers of the tokens that the tests use, as the version of a
+            // list of grants is above the tokens that it shows.
+            version: 100,
             ..EntryState::default()
         }));
         let shared = state.clone();
