store: Test failing disks, damage and restarts

Cause: the store had only doc examples.

Change: a disk in memory that writes 24 bytes at a time, fails from any chosen step on, and loses what was not synced when the power is cut. Random changes are compared with a naive version for a failure at every step. Torn tails are tried at every length and damage at every byte. A write of an AtomicFile that failed after the rename could be read before its name was durable; a read now syncs the directory.

Ruled out: real files for the random changes.

Conclusion: what is acknowledged survives a restart and a power failure in these trials; a failed or full disk acknowledges nothing.

--- a/crates/store/src/atomic.rs
+++ b/crates/store/src/atomic.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    /// Returns the value, or `None` if the file does not exist.
+    /// Returns the value, or `None` if the file does not exist. A value that was returned is
+    /// durable.
     ///
     /// # Errors
     ///
@@ -79,6 +80,8 @@
         let Some(content) = content else {
             return Ok(None);
         };
+        // A write that failed after the rename leaves a name that is not durable yet.
+        sync_dir(self.disk.as_ref(), &self.path)?;
         let corrupt = |offset: usize, reason| StoreError::Corrupt {
             path: self.path.clone(),
             offset: offset as u64,
@@ -139,10 +142,15 @@
     file.write_all(&content).map_err(at("write", &new))?;
     file.sync().map_err(at("sync", &new))?;
     disk.rename(&new, path).map_err(at("rename to", path))?;
+    sync_dir(disk, path)?;
+    Ok((file, content.len() as u64))
+}
+
+/// Makes the name of a file durable.
+pub(crate) fn sync_dir(disk: &dyn Disk, path: &Path) -> Result<(), StoreError> {
     let dir = match path.parent() {
         Some(dir) if !dir.as_os_str().is_empty() => dir,
         _ => Path::new("."),
     };
-    disk.sync_dir(dir).map_err(at("sync", dir))?;
-    Ok((file, content.len() as u64))
+    disk.sync_dir(dir).map_err(at("sync", dir))
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -27,7 +27,8 @@
     atomic::{
         aside,
         encode,
-        replace, //
+        replace,
+        sync_dir, //
     },
     disk::{
         Disk,
@@ -116,7 +117,7 @@
                 // A process that ended between write and sync left records that are only in the
                 // page cache.
                 file.sync().map_err(at("sync", &path))?;
-                disk.sync_dir(dir).map_err(at("sync", dir))?;
+                sync_dir(disk.as_ref(), &path)?;
                 (file, len, recovered)
             }
         };
--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,474 @@
+//! Tests of the store: restarts, damage to files, and disks that fail.
+
+#![allow(clippy::unwrap_used)] // `allow-unwrap-in-tests` does not reach helpers.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{
+        self,
+        Write, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+};
+
+use camphordale_raft::{
+    Entry,
+    HardState,
+    Payload,
+    Persist,
+    Recovered,
+    Snapshot, //
+};
+use camphordale_store::{
+    AtomicFile,
+    Disk,
+    DiskFile,
+    Identity,
+    Store,
+    StoreError, //
+};
+use proptest::{
+    prelude::*,
+    test_runner::RngSeed, //
+};
+use rstest::rstest;
+use tempfile::tempdir;
+
+/// A disk in memory that writes a few bytes at a time and fails after a number of steps. A step is
+/// a write, a sync, a rename or a sync of a directory.
+#[derive(Debug, Default)]
+struct State {
+    /// Contents, and how much of each is synced.
+    files: Vec<(Vec<u8>, usize)>,
+    names: BTreeMap<PathBuf, usize>,
+    /// The names that a power failure leaves.
+    synced: BTreeMap<PathBuf, usize>,
+    steps: usize,
+    fail_at: Option<usize>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Memory(Arc<Mutex<State>>);
+
+impl Memory {
+    fn step(&self) -> io::Result<MutexGuard<'_, State>> {
+        let mut state = self.0.lock().unwrap();
+        state.steps += 1;
+        match state.fail_at {
+            Some(at) if state.steps >= at => Err(io::ErrorKind::StorageFull.into()),
+            _ => Ok(state),
+        }
+    }
+
+    /// Lets the step `at` from now on and all later ones fail.
+    fn fail(&self, at: Option<usize>) {
+        let mut state = self.0.lock().unwrap();
+        (state.steps, state.fail_at) = (0, at);
+    }
+
+    /// Loses the names that were not synced, and half of each content that was not.
+    fn cut_power(&self) {
+        let mut state = self.0.lock().unwrap();
+        (state.names, state.fail_at) = (state.synced.clone(), None);
+        for (content, synced) in &mut state.files {
+            content.truncate(synced.midpoint(content.len()));
+            *synced = content.len();
+        }
+    }
+
+    fn open(&self, dir: &Path) -> Result<(Store, Recovered), StoreError> {
+        Store::open_on(Arc::new(self.clone()), dir)
+    }
+
+    fn get(&self, path: &Path) -> Vec<u8> {
+        self.read(path).unwrap().unwrap()
+    }
+
+    fn put(&self, path: &Path, content: &[u8]) {
+        let mut state = self.0.lock().unwrap();
+        let file = state.names[path];
+        state.files[file] = (content.to_vec(), content.len());
+    }
+}
+
+#[derive(Debug)]
+struct MemoryFile(Memory, usize);
+
+impl Write for MemoryFile {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let count = bytes.len().min(24);
+        self.0.step()?.files[self.1].0.extend(&bytes[..count]);
+        Ok(count)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl DiskFile for MemoryFile {
+    fn sync(&mut self) -> io::Result<()> {
+        let (content, synced) = &mut self.0.step()?.files[self.1];
+        *synced = content.len();
+        Ok(())
+    }
+
+    fn set_len(&mut self, len: u64) -> io::Result<()> {
+        let (content, synced) = &mut self.0.step()?.files[self.1];
+        content.truncate(len as usize);
+        *synced = content.len().min(*synced);
+        Ok(())
+    }
+}
+
+impl Disk for Memory {
+    fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>> {
+        let state = self.0.lock().unwrap();
+        Ok(state
+            .names
+            .get(path)
+            .map(|file| state.files[*file].0.clone()))
+    }
+
+    fn create(&self, path: &Path) -> io::Result<Box<dyn DiskFile>> {
+        let mut state = self.0.lock().unwrap();
+        state.files.push((Vec::new(), 0));
+        let file = state.files.len() - 1;
+        state.names.insert(path.into(), file);
+        Ok(Box::new(MemoryFile(self.clone(), file)))
+    }
+
+    fn append(&self, path: &Path) -> io::Result<Box<dyn DiskFile>> {
+        let file = self.0.lock().unwrap().names[path];
+        Ok(Box::new(MemoryFile(self.clone(), file)))
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        let mut state = self.step()?;
+        let file = state.names.remove(from).unwrap();
+        state.names.insert(to.into(), file);
+        Ok(())
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        self.0.lock().unwrap().names.remove(path);
+        Ok(())
+    }
+
+    fn sync_dir(&self, _path: &Path) -> io::Result<()> {
+        let mut state = self.step()?;
+        state.synced = state.names.clone();
+        Ok(())
+    }
+}
+
+fn entry(index: u64, data: Vec<u8>) -> Entry {
+    let payload = Payload::Data(data);
+    Entry {
+        index,
+        term: 1,
+        payload,
+    }
+}
+
+fn entries(first: u64, count: u64) -> Persist {
+    Persist {
+        entries: (first..first + count)
+            .map(|at| entry(at, vec![at as u8; 9]))
+            .collect(),
+        ..Persist::default()
+    }
+}
+
+/// A snapshot at `index`; `reset` drops the entries after it.
+fn snapshot(index: u64, reset: bool) -> Persist {
+    let data = vec![index as u8; 40];
+    let snapshot = Snapshot {
+        index,
+        term: 1,
+        data,
+        ..Snapshot::default()
+    };
+    Persist {
+        snapshot: Some(snapshot),
+        reset,
+        ..Persist::default()
+    }
+}
+
+fn hard(term: u64) -> Persist {
+    let hard = HardState {
+        term,
+        voted: Some(term),
+    };
+    Persist {
+        hard: Some(hard),
+        ..Persist::default()
+    }
+}
+
+/// The naive version of what a store holds.
+fn apply(state: &mut Recovered, persist: &Persist) {
+    state.hard = persist.hard.unwrap_or(state.hard);
+    if let Some(snapshot) = &persist.snapshot {
+        state
+            .entries
+            .retain(|entry| entry.index > snapshot.index && !persist.reset);
+        state.snapshot = Some(snapshot.clone());
+    }
+    for entry in &persist.entries {
+        state.entries.retain(|kept| kept.index < entry.index);
+        state.entries.push(entry.clone());
+    }
+}
+
+/// Turns raw numbers into a change that continues `state`.
+fn change(state: &Recovered, kind: u8, number: u64) -> Persist {
+    let base = state.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+    let len = state.entries.len() as u64;
+    match kind {
+        0 => hard(number),
+        1 if len > 0 => snapshot(base + 1 + number % len, false),
+        2 => snapshot(base + number, true),
+        _ => entries(base + 1 + number % (len + 1), 1 + number % 3),
+    }
+}
+
+/// Applies changes, with restarts between them, and fails at a step of the disk. After a power
+/// failure the disk must have what was acknowledged. Returns whether the step was reached.
+fn run(dir: &Path, steps: &[(u8, u64, bool)], fail_at: usize) -> bool {
+    let disk = Memory::default();
+    let (mut store, mut state) = disk.open(dir).unwrap();
+    let mut next = state.clone();
+    disk.fail(Some(fail_at));
+    let mut failed = false;
+    for (kind, number, reopen) in steps {
+        if *reopen {
+            drop(store);
+            match disk.open(dir) {
+                Ok((opened, found)) => {
+                    assert_eq!(found, state);
+                    store = opened;
+                }
+                Err(error) => {
+                    assert!(matches!(error, StoreError::Io { .. }));
+                    disk.cut_power();
+                    assert_eq!(disk.open(dir).unwrap().1, state);
+                    return true;
+                }
+            }
+        }
+        let persist = change(&state, *kind, *number);
+        apply(&mut next, &persist);
+        if store.persist(&persist).is_err() {
+            let again = store.persist(&Persist::default());
+            assert!(matches!(again, Err(StoreError::Failed { .. })));
+            failed = true;
+            break;
+        }
+        state = next.clone();
+    }
+    drop(store);
+    if failed && fail_at.is_multiple_of(2) {
+        // What a restart finds stays, although its sync had failed before.
+        disk.fail(None);
+        let (_, found) = disk.open(dir).unwrap();
+        assert!(found == state || found == next);
+        (state, next) = (found.clone(), found);
+    }
+    disk.cut_power();
+    let (_, found) = disk.open(dir).unwrap();
+    assert!(found == state || found == next);
+    failed
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against any difference from the naive version, over restarts and after a failure of
+    /// any step: the store then refuses work, and a restart finds the state before or after.
+    #[test]
+    fn a_store_holds_what_it_acknowledged(
+        steps in prop::collection::vec((0..8u8, 0..9u64, any::<bool>()), 1..14),
+    ) {
+        let dir = tempdir().unwrap();
+        let reached = (1..).take_while(|fail_at| run(dir.path(), &steps, *fail_at)).count();
+        prop_assert!(reached > 0);
+    }
+}
+
+/// Writes three records and returns their offsets, with the end of the log.
+fn three_records(disk: &Memory, dir: &Path) -> [u64; 4] {
+    let (mut store, _) = disk.open(dir).unwrap();
+    let mut offsets = [store.size(); 4];
+    for (at, persist) in [hard(5), entries(1, 3), entries(4, 2)].iter().enumerate() {
+        store.persist(persist).unwrap();
+        offsets[at + 1] = store.size();
+    }
+    offsets
+}
+
+/// Guards against a store that does not open after a crash in the middle of a write, or that
+/// keeps half a record.
+#[test]
+fn a_torn_tail_is_truncated() {
+    let (dir, disk) = (tempdir().unwrap(), Memory::default());
+    let [_, _, start, end] = three_records(&disk, dir.path());
+    let log = dir.path().join("log");
+    let content = disk.get(&log);
+    for len in start..end {
+        disk.put(&log, &content[..len as usize]);
+        let (mut store, found) = disk.open(dir.path()).unwrap();
+        assert_eq!((found.entries.len(), store.size()), (3, start));
+        store.persist(&entries(4, 2)).unwrap();
+        assert_eq!(disk.get(&log), content);
+    }
+}
+
+/// Guards against acknowledged records that vanish because one before them is damaged, and
+/// against a lone first record that is taken for a torn tail.
+#[test]
+fn corruption_before_a_valid_record_is_refused() {
+    let (dir, disk) = (tempdir().unwrap(), Memory::default());
+    let [hard, middle, last, _] = three_records(&disk, dir.path());
+    let log = dir.path().join("log");
+    let content = disk.get(&log);
+    for at in 0..last {
+        let mut damaged = content.clone();
+        damaged[at as usize] ^= 0x10;
+        disk.put(&log, &damaged);
+        let starts = [0, 8, hard, middle];
+        let expected = starts.into_iter().rfind(|start| *start <= at);
+        match disk.open(dir.path()) {
+            Err(StoreError::Corrupt { path, offset, .. }) => {
+                assert_eq!((path, Some(offset)), (log.clone(), expected));
+            }
+            other => panic!("byte {at}: {other:?}"),
+        }
+    }
+    disk.put(&log, &content[..10]);
+    assert!(matches!(
+        disk.open(dir.path()),
+        Err(StoreError::Corrupt { offset: 8, .. })
+    ));
+}
+
+/// Guards against bytes of a command that look like a record and turn a torn tail into corruption.
+#[test]
+fn a_copy_of_the_log_in_a_command_is_not_a_record() {
+    let (dir, disk) = (tempdir().unwrap(), Memory::default());
+    three_records(&disk, dir.path());
+    let log = dir.path().join("log");
+    let copy = disk.get(&log);
+    let (mut store, _) = disk.open(dir.path()).unwrap();
+    let persist = Persist {
+        entries: vec![entry(6, copy)],
+        ..Persist::default()
+    };
+    store.persist(&persist).unwrap();
+    drop(store);
+    let content = disk.get(&log);
+    disk.put(&log, &content[..content.len() - 1]);
+    assert_eq!(disk.open(dir.path()).unwrap().1.entries.len(), 5);
+}
+
+/// Guards against two processes that write the same log.
+#[test]
+fn a_directory_is_opened_once() {
+    let dir = tempdir().unwrap();
+    let first = Store::open(dir.path()).unwrap();
+    let second = Store::open(dir.path());
+    assert!(matches!(second, Err(StoreError::Locked { .. })));
+    drop(first);
+    Store::open(dir.path()).unwrap();
+}
+
+/// Guards against a log that grows without bound.
+#[test]
+fn snapshots_bound_the_log() {
+    let (dir, disk) = (tempdir().unwrap(), Memory::default());
+    let (mut store, _) = disk.open(dir.path()).unwrap();
+    for round in 0..100 {
+        store.persist(&entries(1 + round * 20, 20)).unwrap();
+        store.persist(&snapshot((round + 1) * 20, false)).unwrap();
+        assert!(store.size() < 200);
+    }
+}
+
+/// Guards against entries that do not continue the log; nothing of them may be written.
+#[rstest]
+#[case::after_a_gap(entries(5, 1))]
+#[case::below_the_snapshot(entries(1, 1))]
+#[case::older_snapshot(snapshot(1, false))]
+fn a_gap_is_refused(#[case] persist: Persist) {
+    let (dir, disk) = (tempdir().unwrap(), Memory::default());
+    let (mut store, _) = disk.open(dir.path()).unwrap();
+    store.persist(&entries(1, 3)).unwrap();
+    store.persist(&snapshot(2, false)).unwrap();
+    let size = store.size();
+    assert!(matches!(
+        store.persist(&persist),
+        Err(StoreError::Gap { .. })
+    ));
+    assert_eq!(store.size(), size);
+    store.persist(&entries(4, 1)).unwrap();
+}
+
+/// Guards against a small file that is lost, half written, or believed although it is damaged.
+#[test]
+fn an_atomic_file_has_the_old_or_the_new_value() {
+    let path = Path::new("bundle");
+    let disk = Memory::default();
+    let file = AtomicFile::<u64>::on(Arc::new(disk.clone()), path);
+    for fail_at in 1..8 {
+        file.write(&1).unwrap();
+        disk.fail(Some(fail_at));
+        let written = file.write(&2).is_ok();
+        disk.fail(None);
+        if fail_at.is_multiple_of(3) {
+            disk.cut_power();
+        }
+        let value = file.read().unwrap();
+        assert!(value == Some(2) || (value == Some(1) && !written));
+        disk.cut_power();
+        assert_eq!(file.read().unwrap(), value);
+    }
+    let mut content = disk.get(path);
+    *content.last_mut().unwrap() ^= 1;
+    disk.put(path, &content);
+    match file.read() {
+        Err(StoreError::Corrupt {
+            path: named,
+            offset,
+            ..
+        }) => assert_eq!((&*named, offset), (path, 8)),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a lost disk that comes back under the old identity, and a damaged one that is
+/// replaced in silence.
+#[test]
+fn a_lost_disk_gives_a_new_identity() {
+    let dir = tempdir().unwrap();
+    assert_eq!(Identity::open(dir.path(), 7).unwrap().member, 7);
+    assert_eq!(Identity::open(dir.path(), 8).unwrap().member, 7);
+    fs::write(dir.path().join("identity"), b"").unwrap();
+    assert!(Identity::open(dir.path(), 8).is_err());
+    let other = tempdir().unwrap();
+    assert_eq!(Identity::open(other.path(), 8).unwrap().member, 8);
+}
