raft: Let a learner with the only complete log end a standstill

Cause: stood still with one of three voters lost. The lost leader had reached only a learner, so the learner accepted no other log, while the only voter with all committed entries needed the learner's vote for a promotion that was not committed.

Change: a member without a vote stands for election too, two least election times later than a voter. It is never counted, and steps down as soon as its log is committed. A member whose removal is not known to be committed waits equally long now.

Ruled out: learners as voters of their own election; the quorum stays that of the configuration.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -14,11 +14,22 @@
     },
 };
 
+/// Least election times that a member without a vote waits longer than a voter, so that a voter
+/// that can win does so first.
+const PATIENCE: u32 = 2;
+
 impl Raft {
-    /// Starts a pre-vote, if this member may be needed as a leader.
+    /// Starts a pre-vote.
+    ///
+    /// A member without a vote, a learner or one whose removal is not known to be committed, may
+    /// hold the only log that the voters accept: a lost leader may have reached no other member.
+    /// It stands for election late, and leads only until its log is committed.
     pub(crate) fn call_election(&mut self, out: &mut Vec<Effect>) {
-        if !self.log.may_lead(self.config.id, self.commit) {
-            return;
+        if !self.members().voters.contains(&self.config.id) {
+            let late = self.deadline + self.config.election * PATIENCE;
+            if self.now < late || !self.log.has_member(self.config.id, self.commit) {
+                return;
+            }
         }
         if self.is_sole_voter() {
             self.campaign(out);
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -141,16 +141,16 @@
         }
     }
 
-    /// Whether `id` is a voter, or was one before a removal that is not known to be committed. In
-    /// the latter case it may be the only member with a log that the other voters accept, so
-    /// without it the group could be stuck.
-    pub(crate) fn may_lead(&self, id: MemberId, commit: u64) -> bool {
+    /// Whether `id` is a member, or was one before a removal that is not known to be committed.
+    pub(crate) fn has_member(&self, id: MemberId, commit: u64) -> bool {
         let mut configs = self.configs.iter().rev();
-        let voter = |config: Option<&(u64, Members)>| {
-            config.is_some_and(|(_, members)| members.voters.contains(&id))
+        let member = |config: Option<&(u64, Members)>| {
+            config.is_some_and(|(_, members)| {
+                members.voters.contains(&id) || members.learners.contains(&id)
+            })
         };
         let last = configs.next();
-        voter(last) || (last.is_some_and(|(at, _)| *at > commit) && voter(configs.next()))
+        member(last) || (last.is_some_and(|(at, _)| *at > commit) && member(configs.next()))
     }
 
     /// Makes `data` the snapshot at `index` and keeps at most `keep` entries below it. Returns
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -43,15 +43,15 @@
         (done && !members.voters.is_empty()).then_some(members)
     }
 
-    /// Carries out what follows from the commit of a change: members that left are told and
-    /// forgotten, and a leader that left steps down.
+    /// Carries out what follows from a commit after which all changes are committed: members that
+    /// left are told and forgotten, and a leader without a vote steps down.
     pub(crate) fn finish_change(&mut self, before: u64, out: &mut Vec<Effect>) {
         let (index, members) = self.log.config();
-        if index <= before || index > self.commit {
+        let leaves = !members.voters.contains(&self.config.id);
+        if index > self.commit || (index <= before && !leaves) {
             return;
         }
         let members = members.clone();
-        let leaves = !members.voters.contains(&self.config.id);
         let Some(lead) = &self.lead else { return };
         let kept = |id: &u64| members.voters.contains(id) || members.learners.contains(id);
         let left: Vec<u64> = lead
