store: Test a member and its store together

Cause: the reducer and the store were only tested apart.

Change: a group of one on real files runs four times, compacts in each run, and must hold every command once after each restart.

Ruled out: hundreds of commands per run; each is synced.

--- /dev/null
+++ b/crates/store/tests/restart.rs
@@ -0,0 +1,98 @@
+//! A member and its store together.
+
+use std::{
+    path::Path,
+    time::Duration, //
+};
+
+use camphordale_raft::{
+    Config,
+    Effect,
+    Event,
+    Members,
+    Payload,
+    Persist,
+    Raft,
+    Recovered,
+    Snapshot, //
+};
+use camphordale_store::Store;
+use tempfile::tempdir;
+
+/// Entries applied by one run of a process, as text.
+type Applied = Vec<Vec<u8>>;
+
+fn carry_out(store: &mut Store, applied: &mut Applied, effects: Vec<Effect>) {
+    for effect in effects {
+        match effect {
+            Effect::Persist(persist) => store.persist(&persist).expect("the disk works"),
+            Effect::Apply {
+                payload: Payload::Data(data),
+                ..
+            } => applied.push(data),
+            _ => {}
+        }
+    }
+}
+
+/// Runs a group of one until it has taken `commands`, and compacts in the middle. Returns what
+/// the state machine holds at the end.
+fn run(dir: &Path, commands: std::ops::Range<u32>) -> Applied {
+    let (mut store, mut recovered) = Store::open(dir).expect("the store opens");
+    if recovered == Recovered::default() {
+        let members = Members {
+            voters: [1].into(),
+            ..Members::default()
+        };
+        recovered.snapshot = Some(Snapshot {
+            members,
+            ..Snapshot::default()
+        });
+        let snapshot = recovered.snapshot.clone();
+        let persist = Persist {
+            snapshot,
+            ..Persist::default()
+        };
+        store.persist(&persist).expect("the disk works");
+    }
+    let snapshot = recovered.snapshot.iter();
+    let data = snapshot.flat_map(|snapshot| snapshot.data.chunks(4));
+    let mut applied: Applied = data.map(<[u8]>::to_vec).collect();
+    let config = Config {
+        id: 1,
+        election: Duration::from_millis(400),
+        heartbeat: Duration::from_millis(100),
+        batch: 64,
+        seed: 1,
+    };
+    let mut raft = Raft::new(config, recovered);
+    let middle = commands.start.midpoint(commands.end);
+    for now in [0, 400] {
+        let effects = raft.step(Event::Tick, Duration::from_millis(now));
+        carry_out(&mut store, &mut applied, effects);
+    }
+    for command in commands {
+        let data = command.to_le_bytes().to_vec();
+        let propose = Event::Propose { id: 1, data };
+        let effects = raft.step(propose, Duration::from_millis(401));
+        carry_out(&mut store, &mut applied, effects);
+        if command == middle {
+            let (index, data) = (raft.applied(), applied.concat());
+            let effects = raft.step(Event::Compact { index, data }, Duration::from_millis(401));
+            carry_out(&mut store, &mut applied, effects);
+        }
+    }
+    applied
+}
+
+/// Guards against entries that are lost or applied twice when a member restarts from a snapshot
+/// and the log after it.
+#[test]
+fn a_member_restarts_from_its_store() {
+    let dir = tempdir().expect("a directory");
+    for runs in 1..=4u32 {
+        let applied = run(dir.path(), (runs - 1) * 60..runs * 60);
+        let expected: Applied = (0..runs * 60).map(|at| at.to_le_bytes().to_vec()).collect();
+        assert_eq!(applied, expected);
+    }
+}
