--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::types::{
     Entry,
+    MemberId,
     Members,
     Payload,
     Snapshot, //
@@ -140,6 +141,18 @@
         }
     }
 
+    /// Whether `id` is a member, or was one before a removal that is not known to be committed.
+    pub(crate) fn has_member(&self, id: MemberId, commit: u64) -> bool {
+        let mut configs = self.configs.iter().rev();
+        let member = |config: Option<&(u64, Members)>| {
+            config.is_some_and(|(_, members)| {
+                members.voters.contains(&id) || members.learners.contains(&id)
+            })
+        };
+        let last = configs.next();
+        member(last) || (last.is_some_and(|(at, _)| *at > commit) && member(configs.next()))
+    }
+
     /// Makes `data` the snapshot at `index` and keeps at most `keep` entries below it. Returns
     /// `None` if there is no entry at `index` above the present snapshot.
     pub(crate) fn compact(&mut self, index: u64, data: Vec<u8>, keep: usize) -> Option<&Snapshot> {
