--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -43,8 +43,8 @@
 impl Candidate {
     /// Returns the slots that may be used during warm-up; at least one while the share is not 0.
     pub fn room(&self) -> u32 {
-        let warm = f64::from(self.warm).clamp(LEAST_WARM, 1.0);
-        (f64::from(self.share) * warm).ceil() as u32
+        // In f64 a tenth of ten slots would be a little above one and count as two.
+        (self.share as f32 * self.warm.clamp(LEAST_WARM as f32, 1.0)).ceil() as u32
     }
 
     /// Tells whether it has a free slot.
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -10,7 +10,7 @@
 
 /// Part of the mean rate that every shard counts for besides its own rate. It spreads shards
 /// that have no requests at the moment.
-const BASE_RATE: f64 = 0.1;
+const BASE_RATE: f64 = 0.02;
 
 /// Load of each target relative to its capacity; 1.0 is the mean of its side.
 pub(crate) struct Loads {
--- a/crates/placement/src/place.rs
+++ b/crates/placement/src/place.rs
@@ -18,12 +18,12 @@
 
 use crate::load::Loads;
 
-/// Load above the mean from which held shards may move. Rates are measured and fluctuate; without
-/// a range in which nothing moves, shards would move to and fro.
-const HIGH: f64 = 1.08;
+/// Loads relative to the mean below or above which held shards start to move. Rates are measured
+/// and fluctuate; without a range in which nothing moves, shards would move to and fro.
+const START: (f64, f64) = (0.85, 1.1);
 
-/// Load below the mean from which held shards may move, for targets that joined.
-const LOW: f64 = 0.85;
+/// Loads within which moves stop again.
+const STOP: (f64, f64) = (0.93, 1.05);
 
 /// Bounds of the difference of loads that a move must gain besides the moved load itself. Above
 /// the upper bound a ratio of maximum to mean of 1.15 could not be reached.
@@ -228,14 +228,15 @@
             let mut from: Vec<usize> = (0..self.held.len())
                 .filter(|&at| self.input.targets[at].side == side)
                 .collect();
-            let uneven = |plan: &Self, at: &usize| {
-                let load = plan.loads.relative(*at);
-                load > HIGH || load < LOW && plan.input.targets[*at].open
-            };
-            if !from.iter().any(|at| uneven(self, at)) {
+            if self.even(&from, START) {
                 continue;
             }
-            while left > 0 {
+            // When only a new target is to be filled, the others need not get closer than they were.
+            let stop = match self.even(&from, (0.0, START.1)) {
+                true => (STOP.0, START.1),
+                false => STOP,
+            };
+            while left > 0 && !self.even(&from, stop) {
                 let Some(high) = max_by_load(&self.loads, &from) else {
                     break;
                 };
@@ -251,6 +252,14 @@
         }
     }
 
+    /// Tells whether all loads of `targets` are within `bounds`.
+    fn even(&self, targets: &[usize], bounds: (f64, f64)) -> bool {
+        targets.iter().all(|&at| {
+            let load = self.loads.relative(at);
+            load <= bounds.1 && (load >= bounds.0 || !self.input.targets[at].open)
+        })
+    }
+
     /// Returns the move from target `high` that lowers the cost most.
     fn best_move(&self, side: Side, high: usize) -> Option<(usize, usize)> {
         let low = self
