Make tokens grow with the log and free shards only when requests ended

Tokens of a shard went back on a move between targets whose senders were appointed under different homes. Change: the term of a token is the largest since of the service's homes; a lost target counts as over only if it has not announced itself again; a shard is freed a stall margin after the report also when nothing is outstanding. Ruled out: freeing at once on a drained report; the leader cannot tell an answer from a deadline that passed.

--- a/crates/domain/src/leader.rs
+++ b/crates/domain/src/leader.rs
@@ -116,6 +116,8 @@
 struct Report {
     token: Token,
     holder: SessionId,
+    /// When it was received.
+    at: Duration,
     /// When the last request that it sent has ended.
     clear: Duration,
 }
@@ -385,21 +387,21 @@
         let Some(holder) = target.holder else {
             return;
         };
-        let mut clear = match clear {
-            Duration::ZERO => now,
-            clear => now + clear + self.config.stall,
+        // Also when nothing is outstanding: a request whose deadline passed at the sender was
+        // written up to a stall margin after its check, and ends that much later at the target.
+        let mut report = Report {
+            token,
+            holder,
+            at: now,
+            clear: now + clear + self.config.stall,
         };
         if let Some(earlier) = self.released.get(&shard)
             && earlier.token == token
             && earlier.holder == holder
         {
-            clear = clear.min(earlier.clear);
+            report.at = earlier.at;
+            report.clear = report.clear.min(earlier.clear);
         }
-        let report = Report {
-            token,
-            holder,
-            clear,
-        };
         self.released.insert(shard, report);
     }
 }
--- a/crates/domain/src/leader/shards.rs
+++ b/crates/domain/src/leader/shards.rs
@@ -120,11 +120,7 @@
         let Some(target) = state.target(owner) else {
             return true;
         };
-        let over = target.info.spec.checks_tokens
-            && target.info.state == TargetState::Lost
-            && now >= self.leases.target_end(owner);
-        // A new process of a lost target at the same address knows no tokens yet, so senders
-        // must have stopped in either case.
+        let over = self.is_over(state, target, now);
         let running = match over {
             true => Duration::ZERO,
             false => state.deadline(&shard.service),
@@ -142,11 +138,29 @@
             .get(shard)
             .filter(|r| r.token == entry.token && r.holder == holder);
         match report {
-            Some(report) => over || now >= report.clear,
+            Some(report) => now >= report.clear || over && now >= report.at + self.config.stall,
             None => target.sender.is_none() && ended(self.leases.vm_end(holder)),
         }
     }
 
+    /// Tells whether no request that was sent to `target` runs any more.
+    ///
+    /// That is so when it checks tokens and its lease has run out, unless it announced itself
+    /// again: a new process at the same address knows no tokens yet, has a lease, and may have
+    /// accepted requests that were meant for the old one.
+    fn is_over(&self, state: &State, target: &TargetEntry, now: Duration) -> bool {
+        let info = &target.info;
+        let again = |other: &TargetEntry| {
+            other.info.id != info.id
+                && (other.info.spec.name == info.spec.name
+                    || other.info.spec.address == info.spec.address)
+        };
+        info.spec.checks_tokens
+            && info.state == TargetState::Lost
+            && now >= self.leases.target_end(info.id)
+            && !state.targets().any(again)
+    }
+
     /// Assigns free shards and, from time to time, moves others for balance.
     fn place(&mut self, state: &State, service: &Service, free: bool, now: Duration) {
         let due = now >= self.elected + MEASURE
--- a/crates/domain/src/state.rs
+++ b/crates/domain/src/state.rs
@@ -66,9 +66,6 @@
     deadlines: BTreeMap<ServiceName, Duration>,
     /// Services of which a shard was assigned by this group.
     opened: BTreeSet<ServiceName>,
-    /// Largest `since` of any home seen, so that the token of a sender's right is above the
-    /// tokens of all shards that the target owns.
-    newest_home: u64,
     vms: BTreeMap<VmId, VmSession>,
     targets: BTreeMap<TargetId, TargetEntry>,
     homes: BTreeMap<ServiceName, Homes>,
@@ -154,6 +151,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Homes {
     version: u64,
+    /// Largest `since` of any home seen.
+    newest: u64,
     shards: BTreeMap<ShardIndex, ShardEntry>,
 }
 
@@ -189,7 +188,6 @@
             services: BTreeMap::new(),
             deadlines: BTreeMap::new(),
             opened: BTreeSet::new(),
-            newest_home: 0,
             vms: BTreeMap::new(),
             targets: BTreeMap::new(),
             homes: BTreeMap::new(),
@@ -333,6 +331,20 @@
         self.records.until(name, index, limit)
     }
 
+    /// Returns the token of a grant made by the command that is being applied.
+    ///
+    /// Its term is not below the `since` of any home of the service, so that all tokens of the
+    /// service in this group grow with the log, those of shards and those of senders alike. A
+    /// home that moved on has a larger `since` than any in the lists that named it here.
+    fn new_token(&self, service: &str) -> Token {
+        let newest = self.homes.get(service).map_or(0, |homes| homes.newest);
+        Token {
+            term: self.term.max(newest),
+            epoch: self.epoch,
+            seq: self.index,
+        }
+    }
+
     fn touch(&mut self) {
         self.layout = self.index;
     }
--- a/crates/domain/src/state/apply.rs
+++ b/crates/domain/src/state/apply.rs
@@ -200,6 +200,10 @@
         let Some(session) = self.vms.get(&sender) else {
             return Outcome::Refused("the VM has no session".into());
         };
+        let Some(service) = self.targets.get(&id).map(|t| &t.info.spec.service) else {
+            return Outcome::Refused("the target has no session".into());
+        };
+        let token = self.new_token(service);
         let Some(target) = self.targets.get_mut(&id) else {
             return Outcome::Refused("the target has no session".into());
         };
@@ -211,11 +215,7 @@
         }
         target.sender = Some(sender);
         target.former = target.holder.replace(session.id);
-        target.token = Token {
-            term: self.term.max(self.newest_home),
-            epoch: self.epoch,
-            seq: self.index,
-        };
+        target.token = token;
         target.changed = self.index;
         self.touch();
         Outcome::Done
--- a/crates/domain/src/state/shards.rs
+++ b/crates/domain/src/state/shards.rs
@@ -37,7 +37,7 @@
         homes.version = version;
         let listed: BTreeSet<ShardIndex> = shards.iter().map(|s| s.index).collect();
         for home in shards {
-            self.newest_home = self.newest_home.max(home.since);
+            homes.newest = homes.newest.max(home.since);
             match homes.shards.get_mut(&home.index) {
                 None => {
                     let shard = ShardEntry {
@@ -127,7 +127,7 @@
     }
 
     pub(super) fn assign(&mut self, shard: &ShardRef, expect: Token, owner: TargetId) -> Outcome {
-        let (term, epoch, seq) = (self.term, self.epoch, self.index);
+        let token = self.new_token(&shard.service);
         let Some(service) = self.services.get(&shard.service).filter(|s| s.is_keyed()) else {
             return Outcome::Refused("no service with keys of this name is in force".into());
         };
@@ -147,11 +147,7 @@
         if entry.phase != Phase::Free || entry.leaving || !entry.listed {
             return Outcome::Refused("the shard is not free".into());
         }
-        entry.token = Token {
-            term: term.max(entry.since),
-            epoch,
-            seq,
-        };
+        entry.token = token;
         self.set_phase(shard, Phase::Held(owner));
         if let Some(target) = self.targets.get_mut(&owner) {
             target.owned += 1;
