Test the domain state and leader with random histories

Cause: ownership, tokens and records need evidence under failures. Change: tests/histories.rs simulates a log, old and new leaders, VMs that write by their own lease and view, and targets that check tokens or not; after each step it checks owners, tokens, assignments and records, and after a single loss that every shard is served within 1 s. tests/state.rs compares the state with a naive reading of the history. Ruled out: relying on the node to filter reports by incarnation. Conclusion: with a move under way when its sender is lost, a shard waits for the deadline, so the bound of 1 s is checked at rest.

--- a/crates/domain/src/leader.rs
+++ b/crates/domain/src/leader.rs
@@ -250,10 +250,16 @@
             }
             Event::Released {
                 vm,
+                incarnation,
                 shard,
                 token,
                 clear,
-            } => self.released(state, vm, shard, token, clear, now),
+            } => {
+                let current = state.vm(vm).is_some_and(|s| s.incarnation == incarnation);
+                if current {
+                    self.released(state, vm, shard, token, clear, now);
+                }
+            }
             Event::Load { vm, shards } => {
                 if state.vm(vm).is_some() {
                     for (service, index, count) in shards {
--- a/crates/domain/src/leader/sessions.rs
+++ b/crates/domain/src/leader/sessions.rs
@@ -44,13 +44,15 @@
     /// group, so the deadline counts whatever the targets known here say.
     pub(super) fn served_before(&self, state: &State, name: &str, now: Duration) -> bool {
         let sent = self.elected + QUORUM_TAIL + self.config.vm + self.config.stall;
-        self.reformed
-            && !state.opened(name)
-            && now < self.old_leases_end().max(sent + state.deadline(name))
+        let end = self.old_leases_end().max(sent + state.deadline(name));
+        // Without a bundle the deadlines are not known.
+        self.reformed && !state.opened(name) && (now < end || state.version() == 0)
     }
 
     pub(super) fn expire_sessions(&mut self, state: &State, now: Duration) {
-        if now < self.old_leases_end() {
+        // Once this group has assigned a shard, an earlier leader has waited for the old leases.
+        let opened = state.services().any(|s| state.opened(&s.name));
+        if !opened && now < self.old_leases_end() {
             return;
         }
         for (vm, session) in state.vms() {
--- a/crates/domain/src/leader/shards.rs
+++ b/crates/domain/src/leader/shards.rs
@@ -55,6 +55,8 @@
         });
         for name in state.homed() {
             let service = state.service(name).filter(|s| s.is_keyed());
+            // Neither this nor another domain may own a shard that a replaced group still serves.
+            let served = self.served_before(state, name, now);
             let mut free = false;
             for (index, entry) in state.shards(name) {
                 let shard = || ShardRef::new(name, index);
@@ -74,6 +76,7 @@
                             self.propose(Subject::Shard(shard), entry.changed, command, now);
                         }
                     }
+                    Phase::Free if served => {}
                     Phase::Free if entry.leaving => {
                         let command = Command::Park {
                             shard: shard(),
@@ -89,7 +92,7 @@
                 }
             }
             if let Some(service) = service
-                && !self.served_before(state, name, now)
+                && !served
             {
                 self.place(state, service, free, now);
             }
--- a/crates/domain/src/leader_api.rs
+++ b/crates/domain/src/leader_api.rs
@@ -70,11 +70,13 @@
         target: TargetId,
     },
     /// A sender has stopped sending for a releasing shard. A sender repeats it until the shard is
-    /// no longer releasing, because a new leader knows nothing of earlier reports. Reports of an
-    /// incarnation without the VM's session must not be passed on.
+    /// no longer releasing, because a new leader knows nothing of earlier reports.
     Released {
         /// The reporting VM.
         vm: VmId,
+        /// The run of its process. A restarted process knows nothing of the requests that the
+        /// one before it sent.
+        incarnation: Incarnation,
         /// The shard.
         shard: ShardRef,
         /// The token under which it was releasing.
--- a/crates/domain/src/state.rs
+++ b/crates/domain/src/state.rs
@@ -255,9 +255,15 @@
         self.services.get(name)
     }
 
-    /// Returns the longest deadline that service `name` has had under this group.
+    /// Returns the longest deadline that service `name` has had under this group. For a service
+    /// that this group never had in force, it is the longest of all.
     pub fn deadline(&self, name: &str) -> Duration {
-        self.deadlines.get(name).copied().unwrap_or_default()
+        let longest = || self.deadlines.values().max();
+        self.deadlines
+            .get(name)
+            .or_else(longest)
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Tells whether this group has assigned a shard of service `name`.
--- /dev/null
+++ b/crates/domain/tests/state.rs
@@ -0,0 +1,451 @@
+//! The replicated state against a naive version that reads the whole history of commands.
+
+// clippy.toml allows `unwrap` in test functions, but not in the helpers of an integration test.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use camphordale_domain::{
+    Command,
+    HomedShard,
+    Outcome,
+    Phase,
+    State,
+    StoredAnswer,
+    View, //
+};
+use camphordale_types::{
+    Digest,
+    KeySource,
+    Repeat,
+    Route,
+    Service,
+    ShardRef,
+    Side,
+    TargetId,
+    TargetSpec,
+    TargetState,
+    Token,
+    VmId,
+    Weights, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use rstest::rstest;
+
+const TERM: u64 = 50;
+const SHARDS: u32 = 4;
+
+type Entry = (u64, u64, Command, Outcome);
+
+fn service(new_percent: u8) -> Service {
+    Service {
+        name: "s".into(),
+        route: Route {
+            prefix: "/".into(),
+            host: None,
+        },
+        key: KeySource::Segment(0),
+        shards: SHARDS,
+        hot_keys: Vec::new(),
+        repeat: Repeat::Never,
+        deadline: Duration::from_secs(1),
+        domain_lease: None,
+        record_life: Duration::from_secs(10),
+        new_percent,
+        slots: 4,
+        connections: 10,
+        queue: 10,
+        warm_up: Duration::ZERO,
+        weights: Weights {
+            imbalance: 1.0,
+            churn: 1.0,
+            unavailable: 1.0,
+        },
+    }
+}
+
+fn spec(name: u8, side: Side) -> TargetSpec {
+    TargetSpec {
+        name: format!("t{name}").into(),
+        service: "s".into(),
+        side,
+        address: ([127, 0, 0, 1], u16::from(name)).into(),
+        checks_tokens: name.is_multiple_of(2),
+        slots: 4,
+    }
+}
+
+/// Draws a command that often, but not always, fits the state.
+fn draw(random: &mut StdRng, state: &State, index: u64) -> Command {
+    let shard = ShardRef::new("s", random.random_range(0..SHARDS + 1));
+    let known = state.shard(&shard).map_or(Token::default(), |s| s.token);
+    let expect = match random.random_range(0..10) {
+        0 => Token::default(),
+        _ => known,
+    };
+    let ids: Vec<TargetId> = state.targets().map(|t| t.info.id).collect();
+    let target = match ids.is_empty() {
+        true => 1,
+        false => ids[random.random_range(0..ids.len())],
+    };
+    let phase = state.shard(&shard).map(|s| s.phase);
+    let serving = state
+        .targets()
+        .filter(|t| t.info.state == TargetState::Serving);
+    if random.random_bool(0.3)
+        && let (Some(phase), Some(target)) = (phase, serving.last())
+    {
+        let owner = target.info.id;
+        return match phase {
+            Phase::Free => Command::Assign {
+                shard,
+                expect,
+                owner,
+            },
+            Phase::Held(_) => Command::Release { shard, expect },
+            Phase::Releasing(_) | Phase::Parked => Command::Free { shard, expect },
+        };
+    }
+    let vm: VmId = random.random_range(0..3);
+    let incarnation = random.random_range(0..2);
+    let key = Digest::of(&[random.random_range(0..8)]);
+    let request = random.random_range(0..4);
+    let side = if random.random() {
+        Side::Old
+    } else {
+        Side::New
+    };
+    match random.random_range(0..17) {
+        0 => Command::VmUp { vm, incarnation },
+        1 => Command::VmDown { vm, incarnation },
+        2 => Command::TargetUp(spec(random.random_range(0..4), side)),
+        3 => Command::TargetLeaving(target),
+        4 => Command::TargetLost(target),
+        5 => Command::SetServices {
+            version: index / 20 + random.random_range(0..3),
+            services: vec![service([0, 0, 0, 50, 100][random.random_range(0..5)])],
+        },
+        6 => {
+            let homed = |i: u32| HomedShard {
+                index: i,
+                since: 40 + 10 * u64::from(i) + index / 50 * 10,
+                moved: i == 1,
+                leaving: i == 2,
+            };
+            let shards = (0..SHARDS).filter(|_| random.random_bool(0.9)).map(homed);
+            Command::SetHomes {
+                service: "s".into(),
+                shards: shards.collect(),
+                version: index / 30 + u64::from(index.is_multiple_of(3)),
+            }
+        }
+        7 | 8 => Command::SetSender {
+            target,
+            expect: state.target(target).and_then(|t| t.sender),
+            sender: vm,
+        },
+        9 | 10 => Command::Assign {
+            shard,
+            expect,
+            owner: target,
+        },
+        11 => Command::Release { shard, expect },
+        12 => Command::Free { shard, expect },
+        13 => Command::Park { shard, expect },
+        14 => Command::Record {
+            shard,
+            token: expect,
+            key,
+            request,
+        },
+        15 => Command::Finish {
+            key,
+            request,
+            answer: random.random::<bool>().then(|| StoredAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: Vec::new(),
+            }),
+        },
+        _ => Command::Erase { key, request },
+    }
+}
+
+/// Recomputes a shard's phase and token from the commands that were carried out.
+fn naive_shard(history: &[Entry], shard: &ShardRef) -> Option<(Phase, Token)> {
+    let (mut current, mut newest, mut since) = (None, 0, 0);
+    let mut listed = false;
+    for (index, epoch, command, _) in history.iter().filter(|e| e.3 == Outcome::Done) {
+        match command {
+            Command::SetHomes { shards, .. } => {
+                newest = shards.iter().map(|s| s.since).fold(newest, u64::max);
+                let home = shards.iter().find(|s| s.index == shard.index);
+                listed = home.is_some();
+                current = match (home, current) {
+                    (Some(_), None) => Some((Phase::Free, Token::default())),
+                    (Some(h), Some((Phase::Parked, token))) if h.since > since => {
+                        Some((Phase::Free, token))
+                    }
+                    (None, Some((Phase::Free | Phase::Parked, _))) => None,
+                    (_, same) => same,
+                };
+                since = home.map_or(since, |h| h.since.max(since));
+            }
+            Command::Assign {
+                shard: s, owner, ..
+            } if s == shard => {
+                let token = Token {
+                    term: TERM.max(newest),
+                    epoch: *epoch,
+                    seq: *index,
+                };
+                current = Some((Phase::Held(*owner), token));
+            }
+            Command::Release { shard: s, .. } if s == shard => {
+                let (phase, token) = current.unwrap();
+                current = Some((Phase::Releasing(phase.owner().unwrap()), token));
+            }
+            Command::Free { shard: s, expect } if s == shard => {
+                current = listed.then_some((Phase::Free, *expect));
+            }
+            Command::Park { shard: s, expect } if s == shard => {
+                current = Some((Phase::Parked, *expect));
+            }
+            _ => {}
+        }
+    }
+    current
+}
+
+/// Recomputes a target's state and sender from the commands that were carried out.
+fn naive_target(history: &[Entry], id: TargetId) -> Option<(TargetState, Option<VmId>, Token)> {
+    let mut current: Option<(TargetState, Option<VmId>, Token)> = None;
+    let (mut name, mut newest) = (None, 0);
+    let mut sessions: BTreeMap<VmId, u64> = BTreeMap::new();
+    for (index, epoch, command, outcome) in history {
+        if matches!(outcome, Outcome::Refused(_)) {
+            continue;
+        }
+        match command {
+            Command::SetHomes { shards, .. } => {
+                newest = shards.iter().map(|s| s.since).fold(newest, u64::max);
+            }
+            Command::TargetUp(spec) if *index == id => {
+                current = Some((TargetState::Serving, None, Token::default()));
+                name = Some(&spec.name);
+            }
+            Command::TargetUp(spec) if name == Some(&spec.name) => {
+                current = current.map(|(_, sender, token)| (TargetState::Lost, sender, token));
+            }
+            Command::TargetLeaving(t) if *t == id => {
+                current = current.map(|(_, sender, token)| (TargetState::Leaving, sender, token));
+            }
+            Command::TargetLost(t) if *t == id => {
+                current = current.map(|(_, sender, token)| (TargetState::Lost, sender, token));
+            }
+            Command::VmUp { vm, incarnation } => {
+                if sessions.insert(*vm, *incarnation) != Some(*incarnation)
+                    && let Some((_, sender, _)) = &mut current
+                    && *sender == Some(*vm)
+                {
+                    *sender = None;
+                }
+            }
+            Command::VmDown { vm, .. } => {
+                sessions.remove(vm);
+                if let Some((_, sender, _)) = &mut current
+                    && *sender == Some(*vm)
+                {
+                    *sender = None;
+                }
+            }
+            Command::SetSender { target, sender, .. } if *target == id => {
+                let token = Token {
+                    term: TERM.max(newest),
+                    epoch: *epoch,
+                    seq: *index,
+                };
+                assert!(sessions.contains_key(sender));
+                current = current.map(|(state, _, _)| (state, Some(*sender), token));
+            }
+            _ => {}
+        }
+    }
+    current
+}
+
+/// Takes a view as a router does.
+fn fold(known: &mut View, view: View) {
+    if view.since == 0 {
+        *known = view;
+        return;
+    }
+    known.targets.retain(|t| {
+        !view.gone.contains(&t.info.id) && view.targets.iter().all(|n| n.info.id != t.info.id)
+    });
+    known.shards.retain(|s| {
+        !view.dropped.contains(&(s.service.clone(), s.index))
+            && view.shards.iter().all(|n| n.index != s.index)
+    });
+    known.targets.extend(view.targets);
+    known.shards.extend(view.shards);
+    known.targets.sort_by_key(|t| t.info.id);
+    known.shards.sort_by_key(|s| s.index);
+    known.vms = view.vms;
+    known.index = view.index;
+}
+
+// Guards against owners, senders or tokens that differ from what the history says, against views
+// whose differences do not add up, and against snapshots that lose something.
+#[rstest]
+fn state_is_what_the_history_says(#[values(0, 1000, 2000, 3000)] first: u64) {
+    let mut assigned = 0;
+    for seed in first..first + 400 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut state = State::new(TERM, false);
+        let mut history: Vec<Entry> = Vec::new();
+        let mut routers = vec![View::default(); 2];
+        let mut epoch = 1;
+        let mut targets = BTreeSet::new();
+        for step in 1..=200u64 {
+            let index = step * 2;
+            epoch += u64::from(random.random_bool(0.05));
+            let command = draw(&mut random, &state, index);
+            let before = state.clone();
+            let outcome = state.apply(index, epoch, &command);
+            if let Outcome::Session(id) = &outcome {
+                targets.insert(*id);
+            }
+            if matches!(outcome, Outcome::Refused(_)) {
+                assert_eq!(before.layout(), state.layout(), "seed {seed}: {command:?}");
+            }
+            assigned += u32::from(matches!(
+                (&command, &outcome),
+                (Command::Assign { .. }, Outcome::Done)
+            ));
+            history.push((index, epoch, command, outcome));
+            for router in routers.iter_mut().filter(|_| random.random_bool(0.2)) {
+                fold(router, state.view(router.index));
+                let whole = state.view(0);
+                assert_eq!(
+                    *router,
+                    View {
+                        since: router.since,
+                        ..whole
+                    },
+                    "seed {seed}"
+                );
+            }
+        }
+        assert_eq!(State::decode(&state.encode().unwrap()).unwrap(), state);
+        for index in 0..SHARDS {
+            let shard = ShardRef::new("s", index);
+            let ours = state.shard(&shard).map(|s| (s.phase, s.token));
+            assert_eq!(ours, naive_shard(&history, &shard), "seed {seed}: {shard}");
+        }
+        for id in targets {
+            let naive = naive_target(&history, id).unwrap();
+            match state.target(id) {
+                Some(t) => assert_eq!((t.info.state, t.sender, t.token), naive, "seed {seed}"),
+                None => assert_eq!(naive.0, TargetState::Lost, "seed {seed}"),
+            }
+        }
+    }
+    assert!(assigned > 1000, "only {assigned} assignments");
+}
+
+// Guards against the return of a shard that moved away by a list of an older directory, and of a
+// parked shard whose report may already have moved it.
+#[test]
+fn old_lists_and_parked_shards_stay_out() {
+    let mut state = State::new(TERM, false);
+    let home = |since, leaving| HomedShard {
+        index: 0,
+        since,
+        moved: false,
+        leaving,
+    };
+    let list = |version, shards| Command::SetHomes {
+        service: "s".into(),
+        version,
+        shards,
+    };
+    let shard = ShardRef::new("s", 0);
+    state.apply(1, 1, &list(5, vec![home(60, true)]));
+    let park = Command::Park {
+        shard: shard.clone(),
+        expect: Token::default(),
+    };
+    assert_eq!(state.apply(2, 1, &park), Outcome::Done);
+    state.apply(3, 1, &list(6, vec![home(60, false)]));
+    assert_eq!(state.shard(&shard).unwrap().phase, Phase::Parked);
+    state.apply(4, 1, &list(7, Vec::new()));
+    let old = state.apply(5, 1, &list(6, vec![home(60, false)]));
+    assert!(matches!(old, Outcome::Refused(_)));
+    assert_eq!(state.shard(&shard), None);
+    state.apply(6, 1, &list(8, vec![home(70, false)]));
+    assert_eq!(state.shard(&shard).unwrap().phase, Phase::Free);
+}
+
+// Guards against a repeated command that removes a newer record of the same key.
+#[test]
+fn a_late_expiry_keeps_newer_records() {
+    let mut state = State::new(TERM, false);
+    let home = HomedShard {
+        index: 0,
+        since: 60,
+        moved: false,
+        leaving: false,
+    };
+    let shard = ShardRef::new("s", 0);
+    let commands = [
+        Command::SetServices {
+            version: 1,
+            services: vec![service(0)],
+        },
+        Command::SetHomes {
+            service: "s".into(),
+            version: 1,
+            shards: vec![home],
+        },
+        Command::TargetUp(spec(1, Side::Old)),
+        Command::Assign {
+            shard: shard.clone(),
+            expect: Token::default(),
+            owner: 3,
+        },
+    ];
+    for (at, command) in commands.iter().enumerate() {
+        state.apply(at as u64 + 1, 1, command);
+    }
+    let key = Digest::of(b"key");
+    let record = |request| Command::Record {
+        shard: shard.clone(),
+        token: Token {
+            term: 60,
+            epoch: 1,
+            seq: 4,
+        },
+        key,
+        request,
+    };
+    let expire = Command::Expire {
+        keys: vec![(key, 1)],
+    };
+    assert_eq!(state.apply(5, 1, &record(1)), Outcome::Fresh);
+    assert_eq!(state.apply(6, 1, &record(1)), Outcome::Pending);
+    state.apply(7, 1, &expire);
+    assert_eq!(state.apply(8, 1, &record(2)), Outcome::Fresh);
+    state.apply(9, 1, &expire);
+    assert_eq!(state.apply(10, 1, &record(3)), Outcome::Pending);
+}
--- /dev/null
+++ b/crates/domain/tests/world/checks.rs
@@ -0,0 +1,169 @@
+//! What must hold after every step.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use camphordale_domain::{
+    Command,
+    Outcome,
+    Phase,
+    RecordKey,
+    ShardEntry, //
+};
+use camphordale_types::{
+    ShardRef,
+    TargetId,
+    TargetState,
+    Token, //
+};
+
+use super::{
+    SERVICE,
+    World, //
+};
+
+/// What was seen before.
+pub(crate) struct Memory {
+    shards: BTreeMap<u32, ShardEntry>,
+    tokens: BTreeMap<ShardRef, Token>,
+    senders: BTreeMap<TargetId, Token>,
+    /// When a record was made.
+    fresh: BTreeMap<RecordKey, u64>,
+    /// When records of a shard may have been lost.
+    unsettled: BTreeMap<u32, u64>,
+    reformed: bool,
+    pub(crate) runs: u64,
+    pub(crate) assigned: u64,
+    pub(crate) freed: u64,
+    pub(crate) records: u64,
+    pub(crate) proposals: u64,
+}
+
+impl Memory {
+    pub(crate) fn new(reformed: bool) -> Self {
+        Memory {
+            shards: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            senders: BTreeMap::new(),
+            fresh: BTreeMap::new(),
+            unsettled: BTreeMap::new(),
+            reformed,
+            runs: 0,
+            assigned: 0,
+            freed: 0,
+            records: 0,
+            proposals: 0,
+        }
+    }
+}
+
+impl World {
+    fn fail(&self, what: &str) -> ! {
+        panic!("seed {} at {} ms: {what}", self.seed, self.now)
+    }
+
+    /// Prints what happens when `CAMPHORDALE_TRACE` is set, to follow one history.
+    pub(crate) fn trace(&self, what: impl FnOnce() -> String) {
+        if self.traced {
+            eprintln!("{} ms: {}", self.now, what());
+        }
+    }
+
+    /// Checks one transition of the replicated state.
+    pub(crate) fn after_apply(&mut self, command: &Command, outcome: &Outcome) {
+        self.trace(|| format!("#{} {command:?}: {outcome:?}", self.log.len()));
+        if let (Command::Record { key, shard, .. }, Outcome::Fresh) = (command, outcome) {
+            self.memory.records += 1;
+            let life = self.service.record_life.as_millis() as u64;
+            let earlier = self.memory.fresh.insert(*key, self.now);
+            if earlier.is_some_and(|at| self.now < at + life) {
+                self.fail("a record was made twice within its lifetime");
+            }
+            let lost = self.memory.unsettled.get(&shard.index);
+            if lost.is_some_and(|at| self.now < at + life) {
+                self.fail("a record was made while records may be missing");
+            }
+        }
+        match (command, outcome) {
+            (Command::SetHomes { version, .. }, Outcome::Done) => self.applied.0 = *version,
+            (Command::SetServices { version, .. }, Outcome::Done) => self.applied.1 = *version,
+            _ => {}
+        }
+        let now: BTreeMap<u32, ShardEntry> = self
+            .truth
+            .shards(SERVICE)
+            .map(|(index, entry)| (index, entry.clone()))
+            .collect();
+        for (&index, entry) in &now {
+            let before = self.memory.shards.get(&index);
+            if before.is_none_or(|b| b.since != entry.since)
+                && (self.homes.get(&index).is_some_and(|h| h.moved)
+                    || self.memory.reformed && entry.since <= 100)
+            {
+                self.memory.unsettled.insert(index, self.now);
+            }
+            match (before.map(|b| b.phase), entry.phase) {
+                (Some(Phase::Held(a)), Phase::Held(b) | Phase::Releasing(b)) if a == b => {}
+                (Some(Phase::Held(_)), _) => self.fail("an assignment was lost without release"),
+                (Some(Phase::Releasing(a)), Phase::Releasing(b)) if a == b => {}
+                (Some(Phase::Releasing(_)), Phase::Free) => self.memory.freed += 1,
+                (Some(Phase::Releasing(_)), _) => self.fail("a releasing shard changed its owner"),
+                (_, Phase::Held(owner)) => {
+                    self.memory.assigned += 1;
+                    let target = self.truth.target(owner);
+                    if target.is_none_or(|t| t.info.state != TargetState::Serving) {
+                        self.fail("a target that does not serve got a shard");
+                    }
+                }
+                _ => {}
+            }
+            let shard = ShardRef::new(SERVICE, index);
+            if let Some(token) = self.truth.request_token(&shard) {
+                let before = self.memory.tokens.insert(shard, token);
+                if before.is_some_and(|before| before > token) {
+                    self.fail("a shard's token went back");
+                }
+            }
+        }
+        let gone = self.memory.shards.iter().find(|(index, entry)| {
+            matches!(entry.phase, Phase::Held(_)) && !now.contains_key(index)
+        });
+        if gone.is_some() {
+            self.fail("an owned shard was dropped");
+        }
+        for target in self.truth.targets() {
+            let before = self.memory.senders.insert(target.info.id, target.token);
+            if before.is_some_and(|before| before > target.token) {
+                self.fail("a sender's token went back");
+            }
+        }
+        self.memory.shards = now;
+    }
+
+    /// Checks that no shard runs on two targets, and none that another domain owns.
+    pub(crate) fn check(&mut self) {
+        let now = self.now;
+        let mut acting: BTreeMap<u32, BTreeSet<usize>> = BTreeMap::new();
+        for (at, process) in self
+            .processes
+            .iter()
+            .enumerate()
+            .filter(|(_, p)| p.acts(now))
+        {
+            for (write, _) in process.running.iter().filter(|(_, end)| *end > now) {
+                acting.entry(write.shard.index).or_default().insert(at);
+                self.memory.runs += 1;
+            }
+        }
+        for (index, targets) in acting {
+            if targets.len() > 1 {
+                self.fail(&format!("shard {index} runs on the targets {targets:?}"));
+            }
+            if self.away.contains(&index) {
+                self.fail(&format!("shard {index} runs here and in another domain"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/world/group.rs
@@ -0,0 +1,204 @@
+//! The domain group: a log, leaders that know or do not know of each other, and their effects.
+
+use std::time::Duration;
+
+use camphordale_domain::{
+    Command,
+    Effect,
+    Event,
+    Leader,
+    LeaseConfig,
+    Outcome,
+    State, //
+};
+use rand::Rng;
+
+use super::{
+    LEASE_TARGET,
+    LEASE_VM,
+    Message,
+    STALL,
+    World, //
+};
+
+/// A member that leads or believes so.
+pub(crate) struct Node {
+    pub(crate) leader: Leader,
+    pub(crate) state: State,
+    pub(crate) epoch: u64,
+    pub(crate) until: u64,
+    /// The VM it runs on.
+    pub(crate) host: usize,
+    /// Whether it reaches no other member.
+    pub(crate) cut: bool,
+    pub(crate) heartbeat: u64,
+}
+
+impl World {
+    /// Elects a new leader, whose state lags behind the log.
+    pub(crate) fn elect(&mut self) {
+        self.epoch += 1;
+        // What the former leader proposed is either in the new leader's log or gone.
+        let old: Vec<(u64, u64)> = self
+            .queue
+            .iter()
+            .filter(|(_, m)| matches!(m, Message::Propose(epoch, ..) if *epoch < self.epoch))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in old {
+            if let Some(Message::Propose(epoch, command, from)) = self.queue.remove(&key)
+                && self.random.random()
+            {
+                self.append(epoch, command, from);
+            }
+        }
+        let up: Vec<usize> = (0..self.vms.len())
+            .filter(|&v| self.vms[v].up(self.now))
+            .collect();
+        let Some(&host) = up.get(self.random.random_range(0..up.len().max(1))) else {
+            return;
+        };
+        let ms = Duration::from_millis;
+        let config = LeaseConfig {
+            vm: ms(LEASE_VM),
+            target: ms(LEASE_TARGET),
+            stall: ms(STALL),
+        };
+        let node = Node {
+            leader: Leader::new(config, self.seed),
+            state: self.behind.clone(),
+            epoch: self.epoch,
+            until: self.now + 150,
+            host,
+            cut: false,
+            heartbeat: 0,
+        };
+        self.nodes.push(node);
+        let elected = Event::Elected {
+            epoch: self.epoch,
+            reformed: self.truth.reformed(),
+        };
+        self.step_node(self.nodes.len() - 1, elected);
+    }
+
+    /// Commits a command unless its leader was replaced.
+    pub(crate) fn commit(&mut self, epoch: u64, command: Command, from: Option<usize>) {
+        let leads = self
+            .nodes
+            .last()
+            .is_some_and(|n| n.epoch == epoch && !n.cut);
+        if epoch == self.epoch && leads {
+            self.append(epoch, command, from);
+        }
+    }
+
+    fn append(&mut self, epoch: u64, command: Command, from: Option<usize>) {
+        self.log.push((epoch, command.clone()));
+        let outcome = self.truth.apply(self.log.len() as u64, epoch, &command);
+        self.after_apply(&command, &outcome);
+        if let (Outcome::Session(id), Some(at)) = (outcome, from) {
+            let run = self.processes[at].run;
+            self.send(Message::Announced(at, run, id));
+        }
+    }
+
+    pub(crate) fn step_group(&mut self) {
+        while self.behind.index() + 20 < self.log.len() as u64 {
+            let index = self.behind.index() + 1;
+            let (epoch, command) = &self.log[index as usize - 1];
+            self.behind.apply(index, *epoch, command);
+        }
+        let current = self.nodes.len().wrapping_sub(1);
+        for at in 0..self.nodes.len() {
+            if !self.vms[self.nodes[at].host].up(self.now) {
+                self.nodes[at].cut = true;
+                continue;
+            }
+            let node = &mut self.nodes[at];
+            if at == current && !node.cut {
+                let lag = match self.random.random_range(0..10) {
+                    0 => 3,
+                    _ => 0,
+                };
+                let mut changed = false;
+                while node.state.index() + lag < self.log.len() as u64 {
+                    let index = node.state.index() + 1;
+                    let (epoch, command) = &self.log[index as usize - 1];
+                    node.state.apply(index, *epoch, command);
+                    changed = true;
+                }
+                let beat = self.now >= node.heartbeat;
+                if beat {
+                    node.heartbeat = self.now + 40;
+                    node.until = self.now + 150;
+                }
+                if beat {
+                    let until = Duration::from_millis(self.now + 150);
+                    self.step_node(at, Event::Quorum { until });
+                }
+                if changed {
+                    self.step_node(at, Event::Changed);
+                }
+            }
+            self.step_node(at, Event::Tick);
+        }
+        // A replaced leader steps down some time after its leadership ended.
+        let (now, newest) = (self.now, self.epoch);
+        self.nodes
+            .retain(|n| n.epoch == newest || now < n.until + 400);
+        // Election times are between one and two times the time that a leadership lasts.
+        let until = self
+            .nodes
+            .last()
+            .map_or(0, |n| if n.cut { n.until } else { u64::MAX });
+        if now >= until && (self.random.random_bool(0.1) || now - until > 130) {
+            self.elect();
+        }
+    }
+
+    /// Delivers an event to a member that believes that it leads.
+    pub(crate) fn tell_leader(&mut self, event: Event) {
+        if !self.nodes.is_empty() {
+            let last = self.nodes.len() - 1;
+            let at = match self.random.random_bool(0.8) {
+                true => last,
+                false => self.random.random_range(0..=last),
+            };
+            if self.vms[self.nodes[at].host].up(self.now) {
+                self.step_node(at, event);
+            }
+        }
+    }
+
+    fn step_node(&mut self, at: usize, event: Event) {
+        let now = self.ms();
+        let node = &mut self.nodes[at];
+        let epoch = node.epoch;
+        for effect in node.leader.step(&node.state, event, now) {
+            match effect {
+                Effect::Propose(command) => {
+                    self.memory.proposals += 1;
+                    self.send(Message::Propose(epoch, command, None));
+                }
+                Effect::GrantVm {
+                    vm,
+                    incarnation,
+                    nonce: sent,
+                    fence,
+                    ..
+                } => self.send(Message::GrantVm {
+                    vm,
+                    incarnation,
+                    sent,
+                    fence,
+                }),
+                Effect::GrantTarget {
+                    target,
+                    nonce: sent,
+                    ..
+                } => self.send(Message::GrantTarget { target, sent }),
+                Effect::RefuseTarget { target, .. } => self.send(Message::RefuseTarget(target)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/world/mod.rs
@@ -0,0 +1,364 @@
+//! A simulated domain: a log, leaders, entry VMs and targets, with a clock in milliseconds.
+//!
+//! Every process acts only on what it believes: a VM on its lease and its view, a target that
+//! checks tokens on its own lease and the tokens it has seen, any other target on whatever is
+//! written to it.
+
+// clippy.toml allows `unwrap` in test functions, but not in the helpers of an integration test.
+#![allow(clippy::unwrap_used)]
+
+mod checks;
+mod faults;
+mod group;
+mod target;
+mod vm;
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use camphordale_domain::{
+    Command,
+    Event,
+    HomedShard,
+    State,
+    View, //
+};
+use camphordale_types::{
+    KeySource,
+    Repeat,
+    RequestId,
+    Route,
+    Service,
+    SessionId,
+    ShardRef,
+    TargetId,
+    Token,
+    VmId,
+    Weights, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+use self::{
+    checks::Memory,
+    group::Node,
+    target::Process,
+    vm::Vm, //
+};
+
+pub(crate) const SERVICE: &str = "bookings";
+pub(crate) const SHARDS: u32 = 8;
+pub(crate) const STALL: u64 = 50;
+pub(crate) const LEASE_VM: u64 = 500;
+pub(crate) const LEASE_TARGET: u64 = 600;
+pub(crate) const TICK: u64 = 10;
+
+/// A message under way.
+pub(crate) enum Message {
+    /// A command proposed in an epoch; `from` is the target process that announced itself.
+    Propose(u64, Command, Option<usize>),
+    ToLeader(Event),
+    GrantVm {
+        vm: VmId,
+        incarnation: u64,
+        sent: u64,
+        fence: SessionId,
+    },
+    View(VmId, u64, View),
+    Announced(usize, u64, TargetId),
+    GrantTarget {
+        target: TargetId,
+        sent: u64,
+    },
+    RefuseTarget(TargetId),
+    Write(usize, u64, Write),
+    Answer(VmId, u64, RequestId),
+}
+
+/// A request that a VM has checked and writes to a target.
+#[derive(Clone)]
+pub(crate) struct Write {
+    pub(crate) id: RequestId,
+    pub(crate) vm: VmId,
+    pub(crate) incarnation: u64,
+    pub(crate) shard: ShardRef,
+    pub(crate) token: Token,
+    pub(crate) duration: u64,
+    /// When it has ended at the latest.
+    pub(crate) end: u64,
+}
+
+pub(crate) struct World {
+    pub(crate) seed: u64,
+    pub(crate) traced: bool,
+    pub(crate) random: StdRng,
+    pub(crate) now: u64,
+    /// All committed commands applied.
+    pub(crate) truth: State,
+    pub(crate) log: Vec<(u64, Command)>,
+    /// A replica that lags; new leaders start from it.
+    pub(crate) behind: State,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) epoch: u64,
+    pub(crate) queue: BTreeMap<(u64, u64), Message>,
+    pub(crate) sequence: u64,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) processes: Vec<Process>,
+    pub(crate) service: Service,
+    pub(crate) version: u64,
+    /// Version and content of the list of homes.
+    pub(crate) directory: u64,
+    pub(crate) homes: BTreeMap<u32, HomedShard>,
+    /// Shards that another domain owns.
+    pub(crate) away: BTreeSet<u32>,
+    /// Versions of homes and services that the group has applied.
+    pub(crate) applied: (u64, u64),
+    pub(crate) old_lists: Vec<Command>,
+    /// Whether messages are lost and delayed, and processes fail.
+    pub(crate) faulty: bool,
+    /// Whether requests are sent.
+    pub(crate) traffic: bool,
+    pub(crate) memory: Memory,
+    /// Since when shards have not been served.
+    pub(crate) waiting: BTreeMap<u32, u64>,
+}
+
+pub(crate) fn service(deadline: u64) -> Service {
+    Service {
+        name: SERVICE.into(),
+        route: Route {
+            prefix: "/".into(),
+            host: None,
+        },
+        key: KeySource::Segment(0),
+        shards: SHARDS,
+        hot_keys: Vec::new(),
+        repeat: Repeat::Never,
+        deadline: Duration::from_millis(deadline),
+        domain_lease: None,
+        record_life: Duration::from_millis(2000),
+        new_percent: 50,
+        slots: 4,
+        connections: 50,
+        queue: 10,
+        warm_up: Duration::from_millis(500),
+        weights: Weights {
+            imbalance: 1.0,
+            churn: 1.0,
+            unavailable: 1.0,
+        },
+    }
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let deadline = random.random_range(100..600);
+        let reformed = random.random_bool(0.2);
+        let state = State::new(100, reformed);
+        let mut world = World {
+            seed,
+            traced: std::env::var_os("CAMPHORDALE_TRACE").is_some(),
+            now: 1000,
+            truth: state.clone(),
+            log: Vec::new(),
+            behind: state,
+            nodes: Vec::new(),
+            epoch: 0,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            vms: (0..3).map(|vm| Vm::new(vm, 1)).collect(),
+            processes: Vec::new(),
+            service: service(deadline),
+            version: 1,
+            directory: 100,
+            homes: BTreeMap::new(),
+            away: BTreeSet::new(),
+            applied: (0, 0),
+            old_lists: Vec::new(),
+            faulty: false,
+            traffic: true,
+            memory: Memory::new(reformed),
+            waiting: BTreeMap::new(),
+            random,
+        };
+        for at in 0..5 {
+            let checks = world.random.random();
+            world.processes.push(Process::new(at, checks));
+        }
+        for index in 0..SHARDS {
+            let home = HomedShard {
+                index,
+                since: 90 + u64::from(index) * 2,
+                moved: false,
+                leaving: false,
+            };
+            world.homes.insert(index, home);
+        }
+        if reformed {
+            world.leave_running(deadline);
+        }
+        world.elect();
+        world.set_services();
+        world.set_homes();
+        world
+    }
+
+    /// Lets requests of a replaced group run as long as its leases allow; its leader could grant
+    /// until 150 ms after its last round of heartbeats.
+    fn leave_running(&mut self, deadline: u64) {
+        let vm_lease = self.now + 150 + LEASE_VM;
+        for index in 0..SHARDS {
+            let at = self.random.random_range(0..self.processes.len());
+            let process = &mut self.processes[at];
+            process.lease_until = self.now + 150 + LEASE_TARGET;
+            let write = Write {
+                id: u128::MAX,
+                vm: 0,
+                incarnation: 0,
+                shard: ShardRef::new(SERVICE, index),
+                token: Token::default(),
+                duration: deadline,
+                end: vm_lease + STALL + deadline,
+            };
+            process.running.push((write.clone(), write.end));
+        }
+    }
+
+    pub(crate) fn ms(&self) -> Duration {
+        Duration::from_millis(self.now)
+    }
+
+    /// Puts a message under way with a random delay; while faults occur some are lost.
+    pub(crate) fn send(&mut self, message: Message) {
+        let delay = match self.random.random_range(0..100) {
+            0..3 if self.faulty => return,
+            3..8 if self.faulty => self.random.random_range(20..400),
+            _ => self.random.random_range(0..15),
+        };
+        self.send_after(delay, message);
+    }
+
+    pub(crate) fn send_after(&mut self, delay: u64, message: Message) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now + delay, self.sequence), message);
+    }
+
+    pub(crate) fn propose(&mut self, command: Command) {
+        self.send(Message::Propose(self.epoch, command, None));
+    }
+
+    pub(crate) fn set_services(&mut self) {
+        let command = Command::SetServices {
+            version: self.version,
+            services: vec![self.service.clone()],
+        };
+        self.propose(command);
+    }
+
+    pub(crate) fn set_homes(&mut self) {
+        self.directory += 1;
+        self.repeat_homes();
+    }
+
+    pub(crate) fn repeat_homes(&mut self) {
+        let command = Command::SetHomes {
+            service: SERVICE.into(),
+            version: self.directory,
+            shards: self.homes.values().cloned().collect(),
+        };
+        self.old_lists.push(command.clone());
+        self.propose(command);
+    }
+
+    /// Runs until `end`.
+    pub(crate) fn run(&mut self, end: u64) {
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `end`; no shard may wait for a server for more than `limit`.
+    pub(crate) fn run_served(&mut self, end: u64, limit: u64) {
+        while self.now < end {
+            self.step();
+            let late = self.unserved(limit);
+            assert!(
+                late.is_empty(),
+                "seed {} at {}: {late:?}",
+                self.seed,
+                self.now
+            );
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let message = entry.remove();
+            self.deliver(message);
+        }
+        self.step_group();
+        for at in 0..self.vms.len() {
+            self.step_vm(at);
+        }
+        for at in 0..self.processes.len() {
+            self.step_process(at);
+        }
+        if self.faulty {
+            self.inject();
+        }
+        self.control();
+        self.check();
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Propose(epoch, command, from) => self.commit(epoch, command, from),
+            Message::ToLeader(event) => self.tell_leader(event),
+            Message::GrantVm {
+                vm,
+                incarnation,
+                sent,
+                fence,
+            } => self.vms[vm as usize].granted(incarnation, sent, fence),
+            Message::View(vm, incarnation, view) => {
+                self.vms[vm as usize].take_view(incarnation, view);
+            }
+            Message::Announced(at, run, id) => self.processes[at].announced(run, id),
+            Message::GrantTarget { target, sent } => {
+                for process in self.processes.iter_mut().filter(|p| p.id == Some(target)) {
+                    process.granted(sent);
+                }
+            }
+            Message::RefuseTarget(target) => {
+                for process in self.processes.iter_mut().filter(|p| p.id == Some(target)) {
+                    process.id = None;
+                }
+            }
+            Message::Write(at, run, write) => {
+                let process = &mut self.processes[at];
+                if process.alive && process.run == run {
+                    process.inbox.push(write);
+                }
+            }
+            Message::Answer(vm, incarnation, id) => {
+                let vm = &mut self.vms[vm as usize];
+                if vm.incarnation == incarnation {
+                    vm.in_flight.remove(&id);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/world/target.rs
@@ -0,0 +1,150 @@
+//! A target process.
+
+use std::{
+    collections::BTreeMap,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    }, //
+};
+
+use camphordale_domain::{
+    Command,
+    Event, //
+};
+use camphordale_types::{
+    LoadReport,
+    ShardRef,
+    Side,
+    TargetId,
+    TargetSpec,
+    Token, //
+};
+
+use super::{
+    LEASE_TARGET,
+    Message,
+    SERVICE,
+    World,
+    Write, //
+};
+
+pub(crate) struct Process {
+    pub(crate) spec: TargetSpec,
+    /// Counts its restarts.
+    pub(crate) run: u64,
+    pub(crate) alive: bool,
+    pub(crate) frozen_until: u64,
+    pub(crate) leaving: bool,
+    pub(crate) id: Option<TargetId>,
+    pub(crate) lease_until: u64,
+    pub(crate) seen: BTreeMap<ShardRef, Token>,
+    pub(crate) inbox: Vec<Write>,
+    /// Requests that run, with their end.
+    pub(crate) running: Vec<(Write, u64)>,
+    pub(crate) next_message: u64,
+}
+
+impl Process {
+    /// Creates the process at address `at`; two share each name's service and side by turns.
+    pub(crate) fn new(at: usize, checks: bool) -> Self {
+        let spec = TargetSpec {
+            name: format!("t{at}").into(),
+            service: SERVICE.into(),
+            side: if at < 3 { Side::Old } else { Side::New },
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, at as u16)),
+            checks_tokens: checks,
+            slots: 4,
+        };
+        Process {
+            spec,
+            run: 0,
+            alive: true,
+            frozen_until: 0,
+            leaving: false,
+            id: None,
+            lease_until: 0,
+            seen: BTreeMap::new(),
+            inbox: Vec::new(),
+            running: Vec::new(),
+            next_message: 0,
+        }
+    }
+
+    pub(crate) fn up(&self, now: u64) -> bool {
+        self.alive && now >= self.frozen_until
+    }
+
+    /// Starts the process anew; it remembers nothing.
+    pub(crate) fn restart(&mut self) {
+        let at = usize::from(self.spec.address.port());
+        let run = self.run + 1;
+        *self = Process {
+            run,
+            ..Process::new(at, self.spec.checks_tokens)
+        };
+    }
+
+    pub(crate) fn announced(&mut self, run: u64, id: TargetId) {
+        if self.alive && self.run == run && self.id.is_none_or(|old| old < id) {
+            self.id = Some(id);
+        }
+    }
+
+    pub(crate) fn granted(&mut self, sent: u64) {
+        self.lease_until = self.lease_until.max(sent + LEASE_TARGET * 97 / 100);
+    }
+
+    /// Tells whether it does what is asked of it.
+    pub(crate) fn acts(&self, now: u64) -> bool {
+        self.up(now) && (!self.spec.checks_tokens || now < self.lease_until)
+    }
+
+    pub(crate) fn accepts(&self, shard: &ShardRef, token: Token, now: u64) -> bool {
+        let fresh = self.seen.get(shard).is_none_or(|&seen| token >= seen);
+        self.acts(now) && (!self.spec.checks_tokens || fresh)
+    }
+}
+
+impl World {
+    pub(crate) fn step_process(&mut self, at: usize) {
+        let now = self.now;
+        if !self.processes[at].up(now) {
+            return;
+        }
+        if now >= self.processes[at].next_message {
+            self.processes[at].next_message = now + 150;
+            match self.processes[at].id {
+                None => {
+                    let command = Command::TargetUp(self.processes[at].spec.clone());
+                    let message = Message::Propose(self.epoch, command, Some(at));
+                    self.send(message);
+                }
+                Some(target) => {
+                    self.send(Message::ToLeader(Event::RenewTarget {
+                        target,
+                        load: LoadReport::default(),
+                        nonce: now,
+                    }));
+                    if self.processes[at].leaving {
+                        self.propose(Command::TargetLeaving(target));
+                    }
+                }
+            }
+        }
+        let process = &mut self.processes[at];
+        for write in std::mem::take(&mut process.inbox) {
+            if now < write.end && process.accepts(&write.shard, write.token, now) {
+                process.seen.insert(write.shard.clone(), write.token);
+                let end = write.end.min(now + write.duration);
+                process.running.push((write, end));
+            }
+        }
+        let (running, ended): (Vec<_>, Vec<_>) =
+            process.running.drain(..).partition(|(_, end)| *end > now);
+        process.running = running;
+        for (write, _) in ended {
+            self.send(Message::Answer(write.vm, write.incarnation, write.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/world/vm.rs
@@ -0,0 +1,233 @@
+//! An entry VM: it sends while its lease and its view allow.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use camphordale_domain::{
+    Command,
+    Event,
+    ShardView,
+    TargetView,
+    View, //
+};
+use camphordale_types::{
+    Digest,
+    RequestId,
+    ShardRef,
+    TargetId,
+    VmId, //
+};
+use rand::Rng;
+
+use super::{
+    LEASE_VM,
+    Message,
+    SERVICE,
+    STALL,
+    World,
+    Write, //
+};
+
+pub(crate) struct Vm {
+    pub(crate) id: VmId,
+    pub(crate) incarnation: u64,
+    pub(crate) alive: bool,
+    pub(crate) paused_until: u64,
+    pub(crate) last_tick: u64,
+    pub(crate) lease_until: u64,
+    pub(crate) fence: u64,
+    pub(crate) index: u64,
+    pub(crate) targets: BTreeMap<TargetId, TargetView>,
+    pub(crate) shards: BTreeMap<u32, ShardView>,
+    /// Requests without an answer: shard, and when they have ended at the latest.
+    pub(crate) in_flight: BTreeMap<RequestId, (u32, u64)>,
+    pub(crate) next_renewal: u64,
+}
+
+impl Vm {
+    pub(crate) fn new(id: VmId, incarnation: u64) -> Self {
+        Vm {
+            id,
+            incarnation,
+            alive: true,
+            paused_until: 0,
+            last_tick: 0,
+            lease_until: 0,
+            fence: 0,
+            index: 0,
+            targets: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            next_renewal: 0,
+        }
+    }
+
+    pub(crate) fn up(&self, now: u64) -> bool {
+        self.alive && now >= self.paused_until
+    }
+
+    pub(crate) fn granted(&mut self, incarnation: u64, sent: u64, fence: u64) {
+        if self.incarnation == incarnation {
+            // The clock may be slow by most of the tenth that the holder subtracts.
+            let until = sent + LEASE_VM * 97 / 100;
+            if until > self.lease_until {
+                self.lease_until = until;
+                self.fence = fence;
+            }
+        }
+    }
+
+    pub(crate) fn take_view(&mut self, incarnation: u64, view: View) {
+        if self.incarnation != incarnation
+            || view.since > self.index
+            || view.index < self.index && view.since > 0
+        {
+            return;
+        }
+        if view.since == 0 {
+            if view.index < self.index {
+                return;
+            }
+            self.targets.clear();
+            self.shards.clear();
+        }
+        self.index = view.index;
+        for id in view.gone {
+            self.targets.remove(&id);
+        }
+        for (_, index) in view.dropped {
+            self.shards.remove(&index);
+        }
+        self.targets
+            .extend(view.targets.into_iter().map(|t| (t.info.id, t)));
+        self.shards
+            .extend(view.shards.into_iter().map(|s| (s.index, s)));
+    }
+
+    fn leased(&self, now: u64) -> bool {
+        now < self.lease_until && self.index >= self.fence
+    }
+
+    /// Returns the target that this VM may write to for `shard` by what it believes.
+    pub(crate) fn may_write(&self, shard: &ShardView, now: u64) -> Option<&TargetView> {
+        let target = self.targets.get(&shard.owner?)?;
+        let sender = target.sender == Some(self.id);
+        (!shard.releasing && sender && self.leased(now) && self.up(now)).then_some(target)
+    }
+}
+
+impl World {
+    pub(crate) fn step_vm(&mut self, at: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[at];
+        if !vm.up(now) {
+            return;
+        }
+        if now > vm.last_tick + 250 {
+            vm.lease_until = 0;
+        }
+        vm.last_tick = now;
+        vm.in_flight.retain(|_, (_, end)| *end > now);
+        let (id, incarnation) = (vm.id, vm.incarnation);
+        if now >= vm.next_renewal {
+            vm.next_renewal = now + 100;
+            let nonce = now;
+            self.send(Message::ToLeader(Event::RenewVm {
+                vm: id,
+                incarnation,
+                nonce,
+            }));
+        }
+        let wants = self.random.random_bool(0.6);
+        if wants {
+            // Any member answers with what it has applied.
+            let source = match self.random.random_bool(0.1) {
+                true => &self.behind,
+                false => &self.truth,
+            };
+            let view = source.view(self.vms[at].index);
+            self.send(Message::View(id, incarnation, view));
+        }
+        self.report_released(at);
+        if self.traffic {
+            self.write_requests(at);
+        }
+    }
+
+    fn report_released(&mut self, at: usize) {
+        let (now, vm) = (self.now, &self.vms[at]);
+        let mut reports = Vec::new();
+        for shard in vm.shards.values().filter(|s| s.releasing) {
+            let target = shard.owner.and_then(|owner| vm.targets.get(&owner));
+            if target.is_some_and(|t| t.sender == Some(vm.id)) {
+                let ends = vm.in_flight.values().filter(|(s, _)| *s == shard.index);
+                let clear = ends.map(|(_, end)| end - now).max().unwrap_or(0);
+                reports.push(Event::Released {
+                    vm: vm.id,
+                    incarnation: vm.incarnation,
+                    shard: ShardRef::new(SERVICE, shard.index),
+                    token: shard.token,
+                    clear: Duration::from_millis(clear),
+                });
+            }
+        }
+        for report in reports {
+            self.send(Message::ToLeader(report));
+        }
+    }
+
+    fn write_requests(&mut self, at: usize) {
+        let now = self.now;
+        let deadline = self.service.deadline.as_millis() as u64;
+        let vm = &self.vms[at];
+        let writable: Vec<(ShardView, TargetView)> = vm
+            .shards
+            .values()
+            .filter_map(|s| Some((s.clone(), vm.may_write(s, now)?.clone())))
+            .collect();
+        for (shard, target) in writable {
+            if self.random.random_bool(0.5) {
+                continue;
+            }
+            self.sequence += 1;
+            let id = u128::from(self.sequence);
+            let reference = ShardRef::new(SERVICE, shard.index);
+            if self.random.random_bool(0.2) {
+                let key = Digest::of(&[self.random.random_range(0..12u8), shard.index as u8]);
+                self.propose(Command::Record {
+                    shard: reference.clone(),
+                    token: shard.token,
+                    key,
+                    request: id,
+                });
+            }
+            // The write follows the check at once, or after a pause of up to the stall margin.
+            let delay = match self.random.random_range(0..10) {
+                0 => self.random.random_range(0..STALL),
+                _ => 0,
+            };
+            let duration = match self.random.random_range(0..10) {
+                0..3 => self.random.random_range(0..=deadline),
+                _ => 5,
+            };
+            let write = Write {
+                id,
+                vm: self.vms[at].id,
+                incarnation: self.vms[at].incarnation,
+                shard: reference,
+                token: shard.token.max(target.token),
+                duration,
+                end: now + delay + deadline,
+            };
+            self.vms[at]
+                .in_flight
+                .insert(id, (shard.index, now + deadline));
+            // The connection leads to the process that has the address now.
+            let address = target.info.spec.address.port() as usize;
+            let run = self.processes[address].run;
+            self.send_after(delay, Message::Write(address, run, write));
+        }
+    }
+}
--- a/crates/placement/tests/choose.rs
+++ b/crates/placement/tests/choose.rs
@@ -9,15 +9,16 @@
         BTreeMap,
         BinaryHeap, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use camphordale_placement::{
-    Candidate, Chooser,
+    Candidate,
+    Chooser,
     choose::baseline::{
         Baseline,
         Policy, //
-    },
+    }, //
 };
 use rand::{
     Rng,
