Skip shards at rest in the leader's pass and check single senders

Cause: every pass read all shards, and the mean of a side was computed once per target. Suspicions, load reports and two VMs that write to the same target were not covered by the histories. Change: a pass skips a service whose shards need nothing until the state changes; balance moves only shards whose sender answers, because without its report the shard waits for the deadline. The histories report suspicions and load, check that a target is lost only after its lease and that a target that does not check tokens has one writer. Ruled out: stopping balance moves for good after a loss of a VM. Conclusion: the pass costs nothing per shard while nothing changes.

--- a/crates/domain/src/leader.rs
+++ b/crates/domain/src/leader.rs
@@ -54,6 +54,9 @@
 /// Least time between two passes over the state. Many commands are applied in a row.
 const PASS_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time between two looks for records and homes whose time has passed.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The leader's part of a domain group: it keeps lease times, grants leases, and proposes the
 /// commands that keep every shard owned.
 ///
@@ -108,6 +111,9 @@
     released: BTreeMap<ShardRef, Report>,
     /// Time of the last placement by service.
     placed: BTreeMap<ServiceName, Placed>,
+    /// Layout of the state at which no shard of a service needed anything but balance.
+    at_rest: BTreeMap<ServiceName, u64>,
+    last_expiry: Duration,
     out: Vec<Effect>,
 }
 
@@ -213,6 +219,8 @@
             marks: Marks::default(),
             released: BTreeMap::new(),
             placed: BTreeMap::new(),
+            at_rest: BTreeMap::new(),
+            last_expiry: now,
             out: Vec::new(),
         }
     }
@@ -303,7 +311,10 @@
         self.expire_sessions(state, now);
         self.set_senders(state, now);
         self.plan_shards(state, now);
-        self.expire_records(state, now);
+        if now >= self.last_expiry + EXPIRY_INTERVAL {
+            self.last_expiry = now;
+            self.expire_records(state, now);
+        }
     }
 
     fn propose(&mut self, subject: Subject, version: u64, command: Command, now: Duration) {
--- a/crates/domain/src/leader/shards.rs
+++ b/crates/domain/src/leader/shards.rs
@@ -58,37 +58,33 @@
             // Neither this nor another domain may own a shard that a replaced group still serves.
             let served = self.served_before(state, name, now);
             let mut free = false;
-            for (index, entry) in state.shards(name) {
-                let shard = || ShardRef::new(name, index);
-                match entry.phase {
-                    Phase::Held(owner) => {
-                        if must_release(state, service, index, entry, owner) {
-                            self.release(shard(), entry, now);
+            if self.at_rest.get(name) != Some(&state.layout()) {
+                let mut rest = true;
+                for (index, entry) in state.shards(name) {
+                    let shard = || ShardRef::new(name, index);
+                    match entry.phase {
+                        Phase::Held(owner) => {
+                            if must_release(state, service, index, entry, owner) {
+                                rest = false;
+                                self.release(shard(), entry, now);
+                            }
+                            continue;
                         }
-                    }
-                    Phase::Releasing(owner) => {
-                        let shard = shard();
-                        if self.may_free(state, &shard, entry, owner, now) {
-                            let command = Command::Free {
-                                shard: shard.clone(),
-                                expect: entry.token,
-                            };
-                            self.propose(Subject::Shard(shard), entry.changed, command, now);
+                        Phase::Parked => continue,
+                        Phase::Releasing(owner) => {
+                            self.free(state, shard(), entry, owner, now);
+                        }
+                        Phase::Free if served => {}
+                        Phase::Free if entry.leaving => self.park(shard(), entry, now),
+                        Phase::Free => {
+                            let subject = Subject::Shard(shard());
+                            free |= !self.pending.waits(&subject, entry.changed, now);
                         }
                     }
-                    Phase::Free if served => {}
-                    Phase::Free if entry.leaving => {
-                        let command = Command::Park {
-                            shard: shard(),
-                            expect: entry.token,
-                        };
-                        self.propose(Subject::Shard(shard()), entry.changed, command, now);
-                    }
-                    Phase::Free => {
-                        let subject = Subject::Shard(shard());
-                        free |= !self.pending.waits(&subject, entry.changed, now);
-                    }
-                    Phase::Parked => {}
+                    rest = false;
+                }
+                if rest {
+                    self.at_rest.insert(name.clone(), state.layout());
                 }
             }
             if let Some(service) = service
@@ -99,6 +95,31 @@
         }
     }
 
+    fn free(
+        &mut self,
+        state: &State,
+        shard: ShardRef,
+        entry: &ShardEntry,
+        owner: TargetId,
+        now: Duration,
+    ) {
+        if self.may_free(state, &shard, entry, owner, now) {
+            let command = Command::Free {
+                shard: shard.clone(),
+                expect: entry.token,
+            };
+            self.propose(Subject::Shard(shard), entry.changed, command, now);
+        }
+    }
+
+    fn park(&mut self, shard: ShardRef, entry: &ShardEntry, now: Duration) {
+        let command = Command::Park {
+            shard: shard.clone(),
+            expect: entry.token,
+        };
+        self.propose(Subject::Shard(shard), entry.changed, command, now);
+    }
+
     fn release(&mut self, shard: ShardRef, entry: &ShardEntry, now: Duration) {
         let command = Command::Release {
             shard: shard.clone(),
@@ -199,12 +220,22 @@
                     };
                     self.propose(Subject::Shard(shard), entry.changed, command, now);
                 }
-                Phase::Held(_) => self.release(shard, entry, now),
-                Phase::Releasing(_) | Phase::Parked => {}
+                // Without its sender's report the shard would have no owner until the deadline.
+                Phase::Held(owner) if self.sender_answers(state, owner, now) => {
+                    self.release(shard, entry, now);
+                }
+                Phase::Held(_) | Phase::Releasing(_) | Phase::Parked => {}
             }
         }
     }
 
+    fn sender_answers(&self, state: &State, owner: TargetId, now: Duration) -> bool {
+        let sender = state.target(owner).and_then(|target| target.sender);
+        sender
+            .and_then(|vm| state.vm(vm))
+            .is_some_and(|session| now < self.leases.vm_renewed(session.id) + self.config.vm / 2)
+    }
+
     fn placement_input(
         &mut self,
         state: &State,
--- a/crates/domain/tests/world/checks.rs
+++ b/crates/domain/tests/world/checks.rs
@@ -87,6 +87,12 @@
             }
         }
         match (command, outcome) {
+            (Command::TargetLost(id), Outcome::Done) => {
+                let mut owners = self.processes.iter().filter(|p| p.id == Some(*id));
+                if owners.any(|p| p.alive && self.now < p.lease_until) {
+                    self.fail("a target was taken for lost during its lease");
+                }
+            }
             (Command::SetHomes { version, .. }, Outcome::Done) => self.applied.0 = *version,
             (Command::SetServices { version, .. }, Outcome::Done) => self.applied.1 = *version,
             _ => {}
@@ -142,9 +148,20 @@
         self.memory.shards = now;
     }
 
-    /// Checks that no shard runs on two targets, and none that another domain owns.
+    /// Checks that no shard runs on two targets, none that another domain owns, and that no two
+    /// VMs write to a target that cannot tell them apart.
     pub(crate) fn check(&mut self) {
         let now = self.now;
+        let mut writers: BTreeMap<TargetId, u32> = BTreeMap::new();
+        for vm in &self.vms {
+            let targets = vm.shards.values().filter_map(|s| vm.may_write(s, now));
+            for target in targets.filter(|t| !t.info.spec.checks_tokens) {
+                let id = target.info.id;
+                if *writers.entry(id).or_insert(vm.id) != vm.id {
+                    self.fail(&format!("two VMs write to target {id}"));
+                }
+            }
+        }
         let mut acting: BTreeMap<u32, BTreeSet<usize>> = BTreeMap::new();
         for (at, process) in self
             .processes
--- a/crates/domain/tests/world/vm.rs
+++ b/crates/domain/tests/world/vm.rs
@@ -25,6 +25,7 @@
     LEASE_VM,
     Message,
     SERVICE,
+    SHARDS,
     STALL,
     World,
     Write, //
@@ -151,11 +152,28 @@
             self.send(Message::View(id, incarnation, view));
         }
         self.report_released(at);
+        self.report_others(id);
         if self.traffic {
             self.write_requests(at);
         }
     }
 
+    /// Reports load, and suspicions that are mostly wrong.
+    fn report_others(&mut self, vm: VmId) {
+        if self.traffic && self.random.random_bool(0.1) {
+            let index = self.random.random_range(0..SHARDS);
+            let count = self.random.random_range(0..100);
+            let shards = vec![(SERVICE.into(), index, count)];
+            self.send(Message::ToLeader(Event::Load { vm, shards }));
+        }
+        if self.faulty && self.random.random_bool(0.02) {
+            let at = self.random.random_range(0..self.processes.len());
+            if let Some(target) = self.processes[at].id {
+                self.send(Message::ToLeader(Event::Suspect { vm, target }));
+            }
+        }
+    }
+
     fn report_released(&mut self, at: usize) {
         let (now, vm) = (self.now, &self.vms[at]);
         let mut reports = Vec::new();
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -1,5 +1,7 @@
 //! Loads of targets during one placement.
 
+use camphordale_types::Side;
+
 use crate::{
     Input,
     Target, //
@@ -54,25 +56,26 @@
         let rates: Vec<f64> = input.shards.iter().map(|s| s.rate).collect();
         let weights = weights(&rates);
         let capacity: Vec<f64> = input.targets.iter().map(capacity).collect();
+        let side_mean = |side: Side| {
+            let shards = input.shards.iter().zip(&weights);
+            let weight: f64 = shards
+                .filter(|(shard, _)| shard.side == side)
+                .map(|(_, weight)| weight)
+                .sum();
+            let targets = input.targets.iter().zip(&capacity);
+            let room: f64 = targets
+                .filter(|(target, _)| target.side == side && target.open)
+                .map(|(_, capacity)| capacity)
+                .sum();
+            if room > 0.0 { weight / room } else { 0.0 }
+        };
+        let (old, new) = (side_mean(Side::Old), side_mean(Side::New));
         let mean = input
             .targets
             .iter()
-            .map(|target| {
-                let weight: f64 = input
-                    .shards
-                    .iter()
-                    .zip(&weights)
-                    .filter(|(shard, _)| shard.side == target.side)
-                    .map(|(_, weight)| weight)
-                    .sum();
-                let room: f64 = input
-                    .targets
-                    .iter()
-                    .zip(&capacity)
-                    .filter(|(other, _)| other.side == target.side && other.open)
-                    .map(|(_, capacity)| capacity)
-                    .sum();
-                if room > 0.0 { weight / room } else { 0.0 }
+            .map(|target| match target.side {
+                Side::Old => old,
+                Side::New => new,
             })
             .collect();
         let load = vec![0.0; capacity.len()];
--- a/crates/placement/src/place.rs
+++ b/crates/placement/src/place.rs
@@ -16,6 +16,8 @@
     Weights, //
 };
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::load::Loads;
 
 /// Loads relative to the mean below or above which held shards start to move. Rates are measured
@@ -128,6 +130,8 @@
     owner: Vec<Option<usize>>,
     /// Shards of each target, ordered by weight.
     held: Vec<BTreeSet<(Weight, usize)>>,
+    /// Order of equally good targets.
+    ties: Vec<u64>,
     /// Owners before any move.
     first: Vec<Option<usize>>,
 }
@@ -171,9 +175,11 @@
                 held[at].insert((Weight(loads.weights[shard]), shard));
             }
         }
+        let tie = |t: &Target| xxh3_64_with_seed(&t.id.to_le_bytes(), input.seed);
         Plan {
             input,
             loads,
+            ties: input.targets.iter().map(tie).collect(),
             first: owner.clone(),
             owner,
             held,
@@ -201,7 +207,7 @@
             let weight = self.loads.weights[shard];
             let best = self.open(side).min_by_key(|&at| {
                 let load = self.loads.relative_with(at, weight);
-                (Weight(load), self.tie(at))
+                (Weight(load), self.ties[at])
             });
             if let Some(best) = best {
                 self.give(shard, best);
@@ -216,11 +222,6 @@
             .map(|(at, _)| at)
     }
 
-    fn tie(&self, at: usize) -> u64 {
-        let id = self.input.targets[at].id.to_le_bytes();
-        xxhash_rust::xxh3::xxh3_64_with_seed(&id, self.input.seed)
-    }
-
     /// Moves held shards from the most to the least loaded target while that lowers the cost.
     fn rebalance(&mut self) {
         let mut left = self.input.moves;
@@ -265,7 +266,7 @@
         let low = self
             .open(side)
             .filter(|&at| at != high)
-            .min_by_key(|&at| (Weight(self.loads.relative(at)), self.tie(at)))?;
+            .min_by_key(|&at| (Weight(self.loads.relative(at)), self.ties[at]))?;
         let gap = self.loads.relative(high) - self.loads.relative(low) - self.least_gain();
         if gap <= 0.0 {
             return None;
