Give rights to send only to sessions without a running predecessor

Change: SetSender names the session; a session gets no right until the lease of the VM's session before it and the stall margin have run out. Ruled out: the number of the session in views; routers know only their VM.

--- a/crates/domain/src/command.rs
+++ b/crates/domain/src/command.rs
@@ -6,6 +6,7 @@
     RequestId,
     Service,
     ServiceName,
+    SessionId,
     ShardIndex,
     ShardRef,
     TargetId,
@@ -78,6 +79,9 @@
         expect: Option<VmId>,
         /// The new sender.
         sender: VmId,
+        /// Its session. Another process of the VM may open a session before the command is
+        /// applied, while the lease of this one still runs.
+        session: SessionId,
     },
     /// Makes a serving target the owner of a free shard.
     Assign {
--- a/crates/domain/src/leader/leases.rs
+++ b/crates/domain/src/leader/leases.rs
@@ -147,6 +147,7 @@
             .targets()
             .filter_map(|t| t.holder)
             .chain(state.vms().map(|(_, session)| session.id))
+            .chain(state.vms().filter_map(|(_, session)| session.earlier))
             .collect();
         self.vms.retain(|id, _| used.contains(id));
         self.targets.retain(|&id, _| state.target(id).is_some());
--- a/crates/domain/src/leader/sessions.rs
+++ b/crates/domain/src/leader/sessions.rs
@@ -14,7 +14,8 @@
 use crate::{
     Command,
     State,
-    TargetEntry, //
+    TargetEntry,
+    VmSession, //
 };
 
 use super::{
@@ -80,13 +81,18 @@
             return;
         }
         let fresh = |renewed: Duration| now < renewed + self.config.vm / 2;
-        let mut vms: Vec<VmId> = state
-            .vms()
+        // An earlier process of the VM that still runs would take the right for its own.
+        let alone = |session: VmSession| {
+            session
+                .earlier
+                .is_none_or(|id| now >= self.leases.vm_end(id) + self.config.stall)
+        };
+        let usable = || state.vms().filter(|(_, session)| alone(*session));
+        let mut vms: Vec<(VmId, VmSession)> = usable()
             .filter(|(_, session)| fresh(self.leases.vm_renewed(session.id)))
-            .map(|(vm, _)| vm)
             .collect();
         if vms.is_empty() {
-            vms = state.vms().map(|(vm, _)| vm).collect();
+            vms = usable().collect();
         }
         let mut total: BTreeMap<VmId, u32> = BTreeMap::new();
         let mut by_service: BTreeMap<(&str, VmId), u32> = BTreeMap::new();
@@ -103,12 +109,12 @@
                 continue;
             }
             let service = &*target.info.spec.service;
-            let sender = vms.iter().copied().min_by_key(|&vm| {
+            let sender = vms.iter().copied().min_by_key(|&(vm, _)| {
                 let same = by_service.get(&(service, vm)).copied().unwrap_or(0);
                 let all = total.get(&vm).copied().unwrap_or(0);
                 (same, all, vm)
             });
-            let Some(sender) = sender else {
+            let Some((sender, session)) = sender else {
                 return;
             };
             *total.entry(sender).or_default() += 1;
@@ -118,6 +124,7 @@
                 target: id,
                 expect: target.sender,
                 sender,
+                session: session.id,
             };
             self.propose(Subject::Sender(id), target.changed, command, now);
         }
--- a/crates/domain/src/state.rs
+++ b/crates/domain/src/state.rs
@@ -67,6 +67,8 @@
     /// Services of which a shard was assigned by this group.
     opened: BTreeSet<ServiceName>,
     vms: BTreeMap<VmId, VmSession>,
+    /// The newest session that each VM has had.
+    last_sessions: BTreeMap<VmId, SessionId>,
     targets: BTreeMap<TargetId, TargetEntry>,
     homes: BTreeMap<ServiceName, Homes>,
     records: Records,
@@ -82,6 +84,8 @@
     pub id: SessionId,
     /// The run of the VM's process.
     pub incarnation: Incarnation,
+    /// The VM's session before this one. Its process may still run.
+    pub earlier: Option<SessionId>,
 }
 
 /// A target with its sender.
@@ -189,6 +193,7 @@
             deadlines: BTreeMap::new(),
             opened: BTreeSet::new(),
             vms: BTreeMap::new(),
+            last_sessions: BTreeMap::new(),
             targets: BTreeMap::new(),
             homes: BTreeMap::new(),
             records: Records::default(),
--- a/crates/domain/src/state/apply.rs
+++ b/crates/domain/src/state/apply.rs
@@ -3,6 +3,7 @@
 use camphordale_types::{
     Incarnation,
     Service,
+    SessionId,
     TargetId,
     TargetInfo,
     TargetSpec,
@@ -53,7 +54,8 @@
                 target,
                 expect,
                 sender,
-            } => self.set_sender(*target, *expect, *sender),
+                session,
+            } => self.set_sender(*target, *expect, *sender, *session),
             Command::Assign {
                 shard,
                 expect,
@@ -89,7 +91,12 @@
         }
         self.drop_senders(vm);
         let id = self.index;
-        self.vms.insert(vm, VmSession { id, incarnation });
+        let session = VmSession {
+            id,
+            incarnation,
+            earlier: self.last_sessions.insert(vm, id),
+        };
+        self.vms.insert(vm, session);
         self.touch();
         Outcome::Done
     }
@@ -196,10 +203,16 @@
         Outcome::Done
     }
 
-    fn set_sender(&mut self, id: TargetId, expect: Option<VmId>, sender: VmId) -> Outcome {
-        let Some(session) = self.vms.get(&sender) else {
-            return Outcome::Refused("the VM has no session".into());
-        };
+    fn set_sender(
+        &mut self,
+        id: TargetId,
+        expect: Option<VmId>,
+        sender: VmId,
+        session: SessionId,
+    ) -> Outcome {
+        if self.vms.get(&sender).is_none_or(|s| s.id != session) {
+            return Outcome::Refused("the VM has no such session".into());
+        }
         let Some(service) = self.targets.get(&id).map(|t| &t.info.spec.service) else {
             return Outcome::Refused("the target has no session".into());
         };
@@ -214,7 +227,7 @@
             return Outcome::Refused("the target's sender has a session".into());
         }
         target.sender = Some(sender);
-        target.former = target.holder.replace(session.id);
+        target.former = target.holder.replace(session);
         target.token = token;
         target.changed = self.index;
         self.touch();
