--- a/crates/domain/src/leader/shards.rs
+++ b/crates/domain/src/leader/shards.rs
@@ -55,47 +55,71 @@
         });
         for name in state.homed() {
             let service = state.service(name).filter(|s| s.is_keyed());
+            // Neither this nor another domain may own a shard that a replaced group still serves.
+            let served = self.served_before(state, name, now);
             let mut free = false;
-            for (index, entry) in state.shards(name) {
-                let shard = || ShardRef::new(name, index);
-                match entry.phase {
-                    Phase::Held(owner) => {
-                        if must_release(state, service, index, entry, owner) {
-                            self.release(shard(), entry, now);
+            if self.at_rest.get(name) != Some(&state.layout()) {
+                let mut rest = true;
+                for (index, entry) in state.shards(name) {
+                    let shard = || ShardRef::new(name, index);
+                    match entry.phase {
+                        Phase::Held(owner) => {
+                            if must_release(state, service, index, entry, owner) {
+                                rest = false;
+                                self.release(shard(), entry, now);
+                            }
+                            continue;
                         }
-                    }
-                    Phase::Releasing(owner) => {
-                        let shard = shard();
-                        if self.may_free(state, &shard, entry, owner, now) {
-                            let command = Command::Free {
-                                shard: shard.clone(),
-                                expect: entry.token,
-                            };
-                            self.propose(Subject::Shard(shard), entry.changed, command, now);
+                        Phase::Parked => continue,
+                        Phase::Releasing(owner) => {
+                            self.free(state, shard(), entry, owner, now);
+                        }
+                        Phase::Free if served => {}
+                        Phase::Free if entry.leaving => self.park(shard(), entry, now),
+                        Phase::Free => {
+                            let subject = Subject::Shard(shard());
+                            free |= !self.pending.waits(&subject, entry.changed, now);
                         }
                     }
-                    Phase::Free if entry.leaving => {
-                        let command = Command::Park {
-                            shard: shard(),
-                            expect: entry.token,
-                        };
-                        self.propose(Subject::Shard(shard()), entry.changed, command, now);
-                    }
-                    Phase::Free => {
-                        let subject = Subject::Shard(shard());
-                        free |= !self.pending.waits(&subject, entry.changed, now);
-                    }
-                    Phase::Parked => {}
+                    rest = false;
+                }
+                if rest {
+                    self.at_rest.insert(name.clone(), state.layout());
                 }
             }
             if let Some(service) = service
-                && !self.served_before(state, name, now)
+                && !served
             {
                 self.place(state, service, free, now);
             }
         }
     }
 
+    fn free(
+        &mut self,
+        state: &State,
+        shard: ShardRef,
+        entry: &ShardEntry,
+        owner: TargetId,
+        now: Duration,
+    ) {
+        if self.may_free(state, &shard, entry, owner, now) {
+            let command = Command::Free {
+                shard: shard.clone(),
+                expect: entry.token,
+            };
+            self.propose(Subject::Shard(shard), entry.changed, command, now);
+        }
+    }
+
+    fn park(&mut self, shard: ShardRef, entry: &ShardEntry, now: Duration) {
+        let command = Command::Park {
+            shard: shard.clone(),
+            expect: entry.token,
+        };
+        self.propose(Subject::Shard(shard), entry.changed, command, now);
+    }
+
     fn release(&mut self, shard: ShardRef, entry: &ShardEntry, now: Duration) {
         let command = Command::Release {
             shard: shard.clone(),
@@ -120,11 +144,7 @@
         let Some(target) = state.target(owner) else {
             return true;
         };
-        let over = target.info.spec.checks_tokens
-            && target.info.state == TargetState::Lost
-            && now >= self.leases.target_end(owner);
-        // A new process of a lost target at the same address knows no tokens yet, so senders
-        // must have stopped in either case.
+        let over = self.is_over(state, target, now);
         let running = match over {
             true => Duration::ZERO,
             false => state.deadline(&shard.service),
@@ -142,11 +162,29 @@
             .get(shard)
             .filter(|r| r.token == entry.token && r.holder == holder);
         match report {
-            Some(report) => over || now >= report.clear,
+            Some(report) => now >= report.clear || over && now >= report.at + self.config.stall,
             None => target.sender.is_none() && ended(self.leases.vm_end(holder)),
         }
     }
 
+    /// Tells whether no request that was sent to `target` runs any more.
+    ///
+    /// That is so when it checks tokens and its lease has run out, unless it announced itself
+    /// again: a new process at the same address knows no tokens yet, has a lease, and may have
+    /// accepted requests that were meant for the old one.
+    fn is_over(&self, state: &State, target: &TargetEntry, now: Duration) -> bool {
+        let info = &target.info;
+        let again = |other: &TargetEntry| {
+            other.info.id != info.id
+                && (other.info.spec.name == info.spec.name
+                    || other.info.spec.address == info.spec.address)
+        };
+        info.spec.checks_tokens
+            && info.state == TargetState::Lost
+            && now >= self.leases.target_end(info.id)
+            && !state.targets().any(again)
+    }
+
     /// Assigns free shards and, from time to time, moves others for balance.
     fn place(&mut self, state: &State, service: &Service, free: bool, now: Duration) {
         let due = now >= self.elected + MEASURE
@@ -182,12 +220,22 @@
                     };
                     self.propose(Subject::Shard(shard), entry.changed, command, now);
                 }
-                Phase::Held(_) => self.release(shard, entry, now),
-                Phase::Releasing(_) | Phase::Parked => {}
+                // Without its sender's report the shard would have no owner until the deadline.
+                Phase::Held(owner) if self.sender_answers(state, owner, now) => {
+                    self.release(shard, entry, now);
+                }
+                Phase::Held(_) | Phase::Releasing(_) | Phase::Parked => {}
             }
         }
     }
 
+    fn sender_answers(&self, state: &State, owner: TargetId, now: Duration) -> bool {
+        let sender = state.target(owner).and_then(|target| target.sender);
+        sender
+            .and_then(|vm| state.vm(vm))
+            .is_some_and(|session| now < self.leases.vm_renewed(session.id) + self.config.vm / 2)
+    }
+
     fn placement_input(
         &mut self,
         state: &State,
--- a/crates/placement/src/place.rs
+++ b/crates/placement/src/place.rs
@@ -16,14 +16,16 @@
     Weights, //
 };
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::load::Loads;
 
-/// Load above the mean from which held shards may move. Rates are measured and fluctuate; without
-/// a range in which nothing moves, shards would move to and fro.
-const HIGH: f64 = 1.08;
+/// Loads relative to the mean below or above which held shards start to move. Rates are measured
+/// and fluctuate; without a range in which nothing moves, shards would move to and fro.
+const START: (f64, f64) = (0.85, 1.1);
 
-/// Load below the mean from which held shards may move, for targets that joined.
-const LOW: f64 = 0.85;
+/// Loads within which moves stop again.
+const STOP: (f64, f64) = (0.93, 1.05);
 
 /// Bounds of the difference of loads that a move must gain besides the moved load itself. Above
 /// the upper bound a ratio of maximum to mean of 1.15 could not be reached.
@@ -128,6 +130,8 @@
     owner: Vec<Option<usize>>,
     /// Shards of each target, ordered by weight.
     held: Vec<BTreeSet<(Weight, usize)>>,
+    /// Order of equally good targets.
+    ties: Vec<u64>,
     /// Owners before any move.
     first: Vec<Option<usize>>,
 }
@@ -171,9 +175,11 @@
                 held[at].insert((Weight(loads.weights[shard]), shard));
             }
         }
+        let tie = |t: &Target| xxh3_64_with_seed(&t.id.to_le_bytes(), input.seed);
         Plan {
             input,
             loads,
+            ties: input.targets.iter().map(tie).collect(),
             first: owner.clone(),
             owner,
             held,
@@ -201,7 +207,7 @@
             let weight = self.loads.weights[shard];
             let best = self.open(side).min_by_key(|&at| {
                 let load = self.loads.relative_with(at, weight);
-                (Weight(load), self.tie(at))
+                (Weight(load), self.ties[at])
             });
             if let Some(best) = best {
                 self.give(shard, best);
@@ -216,11 +222,6 @@
             .map(|(at, _)| at)
     }
 
-    fn tie(&self, at: usize) -> u64 {
-        let id = self.input.targets[at].id.to_le_bytes();
-        xxhash_rust::xxh3::xxh3_64_with_seed(&id, self.input.seed)
-    }
-
     /// Moves held shards from the most to the least loaded target while that lowers the cost.
     fn rebalance(&mut self) {
         let mut left = self.input.moves;
@@ -228,14 +229,15 @@
             let mut from: Vec<usize> = (0..self.held.len())
                 .filter(|&at| self.input.targets[at].side == side)
                 .collect();
-            let uneven = |plan: &Self, at: &usize| {
-                let load = plan.loads.relative(*at);
-                load > HIGH || load < LOW && plan.input.targets[*at].open
-            };
-            if !from.iter().any(|at| uneven(self, at)) {
+            if self.even(&from, START) {
                 continue;
             }
-            while left > 0 {
+            // When only a new target is to be filled, the others need not get closer than they were.
+            let stop = match self.even(&from, (0.0, START.1)) {
+                true => (STOP.0, START.1),
+                false => STOP,
+            };
+            while left > 0 && !self.even(&from, stop) {
                 let Some(high) = max_by_load(&self.loads, &from) else {
                     break;
                 };
@@ -251,12 +253,20 @@
         }
     }
 
+    /// Tells whether all loads of `targets` are within `bounds`.
+    fn even(&self, targets: &[usize], bounds: (f64, f64)) -> bool {
+        targets.iter().all(|&at| {
+            let load = self.loads.relative(at);
+            load <= bounds.1 && (load >= bounds.0 || !self.input.targets[at].open)
+        })
+    }
+
     /// Returns the move from target `high` that lowers the cost most.
     fn best_move(&self, side: Side, high: usize) -> Option<(usize, usize)> {
         let low = self
             .open(side)
             .filter(|&at| at != high)
-            .min_by_key(|&at| (Weight(self.loads.relative(at)), self.tie(at)))?;
+            .min_by_key(|&at| (Weight(self.loads.relative(at)), self.ties[at]))?;
         let gap = self.loads.relative(high) - self.loads.relative(low) - self.least_gain();
         if gap <= 0.0 {
             return None;
