--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -40,6 +40,9 @@
     SetHomes {
         /// The service.
         service: ServiceName,
+        /// Version of the standing bundle on which the changes were decided. They are refused if
+        /// another one stands, because it may let a cut-off domain serve longer.
+        bundle: u64,
         /// The changes. Each one whose expectation does not hold is skipped.
         changes: Vec<HomeChange>,
     },
--- a/crates/control/src/planner/homes.rs
+++ b/crates/control/src/planner/homes.rs
@@ -7,7 +7,7 @@
 use super::{
     Planner, PlannerConfig, may_ask,
     shards::{Place, ShardMap, apportion, base_of},
-    watch::Watch,
+    watch::{Leaving, Watch},
 };
 use crate::{Command, Home, HomeChange, State};
 
@@ -65,6 +65,7 @@
             mark_leaving(&mut self.domains, state, service, &changes);
             commands.push(Command::SetHomes {
                 service: service.name.clone(),
+                bundle: bundle.version,
                 changes,
             });
         }
@@ -87,9 +88,12 @@
             && !is_parked(watch, service, change.index, home)
         {
             let moving = (service.name.clone(), change.index);
-            watch
-                .leaving
-                .insert(moving, (home.since, change.to.clone()));
+            let leaving = Leaving {
+                since: home.since,
+                bundle: state.bundle().map_or(0, |bundle| bundle.version),
+                to: change.to.clone(),
+            };
+            watch.leaving.insert(moving, leaving);
             watch.renews = false;
         }
     }
@@ -195,7 +199,8 @@
     ///
     /// A domain that is cut off stops serving when its domain lease has run out, counted from
     /// before it sent the last report that was answered. Its VMs may then still use their leases,
-    /// and the last requests may run until their deadline. A domain that was declared lost runs
+    /// and the last requests may run until their deadline. A replaced group may have served until
+    /// its replacement was formed, by a bundle older than its successor's. A domain that was declared lost runs
     /// nothing, so only what was in flight is waited for.
     fn leave_lost(&mut self, domain: &DomainName) {
         let Some(watch) = self.domains.get(domain) else {
@@ -208,7 +213,7 @@
         let declared = watch.lost.map(|(_, at)| at + rest);
         let silent = reach.lease.map(|lease| {
             let granted = watch.granted.unwrap_or(self.elected).max(self.elected);
-            granted + lease + lease / 10 + rest
+            granted.max(watch.began) + lease + lease / 10 + rest
         });
         let over = |at: Option<Duration>| at.is_some_and(|at| self.now >= at);
         if !over(declared) && !over(silent) {
@@ -216,9 +221,9 @@
         }
         // A repeated proposal names the same domain, so that both have the same effect.
         let mut again = Vec::new();
-        for ((service, index), (_, to)) in &watch.leaving {
+        for ((service, index), leaving) in &watch.leaving {
             if *service == self.service.name {
-                again.push((*index, to.clone()));
+                again.push((*index, leaving.to.clone()));
             }
         }
         for (index, to) in again {
--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -117,9 +117,11 @@
         self.domains.get(domain)?.sealing
     }
 
-    /// Tells whether the latest report of `domain` renewed its domain lease. The answer to that
-    /// report must say so, because the planner counts the lease from the report.
+    /// Tells whether the latest report of `domain` renewed its domain lease. Only then may the
+    /// answer to that report say so.
     ///
+    /// The answer carries the directory, and the renewal counts only for the domain leader that
+    /// took this directory: a leader with older homes could serve on for shards that have moved.
     /// A report is not answered with a renewal while shards are being taken from the domain
     /// without its consent.
     pub fn renews(&self, domain: &str) -> bool {
--- a/crates/control/src/planner/watch.rs
+++ b/crates/control/src/planner/watch.rs
@@ -39,10 +39,20 @@
     pub(crate) bundle: u64,
     /// Since when the domain has shards but no targets for them.
     pub(crate) starved: BTreeMap<(ServiceName, Side), Duration>,
-    /// Proposed moves out of this domain that it has not confirmed by parking: the `since` of the
-    /// home that is replaced, and the new home. While one of them may still take effect, the
-    /// domain lease is not renewed.
-    pub(crate) leaving: BTreeMap<(ServiceName, ShardIndex), (u64, DomainName)>,
+    /// Proposed moves out of this domain that it has not confirmed by parking. While one of them
+    /// may still take effect, the domain lease is not renewed.
+    pub(crate) leaving: BTreeMap<(ServiceName, ShardIndex), Leaving>,
+}
+
+/// A proposed move.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaving {
+    /// `since` of the home that is replaced.
+    pub(crate) since: u64,
+    /// Version of the bundle on which the move was decided.
+    pub(crate) bundle: u64,
+    /// The new home.
+    pub(crate) to: DomainName,
 }
 
 impl Watch {
@@ -63,9 +73,11 @@
             let known = self.lost.filter(|(known, _)| *known == index);
             known.unwrap_or((index, now))
         });
-        self.leaving.retain(|(service, index), (since, _)| {
+        let standing = state.standing().map_or(0, |(version, _)| version);
+        self.leaving.retain(|(service, index), leaving| {
             let home = state.home(service, *index);
-            home.is_some_and(|home| home.domain == *domain && home.since == *since)
+            home.is_some_and(|home| home.domain == *domain && home.since == leaving.since)
+                && leaving.bundle == standing
         });
     }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -106,7 +106,11 @@
                 replaces,
                 members,
             } => self.form(domain, *replaces, members),
-            Command::SetHomes { service, changes } => self.set_homes(service, changes),
+            Command::SetHomes {
+                service,
+                bundle,
+                changes,
+            } => self.set_homes(service, *bundle, changes),
             Command::DeclareLost { domain, by, at } => self.declare_lost(domain, by, *at),
             Command::ReturnDomain { domain, by, at } => self.return_domain(domain, by, *at),
             Command::InForce {
@@ -174,7 +178,11 @@
         Outcome::Done
     }
 
-    fn set_homes(&mut self, service: &str, changes: &[HomeChange]) -> Outcome {
+    fn set_homes(&mut self, service: &str, bundle: u64, changes: &[HomeChange]) -> Outcome {
+        let standing = self.chain.version();
+        if bundle != standing {
+            return stale(format!("decided on bundle {bundle}, but {standing} stands"));
+        }
         let Some(service) = self.chain.content().and_then(|b| b.service(service)) else {
             return stale(format!("no service {service} in the standing bundle"));
         };
--- a/crates/control/tests/decode.rs
+++ b/crates/control/tests/decode.rs
@@ -28,6 +28,7 @@
         },
         Command::SetHomes {
             service: "berths".into(),
+            bundle: 1,
             changes: (0..8).map(change).collect(),
         },
         Command::DeclareLost {
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -50,6 +50,7 @@
                 };
                 Command::SetHomes {
                     service: "berths".into(),
+                    bundle: state.standing().map_or(0, |(version, _)| version),
                     changes: (0..8).map(change).collect(),
                 }
             }
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -156,7 +156,10 @@
             if let Command::SubmitBundle { signed, .. } = command {
                 standing = decode(&signed.bytes).ok();
             }
-            let Command::SetHomes { service, changes } = command else {
+            let Command::SetHomes {
+                service, changes, ..
+            } = command
+            else {
                 continue;
             };
             let Some(known) = standing.as_ref().and_then(|b| b.service(service)) else {
@@ -208,11 +211,13 @@
                 let fits = self.form(domain, *replaces, members);
                 fits.then_some(Outcome::Done).ok_or_else(stale)
             }
-            Command::SetHomes { service, .. } => {
+            Command::SetHomes {
+                service, bundle, ..
+            } => {
                 let bundles = self.bundles();
                 let known = bundles
                     .last()
-                    .is_some_and(|(_, b)| b.service(service).is_some());
+                    .is_some_and(|(_, b)| b.version == *bundle && b.service(service).is_some());
                 known.then_some(Outcome::Done).ok_or_else(stale)
             }
             Command::RemoveVm { vm, .. } if self.current(*vm).is_none() => Err(Outcome::Done),
@@ -366,6 +371,8 @@
 
     fn homes(&mut self, naive: &Naive) -> Command {
         let homes = naive.homes();
+        let standing = naive.bundles().len() as u64;
+        let bundle = standing.saturating_sub(u64::from(self.rng.random_bool(0.1)));
         let service: Box<str> = (*["berths", "extra"]
             .choose(&mut self.rng)
             .expect("not empty"))
@@ -388,7 +395,11 @@
         };
         let mut changes: Vec<HomeChange> = (0..11).map(change).collect();
         changes.retain(|_| self.rng.random_bool(0.4));
-        Command::SetHomes { service, changes }
+        Command::SetHomes {
+            service,
+            bundle,
+            changes,
+        }
     }
 }
 
