Shorten the tests of the control state and the partitions

Change: the same checks in fewer lines; the naive state now also answers how long a cut-off domain may serve by any bundle that it may have in force.

--- a/crates/control/tests/partitions.rs
+++ b/crates/control/tests/partitions.rs
@@ -45,7 +45,6 @@
 }
 
 type Run = (u32, u64);
-type Shard = (Box<str>, u32);
 
 /// The running process of one VM.
 struct Process {
@@ -68,10 +67,11 @@
 }
 
 /// A domain group: what its voters replicate.
+#[derive(Default)]
 struct Group {
     voters: Vec<Run>,
     /// Shards homed here with their `since`, and whether they are parked.
-    held: BTreeMap<Shard, (u64, bool)>,
+    held: BTreeMap<u32, (u64, bool)>,
     homes: u64,
     bundle: Option<Bundle>,
     /// When the last report was sent that was answered with a renewal, by the run that sent it. A
@@ -80,28 +80,19 @@
 }
 
 enum Message {
-    Report {
-        from: Run,
-        sent: u64,
-        domain: usize,
-        report: DomainReport,
-        versions: Versions,
-    },
-    Leaderless {
-        from: Run,
-        domain: usize,
-        term: u64,
-        sealed: bool,
-        versions: Versions,
-    },
-    Reply {
-        to: Run,
-        domain: usize,
-        term: u64,
-        renews: Option<u64>,
-        sealing: Option<u64>,
-        directory: Directory,
-    },
+    /// A report or a call of a VM without a leader, to the control leader.
+    Up(Call, PlannerEvent, Versions),
+    /// The answer; `sealing` and whether it renews the domain lease.
+    Down(Call, Option<u64>, bool, Directory),
+}
+
+/// Who calls from which group, and when the call was sent.
+#[derive(Clone, Copy)]
+struct Call {
+    run: Run,
+    domain: usize,
+    term: u64,
+    sent: u64,
 }
 
 struct World {
@@ -119,9 +110,10 @@
     slots: [[u32; 2]; 3],
     /// Clock rate of each domain's leases.
     rates: [f64; 3],
+    /// Processes started so far.
     runs: u64,
     /// Until when requests of a domain may run for a shard.
-    acting: BTreeMap<Shard, [u64; 3]>,
+    acting: BTreeMap<u32, [u64; 3]>,
     moved: u64,
     reformed: u64,
 }
@@ -201,39 +193,28 @@
             let moves = changes.iter().any(|change| change.now && change.expect > 0);
             self.moved += u64::from(moves && self.state.versions().homes > homes);
         }
-        let Command::FormGroup {
+        if let Command::FormGroup {
             domain,
             members,
             replaces,
         } = command
-        else {
-            return;
-        };
-        if outcome != Outcome::Done {
-            return;
+            && outcome == Outcome::Done
+        {
+            self.reformed += u64::from(replaces > 0);
+            let domain = NAMES.iter().position(|name| **name == *domain);
+            let group = Group {
+                voters: members,
+                ..Group::default()
+            };
+            self.groups
+                .insert((domain.expect("known"), self.index), group);
         }
-        self.reformed += u64::from(replaces > 0);
-        let domain = NAMES
-            .iter()
-            .position(|name| **name == *domain)
-            .expect("known");
-        let group = Group {
-            voters: members,
-            held: BTreeMap::new(),
-            homes: 0,
-            bundle: None,
-            renewed: BTreeMap::new(),
-        };
-        self.groups.insert((domain, self.index), group);
     }
 
     /// Tells whether a run can still vote in a term, now or after a pause or a partition.
     fn can_vote(&self, run: &Run, term: u64) -> bool {
-        let process = self
-            .processes
-            .get(&run.0)
-            .filter(|process| process.run == *run);
-        process.is_some_and(|process| !process.sealed.contains(&term) && process.term() <= term)
+        let process = self.processes.get(&run.0).filter(|p| p.run == *run);
+        process.is_some_and(|p| !p.sealed.contains(&term) && p.term() <= term)
     }
 
     /// Tells whether a run votes now. It takes part in a term only once its own directory names
@@ -246,15 +227,12 @@
     }
 
     /// Returns the VM that leads a group and the part of the network it leads.
-    fn leader(&self, domain: usize, term: u64) -> Option<(u32, u8)> {
-        let group = self.groups.get(&(domain, term))?;
+    fn leader(&self, id: (usize, u64)) -> Option<(u32, u8)> {
+        let voters = &self.groups.get(&id)?.voters;
         (0..2).find_map(|part| {
-            let mut voters = group
-                .voters
-                .iter()
-                .filter(|run| self.votes(run, term, part));
-            let first = voters.next()?;
-            (voters.count() + 1 > group.voters.len() / 2).then_some((first.0, part))
+            let mut here = voters.iter().filter(|run| self.votes(run, id.1, part));
+            let first = here.next()?;
+            (2 * (here.count() + 1) > voters.len()).then_some((first.0, part))
         })
     }
 
@@ -268,11 +246,16 @@
         self.messages.push((self.now + delay, message));
     }
 
-    fn reaches_control(&self, run: Run) -> bool {
+    /// Tells whether a run and the control leader reach each other.
+    fn reaches(&self, run: Run) -> bool {
         let process = self.processes.get(&run.0);
         process.is_some_and(|p| p.run == run && p.outer && p.paused <= self.now)
     }
 
+    fn process(&mut self, number: u32) -> &mut Process {
+        self.processes.get_mut(&number).expect("running")
+    }
+
     fn plan(&mut self, event: PlannerEvent) {
         let commands = self.planner.step(&self.state, event, ms(self.now));
         self.log.extend(commands);
@@ -280,261 +263,197 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let due: Vec<Message> = self
-            .messages
-            .extract_if(.., |(at, _)| *at <= now)
-            .map(|(_, m)| m)
-            .collect();
-        for message in due {
+        let due = self.messages.extract_if(.., |(at, _)| *at <= now);
+        for (_, message) in due.collect::<Vec<_>>() {
             match message {
-                Message::Report {
-                    from,
-                    sent,
-                    domain,
-                    report,
-                    versions,
-                } if self.leading => {
-                    let term = report.term;
-                    self.plan(PlannerEvent::Report(report));
-                    let renews = self.planner.renews(NAMES[domain]).then_some(sent);
-                    self.reply(from, domain, term, renews, versions);
-                }
-                Message::Leaderless {
-                    from,
-                    domain,
-                    term,
-                    sealed,
-                    versions,
-                } if self.leading => {
-                    let (vm, incarnation) = from;
-                    self.plan(PlannerEvent::Leaderless {
-                        vm,
-                        incarnation,
-                        domain: NAMES[domain].into(),
-                        term,
-                        sealed,
-                    });
-                    self.reply(from, domain, term, None, versions);
+                Message::Up(call, event, versions) if self.leading => {
+                    let report = matches!(event, PlannerEvent::Report(_));
+                    self.plan(event);
+                    let name = NAMES[call.domain];
+                    let renews = report && self.planner.renews(name);
+                    let directory = self.state.directory(&versions);
+                    let sealing = self.planner.sealing(name);
+                    self.send(Message::Down(call, sealing, renews, directory));
                 }
-                Message::Reply {
-                    to,
-                    domain,
-                    term,
-                    renews,
-                    sealing,
-                    directory,
-                } if self.reaches_control(to) => {
+                Message::Down(call, sealing, renews, directory) if self.reaches(call.run) => {
                     let hasty = self.chance(0.02);
-                    let led = self.leader(domain, term).is_some();
-                    if let Some(group) = self.groups.get_mut(&(domain, term)) {
-                        let renewed = group.renewed.entry(to).or_default();
-                        *renewed = renews.map_or(*renewed, |sent| sent.max(*renewed));
-                    }
-                    if let Some(process) = self.processes.get_mut(&to.0) {
-                        process.cache.take(directory);
-                        process.sealed.extend(sealing.filter(|_| hasty || !led));
+                    let group = (call.domain, call.term);
+                    let seals = hasty || self.leader(group).is_none();
+                    if let Some(group) = self.groups.get_mut(&group).filter(|_| renews) {
+                        let renewed = group.renewed.entry(call.run).or_default();
+                        *renewed = call.sent.max(*renewed);
                     }
+                    let process = self.process(call.run.0);
+                    process.cache.take(directory);
+                    process.sealed.extend(sealing.filter(|_| seals));
                 }
                 _ => {}
             }
         }
     }
 
-    fn reply(
-        &mut self,
-        to: Run,
-        domain: usize,
-        term: u64,
-        renews: Option<u64>,
-        versions: Versions,
-    ) {
-        let sealing = self.planner.sealing(NAMES[domain]);
-        let directory = self.state.directory(&versions);
-        if self.reaches_control(to) {
-            self.send(Message::Reply {
-                to,
-                domain,
+    /// Registrations, calls of VMs without a leader, and what VMs of a domain tell each other.
+    fn run_process(&mut self, number: u32) {
+        let process = &self.processes[&number];
+        let (run, domain, part) = (process.run, process.domain, process.part);
+        if process.paused > self.now {
+            return;
+        }
+        let versions = process.cache.versions();
+        let term = process.term();
+        let sealed = process.sealed.contains(&term);
+        let near = |p: &&Process| (p.domain, p.part) == (domain, part) && p.paused <= self.now;
+        let mut near = self.processes.values().filter(near);
+        let news = near
+            .find(|p| p.run != run)
+            .map(|p| p.cache.directory(&versions));
+        let known = self
+            .state
+            .vm(number)
+            .is_some_and(|info| info.incarnation == run.1);
+        let led = self
+            .leader((domain, term))
+            .is_some_and(|(_, led)| led == part);
+        let up = self.reaches(run);
+        if up && !known && self.leading && self.chance(0.3) {
+            self.log
+                .push_back(Command::RegisterVm(vm(number, run.1, NAMES[domain])));
+        }
+        if up && !led && self.chance(0.3) {
+            let event = PlannerEvent::Leaderless {
+                vm: number,
+                incarnation: run.1,
+                domain: NAMES[domain].into(),
                 term,
-                renews,
-                sealing,
-                directory,
-            });
+                sealed,
+            };
+            let sent = self.now;
+            self.send(Message::Up(
+                Call {
+                    run,
+                    domain,
+                    term,
+                    sent,
+                },
+                event,
+                versions,
+            ));
         }
-    }
-
-    /// Registrations, calls of VMs without a leader, and what VMs of a domain tell each other.
-    fn run_processes(&mut self) {
-        let numbers: Vec<u32> = self.processes.keys().copied().collect();
-        for number in numbers {
-            let process = &self.processes[&number];
-            let (run, domain, part) = (process.run, process.domain, process.part);
-            if process.paused > self.now {
-                continue;
-            }
-            let versions = process.cache.versions();
-            let term = process.term();
-            let sealed = process.sealed.contains(&term);
-            let near = self.processes.values().find(|other| {
-                other.domain == domain
-                    && other.part == part
-                    && other.run != run
-                    && other.paused <= self.now
-            });
-            let news = near.map(|near| near.cache.directory(&versions));
-            let known = self
-                .state
-                .vm(number)
-                .is_some_and(|info| info.incarnation == run.1);
-            let led = self
-                .leader(domain, term)
-                .is_some_and(|(_, led)| led == part);
-            if self.reaches_control(run) {
-                if !known && self.leading && self.chance(0.3) {
-                    self.log
-                        .push_back(Command::RegisterVm(vm(number, run.1, NAMES[domain])));
-                }
-                if !led && self.chance(0.3) {
-                    self.send(Message::Leaderless {
-                        from: run,
-                        domain,
-                        term,
-                        sealed,
-                        versions,
-                    });
-                }
-            }
-            if let Some(news) = news.filter(|_| self.rng.random_bool(0.3)) {
-                self.processes
-                    .get_mut(&number)
-                    .expect("running")
-                    .cache
-                    .take(news);
-            }
+        if let Some(news) = news.filter(|_| self.rng.random_bool(0.3)) {
+            self.process(number).cache.take(news);
         }
     }
 
-    fn run_group(&mut self, domain: usize, term: u64, horizon: u64) {
-        let Some((leader, part)) = self.leader(domain, term) else {
+    fn run_group(&mut self, id: (usize, u64), horizon: u64) {
+        let Some((leader, part)) = self.leader(id) else {
             return;
         };
-        self.exchange_voter(domain, term, leader, part);
+        self.exchange_voter(id, leader, part);
+        let (domain, term) = id;
         let name = NAMES[domain];
-        let park = self.chance(0.3);
-        let report = self.chance(0.6);
+        let (park, report) = (self.chance(0.3), self.chance(0.6));
         let process = &self.processes[&leader];
         let versions = process.cache.versions();
-        let group = self.groups.get_mut(&(domain, term)).expect("formed");
-        if process.cache.bundle().map(|b| b.version) > group.bundle.as_ref().map(|b| b.version) {
+        let group = self.groups.get_mut(&id).expect("formed");
+        let version = |bundle: Option<&Bundle>| bundle.map(|bundle| bundle.version);
+        if version(process.cache.bundle()) > version(group.bundle.as_ref()) {
             group.bundle = process.cache.bundle().cloned();
         }
         if versions.homes >= group.homes {
             group.homes = versions.homes;
-            let known: BTreeMap<Shard, (u64, bool)> = process
-                .cache
-                .all_homes()
-                .iter()
-                .flat_map(|(s, runs)| runs.iter().map(move |(i, home)| ((s.clone(), i), home)))
-                .filter(|(_, home)| *home.domain == *name)
-                .map(|(shard, home)| (shard, (home.since, home.next.is_some())))
-                .collect();
-            group.held.retain(|shard, _| known.contains_key(shard));
-            for (shard, (since, leaving)) in known {
-                let held = group.held.entry(shard.clone()).or_insert((since, false));
-                if held.0 != since {
-                    *held = (since, false);
+            let old = std::mem::take(&mut group.held);
+            let homes = process.cache.homes("berths").into_iter();
+            for (shard, home) in homes.flat_map(|homes| homes.iter()) {
+                if *home.domain != *name {
+                    continue;
                 }
-                if leaving && park && !held.1 {
-                    held.1 = true;
+                let parked = old.get(&shard) == Some(&(home.since, true));
+                let parks = park && home.next.is_some() && !parked;
+                if parks {
                     self.acting.entry(shard).or_default()[domain] = self.now;
                 }
+                group.held.insert(shard, (home.since, parked || parks));
             }
         }
         let lost = process.cache.lost().iter().any(|lost| **lost == *name);
         let Some(bundle) = group.bundle.as_ref().filter(|_| !lost) else {
             return;
         };
-        for (shard, (_, parked)) in &group.held {
-            let Some(service) = bundle.service(&shard.0).filter(|_| !parked) else {
-                continue;
-            };
-            let end = match (service.domain_lease, group.renewed.get(&process.run)) {
-                (None, _) => horizon,
-                (Some(lease), Some(renewed)) => {
-                    let length = lease.as_millis() as f64 / self.rates[domain];
-                    horizon.min(renewed + length as u64)
-                }
-                (Some(_), None) => 0,
-            };
+        let service = &bundle.services[0];
+        let renewed = group.renewed.get(&process.run);
+        let end = match (service.domain_lease, renewed) {
+            (None, _) => horizon,
+            (Some(lease), Some(renewed)) => {
+                let length = lease.as_millis() as f64 / self.rates[domain];
+                horizon.min(renewed + length as u64)
+            }
+            (Some(_), None) => 0,
+        };
+        for (shard, _) in group.held.iter().filter(|(_, (_, parked))| !parked) {
             if end > self.now {
                 let until = end + VM_LEASE + service.deadline.as_millis() as u64;
-                let acting = &mut self.acting.entry(shard.clone()).or_default()[domain];
+                let acting = &mut self.acting.entry(*shard).or_default()[domain];
                 *acting = until.max(*acting);
             }
         }
         let parked = group.held.iter().filter(|(_, (_, parked))| *parked);
-        let report = report.then(|| DomainReport {
+        let sides = [Side::Old, Side::New].into_iter().zip(self.slots[domain]);
+        let event = PlannerEvent::Report(DomainReport {
             domain: name.into(),
             term,
             bundle: bundle.version,
             parked: parked
-                .map(|((s, i), (since, _))| (s.clone(), *i, *since))
+                .map(|(shard, (since, _))| ("berths".into(), *shard, *since))
                 .collect(),
-            capacity: [Side::Old, Side::New]
-                .into_iter()
-                .zip(self.slots[domain])
+            capacity: sides
                 .map(|(side, slots)| ("berths".into(), side, slots))
                 .collect(),
         });
-        let from = process.run;
-        if let Some(report) = report.filter(|_| self.reaches_control(from)) {
-            self.send(Message::Report {
-                from,
-                sent: self.now,
-                domain,
-                report,
+        let (run, sent) = (process.run, self.now);
+        if report && self.reaches(run) {
+            self.send(Message::Up(
+                Call {
+                    run,
+                    domain,
+                    term,
+                    sent,
+                },
+                event,
                 versions,
-            });
+            ));
         }
     }
 
     /// Adds a registered VM to the voters and removes one that cannot be reached, each step with
     /// a quorum of the voters after it.
-    fn exchange_voter(&mut self, domain: usize, term: u64, leader: u32, part: u8) {
-        if !self.chance(0.2) {
-            return;
-        }
-        let reached = |run: &Run| self.votes(run, term, part);
-        let mut voters = self.groups[&(domain, term)].voters.clone();
-        let registered = |run: &Run| {
-            let info = self.processes[&leader].cache.vm(run.0);
-            info.is_some_and(|info| info.incarnation == run.1)
-        };
+    fn exchange_voter(&mut self, id: (usize, u64), leader: u32, part: u8) {
+        let mut voters = self.groups[&id].voters.clone();
+        let reached = |run: &Run| self.votes(run, id.1, part);
         let quorum =
-            |voters: &[Run]| voters.iter().filter(|run| reached(run)).count() > voters.len() / 2;
+            |voters: &[Run]| 2 * voters.iter().filter(|run| reached(run)).count() > voters.len();
         let gone = voters.iter().position(|run| !reached(run));
-        let runs = self
-            .processes
-            .values()
-            .filter(|p| p.domain == domain)
-            .map(|p| p.run);
-        let mut free = runs.filter(|run| reached(run) && registered(run) && !voters.contains(run));
         if voters.len() >= GROUP_SIZE && gone.is_none() {
             return;
         }
-        let Some(added) = free.next() else {
+        let known = &self.processes[&leader].cache;
+        let mut free = self.processes.values().filter(|p| {
+            let registered = known
+                .vm(p.run.0)
+                .is_some_and(|info| info.incarnation == p.run.1);
+            p.domain == id.0 && registered && reached(&p.run) && !voters.contains(&p.run)
+        });
+        let Some(added) = free.next().map(|p| p.run) else {
             return;
         };
         voters.push(added);
-        if !quorum(&voters) {
-            return;
-        }
+        let mut possible = quorum(&voters);
         if let Some(gone) = gone.filter(|_| voters.len() > GROUP_SIZE) {
             voters.remove(gone);
-            if !quorum(&voters) {
-                return;
-            }
+            possible &= quorum(&voters);
+        }
+        if possible && self.chance(0.2) {
+            self.groups.get_mut(&id).expect("formed").voters = voters;
         }
-        self.groups.get_mut(&(domain, term)).expect("formed").voters = voters;
     }
 
     fn faults(&mut self) {
@@ -542,61 +461,42 @@
         let domain = self.rng.random_range(0..3usize);
         let part = self.rng.random_range(0..2);
         let pause = self.now + self.rng.random_range(50..1500);
-        match self.rng.random_range(0..160) {
-            0..=3 => drop(self.processes.remove(&number)),
-            4..=11 => self.start(number),
-            12..=14 => self
-                .processes
-                .values_mut()
-                .filter(|p| p.run.0 == number)
-                .for_each(|p| p.paused = pause),
-            15..=17 => self
-                .processes
-                .values_mut()
-                .filter(|p| p.run.0 == number)
-                .for_each(|p| p.part = part),
-            18..=20 => self
-                .processes
-                .values_mut()
-                .filter(|p| p.domain == domain)
-                .for_each(|p| p.part = 0),
-            21..=23 => self
-                .processes
-                .values_mut()
-                .filter(|p| p.domain == domain)
-                .for_each(|p| p.outer = false),
-            24..=25 => self
-                .processes
-                .values_mut()
-                .filter(|p| p.run.0 == number)
-                .for_each(|p| p.outer = false),
-            26..=30 => self
-                .processes
-                .values_mut()
-                .filter(|p| p.domain == domain)
-                .for_each(|p| p.outer = true),
-            31..=32 => self.processes.retain(|_, p| p.domain != domain),
+        let whole = self.chance(0.4);
+        let kind = self.rng.random_range(0..160);
+        let (name, by, at): (Box<str>, Box<str>, u64) = (NAMES[domain].into(), "a".into(), 0);
+        for process in self.processes.values_mut() {
+            let hit = process.run.0 == number || (whole && process.domain == domain);
+            match kind {
+                0..=2 if hit => process.paused = pause,
+                3..=8 if hit => process.part = part,
+                9..=13 if hit => process.outer = false,
+                14..=18 if hit => process.outer = true,
+                _ => {}
+            }
+        }
+        let empty = self
+            .processes
+            .values()
+            .all(|process| process.domain != domain);
+        match kind {
+            19..=22 => drop(self.processes.remove(&number)),
+            23..=24 => self.processes.retain(|_, process| process.domain != domain),
+            25..=32 => self.start(number),
             33..=35 => self.slots[domain] = [0, 0].map(|_| [0, 4, 12][self.rng.random_range(0..3)]),
             36..=38 => self.change_leader(),
             39..=40 => self.submit(),
             41 if !self.processes.contains_key(&number) => {
-                self.log.push_back(Command::RemoveVm {
-                    vm: number,
-                    by: "a".into(),
-                    at: 0,
-                });
-            }
-            42..=44 if self.processes.values().all(|p| p.domain != domain) => {
-                self.log.push_back(Command::DeclareLost {
-                    domain: NAMES[domain].into(),
-                    by: "a".into(),
-                    at: 0,
-                });
+                self.log.push_back(Command::RemoveVm { vm: number, by, at });
             }
+            42..=44 if empty => self.log.push_back(Command::DeclareLost {
+                domain: name,
+                by,
+                at,
+            }),
             45..=46 => self.log.push_back(Command::ReturnDomain {
-                domain: NAMES[domain].into(),
-                by: "a".into(),
-                at: 0,
+                domain: name,
+                by,
+                at,
             }),
             _ => {}
         }
@@ -617,28 +517,21 @@
     }
 
     fn check(&self) {
+        let now = self.now;
         for ((domain, term), group) in &self.groups {
-            let newer = self
-                .groups
-                .range((*domain, term + 1)..(domain + 1, 0))
-                .next();
-            let votes = group
-                .voters
-                .iter()
-                .filter(|run| self.can_vote(run, *term))
-                .count();
+            let mut newer = self.groups.range((*domain, term + 1)..(domain + 1, 0));
+            let votes = group.voters.iter().filter(|run| self.can_vote(run, *term));
+            let possible = 2 * votes.count() > group.voters.len();
             assert!(
-                newer.is_none() || votes <= group.voters.len() / 2,
-                "at {} domain {domain} has term {term} and a newer one",
-                self.now
+                !possible || newer.next().is_none(),
+                "at {now} {domain}: {term} is not the only group"
             );
         }
         for (shard, until) in &self.acting {
-            let acting = until.iter().filter(|until| **until > self.now).count();
+            let acting = until.iter().filter(|until| **until > now).count();
             assert!(
                 acting <= 1,
-                "at {} several domains act for {shard:?}: {until:?}",
-                self.now
+                "at {now} several domains act for shard {shard}: {until:?}"
             );
         }
     }
@@ -652,7 +545,10 @@
             self.change_leader();
         }
         self.deliver();
-        self.run_processes();
+        let numbers: Vec<u32> = self.processes.keys().copied().collect();
+        numbers
+            .into_iter()
+            .for_each(|number| self.run_process(number));
         if self.leading {
             self.plan(PlannerEvent::Tick);
             while self.chance(0.6) {
@@ -660,9 +556,9 @@
             }
         }
         let groups: Vec<(usize, u64)> = self.groups.keys().copied().collect();
-        for (domain, term) in groups {
-            self.run_group(domain, term, self.now + length);
-        }
+        groups
+            .into_iter()
+            .for_each(|id| self.run_group(id, self.now + length));
         self.check();
         self.now += length;
     }
@@ -670,12 +566,11 @@
 
 /// Domains that are declared lost stay so; everything else heals.
 fn heal(world: &mut World) {
-    (0..10)
-        .filter(|number| !world.processes.contains_key(number))
-        .collect::<Vec<_>>()
-        .into_iter()
-        .for_each(|number| world.start(number));
-    for process in world.processes.values_mut() {
+    for number in 0..10 {
+        if !world.processes.contains_key(&number) {
+            world.start(number);
+        }
+        let process = world.process(number);
         (process.part, process.outer, process.paused) = (0, true, 0);
     }
     world.slots = [[4, 4]; 3];
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use camphordale_bundle::{SignedBundle, decode};
 use camphordale_control::{
-    Command, Home, HomeChange, Outcome, Rejection, State, Versions, verify_audit,
+    AuditEntry, Command, Home, HomeChange, Outcome, Rejection, State, Versions, verify_audit,
 };
 use camphordale_types::{Bundle, Digest, Incarnation, Operators, VmId, VmInfo};
 use common::{first_bundle, following, operators, run_histories, seeds, signed, vm};
@@ -20,32 +23,40 @@
     log: Vec<(u64, Command)>,
 }
 
+fn check(holds: bool) -> Result<Outcome, Outcome> {
+    let stale = Outcome::Rejected(Rejection::Stale("".into()));
+    if holds { Ok(Outcome::Done) } else { Err(stale) }
+}
+
 impl Naive {
+    fn find<Found>(&self, pick: impl Fn(u64, &Command) -> Option<Found>) -> Option<Found> {
+        let mut backwards = self.log.iter().rev();
+        backwards.find_map(|(index, command)| pick(*index, command))
+    }
+
     fn bundles(&self) -> Vec<(Digest, Bundle)> {
         let submitted = self.log.iter().filter_map(|(_, command)| match command {
             Command::SubmitBundle { signed, .. } => Some(signed),
             _ => None,
         });
-        submitted
-            .map(|s| (s.digest(), decode(&s.bytes).expect("accepted")))
-            .collect()
+        let read = |s: &SignedBundle| (s.digest(), decode(&s.bytes).expect("accepted"));
+        submitted.map(read).collect()
     }
 
     fn submit(&self, signed: &SignedBundle) -> Result<Outcome, Outcome> {
         let digest = signed.digest();
         let bundles = self.bundles();
         if let Some((_, bundle)) = bundles.iter().find(|(known, _)| *known == digest) {
-            return Err(Outcome::Accepted {
-                version: bundle.version,
-                digest,
-            });
+            let version = bundle.version;
+            return Err(Outcome::Accepted { version, digest });
         }
-        let bad = || Outcome::Rejected(Rejection::Bundle("".into()));
-        let bundle = decode(&signed.bytes).map_err(|_| bad())?;
-        let last = bundles.last();
-        let standing_version = last.map_or(0, |(_, bundle)| bundle.version);
-        let standing = last.map(|(digest, _)| *digest);
+        let bad = Outcome::Rejected(Rejection::Bundle("".into()));
+        let Ok(bundle) = decode(&signed.bytes) else {
+            return Err(bad);
+        };
         let version = bundle.version;
+        let standing_version = bundles.len() as u64;
+        let standing = bundles.last().map(|(digest, _)| *digest);
         if (version, bundle.previous) != (standing_version + 1, standing) {
             return Err(Outcome::Rejected(Rejection::Conflict {
                 version,
@@ -53,27 +64,26 @@
                 standing,
             }));
         }
-        let operators = last.map_or(&self.first, |(_, bundle)| &bundle.operators);
+        let operators = bundles
+            .last()
+            .map_or(&self.first, |(_, last)| &last.operators);
         // Each operator's signature is checked alone.
         let valid = operators.keys.iter().filter(|operator| {
-            let alone = Operators {
-                needed: 1,
-                keys: vec![(*operator).clone()],
-            };
-            signed.verify(&alone).is_ok()
+            let keys = vec![(*operator).clone()];
+            signed.verify(&Operators { needed: 1, keys }).is_ok()
         });
-        if valid.count() < operators.needed as usize {
-            return Err(bad());
-        }
-        let earlier = bundles.iter().flat_map(|(_, bundle)| &bundle.services);
-        for old in earlier {
-            if let Some(new) = bundle.service(&old.name)
-                && (old.shards, &old.key) != (new.shards, &new.key)
-            {
-                return Err(bad());
-            }
+        let enough = valid.count() >= operators.needed as usize;
+        let mut earlier = bundles.iter().flat_map(|(_, bundle)| &bundle.services);
+        let remaps = earlier.any(|old| {
+            let new = bundle.service(&old.name);
+            new.is_some_and(|new| (old.shards, &old.key) != (new.shards, &new.key))
+        });
+        let accepted = Outcome::Accepted { version, digest };
+        if enough && !remaps {
+            Ok(accepted)
+        } else {
+            Err(bad)
         }
-        Ok(Outcome::Accepted { version, digest })
     }
 
     /// All registrations and removals of a VM in order; none is a removal.
@@ -90,62 +100,49 @@
         self.runs(vm).last().copied().flatten()
     }
 
-    fn register(&self, info: &VmInfo) -> bool {
-        let runs = self.runs(info.vm);
-        let current = self.current(info.vm);
-        let used = runs
-            .iter()
-            .flatten()
-            .any(|run| run.incarnation == info.incarnation);
-        match current {
+    fn may_register(&self, info: &VmInfo) -> bool {
+        let mut used = self.runs(info.vm).into_iter().flatten();
+        match self.current(info.vm) {
             Some(run) if run.incarnation == info.incarnation => {
                 (&run.domain, run.entry) == (&info.domain, info.entry)
             }
-            _ => !used,
+            _ => used.all(|run| run.incarnation != info.incarnation),
         }
     }
 
     fn lost(&self, domain: &str) -> bool {
-        let last = self
-            .log
-            .iter()
-            .rev()
-            .find_map(|(_, command)| match command {
-                Command::DeclareLost { domain: name, .. } if &**name == domain => Some(true),
-                Command::ReturnDomain { domain: name, .. } if &**name == domain => Some(false),
-                _ => None,
-            });
+        let last = self.find(|_, command| match command {
+            Command::DeclareLost { domain: name, .. } if **name == *domain => Some(true),
+            Command::ReturnDomain { domain: name, .. } if **name == *domain => Some(false),
+            _ => None,
+        });
         last.unwrap_or(false)
     }
 
     fn term(&self, domain: &str) -> u64 {
-        let formed = self.log.iter().rev().find(|(_, command)| {
-            matches!(command, Command::FormGroup { domain: name, .. } if &**name == domain)
+        let formed = self.find(|index, command| match command {
+            Command::FormGroup { domain: name, .. } if **name == *domain => Some(index),
+            _ => None,
         });
-        formed.map_or(0, |(index, _)| *index)
+        formed.unwrap_or(0)
     }
 
-    fn form(&self, domain: &str, replaces: u64, members: &[(VmId, Incarnation)]) -> bool {
+    fn may_form(&self, domain: &str, members: &[(VmId, Incarnation)]) -> bool {
         let ids: BTreeSet<VmId> = members.iter().map(|member| member.0).collect();
         let fits = |(vm, incarnation): &(VmId, Incarnation)| {
-            let run = self.current(*vm);
-            run.is_some_and(|run| {
-                run.incarnation == *incarnation && &*run.domain == domain && run.entry
-            })
+            let run = self.current(*vm).filter(|run| run.entry);
+            run.is_some_and(|run| (run.incarnation, &*run.domain) == (*incarnation, domain))
         };
-        replaces == self.term(domain)
-            && !self.lost(domain)
-            && ids.len() == members.len()
-            && (1..=5).contains(&members.len())
-            && members.iter().all(fits)
+        let count = ids.len() == members.len() && (1..=5).contains(&ids.len());
+        count && !self.lost(domain) && members.iter().all(fits)
     }
 
     fn knows(&self, domain: &str) -> bool {
-        let vms = (0..8).filter_map(|vm| self.current(vm));
+        let mut vms = (0..8).filter_map(|vm| self.current(vm));
         let homes = self.homes();
-        vms.into_iter().any(|run| &*run.domain == domain)
+        vms.any(|run| *run.domain == *domain)
             || self.term(domain) > 0
-            || homes.values().any(|home| &*home.domain == domain)
+            || homes.values().any(|home| *home.domain == *domain)
     }
 
     /// The homes of all shards, one change after the other.
@@ -153,22 +150,19 @@
         let mut homes: BTreeMap<(Box<str>, u32), Home> = BTreeMap::new();
         let mut standing: Option<Bundle> = None;
         for (index, command) in &self.log {
-            if let Command::SubmitBundle { signed, .. } = command {
-                standing = decode(&signed.bytes).ok();
-            }
-            let Command::SetHomes {
-                service, changes, ..
-            } = command
-            else {
-                continue;
-            };
-            let Some(known) = standing.as_ref().and_then(|b| b.service(service)) else {
-                continue;
+            let (service, changes) = match command {
+                Command::SetHomes {
+                    service, changes, ..
+                } => (service, changes),
+                Command::SubmitBundle { signed, .. } => {
+                    standing = decode(&signed.bytes).ok();
+                    continue;
+                }
+                _ => continue,
             };
-            for change in changes
-                .iter()
-                .filter(|change| change.index < known.shard_count())
-            {
+            let known = standing.as_ref().and_then(|b| b.service(service));
+            let count = known.map_or(0, |service| service.shard_count());
+            for change in changes.iter().filter(|change| change.index < count) {
                 let key = (service.clone(), change.index);
                 let old = homes.get(&key).cloned();
                 if old.as_ref().map_or(0, |home| home.since) != change.expect {
@@ -176,14 +170,15 @@
                 }
                 let back = old.as_ref().is_some_and(|home| home.domain == change.to);
                 let idle = old.as_ref().is_some_and(|home| home.next.is_none());
+                let to = change.to.clone();
                 let home = match old {
                     Some(_) if back && idle => continue,
                     Some(old) if !back && !change.now => Home {
-                        next: Some(change.to.clone()),
+                        next: Some(to),
                         ..old
                     },
                     old => Home {
-                        domain: change.to.clone(),
+                        domain: to,
                         since: *index,
                         moved: old.is_some_and(|old| old.moved || !back),
                         next: None,
@@ -195,46 +190,60 @@
         homes
     }
 
+    /// Longest lease of `berths` by any bundle that the domain may have in force.
+    fn lease(&self, domain: &str) -> Option<Duration> {
+        let mut accepted = 0;
+        let mut known = 0;
+        for (_, command) in &self.log {
+            match command {
+                Command::SubmitBundle { .. } => accepted += 1,
+                Command::FormGroup { domain: name, .. } if **name == *domain => known = accepted,
+                Command::InForce {
+                    domain: name,
+                    version,
+                    ..
+                } if **name == *domain => {
+                    known = known.max(*version);
+                }
+                _ => {}
+            }
+        }
+        let bundles = self.bundles();
+        let possible = bundles.iter().filter(|(_, bundle)| bundle.version >= known);
+        let leases: Option<Vec<Duration>> = possible
+            .map(|(_, bundle)| bundle.services[0].domain_lease)
+            .collect();
+        leases?.into_iter().max()
+    }
+
     fn apply(&mut self, index: u64, command: &Command) -> Outcome {
-        let stale = || Outcome::Rejected(Rejection::Stale("".into()));
         let result = match command {
             Command::SubmitBundle { signed, .. } => self.submit(signed),
-            Command::RegisterVm(info) => self
-                .register(info)
-                .then_some(Outcome::Done)
-                .ok_or_else(stale),
+            Command::RegisterVm(info) => check(self.may_register(info)),
             Command::FormGroup {
                 domain,
                 replaces,
                 members,
-            } => {
-                let fits = self.form(domain, *replaces, members);
-                fits.then_some(Outcome::Done).ok_or_else(stale)
-            }
+            } => check(*replaces == self.term(domain) && self.may_form(domain, members)),
             Command::SetHomes {
                 service, bundle, ..
             } => {
                 let bundles = self.bundles();
-                let known = bundles
-                    .last()
-                    .is_some_and(|(_, b)| b.version == *bundle && b.service(service).is_some());
-                known.then_some(Outcome::Done).ok_or_else(stale)
+                let known = bundles.last().filter(|(_, b)| b.service(service).is_some());
+                check(known.is_some_and(|(_, standing)| standing.version == *bundle))
             }
-            Command::RemoveVm { vm, .. } if self.current(*vm).is_none() => Err(Outcome::Done),
-            Command::DeclareLost { domain, .. } if !self.knows(domain) => Err(stale()),
-            Command::DeclareLost { domain, .. } if self.lost(domain) => Err(Outcome::Done),
-            Command::ReturnDomain { domain, .. } if !self.lost(domain) => Err(Outcome::Done),
             Command::InForce {
                 domain,
                 term,
                 version,
             } => {
-                let fits = self.term(domain) == *term && *term > 0;
                 let accepted = *version <= self.bundles().len() as u64;
-                (fits && accepted)
-                    .then_some(Outcome::Done)
-                    .ok_or_else(stale)
+                check(accepted && self.term(domain) == *term && *term > 0)
             }
+            Command::DeclareLost { domain, .. } if !self.knows(domain) => check(false),
+            Command::RemoveVm { vm, .. } if self.current(*vm).is_none() => Err(Outcome::Done),
+            Command::DeclareLost { domain, .. } if self.lost(domain) => Err(Outcome::Done),
+            Command::ReturnDomain { domain, .. } if !self.lost(domain) => Err(Outcome::Done),
             _ => Ok(Outcome::Done),
         };
         if result.is_ok() {
@@ -251,7 +260,6 @@
     submitted: Vec<SignedBundle>,
     /// What each operator believes to stand.
     believed: [Option<(Digest, Bundle)>; 3],
-    form: Vec<Command>,
 }
 
 impl Actors {
@@ -260,141 +268,114 @@
         if !self.submitted.is_empty() && rng.random_bool(0.25) {
             return self.submitted.choose(rng).expect("not empty").clone();
         }
-        let operator = rng.random_range(0..3);
+        let accepted = naive.bundles();
+        let believed = &mut self.believed[rng.random_range(0..3)];
         if rng.random_bool(0.7) {
-            self.believed[operator] = naive.bundles().pop();
+            *believed = accepted.last().cloned();
         }
-        let accepted = naive.bundles();
-        let (content, standing) = match &self.believed[operator] {
-            None => (first_bundle(operators(1, &[1, 2, 3])), None),
+        let mut bundle = match &believed {
+            None => first_bundle(operators(1, &[1, 2, 3])),
             Some((digest, bundle)) => {
                 // Now and then a rollback to older content.
                 let old = accepted.choose(rng).filter(|_| rng.random_bool(0.2));
-                let content = old.map_or(bundle, |(_, old)| old).clone();
-                (content, Some((bundle.version, *digest)))
+                let content = old.map_or(bundle, |(_, old)| old);
+                following(content, bundle.version, Some(*digest))
             }
         };
-        let (version, digest) = standing.map_or((0, None), |(v, digest)| (v, Some(digest)));
-        let mut bundle = following(&content, version, digest);
         edit(&mut bundle, rng);
-        let mut signers: Vec<u8> = (1..=5).filter(|_| rng.random_bool(0.6)).collect();
-        if rng.random_bool(0.5) {
-            signers = vec![1, 2, 3, 4, 5];
-        }
+        let all = rng.random_bool(0.5);
+        let signers: Vec<u8> = (1..=5).filter(|_| all || rng.random_bool(0.6)).collect();
         let mut signed = signed(&bundle, &signers);
-        match rng.random_range(0..12) {
+        let spoil = rng.random_range(0..12);
+        let at = rng.random_range(0..signed.bytes.len());
+        match spoil {
             0 => signed.bytes.push(0),
-            1 => {
-                let at = rng.random_range(0..signed.bytes.len());
-                signed.bytes[at] ^= 1 << rng.random_range(0..8u8);
-            }
-            2 => {
-                for signature in &mut signed.signatures {
-                    signature.bytes[rng.random_range(0..64)] ^= 1;
-                }
-            }
-            3 => {
+            1 => signed.bytes[at] ^= 1 << rng.random_range(0..8u8),
+            _ => {}
+        }
+        for signature in &mut signed.signatures {
+            match spoil {
+                2 => signature.bytes[at % 64] ^= 1,
                 // One operator signs in the names of all.
-                for signature in &mut signed.signatures {
-                    signature.operator = "op-1".into();
-                }
+                3 => signature.operator = "op-1".into(),
+                _ => {}
             }
-            _ => {}
         }
         self.submitted.push(signed.clone());
         signed
     }
 
     fn command(&mut self, naive: &Naive) -> Command {
-        let at = self.rng.random_range(0..1000);
-        let domain: Box<str> = (*DOMAINS.choose(&mut self.rng).expect("not empty")).into();
-        match self.rng.random_range(0..20) {
-            0..=6 => Command::SubmitBundle {
-                signed: self.bundle(naive),
-                at,
-            },
+        let rng = &mut self.rng;
+        let (at, kind, number) = (
+            rng.random_range(0..1000),
+            rng.random_range(0..20),
+            rng.random_range(0..8),
+        );
+        let domain: Box<str> = (*DOMAINS.choose(rng).expect("not empty")).into();
+        let by: Box<str> = "op-1".into();
+        let term = naive.term(&domain);
+        match kind {
+            0..=6 => {
+                let signed = self.bundle(naive);
+                Command::SubmitBundle { signed, at }
+            }
             7..=9 => {
-                let mut info = vm(
-                    self.rng.random_range(0..8),
-                    self.rng.random_range(0..5),
-                    &domain,
-                );
-                info.entry = self.rng.random_bool(0.9);
+                let mut info = vm(number, rng.random_range(0..5), &domain);
+                info.entry = rng.random_bool(0.9);
                 Command::RegisterVm(info)
             }
-            10..=11 => self.form(naive, domain),
+            10..=11 => {
+                let runs = (0..8).filter_map(|vm| naive.current(vm));
+                let runs = runs.filter(|run| run.domain == domain || rng.random_bool(0.02));
+                let members = runs.map(|run| (run.vm, run.incarnation)).collect();
+                let replaces = if rng.random_bool(0.9) { term } else { 0 };
+                Command::FormGroup {
+                    domain,
+                    replaces,
+                    members,
+                }
+            }
             12..=14 => self.homes(naive),
-            15 => Command::DeclareLost {
-                domain,
-                by: "op-1".into(),
-                at,
-            },
-            16 => Command::ReturnDomain {
-                domain,
-                by: "op-2".into(),
-                at,
-            },
-            17 => Command::RemoveVm {
-                vm: self.rng.random_range(0..8),
-                by: "op-3".into(),
-                at,
-            },
-            18 => Command::InForce {
-                term: naive.term(&domain),
-                domain,
-                version: self.rng.random_range(0..4),
-            },
+            15 => Command::DeclareLost { domain, by, at },
+            16 => Command::ReturnDomain { domain, by, at },
+            17 => Command::RemoveVm { vm: number, by, at },
+            18 => {
+                let version = rng.random_range(0..4);
+                Command::InForce {
+                    domain,
+                    term,
+                    version,
+                }
+            }
             _ => Command::Note {
                 action: "checked the backups".into(),
-                by: "op-1".into(),
+                by,
                 at,
             },
         }
     }
 
-    fn form(&mut self, naive: &Naive, domain: Box<str>) -> Command {
-        if !self.form.is_empty() && self.rng.random_bool(0.2) {
-            return self.form.choose(&mut self.rng).expect("not empty").clone();
-        }
-        let members = (0..8)
-            .filter_map(|vm| naive.current(vm))
-            .filter(|run| run.domain == domain || self.rng.random_bool(0.02))
-            .map(|run| (run.vm, run.incarnation));
-        let command = Command::FormGroup {
-            members: members.collect(),
-            replaces: naive.term(&domain),
-            domain,
-        };
-        self.form.push(command.clone());
-        command
-    }
-
     fn homes(&mut self, naive: &Naive) -> Command {
+        let rng = &mut self.rng;
         let homes = naive.homes();
         let standing = naive.bundles().len() as u64;
-        let bundle = standing.saturating_sub(u64::from(self.rng.random_bool(0.1)));
-        let service: Box<str> = (*["berths", "extra"]
-            .choose(&mut self.rng)
-            .expect("not empty"))
-        .into();
-        let change = |index| {
-            let since = homes
-                .get(&(service.clone(), index))
-                .map_or(0, |home| home.since);
-            let right = self.rng.random_bool(0.8);
-            HomeChange {
+        let bundle = standing.saturating_sub(u64::from(rng.random_bool(0.1)));
+        let service: Box<str> = if rng.random() { "berths" } else { "extra" }.into();
+        let mut changes = Vec::new();
+        for index in 0..11 {
+            let home = homes.get(&(service.clone(), index));
+            let since = home.map_or(0, |home| home.since);
+            let change = HomeChange {
                 index,
-                expect: if right {
-                    since
-                } else {
-                    since.saturating_sub(1)
-                },
-                to: (*DOMAINS.choose(&mut self.rng).expect("not empty")).into(),
-                now: self.rng.random_bool(0.6),
+                expect: since.saturating_sub(u64::from(rng.random_bool(0.2))),
+                to: (*DOMAINS.choose(rng).expect("not empty")).into(),
+                now: rng.random_bool(0.6),
+            };
+            if rng.random_bool(0.4) {
+                changes.push(change);
             }
-        };
-        let mut changes: Vec<HomeChange> = (0..11).map(change).collect();
-        changes.retain(|_| self.rng.random_bool(0.4));
+        }
         Command::SetHomes {
             service,
             bundle,
@@ -407,44 +388,40 @@
 /// change of shards, which has to be refused.
 fn edit(bundle: &mut Bundle, rng: &mut StdRng) {
     if rng.random_bool(0.3) {
-        let seeds: Vec<u8> = (1..=5)
-            .filter(|_| rng.random_bool(0.7))
-            .chain([6])
-            .collect();
+        let mut seeds: Vec<u8> = (1..=5).filter(|_| rng.random_bool(0.7)).collect();
+        seeds.push(6);
         bundle.operators = operators(rng.random_range(1..=seeds.len().min(3) as u32), &seeds);
     }
-    if rng.random_bool(0.3) {
-        match bundle
-            .services
-            .iter()
-            .position(|service| &*service.name == "extra")
-        {
-            Some(at) => drop(bundle.services.remove(at)),
-            None => {
-                let mut extra = bundle.services[0].clone();
-                extra.name = "extra".into();
-                extra.route.prefix = "/extra".into();
-                extra.shards = if rng.random_bool(0.9) { 8 } else { 9 };
-                bundle.services.insert(1, extra);
-            }
+    let extra = bundle
+        .services
+        .iter()
+        .position(|service| &*service.name == "extra");
+    match extra {
+        _ if rng.random_bool(0.7) => {}
+        Some(at) => drop(bundle.services.remove(at)),
+        None => {
+            let mut extra = bundle.services[0].clone();
+            extra.name = "extra".into();
+            extra.route.prefix = "/extra".into();
+            extra.shards = if rng.random_bool(0.9) { 8 } else { 9 };
+            bundle.services.insert(1, extra);
         }
     }
     let berths = &mut bundle.services[0];
     berths.new_percent = rng.random_range(0..=100);
-    berths.hot_keys = (0..rng.random_range(0..3))
-        .map(|i| format!("k{i}").into())
-        .collect();
-    if rng.random_bool(0.05) {
-        berths.shards += 1;
-    }
+    let hot = 0..rng.random_range(0..3);
+    berths.hot_keys = hot.map(|i| format!("k{i}").into()).collect();
+    let lease = rng.random_range(0..8);
+    berths.domain_lease = (lease > 0).then(|| Duration::from_secs(lease));
+    berths.shards += u32::from(rng.random_bool(0.05));
 }
 
 /// Compares outcomes without the wording of refusals.
-fn plain(outcome: Outcome) -> Outcome {
+fn plain(outcome: &Outcome) -> Outcome {
     match outcome {
         Outcome::Rejected(Rejection::Bundle(_)) => Outcome::Rejected(Rejection::Bundle("".into())),
         Outcome::Rejected(Rejection::Stale(_)) => Outcome::Rejected(Rejection::Stale("".into())),
-        other => other,
+        other => other.clone(),
     }
 }
 
@@ -459,20 +436,19 @@
         assert_eq!(state.vm(number), naive.current(number));
     }
     for domain in DOMAINS {
-        assert_eq!(
-            state.group(domain).map_or(0, |group| group.term),
-            naive.term(domain)
-        );
+        let term = state.group(domain).map_or(0, |group| group.term);
+        assert_eq!(term, naive.term(domain));
         assert_eq!(state.is_lost(domain), naive.lost(domain));
+        let lease = state.reach(domain, "berths").and_then(|reach| reach.lease);
+        assert_eq!(lease, naive.lease(domain));
     }
     let mut homes = BTreeMap::new();
     for service in ["berths", "extra"] {
-        if let Some(runs) = state.homes(service) {
-            homes.extend(
-                runs.iter()
-                    .map(|(i, home)| ((service.into(), i), home.clone())),
-            );
-        }
+        let runs = state
+            .homes(service)
+            .into_iter()
+            .flat_map(|runs| runs.iter());
+        homes.extend(runs.map(|(index, home)| ((service.into(), index), home.clone())));
     }
     assert_eq!(homes, naive.homes());
     let audited = naive.log.iter().filter_map(|(_, command)| match command {
@@ -485,22 +461,10 @@
     });
     let entries = state.audit().to_vec();
     assert_eq!(verify_audit(&entries), Ok(()));
-    assert_eq!(
-        entries.iter().map(|e| e.at).collect::<Vec<_>>(),
-        audited.collect::<Vec<_>>()
-    );
-    let accepted: Vec<_> = entries
-        .iter()
-        .filter(|e| e.before != e.after)
-        .map(|e| e.after)
-        .collect();
-    assert_eq!(
-        accepted,
-        bundles
-            .iter()
-            .map(|(digest, _)| Some(*digest))
-            .collect::<Vec<_>>()
-    );
+    assert!(entries.iter().map(|entry| entry.at).eq(audited));
+    let accepted = entries.iter().filter(|entry| entry.before != entry.after);
+    let digests = bundles.iter().map(|(digest, _)| Some(*digest));
+    assert!(accepted.map(|entry| entry.after).eq(digests));
 }
 
 fn history(seed: u64) {
@@ -514,23 +478,19 @@
         rng: StdRng::seed_from_u64(seed),
         submitted: Vec::new(),
         believed: [None, None, None],
-        form: Vec::new(),
     };
     for step in 0..40u64 {
         let index = 2 * step + 1;
         let command = actors.command(&naive);
         let before = state.directory(&Versions::default());
-        let version = state.standing();
+        let version = state.standing().map(|standing| standing.0);
         let outcome = state.apply(index, &command);
         let expected = naive.apply(index, &command);
-        assert_eq!(plain(outcome.clone()), expected, "step {step}: {command:?}");
-        assert!(state.standing().map(|s| s.0) >= version.map(|s| s.0));
+        assert_eq!(plain(&outcome), expected, "step {step}: {command:?}");
+        assert!(state.standing().map(|standing| standing.0) >= version);
         if matches!(outcome, Outcome::Rejected(_)) {
-            assert_eq!(
-                state.directory(&Versions::default()),
-                before,
-                "a refusal changes nothing"
-            );
+            let after = state.directory(&Versions::default());
+            assert_eq!(after, before, "a refusal changes nothing");
         }
         if step % 13 == 7 {
             compare(&state, &naive);
@@ -541,10 +501,8 @@
     // A log that is delivered again, after a snapshot, has no effect.
     let end = state.clone();
     for (index, command) in &naive.log {
-        assert!(matches!(
-            state.apply(*index, command),
-            Outcome::Rejected(Rejection::Stale(_))
-        ));
+        let outcome = state.apply(*index, command);
+        assert!(matches!(outcome, Outcome::Rejected(Rejection::Stale(_))));
     }
     assert_eq!(state, end);
 }
@@ -558,11 +516,8 @@
 #[test]
 fn the_audit_trail_is_bounded() {
     let mut state = State::new(operators(1, &[1]));
-    let note = Command::Note {
-        action: "x".into(),
-        by: "op-1".into(),
-        at: 1,
-    };
+    let (action, by): (Box<str>, Box<str>) = ("x".into(), "op-1".into());
+    let note = Command::Note { action, by, at: 1 };
     for index in 1..=10_020 {
         state.apply(index, &note);
     }
@@ -572,7 +527,7 @@
     assert_eq!(verify_audit(&entries), Ok(()));
     assert_eq!(State::decode(&state.encode()).unwrap(), state);
     // Every kind of alteration shows.
-    let altered = |alter: fn(&mut Vec<camphordale_control::AuditEntry>)| {
+    let altered = |alter: fn(&mut Vec<AuditEntry>)| {
         let mut entries = entries.clone();
         alter(&mut entries);
         verify_audit(&entries).is_err()
