--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::ops::Range;
 
 use camphordale_bundle::{SignedBundle, SigningKey, parse_bundle};
+use camphordale_control::{Command, State};
 use camphordale_types::{Bundle, Digest, Operator, Operators, VmInfo};
 
 /// Returns the seeds of a test: `fast` histories, or CAMPHORDALE_HISTORIES.
@@ -92,3 +93,27 @@
         entry: true,
     }
 }
+
+/// Returns a bundle that follows the standing one, or a first bundle.
+pub fn next_bundle(state: &State) -> Bundle {
+    match (state.bundle(), state.standing()) {
+        (Some(old), Some((version, digest))) => following(old, version, Some(digest)),
+        _ => first_bundle(operators(1, &[1, 2])),
+    }
+}
+
+/// Returns the submission of `bundle`, signed by one operator.
+pub fn submission(bundle: &Bundle, signer: u8) -> Command {
+    let signed = signed(bundle, &[signer]);
+    Command::SubmitBundle { signed, at: 0 }
+}
+
+pub fn lost(domain: &str) -> Command {
+    let (domain, by) = (domain.into(), "op-1".into());
+    Command::DeclareLost { domain, by, at: 0 }
+}
+
+pub fn returned(domain: &str) -> Command {
+    let (domain, by) = (domain.into(), "op-1".into());
+    Command::ReturnDomain { domain, by, at: 0 }
+}
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -9,7 +9,9 @@
     Command, Directory, DirectoryCache, HomeChange, Outcome, Part, State, Versions,
 };
 use camphordale_types::Digest;
-use common::{first_bundle, following, operators, run_histories, seeds, signed, vm};
+use common::{
+    following, lost, next_bundle, operators, returned, run_histories, seeds, signed, submission, vm,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 /// Applies random commands that all take effect, and returns the state after each.
@@ -19,16 +21,7 @@
     for index in 1..30 {
         let domain: Box<str> = if rng.random() { "east" } else { "west" }.into();
         let command = match rng.random_range(0..6) {
-            0 | 1 => {
-                let bundle = match (state.bundle(), state.standing()) {
-                    (Some(old), Some((version, digest))) => following(old, version, Some(digest)),
-                    _ => first_bundle(operators(1, &[1, 2])),
-                };
-                Command::SubmitBundle {
-                    signed: signed(&bundle, &[rng.random_range(1..3)]),
-                    at: 0,
-                }
-            }
+            0 | 1 => submission(&next_bundle(&state), rng.random_range(1..3)),
             2 => Command::RegisterVm(vm(rng.random_range(0..6), index, &domain)),
             3 => {
                 let members = state.vms().filter(|info| info.domain == domain);
@@ -54,16 +47,8 @@
                     changes: (0..8).map(change).collect(),
                 }
             }
-            _ if state.is_lost(&domain) => Command::ReturnDomain {
-                domain,
-                by: "a".into(),
-                at: 0,
-            },
-            _ => Command::DeclareLost {
-                domain,
-                by: "a".into(),
-                at: 0,
-            },
+            _ if state.is_lost(&domain) => returned(&domain),
+            _ => lost(&domain),
         };
         if !matches!(state.apply(index, &command), Outcome::Rejected(_)) {
             states.push(state.clone());
--- a/crates/control/tests/partitions.rs
+++ b/crates/control/tests/partitions.rs
@@ -15,7 +15,7 @@
     PlannerEvent, State, Versions,
 };
 use camphordale_types::{Bundle, Side};
-use common::{first_bundle, following, operators, run_histories, seeds, signed, vm};
+use common::{lost, next_bundle, operators, returned, run_histories, seeds, submission, vm};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const NAMES: [&str; 3] = ["east", "north", "west"];
@@ -165,10 +165,7 @@
 
     /// An operator submits a bundle with other leases, deadlines, split and hot keys.
     fn submit(&mut self) {
-        let mut bundle = match (self.state.bundle(), self.state.standing()) {
-            (Some(old), Some((version, digest))) => following(old, version, Some(digest)),
-            _ => first_bundle(operators(1, &[1])),
-        };
+        let mut bundle = next_bundle(&self.state);
         let service = &mut bundle.services[0];
         let rng = &mut self.rng;
         service.domain_lease =
@@ -178,8 +175,7 @@
         service.hot_keys = (0..rng.random_range(0..3))
             .map(|i| format!("k{i}").into())
             .collect();
-        let signed = signed(&bundle, &[1]);
-        self.log.push_back(Command::SubmitBundle { signed, at: 0 });
+        self.log.push_back(submission(&bundle, 1));
     }
 
     fn commit(&mut self) {
@@ -463,7 +459,7 @@
         let pause = self.now + self.rng.random_range(50..1500);
         let whole = self.chance(0.4);
         let kind = self.rng.random_range(0..160);
-        let (name, by, at): (Box<str>, Box<str>, u64) = (NAMES[domain].into(), "a".into(), 0);
+        let name = NAMES[domain];
         for process in self.processes.values_mut() {
             let hit = process.run.0 == number || (whole && process.domain == domain);
             match kind {
@@ -486,18 +482,15 @@
             36..=38 => self.change_leader(),
             39..=40 => self.submit(),
             41 if !self.processes.contains_key(&number) => {
-                self.log.push_back(Command::RemoveVm { vm: number, by, at });
+                let by = "op-1".into();
+                self.log.push_back(Command::RemoveVm {
+                    vm: number,
+                    by,
+                    at: 0,
+                });
             }
-            42..=44 if empty => self.log.push_back(Command::DeclareLost {
-                domain: name,
-                by,
-                at,
-            }),
-            45..=46 => self.log.push_back(Command::ReturnDomain {
-                domain: name,
-                by,
-                at,
-            }),
+            42..=44 if empty => self.log.push_back(lost(name)),
+            45..=46 => self.log.push_back(returned(name)),
             _ => {}
         }
     }
--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -7,8 +7,8 @@
 use camphordale_control::{
     Command, DomainReport, Home, HomeChange, Outcome, Planner, PlannerConfig, PlannerEvent, State,
 };
-use camphordale_types::{Bundle, Side};
-use common::{first_bundle, following, operators, signed, vm};
+use camphordale_types::{Bundle, Service, Side};
+use common::{lost, next_bundle, operators, returned, submission, vm};
 use rstest::rstest;
 
 /// Time between two steps.
@@ -59,26 +59,20 @@
         world.submit(edit);
         world.slots = [("east", (6, 0)), ("north", (6, 0)), ("west", (6, 0))].into();
         world.run(STEP * 4);
-        assert_eq!(world.homes().len(), world.shards() as usize);
+        assert_eq!(world.homes().len(), world.service().shard_count() as usize);
         world.proposed.clear();
         world
     }
 
-    fn shards(&self) -> u32 {
-        self.state.bundle().expect("a bundle").services[0].shard_count()
-    }
-
     fn submit(&mut self, edit: impl Fn(&mut Bundle)) {
-        let mut bundle = match (self.state.bundle(), self.state.standing()) {
-            (Some(old), Some((version, digest))) => following(old, version, Some(digest)),
-            _ => first_bundle(operators(1, &[1])),
-        };
+        let mut bundle = next_bundle(&self.state);
         edit(&mut bundle);
-        let command = Command::SubmitBundle {
-            signed: signed(&bundle, &[1]),
-            at: 0,
-        };
-        assert!(matches!(self.apply(&command), Outcome::Accepted { .. }));
+        let outcome = self.apply(&submission(&bundle, 1));
+        assert!(matches!(outcome, Outcome::Accepted { .. }));
+    }
+
+    fn service(&self) -> Service {
+        self.state.bundle().expect("a bundle").services[0].clone()
     }
 
     fn apply(&mut self, command: &Command) -> Outcome {
@@ -88,12 +82,8 @@
 
     fn event(&mut self, event: PlannerEvent) {
         for command in self.planner.step(&self.state, event, self.now) {
-            if self.commits {
-                assert!(
-                    !matches!(self.apply(&command), Outcome::Rejected(_)),
-                    "{command:?}"
-                );
-            }
+            let refused = self.commits && matches!(self.apply(&command), Outcome::Rejected(_));
+            assert!(!refused, "{command:?}");
             self.proposed.push(command);
         }
     }
@@ -103,16 +93,15 @@
             return;
         };
         let parked = self.parked.get(domain).into_iter().flatten();
+        let parked = parked.map(|(index, since)| ("berths".into(), *index, *since));
         let standing = self.state.standing().map_or(0, |(version, _)| version);
-        let capacity = [(Side::Old, slots.0), (Side::New, slots.1)];
+        let sides = [(Side::Old, slots.0), (Side::New, slots.1)];
         let report = DomainReport {
             domain: domain.into(),
             term: group.term,
             bundle: self.bundle.unwrap_or(standing),
-            parked: parked
-                .map(|(index, since)| ("berths".into(), *index, *since))
-                .collect(),
-            capacity: capacity
+            parked: parked.collect(),
+            capacity: sides
                 .map(|(side, slots)| ("berths".into(), side, slots))
                 .to_vec(),
         };
@@ -142,16 +131,14 @@
 
     fn homes(&self) -> Vec<Home> {
         let homes = self.state.homes("berths").into_iter();
-        homes
-            .flat_map(|homes| homes.iter().map(|(_, home)| home.clone()))
-            .collect()
+        let homes = homes.flat_map(|homes| homes.iter());
+        homes.map(|(_, home)| home.clone()).collect()
     }
 
     fn count(&self, domain: &str) -> usize {
-        self.homes()
-            .iter()
-            .filter(|home| &*home.domain == domain)
-            .count()
+        let mut homes = self.homes();
+        homes.retain(|home| &*home.domain == domain);
+        homes.len()
     }
 
     fn seal(&mut self, vm: u32, incarnation: u64, term: u64) {
@@ -172,10 +159,8 @@
 }
 
 fn members(world: &World, domain: &str) -> usize {
-    world
-        .state
-        .group(domain)
-        .map_or(0, |group| group.members.len())
+    let group = world.state.group(domain);
+    group.map_or(0, |group| group.members.len())
 }
 
 /// Too small a first group could not tolerate a loss; waiting for ever would not start at all.
@@ -328,7 +313,7 @@
         "a domain without targets of a side is waited for"
     );
     world.run(Duration::from_secs(1));
-    let service = world.state.bundle().unwrap().services[0].clone();
+    let service = world.service();
     let mut counts: BTreeMap<(Box<str>, Side), usize> = BTreeMap::new();
     for (index, home) in world.state.homes("berths").unwrap().iter() {
         assert!(!home.moved);
@@ -507,16 +492,7 @@
     let mut world = World::running(|bundle| bundle.services[0].domain_lease = None);
     world.slots.remove("east");
     assert_eq!(world.until_proposal(Duration::from_secs(3600)), None);
-    let lost = Command::DeclareLost {
-        domain: "east".into(),
-        by: "a".into(),
-        at: 0,
-    };
-    let back = Command::ReturnDomain {
-        domain: "east".into(),
-        by: "a".into(),
-        at: 0,
-    };
+    let (lost, back) = (lost("east"), returned("east"));
     world.apply(&lost);
     world.run(Duration::from_millis(1500));
     // Declared again, the wait starts again.
@@ -540,7 +516,7 @@
     };
     let mut world = World::running(hot(&["pier-3", "pier-4"]));
     let joined = |world: &World| {
-        let service = world.state.bundle().unwrap().services[0].clone();
+        let service = world.service();
         let domain = |index| {
             world
                 .state
