Test the full lease of a replacing group

Cause: without the wait from a group's formation no test failed.

Change: a test of the case that the rule is for: a group without a domain lease is cut off, a bundle with a lease is accepted, and the group is replaced.

--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -486,6 +486,23 @@
     assert_eq!(world.until_proposal(Duration::from_secs(60)), expected);
 }
 
+/// The replaced group may have served by an older bundle without a lease until it was replaced.
+#[test]
+fn a_replacing_group_has_a_full_lease_from_its_formation() {
+    let mut world = World::running(|bundle| bundle.services[0].domain_lease = None);
+    let term = world.state.group("east").unwrap().term;
+    world.slots.remove("east");
+    world.submit(|bundle| bundle.services[0].domain_lease = Some(Duration::from_secs(10)));
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.until_proposal(Duration::from_secs(60)), None);
+    for number in 0..3 {
+        world.seal(number, 1, term);
+    }
+    assert!(world.state.group("east").unwrap().reformed);
+    let wait = world.until_proposal(Duration::from_secs(60));
+    assert_eq!(wait, Some(AWAY + STEP));
+}
+
 /// Without a domain lease the domain serves on, so only an operator's word moves its shards.
 #[test]
 fn without_a_domain_lease_only_declared_loss_moves_shards() {
