Look for new domains only when the state changed

Cause: each step of the planner collected the domains of all registered VMs.

Change: the names are collected again only after a change of the state, and places are looked up only if shards lack a home.

--- a/crates/control/src/planner/homes.rs
+++ b/crates/control/src/planner/homes.rs
@@ -141,9 +141,13 @@
     /// It waits a while for domains that have not reported targets yet, so that the first domain
     /// to start does not get everything.
     fn first_homes(&mut self, side: Side) {
-        let places = self.places(side);
         let free = self.plan.map.free(side).to_vec();
-        if free.is_empty() || places.is_empty() {
+        let places = if free.is_empty() {
+            Vec::new()
+        } else {
+            self.places(side)
+        };
+        if places.is_empty() {
             self.plan.open.remove(&side);
             return;
         }
--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -13,7 +13,7 @@
 
 use camphordale_types::{DomainName, ServiceName};
 
-use crate::{Command, State};
+use crate::{Command, State, Versions};
 use homes::ServicePlan;
 use watch::Watch;
 
@@ -55,6 +55,8 @@
     elected: Option<Duration>,
     domains: BTreeMap<DomainName, Watch>,
     services: BTreeMap<ServiceName, ServicePlan>,
+    /// Versions of the state from which the names in `domains` were taken.
+    seen: Versions,
 }
 
 impl Planner {
@@ -65,6 +67,7 @@
             elected: None,
             domains: BTreeMap::new(),
             services: BTreeMap::new(),
+            seen: Versions::default(),
         }
     }
 
@@ -146,8 +149,11 @@
     }
 
     fn refresh(&mut self, state: &State, now: Duration) {
-        for domain in state.domains() {
-            self.domains.entry(domain).or_default();
+        if self.seen != state.versions() {
+            self.seen = state.versions();
+            for domain in state.domains() {
+                self.domains.entry(domain).or_default();
+            }
         }
         for (domain, watch) in &mut self.domains {
             watch.refresh(state, domain, now);
