--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts at targets: the send, the last check before the write, the end, and retries.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use camphordale_types::{NotRun, RequestId, ShardRef, TargetId, Token, Unknown};
 
@@ -113,12 +113,14 @@
         };
         let slot = &self.slots[flight.slot];
         // A new bundle may have isolated the key in a shard of its own.
-        let same = slot
-            .service
-            .as_ref()
-            .is_some_and(|s| s.is_keyed() && s.shard_of(&flight.key) == index);
+        let same = slot.service.as_ref().is_some_and(|s| {
+            Arc::ptr_eq(s, &flight.service) || s.is_keyed() && s.shard_of(&flight.key) == index
+        });
         let shard = slot.shard(index).ok_or(Halt::Wait)?;
-        let recorded = flight.record.is_none_or(|r| r.term == shard.token.term);
+        let recorded = match flight.record {
+            Some(record) => record.term == shard.token.term,
+            None => flight.idempotency.is_none(),
+        };
         if !same
             || !recorded
             || flight.token != shard.token.max(target.token)
@@ -137,7 +139,9 @@
         flight.proceeded = true;
         flight.started = self.now;
         if let Some(index) = flight.shard {
-            self.slots[flight.slot].shard_mut(index).written += 1;
+            let shard = self.slots[flight.slot].shard_mut(index);
+            shard.written += 1;
+            shard.latest = shard.latest.max(flight.deadline);
         }
         if let Some(target) = self.targets.get_mut(&target)
             && let Some(entry) = target.flying.iter_mut().find(|(f, _)| *f == id)
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -50,6 +50,13 @@
     pub(crate) token: Token,
 }
 
+impl Flight {
+    /// Tells whether the request needs an idempotency record and has none.
+    pub(crate) fn is_unrecorded(&self) -> bool {
+        self.idempotency.is_some() && self.record.is_none()
+    }
+}
+
 /// An idempotency record made for a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Record {
--- a/crates/route/src/keyed.rs
+++ b/crates/route/src/keyed.rs
@@ -110,7 +110,7 @@
             return self.refuse(id, NotRun::Record);
         }
         let (origin, recorded) = (flight.origin, flight.record.is_some());
-        let unrecorded = flight.idempotency.is_some() && !recorded;
+        let unrecorded = flight.is_unrecorded();
         match self.locate(key) {
             Place::Here(target) if unrecorded => self.record(id, key, target),
             Place::Here(target) => {
@@ -262,6 +262,8 @@
                 Some(flight) if self.now >= flight.start_by => {
                     self.refuse(request, NotRun::Deadline);
                 }
+                // It came into the queue while there was no lease, and has no record yet.
+                Some(flight) if flight.is_unrecorded() => self.place(request),
                 Some(_) => self.send(request, id),
                 None => {}
             }
--- a/crates/route/src/release.rs
+++ b/crates/route/src/release.rs
@@ -31,16 +31,16 @@
         let lost = target.is_none_or(|t| t.is_lost());
         let leaves = shard.present && shard.owner.is_some() && (shard.releasing || lost);
         let before = self.releases.get(&key).copied();
-        // A VM that is no longer the sender still answers for what it sent.
-        let concerned = own || written > 0 || before.is_some();
-        if !leaves || !concerned {
+        // Only the sender reports. A former one cannot speak for what its successor sent; the
+        // successor allows for the requests of the former one.
+        if !leaves || !own {
             self.releases.remove(&key);
             return;
         }
         if before.is_some_and(|r| r.token == token && r.next.is_some()) {
             return;
         }
-        let drained = written == 0 || lost || !own;
+        let drained = written == 0 || lost;
         let release = Release { token, next: None };
         self.releases.insert(key, release);
         if drained {
@@ -64,8 +64,8 @@
     /// Returns the time for which requests of a shard may still run at its owner.
     ///
     /// Requests that ended without a known outcome count until their deadline. So do requests
-    /// of a former sender, which this VM does not know, if the shard was assigned before this
-    /// VM became the sender.
+    /// of a former sender or an earlier run of this process, which this VM does not know, if
+    /// the shard was assigned before this VM became the sender.
     fn clear(&self, key: ShardKey) -> Duration {
         let slot = &self.slots[key.0];
         let Some(shard) = slot.shard(key.1) else {
@@ -74,10 +74,15 @@
         let former = shard
             .owner
             .and_then(|id| self.targets.get(&id))
-            .filter(|t| shard.token < t.token)
+            .filter(|t| t.inherited || shard.token < t.token)
             .zip(slot.service.as_ref())
             .map_or(Duration::ZERO, |(t, service)| t.took + service.deadline);
-        shard.risk.max(former).saturating_sub(self.now)
+        let written = if shard.written > 0 {
+            shard.latest
+        } else {
+            Duration::ZERO
+        };
+        shard.risk.max(former).max(written).saturating_sub(self.now)
     }
 
     /// Repeats due reports of releases.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -162,7 +162,9 @@
             Event::Bundle(bundle) => self.take_bundle(bundle),
             Event::Directory { homes, vms } => self.take_directory(homes, &vms),
             Event::TargetLoad { target, load } => {
-                if let Some(target) = self.targets.get_mut(&target) {
+                if let Some(target) = self.targets.get_mut(&target)
+                    && load.is_finite()
+                {
                     target.health.load = load;
                 }
             }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -36,6 +36,8 @@
     pub(crate) lane: Option<TargetId>,
     /// Requests that may have been written and have not ended.
     pub(crate) written: u32,
+    /// Latest deadline of requests that were written.
+    pub(crate) latest: Duration,
     /// Latest deadline of requests that ended without a known outcome and may still run.
     pub(crate) risk: Duration,
     /// VM that handled the shard's last forwarded request.
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -19,8 +19,11 @@
     pub(crate) limit: u32,
     /// Connections that this VM may have to it.
     pub(crate) connections: u32,
-    /// When this VM became its sender.
+    /// When this VM became its sender, or learnt that it is.
     pub(crate) took: Duration,
+    /// Whether this VM was its sender already in the first view, so that an earlier run of the
+    /// process may have sent to it.
+    pub(crate) inherited: bool,
     /// Requests in flight there, and whether they may have been written.
     pub(crate) flying: Vec<(RequestId, bool)>,
     /// Requests whose idempotency record is being written.
@@ -37,6 +40,7 @@
         Target {
             info: view.info,
             sender: view.sender,
+            inherited: !joined,
             token: view.token,
             slot,
             limit: 0,
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -165,8 +165,12 @@
     fn drop_target(&mut self, id: TargetId, touched: &mut BTreeSet<ShardKey>) {
         self.abort_all(id, |_| false);
         if let Some(target) = self.targets.remove(&id) {
-            touched.extend(target.shards.iter().map(|index| (target.slot, *index)));
-            touched.extend(target.turns.iter());
+            let owned = target.shards.iter().map(|index| (target.slot, *index));
+            for key in owned.chain(target.turns.iter()) {
+                // Another target may get the id before the queue is bound again.
+                self.slots[key.0].shard_mut(key.1).lane = None;
+                touched.insert(key);
+            }
         }
         self.busy.remove(&id);
     }
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -199,6 +199,13 @@
     router.step(Event::Request(request), ms(now))
 }
 
+/// Lets time pass; load reports, which come each second, are left out.
+pub fn tick(router: &mut Router, now: u64) -> Vec<Effect> {
+    let mut effects = router.step(Event::Tick, ms(now));
+    effects.retain(|effect| !matches!(effect, Effect::Load { .. }));
+    effects
+}
+
 pub fn ready(router: &mut Router, id: RequestId, now: u64) -> Vec<Effect> {
     router.step(Event::Ready { id }, ms(now))
 }
--- /dev/null
+++ b/crates/route/tests/forward.rs
@@ -0,0 +1,161 @@
+//! Requests that other VMs handle.
+
+mod common;
+
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use rstest::rstest;
+
+fn forwards(effects: &[Effect]) -> Vec<(RequestId, VmId, u8)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Forward { id, vm, hops, .. } => Some((*id, *vm, *hops)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A router whose shards 0 to 3 are homed in another domain.
+fn remote() -> Router {
+    let mut router = Router::new(RouterConfig::new(VM, "east", 7));
+    let Event::Directory { mut homes, vms } = directory() else {
+        unreachable!();
+    };
+    homes[0].domains = vec![Some("west".into()); 4];
+    router.step(Event::Bundle(bundle(1)), ms(0));
+    router.step(Event::Directory { homes, vms }, ms(0));
+    router
+}
+
+fn redirect(vm: Option<VmId>) -> Attempt {
+    Attempt::Redirect { vm }
+}
+
+/// Guards against a keyed request that this VM sends without being the sender.
+#[test]
+fn other_sender_gets_the_request() {
+    let mut router = router();
+    let effects = arrive(&mut router, keyed(1, "POST", 2), 0);
+    assert_eq!(forwards(&effects), [(1, 2, 1)]);
+    assert_eq!(done(&mut router, 1, answered(), 5), []);
+    assert_eq!(router.counters().answered, 1);
+}
+
+/// Guards against forwarded requests that wander between VMs.
+#[rstest]
+#[case(1, Effect::Redirect { id: 1, vm: Some(2) })]
+#[case(3, not_run(1, NotRun::TooManyHops))]
+fn forwarded_request_is_not_forwarded_again(#[case] hops: u8, #[case] expected: Effect) {
+    let mut router = router();
+    let mut request = keyed(1, "GET", 2);
+    request.origin = Origin::Vm { vm: 4, hops };
+    assert_eq!(arrive(&mut router, request, 0), [expected]);
+}
+
+/// Guards against an endless chain of redirects.
+#[test]
+fn redirects_are_followed_three_times() {
+    let mut router = remote();
+    let first = forwards(&arrive(&mut router, keyed(1, "POST", 0), 0))[0].1;
+    assert!([3, 4].contains(&first));
+    let effects = done(&mut router, 1, redirect(Some(2)), 1);
+    assert_eq!(forwards(&effects), [(1, 2, 2)]);
+    let effects = done(&mut router, 1, redirect(Some(4)), 2);
+    assert_eq!(forwards(&effects), [(1, 4, 3)]);
+    assert_eq!(
+        done(&mut router, 1, redirect(Some(3)), 3),
+        [not_run(1, NotRun::TooManyHops)]
+    );
+}
+
+/// Guards against an extra hop for every request of a shard whose sender is known.
+#[test]
+fn redirect_is_remembered() {
+    let mut router = remote();
+    arrive(&mut router, keyed(1, "GET", 0), 0);
+    done(&mut router, 1, redirect(Some(4)), 1);
+    done(&mut router, 1, answered(), 2);
+    for id in 2..10 {
+        assert_eq!(
+            forwards(&arrive(&mut router, keyed(id, "GET", 0), 3)),
+            [(id, 4, 1)]
+        );
+    }
+}
+
+/// Guards against requests that go to a VM that could not be reached, while another can.
+#[test]
+fn unreachable_vm_is_avoided() {
+    let mut router = remote();
+    let lost = forwards(&arrive(&mut router, keyed(1, "POST", 0), 0))[0].1;
+    let effects = done(
+        &mut router,
+        1,
+        Attempt::NotRun(NotRun::DomainUnreachable),
+        1,
+    );
+    // Nothing was written, so even a POST is passed on; the hop does not count.
+    assert_eq!(forwards(&effects), [(1, 7 - lost, 1)]);
+    for id in 2..10 {
+        let effects = arrive(&mut router, keyed(id, "GET", 0), 2);
+        assert_eq!(forwards(&effects), [(id, 7 - lost, 1)]);
+    }
+}
+
+/// Guards against a second run of a request whose VM was lost with it.
+#[rstest]
+#[case("POST", false)]
+#[case("GET", true)]
+fn lost_vm_leaves_the_outcome_open(#[case] method: &str, #[case] again: bool) {
+    let mut router = remote();
+    arrive(&mut router, keyed(1, method, 0), 0);
+    let effects = done(&mut router, 1, Attempt::Unknown(Unknown::VmLost), 1);
+    if !again {
+        assert_eq!(effects, [unknown(1, Unknown::VmLost)]);
+        return;
+    }
+    assert_eq!(forwards(&effects).len(), 1);
+    // The first attempt may have run, so "not run" would be untrue.
+    let effects = done(&mut router, 1, Attempt::NotRun(NotRun::QueueFull), 2);
+    assert_eq!(effects, [unknown(1, Unknown::VmLost)]);
+}
+
+/// Guards against a busy loop of forwards while nobody knows the sender.
+#[test]
+fn unknown_sender_is_asked_again_later() {
+    let mut router = remote();
+    arrive(&mut router, keyed(1, "GET", 0), 0);
+    assert_eq!(done(&mut router, 1, redirect(None), 1), []);
+    assert_eq!(tick(&mut router, 20), []);
+    assert_eq!(forwards(&tick(&mut router, 21)).len(), 1);
+}
+
+/// Guards against waiting for a domain that has no VM.
+#[test]
+fn domain_without_vms_is_unreachable() {
+    let mut router = remote();
+    let homes = vec![RemoteHome {
+        service: "k".into(),
+        domains: vec![Some("north".into()); 4],
+    }];
+    router.step(Event::Directory { homes, vms: vec![] }, ms(0));
+    assert_eq!(
+        arrive(&mut router, keyed(1, "GET", 0), 0),
+        [not_run(1, NotRun::DomainUnreachable)]
+    );
+}
+
+/// Guards against retries that multiply the load of a failing system.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut router = remote();
+    for id in 0..1000 {
+        arrive(&mut router, keyed(id, "GET", 0), 0);
+        while !forwards(&done(&mut router, id, Attempt::NotRun(NotRun::NoLease), 0)).is_empty() {}
+        tick(&mut router, 0);
+    }
+    let retries = router.counters().retries;
+    assert!((100..=120).contains(&retries), "{retries} retries");
+}
--- /dev/null
+++ b/crates/route/tests/histories.rs
@@ -0,0 +1,710 @@
+//! Random histories of one router, compared with a naive recomputation of what is legal.
+//!
+//! `CAMPHORDALE_HISTORIES` sets the number of histories, `CAMPHORDALE_SEED` the first seed.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use camphordale_domain::{ShardView, TargetView, View};
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const STEPS: u32 = 250;
+
+/// Where the naive model takes a request to be; `bool` tells whether its attempt was aborted.
+#[derive(Clone, Debug, PartialEq)]
+enum At {
+    Router,
+    Record,
+    Opening(Send, bool),
+    Written(Send, bool),
+    Forward,
+}
+
+/// A request that has not ended, as the edge and the caller see it.
+#[derive(Clone, Debug)]
+struct Open {
+    service: &'static str,
+    key: String,
+    side: Side,
+    repeatable: bool,
+    caller: bool,
+    idempotent: bool,
+    recorded: bool,
+    cancelled: bool,
+    /// Term under which the record was asked for.
+    asked: u64,
+    at: At,
+    proceeds: u32,
+    /// Whether an ended attempt may have run.
+    uncertain: bool,
+    forwarded: bool,
+}
+
+/// The state of the domain group.
+#[derive(Clone, Debug, Default)]
+struct Group {
+    term: u64,
+    index: u64,
+    vms: Vec<VmId>,
+    targets: BTreeMap<TargetId, TargetView>,
+    shards: BTreeMap<u32, ShardView>,
+}
+
+struct World {
+    seed: u64,
+    rng: StdRng,
+    router: Router,
+    now: u64,
+    bundle: Bundle,
+    group: Group,
+    /// The group as of the last view that the router must have taken.
+    seen: Group,
+    old: Vec<View>,
+    /// End, fence and time of the last renewal with control.
+    lease: (u64, u64, u64),
+    /// Another term that was announced after the last view.
+    void: Option<u64>,
+    open: BTreeMap<RequestId, Open>,
+    ended: RequestId,
+    /// Latest deadline of requests with an unknown outcome, by shard.
+    risk: BTreeMap<u32, u64>,
+    /// Lengths of the queues without keys after the last step.
+    pools: Vec<usize>,
+    reached: BTreeSet<&'static str>,
+}
+
+type Verdict = Result<(), &'static str>;
+
+fn ensure(holds: bool, fault: &'static str) -> Verdict {
+    if holds { Ok(()) } else { Err(fault) }
+}
+
+fn millis(time: std::time::Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = World {
+            seed,
+            rng: StdRng::seed_from_u64(seed),
+            router: Router::new(RouterConfig::new(VM, "east", seed)),
+            now: 0,
+            bundle: bundle(1),
+            group: Group::default(),
+            seen: Group::default(),
+            old: Vec::new(),
+            lease: (0, 0, 0),
+            void: None,
+            open: BTreeMap::new(),
+            ended: 7,
+            risk: BTreeMap::new(),
+            pools: Vec::new(),
+            reached: BTreeSet::new(),
+        };
+        world.reform();
+        world.step(Event::Bundle(bundle(1)));
+        world.step(directory());
+        world.view(true);
+        world
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count)
+    }
+
+    /// A new group, whose targets have the ids of the old ones.
+    fn reform(&mut self) {
+        let announced = self.group.term > 0 && self.chance(50);
+        let term = self.group.term + 1;
+        let View {
+            targets,
+            shards,
+            vms,
+            ..
+        } = view(1);
+        let (mut index, mut ids) = (BTreeMap::new(), BTreeMap::new());
+        for mut shard in shards {
+            shard.token.term = term;
+            index.insert(shard.index, shard);
+        }
+        for mut target in targets {
+            target.token.term = term;
+            ids.insert(target.info.id, target);
+        }
+        self.group = Group {
+            term,
+            index: 1,
+            vms,
+            targets: ids,
+            shards: index,
+        };
+        if announced {
+            (self.lease.0, self.void) = (0, Some(term));
+            self.step(Event::Term { term });
+        }
+    }
+
+    /// One change of the group's state.
+    fn mutate(&mut self) {
+        if self.chance(2) {
+            return self.reform();
+        }
+        let (index, choice) = (self.pick(4) as u32, self.pick(12));
+        let sender = [None, Some(1), Some(1), Some(2)][self.pick(4)];
+        let at = self.pick(self.group.targets.len());
+        let group = &mut self.group;
+        group.index += 1;
+        let next = Token {
+            term: group.term,
+            epoch: 1,
+            seq: group.index + 4,
+        };
+        let serves = |t: &&TargetView| t.info.state == TargetState::Serving;
+        let keyed = |t: &&TargetView| &*t.info.spec.service == "k";
+        let owner = group
+            .targets
+            .values()
+            .filter(serves)
+            .filter(keyed)
+            .nth(index as usize);
+        let owner = owner.map(|t| t.info.id);
+        let count = group.targets.len();
+        let target = group.targets.values_mut().nth(at).unwrap();
+        let (id, state) = (target.info.id, target.info.state);
+        match choice {
+            0..5 => {
+                let free = ShardView {
+                    token: next,
+                    ..shard(index, None, 0)
+                };
+                let shard = group.shards.entry(index).or_insert_with(|| free.clone());
+                match (shard.owner, shard.releasing) {
+                    (None, _) => (shard.owner, shard.token) = (owner, next),
+                    (Some(_), false) => shard.releasing = true,
+                    (Some(_), true) => *shard = free,
+                }
+            }
+            5 => drop(group.shards.remove(&index)),
+            6 | 7 if target.sender != sender => (target.sender, target.token) = (sender, next),
+            8 if index < 2 && state == TargetState::Serving => {
+                target.info.state = TargetState::Leaving;
+            }
+            8 => target.info.state = TargetState::Lost,
+            9 if count > 3 && state != TargetState::Serving => {
+                group.targets.remove(&id);
+                group.shards.retain(|_, s| s.owner != Some(id));
+            }
+            10 => {
+                let id = 30 + group.index;
+                let mut new = target_of(id, index, sender);
+                new.token = next;
+                group.targets.insert(id, new);
+            }
+            11 => group.vms = [&[1, 2][..], &[1], &[1, 2, 3], &[2, 3]][index as usize].to_vec(),
+            _ => {}
+        }
+    }
+
+    /// Delivers the group's state, as a whole or as a difference.
+    fn view(&mut self, complete: bool) {
+        let (new, seen) = (self.group.clone(), self.seen.clone());
+        let other = new.term != seen.term;
+        let complete = complete || other;
+        let mut view = View {
+            term: new.term,
+            since: if complete { 0 } else { seen.index },
+            index: new.index,
+            vms: new.vms.clone(),
+            targets: new.targets.values().cloned().collect(),
+            shards: new.shards.values().cloned().collect(),
+            ..View::default()
+        };
+        if !complete {
+            let before = &seen.targets;
+            view.targets.retain(|t| before.get(&t.info.id) != Some(t));
+            view.shards.retain(|s| seen.shards.get(&s.index) != Some(s));
+            let gone = seen.targets.keys().copied();
+            view.gone = gone.filter(|id| !new.targets.contains_key(id)).collect();
+            let dropped = seen.shards.keys().filter(|i| !new.shards.contains_key(i));
+            view.dropped = dropped.map(|index| ("k".into(), *index)).collect();
+        }
+        if other && self.void != Some(new.term) {
+            self.lease.0 = 0;
+        }
+        self.void = None;
+        self.seen = new;
+        self.old.push(view.clone());
+        self.step(Event::View(view));
+    }
+
+    fn arrive(&mut self) {
+        let id = self.rng.random::<u64>().into();
+        let method = ["GET", "POST"][self.pick(2)];
+        let service = ["k", "k", "k", "u"][self.pick(4)];
+        let mut request = match service {
+            "k" => keyed(id, method, [0, 0, 0, 1, 2, 3][self.pick(6)]),
+            _ => request(id, method, "/u/list"),
+        };
+        request.allowed = [None, Some(ms(40)), Some(ms(300))][self.pick(3)];
+        let idempotent = method == "POST" && self.chance(50);
+        if idempotent {
+            request.headers.push(("idempotency-key".into(), "a".into()));
+        }
+        let caller = self.chance(80);
+        if !caller {
+            let hops = self.rng.random_range(1..4);
+            request.origin = Origin::Vm { vm: 2, hops };
+        }
+        let hash = xxhash_rust::xxh3::xxh3_64(&id.to_le_bytes());
+        let rules = self.bundle.service(service);
+        let open = Open {
+            service,
+            key: request.path.rsplit('/').next().unwrap().into(),
+            side: rules.map_or(Side::Old, |s| s.side_by_hash(hash)),
+            repeatable: method == "GET",
+            caller,
+            idempotent,
+            recorded: false,
+            cancelled: false,
+            asked: 0,
+            at: At::Router,
+            proceeds: 0,
+            uncertain: false,
+            forwarded: false,
+        };
+        self.open.insert(id, open);
+        self.step(Event::Request(request));
+    }
+
+    /// Something that the edge reports about an open request, or a second time about another.
+    fn report(&mut self) {
+        let count = self.open.len();
+        if count == 0 || self.chance(5) {
+            let idle = self.open.iter().find(|(_, o)| o.at == At::Router);
+            let id = idle.map_or(self.ended, |(id, _)| *id);
+            let redirect = Attempt::Redirect { vm: Some(3) };
+            let all = [Attempt::NotRun(NotRun::Shed), answered(), redirect];
+            let attempt = all[self.pick(3)].clone();
+            return self.step(Event::Done { id, attempt });
+        }
+        let at = self.pick(count);
+        let (id, open) = self.open.iter().nth(at).unwrap();
+        let (id, at, pick) = (*id, open.at.clone(), self.pick(10));
+        let attempt = match (at, pick) {
+            (At::Router | At::Record | At::Opening(..), 0) => return self.cancel(id),
+            (At::Router, _) => return,
+            (At::Record, _) => return self.decide(id),
+            (At::Opening(_, true), 1..6) => Attempt::NotRun(NotRun::Connect),
+            (At::Opening(..), 1..3) => Attempt::NotRun(NotRun::Connect),
+            (At::Opening(..), _) => return self.step(Event::Ready { id }),
+            (At::Written(..), 0) => Attempt::NotRun(NotRun::Shed),
+            (At::Written(..), 1) => Attempt::Unknown(Unknown::Timeout),
+            (At::Written(..), 2) => Attempt::Unknown(Unknown::Broken),
+            (At::Written(..), 3) => return self.step(Event::Ready { id }),
+            (At::Forward, 0) => Attempt::Unknown(Unknown::VmLost),
+            (At::Forward, 1) => Attempt::NotRun(NotRun::DomainUnreachable),
+            (At::Forward, 2) => Attempt::NotRun(NotRun::NoOwner),
+            (At::Forward, 3) => Attempt::Redirect { vm: None },
+            (At::Forward, 4..6) => Attempt::Redirect {
+                vm: Some(pick as VmId - 3),
+            },
+            (At::Written(..) | At::Forward, _) => answered(),
+        };
+        self.finish(id, attempt);
+    }
+
+    fn finish(&mut self, id: RequestId, attempt: Attempt) {
+        let open = self.open.get_mut(&id).unwrap();
+        let was = std::mem::replace(&mut open.at, At::Router);
+        let unknown = matches!(attempt, Attempt::Unknown(_));
+        open.uncertain |= unknown;
+        if let At::Written(
+            Send {
+                grant: Some((shard, _)),
+                deadline,
+                ..
+            },
+            _,
+        ) = &was
+            && unknown
+        {
+            let risk = self.risk.entry(shard.index).or_default();
+            *risk = (*risk).max(millis(*deadline));
+        }
+        if matches!(attempt, Attempt::Answered { .. }) {
+            self.reached.insert("answered");
+            self.open.remove(&id);
+            self.ended = id;
+        }
+        self.step(Event::Done { id, attempt });
+    }
+
+    fn cancel(&mut self, id: RequestId) {
+        let open = self.open.get_mut(&id).unwrap();
+        open.cancelled = true;
+        if open.at == At::Router {
+            self.open.remove(&id);
+            self.ended = id;
+        }
+        self.step(Event::Cancel { id });
+    }
+
+    fn decide(&mut self, id: RequestId) {
+        let pick = self.pick(10);
+        let open = self.open.get_mut(&id).unwrap();
+        open.at = At::Router;
+        open.recorded = pick > 3;
+        let result = match pick {
+            0 => RecordResult::Pending,
+            1 => RecordResult::Unsettled,
+            2 => RecordResult::Failed,
+            3 => RecordResult::Uncertain,
+            _ => RecordResult::Fresh,
+        };
+        self.step(Event::Recorded { id, result });
+    }
+
+    fn change_bundle(&mut self) {
+        let mut next = bundle(self.bundle.version + 1);
+        let pick = self.rng.random_range(0..4);
+        for service in &mut next.services {
+            (service.slots, service.queue) = (1 + pick, 1 + 2 * pick);
+        }
+        next.services[0].domain_lease = (pick == 0).then(|| ms(500));
+        next.services[1].new_percent = 10 * pick as u8;
+        if pick == 3 {
+            next.services[0].hot_keys = vec![key(0).into()];
+        }
+        if self.chance(10) {
+            next.services.pop();
+        }
+        self.bundle = next.clone();
+        self.step(Event::Bundle(next));
+    }
+
+    fn random_step(&mut self) {
+        self.now += [0, 0, 1, 3, 10, 40][self.pick(6)];
+        match self.pick(100) {
+            0..30 => self.arrive(),
+            30..70 => self.report(),
+            70..76 => self.mutate(),
+            76..83 => {
+                let complete = self.chance(20);
+                self.view(complete);
+            }
+            83 => {
+                let old = self.old[self.rng.random_range(0..self.old.len())].clone();
+                if (old.term, old.index) != (self.seen.term, self.seen.index) {
+                    self.step(Event::View(old));
+                }
+            }
+            84..90 => {
+                let until = self.now + self.rng.random_range(50..500);
+                let fence = self.seen.index + u64::from(self.chance(10));
+                let control = self.now.saturating_sub(self.rng.random_range(0..400));
+                if until >= self.lease.0 {
+                    (self.lease.0, self.lease.1) = (until, fence);
+                }
+                self.lease.2 = self.lease.2.max(control);
+                let (until, control) = (ms(until), ms(control));
+                self.step(Event::Lease {
+                    until,
+                    fence,
+                    control,
+                });
+            }
+            90 => {
+                self.lease.0 = 0;
+                self.step(Event::LeaseLost);
+            }
+            91 => self.change_bundle(),
+            92 => {
+                let target = *self.group.targets.keys().next().unwrap();
+                let alive = self.chance(50);
+                self.step(Event::Probed { target, alive });
+            }
+            93 if self.chance(10) => self.step(Event::Drain),
+            _ => self.step(Event::Tick),
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let shown = format!("seed {} at {} ms after {event:?}", self.seed, self.now);
+        let ready = match &event {
+            Event::Ready { id } => Some(*id),
+            _ => None,
+        };
+        let opening = ready.and_then(|id| match self.open.get(&id)?.at {
+            At::Opening(_, aborted) => Some(aborted),
+            _ => None,
+        });
+        let effects = self.router.step(event, ms(self.now));
+        if let Some(aborted) = opening {
+            let answer = effects.iter().any(|e| about(e) == ready);
+            assert_eq!(answer, !aborted, "answer to ready, {shown}");
+        }
+        for effect in effects {
+            if let Err(fault) = self.check(&effect, ready) {
+                panic!("{fault} by {effect:?}, {shown}");
+            }
+        }
+        let status = self.router.status();
+        let queue = self.bundle.service("k").map_or(0, |s| s.queue as usize);
+        let keyed = status.targets.iter().all(|t| t.queued <= queue);
+        // A bound that shrinks, because a VM joined or a target left, is for newcomers only.
+        let before = std::mem::take(&mut self.pools).into_iter().chain([0; 4]);
+        let pools = (status.queues.iter().zip(before)).all(|(q, b)| q.queued <= q.bound.max(b));
+        assert!(keyed && pools, "queue too long, {shown}");
+        self.pools = status.queues.iter().map(|q| q.queued).collect();
+        assert!(status.open <= self.open.len(), "ended twice, {shown}");
+    }
+
+    /// Naive limit of requests in flight at a target.
+    fn limit(&self, id: TargetId, service: &str) -> Option<usize> {
+        let rules = self.bundle.service(service)?;
+        let spec = &self.seen.targets.get(&id)?.info.spec;
+        let slots = rules.slots.min(spec.slots) as usize;
+        if rules.is_keyed() {
+            return Some(slots);
+        }
+        // Deals the slots out one by one, beginning with the VM that the target's id names.
+        let vms = &self.seen.vms;
+        let mut dealt = vec![0; vms.len()];
+        (0..slots).for_each(|i| dealt[(id as usize + i) % vms.len()] += 1);
+        Some(dealt[vms.iter().position(|vm| *vm == VM)?])
+    }
+
+    /// Checks the number of requests in flight at a target, or only of those written.
+    fn check_slots(&self, send: &Send, service: &str, opening: bool) -> Verdict {
+        let term = self.seen.term;
+        let counts = |o: &&Open| match &o.at {
+            At::Written(s, _) => s.target == send.target && of_term(s, term),
+            At::Opening(s, _) => opening && s.target == send.target && of_term(s, term),
+            _ => false,
+        };
+        // Requests without a key do not tell for which group's target they were.
+        let first = self.old.iter().all(|v| v.term == term);
+        let exact = send.grant.is_some() || (first && !opening);
+        let count = self.open.values().filter(counts).count();
+        let limit = self.limit(send.target, service).unwrap_or(0);
+        ensure(!exact || count <= limit, "slots")
+    }
+
+    /// Everything that must hold when a request is written.
+    fn legal(&self, open: &Open, send: &Send) -> Verdict {
+        let (until, fence, control) = self.lease;
+        let target = self.seen.targets.get(&send.target).ok_or("no target")?;
+        let rules = self.bundle.service(open.service).ok_or("no service")?;
+        ensure(self.void.is_none(), "view of another term")?;
+        ensure(self.now < until, "lease over")?;
+        ensure(self.seen.index >= fence, "fence")?;
+        ensure(ms(self.now) < send.deadline, "deadline")?;
+        ensure(!open.idempotent || open.recorded, "no record")?;
+        ensure(open.repeatable || open.proceeds == 0, "second write")?;
+        let Some((shard, token)) = &send.grant else {
+            ensure(target.info.state == TargetState::Serving, "not serving")?;
+            return ensure(target.info.spec.side == open.side, "side");
+        };
+        ensure(shard.index == rules.shard_of(&open.key), "shard")?;
+        ensure(!open.idempotent || open.asked == token.term, "old record")?;
+        let held = self.seen.shards.get(&shard.index).ok_or("no shard")?;
+        ensure(held.owner == Some(send.target), "owner")?;
+        ensure(!held.releasing, "releasing")?;
+        ensure(target.info.state != TargetState::Lost, "lost")?;
+        ensure(target.sender == Some(VM), "sender")?;
+        ensure(*token == held.token.max(target.token), "token")?;
+        let lease = rules.domain_lease.unwrap_or(ms(u64::MAX / 2));
+        ensure(ms(self.now) < ms(control) + lease, "domain lease")
+    }
+
+    fn check_release(&self, shard: &ShardRef, token: Token, clear: u64) -> Verdict {
+        let mut latest = self.risk.get(&shard.index).copied().unwrap_or(0);
+        for open in self.open.values() {
+            if let At::Written(send, aborted) = &open.at
+                && let Some(grant) = send.grant.as_ref().filter(|g| g.0 == *shard)
+            {
+                // Those of an earlier group may end by themselves, but `clear` counts them.
+                let earlier = grant.1.term < token.term;
+                ensure(*aborted || earlier, "released while in flight")?;
+                latest = latest.max(millis(send.deadline));
+            }
+        }
+        ensure(self.now + clear >= latest, "clear too short")
+    }
+
+    fn check_refusal(&self, open: &Open, refusal: Refusal, ready: bool) -> Verdict {
+        // A refusal instead of the write answers `Ready`, and a record may come too late.
+        let unsent = (ready && matches!(open.at, At::Opening(..))) || open.at == At::Record;
+        ensure(open.at == At::Router || unsent, "refused while in flight")?;
+        let not_run = matches!(refusal, Refusal::NotRun(_));
+        ensure(!not_run || !open.uncertain, "untrue refusal")?;
+        let leased =
+            self.void.is_none() && self.now < self.lease.0 && self.seen.index >= self.lease.1;
+        let service = self.bundle.service(open.service);
+        let plain = service.is_some_and(|s| s.domain_lease.is_none()) && !open.forwarded;
+        let no_lease = refusal == Refusal::NotRun(NotRun::NoLease);
+        ensure(!(plain && no_lease && leased), "lease is valid")
+    }
+
+    /// Applies an effect to the model, and returns what is wrong with it.
+    fn check(&mut self, effect: &Effect, ready: Option<RequestId>) -> Verdict {
+        if let Effect::Released {
+            shard,
+            clear,
+            token,
+        } = effect
+        {
+            self.reached.insert("released");
+            return self.check_release(shard, *token, millis(*clear));
+        }
+        let Some(id) = about(effect) else {
+            return Ok(());
+        };
+        let entry = self.open.get_mut(&id);
+        match effect {
+            Effect::Finish { .. } => return Ok(()),
+            Effect::Erase { .. } => return ensure(entry.is_none_or(|o| !o.uncertain), "erased"),
+            _ => {}
+        }
+        let open = entry.ok_or("effect after the end")?;
+        let before = open.clone();
+        let (idle, service) = (open.at == At::Router, open.service);
+        match effect {
+            Effect::Send(send) => {
+                ensure(idle, "sent twice")?;
+                open.at = At::Opening(send.clone(), false);
+                self.check_slots(send, service, true)?;
+            }
+            Effect::Proceed { .. } => {
+                let At::Opening(send, false) = before.at.clone() else {
+                    return Err("proceed without send");
+                };
+                ensure(ready == Some(id), "proceed without ready")?;
+                open.proceeds += 1;
+                open.at = At::Written(send.clone(), false);
+                self.reached.insert("written");
+                self.legal(&before, &send)?;
+                self.check_slots(&send, service, false)?;
+            }
+            Effect::Hold { .. } => {
+                let opening = matches!(open.at, At::Opening(..));
+                ensure(opening && ready == Some(id), "hold")?;
+                open.at = At::Router;
+                self.reached.insert("held");
+            }
+            Effect::Abort { .. } => match &mut open.at {
+                At::Opening(_, aborted) => *aborted = true,
+                At::Written(_, aborted) => {
+                    *aborted = true;
+                    self.reached.insert("aborted");
+                }
+                _ => return Err("abort of nothing"),
+            },
+            Effect::Forward { hops, .. } => {
+                ensure(idle && open.caller && *hops <= 3, "forward")?;
+                ensure(!open.recorded, "forward of a recorded request")?;
+                ensure(open.repeatable || open.proceeds == 0, "forward after write")?;
+                (open.at, open.forwarded) = (At::Forward, true);
+            }
+            Effect::Record { token, .. } => {
+                ensure(idle && open.idempotent && !open.recorded, "record")?;
+                (open.at, open.asked) = (At::Record, token.term);
+            }
+            Effect::Redirect { .. } | Effect::Refuse { .. } => {
+                self.open.remove(&id);
+                self.ended = id;
+                if let Effect::Refuse { refusal, .. } = effect {
+                    self.reached.insert("refused");
+                    return self.check_refusal(&before, *refusal, ready == Some(id));
+                }
+                ensure(idle && !before.caller && !before.uncertain, "redirect")?;
+            }
+            _ => return Err("replay of nothing"),
+        }
+        Ok(())
+    }
+
+    /// Ends everything in flight; then every request must end.
+    fn settle(&mut self) {
+        for _ in 0..150 {
+            self.now += 30;
+            let ids: Vec<_> = self.open.keys().copied().collect();
+            for id in ids {
+                match self.open.get(&id).map(|o| o.at.clone()) {
+                    Some(At::Record) => self.decide(id),
+                    Some(At::Opening(_, false)) => self.step(Event::Ready { id }),
+                    Some(At::Opening(_, true)) => self.finish(id, Attempt::NotRun(NotRun::Connect)),
+                    Some(At::Written(..) | At::Forward) => self.finish(id, answered()),
+                    Some(At::Router) | None => {}
+                }
+            }
+            self.step(Event::Tick);
+        }
+        let status = self.router.status();
+        let flying: u32 = status.targets.iter().map(|t| t.in_flight).sum();
+        let left = (status.open, status.waiting, flying);
+        assert_eq!(left, (0, 0, 0), "seed {}", self.seed);
+        let ended = self.open.values().all(|o| o.cancelled);
+        assert!(ended, "a request got no outcome, seed {}", self.seed);
+    }
+}
+
+fn target_of(id: TargetId, index: u32, sender: Option<VmId>) -> TargetView {
+    let mut new = target(id, if index < 2 { "k" } else { "u" }, sender);
+    new.info.spec.slots = 1 + index;
+    new
+}
+
+fn of_term(send: &Send, term: u64) -> bool {
+    (send.grant.as_ref()).is_none_or(|(_, token)| token.term == term)
+}
+
+/// The request that an effect is about.
+fn about(effect: &Effect) -> Option<RequestId> {
+    match effect {
+        Effect::Send(send) => Some(send.id),
+        Effect::Proceed { id }
+        | Effect::Hold { id }
+        | Effect::Forward { id, .. }
+        | Effect::Redirect { id, .. }
+        | Effect::Record { id, .. }
+        | Effect::Finish { id, .. }
+        | Effect::Erase { id, .. }
+        | Effect::Refuse { id, .. }
+        | Effect::Replay { id, .. }
+        | Effect::Abort { id } => Some(*id),
+        _ => None,
+    }
+}
+
+/// Guards against writes without a right to write, second runs, refusals that are untrue,
+/// exceeded slots and queues, early releases, and requests that never end.
+#[test]
+fn random_histories_are_legal() {
+    let setting = |name, default| {
+        let value = std::env::var(name).ok();
+        value.map_or(default, |v| v.parse().unwrap())
+    };
+    let count = setting("CAMPHORDALE_HISTORIES", 3000);
+    let first = setting("CAMPHORDALE_SEED", 1);
+    println!("{count} histories from seed {first}");
+    let mut reached = BTreeSet::new();
+    for seed in first..first + count {
+        let mut world = World::new(seed);
+        (0..STEPS).for_each(|_| world.random_step());
+        world.settle();
+        reached.extend(world.reached);
+    }
+    let all = "aborted answered held refused released written";
+    assert!(count < 100 || reached.into_iter().eq(all.split(' ')));
+}
--- a/crates/route/tests/keyed.rs
+++ b/crates/route/tests/keyed.rs
@@ -128,17 +128,11 @@
 fn waiting_ends_before_the_deadline() {
     let mut router = router();
     assert_eq!(arrive(&mut router, keyed(1, "GET", 3), 0), []);
-    assert_eq!(router.step(Event::Tick, ms(979)), []);
-    assert_eq!(
-        router.step(Event::Tick, ms(980)),
-        [not_run(1, NotRun::NoOwner)]
-    );
+    assert_eq!(tick(&mut router, 979), []);
+    assert_eq!(tick(&mut router, 980), [not_run(1, NotRun::NoOwner)]);
     router.step(Event::LeaseLost, ms(981));
     assert_eq!(arrive(&mut router, keyed(2, "GET", 0), 981), []);
-    assert_eq!(
-        router.step(Event::Tick, ms(1981)),
-        [not_run(2, NotRun::NoLease)]
-    );
+    assert_eq!(tick(&mut router, 1981), [not_run(2, NotRun::NoLease)]);
 }
 
 /// Guards against a lease of one group that is used with the view of another.
--- /dev/null
+++ b/crates/route/tests/records.rs
@@ -0,0 +1,170 @@
+//! Idempotency records.
+
+mod common;
+
+use camphordale_domain::{RecordKey, StoredAnswer};
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use rstest::rstest;
+
+fn idempotent(id: RequestId, value: &str) -> Request {
+    let mut request = keyed(id, "POST", 0);
+    request.headers = vec![("idempotency-key".into(), value.into())];
+    request
+}
+
+fn recorded(router: &mut Router, id: RequestId, result: RecordResult, now: u64) -> Vec<Effect> {
+    router.step(Event::Recorded { id, result }, ms(now))
+}
+
+/// Lets a request arrive and returns the key of the record that is asked for.
+fn record(router: &mut Router, request: Request) -> RecordKey {
+    match &arrive(router, request, 0)[..] {
+        [
+            Effect::Record {
+                key,
+                token: t,
+                shard,
+                ..
+            },
+        ] => {
+            assert_eq!((shard, *t), (&ShardRef::new("k", 0), token(5)));
+            *key
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn stored() -> StoredAnswer {
+    StoredAnswer {
+        status: 201,
+        headers: vec![],
+        body: b"done".to_vec(),
+    }
+}
+
+/// Guards against a request that runs without its record, and an answer that is not kept.
+#[test]
+fn record_comes_first_and_keeps_the_answer() {
+    let mut router = router();
+    let key = record(&mut router, idempotent(1, "a"));
+    assert_eq!(ready(&mut router, 1, 1), []);
+    let effects = recorded(&mut router, 1, RecordResult::Fresh, 2);
+    assert_eq!(sends(&effects), [(1, 11)]);
+    ready(&mut router, 1, 3);
+    let answer = Some(stored());
+    let attempt = Attempt::Answered {
+        status: 201,
+        stored: answer.clone(),
+    };
+    let finish = Effect::Finish { key, id: 1, answer };
+    assert_eq!(done(&mut router, 1, attempt, 4), [finish]);
+}
+
+/// Guards against a duplicate that runs, and against erasing the record of the first request.
+#[rstest]
+#[case(RecordResult::Replay(stored()), Effect::Replay { id: 1, answer: stored() }, false)]
+#[case(RecordResult::Pending, unknown(1, Unknown::Duplicate), false)]
+#[case(RecordResult::Unsettled, unknown(1, Unknown::RecordsLost), false)]
+#[case(RecordResult::Failed, not_run(1, NotRun::Record), false)]
+#[case(RecordResult::Uncertain, not_run(1, NotRun::Record), true)]
+fn other_decisions_end_the_request(
+    #[case] result: RecordResult,
+    #[case] expected: Effect,
+    #[case] erased: bool,
+) {
+    let mut router = router();
+    let key = record(&mut router, idempotent(1, "a"));
+    let effects = recorded(&mut router, 1, result, 1);
+    let erase = erased.then_some(Effect::Erase { key, id: 1 });
+    let all: Vec<_> = erase.into_iter().chain([expected]).collect();
+    assert_eq!(effects, all);
+    assert_eq!(router.status().open, 0);
+}
+
+/// Guards against a record that blocks the resend of a request that never ran, and against one
+/// that is erased although the request may have run.
+#[rstest]
+#[case(Attempt::NotRun(NotRun::Shed), true)]
+#[case(Attempt::Unknown(Unknown::Timeout), false)]
+fn record_is_erased_only_if_the_request_did_not_run(
+    #[case] attempt: Attempt,
+    #[case] erased: bool,
+) {
+    let mut router = router();
+    let key = record(&mut router, idempotent(1, "a"));
+    recorded(&mut router, 1, RecordResult::Fresh, 1);
+    ready(&mut router, 1, 1);
+    let effects = done(&mut router, 1, attempt, 2);
+    assert_eq!(effects.contains(&Effect::Erase { key, id: 1 }), erased);
+    assert_eq!(sends(&effects), []);
+}
+
+/// Guards against two requests that share a record although they differ.
+#[test]
+fn record_key_covers_the_request() {
+    let mut router = router();
+    let first = record(&mut router, idempotent(1, "a"));
+    assert_eq!(first, record(&mut router, idempotent(2, "a")));
+    assert_ne!(first, record(&mut router, idempotent(3, "b")));
+    let mut path = idempotent(4, "a");
+    path.path = format!("{}/x", path.path).into();
+    assert_ne!(first, record(&mut router, path));
+    let mut method = idempotent(5, "a");
+    method.method = "PUT".into();
+    assert_ne!(first, record(&mut router, method));
+}
+
+/// Guards against a record for a request that may be repeated, which costs two commits.
+#[test]
+fn repeatable_requests_need_no_record() {
+    let mut router = router();
+    let mut request = idempotent(1, "a");
+    request.method = "GET".into();
+    assert_eq!(sends(&arrive(&mut router, request, 0)), [(1, 11)]);
+}
+
+/// Guards against a send that relies on a record of a group that was replaced.
+#[test]
+fn record_of_another_term_is_not_trusted() {
+    let mut router = router();
+    record(&mut router, idempotent(1, "a"));
+    let mut other = view(1);
+    other.term = 2;
+    for shard in &mut other.shards {
+        shard.token.term = 2;
+    }
+    router.step(Event::View(other), ms(1));
+    router.step(lease(ms(9_000_000)), ms(1));
+    let effects = recorded(&mut router, 1, RecordResult::Fresh, 2);
+    assert!(effects.contains(&not_run(1, NotRun::Record)), "{effects:?}");
+}
+
+/// Guards against forwarding a request whose record would make it a duplicate elsewhere.
+#[test]
+fn recorded_request_is_not_forwarded() {
+    let mut router = router();
+    let key = record(&mut router, idempotent(1, "a"));
+    recorded(&mut router, 1, RecordResult::Fresh, 1);
+    let moved = Event::View(change(2, vec![], vec![shard(0, Some(12), 9)]));
+    router.step(moved, ms(2));
+    assert_eq!(
+        ready(&mut router, 1, 3),
+        [
+            Effect::Hold { id: 1 },
+            Effect::Erase { key, id: 1 },
+            not_run(1, NotRun::NoOwner)
+        ]
+    );
+}
+
+/// Guards against a send for a caller that is gone, and against its record staying.
+#[test]
+fn cancelled_request_is_not_sent() {
+    let mut router = router();
+    let key = record(&mut router, idempotent(1, "a"));
+    assert_eq!(router.step(Event::Cancel { id: 1 }, ms(1)), []);
+    let effects = recorded(&mut router, 1, RecordResult::Fresh, 2);
+    assert_eq!(effects, [Effect::Erase { key, id: 1 }]);
+}
--- /dev/null
+++ b/crates/route/tests/targets.rs
@@ -0,0 +1,224 @@
+//! Attempts at targets, their health, and releases of shards.
+
+mod common;
+
+use std::time::Duration;
+
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use rstest::rstest;
+
+fn probes(effects: &[Effect]) -> usize {
+    let probe = |e: &&Effect| matches!(e, Effect::Probe { .. });
+    effects.iter().filter(probe).count()
+}
+
+fn released(index: u32, seq: u64, clear: u64) -> Effect {
+    Effect::Released {
+        shard: ShardRef::new("k", index),
+        token: token(seq),
+        clear: ms(clear),
+    }
+}
+
+fn releasing(index: u32, owner: TargetId, seq: u64) -> camphordale_domain::ShardView {
+    camphordale_domain::ShardView {
+        releasing: true,
+        ..shard(index, Some(owner), seq)
+    }
+}
+
+/// Guards against a second write of a request that may not be repeated, and against refusing one
+/// that may.
+#[rstest]
+#[case("POST", false, NotRun::Connect, true)]
+#[case("POST", true, NotRun::Shed, false)]
+#[case("GET", true, NotRun::Shed, true)]
+fn not_run_is_retried_before_the_write_only(
+    #[case] method: &str,
+    #[case] written: bool,
+    #[case] reason: NotRun,
+    #[case] again: bool,
+) {
+    let mut router = router();
+    arrive(&mut router, keyed(1, method, 0), 0);
+    if written {
+        ready(&mut router, 1, 0);
+    }
+    let effects = done(&mut router, 1, Attempt::NotRun(reason), 1);
+    if !again {
+        assert_eq!(effects, [not_run(1, reason)]);
+        return;
+    }
+    // The target is left alone for a moment first.
+    assert_eq!(effects, []);
+    assert_eq!(sends(&tick(&mut router, 20)), [(1, 11)]);
+}
+
+/// Guards against repeating a request with an unknown outcome, and against calling it not run.
+#[rstest]
+#[case("GET", Repeat::ByMethod, true)]
+#[case("POST", Repeat::ByMethod, false)]
+#[case("GET", Repeat::Never, false)]
+#[case("POST", Repeat::Always, true)]
+fn unknown_outcome_is_repeated_if_allowed(
+    #[case] method: &str,
+    #[case] repeat: Repeat,
+    #[case] again: bool,
+) {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[0].repeat = repeat;
+    router.step(Event::Bundle(bundle), ms(0));
+    write(&mut router, keyed(1, method, 0), 11, 0);
+    let effects = done(&mut router, 1, Attempt::Unknown(Unknown::Broken), 1);
+    if !again {
+        assert_eq!(effects, [unknown(1, Unknown::Broken)]);
+        return;
+    }
+    assert_eq!(sends(&effects), [(1, 11)]);
+    router.step(Event::LeaseLost, ms(2));
+    ready(&mut router, 1, 2);
+    let effects = tick(&mut router, 1000);
+    assert_eq!(effects, [unknown(1, Unknown::Broken)]);
+}
+
+/// Guards against a broken target that is found only by its lease, and against probe storms.
+#[test]
+fn failures_lead_to_probes() {
+    let mut router = router();
+    write(&mut router, keyed(1, "POST", 0), 11, 0);
+    let effects = done(&mut router, 1, Attempt::Unknown(Unknown::Timeout), 1);
+    assert_eq!(probes(&effects), 1);
+    // Nothing is sent while the probe runs.
+    assert_eq!(arrive(&mut router, keyed(2, "POST", 0), 2), []);
+    let alive = |alive| Event::Probed { target: 11, alive };
+    assert_eq!(sends(&router.step(alive(true), ms(5))), [(2, 11)]);
+    ready(&mut router, 2, 6);
+    let effects = done(&mut router, 2, Attempt::Unknown(Unknown::Timeout), 7);
+    assert_eq!(probes(&effects), 0, "two probes within a second");
+    // Two broken connections in a short time, not one.
+    for (id, count) in [(3, 0), (4, 1)] {
+        write(&mut router, keyed(id, "POST", 0), 11, 1100);
+        let effects = done(&mut router, id, Attempt::Unknown(Unknown::Broken), 1100);
+        assert_eq!(probes(&effects), count);
+    }
+    let effects = router.step(alive(false), ms(1110));
+    assert_eq!(effects, [Effect::Suspect { target: 11 }]);
+    assert_eq!(arrive(&mut router, keyed(5, "POST", 0), 1500), []);
+    assert_eq!(tick(&mut router, 2000), []);
+    assert_eq!(sends(&tick(&mut router, 2110)), [(5, 11)]);
+}
+
+/// Guards against a frozen target that is found only when long deadlines pass.
+#[test]
+fn silence_leads_to_a_probe() {
+    let mut router = router();
+    write(&mut router, keyed(1, "GET", 0), 11, 0);
+    assert_eq!(probes(&tick(&mut router, 290)), 0);
+    assert_eq!(probes(&tick(&mut router, 300)), 1);
+    assert_eq!(probes(&tick(&mut router, 900)), 0);
+    assert_eq!(probes(&tick(&mut router, 1300)), 1);
+}
+
+/// Guards against a shard that moves while its old owner still works for it.
+#[test]
+fn release_waits_for_requests_in_flight() {
+    let mut router = router();
+    tick(&mut router, 1000);
+    write(&mut router, keyed(1, "POST", 0), 11, 1000);
+    let view = change(2, vec![], vec![releasing(0, 11, 5)]);
+    assert_eq!(router.step(Event::View(view), ms(1001)), []);
+    assert_eq!(arrive(&mut router, keyed(2, "GET", 0), 1002), []);
+    assert_eq!(done(&mut router, 1, answered(), 1003), [released(0, 5, 0)]);
+    assert_eq!(tick(&mut router, 1202), []);
+    assert_eq!(tick(&mut router, 1203), [released(0, 5, 0)]);
+    let view = change(3, vec![], vec![shard(0, None, 6)]);
+    assert_eq!(router.step(Event::View(view), ms(1204)), []);
+    assert_eq!(tick(&mut router, 1500), []);
+    let view = change(4, vec![], vec![shard(0, Some(11), 7)]);
+    assert_eq!(sends(&router.step(Event::View(view), ms(1501))), [(2, 11)]);
+}
+
+/// Guards against a shard that moves while a request with an unknown outcome may still run.
+#[test]
+fn unknown_outcome_counts_until_its_deadline() {
+    let mut router = router();
+    write(&mut router, keyed(1, "POST", 0), 11, 1000);
+    done(&mut router, 1, Attempt::Unknown(Unknown::Broken), 1200);
+    let view = change(2, vec![], vec![releasing(0, 11, 5)]);
+    let effects = router.step(Event::View(view), ms(1300));
+    assert_eq!(effects, [released(0, 5, 700)]);
+}
+
+/// Guards against a release that ignores requests of a former sender.
+#[test]
+fn former_sender_counts_for_one_deadline() {
+    let mut router = router();
+    let mut taken = target(12, "k", Some(1));
+    taken.token = token(7);
+    router.step(Event::View(change(2, vec![taken], vec![])), ms(2000));
+    let view = change(3, vec![], vec![releasing(2, 12, 5)]);
+    let effects = router.step(Event::View(view), ms(2400));
+    assert_eq!(effects, [released(2, 5, 600)]);
+}
+
+/// What ends the work for a target at once.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    Lost,
+    Sender,
+}
+
+/// Guards against waiting for a target that will not answer, and against a report that hides
+/// what it may still do.
+#[rstest]
+fn lost_owner_ends_requests(#[values(End::Lost, End::Sender)] end: End) {
+    let mut router = router();
+    tick(&mut router, 1000);
+    write(&mut router, keyed(1, "POST", 0), 11, 1000);
+    assert_eq!(
+        sends(&arrive(&mut router, keyed(2, "GET", 1), 1100)),
+        [(2, 11)]
+    );
+    let mut owner = target(11, "k", Some(1));
+    match end {
+        End::Lost => owner.info.state = TargetState::Lost,
+        End::Sender => owner.sender = Some(2),
+    }
+    let shards = vec![releasing(0, 11, 5), releasing(1, 11, 5)];
+    let effects = router.step(Event::View(change(2, vec![owner], shards)), ms(1200));
+    let mut expected = vec![Effect::Abort { id: 1 }, Effect::Abort { id: 2 }];
+    // The successor reports in the other case; it does so for all requests.
+    if end == End::Lost {
+        expected.extend([released(0, 5, 800), released(1, 5, 0)]);
+    }
+    assert_eq!(effects, expected);
+    let effects = done(&mut router, 1, Attempt::Unknown(Unknown::Broken), 1201);
+    assert_eq!(effects, [unknown(1, Unknown::Broken)]);
+    // Nothing of the other was written, so it waits for the next owner.
+    assert_eq!(
+        done(&mut router, 2, Attempt::NotRun(NotRun::Connect), 1201),
+        []
+    );
+    assert_eq!(router.status().waiting, 1);
+}
+
+/// Guards against a load report that counts requests twice or not at all.
+#[test]
+fn load_is_reported_each_second() {
+    let mut router = router();
+    router.step(Event::Tick, ms(0));
+    for id in 0..3 {
+        write(&mut router, keyed(id, "GET", 0), 11, 10);
+        done(&mut router, id, answered(), 10);
+    }
+    let shards = vec![("k".into(), 0, 3)];
+    assert_eq!(router.step(Event::Tick, ms(999)), []);
+    assert_eq!(
+        router.step(Event::Tick, ms(1000)),
+        [Effect::Load { shards }]
+    );
+    assert_eq!(router.step(Event::Tick, Duration::from_secs(9)), []);
+}
