Bind the queues of all changed shards before placing requests

A view made one shard of a target releasing; while the requests of another shard were placed again, the queue of the releasing shard still had a turn at the target, and a request was taken from it and put back without end.

Change: a view first binds all queues, then places requests, and a target takes requests only from shards that it may serve.

--- a/crates/route/src/keyed.rs
+++ b/crates/route/src/keyed.rs
@@ -1,6 +1,6 @@
 //! Requests with a key: who sends them, and the queues of shards.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use camphordale_types::{DomainName, NotRun, RequestId, TargetId, VmId};
 
@@ -245,7 +245,7 @@
             let Some(key) = target.turns.next() else {
                 return;
             };
-            if self.lease_blocked(key.0).is_some() {
+            if self.locate(key) != Place::Here(id) {
                 return;
             }
             let shard = self.slots[key.0].shard_mut(key.1);
@@ -283,20 +283,25 @@
         }
     }
 
-    /// Takes the requests out of the queue of a shard, binds the queue to the target that the
-    /// shard now belongs to, and places the requests again.
-    pub(crate) fn replace_shard(&mut self, key: ShardKey) {
-        let lane = match self.owner_of(key) {
-            Place::Here(target) => Some(target),
-            _ => None,
-        };
-        let shard = self.slots[key.0].shard_mut(key.1);
-        let ids: Vec<_> = shard.queue.iter().copied().collect();
-        for id in &ids {
-            self.unqueue(*id, key);
-            self.leave(*id);
+    /// Binds the queues of shards to the targets that they now belong to, and places their
+    /// requests again. No request is placed before all queues are bound, because a target must
+    /// not be sent requests from the queue of a shard that it lost.
+    pub(crate) fn rebind(&mut self, keys: &BTreeSet<ShardKey>) {
+        let mut ids = Vec::new();
+        for key in keys {
+            let lane = match self.owner_of(*key) {
+                Place::Here(target) => Some(target),
+                _ => None,
+            };
+            let queue = &self.slots[key.0].shard_mut(key.1).queue;
+            let first = ids.len();
+            ids.extend(queue.iter().copied());
+            for id in &ids[first..] {
+                self.unqueue(*id, *key);
+                self.leave(*id);
+            }
+            self.slots[key.0].shard_mut(key.1).lane = lane;
         }
-        self.slots[key.0].shard_mut(key.1).lane = lane;
         for id in ids {
             self.place(id);
         }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -80,8 +80,8 @@
         if resized || !view.gone.is_empty() {
             self.resize();
         }
+        self.rebind(&touched);
         for key in &touched {
-            self.replace_shard(*key);
             self.review_release(*key);
         }
         if resized || !view.gone.is_empty() {
--- a/crates/route/tests/records.rs
+++ b/crates/route/tests/records.rs
@@ -168,3 +168,25 @@
     let effects = recorded(&mut router, 1, RecordResult::Fresh, 2);
     assert_eq!(effects, [Effect::Erase { key, id: 1 }]);
 }
+
+/// Guards against an endless loop over the queue of a shard that its target has just lost.
+#[test]
+fn released_shard_leaves_the_turns_of_its_target() {
+    let mut router = router();
+    write(&mut router, keyed(1, "POST", 0), 11, 0);
+    // The target is left alone for 300 ms while it is probed.
+    done(&mut router, 1, Attempt::Unknown(Unknown::Timeout), 1);
+    router.step(Event::LeaseLost, ms(2));
+    let mut other = idempotent(3, "a");
+    other.path = keyed(3, "POST", 1).path;
+    assert_eq!(arrive(&mut router, keyed(2, "GET", 0), 2), []);
+    assert_eq!(arrive(&mut router, other, 2), []);
+    router.step(lease(ms(9000)), ms(3));
+    let mut released = shard(1, Some(11), 5);
+    released.releasing = true;
+    let owner = target(11, "k", Some(1));
+    let view = change(2, vec![owner], vec![released]);
+    let effects = router.step(Event::View(view), ms(400));
+    assert_eq!(sends(&effects), [(2, 11)]);
+    assert_eq!(router.status().waiting, 1);
+}
