--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -42,6 +42,15 @@
     pub const WAITING: usize = 20_000;
 
     /// Returns the settings of `vm` in `domain`, with the defaults for the rest.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::RouterConfig;
+    ///
+    /// let config = RouterConfig::new(1, "east", 7);
+    /// assert_eq!(config.waiting, RouterConfig::WAITING);
+    /// ```
     pub fn new(vm: VmId, domain: &str, seed: u64) -> Self {
         RouterConfig {
             vm,
@@ -87,6 +96,15 @@
 
 impl Router {
     /// Returns a router without bundle, lease and view, which refuses every request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::{Router, RouterConfig};
+    ///
+    /// let router = Router::new(RouterConfig::new(1, "east", 7));
+    /// assert_eq!(router.status().bundle, None);
+    /// ```
     pub fn new(config: RouterConfig) -> Self {
         Router {
             config,
--- a/crates/route/src/status.rs
+++ b/crates/route/src/status.rs
@@ -147,11 +147,29 @@
 
 impl Router {
     /// Returns the counters.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::{Router, RouterConfig};
+    ///
+    /// let router = Router::new(RouterConfig::new(1, "east", 7));
+    /// assert_eq!(router.counters().requests, 0);
+    /// ```
     pub fn counters(&self) -> &Counters {
         &self.counters
     }
 
     /// Returns the state as of the last event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::{Router, RouterConfig};
+    ///
+    /// let status = Router::new(RouterConfig::new(1, "east", 7)).status();
+    /// assert_eq!((status.leased, status.open), (false, 0));
+    /// ```
     pub fn status(&self) -> Status {
         Status {
             term: self.group.term,
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -307,3 +307,36 @@
         shards: Vec<(ServiceName, ShardIndex, u32)>,
     },
 }
+
+impl Effect {
+    /// Returns the request that the effect is about; none for effects that concern targets,
+    /// shards or records of requests that have ended.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::Effect;
+    ///
+    /// assert_eq!(Effect::Proceed { id: 9 }.request(), Some(9));
+    /// assert_eq!(Effect::Suspect { target: 4 }.request(), None);
+    /// ```
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Effect::Send(send) => Some(send.id),
+            Effect::Proceed { id }
+            | Effect::Hold { id }
+            | Effect::Forward { id, .. }
+            | Effect::Redirect { id, .. }
+            | Effect::Record { id, .. }
+            | Effect::Refuse { id, .. }
+            | Effect::Replay { id, .. }
+            | Effect::Abort { id } => Some(*id),
+            Effect::Finish { .. }
+            | Effect::Erase { .. }
+            | Effect::Probe { .. }
+            | Effect::Suspect { .. }
+            | Effect::Released { .. }
+            | Effect::Load { .. } => None,
+        }
+    }
+}
--- a/crates/route/tests/histories.rs
+++ b/crates/route/tests/histories.rs
@@ -16,8 +16,9 @@
 const STEPS: u32 = 250;
 
 /// Where the naive model takes a request to be; `bool` tells whether its attempt was aborted.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 enum At {
+    #[default]
     Router,
     Record,
     Opening(Send, bool),
@@ -26,11 +27,11 @@
 }
 
 /// A request that has not ended, as the edge and the caller see it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Open {
     service: &'static str,
     key: String,
-    side: Side,
+    side: Option<Side>,
     repeatable: bool,
     caller: bool,
     idempotent: bool,
@@ -270,17 +271,11 @@
         let open = Open {
             service,
             key: request.path.rsplit('/').next().unwrap().into(),
-            side: rules.map_or(Side::Old, |s| s.side_by_hash(hash)),
+            side: rules.map(|s| s.side_by_hash(hash)),
             repeatable: method == "GET",
             caller,
             idempotent,
-            recorded: false,
-            cancelled: false,
-            asked: 0,
-            at: At::Router,
-            proceeds: 0,
-            uncertain: false,
-            forwarded: false,
+            ..Open::default()
         };
         self.open.insert(id, open);
         self.step(Event::Request(request));
@@ -450,7 +445,7 @@
         });
         let effects = self.router.step(event, ms(self.now));
         if let Some(aborted) = opening {
-            let answer = effects.iter().any(|e| about(e) == ready);
+            let answer = effects.iter().any(|e| e.request() == ready);
             assert_eq!(answer, !aborted, "answer to ready, {shown}");
         }
         for effect in effects {
@@ -513,7 +508,7 @@
         ensure(open.repeatable || open.proceeds == 0, "second write")?;
         let Some((shard, token)) = &send.grant else {
             ensure(target.info.state == TargetState::Serving, "not serving")?;
-            return ensure(target.info.spec.side == open.side, "side");
+            return ensure(Some(target.info.spec.side) == open.side, "side");
         };
         ensure(shard.index == rules.shard_of(&open.key), "shard")?;
         ensure(!open.idempotent || open.asked == token.term, "old record")?;
@@ -567,15 +562,14 @@
             self.reached.insert("released");
             return self.check_release(shard, *token, millis(*clear));
         }
-        let Some(id) = about(effect) else {
+        if let Effect::Erase { id, .. } = effect {
+            let open = self.open.get(id);
+            return ensure(open.is_none_or(|o| !o.uncertain), "erased");
+        }
+        let Some(id) = effect.request() else {
             return Ok(());
         };
         let entry = self.open.get_mut(&id);
-        match effect {
-            Effect::Finish { .. } => return Ok(()),
-            Effect::Erase { .. } => return ensure(entry.is_none_or(|o| !o.uncertain), "erased"),
-            _ => {}
-        }
         let open = entry.ok_or("effect after the end")?;
         let before = open.clone();
         let (idle, service) = (open.at == At::Router, open.service);
@@ -669,24 +663,6 @@
     (send.grant.as_ref()).is_none_or(|(_, token)| token.term == term)
 }
 
-/// The request that an effect is about.
-fn about(effect: &Effect) -> Option<RequestId> {
-    match effect {
-        Effect::Send(send) => Some(send.id),
-        Effect::Proceed { id }
-        | Effect::Hold { id }
-        | Effect::Forward { id, .. }
-        | Effect::Redirect { id, .. }
-        | Effect::Record { id, .. }
-        | Effect::Finish { id, .. }
-        | Effect::Erase { id, .. }
-        | Effect::Refuse { id, .. }
-        | Effect::Replay { id, .. }
-        | Effect::Abort { id } => Some(*id),
-        _ => None,
-    }
-}
-
 /// Guards against writes without a right to write, second runs, refusals that are untrue,
 /// exceeded slots and queues, early releases, and requests that never end.
 #[test]
--- a/crates/route/tests/keyed.rs
+++ b/crates/route/tests/keyed.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use camphordale_domain::View;
+use camphordale_domain::{ShardView, View};
 use camphordale_route::*;
 use camphordale_types::*;
 use common::*;
@@ -25,93 +25,46 @@
     assert_eq!(send.connections, 60);
 }
 
-/// What makes a send illegal between the choice of the target and the write.
-#[derive(Clone, Copy)]
-enum Loss {
-    LeaseLost,
-    LeaseOver,
-    Fence,
-    Sender,
-    Releasing,
-    OwnerLost,
-    OtherOwner,
-    NewToken,
-    Term,
-    DomainLease,
+fn grant(until: u64, fence: u64) -> Event {
+    Event::Lease {
+        until: ms(until),
+        fence,
+        control: ms(100),
+    }
+}
+
+/// A view in which shard 0 of target 11 has changed.
+fn changed(change_shard: impl Fn(&mut ShardView)) -> Event {
+    let mut held = shard(0, Some(11), 5);
+    change_shard(&mut held);
+    Event::View(change(2, vec![], vec![held]))
 }
 
 /// Guards against a write on rights that ended after the target was chosen.
 #[rstest]
-fn last_check_holds_the_request(
-    #[values(
-        Loss::LeaseLost,
-        Loss::LeaseOver,
-        Loss::Fence,
-        Loss::Sender,
-        Loss::Releasing,
-        Loss::OwnerLost,
-        Loss::OtherOwner,
-        Loss::NewToken,
-        Loss::Term,
-        Loss::DomainLease
-    )]
-    loss: Loss,
-) {
+#[case::lease_lost(Event::LeaseLost, 20, false)]
+#[case::lease_over(Event::Tick, 500, false)]
+#[case::fence(grant(600, 2), 20, false)]
+#[case::releasing(changed(|s| s.releasing = true), 20, false)]
+#[case::other_owner(changed(|s| s.owner = None), 20, false)]
+#[case::new_token(changed(|s| s.token = token(6)), 20, true)]
+#[case::term(Event::Term { term: 2 }, 20, false)]
+#[case::domain_lease(grant(900, 1), 500, false)]
+fn last_check_holds_the_request(#[case] event: Event, #[case] now: u64, #[case] again: bool) {
     let mut router = Router::new(RouterConfig::new(VM, "east", 7));
     let mut bundle = bundle(1);
     bundle.services[0].domain_lease = Some(ms(400));
-    router.step(Event::Bundle(bundle), ms(0));
-    router.step(directory(), ms(0));
-    router.step(Event::View(view(1)), ms(0));
-    let grant = |until, fence, control| Event::Lease {
-        until: ms(until),
-        fence,
-        control: ms(control),
-    };
-    router.step(grant(500, 1, 100), ms(0));
-    assert_eq!(
-        sends(&arrive(&mut router, keyed(1, "GET", 0), 10)),
-        [(1, 11)]
-    );
-    let mut owner = target(11, "k", Some(1));
-    let mut held = shard(0, Some(11), 5);
-    let mut now = 20;
-    match loss {
-        Loss::LeaseLost => drop(router.step(Event::LeaseLost, ms(20))),
-        Loss::LeaseOver => now = 500,
-        Loss::Fence => drop(router.step(grant(600, 2, 100), ms(20))),
-        Loss::Sender => owner.sender = Some(2),
-        Loss::Releasing => held.releasing = true,
-        Loss::OwnerLost => owner.info.state = TargetState::Lost,
-        Loss::OtherOwner => held = shard(0, None, 6),
-        Loss::NewToken => held.token = token(6),
-        Loss::Term => drop(router.step(Event::Term { term: 2 }, ms(20))),
-        Loss::DomainLease => {
-            router.step(grant(900, 1, 100), ms(20));
-            now = 500;
-        }
-    }
-    let others = [Loss::Fence as u8, Loss::Term as u8].contains(&(loss as u8));
-    if !others {
-        let changed = Event::View(change(2, vec![owner], vec![held]));
-        let effects = router.step(changed, ms(20));
-        let aborted = matches!(loss, Loss::Sender | Loss::OwnerLost);
-        assert_eq!(effects.contains(&Effect::Abort { id: 1 }), aborted);
-        if aborted {
-            // The end of the aborted attempt decides.
-            assert_eq!(ready(&mut router, 1, now), []);
-            return;
-        }
+    let setup = [Event::Bundle(bundle), directory(), Event::View(view(1))];
+    for event in setup.into_iter().chain([grant(500, 1)]) {
+        router.step(event, ms(0));
     }
+    let effects = arrive(&mut router, keyed(1, "GET", 0), 10);
+    assert_eq!(sends(&effects), [(1, 11)]);
+    router.step(event, ms(20));
     let effects = ready(&mut router, 1, now);
-    assert_eq!(
-        effects.first(),
-        Some(&Effect::Hold { id: 1 }),
-        "{effects:?}"
-    );
+    assert_eq!(effects.first(), Some(&Effect::Hold { id: 1 }));
     // With a new token the request is sent again under it.
-    let again = matches!(loss, Loss::NewToken);
-    assert_eq!(sends(&effects), if again { vec![(1, 11)] } else { vec![] });
+    assert_eq!(!sends(&effects).is_empty(), again, "{effects:?}");
 }
 
 /// Guards against a request that is dropped while its shard moves.
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -195,6 +195,7 @@
         expected.extend([released(0, 5, 800), released(1, 5, 0)]);
     }
     assert_eq!(effects, expected);
+    assert_eq!(ready(&mut router, 2, 1200), [], "written after the abort");
     let effects = done(&mut router, 1, Attempt::Unknown(Unknown::Broken), 1201);
     assert_eq!(effects, [unknown(1, Unknown::Broken)]);
     // Nothing of the other was written, so it waits for the next owner.
