Do not overflow on endless durations of a bundle

Cause: a deadline or domain lease of Duration::MAX overflowed an addition.

Change: these additions saturate; the documentation of Event::Request says what happens to a request whose id is in use.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -63,6 +63,7 @@
         if allowed.is_zero() {
             return Err(NotRun::Deadline);
         }
+        let deadline = self.now.saturating_add(allowed);
         let idempotency = idempotency_of(&service, &request);
         if idempotency.is_some() && shard.is_none() {
             // Records belong to shards. A resend could reach a domain that has no record, so a
@@ -84,8 +85,8 @@
             shard,
             key,
             idempotency,
-            deadline: self.now + allowed,
-            start_by: self.now + allowed - (allowed / RESERVE_DIVISOR).min(RESERVE_MAX),
+            deadline,
+            start_by: deadline.saturating_sub((allowed / RESERVE_DIVISOR).min(RESERVE_MAX)),
             arrived: self.now,
             started: self.now,
             stage: Stage::New,
--- a/crates/route/src/lease.rs
+++ b/crates/route/src/lease.rs
@@ -41,6 +41,6 @@
     pub(crate) fn domain_serves(&self, service: &Service, now: Duration) -> bool {
         service
             .domain_lease
-            .is_none_or(|lease| now < self.control + lease)
+            .is_none_or(|lease| now < self.control.saturating_add(lease))
     }
 }
--- a/crates/route/src/release.rs
+++ b/crates/route/src/release.rs
@@ -76,7 +76,9 @@
             .and_then(|id| self.targets.get(&id))
             .filter(|t| t.inherited || shard.token < t.token)
             .zip(slot.service.as_ref())
-            .map_or(Duration::ZERO, |(t, service)| t.took + service.deadline);
+            .map_or(Duration::ZERO, |(t, service)| {
+                t.took.saturating_add(service.deadline)
+            });
         let written = if shard.written > 0 {
             shard.latest
         } else {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -251,6 +251,7 @@
                     self.place(id);
                 }
             }
+            // A record that is written later stays pending; a resend is then a duplicate.
             Stage::Recording(_) => self.refuse(id, NotRun::Record),
             Stage::New | Stage::Opening(_) | Stage::Written(_) | Stage::Forwarded(_) => {}
         }
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -64,8 +64,10 @@
 /// Input of the router.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A request arrived. It ends in exactly one `Refuse`, `Replay`, or the caller being given
-    /// the answer after a `Send` or `Forward` that was not followed by another effect for it.
+    /// A request arrived. It ends in exactly one `Refuse`, `Replay` or `Redirect`, or the caller
+    /// being given the answer after a `Send` or `Forward` that was not followed by another effect
+    /// for it. A request whose id is in use is ignored: it is the same one, forwarded again, and
+    /// its answer belongs to whoever forwarded it last.
     Request(Request),
     /// The record asked for by `Effect::Record` was decided.
     Recorded {
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use camphordale_route::*;
 use camphordale_types::*;
 use common::*;
@@ -70,6 +72,21 @@
     assert_eq!(send.deadline, ms(50 + expected));
 }
 
+/// Guards against a crash on durations that a bundle allows but that no clock reaches.
+#[test]
+fn endless_durations_do_not_overflow() {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[0].deadline = Duration::MAX;
+    bundle.services[0].domain_lease = Some(Duration::MAX);
+    router.step(Event::Bundle(bundle), ms(5));
+    write(&mut router, keyed(1, "GET", 0), 11, 5);
+    let mut view = change(2, vec![], vec![shard(0, Some(11), 5)]);
+    view.shards[0].releasing = true;
+    router.step(Event::View(view), ms(6));
+    assert_eq!(done(&mut router, 1, answered(), 7).len(), 1);
+}
+
 /// Guards against serving under no bundle, or under one that does not list the service.
 #[test]
 fn unknown_services_are_refused() {
