http: Look up a pool's address without exclusive locks

Cause: acquire and put took one lock for all addresses, and put woke waiters with a system call even if nobody waited.

Change: the map of addresses is behind a RwLock, a connection keeps its address entry, and waiters are counted.

Ruled out: TCP congestion control (bbr and reno differ little), and handing a connection back to the thread that used it last (no difference).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -71,7 +71,7 @@
 pub struct Conn {
     socket: Socket,
     peer: SocketAddr,
-    created: Instant,
+    pub(crate) created: Instant,
     pub(crate) used: Instant,
     checked: Instant,
     state: State,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -11,7 +11,8 @@
         Condvar,
         Mutex,
         MutexGuard,
-        PoisonError, //
+        PoisonError,
+        RwLock, //
     },
     time::{
         Duration,
@@ -85,7 +86,7 @@
 pub struct Pool {
     config: PoolConfig,
     source: Option<IpAddr>,
-    addresses: Mutex<HashMap<SocketAddr, Arc<Address>>>,
+    addresses: RwLock<HashMap<SocketAddr, Arc<Address>>>,
 }
 
 #[derive(Default)]
@@ -101,19 +102,24 @@
     open: usize,
     /// Rises when the address is cleared.
     generation: u64,
+    /// Threads that wait for a place.
+    waiting: usize,
 }
 
 /// A place among the open connections of an address; given back when dropped.
 pub(crate) struct Permit {
-    address: Option<Arc<Address>>,
+    address: Arc<Address>,
     generation: u64,
+    /// Whether the place is that of an idle connection again, and must not be given back.
+    kept: bool,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        if let Some(address) = self.address.take() {
-            address.lock().open -= 1;
-            address.freed.notify_one();
+        if !self.kept {
+            let mut state = self.address.lock();
+            state.open -= 1;
+            self.address.wake(state);
         }
     }
 }
@@ -122,6 +128,40 @@
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Wakes one waiter. A notification costs a system call even if nobody waits.
+    fn wake(&self, state: MutexGuard<'_, State>) {
+        let waits = state.waiting > 0;
+        drop(state);
+        if waits {
+            self.freed.notify_one();
+        }
+    }
+
+    fn take(self: &Arc<Self>, config: &PoolConfig) -> Option<Conn> {
+        loop {
+            let mut state = self.lock();
+            let mut conn = state.idle.pop()?;
+            let generation = state.generation;
+            drop(state);
+            // The place is freed with the connection from here on.
+            conn.permit = Some(Permit {
+                address: self.clone(),
+                generation,
+                kept: false,
+            });
+            if config.is_fresh(&conn, Instant::now()) && conn.is_usable() {
+                return Some(conn);
+            }
+        }
+    }
+}
+
+impl PoolConfig {
+    fn is_fresh(&self, conn: &Conn, now: Instant) -> bool {
+        now.saturating_duration_since(conn.used) < self.max_idle
+            && now.saturating_duration_since(conn.created) < self.max_age
+    }
 }
 
 impl Pool {
@@ -130,7 +170,7 @@
         Pool {
             config,
             source: None,
-            addresses: Mutex::default(),
+            addresses: RwLock::default(),
         }
     }
 
@@ -143,17 +183,7 @@
 
     /// Takes an idle connection that can be used.
     pub fn take(&self, address: SocketAddr) -> Option<Conn> {
-        let entry = self.address(address)?;
-        loop {
-            let mut conn = {
-                let mut state = entry.lock();
-                let conn = state.idle.pop()?;
-                attach(conn, &entry, state.generation)
-            };
-            if self.is_fresh(&conn) && conn.is_usable() {
-                return Some(conn);
-            }
-        }
+        self.address(address)?.take(&self.config)
     }
 
     /// Takes an idle connection, or opens one if fewer than `limit` are open. Waits for a free
@@ -171,7 +201,7 @@
     ) -> Result<Conn, ClientError> {
         let entry = self.address_or_new(address);
         let permit = loop {
-            if let Some(conn) = self.take(address) {
+            if let Some(conn) = entry.take(&self.config) {
                 return Ok(conn);
             }
             let mut state = entry.lock();
@@ -181,8 +211,9 @@
             if state.open < limit {
                 state.open += 1;
                 break Permit {
-                    address: Some(entry.clone()),
+                    address: entry.clone(),
                     generation: state.generation,
+                    kept: false,
                 };
             }
             let left = deadline.saturating_duration_since(Instant::now());
@@ -194,12 +225,12 @@
                     kind: ClientFailure::Busy,
                 });
             }
-            drop(
-                entry
-                    .freed
-                    .wait_timeout(state, left)
-                    .unwrap_or_else(PoisonError::into_inner),
-            );
+            state.waiting += 1;
+            let (mut state, _) = entry
+                .freed
+                .wait_timeout(state, left)
+                .unwrap_or_else(PoisonError::into_inner);
+            state.waiting -= 1;
         };
         let timeout = deadline.saturating_duration_since(Instant::now());
         let mut conn = Conn::connect(address, self.source, timeout)?;
@@ -210,47 +241,40 @@
     /// Keeps a connection for later requests, unless it is dead, too old, or was taken before the
     /// address was cleared.
     pub fn put(&self, mut conn: Conn) {
-        if !conn.is_alive() || !self.is_fresh(&conn) {
+        let now = Instant::now();
+        if !conn.is_alive() || !self.config.is_fresh(&conn, now) {
             return;
         }
-        let entry = self.address_or_new(conn.peer());
-        let permit = conn.permit.take();
-        let mut expired = Vec::new();
+        let mut permit = conn.permit.take();
+        let entry = match &permit {
+            Some(permit) => permit.address.clone(),
+            None => self.address_or_new(conn.peer()),
+        };
         let mut state = entry.lock();
-        let is_own = permit.as_ref().is_some_and(|permit| {
-            permit
-                .address
-                .as_ref()
-                .is_some_and(|own| Arc::ptr_eq(own, &entry))
-        });
-        let generation = permit.as_ref().map(|permit| permit.generation);
-        if generation.is_some_and(|generation| generation != state.generation)
-            || state.idle.len() >= self.config.per_address
-        {
+        let is_current = permit
+            .as_ref()
+            .is_none_or(|permit| permit.generation == state.generation);
+        if !is_current || state.idle.len() >= self.config.per_address {
             drop(state);
-            drop(permit);
+            // The connection is closed before its place is given back.
+            drop(conn);
             return;
         }
-        while state
-            .idle
-            .first()
-            .is_some_and(|first| !self.is_fresh(first))
-        {
-            expired.push(state.idle.remove(0));
-        }
-        state.open -= expired.len();
-        if !is_own {
-            state.open += 1;
+        match &mut permit {
+            Some(permit) => permit.kept = true,
+            None => state.open += 1,
         }
         state.idle.push(conn);
-        drop(state);
-        if is_own {
-            // The place stays taken by the idle connection.
-            if let Some(mut permit) = permit {
-                permit.address = None;
+        let is_expired = |first: &Conn| !self.config.is_fresh(first, now);
+        let expired = match state.idle.first() {
+            Some(first) if is_expired(first) => {
+                state.open -= 1;
+                Some(state.idle.remove(0))
             }
-        }
-        entry.freed.notify_one();
+            _ => None,
+        };
+        entry.wake(state);
+        drop(expired);
     }
 
     /// Closes the idle connections to an address. Those in use are closed when they are put back.
@@ -268,13 +292,17 @@
     /// Closes connections that have been idle for too long. To be called now and then, as
     /// addresses without requests are not looked at otherwise.
     pub fn reap(&self) {
-        let mut addresses = self.lock();
+        let now = Instant::now();
         let mut closed = Vec::new();
+        let mut addresses = self
+            .addresses
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         addresses.retain(|_, entry| {
             let mut state = entry.lock();
             let (kept, expired): (Vec<_>, Vec<_>) = std::mem::take(&mut state.idle)
                 .into_iter()
-                .partition(|conn| self.is_fresh(conn));
+                .partition(|conn| self.config.is_fresh(conn, now));
             state.open -= expired.len();
             state.idle = kept;
             closed.extend(expired);
@@ -295,30 +323,23 @@
             })
     }
 
-    fn is_fresh(&self, conn: &Conn) -> bool {
-        conn.used.elapsed() < self.config.max_idle && conn.age() < self.config.max_age
-    }
-
     fn address(&self, address: SocketAddr) -> Option<Arc<Address>> {
-        self.lock().get(&address).cloned()
+        self.addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&address)
+            .cloned()
     }
 
     fn address_or_new(&self, address: SocketAddr) -> Arc<Address> {
-        self.lock().entry(address).or_default().clone()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Address>>> {
+        if let Some(entry) = self.address(address) {
+            return entry;
+        }
         self.addresses
-            .lock()
+            .write()
             .unwrap_or_else(PoisonError::into_inner)
+            .entry(address)
+            .or_default()
+            .clone()
     }
 }
-
-/// Gives an idle connection its place back, so that the place is freed with the connection.
-fn attach(mut conn: Conn, entry: &Arc<Address>, generation: u64) -> Conn {
-    conn.permit = Some(Permit {
-        address: Some(entry.clone()),
-        generation,
-    });
-    conn
-}
