--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,222 @@
+//! Frames and handshakes: what is not the next frame of an authenticated peer is refused.
+
+#![allow(clippy::unwrap_used, reason = "clippy does not see helpers as tests")]
+
+use camphordale_wire::{
+    ClusterKey,
+    FRAME_OVERHEAD,
+    Frame,
+    FrameError,
+    HEADER_LEN,
+    HELLO_LEN,
+    Handshake,
+    HandshakeError,
+    KeyError,
+    Keyring,
+    Kind,
+    Role,
+    Session, //
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const LIMIT: usize = 256;
+
+fn key(id: u8) -> ClusterKey {
+    ClusterKey {
+        id,
+        secret: [id; 32],
+    }
+}
+
+fn keyring(ids: &[u8], send: u8) -> Keyring {
+    Keyring::new(ids.iter().copied().map(key).collect(), send).unwrap()
+}
+
+/// A client and a server after their hellos. `nonce` distinguishes connections.
+fn sessions(nonce: u8) -> (Session, Session) {
+    let keyring = keyring(&[1], 1);
+    let client = Handshake::new(Role::Client, 10, &keyring, [nonce; 16]);
+    let server = Handshake::new(Role::Server, 20, &keyring, [nonce ^ 0xff; 16]);
+    let (to_server, to_client) = (client.hello(), server.hello());
+    let mut client = client.finish(&to_client, &keyring, LIMIT).unwrap();
+    let mut server = server.finish(&to_server, &keyring, LIMIT).unwrap();
+    client.inbound.set_limit(LIMIT);
+    server.inbound.set_limit(LIMIT);
+    (client, server)
+}
+
+fn seal(session: &mut Session, kind: Kind, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    session.sealer.seal(kind, payload, &mut bytes).unwrap();
+    bytes
+}
+
+fn open(session: &mut Session, bytes: &[u8]) -> Result<Option<Frame>, FrameError> {
+    session.inbound.push(bytes);
+    session.inbound.next_frame()
+}
+
+#[test]
+fn a_repeated_frame_is_refused() {
+    // Guards against an attacker who sends recorded bytes again on the same connection.
+    let (mut client, mut server) = sessions(1);
+    let bytes = seal(&mut client, Kind::Call, b"reserve");
+    assert!(matches!(open(&mut server, &bytes), Ok(Some(_))));
+    let refused = FrameError::Sequence {
+        expected: 1,
+        found: 0,
+    };
+    assert_eq!(open(&mut server, &bytes), Err(refused));
+}
+
+#[test]
+fn a_frame_of_another_connection_or_direction_is_refused() {
+    // Guards against bytes that are valid under the cluster key but belong elsewhere.
+    let (mut client, mut server) = sessions(1);
+    let (_, mut other) = sessions(2);
+    let bytes = seal(&mut client, Kind::Call, b"reserve");
+    let refused = FrameError::Tag { sequence: 0 };
+    assert_eq!(open(&mut other, &bytes), Err(refused.clone()));
+    let reflected = seal(&mut server, Kind::Ready, b"");
+    assert_eq!(open(&mut server, &reflected), Err(refused));
+}
+
+#[test]
+fn an_altered_vm_number_changes_the_keys() {
+    // Guards against a peer that is taken for another VM because its hello was changed on the way.
+    let keyring = keyring(&[1], 1);
+    let client = Handshake::new(Role::Client, 10, &keyring, [1; 16]);
+    let server = Handshake::new(Role::Server, 20, &keyring, [2; 16]);
+    let mut altered = client.hello();
+    altered[8] = 11;
+    let mut client = client.finish(&server.hello(), &keyring, LIMIT).unwrap();
+    let mut server = server.finish(&altered, &keyring, LIMIT).unwrap();
+    assert_eq!(server.vm, 11);
+    let ready = seal(&mut client, Kind::Ready, b"");
+    let refused = FrameError::Tag { sequence: 0 };
+    assert_eq!(open(&mut server, &ready), Err(refused));
+}
+
+#[test]
+fn no_payload_is_awaited_before_the_first_frame() {
+    // Guards against strangers who make the server buffer a long frame.
+    let keyring = keyring(&[1], 1);
+    let client = Handshake::new(Role::Client, 10, &keyring, [1; 16]);
+    let server = Handshake::new(Role::Server, 20, &keyring, [2; 16]);
+    let mut server = server.finish(&client.hello(), &keyring, LIMIT).unwrap();
+    let refused = FrameError::Length {
+        length: 1,
+        limit: 0,
+    };
+    let header = [0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+    assert_eq!(open(&mut server, &header), Err(refused));
+}
+
+#[rstest]
+#[case::magic(0, HandshakeError::Magic)]
+#[case::version(4, HandshakeError::Version { found: 0xfe })]
+#[case::key(9, HandshakeError::UnknownKey { id: 0xfe })]
+fn a_wrong_hello_is_refused(#[case] at: usize, #[case] refused: HandshakeError) {
+    let keyring = keyring(&[1], 1);
+    let server = Handshake::new(Role::Server, 20, &keyring, [2; 16]);
+    let mut hello = Handshake::new(Role::Client, 10, &keyring, [1; 16]).hello();
+    hello[at] = 0xfe;
+    assert_eq!(server.finish(&hello, &keyring, LIMIT).err(), Some(refused));
+}
+
+#[rstest]
+#[case::before(&[1], 1, &[1, 2], 1)]
+#[case::during(&[1, 2], 1, &[1, 2], 2)]
+#[case::after(&[1, 2], 2, &[2], 2)]
+fn keys_rotate_without_a_gap(
+    #[case] left: &[u8],
+    #[case] left_send: u8,
+    #[case] right: &[u8],
+    #[case] right_send: u8,
+) {
+    let (left, right) = (keyring(left, left_send), keyring(right, right_send));
+    let client = Handshake::new(Role::Client, 10, &left, [1; 16]);
+    let server = Handshake::new(Role::Server, 20, &right, [2; 16]);
+    let (to_server, to_client) = (client.hello(), server.hello());
+    let mut client = client.finish(&to_client, &left, LIMIT).unwrap();
+    let mut server = server.finish(&to_server, &right, LIMIT).unwrap();
+    let there = seal(&mut client, Kind::Ready, b"");
+    let back = seal(&mut server, Kind::Ready, b"");
+    assert!(matches!(open(&mut server, &there), Ok(Some(_))));
+    assert!(matches!(open(&mut client, &back), Ok(Some(_))));
+}
+
+#[test]
+fn keyrings_and_secrets_are_checked() {
+    // Guards against a VM that starts with keys that its peers do not accept.
+    let duplicate = KeyError::Duplicate { id: 1 };
+    assert_eq!(Keyring::new(vec![key(1), key(1)], 1).err(), Some(duplicate));
+    let missing = KeyError::Missing { id: 2 };
+    assert_eq!(Keyring::new(vec![key(1)], 2).err(), Some(missing));
+    for text in ["", "ab", &"0g".repeat(32), &"ab".repeat(33)] {
+        assert_eq!(ClusterKey::from_hex(1, text), Err(KeyError::Hex { id: 1 }));
+    }
+    let shown = format!("{:?}", keyring(&[171], 171));
+    assert!(!shown.contains("171, 171"), "{shown}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against frames that are lost, changed or reordered when reads split them.
+    #[test]
+    fn frames_survive_any_split(
+        payloads in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..LIMIT), 1..20),
+        step in 1_usize..700,
+    ) {
+        let (mut client, mut server) = sessions(1);
+        let bytes: Vec<u8> = payloads
+            .iter()
+            .flat_map(|payload| seal(&mut client, Kind::Cast, payload))
+            .collect();
+        let mut found = Vec::new();
+        for piece in bytes.chunks(step) {
+            server.inbound.push(piece);
+            while let Some(frame) = server.inbound.next_frame().unwrap() {
+                found.push(frame.payload);
+            }
+            prop_assert!(server.inbound.pending() < LIMIT + FRAME_OVERHEAD);
+        }
+        prop_assert_eq!(found, payloads);
+    }
+
+    /// Guards against any bit of a frame that the tag does not cover.
+    #[test]
+    fn a_changed_bit_is_refused(
+        payload in prop::collection::vec(any::<u8>(), 0..64),
+        at in any::<prop::sample::Index>(),
+        bit in 0_u8..8,
+    ) {
+        let (mut client, mut server) = sessions(1);
+        let mut bytes = seal(&mut client, Kind::Call, &payload);
+        let at = at.index(bytes.len());
+        bytes[at] ^= 1_u8 << bit;
+        // A longer length makes the receiver wait for the rest of the frame.
+        let opened = open(&mut server, &bytes);
+        prop_assert!(opened.is_err() || (opened == Ok(None) && at < 4), "{:?}", opened);
+    }
+
+    /// Guards against panics and unbounded waiting on bytes of strangers.
+    #[test]
+    fn random_bytes_are_never_a_frame(
+        bytes in prop::collection::vec(any::<u8>(), 0..2 * LIMIT),
+        hello in prop::array::uniform32(any::<u8>()),
+    ) {
+        let (_, mut server) = sessions(1);
+        let opened = open(&mut server, &bytes);
+        if bytes.len() >= HEADER_LEN {
+            prop_assert!(opened.is_err(), "{:?}", opened);
+        }
+        let keyring = keyring(&[1], 1);
+        let handshake = Handshake::new(Role::Server, 20, &keyring, [2; 16]);
+        let mut start = [0; HELLO_LEN];
+        start.copy_from_slice(&hello[..HELLO_LEN]);
+        prop_assert!(handshake.finish(&start, &keyring, LIMIT).is_err());
+    }
+}
