--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -73,7 +73,8 @@
     peer: SocketAddr,
     pub(crate) created: Instant,
     pub(crate) used: Instant,
-    checked: Instant,
+    /// When the connection was found usable, if it has carried no request since.
+    checked: Option<Instant>,
     state: State,
     aborted: Arc<AtomicBool>,
     out: Vec<u8>,
@@ -84,10 +85,8 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
-    /// Has carried no request yet.
-    Fresh,
-    /// Has carried at least one request with a complete response.
-    Used,
+    /// Has had no error.
+    Open,
     /// Must not carry another request.
     Dead,
 }
@@ -172,7 +171,7 @@
         }
         let failure = match self.socket.peek() {
             Peek::Silent => {
-                self.checked = Instant::now();
+                self.checked = Some(Instant::now());
                 return Ok(());
             }
             Peek::Data => ClientFailure::Extra,
@@ -221,9 +220,11 @@
         max_body: usize,
         wrote: &mut bool,
     ) -> Result<Response, (Step, ClientFailure)> {
-        if self.state != State::Fresh || self.checked.elapsed() > CHECK_TIME {
+        let checked = self.checked.take();
+        if self.state == State::Dead || checked.is_none_or(|at| at.elapsed() > CHECK_TIME) {
             // Any byte that has arrived by now is not the response to this request.
             self.check().map_err(|kind| (Step::Check, kind))?;
+            self.checked = None;
         }
         self.out.clear();
         let body = encode::request(&mut self.out, request, self.peer)
@@ -244,7 +245,7 @@
             return Err((Step::Body, ClientFailure::Extra));
         }
         self.state = match head.keep_alive {
-            true => State::Used,
+            true => State::Open,
             false => State::Dead,
         };
         Ok(Response {
@@ -379,8 +380,8 @@
         peer: address,
         created: now,
         used: now,
-        checked: now,
-        state: State::Fresh,
+        checked: None,
+        state: State::Open,
         aborted: Arc::default(),
         out: Vec::new(),
         allows_unstated: false,
--- /dev/null
+++ b/crates/http/tests/client.rs
@@ -0,0 +1,347 @@
+//! Client connections: what may have been written, and which responses count.
+
+#![allow(clippy::unwrap_used, reason = "clippy does not see helpers as tests")]
+
+mod common;
+
+use std::{
+    io::Write,
+    net::TcpListener,
+    thread,
+    time::Instant, //
+};
+
+use camphordale_http::{
+    ClientError,
+    ClientFailure,
+    Conn,
+    OutRequest,
+    Pool,
+    PoolConfig,
+    PoolCounts,
+    Request,
+    Response,
+    Step, //
+};
+use common::{
+    Answer,
+    LONG,
+    OK,
+    SHORT,
+    eventually,
+    limits,
+    loopback,
+    prepared,
+    server, //
+};
+use rstest::rstest;
+
+const GET: OutRequest<'_> = OutRequest {
+    method: "GET",
+    path: "/",
+    headers: &[],
+    body: b"",
+};
+
+const HEAD: OutRequest<'_> = OutRequest {
+    method: "HEAD",
+    ..GET
+};
+
+fn exchange(conn: &mut Conn, request: &OutRequest<'_>) -> Result<Response, ClientError> {
+    conn.exchange(request, Instant::now() + LONG, 10)
+}
+
+fn kind(error: &ClientError) -> String {
+    format!("{:?}", error.kind)
+}
+
+/// Guards against a response that is passed on although it is not complete, or not certainly the
+/// response to the request (G3).
+#[rstest]
+#[case::short(
+    "Closed",
+    Answer::Close(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc")
+)]
+#[case::short_chunk(
+    "Closed",
+    Answer::Close(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+)]
+#[case::no_head("Closed", Answer::Close(b"HTTP/1.1 200 OK\r\nContent-"))]
+#[case::nothing("Closed", Answer::Close(b""))]
+#[case::extra(
+    "Extra",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n")
+)]
+#[case::two_lengths(
+    "Malformed",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab")
+)]
+#[case::both(
+    "Malformed",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na")
+)]
+#[case::chunk(
+    "Malformed",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n")
+)]
+#[case::no_http("Malformed", Answer::Keep(b"SSH-2.0-x\r\n"))]
+#[case::switched("Malformed", Answer::Keep(b"HTTP/1.1 101 Switching\r\n\r\n"))]
+#[case::lone_lf("Malformed", Answer::Keep(b"HTTP/1.1 200 OK\nContent-Length: 0\n\n"))]
+#[case::long(
+    "TooLarge",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n")
+)]
+#[case::long_chunk(
+    "TooLarge",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n")
+)]
+#[case::unstated(
+    "Length",
+    Answer::Close(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc")
+)]
+#[case::unstated_open("Length", Answer::Close(b"HTTP/1.1 200 OK\r\n\r\nabc"))]
+fn a_doubtful_response_is_an_error(#[case] expected: &str, #[case] answer: Answer) {
+    let address = prepared(vec![vec![answer]]);
+    let mut conn = Conn::connect(address, None, LONG).unwrap();
+    let error = exchange(&mut conn, &GET).unwrap_err();
+    assert!(kind(&error).starts_with(expected), "{error:?}");
+    assert!(error.wrote);
+    assert!(!conn.is_usable());
+    let again = exchange(&mut conn, &GET).unwrap_err();
+    assert_eq!((kind(&again).as_str(), again.wrote), ("Dead", false));
+}
+
+#[rstest]
+#[case::length(GET, "ok", Answer::Keep(OK))]
+#[case::chunked(
+    GET,
+    "ok",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+)]
+#[case::interim(
+    GET,
+    "ok",
+    Answer::Keep(
+        b"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )
+)]
+#[case::head(
+    HEAD,
+    "",
+    Answer::Keep(b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n")
+)]
+#[case::no_content(GET, "", Answer::Keep(b"HTTP/1.1 204 No Content\r\n\r\n"))]
+#[case::not_modified(
+    GET,
+    "",
+    Answer::Keep(b"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n")
+)]
+fn a_complete_response_leaves_the_connection_usable(
+    #[case] request: OutRequest<'_>,
+    #[case] body: &str,
+    #[case] answer: Answer,
+) {
+    let address = prepared(vec![vec![answer, Answer::Keep(OK)]]);
+    let mut conn = Conn::connect(address, None, LONG).unwrap();
+    assert_eq!(exchange(&mut conn, &request).unwrap().body, body.as_bytes());
+    assert!(conn.is_usable());
+    assert_eq!(exchange(&mut conn, &GET).unwrap().body, b"ok");
+}
+
+#[test]
+fn a_response_that_closes_is_complete_but_the_last() {
+    let closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+    let unstated = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok";
+    let address = prepared(vec![
+        vec![Answer::Keep(closing)],
+        vec![Answer::Close(unstated)],
+    ]);
+    for _ in 0..2 {
+        let mut conn = Conn::connect(address, None, LONG).unwrap();
+        conn.allow_unstated_length(true);
+        assert_eq!(exchange(&mut conn, &GET).unwrap().body, b"ok");
+        assert!(!conn.is_usable());
+    }
+}
+
+#[test]
+fn nothing_is_written_to_a_closed_connection() {
+    // Guards against a request that counts as possibly run although the server had closed.
+    let address = prepared(vec![vec![Answer::Close(OK)]]);
+    let mut conn = Conn::connect(address, None, LONG).unwrap();
+    exchange(&mut conn, &GET).unwrap();
+    eventually("the close", || !conn.is_usable());
+    // An exchange checks by itself. It writes if the close has not arrived yet, so this is tried
+    // several times.
+    for _ in 0..50 {
+        let address = prepared(vec![vec![Answer::Close(OK)]]);
+        let mut conn = Conn::connect(address, None, LONG).unwrap();
+        exchange(&mut conn, &GET).unwrap();
+        let error = exchange(&mut conn, &GET).unwrap_err();
+        assert_eq!(error.wrote, error.step != Step::Check, "{error:?}");
+        if error.step == Step::Check {
+            assert!(matches!(error.kind, ClientFailure::Closed), "{error:?}");
+            return;
+        }
+    }
+    panic!("no close was noticed before the request");
+}
+
+#[test]
+fn nothing_is_written_after_unexpected_bytes() {
+    // Guards against a late response that is taken for that of the next request (G3), and against
+    // a full server's refusal that counts as possibly run.
+    let listener = TcpListener::bind(loopback()).unwrap();
+    let connect = || {
+        let conn = Conn::connect(listener.local_addr().unwrap(), None, LONG).unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.write_all(OK).unwrap();
+        (conn, stream)
+    };
+    let (mut conn, _stream) = connect();
+    eventually("the bytes", || !conn.is_usable());
+    // An exchange checks by itself; the bytes of a local peer have arrived by then.
+    let (mut conn, _stream) = connect();
+    let error = exchange(&mut conn, &GET).unwrap_err();
+    assert_eq!((error.step, error.wrote), (Step::Check, false));
+    assert!(matches!(error.kind, ClientFailure::Extra), "{error:?}");
+}
+
+#[test]
+fn a_refused_connection_writes_nothing() {
+    let closed = TcpListener::bind(loopback()).unwrap().local_addr().unwrap();
+    let error = Conn::connect(closed, None, LONG).err().unwrap();
+    assert_eq!((error.step, error.wrote), (Step::Connect, false));
+}
+
+#[test]
+fn a_silent_connection_times_out_and_a_new_one_works() {
+    let address = prepared(vec![
+        vec![Answer::Silent(b"HTTP/1.1 200 OK\r\n")],
+        vec![Answer::Keep(OK)],
+    ]);
+    let mut conn = Conn::connect(address, None, LONG).unwrap();
+    let started = Instant::now();
+    let error = conn.exchange(&GET, started + SHORT, 10).unwrap_err();
+    assert!(matches!(error.kind, ClientFailure::Timeout), "{error:?}");
+    assert!(error.wrote && started.elapsed() >= SHORT && started.elapsed() < LONG / 2);
+    assert!(!conn.is_usable());
+    let mut conn = Conn::connect(address, None, LONG).unwrap();
+    assert_eq!(exchange(&mut conn, &GET).unwrap().body, b"ok");
+}
+
+#[test]
+fn an_exchange_can_be_aborted() {
+    let address = prepared(vec![vec![Answer::Silent(b"")]]);
+    let mut conn = Conn::connect(address, None, LONG).unwrap();
+    let aborter = conn.aborter();
+    let started = Instant::now();
+    let error = thread::scope(|scope| {
+        scope.spawn(move || aborter.abort());
+        exchange(&mut conn, &GET).unwrap_err()
+    });
+    assert!(matches!(error.kind, ClientFailure::Aborted), "{error:?}");
+    assert!(started.elapsed() < LONG / 2);
+}
+
+#[rstest]
+#[case::method("GET / HTTP/1.1\r\n", "/", "a")]
+#[case::path("GET", "/ HTTP/1.1\r\nA: b", "a")]
+#[case::value("GET", "/", "a\r\nb: c")]
+fn a_request_cannot_be_split(#[case] method: &str, #[case] path: &str, #[case] value: &str) {
+    // Guards against callers who add a request of their own through a header or path.
+    let listener = TcpListener::bind(loopback()).unwrap();
+    let mut conn = Conn::connect(listener.local_addr().unwrap(), None, LONG).unwrap();
+    let request = OutRequest {
+        method,
+        path,
+        headers: &[("x".into(), value.into())],
+        body: b"",
+    };
+    let error = exchange(&mut conn, &request).unwrap_err();
+    assert!(matches!(error.kind, ClientFailure::Request(_)), "{error:?}");
+    assert!(!error.wrote);
+}
+
+#[test]
+fn long_bodies_pass_unchanged() {
+    // Guards against a body that is cut or repeated when a write is partial.
+    let limits = camphordale_http::Limits {
+        body_size: 16 << 20,
+        ..limits()
+    };
+    let server = server(limits, |request: Request| Response::new(200, request.body));
+    let body: Vec<u8> = (0..8_u32 << 20).map(|at| (at / 7) as u8).collect();
+    let mut conn = Conn::connect(server.local_addr(), None, LONG).unwrap();
+    let request = OutRequest {
+        method: "POST",
+        body: &body,
+        ..GET
+    };
+    let response = conn
+        .exchange(&request, Instant::now() + LONG, 16 << 20)
+        .unwrap();
+    assert!(response.body == body, "the body differs");
+}
+
+fn counts(open: usize, idle: usize) -> PoolCounts {
+    PoolCounts { open, idle }
+}
+
+#[test]
+fn a_pool_holds_the_limit_of_an_address() {
+    // Guards against more connections than a target accepts.
+    let server = server(limits(), |_: Request| Response::new(200, Vec::new()));
+    let address = server.local_addr();
+    let pool = Pool::new(PoolConfig::default());
+    let deadline = || Instant::now() + LONG;
+    let first = pool.acquire(address, 2, deadline()).unwrap();
+    let second = pool.acquire(address, 2, deadline()).unwrap();
+    let error = pool
+        .acquire(address, 2, Instant::now() + SHORT)
+        .err()
+        .unwrap();
+    assert_eq!((error.step, error.wrote), (Step::Acquire, false));
+    assert_eq!(pool.counts(address), counts(2, 0));
+    thread::scope(|scope| {
+        let third = scope.spawn(|| pool.acquire(address, 2, deadline()).map(|conn| conn.age()));
+        drop(first);
+        third.join().unwrap().unwrap();
+    });
+    assert_eq!(pool.counts(address), counts(1, 0));
+    pool.put(second);
+    assert_eq!(pool.counts(address), counts(1, 1));
+    let second = pool.take(address).unwrap();
+    assert!(pool.take(address).is_none());
+    pool.clear(address);
+    pool.put(second);
+    assert_eq!(pool.counts(address), counts(0, 0), "cleared while in use");
+    let own = Conn::connect(address, None, LONG).unwrap();
+    pool.put(own);
+    assert_eq!(pool.counts(address), counts(1, 1));
+    pool.clear(address);
+    assert_eq!(pool.counts(address), counts(0, 0));
+}
+
+#[test]
+fn a_pool_does_not_use_old_or_closed_connections() {
+    let address = prepared(vec![vec![Answer::Close(OK)], vec![Answer::Keep(OK)]]);
+    let config = PoolConfig {
+        max_idle: SHORT,
+        ..PoolConfig::default()
+    };
+    let pool = Pool::new(config);
+    let mut conn = pool.acquire(address, 1, Instant::now() + LONG).unwrap();
+    exchange(&mut conn, &GET).unwrap();
+    eventually("the close", || !conn.is_usable());
+    pool.put(conn);
+    assert_eq!(pool.counts(address), counts(0, 0));
+    let conn = pool.acquire(address, 1, Instant::now() + LONG).unwrap();
+    pool.put(conn);
+    assert_eq!(pool.counts(address), counts(1, 1));
+    let started = Instant::now();
+    eventually("the idle time", || started.elapsed() > SHORT);
+    pool.reap();
+    assert_eq!(pool.counts(address), counts(0, 0));
+}
