--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -11,9 +11,8 @@
 /// Bytes that a frame adds to its payload.
 pub const FRAME_OVERHEAD: usize = HEADER_LEN + TAG_LEN;
 
-/// Consumed bytes are kept in front of the buffer until there are this many, so that small
-/// frames do not move the rest of the buffer each time.
-const COMPACT_AT: usize = 64 * 1024;
+/// An empty buffer that grew beyond this for a long frame is given back.
+const KEEP: usize = 64 * 1024;
 
 /// What a frame is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -152,7 +151,7 @@
 
 /// Collects received bytes and takes frames out of them.
 ///
-/// The buffer never holds more than one frame of the greatest length plus the bytes of one
+/// The buffer never holds more than twice a frame of the greatest length plus the bytes of one
 /// [`Inbound::push`], provided that the caller takes all frames out between pushes.
 pub struct Inbound {
     key: [u8; 32],
@@ -180,7 +179,8 @@
 
     /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        if self.start == self.buffer.len() || self.start >= COMPACT_AT {
+        // At least as many bytes are consumed as are moved, so the cost per byte is constant.
+        if 2 * self.start >= self.buffer.len() {
             self.buffer.drain(..self.start);
             self.start = 0;
         }
@@ -233,8 +233,7 @@
         if self.start == self.buffer.len() {
             self.buffer.clear();
             self.start = 0;
-            // A long frame must not keep its memory for the life of the connection.
-            self.buffer.shrink_to(COMPACT_AT);
+            self.buffer.shrink_to(KEEP);
         }
         Ok(Some(Frame { kind, payload }))
     }
