net: Wake waiters for connections only if there are any

Cause: each call ended with a notification, a system call even if no thread waits; and a place was given back before its connection was closed.

Change: waiters are counted for each peer, and the connection is closed first.

Measured: the 21 tests of net pass. The cost of a call was not measured.

Ruled out: shards as in the pool of http; a VM makes far fewer calls than a hop takes requests.

Conclusion: a call without waiters makes no notification.

--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -28,6 +28,8 @@
 struct Peer {
     idle: Vec<Pooled>,
     open: usize,
+    /// Threads that wait for a connection.
+    waiting: usize,
 }
 
 pub(crate) struct Pooled {
@@ -98,11 +100,15 @@
             if left.is_zero() {
                 return None;
             }
+            entry.waiting += 1;
             peers = self
                 .freed
                 .wait_timeout(peers, left)
                 .unwrap_or_else(PoisonError::into_inner)
                 .0;
+            if let Some(entry) = peers.get_mut(&peer) {
+                entry.waiting -= 1;
+            }
         }
     }
 
@@ -118,7 +124,7 @@
                     && now.saturating_duration_since(pooled.since) < config.max_age
             });
             peer.open -= before - peer.idle.len();
-            peer.open > 0
+            peer.open > 0 || peer.waiting > 0
         });
     }
 
@@ -144,12 +150,18 @@
 
 impl Drop for Permit<'_> {
     fn drop(&mut self) {
+        // The connection is closed before its place is given back.
+        self.pooled = None;
         let mut peers = self.pool.lock();
-        if let Some(entry) = peers.get_mut(&self.peer) {
-            entry.open -= 1;
-        }
+        let Some(entry) = peers.get_mut(&self.peer) else {
+            return;
+        };
+        entry.open -= 1;
+        let waits = entry.waiting > 0;
         drop(peers);
-        // All waiters share the condition, and the freed place is of use to one peer's only.
-        self.pool.freed.notify_all();
+        if waits {
+            // All waiters share the condition, and the freed place is of use to one peer's only.
+            self.pool.freed.notify_all();
+        }
     }
 }
