http: Make the test of an idle connection at the limit await its accept

Cause: an_idle_connection_serves_any_thread_at_the_limit failed in 1 of 8 runs of all tests and in 5 of 150 runs alone, each time with 0 accepted connections instead of 1. It sent no request, so it could read the counter before the listener had accepted. The pool was right.

Change: each thread exchanges a request, and the test also counts the 5 requests; it still demands exactly 1 connection. Another test checks the source address of connections.

Ruled out: a second connection opened by the pool; it was never seen.

Conclusion: the fault was in the test.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -285,6 +285,21 @@
     assert!(response.body == body, "the body differs");
 }
 
+#[test]
+fn connections_come_from_the_set_address() {
+    let server = server(limits(), |request: Request| {
+        Response::new(200, request.peer.ip().to_string().into_bytes())
+    });
+    let source = "127.0.0.4".parse().unwrap();
+    let mut conn = Conn::connect(server.local_addr(), Some(source), LONG).unwrap();
+    assert_eq!(exchange(&mut conn, &GET).unwrap().body, b"127.0.0.4");
+    let pool = Pool::new(PoolConfig::default()).with_source(source);
+    let mut conn = pool
+        .acquire(server.local_addr(), 1, Instant::now() + LONG)
+        .unwrap();
+    assert_eq!(exchange(&mut conn, &GET).unwrap().body, b"127.0.0.4");
+}
+
 fn counts(open: usize, idle: usize) -> PoolCounts {
     PoolCounts { open, idle }
 }
--- a/crates/http/tests/pool.rs
+++ b/crates/http/tests/pool.rs
@@ -91,11 +91,20 @@
     for _ in 0..5 {
         thread::scope(|scope| {
             scope.spawn(|| {
-                let conn = pool.acquire(address, 1, Instant::now() + LONG).unwrap();
+                let deadline = Instant::now() + LONG;
+                let mut conn = pool.acquire(address, 1, deadline).unwrap();
+                let out = OutRequest {
+                    method: "GET",
+                    path: "/",
+                    headers: &[],
+                    body: b"",
+                };
+                conn.exchange(&out, deadline, 100).unwrap();
                 pool.put(conn);
             });
         });
     }
+    assert_eq!(server.stats().requests, 5);
     assert_eq!(server.stats().accepted, 1);
 }
 
