--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -8,10 +8,8 @@
     },
     sync::{
         Arc,
-        Condvar,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        PoisonError,
+        RwLock, //
     },
     time::{
         Duration,
@@ -20,6 +18,10 @@
 };
 
 use crate::{
+    address::{
+        Address,
+        Permit, //
+    },
     client::Conn,
     error::{
         ClientError,
@@ -28,6 +30,10 @@
     }, //
 };
 
+/// Time for which an idle connection is left to the thread that used it last, as long as another
+/// one may be opened. It covers the pause between two requests of a busy caller.
+const REST: Duration = Duration::from_millis(5);
+
 /// Settings of a [`Pool`].
 #[derive(Clone, Debug)]
 pub struct PoolConfig {
@@ -49,6 +55,13 @@
     }
 }
 
+impl PoolConfig {
+    fn is_fresh(&self, conn: &Conn, now: Instant) -> bool {
+        now.saturating_duration_since(conn.used) < self.max_idle
+            && now.saturating_duration_since(conn.created) < self.max_age
+    }
+}
+
 /// Connections of a pool to one address.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolCounts {
@@ -60,6 +73,9 @@
 
 /// Keeps connections between requests and counts the open ones for each address.
 ///
+/// A thread gets the connection back that it put last, if that is still idle. Connections of other
+/// threads are used once they have been idle for 5 ms, or if no further one may be opened.
+///
 /// # Examples
 ///
 /// ```
@@ -85,43 +101,7 @@
 pub struct Pool {
     config: PoolConfig,
     source: Option<IpAddr>,
-    addresses: Mutex<HashMap<SocketAddr, Arc<Address>>>,
-}
-
-#[derive(Default)]
-struct Address {
-    state: Mutex<State>,
-    freed: Condvar,
-}
-
-#[derive(Default)]
-struct State {
-    /// The connection that was used last is at the end.
-    idle: Vec<Conn>,
-    open: usize,
-    /// Rises when the address is cleared.
-    generation: u64,
-}
-
-/// A place among the open connections of an address; given back when dropped.
-pub(crate) struct Permit {
-    address: Option<Arc<Address>>,
-    generation: u64,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if let Some(address) = self.address.take() {
-            address.lock().open -= 1;
-            address.freed.notify_one();
-        }
-    }
-}
-
-impl Address {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+    addresses: RwLock<HashMap<SocketAddr, Arc<Address>>>,
 }
 
 impl Pool {
@@ -130,7 +110,7 @@
         Pool {
             config,
             source: None,
-            addresses: Mutex::default(),
+            addresses: RwLock::default(),
         }
     }
 
@@ -143,17 +123,7 @@
 
     /// Takes an idle connection that can be used.
     pub fn take(&self, address: SocketAddr) -> Option<Conn> {
-        let entry = self.address(address)?;
-        loop {
-            let mut conn = {
-                let mut state = entry.lock();
-                let conn = state.idle.pop()?;
-                attach(conn, &entry, state.generation)
-            };
-            if self.is_fresh(&conn) && conn.is_usable() {
-                return Some(conn);
-            }
-        }
+        self.take_from(&self.address(address)?, Duration::ZERO)
     }
 
     /// Takes an idle connection, or opens one if fewer than `limit` are open. Waits for a free
@@ -171,22 +141,16 @@
     ) -> Result<Conn, ClientError> {
         let entry = self.address_or_new(address);
         let permit = loop {
-            if let Some(conn) = self.take(address) {
+            if let Some(conn) = self.take_from(&entry, REST) {
                 return Ok(conn);
             }
-            let mut state = entry.lock();
-            if !state.idle.is_empty() {
-                continue;
+            if let Some(permit) = entry.open(limit) {
+                break permit;
             }
-            if state.open < limit {
-                state.open += 1;
-                break Permit {
-                    address: Some(entry.clone()),
-                    generation: state.generation,
-                };
+            if let Some(conn) = self.take_from(&entry, Duration::ZERO) {
+                return Ok(conn);
             }
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            if !entry.wait(limit, deadline) {
                 return Err(ClientError {
                     step: Step::Acquire,
                     peer: address,
@@ -194,12 +158,6 @@
                     kind: ClientFailure::Busy,
                 });
             }
-            drop(
-                entry
-                    .freed
-                    .wait_timeout(state, left)
-                    .unwrap_or_else(PoisonError::into_inner),
-            );
         };
         let timeout = deadline.saturating_duration_since(Instant::now());
         let mut conn = Conn::connect(address, self.source, timeout)?;
@@ -210,115 +168,74 @@
     /// Keeps a connection for later requests, unless it is dead, too old, or was taken before the
     /// address was cleared.
     pub fn put(&self, mut conn: Conn) {
-        if !conn.is_alive() || !self.is_fresh(&conn) {
-            return;
-        }
-        let entry = self.address_or_new(conn.peer());
-        let permit = conn.permit.take();
-        let mut expired = Vec::new();
-        let mut state = entry.lock();
-        let is_own = permit.as_ref().is_some_and(|permit| {
-            permit
-                .address
-                .as_ref()
-                .is_some_and(|own| Arc::ptr_eq(own, &entry))
-        });
-        let generation = permit.as_ref().map(|permit| permit.generation);
-        if generation.is_some_and(|generation| generation != state.generation)
-            || state.idle.len() >= self.config.per_address
-        {
-            drop(state);
-            drop(permit);
+        if !conn.is_alive() || !self.config.is_fresh(&conn, Instant::now()) {
             return;
         }
-        while state
-            .idle
-            .first()
-            .is_some_and(|first| !self.is_fresh(first))
-        {
-            expired.push(state.idle.remove(0));
-        }
-        state.open -= expired.len();
-        if !is_own {
-            state.open += 1;
-        }
-        state.idle.push(conn);
-        drop(state);
-        if is_own {
-            // The place stays taken by the idle connection.
-            if let Some(mut permit) = permit {
-                permit.address = None;
-            }
-        }
-        entry.freed.notify_one();
+        let permit = match conn.permit.take() {
+            Some(permit) => permit,
+            // A connection that was opened elsewhere counts from now on.
+            None => match self.address_or_new(conn.peer()).open(usize::MAX) {
+                Some(permit) => permit,
+                None => return,
+            },
+        };
+        Permit::put(permit, conn, self.config.per_address);
     }
 
     /// Closes the idle connections to an address. Those in use are closed when they are put back.
     pub fn clear(&self, address: SocketAddr) {
         if let Some(entry) = self.address(address) {
-            let mut state = entry.lock();
-            state.generation += 1;
-            let idle = std::mem::take(&mut state.idle);
-            state.open -= idle.len();
-            drop(state);
-            entry.freed.notify_all();
+            entry.clear();
         }
     }
 
     /// Closes connections that have been idle for too long. To be called now and then, as
     /// addresses without requests are not looked at otherwise.
     pub fn reap(&self) {
-        let mut addresses = self.lock();
-        let mut closed = Vec::new();
-        addresses.retain(|_, entry| {
-            let mut state = entry.lock();
-            let (kept, expired): (Vec<_>, Vec<_>) = std::mem::take(&mut state.idle)
-                .into_iter()
-                .partition(|conn| self.is_fresh(conn));
-            state.open -= expired.len();
-            state.idle = kept;
-            closed.extend(expired);
-            state.open > 0 || Arc::strong_count(entry) > 1
-        });
-        drop(addresses);
+        let now = Instant::now();
+        let is_fresh = |conn: &Conn| self.config.is_fresh(conn, now);
+        self.addresses
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|_, entry| {
+                entry.retain(is_fresh);
+                entry.count().open > 0 || Arc::strong_count(entry) > 1
+            });
     }
 
     /// Returns the number of connections to an address.
     pub fn counts(&self, address: SocketAddr) -> PoolCounts {
         self.address(address)
-            .map_or_else(PoolCounts::default, |entry| {
-                let state = entry.lock();
-                PoolCounts {
-                    open: state.open,
-                    idle: state.idle.len(),
-                }
-            })
+            .map_or_else(PoolCounts::default, |entry| entry.count())
     }
 
-    fn is_fresh(&self, conn: &Conn) -> bool {
-        conn.used.elapsed() < self.config.max_idle && conn.age() < self.config.max_age
+    fn take_from(&self, entry: &Arc<Address>, rest: Duration) -> Option<Conn> {
+        loop {
+            // A connection that cannot be used is closed here and gives its place back.
+            let mut conn = entry.take(rest)?;
+            if self.config.is_fresh(&conn, Instant::now()) && conn.is_usable() {
+                return Some(conn);
+            }
+        }
     }
 
     fn address(&self, address: SocketAddr) -> Option<Arc<Address>> {
-        self.lock().get(&address).cloned()
+        self.addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&address)
+            .cloned()
     }
 
     fn address_or_new(&self, address: SocketAddr) -> Arc<Address> {
-        self.lock().entry(address).or_default().clone()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Address>>> {
+        if let Some(entry) = self.address(address) {
+            return entry;
+        }
         self.addresses
-            .lock()
+            .write()
             .unwrap_or_else(PoisonError::into_inner)
+            .entry(address)
+            .or_default()
+            .clone()
     }
 }
-
-/// Gives an idle connection its place back, so that the place is freed with the connection.
-fn attach(mut conn: Conn, entry: &Arc<Address>, generation: u64) -> Conn {
-    conn.permit = Some(Permit {
-        address: Some(entry.clone()),
-        generation,
-    });
-    conn
-}
