--- a/crates/raft/tests/raft/histories.rs
+++ b/crates/raft/tests/raft/histories.rs
@@ -60,6 +60,17 @@
     );
 }
 
+/// Guards against the return of faults that only a few seeds reached: a standstill in which only a
+/// learner had the complete log, and one in which only a member with its own removal had it.
+#[rstest]
+#[case(3, true, 4_003_084)]
+#[case(5, false, 2_001_647)]
+#[case(3, false, 1_000_409)]
+#[case(5, true, 5_000_354)]
+fn seeds_that_failed_before_pass(#[case] voters: u64, #[case] volatile: bool, #[case] seed: u64) {
+    history(seed, voters, volatile);
+}
+
 fn history(seed: u64, voters: u64, volatile: bool) -> Sim {
     let mut sim = Sim::new(seed, voters);
     let mut repair = None;
