Write imports vertically

Cause: the house style asks for one imported item a line.

Change: each list of imports has one item a line; an empty comment after the last keeps rustfmt from joining them. Nothing else changes.

--- a/crates/bundle/src/adapt.rs
+++ b/crates/bundle/src/adapt.rs
@@ -1,16 +1,33 @@
 //! `serde_with` adapters for durations with units, percentages, keys and the source of a key.
 
-use std::{fmt, time::Duration};
+use std::{
+    fmt,
+    time::Duration, //
+};
 
 use camphordale_types::KeySource;
 use serde::{
-    Deserialize, Deserializer, Serialize, Serializer,
-    de::{Error, MapAccess, Visitor, value::MapAccessDeserializer},
-    ser::SerializeMap,
+    Deserialize,
+    Deserializer,
+    Serialize,
+    Serializer,
+    de::{
+        Error,
+        MapAccess,
+        Visitor,
+        value::MapAccessDeserializer, //
+    },
+    ser::SerializeMap, //
+};
+use serde_with::{
+    DeserializeAs,
+    SerializeAs, //
 };
-use serde_with::{DeserializeAs, SerializeAs};
 
-use crate::key::{hex_bytes, hex_text};
+use crate::key::{
+    hex_bytes,
+    hex_text, //
+};
 
 /// Units of durations with their length in milliseconds, longest first.
 const UNITS: [(&str, u64); 4] = [("h", 3_600_000), ("m", 60_000), ("s", 1_000), ("ms", 1)];
--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -1,12 +1,25 @@
 //! Checks of a bundle's content. Each names the field that fails.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
-use camphordale_types::{Bundle, KeySource, Operators, Route, Service, Weights};
+use camphordale_types::{
+    Bundle,
+    KeySource,
+    Operators,
+    Route,
+    Service,
+    Weights, //
+};
 
 use crate::{
-    error::{Fault, Within},
-    key::is_usable,
+    error::{
+        Fault,
+        Within, //
+    },
+    key::is_usable, //
 };
 
 const MAX_SERVICES: usize = 1024;
--- a/crates/bundle/src/codec.rs
+++ b/crates/bundle/src/codec.rs
@@ -2,7 +2,10 @@
 
 use camphordale_types::Bundle;
 
-use crate::{BundleError, check::check_decoded};
+use crate::{
+    BundleError,
+    check::check_decoded, //
+};
 
 /// Returns the canonical bytes of `bundle`, which its digest and signatures cover.
 ///
--- a/crates/bundle/src/diff.rs
+++ b/crates/bundle/src/diff.rs
@@ -1,8 +1,16 @@
 //! What a bundle changes.
 
-use std::{collections::BTreeMap, fmt};
+use std::{
+    collections::BTreeMap,
+    fmt, //
+};
 
-use camphordale_types::{Bundle, OperatorName, Service, ServiceName};
+use camphordale_types::{
+    Bundle,
+    OperatorName,
+    Service,
+    ServiceName, //
+};
 
 use crate::raw::service_fields;
 
--- a/crates/bundle/src/key.rs
+++ b/crates/bundle/src/key.rs
@@ -1,6 +1,9 @@
 //! Key files of operators: one line of hexadecimal digits.
 
-use ed25519_dalek::{SigningKey, VerifyingKey};
+use ed25519_dalek::{
+    SigningKey,
+    VerifyingKey, //
+};
 use rand::TryRngCore;
 
 use crate::BundleError;
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -14,10 +14,28 @@
 mod signed;
 mod yaml;
 
-pub use codec::{decode, encode};
-pub use diff::{Difference, diff};
+pub use codec::{
+    decode,
+    encode, //
+};
+pub use diff::{
+    Difference,
+    diff, //
+};
 pub use ed25519_dalek::SigningKey;
 pub use error::BundleError;
-pub use key::{generate_key, key_from_text, key_to_text, public_from_text, public_to_text};
-pub use signed::{Signature, SignedBundle};
-pub use yaml::{parse_bundle, to_yaml};
+pub use key::{
+    generate_key,
+    key_from_text,
+    key_to_text,
+    public_from_text,
+    public_to_text, //
+};
+pub use signed::{
+    Signature,
+    SignedBundle, //
+};
+pub use yaml::{
+    parse_bundle,
+    to_yaml, //
+};
--- a/crates/bundle/src/locate.rs
+++ b/crates/bundle/src/locate.rs
@@ -7,7 +7,14 @@
 
 use serde::{
     Deserializer,
-    de::{DeserializeSeed, Error, IgnoredAny, MapAccess, SeqAccess, Visitor},
+    de::{
+        DeserializeSeed,
+        Error,
+        IgnoredAny,
+        MapAccess,
+        SeqAccess,
+        Visitor, //
+    }, //
 };
 
 use crate::error::Step;
--- a/crates/bundle/src/raw.rs
+++ b/crates/bundle/src/raw.rs
@@ -3,15 +3,35 @@
 use std::time::Duration;
 
 use camphordale_types::{
-    Bundle, Digest, KeySource, Operator, Operators, Repeat, Route, Service, Weights,
+    Bundle,
+    Digest,
+    KeySource,
+    Operator,
+    Operators,
+    Repeat,
+    Route,
+    Service,
+    Weights, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DisplayFromStr,
+    serde_as, //
 };
-use serde::{Deserialize, Serialize};
-use serde_with::{DisplayFromStr, serde_as};
 
 use crate::{
-    adapt::{DurationOrNone, DurationText, HexText, KeyText, Percent},
+    adapt::{
+        DurationOrNone,
+        DurationText,
+        HexText,
+        KeyText,
+        Percent, //
+    },
     check::check,
-    error::Fault,
+    error::Fault, //
 };
 
 /// Shards of a keyed service that states no number.
--- a/crates/bundle/src/signed.rs
+++ b/crates/bundle/src/signed.rs
@@ -2,13 +2,28 @@
 
 use std::collections::BTreeSet;
 
-use camphordale_types::{Bundle, Digest, OperatorName, Operators};
-use ed25519_dalek::{Signer, SigningKey, VerifyingKey};
-use serde::{Deserialize, Serialize};
+use camphordale_types::{
+    Bundle,
+    Digest,
+    OperatorName,
+    Operators, //
+};
+use ed25519_dalek::{
+    Signer,
+    SigningKey,
+    VerifyingKey, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::{
     BundleError,
-    codec::{decode, encode},
+    codec::{
+        decode,
+        encode, //
+    }, //
 };
 
 /// Precedes the digest in the signed message, so that a signature made for a bundle is never
--- a/crates/bundle/src/yaml.rs
+++ b/crates/bundle/src/yaml.rs
@@ -2,7 +2,12 @@
 
 use camphordale_types::Bundle;
 
-use crate::{BundleError, error::Fault, locate::line_of, raw::RawBundle};
+use crate::{
+    BundleError,
+    error::Fault,
+    locate::line_of,
+    raw::RawBundle, //
+};
 
 /// Largest YAML text that is read, in bytes.
 const MAX_TEXT: usize = 4 << 20;
--- a/crates/bundle/tests/codec.rs
+++ b/crates/bundle/tests/codec.rs
@@ -1,10 +1,31 @@
 //! Round trips, and decoders on arbitrary input.
 
-use std::{sync::LazyLock, time::Duration};
+use std::{
+    sync::LazyLock,
+    time::Duration, //
+};
 
-use camphordale_bundle::{decode, diff, encode, parse_bundle, to_yaml};
-use camphordale_types::{Bundle, Digest, KeySource, Repeat, Service};
-use proptest::{collection::btree_set, option, prelude::*, sample::Index, sample::select};
+use camphordale_bundle::{
+    decode,
+    diff,
+    encode,
+    parse_bundle,
+    to_yaml, //
+};
+use camphordale_types::{
+    Bundle,
+    Digest,
+    KeySource,
+    Repeat,
+    Service, //
+};
+use proptest::{
+    collection::btree_set,
+    option,
+    prelude::*,
+    sample::Index,
+    sample::select, //
+};
 
 const KILIMO: &str = include_str!("../../../examples/bundles/kilimo.yaml");
 
--- a/crates/bundle/tests/examples.rs
+++ b/crates/bundle/tests/examples.rs
@@ -2,8 +2,14 @@
 
 use std::time::Duration;
 
-use camphordale_bundle::{diff, parse_bundle};
-use camphordale_types::{Bundle, Repeat};
+use camphordale_bundle::{
+    diff,
+    parse_bundle, //
+};
+use camphordale_types::{
+    Bundle,
+    Repeat, //
+};
 use rstest::rstest;
 
 fn kilimo() -> Bundle {
--- a/crates/bundle/tests/mistakes.rs
+++ b/crates/bundle/tests/mistakes.rs
@@ -1,6 +1,9 @@
 //! Each mistake in a bundle is refused with the line and the field where it is.
 
-use camphordale_bundle::{BundleError, parse_bundle};
+use camphordale_bundle::{
+    BundleError,
+    parse_bundle, //
+};
 use rstest::rstest;
 
 const GOOD: &str = "\
--- a/crates/bundle/tests/signatures.rs
+++ b/crates/bundle/tests/signatures.rs
@@ -1,10 +1,20 @@
 //! Signatures count only when they are valid, known and of different operators.
 
 use camphordale_bundle::{
-    BundleError, SignedBundle, SigningKey, generate_key, key_from_text, key_to_text, parse_bundle,
-    public_from_text, public_to_text,
+    BundleError,
+    SignedBundle,
+    SigningKey,
+    generate_key,
+    key_from_text,
+    key_to_text,
+    parse_bundle,
+    public_from_text,
+    public_to_text, //
+};
+use camphordale_types::{
+    Operator,
+    Operators, //
 };
-use camphordale_types::{Operator, Operators};
 use ed25519_dalek::Signer;
 use rstest::rstest;
 
--- a/crates/control/src/audit.rs
+++ b/crates/control/src/audit.rs
@@ -2,8 +2,14 @@
 
 use std::collections::VecDeque;
 
-use camphordale_types::{Digest, OperatorName};
-use serde::{Deserialize, Serialize};
+use camphordale_types::{
+    Digest,
+    OperatorName, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Entries that are kept; older ones are dropped, and the hash that the first kept entry builds
 /// on remains.
--- a/crates/control/src/cache.rs
+++ b/crates/control/src/cache.rs
@@ -1,9 +1,27 @@
 //! A VM's copy of the directory.
 
-use camphordale_bundle::{SignedBundle, decode};
-use camphordale_types::{Bundle, Digest, DomainName, ServiceName, ShardIndex, VmId, VmInfo};
+use camphordale_bundle::{
+    SignedBundle,
+    decode, //
+};
+use camphordale_types::{
+    Bundle,
+    Digest,
+    DomainName,
+    ServiceName,
+    ShardIndex,
+    VmId,
+    VmInfo, //
+};
 
-use crate::{Directory, Group, Home, HomeRuns, Part, Versions};
+use crate::{
+    Directory,
+    Group,
+    Home,
+    HomeRuns,
+    Part,
+    Versions, //
+};
 
 /// A VM's copy of the directory. Parts come from any source and in any order; none goes back.
 ///
--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -1,12 +1,30 @@
 //! The chain of accepted bundles.
 
-use std::{collections::VecDeque, time::Duration};
-
-use camphordale_bundle::{SignedBundle, decode};
-use camphordale_types::{Bundle, Digest, OperatorName, Operators};
-use serde::{Deserialize, Serialize};
-
-use crate::{Outcome, Rejection, homes::Layouts};
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use camphordale_bundle::{
+    SignedBundle,
+    decode, //
+};
+use camphordale_types::{
+    Bundle,
+    Digest,
+    OperatorName,
+    Operators, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    Outcome,
+    Rejection,
+    homes::Layouts, //
+};
 
 /// Accepted digests that are kept to recognise resends: 50 days at 1,300 bundles a day, 2 MB.
 const MAX_DIGESTS: usize = 65_536;
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -2,9 +2,20 @@
 
 use camphordale_bundle::SignedBundle;
 use camphordale_types::{
-    Digest, DomainName, Incarnation, OperatorName, ServiceName, ShardIndex, Side, VmId, VmInfo,
+    Digest,
+    DomainName,
+    Incarnation,
+    OperatorName,
+    ServiceName,
+    ShardIndex,
+    Side,
+    VmId,
+    VmInfo, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
 };
-use serde::{Deserialize, Serialize};
 
 /// A command of the control group's log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -1,10 +1,20 @@
 //! What VMs need to know of the control group's state.
 
 use camphordale_bundle::SignedBundle;
-use camphordale_types::{DomainName, ServiceName, VmInfo};
-use serde::{Deserialize, Serialize};
+use camphordale_types::{
+    DomainName,
+    ServiceName,
+    VmInfo, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
-use crate::{Group, HomeRuns};
+use crate::{
+    Group,
+    HomeRuns, //
+};
 
 /// Control log index of the last change of each part; 0 for a part that is empty or unknown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control/src/homes.rs
+++ b/crates/control/src/homes.rs
@@ -1,11 +1,28 @@
 //! Home domains of shards, kept as runs of shards with equal homes.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
-use camphordale_types::{Bundle, DomainName, KeySource, Service, ServiceName, ShardIndex};
-use serde::{Deserialize, Serialize};
+use camphordale_types::{
+    Bundle,
+    DomainName,
+    KeySource,
+    Service,
+    ServiceName,
+    ShardIndex, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
-use crate::{Home, HomeChange, chain::Reach};
+use crate::{
+    Home,
+    HomeChange,
+    chain::Reach, //
+};
 
 /// Changes of lease or deadline that are kept for a service; older ones are merged.
 const MAX_LIMITS: usize = 64;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,11 +13,41 @@
 mod registry;
 mod state;
 
-pub use audit::{AuditEntry, AuditError, AuditTrail, verify_audit};
-pub use cache::{DirectoryCache, Taken};
+pub use audit::{
+    AuditEntry,
+    AuditError,
+    AuditTrail,
+    verify_audit, //
+};
+pub use cache::{
+    DirectoryCache,
+    Taken, //
+};
 pub use chain::Reach;
-pub use command::{Command, DomainReport, Group, Home, HomeChange, Outcome, Rejection};
-pub use directory::{Directory, Part, Versions};
-pub use homes::{HomeRun, HomeRuns};
-pub use planner::{Planner, PlannerConfig, PlannerEvent};
-pub use state::{SnapshotError, State};
+pub use command::{
+    Command,
+    DomainReport,
+    Group,
+    Home,
+    HomeChange,
+    Outcome,
+    Rejection, //
+};
+pub use directory::{
+    Directory,
+    Part,
+    Versions, //
+};
+pub use homes::{
+    HomeRun,
+    HomeRuns, //
+};
+pub use planner::{
+    Planner,
+    PlannerConfig,
+    PlannerEvent, //
+};
+pub use state::{
+    SnapshotError,
+    State, //
+};
--- a/crates/control/src/planner/config.rs
+++ b/crates/control/src/planner/config.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use camphordale_types::{DomainName, Incarnation, VmId};
+use camphordale_types::{
+    DomainName,
+    Incarnation,
+    VmId, //
+};
 
 use crate::DomainReport;
 
--- a/crates/control/src/planner/groups.rs
+++ b/crates/control/src/planner/groups.rs
@@ -2,10 +2,22 @@
 
 use std::time::Duration;
 
-use camphordale_types::{DomainName, Incarnation, VmId, VmInfo};
+use camphordale_types::{
+    DomainName,
+    Incarnation,
+    VmId,
+    VmInfo, //
+};
 
-use super::{Planner, may_ask};
-use crate::{Command, Group, State};
+use super::{
+    Planner,
+    may_ask, //
+};
+use crate::{
+    Command,
+    Group,
+    State, //
+};
 
 /// Most voters of a domain group.
 const MAX_VOTERS: usize = 5;
--- a/crates/control/src/planner/homes.rs
+++ b/crates/control/src/planner/homes.rs
@@ -1,15 +1,38 @@
 //! Homes of shards: first homes, moves by consent, and moves away from domains that are gone.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
-use camphordale_types::{DomainName, Service, ShardIndex, Side};
+use camphordale_types::{
+    DomainName,
+    Service,
+    ShardIndex,
+    Side, //
+};
 
 use super::{
-    Planner, PlannerConfig, may_ask,
-    shards::{Place, ShardMap, apportion, base_of},
-    watch::{Leaving, Watch},
+    Planner,
+    PlannerConfig,
+    may_ask,
+    shards::{
+        Place,
+        ShardMap,
+        apportion,
+        base_of, //
+    },
+    watch::{
+        Leaving,
+        Watch, //
+    }, //
+};
+use crate::{
+    Command,
+    Home,
+    HomeChange,
+    State, //
 };
-use crate::{Command, Home, HomeChange, State};
 
 /// Most changes in one command, so that a command stays well below a message's limit.
 const MAX_CHANGES: usize = 4096;
--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -9,15 +9,28 @@
 mod shards;
 mod watch;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
-use camphordale_types::{DomainName, ServiceName};
+use camphordale_types::{
+    DomainName,
+    ServiceName, //
+};
 
-use crate::{Command, State, Versions};
+use crate::{
+    Command,
+    State,
+    Versions, //
+};
 use homes::ServicePlan;
 use watch::Watch;
 
-pub use config::{PlannerConfig, PlannerEvent};
+pub use config::{
+    PlannerConfig,
+    PlannerEvent, //
+};
 
 /// Decides what the control leader proposes. It runs on every control voter and is active only
 /// between [`PlannerEvent::Elected`] and [`PlannerEvent::Deposed`].
--- a/crates/control/src/planner/shards.rs
+++ b/crates/control/src/planner/shards.rs
@@ -2,7 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use camphordale_types::{DomainName, Service, ShardIndex, Side};
+use camphordale_types::{
+    DomainName,
+    Service,
+    ShardIndex,
+    Side, //
+};
 
 use crate::State;
 
--- a/crates/control/src/planner/watch.rs
+++ b/crates/control/src/planner/watch.rs
@@ -1,10 +1,23 @@
 //! What the planner knows of one domain.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
-use camphordale_types::{DomainName, Incarnation, ServiceName, ShardIndex, Side, VmId};
+use camphordale_types::{
+    DomainName,
+    Incarnation,
+    ServiceName,
+    ShardIndex,
+    Side,
+    VmId, //
+};
 
-use crate::{DomainReport, State};
+use crate::{
+    DomainReport,
+    State, //
+};
 
 /// What the planner knows of one domain. Nothing of it is replicated.
 #[derive(Clone, Debug, Default)]
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -1,9 +1,19 @@
 //! The registered VMs.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 
-use camphordale_types::{Incarnation, VmId, VmInfo};
-use serde::{Deserialize, Serialize};
+use camphordale_types::{
+    Incarnation,
+    VmId,
+    VmInfo, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Replaced incarnations that are remembered for each VM.
 const MAX_RETIRED: usize = 64;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,19 +1,45 @@
 //! The replicated state of the control group.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use camphordale_bundle::SignedBundle;
 use camphordale_types::{
-    Bundle, Digest, DomainName, Incarnation, Operators, ShardIndex, VmId, VmInfo,
+    Bundle,
+    Digest,
+    DomainName,
+    Incarnation,
+    Operators,
+    ShardIndex,
+    VmId,
+    VmInfo, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
 };
-use serde::{Deserialize, Serialize};
 
 use crate::{
-    AuditTrail, Command, Directory, Group, Home, HomeChange, HomeRuns, Outcome, Part, Rejection,
+    AuditTrail,
+    Command,
+    Directory,
+    Group,
+    Home,
+    HomeChange,
+    HomeRuns,
+    Outcome,
+    Part,
+    Rejection,
     Versions,
-    chain::{Chain, Reach, Submitted},
+    chain::{
+        Chain,
+        Reach,
+        Submitted, //
+    },
     homes::Layouts,
-    registry::Registry,
+    registry::Registry, //
 };
 
 /// First byte of an encoded state.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -3,9 +3,22 @@
 
 use std::ops::Range;
 
-use camphordale_bundle::{SignedBundle, SigningKey, parse_bundle};
-use camphordale_control::{Command, State};
-use camphordale_types::{Bundle, Digest, Operator, Operators, VmInfo};
+use camphordale_bundle::{
+    SignedBundle,
+    SigningKey,
+    parse_bundle, //
+};
+use camphordale_control::{
+    Command,
+    State, //
+};
+use camphordale_types::{
+    Bundle,
+    Digest,
+    Operator,
+    Operators,
+    VmInfo, //
+};
 
 /// Returns the seeds of a test: `fast` histories, or CAMPHORDALE_HISTORIES.
 pub fn seeds(fast: u64) -> Range<u64> {
--- a/crates/control/tests/decode.rs
+++ b/crates/control/tests/decode.rs
@@ -2,8 +2,19 @@
 
 mod common;
 
-use camphordale_control::{Command, DirectoryCache, HomeChange, State, Versions};
-use common::{first_bundle, operators, signed, vm};
+use camphordale_control::{
+    Command,
+    DirectoryCache,
+    HomeChange,
+    State,
+    Versions, //
+};
+use common::{
+    first_bundle,
+    operators,
+    signed,
+    vm, //
+};
 use proptest::prelude::*;
 
 fn state() -> State {
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -6,13 +6,34 @@
 
 use camphordale_bundle::SignedBundle;
 use camphordale_control::{
-    Command, Directory, DirectoryCache, HomeChange, Outcome, Part, State, Versions,
+    Command,
+    Directory,
+    DirectoryCache,
+    HomeChange,
+    Outcome,
+    Part,
+    State,
+    Versions, //
 };
 use camphordale_types::Digest;
 use common::{
-    following, lost, next_bundle, operators, returned, run_histories, seeds, signed, submission, vm,
+    following,
+    lost,
+    next_bundle,
+    operators,
+    returned,
+    run_histories,
+    seeds,
+    signed,
+    submission,
+    vm, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng,
+    seq::IndexedRandom, //
 };
-use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 /// Applies random commands that all take effect, and returns the state after each.
 fn states(rng: &mut StdRng) -> Vec<State> {
--- a/crates/control/tests/partitions.rs
+++ b/crates/control/tests/partitions.rs
@@ -5,18 +5,49 @@
 mod common;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
 };
 
 use camphordale_control::{
-    Command, Directory, DirectoryCache, DomainReport, Outcome, Planner, PlannerConfig,
-    PlannerEvent, State, Versions,
+    Command,
+    Directory,
+    DirectoryCache,
+    DomainReport,
+    Outcome,
+    Planner,
+    PlannerConfig,
+    PlannerEvent,
+    State,
+    Versions, //
+};
+use camphordale_types::{
+    Bundle,
+    Side, //
+};
+use common::{
+    lost,
+    next_bundle,
+    operators,
+    returned,
+    run_histories,
+    seeds,
+    submission,
+    vm, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
 };
-use camphordale_types::{Bundle, Side};
-use common::{lost, next_bundle, operators, returned, run_histories, seeds, submission, vm};
-use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const NAMES: [&str; 3] = ["east", "north", "west"];
 /// Length of a history and its part with faults, in milliseconds.
--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -2,13 +2,35 @@
 
 mod common;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use camphordale_control::{
-    Command, DomainReport, Home, HomeChange, Outcome, Planner, PlannerConfig, PlannerEvent, State,
+    Command,
+    DomainReport,
+    Home,
+    HomeChange,
+    Outcome,
+    Planner,
+    PlannerConfig,
+    PlannerEvent,
+    State, //
+};
+use camphordale_types::{
+    Bundle,
+    Service,
+    Side, //
+};
+use common::{
+    lost,
+    next_bundle,
+    operators,
+    returned,
+    submission,
+    vm, //
 };
-use camphordale_types::{Bundle, Service, Side};
-use common::{lost, next_bundle, operators, returned, submission, vm};
 use rstest::rstest;
 
 /// Time between two steps.
@@ -229,7 +251,13 @@
     Removed,
 }
 
-use Run::{New, NewUnsealed, Removed, Sealed, Silent};
+use Run::{
+    New,
+    NewUnsealed,
+    Removed,
+    Sealed,
+    Silent, //
+};
 
 /// A replacement while a quorum of the old group could exist would allow two groups.
 #[rstest]
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -3,17 +3,51 @@
 mod common;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
 };
 
-use camphordale_bundle::{SignedBundle, decode};
+use camphordale_bundle::{
+    SignedBundle,
+    decode, //
+};
 use camphordale_control::{
-    AuditEntry, Command, Home, HomeChange, Outcome, Rejection, State, Versions, verify_audit,
+    AuditEntry,
+    Command,
+    Home,
+    HomeChange,
+    Outcome,
+    Rejection,
+    State,
+    Versions,
+    verify_audit, //
+};
+use camphordale_types::{
+    Bundle,
+    Digest,
+    Incarnation,
+    Operators,
+    VmId,
+    VmInfo, //
+};
+use common::{
+    first_bundle,
+    following,
+    operators,
+    run_histories,
+    seeds,
+    signed,
+    vm, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng,
+    seq::IndexedRandom, //
 };
-use camphordale_types::{Bundle, Digest, Incarnation, Operators, VmId, VmInfo};
-use common::{first_bundle, following, operators, run_histories, seeds, signed, vm};
-use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 const DOMAINS: [&str; 3] = ["east", "north", "west"];
 
