Let a key change its shard only while nobody owns it; bind lease answers

Cause: a bundle that isolates a hot key maps it to another shard. With the old and the new bundle in force on different VMs, one key had two owners. The domain group now releases every shard whose keys change and assigns none of them before all are free; views name the bundle they belong to, and a router with another bundle sends nothing with a key. The group commits a bundle once its VMs have fetched it, at most 1 s later, so that no VM waits for it.

Ruled out: forbidding changes of hot keys, of which a bundle holds 64.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -59,7 +59,7 @@
 use camphordale_raft::{
     Config as RaftConfig,
     Members,
-    Recovered,
+    Persist,
     Snapshot, //
 };
 use camphordale_route::{
@@ -127,9 +127,6 @@
 /// Age at which a connection to a target is replaced.
 const POOL_AGE: Duration = Duration::from_secs(60);
 
-/// Folder of the control log in the data folder.
-const LOG: &str = "log";
-
 /// Time between looks at requests in flight while the VM shuts down.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -206,11 +203,10 @@
         ));
     };
     std::fs::create_dir_all(data)?;
-    let wanted = founder(settings);
-    // An identity that is there already comes back instead of the one that is offered.
-    if Identity::open(data, wanted)?.member != wanted || data.join(LOG).exists() {
-        return Err(AppError::Settings("the data folder is in use already"));
+    if std::fs::read_dir(data)?.next().is_some() {
+        return Err(AppError::Settings("the data folder is not empty"));
     }
+    Identity::open(data, founder(settings))?;
     Ok(())
 }
 
@@ -478,10 +474,15 @@
     };
     std::fs::create_dir_all(data)?;
     let identity = Identity::open(data, fresh_member(settings))?;
-    let (store, mut recovered) = Store::open(&data.join(LOG))?;
+    let (mut store, mut recovered) = Store::open(data)?;
     let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
     if identity.member == founder(settings) && empty {
-        recovered = founding(settings, recovered);
+        let snapshot = Some(founding(settings));
+        store.persist(&Persist {
+            snapshot: snapshot.clone(),
+            ..Persist::default()
+        })?;
+        recovered.snapshot = snapshot;
     }
     let operators = settings.operators.first.clone().unwrap_or(Operators {
         needed: 1,
@@ -518,17 +519,14 @@
 }
 
 /// Returns the start of a new control group, whose first voters the settings name.
-fn founding(settings: &Settings, recovered: Recovered) -> Recovered {
+fn founding(settings: &Settings) -> Snapshot {
     let voters = settings.control.voters.iter();
-    Recovered {
-        snapshot: Some(Snapshot {
-            members: Members {
-                voters: voters.map(|voter| member_id(voter.vm, 0)).collect(),
-                ..Members::default()
-            },
-            ..Snapshot::default()
-        }),
-        ..recovered
+    Snapshot {
+        members: Members {
+            voters: voters.map(|voter| member_id(voter.vm, 0)).collect(),
+            ..Members::default()
+        },
+        ..Snapshot::default()
     }
 }
 
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -270,6 +270,11 @@
         read(&lock(&self.router))
     }
 
+    /// Closes pooled connections that are too old or idle for too long.
+    pub(crate) fn reap(&self) {
+        self.pool.reap();
+    }
+
     /// Returns the number of requests that this VM has at targets.
     pub(crate) fn at_targets(&self) -> u32 {
         let status = self.with_router(|router| router.status());
--- a/crates/domain/src/leader/shards.rs
+++ b/crates/domain/src/leader/shards.rs
@@ -74,7 +74,7 @@
                         Phase::Releasing(owner) => {
                             self.free(state, shard(), entry, owner, now);
                         }
-                        Phase::Free if served => {}
+                        Phase::Free if served || state.is_remapping(name, index) => {}
                         Phase::Free if entry.leaving => self.park(shard(), entry, now),
                         Phase::Free => {
                             let subject = Subject::Shard(shard());
@@ -268,7 +268,10 @@
         let mut shards = Vec::new();
         for (index, entry) in state.shards(&service.name) {
             total += 1;
-            let leaving = entry.leaving || !entry.listed || entry.phase == Phase::Parked;
+            let leaving = entry.leaving
+                || !entry.listed
+                || entry.phase == Phase::Parked
+                || state.is_remapping(&service.name, index);
             if matches!(entry.phase, Phase::Releasing(_)) {
                 moving += 1;
             }
--- a/crates/domain/src/state.rs
+++ b/crates/domain/src/state.rs
@@ -71,6 +71,8 @@
     last_sessions: BTreeMap<VmId, SessionId>,
     targets: BTreeMap<TargetId, TargetEntry>,
     homes: BTreeMap<ServiceName, Homes>,
+    /// Shards whose keys a bundle changed, until none of a service's has an owner.
+    remapping: BTreeMap<ServiceName, BTreeSet<ShardIndex>>,
     records: Records,
     removed: VecDeque<(u64, Removed)>,
     /// Index of the newest removal that is no longer remembered.
@@ -196,6 +198,7 @@
             last_sessions: BTreeMap::new(),
             targets: BTreeMap::new(),
             homes: BTreeMap::new(),
+            remapping: BTreeMap::new(),
             records: Records::default(),
             removed: VecDeque::new(),
             forgotten: 0,
@@ -250,6 +253,19 @@
         self.version
     }
 
+    /// Returns the latest bundle version under whose mapping from keys to shards every owner got
+    /// its shards. It is one below [`State::version`] while shards with changed keys drain.
+    pub fn settled_version(&self) -> u64 {
+        self.version - u64::from(!self.remapping.is_empty())
+    }
+
+    /// Tells whether a shard may not be assigned yet, because its keys changed and an owner under
+    /// the mapping before may still act.
+    pub fn is_remapping(&self, service: &str, index: ShardIndex) -> bool {
+        let shards = self.remapping.get(service);
+        shards.is_some_and(|shards| shards.contains(&index))
+    }
+
     /// Returns the services in force, in order of their names.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/crates/domain/src/state/apply.rs
+++ b/crates/domain/src/state/apply.rs
@@ -1,9 +1,14 @@
 //! Commands that concern sessions and services.
 
+use std::collections::BTreeSet;
+
 use camphordale_types::{
     Incarnation,
     Service,
+    ServiceName,
     SessionId,
+    ShardIndex,
+    ShardRef,
     TargetId,
     TargetInfo,
     TargetSpec,
@@ -18,6 +23,7 @@
 };
 
 use super::{
+    Phase,
     State,
     TargetEntry,
     VmSession, //
@@ -194,15 +200,40 @@
             let longest = self.deadlines.entry(service.name.clone()).or_default();
             *longest = service.deadline.max(*longest);
         }
+        let changed: Vec<(ServiceName, BTreeSet<ShardIndex>)> = services
+            .iter()
+            .filter_map(|service| {
+                let before = self.services.get(&service.name)?;
+                let remapped = service.remapped(before);
+                (!remapped.is_empty()).then(|| (service.name.clone(), remapped))
+            })
+            .collect();
         self.version = version;
         self.services = services
             .iter()
             .map(|s| (s.name.clone(), s.clone()))
             .collect();
+        for (service, remapped) in changed {
+            self.start_remapping(&service, remapped);
+        }
         self.touch();
         Outcome::Done
     }
 
+    /// Releases the owned shards whose keys changed, and keeps all of them from being assigned
+    /// until every one is free.
+    fn start_remapping(&mut self, service: &ServiceName, remapped: BTreeSet<ShardIndex>) {
+        for &index in &remapped {
+            let shard = ShardRef::new(service, index);
+            if let Some(Phase::Held(owner)) = self.shard(&shard).map(|entry| entry.phase) {
+                self.set_phase(&shard, Phase::Releasing(owner));
+            }
+        }
+        let draining = self.remapping.entry(service.clone()).or_default();
+        draining.extend(remapped);
+        self.end_remapping(service);
+    }
+
     fn set_sender(
         &mut self,
         id: TargetId,
--- a/crates/domain/src/state/diff.rs
+++ b/crates/domain/src/state/diff.rs
@@ -40,6 +40,7 @@
             term: self.term,
             since,
             index: self.index,
+            bundle: self.version,
             vms: self.vms.keys().copied().collect(),
             ..View::default()
         };
--- a/crates/domain/src/state/shards.rs
+++ b/crates/domain/src/state/shards.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    fn set_phase(&mut self, shard: &ShardRef, phase: Phase) {
+    pub(super) fn set_phase(&mut self, shard: &ShardRef, phase: Phase) {
         let index = self.index;
         if let Some(homes) = self.homes.get_mut(&shard.service)
             && let Some(entry) = homes.shards.get_mut(&shard.index)
@@ -127,6 +127,9 @@
     }
 
     pub(super) fn assign(&mut self, shard: &ShardRef, expect: Token, owner: TargetId) -> Outcome {
+        if self.is_remapping(&shard.service, shard.index) {
+            return Outcome::Refused("an owner under the earlier keys may still act".into());
+        }
         let token = self.new_token(&shard.service);
         let Some(service) = self.services.get(&shard.service).filter(|s| s.is_keyed()) else {
             return Outcome::Refused("no service with keys of this name is in force".into());
@@ -167,6 +170,19 @@
         }
     }
 
+    /// Lets the shards with changed keys be assigned again once none of them has an owner.
+    pub(super) fn end_remapping(&mut self, service: &str) {
+        let owned = |index: &ShardIndex| {
+            let entry = self.shard(&ShardRef::new(service, *index));
+            entry.is_some_and(|entry| entry.phase.owner().is_some())
+        };
+        let draining = self.remapping.get(service);
+        if draining.is_some_and(|shards| !shards.iter().any(owned)) {
+            self.remapping.remove(service);
+            self.touch();
+        }
+    }
+
     pub(super) fn free(&mut self, shard: &ShardRef, expect: Token) -> Outcome {
         let (owner, listed) = match self.expected(shard, expect) {
             Err(refused) => return refused,
@@ -185,6 +201,7 @@
             self.drop_shard(shard);
         }
         self.collect(owner);
+        self.end_remapping(&shard.service);
         Outcome::Done
     }
 
--- a/crates/domain/src/view.rs
+++ b/crates/domain/src/view.rs
@@ -25,6 +25,9 @@
     pub since: u64,
     /// Index the view leads to.
     pub index: u64,
+    /// Version of the bundle that the group has in force. The shards are those of its mapping
+    /// from keys to shards, so a router with another bundle sends no request with a key.
+    pub bundle: u64,
     /// All VMs with a session, in order.
     pub vms: Vec<VmId>,
     /// Changed targets.
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr, //
+    net::SocketAddr,
+    time::Duration, //
 };
 
 use camphordale_bundle::{
@@ -217,6 +218,7 @@
             homes_version: self.cache.versions().homes,
             homes,
             confirmed: false,
+            since: Duration::ZERO,
         }
     }
 }
--- a/crates/node/src/domain.rs
+++ b/crates/node/src/domain.rs
@@ -14,6 +14,7 @@
     Leader,
     LeaseConfig,
     Outcome,
+    Phase,
     State,
     View, //
 };
@@ -60,8 +61,11 @@
 /// Time after which a view that a VM has not confirmed is sent again.
 const VIEW_RETRY: Duration = Duration::from_millis(150);
 
+/// Time that VMs get to fetch a bundle before it is put in force without them.
+const SPREAD_TIME: Duration = Duration::from_secs(1);
+
 /// Time after which a proposal of the directory's content is made again.
-const SYNC_RETRY: Duration = Duration::from_millis(300);
+const SYNC_RETRY: Duration = Duration::from_millis(100);
 
 /// Output of the member, to be carried out in order.
 pub(crate) enum MemberEffect {
@@ -72,6 +76,7 @@
     /// Renew a VM's lease.
     Grant {
         vm: VmId,
+        incarnation: Incarnation,
         nonce: u64,
         lease: Duration,
         fence: u64,
@@ -96,6 +101,8 @@
     pub(crate) homes: BTreeMap<ServiceName, Vec<HomedShard>>,
     /// Whether the control leader confirmed this while the VM led the group.
     pub(crate) confirmed: bool,
+    /// When this version of the bundle was first assigned here.
+    pub(crate) since: Duration,
 }
 
 /// What a VM that renews its lease has.
@@ -109,11 +116,15 @@
     pub(crate) in_force: u64,
 }
 
-/// What is known of the view that a VM has.
+/// What is known of a VM that renews its lease.
 struct Known {
+    /// Index of its view.
     index: u64,
+    /// When a view was last sent to it.
     sent: Duration,
-    bundle: u64,
+    /// Newest bundle that it has, and the one in force there.
+    has: u64,
+    in_force: u64,
 }
 
 struct Waiter {
@@ -220,8 +231,10 @@
     }
 
     /// Takes over what the directory says about this domain.
-    pub(crate) fn assign(&mut self, assigned: Assigned) {
-        self.assigned = assigned;
+    pub(crate) fn assign(&mut self, assigned: Assigned, now: Duration) {
+        let same = assigned.version == self.assigned.version;
+        let since = if same { self.assigned.since } else { now };
+        self.assigned = Assigned { since, ..assigned };
         self.synced = None;
     }
 
@@ -289,6 +302,7 @@
             let (lease, fence) = (Duration::ZERO, u64::MAX);
             out.push(MemberEffect::Grant {
                 vm,
+                incarnation,
                 nonce,
                 lease,
                 fence,
@@ -302,16 +316,10 @@
         if behind && (waited || !lost) {
             self.send_view(vm, view, now, out);
         } else if !behind {
-            let (index, sent, bundle) = (view, now, has.in_force);
-            let known = Known {
-                index,
-                sent,
-                bundle,
-            };
-            self.views.insert(vm, known);
+            self.note_view(vm, view, now);
         }
         if let Some(known) = self.views.get_mut(&vm) {
-            known.bundle = has.in_force;
+            (known.has, known.in_force) = (has.bundle, has.in_force);
         }
     }
 
@@ -323,11 +331,6 @@
         now: Duration,
         out: &mut Vec<MemberEffect>,
     ) {
-        // A report of an earlier run says nothing about what the present one sends.
-        let current = self.state.vm(vm).map(|session| session.incarnation);
-        if current != Some(incarnation) {
-            return;
-        }
         let event = match report {
             SenderReport::Suspect(target) => LeaderEvent::Suspect { vm, target },
             SenderReport::Released {
@@ -336,6 +339,7 @@
                 clear,
             } => LeaderEvent::Released {
                 vm,
+                incarnation,
                 shard,
                 token,
                 clear,
@@ -429,7 +433,10 @@
         // The first bundle of a group comes straight from the control group: a copy that lags
         // could bring back a bundle that VMs of an earlier group have left behind.
         let known = self.state.version();
-        if known < self.assigned.version && (known > 0 || self.assigned.confirmed) {
+        if known < self.assigned.version
+            && (known > 0 || self.assigned.confirmed)
+            && self.is_spread(now)
+        {
             let command = Command::SetServices {
                 version: self.assigned.version,
                 services: self.assigned.services.clone(),
@@ -452,6 +459,28 @@
         }
     }
 
+    /// Tells whether the state follows the homes that the directory names, and no shard without a
+    /// home here is still served.
+    pub(crate) fn follows_homes(&self) -> bool {
+        let homes = &self.assigned.homes;
+        let served = |name: &ServiceName| {
+            let mut shards = self.state.shards(name);
+            shards.any(|(_, entry)| !entry.listed && matches!(entry.phase, Phase::Held(_)))
+        };
+        homes
+            .iter()
+            .all(|(service, shards)| has_homes(&self.state, service, shards))
+            && !self.state.homed().any(served)
+    }
+
+    /// Tells whether the VMs with a session have the bundle that is to be put in force. Those
+    /// that lag get no lease once it is, so the group gives them some time.
+    fn is_spread(&self, now: Duration) -> bool {
+        let wanted = self.assigned.version;
+        let lags = |(vm, _)| self.views.get(&vm).is_none_or(|known| known.has < wanted);
+        now >= self.assigned.since + SPREAD_TIME || !self.state.vms().any(lags)
+    }
+
     fn change_members(&mut self, now: Duration, out: &mut Vec<MemberEffect>) {
         if self.changing.is_some() {
             return;
@@ -485,12 +514,13 @@
                 LeaderEffect::Propose(command) => self.propose(None, &command, now, out),
                 LeaderEffect::GrantVm {
                     vm,
-                    incarnation: _,
+                    incarnation,
                     nonce,
                     lease,
                     fence,
                 } => out.push(MemberEffect::Grant {
                     vm,
+                    incarnation,
                     nonce,
                     lease,
                     fence,
@@ -635,16 +665,19 @@
         }
     }
 
-    fn send_view(&mut self, vm: VmId, since: u64, now: Duration, out: &mut Vec<MemberEffect>) {
-        let view = self.state.view(since);
-        let (index, sent) = (view.index, now);
-        let bundle = self.views.get(&vm).map_or(0, |known| known.bundle);
-        let known = Known {
+    fn note_view(&mut self, vm: VmId, index: u64, sent: Duration) {
+        let known = self.views.entry(vm).or_insert(Known {
             index,
             sent,
-            bundle,
-        };
-        self.views.insert(vm, known);
+            has: 0,
+            in_force: 0,
+        });
+        (known.index, known.sent) = (index, sent);
+    }
+
+    fn send_view(&mut self, vm: VmId, since: u64, now: Duration, out: &mut Vec<MemberEffect>) {
+        let view = self.state.view(since);
+        self.note_view(vm, view.index, now);
         out.push(MemberEffect::View { vm, view });
     }
 
@@ -652,7 +685,7 @@
     pub(crate) fn in_force(&self) -> Vec<(VmId, u64)> {
         self.views
             .iter()
-            .map(|(&vm, known)| (vm, known.bundle))
+            .map(|(&vm, known)| (vm, known.in_force))
             .collect()
     }
 
@@ -661,7 +694,7 @@
         camphordale_control::DomainReport {
             domain: domain.into(),
             term: self.term,
-            bundle: self.state.version(),
+            bundle: self.state.settled_version(),
             parked: self.leader.parked(&self.state),
             capacity: self.leader.capacity(&self.state),
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -54,6 +54,9 @@
     member_vm, //
 };
 
+/// Time between renewals with the control group after which shards may have got another home.
+const CONTROL_GAP: Duration = Duration::from_secs(1);
+
 /// A gap between ticks that shows that the process was paused.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -258,8 +261,15 @@
     session: Session,
     view: (u64, u64),
     calls: Calls,
-    /// Start of the domain's last renewal with the control group that this VM made as leader.
+    /// Whether the control leader has answered this VM as domain leader.
+    confirmed: bool,
+    /// Start of the last renewal with the control group that this VM made as domain leader, until
+    /// the group follows the homes that came with it.
+    control_new: Option<Duration>,
+    /// Start of the last such renewal that counts.
     control_ok: Option<Duration>,
+    /// Index of the view that leases need since the last gap between renewals.
+    control_fence: u64,
     /// The latest such start that this VM knows of.
     control_seen: Duration,
     reported: Option<Duration>,
@@ -286,7 +296,10 @@
             session: Session::default(),
             view: (0, 0),
             calls: Calls::new(control),
+            confirmed: false,
+            control_new: None,
             control_ok: None,
+            control_fence: 0,
             control_seen: Duration::ZERO,
             reported: None,
             asked: None,
@@ -519,6 +532,7 @@
         let (term, index) = self.view;
         if view.term == term && view.index > index && view.since <= index {
             self.view = (view.term, view.index);
+            self.put_in_force(view.bundle, out);
             out.push(EntryEffect::Route(RouteEvent::View(view)));
         }
     }
@@ -559,6 +573,8 @@
             }
             Datagram::Renew { .. } => {}
             Datagram::Renewed {
+                vm,
+                incarnation,
                 nonce,
                 term,
                 lease,
@@ -567,6 +583,10 @@
                 versions,
                 bundle,
             } => {
+                let info = &self.config.info;
+                if (vm, incarnation) != (info.vm, info.incarnation) {
+                    return;
+                }
                 if self.member.as_ref().is_some_and(|m| m.term() == term) {
                     self.leader = Some(from);
                     self.put_in_force(bundle, out);
@@ -772,15 +792,17 @@
                 }),
             ) => {
                 let leads = self.member.as_ref().is_some_and(|m| m.leads(now));
-                let first = self.control_ok.is_none();
+                let first = !self.confirmed;
                 if leads && renewed && finished.report {
-                    self.control_ok = self.control_ok.max(Some(finished.started));
+                    self.confirmed = true;
+                    self.control_new = self.control_new.max(Some(finished.started));
                 }
                 if !directory.is_empty() {
                     self.take_directory(directory, now, out);
-                } else if first && self.control_ok.is_some() {
-                    self.assign_member();
+                } else if first && self.confirmed {
+                    self.assign_member(now);
                 }
+                self.count_renewal();
                 self.seal(seal, now, out);
             }
             (Origin::Node, Reply::Directory(directory)) => {
@@ -791,6 +813,27 @@
         }
     }
 
+    /// Counts the last renewal with the control group once the group follows the homes that came
+    /// with it.
+    ///
+    /// After a gap, shards may have got another home meanwhile. Leases then need a view that shows
+    /// that this domain no longer serves them.
+    fn count_renewal(&mut self) {
+        let Some(member) = self.member.as_ref().filter(|member| member.follows_homes()) else {
+            return;
+        };
+        let Some(renewed) = self.control_new.take() else {
+            return;
+        };
+        let gap = self
+            .control_ok
+            .is_none_or(|last| renewed > last + CONTROL_GAP);
+        if gap {
+            self.control_fence = member.view_index();
+        }
+        self.control_ok = self.control_ok.max(Some(renewed));
+    }
+
     /// Leaves the domain group of `term` for good, unless it has a leader after all.
     fn seal(&mut self, term: Option<u64>, now: Duration, out: &mut Vec<EntryEffect>) {
         let Some(term) = term else {
@@ -823,14 +866,14 @@
             out.push(EntryEffect::Route(self.directory.route_event()));
         }
         self.start_member(now, out);
-        self.assign_member();
+        self.assign_member(now);
     }
 
-    fn assign_member(&mut self) {
+    fn assign_member(&mut self, now: Duration) {
         if let Some(member) = &mut self.member {
             let mut assigned = self.directory.assigned(&self.config.info.domain);
-            assigned.confirmed = self.control_ok.is_some();
-            member.assign(assigned);
+            assigned.confirmed = self.confirmed;
+            member.assign(assigned, now);
         }
     }
 
@@ -877,7 +920,7 @@
         let (term, reformed) = (group.term, group.reformed);
         let mut member =
             DomainMember::new(config, lease, term, reformed, &founders, self.config.group);
-        member.assign(self.directory.assigned(&info.domain));
+        member.assign(self.directory.assigned(&info.domain), now);
         self.member = Some(member);
         self.leader = None;
         self.joined = Some(now);
@@ -944,11 +987,14 @@
             }),
             MemberEffect::Grant {
                 vm,
+                incarnation,
                 nonce,
                 lease,
                 fence,
             } => {
+                self.count_renewal();
                 let control_age = self.control_ok.map(|at| now.saturating_sub(at));
+                let fence = fence.max(self.control_fence);
                 let bundle = self.member.as_ref().map_or(0, DomainMember::bundle_version);
                 if vm == self.config.info.vm {
                     self.put_in_force(bundle, out);
@@ -956,6 +1002,8 @@
                     return;
                 }
                 let datagram = Datagram::Renewed {
+                    vm,
+                    incarnation,
                     nonce,
                     term: group,
                     lease,
@@ -975,7 +1023,9 @@
                     self.leader = leader;
                 }
                 if role != Role::Leader {
-                    self.control_ok = None;
+                    self.confirmed = false;
+                    (self.control_new, self.control_ok) = (None, None);
+                    self.control_fence = 0;
                     self.reported = None;
                 }
                 out.push(EntryEffect::Role {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -112,6 +112,11 @@
     },
     /// The lease is renewed.
     Renewed {
+        /// The VM that asked. Datagrams are not bound to their receiver, so one that is sent
+        /// again to another VM must not give it a lease.
+        vm: VmId,
+        /// The run of its process.
+        incarnation: Incarnation,
         /// From the request.
         nonce: u64,
         /// Term of the domain group.
--- a/crates/route/src/keyed.rs
+++ b/crates/route/src/keyed.rs
@@ -23,7 +23,7 @@
     /// Returns the refusal of a request that waited in vain.
     fn reason(&self) -> NotRun {
         match self {
-            Blocked::NoLease | Blocked::DomainLease => NotRun::NoLease,
+            Blocked::NoLease | Blocked::DomainLease | Blocked::Mapping => NotRun::NoLease,
             Blocked::Held => NotRun::Deadline,
             _ => NotRun::NoOwner,
         }
@@ -42,6 +42,9 @@
         if !self.leased() {
             return Some(Blocked::NoLease);
         }
+        if self.bundle.as_ref().map(|bundle| bundle.version) != Some(self.group.bundle) {
+            return Some(Blocked::Mapping);
+        }
         match &self.slots[slot].service {
             Some(service) if self.lease.domain_serves(service, self.now) => None,
             _ => Some(Blocked::DomainLease),
--- a/crates/route/src/status.rs
+++ b/crates/route/src/status.rs
@@ -137,6 +137,9 @@
     /// This VM holds no lease that its view satisfies.
     #[error("this VM holds no valid lease")]
     NoLease,
+    /// The domain group has another bundle in force, which may map keys to other shards.
+    #[error("the domain group has another bundle in force than this VM")]
+    Mapping,
     /// The domain has been cut off from the control group for longer than the domain lease.
     #[error("the domain lease of the service has run out")]
     DomainLease,
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -16,6 +16,8 @@
     /// Whether a complete view of the term has been taken.
     pub(crate) known: bool,
     pub(crate) index: u64,
+    /// Version of the bundle under which the shards were assigned.
+    pub(crate) bundle: u64,
     pub(crate) vms: Vec<VmId>,
 }
 
@@ -57,6 +59,8 @@
         let resized = complete || self.group.vms != view.vms || !view.targets.is_empty();
         self.group.known = true;
         self.group.index = view.index;
+        let remapped = self.group.bundle != view.bundle;
+        self.group.bundle = view.bundle;
         self.group.vms = view.vms;
 
         let mut touched: BTreeSet<ShardKey> = BTreeSet::new();
@@ -84,7 +88,10 @@
         for key in &touched {
             self.review_release(*key);
         }
-        if resized || !view.gone.is_empty() {
+        if remapped {
+            self.replace_waiting();
+        }
+        if remapped || resized || !view.gone.is_empty() {
             self.pump_all();
         }
     }
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -99,6 +99,7 @@
         term: 1,
         since: 0,
         index,
+        bundle: 1,
         vms: vec![1, 2],
         targets: vec![
             target(11, "k", Some(1)),
@@ -116,12 +117,21 @@
     }
 }
 
+/// Puts a bundle in force and gives the router the view that goes with it.
+pub fn put_in_force(router: &mut Router, bundle: Bundle, at: u64) {
+    let mut view = view(1);
+    view.bundle = bundle.version;
+    router.step(Event::Bundle(bundle), ms(at));
+    router.step(Event::View(view), ms(at));
+}
+
 /// A difference that leads to `index`.
 pub fn change(index: u64, targets: Vec<TargetView>, shards: Vec<ShardView>) -> View {
     View {
         term: 1,
         since: index - 1,
         index,
+        bundle: 1,
         vms: vec![1, 2],
         targets,
         shards,
--- a/crates/route/tests/histories/main.rs
+++ b/crates/route/tests/histories/main.rs
@@ -54,6 +54,7 @@
 struct Group {
     term: u64,
     index: u64,
+    bundle: u64,
     vms: Vec<VmId>,
     targets: BTreeMap<TargetId, TargetView>,
     shards: BTreeMap<u32, ShardView>,
@@ -139,6 +140,7 @@
         self.group = Group {
             term,
             index: 1,
+            bundle: self.bundle.version,
             vms,
             targets: ids,
             shards: index,
@@ -219,6 +221,7 @@
             term: new.term,
             since: if complete { 0 } else { seen.index },
             index: new.index,
+            bundle: new.bundle,
             vms: new.vms.clone(),
             targets: new.targets.values().cloned().collect(),
             shards: new.shards.values().cloned().collect(),
@@ -362,6 +365,14 @@
         self.step(Event::Recorded { id, result });
     }
 
+    fn put_in_force(&mut self, version: u64) {
+        self.group.index += 1;
+        self.group.bundle = version;
+        if self.chance(50) {
+            self.view(false);
+        }
+    }
+
     fn change_bundle(&mut self) {
         let mut next = bundle(self.bundle.version + 1);
         let pick = self.rng.random_range(0..4);
@@ -373,8 +384,16 @@
         let hot = (pick == 3).then(|| key(0).into());
         next.services[0].hot_keys.extend(hot);
         next.services.truncate(if self.chance(10) { 1 } else { 2 });
+        // The view with the new mapping comes before or after the bundle.
+        let (before, version) = (self.chance(30), next.version);
+        if before {
+            self.put_in_force(version);
+        }
         self.bundle = next.clone();
         self.step(Event::Bundle(next));
+        if !before {
+            self.put_in_force(version);
+        }
     }
 
     fn random_step(&mut self) {
--- a/crates/types/src/service.rs
+++ b/crates/types/src/service.rs
@@ -1,6 +1,9 @@
 //! Services as a bundle describes them.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -147,6 +150,54 @@
         (xxh3_64(key.as_bytes()) % u64::from(self.shards.max(1))) as u32
     }
 
+    /// Returns the shards whose keys differ from those they had in `before`, an earlier version of
+    /// the service with the same number of hashed shards.
+    ///
+    /// Such a shard must have no owner while the change comes into force: a key that passes from
+    /// one shard to another would have two owners otherwise.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use camphordale_types::{KeySource, Repeat, Route, Service, Weights};
+    /// # let before = Service {
+    /// #     name: "berths".into(),
+    /// #     route: Route { prefix: "/berths".into(), host: None },
+    /// #     key: KeySource::Segment(1),
+    /// #     shards: 8,
+    /// #     hot_keys: Vec::new(),
+    /// #     repeat: Repeat::ByMethod,
+    /// #     deadline: Duration::from_secs(1),
+    /// #     domain_lease: None,
+    /// #     record_life: Duration::from_secs(60),
+    /// #     new_percent: 0,
+    /// #     slots: 6,
+    /// #     connections: 60,
+    /// #     queue: 16,
+    /// #     warm_up: Duration::ZERO,
+    /// #     weights: Weights { imbalance: 1.0, churn: 1.0, unavailable: 1.0 },
+    /// # };
+    /// let mut service = before.clone();
+    /// service.hot_keys.push("berth-7".into());
+    /// let remapped: Vec<u32> = service.remapped(&before).into_iter().collect();
+    /// assert_eq!(remapped, [service.hashed_shard("berth-7"), 8]);
+    /// ```
+    pub fn remapped(&self, before: &Service) -> BTreeSet<ShardIndex> {
+        let mut remapped = BTreeSet::new();
+        for at in 0..self.hot_keys.len().max(before.hot_keys.len()) {
+            let keys = [self.hot_keys.get(at), before.hot_keys.get(at)];
+            if keys[0] == keys[1] {
+                continue;
+            }
+            remapped.insert(self.shards + at as u32);
+            for key in keys.into_iter().flatten() {
+                remapped.insert(self.hashed_shard(key));
+            }
+        }
+        remapped
+    }
+
     /// Returns the side that shard `index` belongs to.
     ///
     /// Raising the percentage only adds shards to the new side, because each shard compares a
