--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -6,12 +6,11 @@
 
 use std::{
     collections::BTreeSet,
-    fs, io,
+    fs,
     net::{
         IpAddr,
         Ipv4Addr,
-        SocketAddr,
-        TcpListener, //
+        SocketAddr, //
     },
     path::{
         Path,
@@ -24,21 +23,15 @@
 };
 
 use camphordale_bundle::{
-    SignedBundle,
     SigningKey,
-    generate_key,
-    parse_bundle,
-    public_to_text, //
-};
-use camphordale_types::{
-    Bundle,
-    Digest,
-    Operator,
-    Operators, //
+    generate_key, //
 };
+use camphordale_types::Digest;
 use serde_json::Value;
 
+mod bundles;
 mod client;
+mod net;
 mod process;
 mod settings;
 
@@ -164,7 +157,7 @@
     ///
     /// Fails when a file cannot be written or a process cannot be started.
     pub fn start(options: FleetOptions) -> Result<Fleet, FleetError> {
-        let net = free_net()?;
+        let net = net::reserve()?;
         let mut fleet = Fleet {
             net,
             operator: generate_key().map_err(|err| FleetError::new("make a key", err))?,
@@ -312,47 +305,6 @@
         found.and_then(|target| target.process.as_mut())
     }
 
-    /// Signs and submits a bundle with these services in YAML, as the next version, to one VM.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the bundle is wrong or not accepted.
-    pub fn submit(&mut self, services: &str, to: Place) -> Result<u64, FleetError> {
-        let key = public_to_text(&self.operator);
-        let yaml = format!(
-            "version: 1\noperators: {{needed: 1, keys: [{{name: amina, key: {key}}}]}}\n\
-             services:\n{services}"
-        );
-        let bundle = parse_bundle(&yaml).map_err(|err| FleetError::new("parse the bundle", err))?;
-        self.submit_bundle(bundle, to)
-    }
-
-    /// Signs and submits the services of a bundle as the next version, to one VM. The fleet's
-    /// own operator replaces those of the bundle.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the bundle is not accepted.
-    pub fn submit_bundle(&mut self, mut bundle: Bundle, to: Place) -> Result<u64, FleetError> {
-        (bundle.version, bundle.previous) = match self.standing {
-            None => (1, None),
-            Some((version, digest)) => (version + 1, Some(digest)),
-        };
-        bundle.operators = Operators {
-            needed: 1,
-            keys: vec![Operator {
-                name: "amina".into(),
-                key: self.operator.verifying_key().to_bytes(),
-            }],
-        };
-        let mut signed = SignedBundle::new(&bundle);
-        signed.sign("amina", &self.operator);
-        let body = client::bundle_body(&signed);
-        post_json(self.address(to, OPERATORS), "/v1/bundle", &body)?;
-        self.standing = Some((bundle.version, signed.digest()));
-        Ok(bundle.version)
-    }
-
     /// Waits until every shard of the services has an owner in its home domain.
     ///
     /// # Errors
@@ -520,18 +472,3 @@
 pub fn domain_name(domain: u8) -> String {
     format!("domain-{domain}")
 }
-
-/// Finds a second address byte that no other fleet on this machine uses.
-fn free_net() -> Result<u8, FleetError> {
-    let first = (std::process::id() % 180) as u8;
-    for step in 0..180u8 {
-        let net = 20 + ((u16::from(first) + u16::from(step)) % 180) as u8;
-        let probe = SocketAddr::from(([127, net, 1, 1], PEERS));
-        let control = SocketAddr::from(([127, net, 0, 1], LINK_CONTROL));
-        if TcpListener::bind(probe).is_ok() && TcpListener::bind(control).is_ok() {
-            return Ok(net);
-        }
-    }
-    let source = io::Error::from(io::ErrorKind::AddrInUse);
-    Err(FleetError::io("find a free network")(source))
-}
--- /dev/null
+++ b/crates/standin/src/fleet/bundles.rs
@@ -0,0 +1,99 @@
+//! Bundles that a fleet's operator signs and submits.
+
+use camphordale_bundle::{
+    SignedBundle,
+    parse_bundle,
+    public_to_text, //
+};
+use camphordale_types::{
+    Bundle,
+    Operator,
+    Operators, //
+};
+use serde_json::Value;
+
+use super::{
+    Fleet,
+    FleetError,
+    OPERATORS,
+    Place,
+    client,
+    post_json, //
+};
+
+impl Fleet {
+    /// Signs and submits a bundle with these services in YAML, as the next version, to one VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bundle is wrong or not accepted.
+    pub fn submit(&mut self, services: &str, to: Place) -> Result<u64, FleetError> {
+        let bundle = self.parse(services)?;
+        self.submit_bundle(bundle, to)
+    }
+
+    /// Signs these services in YAML as the next version, without submitting them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bundle is wrong.
+    pub fn sign(&self, services: &str) -> Result<SignedBundle, FleetError> {
+        Ok(self.sign_bundle(self.parse(services)?).1)
+    }
+
+    /// Submits a signed bundle to one VM; a bundle that is accepted becomes the one that the
+    /// next version follows.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bundle is not accepted.
+    pub fn submit_signed(&mut self, signed: &SignedBundle, to: Place) -> Result<Value, FleetError> {
+        let body = client::bundle_body(signed);
+        let answer = post_json(self.address(to, OPERATORS), "/v1/bundle", &body)?;
+        let version = answer["standing_version"].as_u64().unwrap_or_default();
+        if self.standing.is_none_or(|(standing, _)| standing < version) {
+            self.standing = Some((version, signed.digest()));
+        }
+        Ok(answer)
+    }
+
+    fn parse(&self, services: &str) -> Result<Bundle, FleetError> {
+        let key = public_to_text(&self.operator);
+        let yaml = format!(
+            "version: 1\noperators: {{needed: 1, keys: [{{name: amina, key: {key}}}]}}\n\
+             services:\n{services}"
+        );
+        parse_bundle(&yaml).map_err(|err| FleetError::new("parse the bundle", err))
+    }
+
+    /// Signs and submits the services of a bundle as the next version, to one VM. The fleet's
+    /// own operator replaces those of the bundle.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bundle is not accepted.
+    pub fn submit_bundle(&mut self, bundle: Bundle, to: Place) -> Result<u64, FleetError> {
+        let (version, signed) = self.sign_bundle(bundle);
+        let body = client::bundle_body(&signed);
+        post_json(self.address(to, OPERATORS), "/v1/bundle", &body)?;
+        self.standing = Some((version, signed.digest()));
+        Ok(version)
+    }
+
+    fn sign_bundle(&self, mut bundle: Bundle) -> (u64, SignedBundle) {
+        (bundle.version, bundle.previous) = match self.standing {
+            None => (1, None),
+            Some((version, digest)) => (version + 1, Some(digest)),
+        };
+        bundle.operators = Operators {
+            needed: 1,
+            keys: vec![Operator {
+                name: "amina".into(),
+                key: self.operator.verifying_key().to_bytes(),
+            }],
+        };
+        let mut signed = SignedBundle::new(&bundle);
+        signed.sign("amina", &self.operator);
+        (bundle.version, signed)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet/net.rs
@@ -0,0 +1,45 @@
+//! Addresses of a fleet.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+};
+
+use super::{
+    FleetError,
+    LINK_CONTROL,
+    PEERS, //
+};
+
+/// Port that a process keeps bound for each network that it uses.
+const RESERVED: u16 = 9001;
+
+/// Reserves a second address byte that no other fleet on this machine uses. The reservation lasts
+/// as long as this process, because targets that run in it may outlive their fleet.
+pub(super) fn reserve() -> Result<u8, FleetError> {
+    static RESERVATIONS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    let mut reservations = RESERVATIONS.lock().unwrap_or_else(PoisonError::into_inner);
+    let first = (std::process::id() % 180) as u8;
+    for step in 0..180u8 {
+        let net = 20 + ((u16::from(first) + u16::from(step)) % 180) as u8;
+        let reserved = TcpListener::bind(SocketAddr::from(([127, net, 0, 1], RESERVED)));
+        let probe = SocketAddr::from(([127, net, 1, 1], PEERS));
+        let control = SocketAddr::from(([127, net, 0, 1], LINK_CONTROL));
+        if let Ok(reserved) = reserved
+            && TcpListener::bind(probe).is_ok()
+            && TcpListener::bind(control).is_ok()
+        {
+            reservations.push(reserved);
+            return Ok(net);
+        }
+    }
+    let source = io::Error::from(io::ErrorKind::AddrInUse);
+    Err(FleetError::io("find a free network")(source))
+}
