daemon: Keep the founding members of the control group on the disk

Before the first compaction (1,024 entries) the log on its disk names no members, so a founder that restarted was no voter: after a restart of all three voters the control group had no leader for good, and with two restarted, one loss stopped it.

Ruled out: taking the members from the settings at each start, because they would bring back members that were removed since.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -59,6 +59,7 @@
 use camphordale_raft::{
     Config as RaftConfig,
     Members,
+    Persist,
     Recovered,
     Snapshot, //
 };
@@ -460,10 +461,16 @@
     };
     std::fs::create_dir_all(data)?;
     let identity = Identity::open(data, fresh_member(settings))?;
-    let (store, mut recovered) = Store::open(&data.join(LOG))?;
+    let (mut store, mut recovered) = Store::open(&data.join(LOG))?;
     let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
     if identity.member == founder(settings) && empty {
         recovered = founding(settings, recovered);
+        // The log names no members before its first change, so without the snapshot a restart
+        // would leave a founder without a group.
+        store.persist(&Persist {
+            snapshot: recovered.snapshot.clone(),
+            ..Persist::default()
+        })?;
     }
     let operators = settings.operators.first.clone().unwrap_or(Operators {
         needed: 1,
