--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -13,7 +13,7 @@
 
 use camphordale_types::{DomainName, ServiceName};
 
-use crate::{Command, State};
+use crate::{Command, State, Versions};
 use homes::ServicePlan;
 use watch::Watch;
 
@@ -55,6 +55,8 @@
     elected: Option<Duration>,
     domains: BTreeMap<DomainName, Watch>,
     services: BTreeMap<ServiceName, ServicePlan>,
+    /// Versions of the state from which the names in `domains` were taken.
+    seen: Versions,
 }
 
 impl Planner {
@@ -65,6 +67,7 @@
             elected: None,
             domains: BTreeMap::new(),
             services: BTreeMap::new(),
+            seen: Versions::default(),
         }
     }
 
@@ -117,18 +120,40 @@
         self.domains.get(domain)?.sealing
     }
 
-    /// Tells whether the latest report of `domain` renewed its domain lease. The answer to that
-    /// report must say so, because the planner counts the lease from the report.
+    /// Tells whether the latest report of `domain` renewed its domain lease. Only then may the
+    /// answer to that report say so.
     ///
+    /// The answer carries the directory, and the renewal counts only for the domain leader that
+    /// took this directory: a leader with older homes could serve on for shards that have moved.
     /// A report is not answered with a renewal while shards are being taken from the domain
     /// without its consent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use camphordale_control::{DomainReport, Planner, PlannerConfig, PlannerEvent, State};
+    /// use camphordale_types::Operators;
+    ///
+    /// let state = State::new(Operators { needed: 1, keys: Vec::new() });
+    /// let mut planner = Planner::new(PlannerConfig::default());
+    /// planner.step(&state, PlannerEvent::Elected, Duration::ZERO);
+    /// // No group of this domain was formed, so nobody can hold its lease.
+    /// let report = DomainReport { domain: "north".into(), term: 3, ..DomainReport::default() };
+    /// planner.step(&state, PlannerEvent::Report(report), Duration::from_millis(10));
+    /// assert!(!planner.renews("north"));
+    /// ```
     pub fn renews(&self, domain: &str) -> bool {
         self.domains.get(domain).is_some_and(|watch| watch.renews)
     }
 
     fn refresh(&mut self, state: &State, now: Duration) {
-        for domain in state.domains() {
-            self.domains.entry(domain).or_default();
+        if self.seen != state.versions() {
+            self.seen = state.versions();
+            for domain in state.domains() {
+                self.domains.entry(domain).or_default();
+            }
         }
         for (domain, watch) in &mut self.domains {
             watch.refresh(state, domain, now);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -84,6 +84,42 @@
     }
 
     /// Applies the command at log index `index`. A refused command changes nothing but the index.
+    ///
+    /// # Examples
+    ///
+    /// A bundle that is sent again after a lost answer gets the first answer; another bundle of
+    /// the same version learns which one stands.
+    ///
+    /// ```
+    /// use camphordale_bundle::{SignedBundle, generate_key, parse_bundle};
+    /// use camphordale_control::{Command, Outcome, Rejection, State};
+    /// use camphordale_types::{Operator, Operators};
+    ///
+    /// let key = generate_key()?;
+    /// let mut state = State::new(Operators {
+    ///     needed: 1,
+    ///     keys: vec![Operator { name: "asha".into(), key: key.verifying_key().to_bytes() }],
+    /// });
+    /// let submission = |new_percent| {
+    ///     let text = include_str!("../../../examples/bundles/kilimo.yaml");
+    ///     let mut bundle = parse_bundle(text)?;
+    ///     bundle.services[0].new_percent = new_percent;
+    ///     let mut signed = SignedBundle::new(&bundle);
+    ///     signed.sign("asha", &key);
+    ///     Ok::<_, camphordale_bundle::BundleError>(Command::SubmitBundle { signed, at: 0 })
+    /// };
+    /// let accepted = state.apply(1, &submission(0)?);
+    /// assert!(matches!(accepted, Outcome::Accepted { version: 1, .. }));
+    /// assert_eq!(state.apply(2, &submission(0)?), accepted);
+    /// let refused = state.apply(3, &submission(10)?);
+    /// let standing = state.standing().map(|(_, digest)| digest);
+    /// assert_eq!(refused, Outcome::Rejected(Rejection::Conflict {
+    ///     version: 1,
+    ///     standing_version: 1,
+    ///     standing,
+    /// }));
+    /// # Ok::<(), camphordale_bundle::BundleError>(())
+    /// ```
     pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
         if index <= self.index {
             return stale(format!("log index {index} was applied before"));
@@ -106,7 +142,11 @@
                 replaces,
                 members,
             } => self.form(domain, *replaces, members),
-            Command::SetHomes { service, changes } => self.set_homes(service, changes),
+            Command::SetHomes {
+                service,
+                bundle,
+                changes,
+            } => self.set_homes(service, *bundle, changes),
             Command::DeclareLost { domain, by, at } => self.declare_lost(domain, by, *at),
             Command::ReturnDomain { domain, by, at } => self.return_domain(domain, by, *at),
             Command::InForce {
@@ -174,7 +214,11 @@
         Outcome::Done
     }
 
-    fn set_homes(&mut self, service: &str, changes: &[HomeChange]) -> Outcome {
+    fn set_homes(&mut self, service: &str, bundle: u64, changes: &[HomeChange]) -> Outcome {
+        let standing = self.chain.version();
+        if bundle != standing {
+            return stale(format!("decided on bundle {bundle}, but {standing} stands"));
+        }
         let Some(service) = self.chain.content().and_then(|b| b.service(service)) else {
             return stale(format!("no service {service} in the standing bundle"));
         };
@@ -367,7 +411,7 @@
     }
 
     /// Returns how long `domain`, when cut off, may serve shards of `service`, by any bundle that
-    /// it may have in force.
+    /// it may have in force. A service that no bundle named has none.
     pub fn reach(&self, domain: &str, service: &str) -> Option<Reach> {
         self.layouts.reach(service, self.in_force(domain))
     }
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -101,6 +101,7 @@
         NodeHandle,
         NodeInput, //
     },
+    live::Live,
     metrics::{
         Metrics,
         MetricsError, //
@@ -115,7 +116,8 @@
     records::BundleFile,
     settings::{
         self,
-        Settings, //
+        Settings,
+        reloadable_changes, //
     },
     targets::TargetListener,
 };
@@ -178,6 +180,7 @@
 /// A running daemon.
 pub struct App {
     settings: Arc<Settings>,
+    live: Arc<Live>,
     log: Logger,
     node: NodeHandle,
     plane: Arc<Plane>,
@@ -227,6 +230,7 @@
     ///
     /// [`AppError`] says which part could not be started.
     pub fn start(settings: Settings, log: &Logger) -> Result<App, AppError> {
+        let live = Arc::new(Live::new(&settings));
         let settings = Arc::new(settings);
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new()?);
@@ -315,6 +319,7 @@
         let draining = Arc::new(AtomicBool::new(false));
         let operators = start_operators(OperatorListener {
             settings: Arc::clone(&settings),
+            live: Arc::clone(&live),
             clock,
             node: node.clone(),
             plane: Arc::clone(&plane),
@@ -323,8 +328,9 @@
         })?;
         let app = App {
             callers: start_callers(&settings, &plane)?,
-            targets: start_targets(&settings, &node, &plane)?,
+            targets: start_targets(&settings, &live, &node, &plane)?,
             settings,
+            live,
             log: log.clone(),
             node,
             plane,
@@ -335,19 +341,31 @@
             control,
             entry,
         };
-        Pump::start(&app.plane, &peers, &app.datagrams, &metrics)?;
+        Pump::start(&app.plane, &peers, &app.datagrams, &metrics, &app.node)?;
         info!(log, "started"; "vm" => app.settings.vm, "incarnation" => incarnation,
               "domain" => &*app.settings.domain);
         Ok(app)
     }
 
+    /// Takes over what can be reloaded of new settings, and logs which changes need a restart.
+    pub fn reload(&mut self, new: Settings) {
+        let changes = reloadable_changes(&self.settings, &new);
+        self.live.replace(&new);
+        info!(self.log, "settings reloaded"; "sections" => changes.reload.join(","));
+        if !changes.restart.is_empty() {
+            warn!(self.log, "changed settings need a restart";
+                  "sections" => changes.restart.join(","));
+        }
+    }
+
     /// Shuts down: first tells the platform, then stops taking callers' requests and finishes
     /// those in flight, then hands over the rights to send, then ends.
     pub fn shutdown(self) {
-        let limit = self.settings.drain.limit;
+        let drain = self.live.drain();
+        let limit = drain.limit;
         info!(self.log, "shutting down");
         self.draining.store(true, Ordering::Relaxed);
-        thread::sleep(self.settings.drain.notice);
+        thread::sleep(drain.notice);
         self.plane.route(RouteEvent::Drain);
         let until = Instant::now() + limit;
         if let Some(callers) = &self.callers
@@ -547,6 +565,7 @@
 
 fn start_targets(
     settings: &Settings,
+    live: &Arc<Live>,
     node: &NodeHandle,
     plane: &Arc<Plane>,
 ) -> Result<Option<Server>, AppError> {
@@ -554,7 +573,7 @@
         return Ok(None);
     };
     let handler = TargetListener {
-        keys: targets.keys.clone(),
+        live: Arc::clone(live),
         node: node.clone(),
         plane: Arc::clone(plane),
         renew: settings.group.target_renew,
--- a/crates/domain/src/leader.rs
+++ b/crates/domain/src/leader.rs
@@ -54,6 +54,9 @@
 /// Least time between two passes over the state. Many commands are applied in a row.
 const PASS_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time between two looks for records and homes whose time has passed.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The leader's part of a domain group: it keeps lease times, grants leases, and proposes the
 /// commands that keep every shard owned.
 ///
@@ -108,6 +111,9 @@
     released: BTreeMap<ShardRef, Report>,
     /// Time of the last placement by service.
     placed: BTreeMap<ServiceName, Placed>,
+    /// Layout of the state at which no shard of a service needed anything but balance.
+    at_rest: BTreeMap<ServiceName, u64>,
+    last_expiry: Duration,
     out: Vec<Effect>,
 }
 
@@ -116,6 +122,8 @@
 struct Report {
     token: Token,
     holder: SessionId,
+    /// When it was received.
+    at: Duration,
     /// When the last request that it sent has ended.
     clear: Duration,
 }
@@ -211,6 +219,8 @@
             marks: Marks::default(),
             released: BTreeMap::new(),
             placed: BTreeMap::new(),
+            at_rest: BTreeMap::new(),
+            last_expiry: now,
             out: Vec::new(),
         }
     }
@@ -248,10 +258,16 @@
             }
             Event::Released {
                 vm,
+                incarnation,
                 shard,
                 token,
                 clear,
-            } => self.released(state, vm, shard, token, clear, now),
+            } => {
+                let current = state.vm(vm).is_some_and(|s| s.incarnation == incarnation);
+                if current {
+                    self.released(state, vm, shard, token, clear, now);
+                }
+            }
             Event::Load { vm, shards } => {
                 if state.vm(vm).is_some() {
                     for (service, index, count) in shards {
@@ -295,7 +311,10 @@
         self.expire_sessions(state, now);
         self.set_senders(state, now);
         self.plan_shards(state, now);
-        self.expire_records(state, now);
+        if now >= self.last_expiry + EXPIRY_INTERVAL {
+            self.last_expiry = now;
+            self.expire_records(state, now);
+        }
     }
 
     fn propose(&mut self, subject: Subject, version: u64, command: Command, now: Duration) {
@@ -385,21 +404,21 @@
         let Some(holder) = target.holder else {
             return;
         };
-        let mut clear = match clear {
-            Duration::ZERO => now,
-            clear => now + clear + self.config.stall,
+        // Also when nothing is outstanding: a request whose deadline passed at the sender was
+        // written up to a stall margin after its check, and ends that much later at the target.
+        let mut report = Report {
+            token,
+            holder,
+            at: now,
+            clear: now + clear + self.config.stall,
         };
         if let Some(earlier) = self.released.get(&shard)
             && earlier.token == token
             && earlier.holder == holder
         {
-            clear = clear.min(earlier.clear);
+            report.at = earlier.at;
+            report.clear = report.clear.min(earlier.clear);
         }
-        let report = Report {
-            token,
-            holder,
-            clear,
-        };
         self.released.insert(shard, report);
     }
 }
--- a/crates/domain/src/leader/sessions.rs
+++ b/crates/domain/src/leader/sessions.rs
@@ -14,7 +14,8 @@
 use crate::{
     Command,
     State,
-    TargetEntry, //
+    TargetEntry,
+    VmSession, //
 };
 
 use super::{
@@ -44,13 +45,15 @@
     /// group, so the deadline counts whatever the targets known here say.
     pub(super) fn served_before(&self, state: &State, name: &str, now: Duration) -> bool {
         let sent = self.elected + QUORUM_TAIL + self.config.vm + self.config.stall;
-        self.reformed
-            && !state.opened(name)
-            && now < self.old_leases_end().max(sent + state.deadline(name))
+        let end = self.old_leases_end().max(sent + state.deadline(name));
+        // Without a bundle the deadlines are not known.
+        self.reformed && !state.opened(name) && (now < end || state.version() == 0)
     }
 
     pub(super) fn expire_sessions(&mut self, state: &State, now: Duration) {
-        if now < self.old_leases_end() {
+        // Once this group has assigned a shard, an earlier leader has waited for the old leases.
+        let opened = state.services().any(|s| state.opened(&s.name));
+        if !opened && now < self.old_leases_end() {
             return;
         }
         for (vm, session) in state.vms() {
@@ -78,13 +81,18 @@
             return;
         }
         let fresh = |renewed: Duration| now < renewed + self.config.vm / 2;
-        let mut vms: Vec<VmId> = state
-            .vms()
+        // An earlier process of the VM that still runs would take the right for its own.
+        let alone = |session: VmSession| {
+            session
+                .earlier
+                .is_none_or(|id| now >= self.leases.vm_end(id) + self.config.stall)
+        };
+        let usable = || state.vms().filter(|(_, session)| alone(*session));
+        let mut vms: Vec<(VmId, VmSession)> = usable()
             .filter(|(_, session)| fresh(self.leases.vm_renewed(session.id)))
-            .map(|(vm, _)| vm)
             .collect();
         if vms.is_empty() {
-            vms = state.vms().map(|(vm, _)| vm).collect();
+            vms = usable().collect();
         }
         let mut total: BTreeMap<VmId, u32> = BTreeMap::new();
         let mut by_service: BTreeMap<(&str, VmId), u32> = BTreeMap::new();
@@ -101,12 +109,12 @@
                 continue;
             }
             let service = &*target.info.spec.service;
-            let sender = vms.iter().copied().min_by_key(|&vm| {
+            let sender = vms.iter().copied().min_by_key(|&(vm, _)| {
                 let same = by_service.get(&(service, vm)).copied().unwrap_or(0);
                 let all = total.get(&vm).copied().unwrap_or(0);
                 (same, all, vm)
             });
-            let Some(sender) = sender else {
+            let Some((sender, session)) = sender else {
                 return;
             };
             *total.entry(sender).or_default() += 1;
@@ -116,6 +124,7 @@
                 target: id,
                 expect: target.sender,
                 sender,
+                session: session.id,
             };
             self.propose(Subject::Sender(id), target.changed, command, now);
         }
--- a/crates/domain/src/state.rs
+++ b/crates/domain/src/state.rs
@@ -66,10 +66,9 @@
     deadlines: BTreeMap<ServiceName, Duration>,
     /// Services of which a shard was assigned by this group.
     opened: BTreeSet<ServiceName>,
-    /// Largest `since` of any home seen, so that the token of a sender's right is above the
-    /// tokens of all shards that the target owns.
-    newest_home: u64,
     vms: BTreeMap<VmId, VmSession>,
+    /// The newest session that each VM has had.
+    last_sessions: BTreeMap<VmId, SessionId>,
     targets: BTreeMap<TargetId, TargetEntry>,
     homes: BTreeMap<ServiceName, Homes>,
     records: Records,
@@ -85,6 +84,8 @@
     pub id: SessionId,
     /// The run of the VM's process.
     pub incarnation: Incarnation,
+    /// The VM's session before this one. Its process may still run.
+    pub earlier: Option<SessionId>,
 }
 
 /// A target with its sender.
@@ -154,6 +155,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Homes {
     version: u64,
+    /// Largest `since` of any home seen.
+    newest: u64,
     shards: BTreeMap<ShardIndex, ShardEntry>,
 }
 
@@ -189,8 +192,8 @@
             services: BTreeMap::new(),
             deadlines: BTreeMap::new(),
             opened: BTreeSet::new(),
-            newest_home: 0,
             vms: BTreeMap::new(),
+            last_sessions: BTreeMap::new(),
             targets: BTreeMap::new(),
             homes: BTreeMap::new(),
             records: Records::default(),
@@ -257,9 +260,15 @@
         self.services.get(name)
     }
 
-    /// Returns the longest deadline that service `name` has had under this group.
+    /// Returns the longest deadline that service `name` has had under this group. For a service
+    /// that this group never had in force, it is the longest of all.
     pub fn deadline(&self, name: &str) -> Duration {
-        self.deadlines.get(name).copied().unwrap_or_default()
+        let longest = || self.deadlines.values().max();
+        self.deadlines
+            .get(name)
+            .or_else(longest)
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Tells whether this group has assigned a shard of service `name`.
@@ -333,6 +342,20 @@
         self.records.until(name, index, limit)
     }
 
+    /// Returns the token of a grant made by the command that is being applied.
+    ///
+    /// Its term is not below the `since` of any home of the service, so that all tokens of the
+    /// service in this group grow with the log, those of shards and those of senders alike. A
+    /// home that moved on has a larger `since` than any in the lists that named it here.
+    fn new_token(&self, service: &str) -> Token {
+        let newest = self.homes.get(service).map_or(0, |homes| homes.newest);
+        Token {
+            term: self.term.max(newest),
+            epoch: self.epoch,
+            seq: self.index,
+        }
+    }
+
     fn touch(&mut self) {
         self.layout = self.index;
     }
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -14,11 +14,22 @@
     },
 };
 
+/// Least election times that a member without a vote waits longer than a voter, so that a voter
+/// that can win does so first.
+const PATIENCE: u32 = 2;
+
 impl Raft {
-    /// Starts a pre-vote. A member that is not a voter never does.
+    /// Starts a pre-vote.
+    ///
+    /// A member without a vote, a learner or one whose removal is not known to be committed, may
+    /// hold the only log that the voters accept: a lost leader may have reached no other member.
+    /// It stands for election late, and leads only until its log is committed.
     pub(crate) fn call_election(&mut self, out: &mut Vec<Effect>) {
         if !self.members().voters.contains(&self.config.id) {
-            return;
+            let late = self.deadline + self.config.election * PATIENCE;
+            if self.now < late || !self.log.has_member(self.config.id, self.commit) {
+                return;
+            }
         }
         if self.is_sole_voter() {
             self.campaign(out);
@@ -76,13 +87,14 @@
         // that starts from nothing cannot judge the candidate's log.
         let sticky = self.now < self.quiet || self.leader_until() > Some(self.now);
         if sticky || self.log.snapshot().is_none() || term < self.hard.term {
-            self.reply_vote(from, false, pre, out);
+            self.reply_vote(from, self.hard.term, false, pre, out);
             return;
         }
         let complete = last >= (self.log.last_term(), self.log.last_index());
         if pre {
             let granted = complete && term > self.hard.term;
-            self.reply_vote(from, granted, pre, out);
+            let term = if granted { term } else { self.hard.term };
+            self.reply_vote(from, term, granted, pre, out);
             return;
         }
         if term > self.hard.term {
@@ -98,17 +110,13 @@
             }
             self.reset_deadline();
         }
-        self.reply_vote(from, granted, pre, out);
+        self.reply_vote(from, self.hard.term, granted, pre, out);
     }
 
-    fn reply_vote(&self, to: MemberId, granted: bool, pre: bool, out: &mut Vec<Effect>) {
+    fn reply_vote(&self, to: MemberId, term: u64, granted: bool, pre: bool, out: &mut Vec<Effect>) {
         out.push(Effect::Send {
             to,
-            message: Message::VoteReply {
-                term: self.hard.term + u64::from(granted && pre),
-                granted,
-                pre,
-            },
+            message: Message::VoteReply { term, granted, pre },
         });
     }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -42,6 +42,15 @@
     pub const WAITING: usize = 20_000;
 
     /// Returns the settings of `vm` in `domain`, with the defaults for the rest.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::RouterConfig;
+    ///
+    /// let config = RouterConfig::new(1, "east", 7);
+    /// assert_eq!(config.waiting, RouterConfig::WAITING);
+    /// ```
     pub fn new(vm: VmId, domain: &str, seed: u64) -> Self {
         RouterConfig {
             vm,
@@ -87,6 +96,15 @@
 
 impl Router {
     /// Returns a router without bundle, lease and view, which refuses every request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::{Router, RouterConfig};
+    ///
+    /// let router = Router::new(RouterConfig::new(1, "east", 7));
+    /// assert_eq!(router.status().bundle, None);
+    /// ```
     pub fn new(config: RouterConfig) -> Self {
         Router {
             config,
@@ -162,7 +180,9 @@
             Event::Bundle(bundle) => self.take_bundle(bundle),
             Event::Directory { homes, vms } => self.take_directory(homes, &vms),
             Event::TargetLoad { target, load } => {
-                if let Some(target) = self.targets.get_mut(&target) {
+                if let Some(target) = self.targets.get_mut(&target)
+                    && load.is_finite()
+                {
                     target.health.load = load;
                 }
             }
@@ -231,6 +251,7 @@
                     self.place(id);
                 }
             }
+            // A record that is written later stays pending; a resend is then a duplicate.
             Stage::Recording(_) => self.refuse(id, NotRun::Record),
             Stage::New | Stage::Opening(_) | Stage::Written(_) | Stage::Forwarded(_) => {}
         }
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -64,8 +64,10 @@
 /// Input of the router.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A request arrived. It ends in exactly one `Refuse`, `Replay`, or the caller being given
-    /// the answer after a `Send` or `Forward` that was not followed by another effect for it.
+    /// A request arrived. It ends in exactly one `Refuse`, `Replay` or `Redirect`, or the caller
+    /// being given the answer after a `Send` or `Forward` that was not followed by another effect
+    /// for it. A request whose id is in use is ignored: it is the same one, forwarded again, and
+    /// its answer belongs to whoever forwarded it last.
     Request(Request),
     /// The record asked for by `Effect::Record` was decided.
     Recorded {
@@ -307,3 +309,36 @@
         shards: Vec<(ServiceName, ShardIndex, u32)>,
     },
 }
+
+impl Effect {
+    /// Returns the request that the effect is about; none for effects that concern targets,
+    /// shards or records of requests that have ended.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_route::Effect;
+    ///
+    /// assert_eq!(Effect::Proceed { id: 9 }.request(), Some(9));
+    /// assert_eq!(Effect::Suspect { target: 4 }.request(), None);
+    /// ```
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Effect::Send(send) => Some(send.id),
+            Effect::Proceed { id }
+            | Effect::Hold { id }
+            | Effect::Forward { id, .. }
+            | Effect::Redirect { id, .. }
+            | Effect::Record { id, .. }
+            | Effect::Refuse { id, .. }
+            | Effect::Replay { id, .. }
+            | Effect::Abort { id } => Some(*id),
+            Effect::Finish { .. }
+            | Effect::Erase { .. }
+            | Effect::Probe { .. }
+            | Effect::Suspect { .. }
+            | Effect::Released { .. }
+            | Effect::Load { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/histories/main.rs
@@ -0,0 +1,514 @@
+//! Random histories of one router, compared with a naive recomputation of what is legal.
+//!
+//! `CAMPHORDALE_HISTORIES` sets the number of histories, `CAMPHORDALE_SEED` the first seed.
+#![allow(clippy::unwrap_used)]
+
+#[path = "../common/mod.rs"]
+mod common;
+mod model;
+
+use std::collections::BTreeMap;
+
+use camphordale_domain::{ShardView, TargetView, View};
+use camphordale_route::*;
+use camphordale_types::*;
+use common::*;
+use model::millis;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const STEPS: u32 = 250;
+
+/// Where the naive model takes a request to be; `bool` tells whether its attempt was aborted.
+#[derive(Clone, Debug, Default, PartialEq)]
+enum At {
+    #[default]
+    Router,
+    Record,
+    Opening(Send, bool),
+    Written(Send, bool),
+    Forward,
+}
+
+/// A request that has not ended, as the edge and the caller see it.
+#[derive(Clone, Debug, Default)]
+struct Open {
+    service: &'static str,
+    key: String,
+    side: Option<Side>,
+    repeatable: bool,
+    caller: bool,
+    idempotent: bool,
+    recorded: bool,
+    cancelled: bool,
+    /// Term under which the record was asked for.
+    asked: u64,
+    at: At,
+    proceeds: u32,
+    /// Whether an ended attempt may have run.
+    uncertain: bool,
+    forwarded: bool,
+}
+
+/// The state of the domain group.
+#[derive(Clone, Debug, Default)]
+struct Group {
+    term: u64,
+    index: u64,
+    vms: Vec<VmId>,
+    targets: BTreeMap<TargetId, TargetView>,
+    shards: BTreeMap<u32, ShardView>,
+}
+
+struct World {
+    seed: u64,
+    rng: StdRng,
+    router: Router,
+    now: u64,
+    bundle: Bundle,
+    group: Group,
+    /// The group as of the last view that the router must have taken.
+    seen: Group,
+    old: Vec<View>,
+    /// End, fence and time of the last renewal with control.
+    lease: (u64, u64, u64),
+    /// Another term that was announced after the last view.
+    void: Option<u64>,
+    open: BTreeMap<RequestId, Open>,
+    ended: RequestId,
+    /// Latest deadline of requests with an unknown outcome, by shard.
+    risk: BTreeMap<u32, u64>,
+    /// Lengths of the queues without keys after the last step.
+    pools: Vec<usize>,
+    /// Aborts, holds and releases so far.
+    rare: [u64; 3],
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = World {
+            seed,
+            rng: StdRng::seed_from_u64(seed),
+            router: Router::new(RouterConfig::new(VM, "east", seed)),
+            now: 0,
+            bundle: bundle(1),
+            group: Group::default(),
+            seen: Group::default(),
+            old: Vec::new(),
+            lease: (0, 0, 0),
+            void: None,
+            open: BTreeMap::new(),
+            ended: 7,
+            risk: BTreeMap::new(),
+            pools: Vec::new(),
+            rare: [0; 3],
+        };
+        world.reform();
+        world.step(Event::Bundle(bundle(1)));
+        world.step(directory());
+        world.view(true);
+        world
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count)
+    }
+
+    /// A new group, whose targets have the ids of the old ones.
+    fn reform(&mut self) {
+        let announced = self.group.term > 0 && self.chance(50);
+        let term = self.group.term + 1;
+        let View {
+            targets,
+            shards,
+            vms,
+            ..
+        } = view(1);
+        let (mut index, mut ids) = (BTreeMap::new(), BTreeMap::new());
+        for mut shard in shards {
+            shard.token.term = term;
+            index.insert(shard.index, shard);
+        }
+        for mut target in targets {
+            target.token.term = term;
+            ids.insert(target.info.id, target);
+        }
+        self.group = Group {
+            term,
+            index: 1,
+            vms,
+            targets: ids,
+            shards: index,
+        };
+        if announced {
+            (self.lease.0, self.void) = (0, Some(term));
+            self.step(Event::Term { term });
+        }
+    }
+
+    /// One change of the group's state.
+    fn mutate(&mut self) {
+        if self.chance(2) {
+            return self.reform();
+        }
+        let (index, choice) = (self.pick(4) as u32, self.pick(12));
+        let sender = [None, Some(1), Some(1), Some(2)][self.pick(4)];
+        let at = self.pick(self.group.targets.len());
+        let group = &mut self.group;
+        group.index += 1;
+        let next = Token {
+            term: group.term,
+            epoch: 1,
+            seq: group.index + 4,
+        };
+        let serves = |t: &&TargetView| t.info.state == TargetState::Serving;
+        let keyed = |t: &&TargetView| &*t.info.spec.service == "k";
+        let owner = group
+            .targets
+            .values()
+            .filter(serves)
+            .filter(keyed)
+            .nth(index as usize);
+        let owner = owner.map(|t| t.info.id);
+        let count = group.targets.len();
+        let target = group.targets.values_mut().nth(at).unwrap();
+        let (id, state) = (target.info.id, target.info.state);
+        match choice {
+            0..5 => {
+                let free = ShardView {
+                    token: next,
+                    ..shard(index, None, 0)
+                };
+                let shard = group.shards.entry(index).or_insert_with(|| free.clone());
+                match (shard.owner, shard.releasing) {
+                    (None, _) => (shard.owner, shard.token) = (owner, next),
+                    (Some(_), false) => shard.releasing = true,
+                    (Some(_), true) => *shard = free,
+                }
+            }
+            5 => drop(group.shards.remove(&index)),
+            6 | 7 if target.sender != sender => (target.sender, target.token) = (sender, next),
+            8 if index < 2 && state == TargetState::Serving => {
+                target.info.state = TargetState::Leaving;
+            }
+            8 => target.info.state = TargetState::Lost,
+            9 if count > 3 && state != TargetState::Serving => {
+                group.targets.remove(&id);
+                group.shards.retain(|_, s| s.owner != Some(id));
+            }
+            10 => {
+                let id = 30 + group.index;
+                let mut new = target_of(id, index, sender);
+                new.token = next;
+                group.targets.insert(id, new);
+            }
+            11 => group.vms = [&[1, 2][..], &[1], &[1, 2, 3], &[2, 3]][index as usize].to_vec(),
+            _ => {}
+        }
+    }
+
+    /// Delivers the group's state, as a whole or as a difference.
+    fn view(&mut self, complete: bool) {
+        let (new, seen) = (self.group.clone(), self.seen.clone());
+        let other = new.term != seen.term;
+        let complete = complete || other;
+        let mut view = View {
+            term: new.term,
+            since: if complete { 0 } else { seen.index },
+            index: new.index,
+            vms: new.vms.clone(),
+            targets: new.targets.values().cloned().collect(),
+            shards: new.shards.values().cloned().collect(),
+            ..View::default()
+        };
+        if !complete {
+            let before = &seen.targets;
+            view.targets.retain(|t| before.get(&t.info.id) != Some(t));
+            view.shards.retain(|s| seen.shards.get(&s.index) != Some(s));
+            let gone = seen.targets.keys().copied();
+            view.gone = gone.filter(|id| !new.targets.contains_key(id)).collect();
+            let dropped = seen.shards.keys().filter(|i| !new.shards.contains_key(i));
+            view.dropped = dropped.map(|index| ("k".into(), *index)).collect();
+        }
+        if other && self.void != Some(new.term) {
+            self.lease.0 = 0;
+        }
+        self.void = None;
+        self.seen = new;
+        self.old.push(view.clone());
+        self.step(Event::View(view));
+    }
+
+    fn arrive(&mut self) {
+        let id = self.rng.random::<u64>().into();
+        let method = ["GET", "POST"][self.pick(2)];
+        let service = ["k", "k", "k", "u"][self.pick(4)];
+        let mut request = match service {
+            "k" => keyed(id, method, [0, 0, 0, 1, 2, 3][self.pick(6)]),
+            _ => request(id, method, "/u/list"),
+        };
+        request.allowed = [None, Some(ms(40)), Some(ms(300))][self.pick(3)];
+        let idempotent = method == "POST" && self.chance(50);
+        if idempotent {
+            request.headers.push(("idempotency-key".into(), "a".into()));
+        }
+        let caller = self.chance(80);
+        if !caller {
+            let hops = self.rng.random_range(1..4);
+            request.origin = Origin::Vm { vm: 2, hops };
+        }
+        let hash = xxhash_rust::xxh3::xxh3_64(&id.to_le_bytes());
+        let rules = self.bundle.service(service);
+        let open = Open {
+            service,
+            key: request.path.rsplit('/').next().unwrap().into(),
+            side: rules.map(|s| s.side_by_hash(hash)),
+            repeatable: method == "GET",
+            caller,
+            idempotent,
+            ..Open::default()
+        };
+        self.open.insert(id, open);
+        self.step(Event::Request(request));
+    }
+
+    /// Something that the edge reports about an open request, or a second time about another.
+    fn report(&mut self) {
+        let count = self.open.len();
+        if count == 0 || self.chance(5) {
+            let idle = self.open.iter().find(|(_, o)| o.at == At::Router);
+            let id = idle.map_or(self.ended, |(id, _)| *id);
+            let redirect = Attempt::Redirect { vm: Some(3) };
+            let all = [Attempt::NotRun(NotRun::Shed), answered(), redirect];
+            let attempt = all[self.pick(3)].clone();
+            return self.step(Event::Done { id, attempt });
+        }
+        let at = self.pick(count);
+        let (id, open) = self.open.iter().nth(at).unwrap();
+        let (id, at, pick) = (*id, open.at.clone(), self.pick(20));
+        let attempt = match (at, pick) {
+            (At::Router | At::Record | At::Opening(..), 0) => return self.cancel(id),
+            (At::Router, _) => return,
+            (At::Record, _) => return self.decide(id),
+            (At::Opening(_, true), 1..6) => Attempt::NotRun(NotRun::Connect),
+            (At::Opening(..), 1..3) => Attempt::NotRun(NotRun::Connect),
+            (At::Opening(..), _) => return self.step(Event::Ready { id }),
+            (At::Written(..), 0) => Attempt::NotRun(NotRun::Shed),
+            (At::Written(..), 1) => Attempt::Unknown(Unknown::Timeout),
+            (At::Written(..), 2) => Attempt::Unknown(Unknown::Broken),
+            (At::Written(..), 3) => return self.step(Event::Ready { id }),
+            (At::Forward, 0) => Attempt::Unknown(Unknown::VmLost),
+            (At::Forward, 1) => Attempt::NotRun(NotRun::DomainUnreachable),
+            (At::Forward, 2) => Attempt::NotRun(NotRun::NoOwner),
+            (At::Forward, 3) => Attempt::Redirect { vm: None },
+            (At::Forward, 4..6) => Attempt::Redirect {
+                vm: Some(pick as VmId - 3),
+            },
+            (At::Written(..) | At::Forward, _) => answered(),
+        };
+        self.finish(id, attempt);
+    }
+
+    fn finish(&mut self, id: RequestId, attempt: Attempt) {
+        let open = self.open.get_mut(&id).unwrap();
+        let was = std::mem::take(&mut open.at);
+        let unknown = matches!(attempt, Attempt::Unknown(_));
+        open.uncertain |= unknown;
+        if let At::Written(
+            Send {
+                grant: Some((shard, _)),
+                deadline,
+                ..
+            },
+            _,
+        ) = &was
+            && unknown
+        {
+            let risk = self.risk.entry(shard.index).or_default();
+            *risk = (*risk).max(millis(*deadline));
+        }
+        if matches!(attempt, Attempt::Answered { .. }) {
+            self.open.remove(&id);
+            self.ended = id;
+        }
+        self.step(Event::Done { id, attempt });
+    }
+
+    fn cancel(&mut self, id: RequestId) {
+        let open = self.open.get_mut(&id).unwrap();
+        open.cancelled = true;
+        if open.at == At::Router {
+            self.open.remove(&id);
+            self.ended = id;
+        }
+        self.step(Event::Cancel { id });
+    }
+
+    fn decide(&mut self, id: RequestId) {
+        let pick = self.pick(10);
+        let open = self.open.get_mut(&id).unwrap();
+        open.at = At::Router;
+        open.recorded = pick > 3;
+        let result = match pick {
+            0 => RecordResult::Pending,
+            1 => RecordResult::Unsettled,
+            2 => RecordResult::Failed,
+            3 => RecordResult::Uncertain,
+            _ => RecordResult::Fresh,
+        };
+        self.step(Event::Recorded { id, result });
+    }
+
+    fn change_bundle(&mut self) {
+        let mut next = bundle(self.bundle.version + 1);
+        let pick = self.rng.random_range(0..4);
+        for service in &mut next.services {
+            (service.slots, service.queue) = (1 + pick, 1 + 2 * pick);
+            service.new_percent = 10 * pick as u8;
+        }
+        next.services[0].domain_lease = (pick == 0).then(|| ms(500));
+        let hot = (pick == 3).then(|| key(0).into());
+        next.services[0].hot_keys.extend(hot);
+        next.services.truncate(if self.chance(10) { 1 } else { 2 });
+        self.bundle = next.clone();
+        self.step(Event::Bundle(next));
+    }
+
+    fn random_step(&mut self) {
+        self.now += [0, 0, 1, 3, 10, 40][self.pick(6)];
+        match self.pick(100) {
+            0..25 => self.arrive(),
+            25..75 => self.report(),
+            75..78 => self.mutate(),
+            78..83 => {
+                let complete = self.chance(20);
+                self.view(complete);
+            }
+            83 => {
+                let old = self.old[self.rng.random_range(0..self.old.len())].clone();
+                if (old.term, old.index) != (self.seen.term, self.seen.index) {
+                    self.step(Event::View(old));
+                }
+            }
+            84..90 => {
+                let until = self.now + self.rng.random_range(50..900);
+                let fence = self.seen.index + u64::from(self.chance(10));
+                let control = self.now.saturating_sub(self.rng.random_range(0..400));
+                if until >= self.lease.0 {
+                    (self.lease.0, self.lease.1) = (until, fence);
+                }
+                self.lease.2 = self.lease.2.max(control);
+                let (until, control) = (ms(until), ms(control));
+                self.step(Event::Lease {
+                    until,
+                    fence,
+                    control,
+                });
+            }
+            90 => {
+                self.lease.0 = 0;
+                self.step(Event::LeaseLost);
+            }
+            91 => self.change_bundle(),
+            92..95 => {
+                let at = self.pick(self.seen.targets.len());
+                let target = *self.seen.targets.keys().nth(at).unwrap();
+                let alive = self.chance(80);
+                self.step(Event::Probed { target, alive });
+            }
+            95 if self.chance(10) => self.step(Event::Drain),
+            _ => self.step(Event::Tick),
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let shown = format!("seed {} at {} ms after {event:?}", self.seed, self.now);
+        let ready = match &event {
+            Event::Ready { id } => Some(*id),
+            _ => None,
+        };
+        let opening = ready.and_then(|id| match self.open.get(&id)?.at {
+            At::Opening(_, aborted) => Some(aborted),
+            _ => None,
+        });
+        let effects = self.router.step(event, ms(self.now));
+        if let Some(aborted) = opening {
+            let answer = effects.iter().any(|e| e.request() == ready);
+            assert_eq!(answer, !aborted, "answer to ready, {shown}");
+        }
+        for effect in effects {
+            if let Err(fault) = self.check(&effect, ready) {
+                panic!("{fault} by {effect:?}, {shown}");
+            }
+        }
+        let status = self.router.status();
+        let queue = self.bundle.service("k").map_or(0, |s| s.queue as usize);
+        let keyed = status.targets.iter().all(|t| t.queued <= queue);
+        // A bound that shrinks, because a VM joined or a target left, is for newcomers only.
+        let before = std::mem::take(&mut self.pools).into_iter().chain([0; 4]);
+        let pools = (status.queues.iter().zip(before)).all(|(q, b)| q.queued <= q.bound.max(b));
+        assert!(keyed && pools, "queue too long, {shown}");
+        self.pools = status.queues.iter().map(|q| q.queued).collect();
+        assert!(status.open <= self.open.len(), "ended twice, {shown}");
+    }
+
+    /// Ends everything in flight; then every request must end.
+    fn settle(&mut self) {
+        for _ in 0..150 {
+            self.now += 30;
+            let ids: Vec<_> = self.open.keys().copied().collect();
+            for id in ids {
+                match self.open.get(&id).map(|o| o.at.clone()) {
+                    Some(At::Record) => self.decide(id),
+                    Some(At::Opening(_, false)) => self.step(Event::Ready { id }),
+                    Some(At::Opening(_, true)) => self.finish(id, Attempt::NotRun(NotRun::Connect)),
+                    Some(At::Written(..) | At::Forward) => self.finish(id, answered()),
+                    Some(At::Router) | None => {}
+                }
+            }
+            self.step(Event::Tick);
+        }
+        let status = self.router.status();
+        let flying: u32 = status.targets.iter().map(|t| t.in_flight).sum();
+        let left = (status.open, status.waiting, flying);
+        assert_eq!(left, (0, 0, 0), "seed {}", self.seed);
+        let ended = self.open.values().all(|o| o.cancelled);
+        assert!(ended, "a request got no outcome, seed {}", self.seed);
+    }
+}
+
+fn target_of(id: TargetId, index: u32, sender: Option<VmId>) -> TargetView {
+    let mut new = target(id, if index < 2 { "k" } else { "u" }, sender);
+    new.info.spec.slots = 1 + index;
+    new
+}
+
+/// Guards against writes without a right to write, second runs, refusals that are untrue,
+/// exceeded slots and queues, early releases, and requests that never end.
+#[test]
+fn random_histories_are_legal() {
+    let setting = |name, default| {
+        let value = std::env::var(name).ok();
+        value.map_or(default, |v| v.parse().unwrap())
+    };
+    let count = setting("CAMPHORDALE_HISTORIES", 3000);
+    let first = setting("CAMPHORDALE_SEED", 1);
+    println!("{count} histories from seed {first}");
+    let mut reached = [0; 8];
+    for seed in first..first + count {
+        let mut world = World::new(seed);
+        (0..STEPS).for_each(|_| world.random_step());
+        world.settle();
+        let [aborts, holds, releases] = world.rare;
+        let c = world.router.counters();
+        let all = [
+            aborts, holds, releases, c.written, c.answered, c.retries, c.forwards, c.probes,
+        ];
+        reached.iter_mut().zip(all).for_each(|(sum, n)| *sum += n);
+    }
+    println!("aborts, holds, releases, written, answered, retries, forwards, probes: {reached:?}");
+    assert!(count < 100 || !reached.contains(&0));
+}
