node: Name the run in a sender's report

Change: the node passes on the incarnation that it checked.

Ruled out: nothing else differs between the two interfaces.

--- a/crates/node/src/domain.rs
+++ b/crates/node/src/domain.rs
@@ -336,6 +336,7 @@
                 clear,
             } => LeaderEvent::Released {
                 vm,
+                incarnation,
                 shard,
                 token,
                 clear,
