node: Split the simulation of the tests by topic

Change: the switch, bundles and leaders, targets and the holder's check are files of their own; no behaviour changed.

--- a/crates/node/tests/sim/mod.rs
+++ b/crates/node/tests/sim/mod.rs
@@ -13,11 +13,9 @@
 
 use camphordale_bundle::{
     SignedBundle,
-    SigningKey,
-    parse_bundle, //
+    SigningKey, //
 };
 use camphordale_control::{
-    Command,
     PlannerConfig,
     State as ControlState, //
 };
@@ -31,29 +29,22 @@
     Cast,
     ControlCall,
     ControlConfig,
-    ControlEffect,
     ControlEvent,
     ControlNode,
-    ControlReply,
     Datagram,
     EntryConfig,
-    EntryEffect,
     EntryEvent,
     EntryNode,
     Reply,
-    domain_member,
-    member_id,
-    member_vm, //
+    member_id, //
 };
 use camphordale_raft::{
     Config as RaftConfig,
     Members,
-    Persist,
     Recovered,
     Snapshot, //
 };
 use camphordale_types::{
-    Bundle,
     MemberId,
     Operator,
     Operators,
@@ -67,6 +58,8 @@
 };
 
 mod holder;
+mod scene;
+mod switch;
 mod targets;
 
 pub use holder::Holder;
@@ -471,205 +464,6 @@
         }
     }
 
-    fn entry_effect(&mut self, vm: VmId, effect: EntryEffect) {
-        match effect {
-            EntryEffect::Cast { to, cast, .. } => {
-                if let Cast::DomainRaft { term, from, .. } = &cast {
-                    let sealed = self.run(vm).sealed.get(from).copied();
-                    assert!(
-                        sealed.is_none_or(|sealed| *term > sealed),
-                        "VM {vm} takes part in sealed term {term}"
-                    );
-                }
-                self.send(vm, to, Content::Cast(cast));
-            }
-            EntryEffect::Datagram { address, datagram } => {
-                let to = VmId::from(address.port());
-                if let Datagram::Renewed { lease, .. } = &datagram
-                    && !lease.is_zero()
-                {
-                    self.grants.push((self.now, vm, to));
-                }
-                self.send(vm, to, Content::Datagram(datagram));
-            }
-            EntryEffect::Call {
-                id,
-                to,
-                call,
-                timeout,
-                ..
-            } => self.start_call(vm, id, to, call, timeout),
-            EntryEffect::Reply { id, reply } => self.answer(vm, id, reply),
-            EntryEffect::Route(event) => {
-                let one = self.vms.get_mut(&vm).unwrap();
-                one.run.as_mut().unwrap().holder.take(event);
-            }
-            EntryEffect::InForce { signed, bundle } => {
-                let one = self.vms.get_mut(&vm).unwrap();
-                let (version, acted) = (bundle.version, one.acted);
-                assert!(
-                    version >= acted,
-                    "VM {vm} goes back from {acted} to {version}"
-                );
-                one.acted = version;
-                one.saved = Some(signed);
-                self.in_force.push((vm, version));
-            }
-            EntryEffect::Role { .. } | EntryEffect::Refused { .. } | EntryEffect::Lease { .. } => {}
-        }
-    }
-
-    fn start_call(&mut self, vm: VmId, id: CallId, to: VmId, call: Call, timeout: Duration) {
-        let run = self.vms.get_mut(&vm).and_then(|one| one.run.as_mut());
-        let run = run.unwrap();
-        let incarnation = run.incarnation;
-        if let Call::Control(ControlCall::Leaderless { term, sealed, .. }) = &call
-            && *sealed
-        {
-            let member = domain_member(vm, run.entry.incarnation());
-            run.sealed.insert(member, *term);
-        }
-        if let (true, Call::Control(call)) = (to == vm, &call) {
-            let call = call.clone();
-            let id = self.admit(vm, Asker::Own(id));
-            self.control(vm, ControlEvent::Call { id, call });
-            return;
-        }
-        let down = self.vms.get(&to).is_none_or(|one| one.run.is_none());
-        // A refused connection shows at once; a lost call shows at its time limit, and nobody
-        // knows whether it arrived. The earlier of answer and time limit counts.
-        let (after, lost) = match down {
-            true => (self.delay.max(1), Err(false)),
-            false => (timeout.as_millis() as u64, Err(true)),
-        };
-        let at = self.now + after;
-        let back = Content::Return(incarnation, id, lost);
-        self.put(
-            at,
-            Packet {
-                from: to,
-                to: vm,
-                content: back,
-            },
-        );
-        if !down {
-            self.send(vm, to, Content::Call(incarnation, id, call));
-        }
-    }
-
-    fn answer(&mut self, vm: VmId, id: CallId, reply: Reply) {
-        let run = self.vms.get_mut(&vm).and_then(|one| one.run.as_mut());
-        match run.unwrap().asked.remove(&id) {
-            Some(Asker::Vm(to, incarnation, id)) => {
-                let back = Content::Return(incarnation, id, Ok(reply));
-                self.send(vm, to, back);
-            }
-            Some(Asker::Own(id)) => {
-                self.entry(
-                    vm,
-                    EntryEvent::Returned {
-                        id,
-                        result: Ok(reply),
-                    },
-                );
-            }
-            Some(Asker::Test(number)) => {
-                let before = self.answers.insert(number, reply);
-                assert_eq!(before, None, "call {number} was answered twice");
-            }
-            Some(Asker::Nobody) | None => {}
-        }
-    }
-
-    pub fn control(&mut self, vm: VmId, event: ControlEvent) {
-        let now = self.local(vm);
-        let one = self.vms.get_mut(&vm).unwrap();
-        let Some(node) = one.run.as_mut().and_then(|run| run.control.as_mut()) else {
-            return;
-        };
-        for effect in node.step(event, now) {
-            match effect {
-                ControlEffect::Persist(persist) => {
-                    keep(&mut self.vms.get_mut(&vm).unwrap().disk, persist);
-                }
-                ControlEffect::Send { to, message } => {
-                    let from = self.vms[&vm].member;
-                    let cast = Cast::ControlRaft { from, to, message };
-                    self.send(vm, member_vm(to), Content::Cast(cast));
-                }
-                ControlEffect::Reply { id, reply } => self.answer(vm, id, Reply::Control(reply)),
-                ControlEffect::Role { .. } => {}
-            }
-        }
-    }
-
-    fn send(&mut self, from: VmId, to: VmId, content: Content) {
-        let kind = match &content {
-            Content::Call(..) => Kind::Calls,
-            Content::Return(..) => Kind::Replies,
-            Content::Cast(_) | Content::Datagram(_) => Kind::All,
-        };
-        let cut = |kind| self.cuts.contains(&(from, to, kind));
-        if cut(Kind::All) || cut(kind) || self.rng.random_range(0..100) < self.loss {
-            return;
-        }
-        let at = self.now + 1 + self.rng.random_range(0..=self.delay);
-        self.put(at, Packet { from, to, content });
-    }
-
-    fn put(&mut self, at: u64, packet: Packet) {
-        self.sequence += 1;
-        self.queue.insert((at, self.sequence), packet);
-    }
-
-    fn deliver(&mut self, packet: Packet) {
-        let Packet { from, to, content } = packet.clone();
-        let Some(one) = self.vms.get_mut(&to) else {
-            return;
-        };
-        let Some(run) = &one.run else {
-            return;
-        };
-        if one.paused {
-            one.inbox.push(packet);
-            return;
-        }
-        match content {
-            Content::Cast(Cast::ControlRaft {
-                from,
-                to: id,
-                message,
-            }) => {
-                let event = ControlEvent::Raft {
-                    from,
-                    to: id,
-                    message,
-                };
-                self.control(to, event);
-            }
-            Content::Cast(cast) => self.entry(to, EntryEvent::Cast { from, cast }),
-            Content::Datagram(datagram) => {
-                self.entry(to, EntryEvent::Datagram { from, datagram });
-            }
-            Content::Call(incarnation, id, call) => {
-                let id = self.admit(to, Asker::Vm(from, incarnation, id));
-                match call {
-                    Call::Control(call) if self.vms[&to].setup.control => {
-                        self.control(to, ControlEvent::Call { id, call });
-                    }
-                    call => {
-                        let from = Some(from);
-                        self.entry(to, EntryEvent::Call { id, from, call });
-                    }
-                }
-            }
-            Content::Return(incarnation, id, result) if run.incarnation == incarnation => {
-                self.entry(to, EntryEvent::Returned { id, result });
-            }
-            Content::Return(..) => {}
-        }
-    }
-
     fn operators(&self) -> Operators {
         Operators {
             needed: 1,
@@ -679,100 +473,8 @@
             }],
         }
     }
-
-    /// Returns a signed bundle that follows the standing one as `vm` has applied it.
-    pub fn next_bundle(&self, vm: VmId, slots: u32) -> SignedBundle {
-        let control = self.run(vm).control.as_ref().unwrap();
-        let standing = control.state().standing();
-        let text = format!(
-            "version: 1\noperators: {{needed: 1, keys: [{{name: x, key: \
-             d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a}}]}}\nservices:\n  - \
-             {{name: berths, route: {{prefix: /berths}}, key: {{segment: 1}}, shards: 4, \
-             deadline: 300ms, slots: {slots}, connections: 60}}"
-        );
-        let bundle = Bundle {
-            version: standing.map_or(1, |(version, _)| version + 1),
-            previous: standing.map(|(_, digest)| digest),
-            operators: self.operators(),
-            ..parse_bundle(&text).unwrap()
-        };
-        let mut signed = SignedBundle::new(&bundle);
-        signed.sign("amina", &self.key);
-        signed
-    }
-
-    /// Submits a bundle at a voter and waits for the answer.
-    pub fn submit(&mut self, vm: VmId, slots: u32) -> ControlReply {
-        let signed = self.next_bundle(vm, slots);
-        let command = Command::SubmitBundle { signed, at: 0 };
-        match self.ask_and_wait(vm, Call::Control(ControlCall::Operate(command))) {
-            Reply::Control(reply) => reply,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    /// Returns the VM that leads the control group, as the voters that are awake see it.
-    pub fn control_leader(&self) -> Option<VmId> {
-        let runs = self.awake().into_iter().map(|vm| self.run(vm));
-        let controls = runs.filter_map(|run| run.control.as_ref());
-        let newest = controls.max_by_key(|control| control.term())?;
-        newest.leader()
-    }
-
-    /// Returns the VM that leads the domain's group and holds a lease from itself.
-    pub fn domain_leader(&self) -> Option<VmId> {
-        self.awake().into_iter().find(|&vm| {
-            let status = self.run(vm).entry.status(self.local(vm));
-            status.leader == Some(vm) && status.lease
-        })
-    }
-
-    /// Tells whether a VM holds a valid lease.
-    pub fn leased(&self, vm: VmId) -> bool {
-        self.run(vm).entry.status(self.local(vm)).lease
-    }
-
-    /// Tells whether every entry VM holds a lease.
-    pub fn all_leased(&self) -> bool {
-        let mut entries = self.vms.values().filter(|one| one.setup.entry);
-        entries.all(|one| one.run.is_some() && !one.paused && self.leased(one.setup.vm))
-    }
-
-    /// Starts with a bundle in force and a lease on every entry VM.
-    pub fn serving(seed: u64, setups: Vec<Setup>, targets: usize) -> Sim {
-        let mut sim = Sim::new(seed, setups);
-        sim.until("a control leader", ms(5_000), |sim| {
-            sim.control_leader().is_some()
-        });
-        let voter = sim.control_leader().unwrap();
-        let reply = sim.submit(voter, 4);
-        assert!(matches!(reply, ControlReply::Applied(_)), "{reply:?}");
-        let domains: Vec<_> = sim.vms.values().filter(|v| v.setup.entry).collect();
-        let entries = domains.iter().map(|v| v.setup.vm).collect();
-        sim.add_targets(targets, entries);
-        let took = sim.until("leases", ms(15_000), Sim::all_leased);
-        sim.advance(ms(6_000));
-        println!("leases after {took} ms");
-        sim
-    }
 }
 
 fn address(vm: VmId) -> SocketAddr {
     ([127, 0, 0, 1], vm as u16).into()
 }
-
-/// Applies a write to a disk.
-fn keep(disk: &mut Recovered, persist: Persist) {
-    if let Some(hard) = persist.hard {
-        disk.hard = hard;
-    }
-    if let Some(snapshot) = persist.snapshot {
-        disk.entries
-            .retain(|entry| entry.index > snapshot.index && !persist.reset);
-        disk.snapshot = Some(snapshot);
-    }
-    if let Some(first) = persist.entries.first().map(|entry| entry.index) {
-        disk.entries.retain(|entry| entry.index < first);
-        disk.entries.extend(persist.entries);
-    }
-}
--- /dev/null
+++ b/crates/node/tests/sim/scene.rs
@@ -0,0 +1,101 @@
+//! Bundles, leaders, and a deployment that serves.
+
+use camphordale_bundle::{
+    SignedBundle,
+    parse_bundle, //
+};
+use camphordale_control::Command;
+use camphordale_node::{
+    Call,
+    ControlCall,
+    ControlReply,
+    Reply, //
+};
+use camphordale_types::{
+    Bundle,
+    VmId, //
+};
+
+use super::{
+    Setup,
+    Sim,
+    ms, //
+};
+
+impl Sim {
+    /// Returns a signed bundle that follows the standing one as `vm` has applied it.
+    pub fn next_bundle(&self, vm: VmId, slots: u32) -> SignedBundle {
+        let control = self.run(vm).control.as_ref().unwrap();
+        let standing = control.state().standing();
+        let text = format!(
+            "version: 1\noperators: {{needed: 1, keys: [{{name: x, key: \
+             d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a}}]}}\nservices:\n  - \
+             {{name: berths, route: {{prefix: /berths}}, key: {{segment: 1}}, shards: 4, \
+             deadline: 300ms, slots: {slots}, connections: 60}}"
+        );
+        let bundle = Bundle {
+            version: standing.map_or(1, |(version, _)| version + 1),
+            previous: standing.map(|(_, digest)| digest),
+            operators: self.operators(),
+            ..parse_bundle(&text).unwrap()
+        };
+        let mut signed = SignedBundle::new(&bundle);
+        signed.sign("amina", &self.key);
+        signed
+    }
+
+    /// Submits a bundle at a voter and waits for the answer.
+    pub fn submit(&mut self, vm: VmId, slots: u32) -> ControlReply {
+        let signed = self.next_bundle(vm, slots);
+        let command = Command::SubmitBundle { signed, at: 0 };
+        match self.ask_and_wait(vm, Call::Control(ControlCall::Operate(command))) {
+            Reply::Control(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Returns the VM that leads the control group, as the voters that are awake see it.
+    pub fn control_leader(&self) -> Option<VmId> {
+        let runs = self.awake().into_iter().map(|vm| self.run(vm));
+        let controls = runs.filter_map(|run| run.control.as_ref());
+        let newest = controls.max_by_key(|control| control.term())?;
+        newest.leader()
+    }
+
+    /// Returns the VM that leads the domain's group and holds a lease from itself.
+    pub fn domain_leader(&self) -> Option<VmId> {
+        self.awake().into_iter().find(|&vm| {
+            let status = self.run(vm).entry.status(self.local(vm));
+            status.leader == Some(vm) && status.lease
+        })
+    }
+
+    /// Tells whether a VM holds a valid lease.
+    pub fn leased(&self, vm: VmId) -> bool {
+        self.run(vm).entry.status(self.local(vm)).lease
+    }
+
+    /// Tells whether every entry VM holds a lease.
+    pub fn all_leased(&self) -> bool {
+        let mut entries = self.vms.values().filter(|one| one.setup.entry);
+        entries.all(|one| one.run.is_some() && !one.paused && self.leased(one.setup.vm))
+    }
+
+    /// Starts with a bundle in force and a lease on every entry VM.
+    pub fn serving(seed: u64, setups: Vec<Setup>, targets: usize) -> Sim {
+        let mut sim = Sim::new(seed, setups);
+        sim.until("a control leader", ms(5_000), |sim| {
+            sim.control_leader().is_some()
+        });
+        let voter = sim.control_leader().unwrap();
+        let reply = sim.submit(voter, 4);
+        assert!(matches!(reply, ControlReply::Applied(_)), "{reply:?}");
+        let domains: Vec<_> = sim.vms.values().filter(|v| v.setup.entry).collect();
+        let entries = domains.iter().map(|v| v.setup.vm).collect();
+        sim.add_targets(targets, entries);
+        let took = sim.until("leases", ms(15_000), Sim::all_leased);
+        sim.advance(ms(6_000));
+        println!("leases after {took} ms");
+        sim
+    }
+}
