daemon: Name the bundle on which an operator's move was decided

Cause: `SetHomes` of the control crate got the version of the bundle on which the changes were decided; the daemon did not fill it in and did not compile.

Change: the version comes from the same copy of the directory as the home.

Ruled out: version 0, which would refuse every move.

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -438,11 +438,13 @@
     fn move_shard(&self, request: &Request) -> Served<Response> {
         let asked: MoveRequest = body(request)?;
         let (service, index) = (asked.service.clone(), asked.shard);
-        let since = self.inspect(move |node, _| {
+        let known = self.inspect(move |node, _| {
             let cache = node.directory().cache();
-            cache.home(&service, index).map(|home| home.since)
+            let bundle = cache.bundle().map_or(0, |bundle| bundle.version);
+            let home = cache.home(&service, index);
+            home.map(|home| (home.since, bundle))
         })?;
-        let Some(expect) = since else {
+        let Some((expect, bundle)) = known else {
             return refuse(404, "move", "the shard has no home");
         };
         let note = ControlCommand::Note {
@@ -459,6 +461,7 @@
         };
         let command = ControlCommand::SetHomes {
             service: asked.service.clone(),
+            bundle,
             changes: vec![change],
         };
         let done = format!(
