Give requests on silent connections a new one once the target answers

When a probe on a fresh connection is answered, requests that may be repeated and that have waited beyond the ordinary silence are aborted and sent again within the retry budget. Connections whose data stays unconfirmed for 800 ms are closed.

Ruled out: aborting requests that may not be repeated, whose outcome would be unknown while the target may still run them.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -61,6 +61,10 @@
 /// Requests that grew the buffer beyond this give it back.
 const KEEP_OUT: usize = 64 * 1024;
 
+/// Time for which sent data may stay unconfirmed by the system of the server.
+#[cfg(target_os = "linux")]
+const UNCONFIRMED_TIME: Duration = Duration::from_millis(800);
+
 /// Time for which a check of an unused connection is relied on.
 const CHECK_TIME: Duration = Duration::from_millis(1);
 
@@ -373,6 +377,11 @@
             std::io::ErrorKind::TimedOut => ClientFailure::Timeout,
             _ => ClientFailure::Io(error),
         })?;
+    // Without it, data on a connection that something in between has lost track of is sent again
+    // for many minutes before the system gives up. It has no effect on a slow server, whose
+    // system confirms what it receives.
+    #[cfg(target_os = "linux")]
+    raw.set_tcp_user_timeout(Some(UNCONFIRMED_TIME))?;
     let socket = Socket::new(Arc::new(raw.into()))?;
     let now = Instant::now();
     Ok(Conn {
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -352,6 +352,12 @@
         };
         let until = target.health.probe_ended(alive, self.now);
         if alive {
+            // The target answers on a new connection, so requests that have long been in flight
+            // are on connections that lost their way. Those that may be repeated get a new one.
+            let (now, limit) = (self.now, target.health.silence());
+            self.abort_all(id, |flight| {
+                flight.repeatable && now >= flight.started + limit
+            });
             return self.pump_target(id);
         }
         self.wakes.insert((until, id));
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -94,8 +94,13 @@
 
     /// Tells whether requests in flight have seen no answer for so long that a probe is due.
     pub(crate) fn is_silent(&self, now: Duration) -> bool {
+        now >= self.progress + self.silence() && self.may_probe(now)
+    }
+
+    /// Returns the time without an answer that is out of the ordinary.
+    pub(crate) fn silence(&self) -> Duration {
         let usual = Duration::try_from_secs_f64(self.latency * SILENCE_FACTOR).unwrap_or_default();
-        now >= self.progress + SILENCE.max(usual) && self.may_probe(now)
+        SILENCE.max(usual)
     }
 
     /// Records the start of a probe and returns the end of the pause that it causes.
