daemon: Check recorded answers after the sender was killed

Cause: the copies of idempotent requests covered runs without an answer only.

Change: four requests are answered before the kill, and are sent again to both remaining VMs after it.

Ruled out: unknown as an acceptable answer, since two of three voters remain.

Conclusion: records survive the loss of one VM of three.

--- a/crates/daemon/tests/failures.rs
+++ b/crates/daemon/tests/failures.rs
@@ -202,6 +202,13 @@
         Ask::post(&keys[i % keys.len()], &name).idempotent(&name)
     };
     let places = [vm(1), vm(2), vm(3)];
+    // These are answered before the kill, so their answers are on record.
+    let done: Vec<_> = (10..14)
+        .map(|i| {
+            let (answer, _) = ask(i).until_answered(site.callers(FIRST), LIMIT);
+            (i, answer.body["run"].clone())
+        })
+        .collect();
     let mut first = Vec::new();
     for i in 0..6 {
         for place in places {
@@ -240,6 +247,13 @@
         "copies: first round {:?}",
         answers.iter().map(|a| a.status).collect::<Vec<_>>()
     );
+    for (i, run) in done {
+        for &place in &left {
+            let (answer, _) = ask(i).until_answered(site.callers(place), LIMIT);
+            assert_eq!(answer.body["run"], run, "not the recorded answer");
+        }
+        assert_eq!(site.commits(&format!("copy-{i}")).len(), 1);
+    }
     let report = site.check(&[]);
     assert!(report.holds(), "{report}");
 }
