Hold silent connections to their former and a new bound

Cause: the bound on failed attempts had been replaced by one on time alone. Both now hold: at most 1 attempt in 20 fails, and none that begins 1 s after the connections went silent.

--- a/crates/daemon/tests/failures_targets.rs
+++ b/crates/daemon/tests/failures_targets.rs
@@ -29,9 +29,8 @@
 /// target that checks tokens waits for its lease; one that does not also for deadlines (1 s).
 const MOVED: Duration = Duration::from_secs(6);
 
-/// Time for silent connections to be replaced: a deadline of 1 s, and the attempts held back
-/// behind it.
-const REPLACED: Duration = Duration::from_millis(1_500);
+/// Time in which silent connections are found and replaced.
+const REPLACED: Duration = Duration::from_secs(1);
 
 /// Guards against keys that stay with a frozen target, and against work that a target commits
 /// when it goes on as if nothing had happened although another one owns the key.
@@ -176,8 +175,9 @@
     let muted = wall_us();
     let (summary, records) = site.load("mute", 50.0, Duration::from_secs(4)).finish();
     println!("mute: {summary:?}");
-    // Requests that went out on silent connections hold their slots until their deadline.
     let failed = records.iter().filter(|r| r.outcome != Outcome::Ok);
+    let count = failed.clone().count();
+    assert!(count * 20 <= records.len(), "{count} of {}", records.len());
     let last = failed.map(|r| r.start_us - muted).max().unwrap_or(0);
     println!(
         "mute: the last failed attempt began after {} ms",
