Add placement measurements

Change: crate camphordale-bench with tables, spreads, a page writer and the section placement: place against modulo, rendezvous and greedy from nothing, and the domain leader's reducer in simulated time with its own pass interval and move limits. The reducer is used itself rather than a copy of its constants, so the figures follow when it changes. Ruled out: pure zipf rates at the design size, where the hottest key alone makes 2.5 times a target's mean load; a second table shows that bound.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,30 @@
+//! Measurements of camphordale, and the capacity that follows from them.
+//!
+//! Start with [`SECTIONS`]. Each section returns [`Table`]s and writes the values that
+//! `docs/CAPACITY.md` needs to [`Slopes`].
+
+mod error;
+mod page;
+pub mod placement;
+mod run;
+mod section;
+mod slopes;
+mod spread;
+mod table;
+
+pub use error::MeasureError;
+pub use page::{
+    replace,
+    write_section, //
+};
+pub use run::Run;
+pub use section::{
+    SECTIONS,
+    Section, //
+};
+pub use slopes::Slopes;
+pub use spread::{
+    Spread,
+    slope, //
+};
+pub use table::Table;
--- /dev/null
+++ b/crates/bench/src/page.rs
@@ -0,0 +1,44 @@
+//! The page with the results: each section lies between marker comments and is replaced alone.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use crate::MeasureError;
+
+/// Replaces the text between the markers of `section` in `page`, or returns none if the markers
+/// are missing.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_bench::replace;
+///
+/// let page = "a\n<!-- begin x -->\nold\n<!-- end x -->\nb\n";
+/// let next = replace(page, "x", "new\n").unwrap_or_default();
+/// assert_eq!(next, "a\n<!-- begin x -->\nnew\n<!-- end x -->\nb\n");
+/// assert!(replace(page, "y", "new\n").is_none());
+/// ```
+pub fn replace(page: &str, section: &str, text: &str) -> Option<String> {
+    let begin = format!("<!-- begin {section} -->\n");
+    let end = format!("<!-- end {section} -->");
+    let from = page.find(&begin)? + begin.len();
+    let to = from + page[from..].find(&end)?;
+    Some(format!("{}{text}{}", &page[..from], &page[to..]))
+}
+
+/// Replaces one section of a page file.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read or written, or lacks the section's markers.
+pub fn write_section(file: &Path, section: &str, text: &str) -> Result<(), MeasureError> {
+    let name = file.display().to_string();
+    let page = fs::read_to_string(file).map_err(MeasureError::file(&name))?;
+    let Some(page) = replace(&page, section, text) else {
+        let reason = format!("{name} has no markers for {section}");
+        return Err(MeasureError::result("write a section", reason));
+    };
+    fs::write(file, page).map_err(MeasureError::file(&name))
+}
--- /dev/null
+++ b/crates/bench/src/placement/group.rs
@@ -0,0 +1,273 @@
+//! A domain group in simulated time: the leader's reducer and the group's state machine, with
+//! senders that drain a shard within one step.
+
+use std::time::Duration;
+
+use camphordale_domain::{
+    Command,
+    Effect,
+    Event,
+    HomedShard,
+    Leader,
+    LeaseConfig,
+    Phase,
+    State, //
+};
+use camphordale_types::{
+    LoadReport,
+    Service,
+    ShardIndex,
+    ShardRef,
+    Side,
+    TargetId,
+    TargetSpec,
+    TargetState, //
+};
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+use super::rates::draw_count;
+
+/// Time of one step, the tick of the daemon.
+const STEP: Duration = Duration::from_millis(10);
+/// Time between two renewals of the VMs, the targets and the leadership, in steps.
+const RENEW_STEPS: u64 = 10;
+/// Time between two load reports of a sender, in steps.
+const REPORT_STEPS: u64 = 100;
+/// VMs of the group.
+const VMS: u32 = 3;
+/// Incarnation of each VM.
+const INCARNATION: u64 = 1;
+
+/// The simulated group.
+pub(super) struct Group {
+    service: Service,
+    state: State,
+    leader: Leader,
+    random: StdRng,
+    step: u64,
+    index: u64,
+    /// Changes of owner since the last call of [`Group::take_moves`].
+    moves: u64,
+    owners: Vec<Option<TargetId>>,
+    alive: Vec<TargetId>,
+    /// Requests per second of each shard.
+    pub(super) rates: Vec<f64>,
+}
+
+impl Group {
+    /// Creates a group with `targets`, whose shards get `rates`.
+    pub(super) fn new(service: Service, targets: usize, rates: Vec<f64>, seed: u64) -> Self {
+        let ms = Duration::from_millis;
+        let config = LeaseConfig {
+            vm: ms(500),
+            target: ms(600),
+            stall: ms(50),
+        };
+        let mut group = Group {
+            state: State::new(1, false),
+            leader: Leader::new(config, seed),
+            random: StdRng::seed_from_u64(seed),
+            step: 0,
+            index: 0,
+            moves: 0,
+            owners: vec![None; service.shard_count() as usize],
+            alive: Vec::new(),
+            rates,
+            service,
+        };
+        group.event(Event::Elected {
+            epoch: 1,
+            reformed: false,
+        });
+        group.apply(&Command::SetServices {
+            version: 1,
+            services: vec![group.service.clone()],
+        });
+        let homed = |index| HomedShard {
+            index,
+            since: 1,
+            moved: false,
+            leaving: false,
+        };
+        group.apply(&Command::SetHomes {
+            service: group.service.name.clone(),
+            version: 1,
+            shards: (0..group.service.shard_count()).map(homed).collect(),
+        });
+        for _ in 0..targets {
+            group.join();
+        }
+        group
+    }
+
+    /// Adds a target.
+    pub(super) fn join(&mut self) {
+        let number = self.index;
+        let spec = TargetSpec {
+            name: format!("t{number}").into(),
+            service: self.service.name.clone(),
+            side: Side::Old,
+            address: ([127, 0, 0, 1], number as u16).into(),
+            checks_tokens: true,
+            slots: self.service.slots,
+        };
+        self.apply(&Command::TargetUp(spec));
+        self.alive.push(self.index);
+    }
+
+    /// Lets the target that joined first leave; returns the number of its shards.
+    pub(super) fn leave(&mut self) -> usize {
+        let id = self.alive.remove(0);
+        self.apply(&Command::TargetLeaving(id));
+        self.owners.iter().filter(|o| **o == Some(id)).count()
+    }
+
+    /// Runs for `time`; returns the time after which the ratio of maximum to mean load stayed
+    /// below `limit`, or none if it is not at the end.
+    pub(super) fn run(&mut self, time: Duration, limit: f64) -> Option<Duration> {
+        let steps = (time.as_millis() / STEP.as_millis()) as u64;
+        let mut good = 0;
+        for step in 0..steps {
+            self.advance();
+            if self.ratio() >= limit {
+                good = step + 1;
+            }
+        }
+        (good < steps).then(|| STEP * good as u32)
+    }
+
+    /// Returns the moves since the last call. A first owner is no move.
+    pub(super) fn take_moves(&mut self) -> u64 {
+        std::mem::take(&mut self.moves)
+    }
+
+    /// Returns the ratio of maximum to mean load by the true rates.
+    pub(super) fn ratio(&self) -> f64 {
+        let mut loads = vec![0.0; self.alive.len()];
+        for (owner, rate) in self.owners.iter().zip(&self.rates) {
+            let at = owner.and_then(|owner| self.alive.iter().position(|&id| id == owner));
+            if let Some(at) = at {
+                loads[at] += rate;
+            }
+        }
+        let mean = self.rates.iter().sum::<f64>() / loads.len() as f64;
+        loads.into_iter().fold(0.0, f64::max) / mean
+    }
+
+    fn now(&self) -> Duration {
+        STEP * self.step as u32
+    }
+
+    fn advance(&mut self) {
+        self.step += 1;
+        if self.step.is_multiple_of(RENEW_STEPS) {
+            self.renew();
+        }
+        if self.step.is_multiple_of(REPORT_STEPS) {
+            self.report();
+        }
+        self.drain();
+        self.event(Event::Tick);
+        self.observe();
+    }
+
+    fn renew(&mut self) {
+        let until = self.now() + Duration::from_millis(150);
+        self.event(Event::Quorum { until });
+        for vm in 1..=VMS {
+            self.event(Event::RenewVm {
+                vm,
+                incarnation: INCARNATION,
+                nonce: self.step,
+            });
+        }
+        let targets: Vec<TargetId> = self.state.targets().map(|t| t.info.id).collect();
+        for target in targets {
+            self.event(Event::RenewTarget {
+                target,
+                load: LoadReport::default(),
+                nonce: self.step,
+            });
+        }
+    }
+
+    /// Reports a random number of requests for each shard, as senders count them.
+    fn report(&mut self) {
+        let seconds = STEP.as_secs_f64() * REPORT_STEPS as f64;
+        let name = &self.service.name;
+        let random = &mut self.random;
+        let counts: Vec<(_, ShardIndex, u32)> = self
+            .rates
+            .iter()
+            .enumerate()
+            .map(|(shard, rate)| {
+                (
+                    name.clone(),
+                    shard as u32,
+                    draw_count(rate * seconds, random),
+                )
+            })
+            .filter(|(_, _, count)| *count > 0)
+            .collect();
+        self.event(Event::Load {
+            vm: 1,
+            shards: counts,
+        });
+    }
+
+    /// Reports the shards that are releasing as drained.
+    fn drain(&mut self) {
+        let name = self.service.name.clone();
+        let releasing: Vec<Event> = self
+            .state
+            .shards(&name)
+            .filter_map(|(index, entry)| {
+                let Phase::Releasing(owner) = entry.phase else {
+                    return None;
+                };
+                Some(Event::Released {
+                    vm: self.state.target(owner)?.sender?,
+                    shard: ShardRef::new(&name, index),
+                    token: entry.token,
+                    clear: Duration::ZERO,
+                })
+            })
+            .collect();
+        for event in releasing {
+            self.event(event);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.now();
+        let effects = self.leader.step(&self.state, event, now);
+        for effect in effects {
+            if let Effect::Propose(command) = effect {
+                self.apply(&command);
+            }
+        }
+    }
+
+    fn apply(&mut self, command: &Command) {
+        self.index += 1;
+        self.state.apply(self.index, 1, command);
+    }
+
+    /// Counts the changes of owner.
+    fn observe(&mut self) {
+        for (index, entry) in self.state.shards(&self.service.name) {
+            if let Phase::Held(owner) = entry.phase {
+                let before = self.owners[index as usize].replace(owner);
+                self.moves += u64::from(before.is_some_and(|before| before != owner));
+            }
+        }
+        let state = &self.state;
+        self.alive.retain(|&id| {
+            let target = state.target(id);
+            target.is_some_and(|t| t.info.state == TargetState::Serving)
+        });
+    }
+}
--- /dev/null
+++ b/crates/bench/src/section.rs
@@ -0,0 +1,30 @@
+//! The sections by name.
+
+use crate::{
+    MeasureError,
+    Run,
+    Slopes,
+    Table,
+    placement, //
+};
+
+/// A part of the measurements.
+#[derive(Clone, Copy)]
+pub struct Section {
+    /// Name on the command line and in the markers of the page.
+    pub name: &'static str,
+    /// Page that holds its tables.
+    pub page: &'static str,
+    /// Makes the measurement.
+    pub measure: fn(&Run, &mut Slopes) -> Result<Vec<Table>, MeasureError>,
+}
+
+/// The page with the results.
+const PAGE: &str = "measurements.md";
+
+/// All sections, in their order on the page.
+pub const SECTIONS: [Section; 1] = [Section {
+    name: "placement",
+    page: PAGE,
+    measure: |run, _| placement::measure(run),
+}];
--- /dev/null
+++ b/crates/bench/src/table.rs
@@ -0,0 +1,99 @@
+//! Tables of results, as plain text and as Markdown.
+
+use std::fmt::Write;
+
+/// One table with what is needed to repeat it.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// What it shows.
+    pub title: Box<str>,
+    /// Command line, seeds, sizes and other conditions.
+    pub conditions: Vec<Box<str>>,
+    /// Column heads.
+    pub heads: Vec<Box<str>>,
+    /// Rows; each has as many cells as there are heads.
+    pub rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Creates a table without rows.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_bench::Table;
+    ///
+    /// let mut table = Table::new("Bundles", &["run", "ms"]);
+    /// table.row(["1", "12"]);
+    /// assert!(table.markdown().contains("| 1 | 12 |"));
+    /// ```
+    pub fn new(title: &str, heads: &[&str]) -> Self {
+        Table {
+            title: title.into(),
+            heads: heads.iter().map(|&head| head.into()).collect(),
+            ..Table::default()
+        }
+    }
+
+    /// Adds a condition under which the table was made.
+    pub fn condition<T>(&mut self, text: T)
+    where
+        T: Into<Box<str>>,
+    {
+        self.conditions.push(text.into());
+    }
+
+    /// Adds a row.
+    pub fn row<R, C>(&mut self, cells: R)
+    where
+        R: IntoIterator<Item = C>,
+        C: Into<String>,
+    {
+        self.rows.push(cells.into_iter().map(Into::into).collect());
+    }
+
+    /// Returns the table as Markdown.
+    pub fn markdown(&self) -> String {
+        let mut out = format!("**{}**\n\n", self.title);
+        for condition in &self.conditions {
+            let _ = writeln!(out, "- {condition}");
+        }
+        if !self.conditions.is_empty() {
+            out.push('\n');
+        }
+        let _ = writeln!(out, "| {} |", self.heads.join(" | "));
+        let _ = writeln!(out, "|{}", "---|".repeat(self.heads.len()));
+        for row in &self.rows {
+            let _ = writeln!(out, "| {} |", row.join(" | "));
+        }
+        out
+    }
+
+    /// Returns the table as text with aligned columns.
+    pub fn text(&self) -> String {
+        let mut widths: Vec<usize> = self.heads.iter().map(|head| head.len()).collect();
+        for row in &self.rows {
+            for (width, cell) in widths.iter_mut().zip(row) {
+                *width = (*width).max(cell.len());
+            }
+        }
+        let mut out = format!("{}\n", self.title);
+        for condition in &self.conditions {
+            let _ = writeln!(out, "  {condition}");
+        }
+        let line = |out: &mut String, cells: &mut dyn Iterator<Item = &str>| {
+            for (at, (cell, &width)) in cells.zip(&widths).enumerate() {
+                let _ = match at {
+                    0 => write!(out, "  {cell:<width$}"),
+                    _ => write!(out, "  {cell:>width$}"),
+                };
+            }
+            out.push('\n');
+        };
+        line(&mut out, &mut self.heads.iter().map(|head| &**head));
+        for row in &self.rows {
+            line(&mut out, &mut row.iter().map(|cell| &**cell));
+        }
+        out
+    }
+}
