--- /dev/null
+++ b/crates/bench/src/deploy.rs
@@ -0,0 +1,258 @@
+//! Deployments of real processes for the measurements.
+
+mod client;
+mod proc;
+
+use std::{
+    fmt::Write,
+    net::SocketAddr,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_standin::fleet::{
+    Fleet,
+    FleetOptions,
+    OPERATORS,
+    Place,
+    Process,
+    Programs,
+    TargetSetup,
+    get_json, //
+};
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::{
+    MeasureError,
+    Run, //
+};
+
+pub(crate) use client::{
+    Client,
+    get_text, //
+};
+pub(crate) use proc::{
+    Usage,
+    usage, //
+};
+
+/// Longest wait for a step of the start.
+pub(crate) const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a deployment that is to become quiet.
+const QUIET_POLL: Duration = Duration::from_millis(100);
+
+/// Time for which nothing must change until a deployment counts as quiet.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// Name of the service with keys.
+pub(crate) const KEYED: &str = "keyed";
+
+/// Name of the service without keys.
+pub(crate) const OPEN: &str = "open";
+
+/// A deployment whose files are removed with it.
+pub(crate) struct Deployment {
+    pub(crate) fleet: Fleet,
+    domains: u8,
+    vms: u8,
+    numbers: Vec<u8>,
+    folder: TempDir,
+}
+
+/// Shape of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Shape {
+    /// Failure domains.
+    pub(crate) domains: u8,
+    /// VMs in each.
+    pub(crate) vms: u8,
+    /// Shards of the service with keys.
+    pub(crate) shards: u32,
+    /// Slots of each target.
+    pub(crate) slots: u32,
+}
+
+impl Shape {
+    /// Returns the services of a bundle in YAML, with this share of shards for new targets.
+    pub(crate) fn services(&self, new_percent: u8) -> String {
+        let Shape { shards, slots, .. } = self;
+        let mut text = String::new();
+        let _ = write!(
+            text,
+            "  - name: {KEYED}\n    route: {{prefix: /{KEYED}}}\n    key: {{segment: 1}}\n    \
+             shards: {shards}\n    repeat: by-method\n    deadline: 2s\n    domain_lease: none\n    \
+             record_life: 10m\n    new_percent: {new_percent}%\n    slots: {slots}\n    \
+             connections: 110\n    queue: 64\n    warm_up: 1s\n    \
+             weights: {{imbalance: 1, churn: 1, unavailable: 1}}\n"
+        );
+        let _ = write!(
+            text,
+            "  - name: {OPEN}\n    route: {{prefix: /{OPEN}}}\n    key: none\n    \
+             repeat: by-method\n    deadline: 2s\n    domain_lease: none\n    slots: {slots}\n    \
+             connections: 110\n    queue: 64\n    warm_up: 1s\n    \
+             weights: {{imbalance: 1, churn: 1, unavailable: 1}}\n"
+        );
+        text
+    }
+}
+
+impl Deployment {
+    /// Starts the VMs and brings the first bundle into force.
+    pub(crate) fn start(run: &Run, shape: Shape) -> Result<Self, MeasureError> {
+        let folder = tempfile::tempdir().map_err(MeasureError::file("make a folder"))?;
+        let mut fleet = Fleet::start(FleetOptions {
+            programs: Programs {
+                daemon: run.programs.join("camphordaled"),
+                target: Some(run.programs.join("standin-target")),
+                link: None,
+            },
+            folder: folder.path().join("fleet"),
+            domains: shape.domains,
+            vms: shape.vms,
+            extra: String::new(),
+        })?;
+        fleet.await_control(START_LIMIT)?;
+        let first = Place { domain: 1, vm: 1 };
+        let version = fleet.submit(&shape.services(0), first)?;
+        fleet.await_in_force(version, START_LIMIT)?;
+        fleet.await_leases(START_LIMIT)?;
+        Ok(Deployment {
+            fleet,
+            domains: shape.domains,
+            vms: shape.vms,
+            numbers: vec![0; usize::from(shape.domains)],
+            folder,
+        })
+    }
+
+    /// Starts a target in a domain; returns its name.
+    pub(crate) fn add_target(
+        &mut self,
+        domain: u8,
+        service: &str,
+        slots: u32,
+    ) -> Result<String, MeasureError> {
+        let number = &mut self.numbers[usize::from(domain - 1)];
+        *number += 1;
+        self.fleet.start_target(&TargetSetup {
+            domain,
+            number: *number,
+            service: service.into(),
+            side: "old",
+            slots,
+            work_us: 0,
+            checks_tokens: true,
+            key_header: "x-key".into(),
+        })?;
+        Ok(format!("{service}-{domain}-{number}"))
+    }
+
+    /// Starts a target without a journal on the address of the first VM, so that writing the
+    /// journal does not bound its rate; returns its address.
+    pub(crate) fn add_plain_target(
+        &mut self,
+        service: &str,
+        port: u16,
+        slots: u32,
+        run: &Run,
+    ) -> Result<(SocketAddr, Process), MeasureError> {
+        let first = Place { domain: 1, vm: 1 };
+        let address = self.fleet.address(first, port);
+        let entry = self
+            .fleet
+            .address(first, camphordale_standin::fleet::TARGETS);
+        let log = self.folder.path().join(format!("{service}-plain.log"));
+        let program = run.programs.join("standin-target");
+        let process = Process::start(&program, &log, |command| {
+            command.args(["--name", &format!("{service}-plain")]);
+            command.args(["--service", service, "--side", "old"]);
+            command.args(["--listen", &address.to_string()]);
+            command.args(["--entry", &entry.to_string()]);
+            command.args(["--key", camphordale_standin::fleet::ACCESS_KEY]);
+            command.args(["--slots", &slots.to_string()]);
+        })?;
+        Ok((address, process))
+    }
+
+    /// Waits until each domain has a leader, each VM a lease, and each shard an owner, and none
+    /// of them changed for a while.
+    pub(crate) fn await_quiet(&mut self, limit: Duration) -> Result<(), MeasureError> {
+        self.fleet.await_leases(limit)?;
+        self.fleet.await_owned(&[KEYED], limit)?;
+        let start = Instant::now();
+        let mut before = None;
+        let mut since = Instant::now();
+        loop {
+            let now = self.picture();
+            if now.is_none() || now != before {
+                since = Instant::now();
+            }
+            before = now;
+            if before.is_some() && since.elapsed() >= QUIET {
+                return Ok(());
+            }
+            if start.elapsed() > limit {
+                return Err(MeasureError::result("wait", "the deployment is not quiet"));
+            }
+            thread::sleep(QUIET_POLL);
+        }
+    }
+
+    /// Returns who leads, owns and sends, or none while a part does not answer.
+    fn picture(&mut self) -> Option<Vec<Value>> {
+        let mut all = Vec::new();
+        for place in self.running() {
+            let status = self.status(place).ok()?;
+            let leader = |group: &str| status[group]["leader"].is_u64();
+            if !leader("group") || !leader("control") || status["lease"]["valid"] != true {
+                return None;
+            }
+            all.push(status["group"].clone());
+            all.push(status["control"].clone());
+        }
+        for domain in 1..=self.domains {
+            all.push(self.shards(domain).ok()?);
+        }
+        Some(all)
+    }
+
+    /// Returns the VMs whose processes run.
+    pub(crate) fn running(&mut self) -> Vec<Place> {
+        let mut places = self.fleet.places();
+        places.retain(|&place| self.fleet.daemon(place).is_some());
+        places
+    }
+
+    /// Returns the status of a VM.
+    pub(crate) fn status(&self, place: Place) -> Result<Value, MeasureError> {
+        Ok(get_json(
+            self.fleet.address(place, OPERATORS),
+            "/v1/status",
+        )?)
+    }
+
+    /// Returns the shards of the service with keys as a running VM of the domain sees them.
+    pub(crate) fn shards(&mut self, domain: u8) -> Result<Value, MeasureError> {
+        let place = (1..=self.vms)
+            .map(|vm| Place { domain, vm })
+            .find(|&place| self.fleet.daemon(place).is_some());
+        let place = place.ok_or_else(|| MeasureError::result("shards", "no VM runs"))?;
+        let at = self.fleet.address(place, OPERATORS);
+        Ok(get_json(at, &format!("/v1/shards?service={KEYED}"))?)
+    }
+
+    /// Returns the VM that leads a group (`group` or `control`) as `place` knows it.
+    pub(crate) fn leader(&self, place: Place, group: &str) -> Result<Place, MeasureError> {
+        let number = self.status(place)?[group]["leader"].as_u64();
+        let number = number.ok_or_else(|| MeasureError::result("leader", "none is known"))?;
+        Ok(Place {
+            domain: (number / 10) as u8,
+            vm: (number % 10) as u8,
+        })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/deploy/client.rs
@@ -0,0 +1,110 @@
+//! A small HTTP client that keeps one connection.
+
+use std::{
+    io::{
+        self,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    time::Duration,
+};
+
+use camphordale_standin::fleet::ACCESS_KEY;
+
+/// Longest time for one answer.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+
+/// A client of one address.
+pub(crate) struct Client {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+    buffer: Vec<u8>,
+}
+
+impl Client {
+    /// Creates a client that connects with its first request.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Client {
+            address,
+            stream: None,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Sends `GET` and returns the status and the body. The next request makes a new connection
+    /// after an error.
+    pub(crate) fn get(&mut self, path: &str, headers: &str) -> io::Result<(u16, &[u8])> {
+        let mut stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => {
+                let stream = TcpStream::connect_timeout(&self.address, LIMIT)?;
+                stream.set_nodelay(true)?;
+                stream.set_read_timeout(Some(LIMIT))?;
+                stream
+            }
+        };
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nhost: {}\r\n{headers}\r\n",
+            self.address
+        );
+        stream.write_all(head.as_bytes())?;
+        let (status, start, length) = read_head(&mut stream, &mut self.buffer)?;
+        let end = start + length;
+        let have = self.buffer.len();
+        if have < end {
+            self.buffer.resize(end, 0);
+            stream.read_exact(&mut self.buffer[have..])?;
+        }
+        self.stream = Some(stream);
+        Ok((status, &self.buffer[start..end]))
+    }
+}
+
+/// Reads up to the end of the head; returns the status, where the body starts, and its length.
+fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<(u16, usize, usize)> {
+    buffer.clear();
+    let mut chunk = [0; 16 * 1024];
+    let end = loop {
+        let count = stream.read(&mut chunk)?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        buffer.extend_from_slice(&chunk[..count]);
+        if let Some(at) = buffer.windows(4).position(|part| part == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if buffer.len() > MAX_HEAD {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+    };
+    let wrong = || io::Error::from(io::ErrorKind::InvalidData);
+    let head = std::str::from_utf8(&buffer[..end]).map_err(|_| wrong())?;
+    let mut lines = head.split("\r\n");
+    let first = lines.next().unwrap_or_default();
+    let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let length = lines
+        .filter_map(|line| line.split_once(':'))
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .map_or(Some(0), |(_, value)| value.trim().parse().ok());
+    Ok((status.ok_or_else(wrong)?, end, length.ok_or_else(wrong)?))
+}
+
+/// Gets the text of a page of the operators' listener.
+pub(crate) fn get_text(address: SocketAddr, path: &str) -> io::Result<String> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .timeout_global(Some(LIMIT))
+        .build()
+        .into();
+    let request = agent
+        .get(format!("http://{address}{path}"))
+        .header("Authorization", format!("Bearer {ACCESS_KEY}"));
+    let mut answer = request.call().map_err(io::Error::other)?;
+    answer.body_mut().read_to_string().map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/bench/src/deploy/proc.rs
@@ -0,0 +1,77 @@
+//! Processor time, memory and traffic of a VM's process.
+
+use std::{
+    fs,
+    io, //
+};
+
+use camphordale_standin::fleet::{
+    OPERATORS,
+    Place, //
+};
+
+use crate::MeasureError;
+
+use super::{
+    Deployment,
+    get_text, //
+};
+
+/// Units of `/proc/PID/stat` per second, which Linux fixes at 100 for programs.
+const TICKS: f64 = 100.0;
+
+/// Sums since the start of the process, and its memory.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    /// Processor time in seconds.
+    pub(crate) cpu: f64,
+    /// Resident memory in kB.
+    pub(crate) resident: f64,
+    /// Bytes exchanged with other VMs, both directions.
+    pub(crate) bytes: f64,
+    /// Messages exchanged with other VMs, both directions.
+    pub(crate) messages: f64,
+}
+
+/// Reads the usage of a VM.
+pub(crate) fn usage(deployment: &mut Deployment, place: Place) -> Result<Usage, MeasureError> {
+    let id = match deployment.fleet.daemon(place) {
+        Some(process) => process.id(),
+        None => return Err(MeasureError::result("usage", "the VM does not run")),
+    };
+    let address = deployment.fleet.address(place, OPERATORS);
+    let metrics = get_text(address, "/metrics").map_err(MeasureError::file("read metrics"))?;
+    Ok(Usage {
+        cpu: cpu(id).map_err(MeasureError::file("read processor time"))?,
+        resident: resident(id).map_err(MeasureError::file("read memory"))?,
+        bytes: sum(&metrics, "camphordale_peer_bytes"),
+        messages: sum(&metrics, "camphordale_peer_messages"),
+    })
+}
+
+fn cpu(id: u32) -> io::Result<f64> {
+    let text = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    // The name in parentheses can contain spaces; user and system time are fields 14 and 15.
+    let after = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after.split_whitespace().collect();
+    let ticks = |at: usize| -> Option<f64> { fields.get(at)?.parse().ok() };
+    let wrong = || io::Error::from(io::ErrorKind::InvalidData);
+    let sum = ticks(11).zip(ticks(12)).ok_or_else(wrong)?;
+    Ok((sum.0 + sum.1) / TICKS)
+}
+
+fn resident(id: u32) -> io::Result<f64> {
+    let text = fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let value = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    value.ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
+
+/// Returns the sum of all series whose name starts with `name`.
+fn sum(metrics: &str, name: &str) -> f64 {
+    metrics
+        .lines()
+        .filter(|line| line.starts_with(name))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
--- /dev/null
+++ b/crates/bench/src/failover.rs
@@ -0,0 +1,377 @@
+//! Time from the loss of a process until each affected key is served again.
+
+mod probe;
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_standin::fleet::{
+    CALLERS,
+    Place, //
+};
+
+use crate::{
+    MeasureError, Run, Slopes, Spread, Table,
+    deploy::{
+        Deployment,
+        KEYED,
+        START_LIMIT,
+        Shape, //
+    },
+    service::keyed_service,
+};
+
+use self::probe::{
+    EVERY,
+    OUTAGE,
+    Probes,
+    Seen, //
+};
+
+/// Repetitions of each case.
+const COUNT: usize = 10;
+
+/// Time for which callers are watched after a loss.
+const WATCH: Duration = Duration::from_secs(4);
+
+/// Time for which a target is stopped.
+const STOP: Duration = Duration::from_secs(3);
+
+/// Targets in the first domain; further domains have two each.
+const TARGETS: u8 = 4;
+
+/// Bound of the time until a key is served again, in ms.
+const LIMIT: f64 = 1_000.0;
+
+/// What is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Case {
+    TargetKilled,
+    TargetStopped,
+    TargetContinued,
+    Sender,
+    DomainLeader,
+    ControlLeader,
+}
+
+impl Case {
+    fn name(self) -> &'static str {
+        match self {
+            Case::TargetKilled => "target killed",
+            Case::TargetStopped => "target stopped (SIGSTOP)",
+            Case::TargetContinued => "the same target continued 3 s later",
+            Case::Sender => "entry VM killed that sends and does not lead its domain",
+            Case::DomainLeader => "entry VM killed that leads its domain",
+            Case::ControlLeader => "VM killed that leads the control group",
+        }
+    }
+
+    fn slope(self) -> &'static str {
+        match self {
+            Case::TargetKilled => "target_killed",
+            Case::TargetStopped => "target_stopped",
+            Case::TargetContinued => "target_continued",
+            Case::Sender => "sender_killed",
+            Case::DomainLeader => "domain_leader_killed",
+            Case::ControlLeader => "control_leader_killed",
+        }
+    }
+}
+
+/// Results of the repetitions of one case.
+struct Results {
+    case: Case,
+    /// What each key saw, by repetition.
+    runs: Vec<Vec<Seen>>,
+    failures: Vec<String>,
+}
+
+/// Measures the section.
+///
+/// # Errors
+///
+/// Fails when a deployment cannot be started. A repetition that fails is listed.
+pub fn measure(run: &Run, slopes: &mut Slopes) -> Result<Vec<Table>, MeasureError> {
+    let mut tables = Vec::new();
+    for domains in [1, 3] {
+        let mut cases = vec![
+            Case::TargetKilled,
+            Case::TargetStopped,
+            Case::Sender,
+            Case::DomainLeader,
+        ];
+        if domains > 1 {
+            cases.push(Case::ControlLeader);
+        }
+        let mut bench = Bench::start(run, domains)?;
+        let mut all = Vec::new();
+        for case in cases {
+            all.extend(bench.repeat(case, run)?);
+        }
+        for results in &all {
+            slopes.set(
+                &format!("failover.{}_ms_max_{domains}d", results.case.slope()),
+                results.back().max,
+            );
+        }
+        tables.push(table(run, domains, bench.shape.shards, &all));
+    }
+    Ok(tables)
+}
+
+impl Results {
+    /// Returns the times until affected keys were served again, in ms.
+    fn back(&self) -> Spread {
+        let keys = self.runs.iter().flatten();
+        Spread::of(keys.filter_map(|seen| Some(seen.back?.as_secs_f64() * 1e3)))
+    }
+}
+
+fn table(run: &Run, domains: u8, shards: u32, all: &[Results]) -> Table {
+    let mut table = Table::new(
+        &format!("Time until a key is served again, {domains} domain(s) x 3 VMs"),
+        &[
+            "lost",
+            "runs",
+            "affected keys per run",
+            "ms until served again",
+            "runs over 1 s",
+            "longest gap between answers, ms",
+            "failed answers per run",
+        ],
+    );
+    table.condition(run.command("failover"));
+    table.condition(format!(
+        "{shards} keys, one in each shard, asked for every {} ms through the remaining VMs of the \
+         domain with the loss; affected: at least {} ms between two answers to requests sent after \
+         the loss; min / median / max over all affected keys of all runs; 4000 can mean never",
+        EVERY.as_millis(),
+        OUTAGE.as_millis(),
+    ));
+    table.condition(
+        "targets check tokens; the domain's other VMs keep running; a control voter can also be \
+         the domain's leader",
+    );
+    for results in all {
+        let keys = || results.runs.iter().flatten();
+        let affected = |seen: &Vec<Seen>| seen.iter().filter(|s| s.back.is_some()).count() as f64;
+        let failed = |seen: &Vec<Seen>| seen.iter().map(|s| s.failed).sum::<usize>() as f64;
+        let late = results
+            .runs
+            .iter()
+            .filter(|seen| {
+                let mut times = seen.iter().filter_map(|s| s.back);
+                times.any(|back| back.as_secs_f64() * 1e3 > LIMIT)
+            })
+            .count();
+        let back = match results.back() {
+            spread if spread.max.is_nan() => "no outage".to_string(),
+            spread => format!("{spread:.0}"),
+        };
+        let gap = Spread::of(keys().map(|seen| seen.gap.as_secs_f64() * 1e3)).max;
+        let count = results.runs.len();
+        table.row([
+            results.case.name().to_string(),
+            count.to_string(),
+            format!("{:.0}", Spread::of(results.runs.iter().map(affected))),
+            back,
+            format!("{late} of {count}"),
+            format!("{gap:.0}"),
+            format!("{:.0}", Spread::of(results.runs.iter().map(failed))),
+        ]);
+        for failure in &results.failures {
+            table.condition(format!("{}: {failure}", results.case.name()));
+        }
+    }
+    table
+}
+
+struct Bench {
+    shape: Shape,
+    deployment: Deployment,
+    /// Names of the targets of the first domain that run.
+    targets: Vec<String>,
+}
+
+impl Bench {
+    fn start(run: &Run, domains: u8) -> Result<Self, MeasureError> {
+        let shape = Shape {
+            domains,
+            vms: 3,
+            shards: if domains == 1 { 12 } else { 24 },
+            slots: 6,
+        };
+        let mut deployment = Deployment::start(run, shape)?;
+        let mut targets = Vec::new();
+        for _ in 0..TARGETS {
+            targets.push(deployment.add_target(1, KEYED, shape.slots)?);
+        }
+        for domain in 2..=domains {
+            for _ in 0..2 {
+                deployment.add_target(domain, KEYED, shape.slots)?;
+            }
+        }
+        Ok(Bench {
+            shape,
+            deployment,
+            targets,
+        })
+    }
+
+    /// Repeats a case. A stopped target gives two results.
+    fn repeat(&mut self, case: Case, run: &Run) -> Result<Vec<Results>, MeasureError> {
+        let results = |case| Results {
+            case,
+            runs: Vec::new(),
+            failures: Vec::new(),
+        };
+        let mut all = vec![results(case)];
+        if case == Case::TargetStopped {
+            all.push(results(Case::TargetContinued));
+        }
+        for number in 0..run.count(COUNT) {
+            let outcome = self
+                .deployment
+                .await_quiet(START_LIMIT)
+                .and_then(|()| self.once(case));
+            match outcome {
+                Ok(seen) => {
+                    for (results, seen) in all.iter_mut().zip(seen) {
+                        results.runs.push(seen);
+                    }
+                }
+                Err(err) => {
+                    eprintln!("camphordale-measure: {}, run {number}: {err}", case.name());
+                    all[0].failures.push(format!("run {number}: {err}"));
+                    self.repair()?;
+                }
+            }
+        }
+        Ok(all)
+    }
+
+    /// Starts again what does not run.
+    fn repair(&mut self) -> Result<(), MeasureError> {
+        let running = self.deployment.running();
+        for place in self.deployment.fleet.places() {
+            if !running.contains(&place) {
+                self.deployment.fleet.start_daemon(place)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn once(&mut self, case: Case) -> Result<Vec<Vec<Seen>>, MeasureError> {
+        match case {
+            Case::TargetKilled => {
+                let name = self.owning_target()?;
+                let probes = self.probes(None);
+                let event = Instant::now();
+                self.deployment.fleet.kill_target(&name);
+                let seen = watch(&probes, event, WATCH);
+                drop(probes);
+                self.targets.retain(|target| *target != name);
+                let slots = self.shape.slots;
+                let next = self.deployment.add_target(1, KEYED, slots)?;
+                self.targets.push(next);
+                // The new target gets shards once it is warm.
+                thread::sleep(Duration::from_secs(2));
+                Ok(vec![seen])
+            }
+            Case::TargetStopped | Case::TargetContinued => {
+                let name = self.owning_target()?;
+                let probes = self.probes(None);
+                let stopped = Instant::now();
+                self.signal(&name, "STOP")?;
+                let first = watch(&probes, stopped, STOP);
+                let continued = Instant::now();
+                self.signal(&name, "CONT")?;
+                let second = watch(&probes, continued, WATCH);
+                drop(probes);
+                thread::sleep(Duration::from_secs(2));
+                Ok(vec![first, second])
+            }
+            Case::Sender | Case::DomainLeader | Case::ControlLeader => {
+                let victim = self.victim(case)?;
+                let probes = self.probes(Some(victim));
+                let event = Instant::now();
+                self.deployment.fleet.kill_daemon(victim);
+                let seen = watch(&probes, event, WATCH);
+                drop(probes);
+                self.deployment.fleet.start_daemon(victim)?;
+                // The restarted VM joins its group as a learner first.
+                thread::sleep(Duration::from_secs(2));
+                Ok(vec![seen])
+            }
+        }
+    }
+
+    fn signal(&mut self, name: &str, signal: &str) -> Result<(), MeasureError> {
+        match self.deployment.fleet.target(name) {
+            Some(process) => Ok(process.signal(signal)?),
+            None => Err(MeasureError::result("signal", "the target does not run")),
+        }
+    }
+
+    /// Returns a target of the first domain that owns a shard.
+    fn owning_target(&mut self) -> Result<String, MeasureError> {
+        let shards = self.deployment.shards(1)?;
+        let owners = shards.as_array().into_iter().flatten();
+        let mut owners = owners.filter_map(|shard| shard["owner"].as_str());
+        let found = owners.find(|&owner| self.targets.iter().any(|target| target == owner));
+        found
+            .map(str::to_string)
+            .ok_or_else(|| MeasureError::result("choose", "no target of domain 1 owns a shard"))
+    }
+
+    fn victim(&mut self, case: Case) -> Result<Place, MeasureError> {
+        let first = Place { domain: 1, vm: 1 };
+        let leader = self.deployment.leader(first, "group")?;
+        match case {
+            Case::DomainLeader => Ok(leader),
+            Case::ControlLeader => self.deployment.leader(first, "control"),
+            _ => {
+                let shards = self.deployment.shards(1)?;
+                let shards = shards.as_array().into_iter().flatten();
+                let senders = shards.filter_map(|shard| shard["sender"].as_u64());
+                // The VM with the highest number has no disk and no vote in the control group.
+                senders
+                    .filter(|&sender| sender != u64::from(leader.number()) && sender / 10 == 1)
+                    .max()
+                    .map(|sender| Place {
+                        domain: 1,
+                        vm: (sender % 10) as u8,
+                    })
+                    .ok_or_else(|| MeasureError::result("choose", "only the leader sends"))
+            }
+        }
+    }
+
+    /// Starts callers through the VMs of the victim's domain that stay.
+    fn probes(&mut self, victim: Option<Place>) -> Probes {
+        let domain = victim.map_or(1, |victim| victim.domain);
+        let vms: Vec<SocketAddr> = (1..=self.shape.vms)
+            .map(|vm| Place { domain, vm })
+            .filter(|&place| Some(place) != victim)
+            .map(|place| self.deployment.fleet.address(place, CALLERS))
+            .collect();
+        let shards = self.shape.shards;
+        let service = keyed_service(KEYED, shards, self.shape.slots);
+        let probes = Probes::start(shards, &service, &vms);
+        // Connections and the first requests.
+        thread::sleep(Duration::from_millis(500));
+        probes
+    }
+}
+
+fn watch(probes: &Probes, event: Instant, time: Duration) -> Vec<Seen> {
+    let until = event + time;
+    thread::sleep(until.saturating_duration_since(Instant::now()));
+    probes.seen(event, until)
+}
--- /dev/null
+++ b/crates/bench/src/failover/probe.rs
@@ -0,0 +1,157 @@
+//! Callers that ask for one key of each shard every few milliseconds.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_types::Service;
+
+use crate::deploy::{
+    Client,
+    KEYED, //
+};
+
+/// Time between two requests for a key.
+pub(super) const EVERY: Duration = Duration::from_millis(5);
+
+/// Callers for each key, so that a request that hangs does not hide that others are answered.
+const CALLERS: u32 = 4;
+
+/// Least time without an answer that counts as an outage.
+pub(super) const OUTAGE: Duration = Duration::from_millis(100);
+
+/// Running callers. Dropping them ends them.
+pub(super) struct Probes {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    answers: Vec<Arc<Mutex<Vec<Answer>>>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    sent: Instant,
+    ended: Instant,
+    ok: bool,
+}
+
+/// What one key saw after an event.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seen {
+    /// Longest time between two answers.
+    pub(super) gap: Duration,
+    /// From the event to the end of the last outage; none without an outage.
+    pub(super) back: Option<Duration>,
+    /// Answers that were no success.
+    pub(super) failed: usize,
+}
+
+impl Probes {
+    /// Starts callers for a key of each shard, through `vms` in turn.
+    pub(super) fn start(shards: u32, service: &Service, vms: &[SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
+        let mut answers = Vec::new();
+        for shard in 0..shards {
+            let key = (0u32..).find(|key| service.shard_of(&key.to_string()) == shard);
+            let path = format!("/{KEYED}/{}", key.unwrap_or_default());
+            let log = Arc::new(Mutex::new(Vec::new()));
+            for number in 0..CALLERS {
+                let vm = vms[(shard + number) as usize % vms.len()];
+                let (path, log, stop) = (path.clone(), log.clone(), stop.clone());
+                let run = move || call(vm, &path, number, &log, &stop);
+                threads.push(thread::spawn(run));
+            }
+            answers.push(log);
+        }
+        Probes {
+            stop,
+            threads,
+            answers,
+        }
+    }
+
+    /// Returns what each key saw between `event` and `until`.
+    pub(super) fn seen(&self, event: Instant, until: Instant) -> Vec<Seen> {
+        let seen = |log: &Arc<Mutex<Vec<Answer>>>| {
+            let log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            evaluate(&log, event, until)
+        };
+        self.answers.iter().map(seen).collect()
+    }
+}
+
+impl Drop for Probes {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            // A thread that panicked has no more requests under way.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn call(vm: SocketAddr, path: &str, number: u32, log: &Mutex<Vec<Answer>>, stop: &AtomicBool) {
+    let mut client = Client::new(vm);
+    let start = Instant::now() + EVERY * number;
+    for count in 0.. {
+        let due = start + EVERY * CALLERS * count;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        if stop.load(Ordering::SeqCst) {
+            return;
+        }
+        // Turns that passed during a slow request are left out.
+        if due.elapsed() > EVERY * CALLERS {
+            continue;
+        }
+        let sent = Instant::now();
+        let result = client.get(path, "camphordale-deadline: 2000\r\n");
+        let ok = matches!(result, Ok((200, _)));
+        let ended = Instant::now();
+        log.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(Answer { sent, ended, ok });
+    }
+}
+
+fn evaluate(log: &[Answer], event: Instant, until: Instant) -> Seen {
+    let mut ends: Vec<Instant> = log
+        .iter()
+        .filter(|answer| answer.ok && answer.sent >= event && answer.ended < until)
+        .map(|answer| answer.ended)
+        .collect();
+    ends.sort();
+    let failed = log
+        .iter()
+        .filter(|answer| !answer.ok && answer.ended >= event && answer.ended < until)
+        .count();
+    let mut seen = Seen {
+        gap: Duration::ZERO,
+        back: None,
+        failed,
+    };
+    let mut before = event;
+    for end in ends.into_iter().chain([until]) {
+        let gap = end - before;
+        seen.gap = seen.gap.max(gap);
+        if gap >= OUTAGE {
+            seen.back = Some(end - event);
+        }
+        before = end;
+    }
+    seen
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,11 +3,17 @@
 //! Start with [`SECTIONS`]. Each section returns [`Table`]s and writes the values that
 //! `docs/CAPACITY.md` needs to [`Slopes`].
 
+pub mod bundle;
+pub mod control;
+mod deploy;
 mod error;
+pub mod failover;
+pub mod http;
 mod page;
 pub mod placement;
 mod run;
 mod section;
+mod service;
 mod slopes;
 mod spread;
 mod table;
--- a/crates/bench/src/placement/sizes.rs
+++ b/crates/bench/src/placement/sizes.rs
@@ -1,15 +1,12 @@
 //! The sizes at which placement is measured.
 
-use std::time::Duration;
-
 use camphordale_types::{
-    KeySource,
-    Repeat,
-    Route,
     Service,
     Weights, //
 };
 
+use crate::service::keyed_service;
+
 /// One service in one domain group.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Size {
@@ -104,24 +101,8 @@
     /// Returns the service.
     pub(super) fn service(&self) -> Service {
         Service {
-            name: "measured".into(),
-            route: Route {
-                prefix: "/measured".into(),
-                host: None,
-            },
-            key: KeySource::Segment(1),
-            shards: self.shards,
-            hot_keys: Vec::new(),
-            repeat: Repeat::ByMethod,
-            deadline: Duration::from_secs(2),
-            domain_lease: None,
-            record_life: Duration::from_secs(600),
-            new_percent: 0,
-            slots: self.slots,
-            connections: 60,
-            queue: 24,
-            warm_up: Duration::from_secs(5),
             weights: self.weights(),
+            ..keyed_service("measured", self.shards, self.slots)
         }
     }
 }
--- a/crates/bench/src/section.rs
+++ b/crates/bench/src/section.rs
@@ -5,6 +5,10 @@
     Run,
     Slopes,
     Table,
+    bundle,
+    control,
+    failover,
+    http,
     placement, //
 };
 
@@ -23,8 +27,30 @@
 const PAGE: &str = "measurements.md";
 
 /// All sections, in their order on the page.
-pub const SECTIONS: [Section; 1] = [Section {
-    name: "placement",
-    page: PAGE,
-    measure: |run, _| placement::measure(run),
-}];
+pub const SECTIONS: [Section; 5] = [
+    Section {
+        name: "placement",
+        page: PAGE,
+        measure: |run, _| placement::measure(run),
+    },
+    Section {
+        name: "http",
+        page: PAGE,
+        measure: http::measure,
+    },
+    Section {
+        name: "failover",
+        page: PAGE,
+        measure: failover::measure,
+    },
+    Section {
+        name: "bundle",
+        page: PAGE,
+        measure: bundle::measure,
+    },
+    Section {
+        name: "control",
+        page: PAGE,
+        measure: control::measure,
+    },
+];
