Measure the choice without keys in simulated time

Cause: design section 2 keeps the random walk only if a measurement supports it. The router's own reducer runs in the simulation next to Chooser and the baselines, because the router has a choice of its own and does not use Chooser. Ruled out: a real deployment for this section, where lag and lies cannot be set exactly.

--- /dev/null
+++ b/crates/bench/src/choice/routed.rs
@@ -0,0 +1,210 @@
+//! The router's reducer as the sender.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use camphordale_domain::{
+    TargetView,
+    View, //
+};
+use camphordale_route::{
+    Attempt,
+    Effect,
+    Event,
+    Origin,
+    Request,
+    Router,
+    RouterConfig,
+    VmAddress, //
+};
+use camphordale_types::{
+    Bundle,
+    Operators,
+    Refusal,
+    Service,
+    Side,
+    TargetInfo,
+    TargetSpec,
+    TargetState,
+    Token,
+    Unknown, //
+};
+
+use crate::service::open_service;
+
+use super::{
+    sender::{
+        Action,
+        Ended, //
+    },
+    world::{
+        DEADLINE,
+        TARGETS,
+        WARM_UP, //
+    },
+};
+
+/// The only VM.
+const VM: u32 = 1;
+
+/// The sender.
+pub(super) struct Routed {
+    router: Router,
+    slots: u32,
+}
+
+impl Routed {
+    /// Creates a sender; the last target joins later if `late`.
+    pub(super) fn new(slots: u32, late: bool, seed: u64) -> Self {
+        let service = Service {
+            deadline: DEADLINE,
+            warm_up: WARM_UP,
+            queue: 16,
+            ..open_service("open", slots)
+        };
+        let count = TARGETS - usize::from(late);
+        let mut router = Router::new(RouterConfig::new(VM, "east", seed));
+        let events = [
+            Event::Bundle(Bundle {
+                version: 1,
+                previous: None,
+                operators: Operators {
+                    needed: 1,
+                    keys: Vec::new(),
+                },
+                services: vec![service],
+            }),
+            Event::Directory {
+                homes: Vec::new(),
+                vms: vec![VmAddress {
+                    vm: VM,
+                    domain: "east".into(),
+                    entry: true,
+                }],
+            },
+            Event::View(View {
+                term: 1,
+                index: 1,
+                vms: vec![VM],
+                targets: (0..count).map(|at| view(at, slots)).collect(),
+                ..View::default()
+            }),
+            Event::Lease {
+                until: Duration::from_secs(3_600),
+                fence: 1,
+                control: Duration::from_secs(3_600),
+            },
+        ];
+        for event in events {
+            router.step(event, Duration::ZERO);
+        }
+        Routed { router, slots }
+    }
+
+    pub(super) fn arrive(&mut self, id: u128, now: Duration) -> Vec<Action> {
+        let request = Request {
+            id,
+            origin: Origin::Caller,
+            method: "GET".into(),
+            host: None,
+            path: "/open/x".into(),
+            headers: Vec::new(),
+            allowed: None,
+        };
+        self.step(Event::Request(request), now)
+    }
+
+    pub(super) fn ended(&mut self, id: u128, ended: Ended, now: Duration) -> Vec<Action> {
+        let attempt = match ended {
+            Ended::Answered => Attempt::Answered {
+                status: 200,
+                stored: None,
+            },
+            Ended::TimedOut => Attempt::Unknown(Unknown::Timeout),
+            Ended::Broken => Attempt::Unknown(Unknown::Broken),
+        };
+        self.step(Event::Done { id, attempt }, now)
+    }
+
+    pub(super) fn report(&mut self, target: usize, load: f32, now: Duration) -> Vec<Action> {
+        let target = id(target);
+        self.step(Event::TargetLoad { target, load }, now)
+    }
+
+    pub(super) fn probed(&mut self, target: usize, alive: bool, now: Duration) -> Vec<Action> {
+        let target = id(target);
+        self.step(Event::Probed { target, alive }, now)
+    }
+
+    pub(super) fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.step(Event::Tick, now)
+    }
+
+    pub(super) fn join(&mut self, target: usize, now: Duration) -> Vec<Action> {
+        let view = View {
+            term: 1,
+            since: 1,
+            index: 2,
+            vms: vec![VM],
+            targets: vec![view(target, self.slots)],
+            ..View::default()
+        };
+        self.step(Event::View(view), now)
+    }
+
+    fn step(&mut self, event: Event, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut effects: VecDeque<Effect> = self.router.step(event, now).into();
+        let mut sent = Vec::new();
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                Effect::Send(send) => {
+                    sent.push((send.id, send.target));
+                    effects.extend(self.router.step(Event::Ready { id: send.id }, now));
+                }
+                Effect::Proceed { id } => {
+                    if let Some((_, target)) = sent.iter().rfind(|(sent, _)| *sent == id) {
+                        let target = *target as usize - 1;
+                        actions.push(Action::Start { id, target });
+                    }
+                }
+                Effect::Refuse { id, refusal } => actions.push(match refusal {
+                    Refusal::NotRun(_) => Action::Refuse { id },
+                    Refusal::Unknown(_) => Action::Fail { id },
+                }),
+                Effect::Probe { target, .. } => {
+                    let target = target as usize - 1;
+                    actions.push(Action::Probe { target });
+                }
+                Effect::Abort { id } => actions.push(Action::Abort { id }),
+                _ => {}
+            }
+        }
+        actions
+    }
+}
+
+fn id(target: usize) -> u64 {
+    target as u64 + 1
+}
+
+fn view(target: usize, slots: u32) -> TargetView {
+    TargetView {
+        info: TargetInfo {
+            id: id(target),
+            spec: TargetSpec {
+                name: format!("t{target}").into(),
+                service: "open".into(),
+                side: Side::Old,
+                address: ([127, 0, 0, 1], 9_100 + target as u16).into(),
+                checks_tokens: true,
+                slots,
+            },
+            state: TargetState::Serving,
+        },
+        sender: None,
+        token: Token::default(),
+    }
+}
--- a/crates/bench/src/section.rs
+++ b/crates/bench/src/section.rs
@@ -6,6 +6,7 @@
     Slopes,
     Table,
     bundle,
+    choice,
     control,
     failover,
     http,
@@ -27,12 +28,17 @@
 const PAGE: &str = "measurements.md";
 
 /// All sections, in their order on the page.
-pub const SECTIONS: [Section; 5] = [
+pub const SECTIONS: [Section; 6] = [
     Section {
         name: "placement",
         page: PAGE,
         measure: |run, _| placement::measure(run),
     },
+    Section {
+        name: "choice",
+        page: PAGE,
+        measure: |run, _| choice::measure(run),
+    },
     Section {
         name: "http",
         page: PAGE,
