--- a/crates/bench/src/bundle.rs
+++ b/crates/bench/src/bundle.rs
@@ -9,7 +9,8 @@
     deploy::{
         Deployment,
         START_LIMIT,
-        Shape, //
+        Shape,
+        submit, //
     },
 };
 
@@ -46,7 +47,7 @@
             vm: 1 + (number / 3 % 3) as u8,
         };
         let start = Instant::now();
-        let version = deployment.fleet.submit(&services, to)?;
+        let version = submit(&mut deployment.fleet, &services, to)?;
         accepted.push(start.elapsed().as_secs_f64() * 1e3);
         deployment.fleet.await_in_force(version, START_LIMIT)?;
         all.push(start.elapsed().as_secs_f64() * 1e3);
--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -20,6 +20,7 @@
         START_LIMIT,
         Shape,
         Usage,
+        submit,
         usage, //
     },
 };
@@ -204,7 +205,7 @@
     for number in 0..BUNDLES {
         let life = format!("record_life: {}m", 11 + number);
         let services = shape.services(0).replace("record_life: 10m", &life);
-        let version = deployment.fleet.submit(&services, first)?;
+        let version = submit(&mut deployment.fleet, &services, first)?;
         deployment.fleet.await_in_force(version, START_LIMIT)?;
     }
     let seconds = start.elapsed().as_secs_f64();
--- a/crates/bench/src/control/report.rs
+++ b/crates/bench/src/control/report.rs
@@ -18,6 +18,9 @@
 /// A value of a VM with its name.
 type Value = (&'static str, fn(&Node) -> f64);
 
+/// Chooses VMs.
+type Filter<'a> = &'a dyn Fn(&Node) -> bool;
+
 /// The values that have slopes.
 const VALUES: [Value; 4] = [
     ("cpu_percent", |node| node.cpu),
@@ -91,12 +94,12 @@
 pub(super) fn slopes(nodes: &[Node], bundles: Option<BundleCost>, slopes: &mut Slopes) {
     let base = SETUPS[0];
     for (name, value) in VALUES {
-        let mean = |setup: Setup, all: &dyn Fn(&Node) -> bool| {
+        let mean = |setup: Setup, all: Filter<'_>| {
             let of = nodes.iter().filter(|n| n.setup == setup && all(n));
             let values: Vec<f64> = of.map(value).collect();
             values.iter().sum::<f64>() / values.len() as f64
         };
-        let line = |all: &dyn Fn(&Node) -> bool, size: &dyn Fn(Setup) -> Option<f64>| {
+        let line = |all: Filter<'_>, size: &dyn Fn(Setup) -> Option<f64>| {
             let points = SETUPS
                 .iter()
                 .filter_map(|&setup| Some((size(setup)?, mean(setup, all))));
@@ -113,7 +116,7 @@
             let same = s.targets == 10 && s.domains == base.domains;
             same.then_some(f64::from(s.shards) / parts)
         };
-        let roles: [(&str, &dyn Fn(&Node) -> bool); 3] = [
+        let roles: [(&str, Filter<'_>); 3] = [
             ("entry", &|n| !n.leads && n.role == Role::Other),
             ("domain_leader", &|n| n.leads),
             ("control_leader", &|n| n.role == Role::ControlLeader),
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -104,7 +104,12 @@
 impl Deployment {
     /// Starts the VMs and brings the first bundle into force.
     pub(crate) fn start(run: &Run, shape: Shape) -> Result<Self, MeasureError> {
-        let folder = tempfile::tempdir().map_err(MeasureError::file("make a folder"))?;
+        let builder = || tempfile::Builder::new().prefix("fleet-").to_owned();
+        let folder = match &run.keep {
+            Some(keep) => builder().disable_cleanup(true).tempdir_in(keep),
+            None => builder().tempdir(),
+        };
+        let folder = folder.map_err(MeasureError::file("make a folder"))?;
         let mut fleet = Fleet::start(FleetOptions {
             programs: Programs {
                 daemon: run.programs.join("camphordaled"),
@@ -118,7 +123,7 @@
         })?;
         fleet.await_control(START_LIMIT)?;
         let first = Place { domain: 1, vm: 1 };
-        let version = fleet.submit(&shape.services(0), first)?;
+        let version = submit(&mut fleet, &shape.services(0), first)?;
         fleet.await_in_force(version, START_LIMIT)?;
         fleet.await_leases(START_LIMIT)?;
         Ok(Deployment {
@@ -256,3 +261,16 @@
         })
     }
 }
+
+/// Submits a bundle, again if the control group changed its leader meanwhile. A bundle that was
+/// accepted is answered the same way when it is submitted again.
+pub(crate) fn submit(fleet: &mut Fleet, services: &str, to: Place) -> Result<u64, MeasureError> {
+    let start = Instant::now();
+    loop {
+        match fleet.submit(services, to) {
+            Ok(version) => return Ok(version),
+            Err(err) if start.elapsed() > START_LIMIT => return Err(err.into()),
+            Err(_) => thread::sleep(QUIET_POLL),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 mod page;
 pub mod placement;
+pub mod router;
 mod run;
 mod section;
 mod service;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -30,6 +30,8 @@
     programs: PathBuf,
     #[options(no_short, help = "folder of the pages", default = "docs")]
     docs: PathBuf,
+    #[options(no_short, help = "keep settings, data and logs in this folder")]
+    keep: Option<PathBuf>,
     #[options(no_short, help = "print Markdown")]
     markdown: bool,
     #[options(no_short, help = "replace the sections in the pages")]
@@ -66,6 +68,7 @@
 fn run(args: &Args, section: &Section) -> Result<(), MeasureError> {
     let run = Run {
         programs: args.programs.clone(),
+        keep: args.keep.clone(),
         trial: args.trial,
     };
     let file = args.docs.join("measurements.json");
--- /dev/null
+++ b/crates/bench/src/router.rs
@@ -0,0 +1,304 @@
+//! Processor time of the router's reducer for one request.
+
+use std::{
+    hint::black_box,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use camphordale_domain::{
+    ShardView,
+    TargetView,
+    View, //
+};
+use camphordale_route::{
+    Attempt,
+    Effect,
+    Event,
+    Origin,
+    RemoteHome,
+    Request,
+    Router,
+    RouterConfig,
+    VmAddress, //
+};
+use camphordale_types::{
+    Bundle,
+    DomainName,
+    Operators,
+    Side,
+    TargetId,
+    TargetInfo,
+    TargetSpec,
+    TargetState,
+    Token, //
+};
+
+use crate::{
+    MeasureError, Run, Slopes, Spread, Table,
+    service::{
+        keyed_service,
+        open_service, //
+    },
+};
+
+/// Name of this VM's domain.
+const DOMAIN: &str = "east";
+
+/// This VM.
+const VM: u32 = 1;
+
+/// Different paths that are asked for in turn.
+const PATHS: usize = 1_024;
+
+/// Time between two requests in simulated time.
+const GAP: Duration = Duration::from_micros(150);
+
+/// A deployment as one router knows it.
+#[derive(Clone, Copy)]
+struct Size {
+    name: &'static str,
+    targets: usize,
+    shards: u32,
+    vms: u32,
+}
+
+/// Today's domains and the design size: see the sizes of the section placement.
+const SIZES: [Size; 2] = [
+    Size {
+        name: "4 targets per service, 256 shards, 3 VMs",
+        targets: 4,
+        shards: 256,
+        vms: 3,
+    },
+    Size {
+        name: "34 targets per service, 1088 shards, 12 VMs",
+        targets: 34,
+        shards: 1_088,
+        vms: 12,
+    },
+];
+
+/// Measures the section.
+///
+/// # Errors
+///
+/// Fails when the router does not send a request at once.
+pub fn measure(run: &Run, slopes: &mut Slopes) -> Result<Vec<Table>, MeasureError> {
+    let count = if run.trial { 20_000 } else { 200_000 };
+    let mut table = Table::new(
+        "Router reducer, processor time per request in ns",
+        &["size", "request", "in flight", "min / median / max"],
+    );
+    table.condition(run.command("router"));
+    table.condition(format!(
+        "{} runs of {count} requests; a request is the events Request, Ready and Done, or Request \
+         and Done when it is forwarded; GET; a tick every 10 ms of simulated time; the reducer runs \
+         under one lock, so the inverse bounds the rate of a VM",
+        run.count(10)
+    ));
+    for size in SIZES {
+        for (name, kind) in [
+            ("keyed, own sender", Kind::Own),
+            ("keyed, forwarded", Kind::Forward),
+            ("unkeyed", Kind::Open),
+        ] {
+            for waiting in [0, 16] {
+                let runs: Result<Vec<f64>, MeasureError> = (0..run.count(10))
+                    .map(|_| time(&size, kind, waiting, count))
+                    .collect();
+                let spread = Spread::of(runs?);
+                table.row([
+                    size.name.to_string(),
+                    name.to_string(),
+                    (waiting + 1).to_string(),
+                    format!("{spread:.0}"),
+                ]);
+                let slope = format!("router.{}_{}t_{waiting}w_ns", kind.slope(), size.targets);
+                slopes.set(&slope, spread.median);
+            }
+        }
+    }
+    Ok(vec![table])
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Own,
+    Forward,
+    Open,
+}
+
+impl Kind {
+    fn slope(self) -> &'static str {
+        match self {
+            Kind::Own => "keyed",
+            Kind::Forward => "forward",
+            Kind::Open => "open",
+        }
+    }
+}
+
+/// Returns the time per request in ns, with `waiting` others in flight.
+fn time(size: &Size, kind: Kind, waiting: usize, count: usize) -> Result<f64, MeasureError> {
+    let mut router = router(size);
+    let paths = paths(size, kind);
+    let request = |number: usize| Request {
+        id: number as u128 + 1,
+        origin: Origin::Caller,
+        method: "GET".into(),
+        host: None,
+        path: paths[number % paths.len()].clone(),
+        headers: Vec::new(),
+        allowed: None,
+    };
+    let mut now = Duration::ZERO;
+    let mut total = Duration::ZERO;
+    let mut tick = Duration::ZERO;
+    let mut sent = 0;
+    for number in 0..count + waiting {
+        now += GAP;
+        // Building the request is the caller's work.
+        let request = request(number);
+        let id = request.id;
+        let old = (number >= waiting).then(|| (number - waiting) as u128 + 1);
+        let start = Instant::now();
+        if now >= tick {
+            tick = now + Duration::from_millis(10);
+            black_box(router.step(Event::Tick, now));
+        }
+        let effects = router.step(Event::Request(request), now);
+        match effects.first() {
+            Some(Effect::Send(_)) => {
+                sent += 1;
+                black_box(router.step(Event::Ready { id }, now));
+            }
+            Some(Effect::Forward { .. }) => sent += 1,
+            _ => {}
+        }
+        if let Some(id) = old {
+            let attempt = Attempt::Answered {
+                status: 200,
+                stored: None,
+            };
+            black_box(router.step(Event::Done { id, attempt }, now));
+        }
+        total += start.elapsed();
+    }
+    if sent < count {
+        let reason = format!("{sent} of {count} requests were sent at once");
+        return Err(MeasureError::result("router", reason));
+    }
+    Ok(total.as_secs_f64() * 1e9 / (count + waiting) as f64)
+}
+
+/// Returns paths whose shard this VM sends for, or another VM does.
+fn paths(size: &Size, kind: Kind) -> Vec<Box<str>> {
+    let service = keyed_service("keyed", size.shards, 6);
+    let path = |key: u32| format!("/keyed/book-{key}");
+    match kind {
+        Kind::Open => (0..PATHS).map(|n| format!("/open/{n}").into()).collect(),
+        Kind::Own | Kind::Forward => (0..)
+            .filter(|key| {
+                let shard = service.shard_of(&format!("book-{key}"));
+                (sender(owner(shard, size), size) == VM) == (kind == Kind::Own)
+            })
+            .map(|key| path(key).into())
+            .take(PATHS)
+            .collect(),
+    }
+}
+
+fn owner(shard: u32, size: &Size) -> TargetId {
+    u64::from(shard) % size.targets as u64 + 1
+}
+
+fn sender(target: TargetId, size: &Size) -> u32 {
+    (target % u64::from(size.vms)) as u32 + 1
+}
+
+fn router(size: &Size) -> Router {
+    let keyed = keyed_service("keyed", size.shards, 64);
+    let open = open_service("open", 64 * size.vms);
+    let view = |id: TargetId, service: &str, sender| TargetView {
+        info: TargetInfo {
+            id,
+            spec: TargetSpec {
+                name: format!("{service}-{id}").into(),
+                service: service.into(),
+                side: Side::Old,
+                address: ([127, 0, 0, 1], id as u16).into(),
+                checks_tokens: true,
+                slots: 64 * size.vms,
+            },
+            state: TargetState::Serving,
+        },
+        sender,
+        token: token(),
+    };
+    let count = size.targets as u64;
+    let mut targets: Vec<TargetView> = (1..=count)
+        .map(|id| view(id, "keyed", Some(sender(id, size))))
+        .collect();
+    targets.extend((1..=count).map(|id| view(1_000 + id, "open", None)));
+    let shard = |index| ShardView {
+        service: "keyed".into(),
+        index,
+        owner: Some(owner(index, size)),
+        releasing: false,
+        token: token(),
+    };
+    let day = Duration::from_secs(86_400);
+    let events = [
+        Event::Bundle(Bundle {
+            version: 1,
+            previous: None,
+            operators: Operators {
+                needed: 1,
+                keys: Vec::new(),
+            },
+            services: vec![keyed, open],
+        }),
+        Event::Directory {
+            homes: vec![RemoteHome {
+                service: "keyed".into(),
+                domains: vec![Some(DomainName::from(DOMAIN)); size.shards as usize],
+            }],
+            vms: (1..=size.vms)
+                .map(|vm| VmAddress {
+                    vm,
+                    domain: DOMAIN.into(),
+                    entry: true,
+                })
+                .collect(),
+        },
+        Event::View(View {
+            term: 1,
+            index: 1,
+            vms: (1..=size.vms).collect(),
+            targets,
+            shards: (0..size.shards).map(shard).collect(),
+            ..View::default()
+        }),
+        Event::Lease {
+            until: day,
+            fence: 1,
+            control: day,
+        },
+    ];
+    let mut router = Router::new(RouterConfig::new(VM, DOMAIN, 1));
+    for event in events {
+        router.step(event, Duration::ZERO);
+    }
+    router
+}
+
+fn token() -> Token {
+    Token {
+        term: 1,
+        epoch: 1,
+        seq: 1,
+    }
+}
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -7,6 +7,8 @@
 pub struct Run {
     /// Folder of the programs.
     pub programs: PathBuf,
+    /// Folder in which settings, data and logs of deployments are kept; removed if none is given.
+    pub keep: Option<PathBuf>,
     /// Whether fewer and shorter runs are made, to try the programs out.
     pub trial: bool,
 }
--- a/crates/bench/src/section.rs
+++ b/crates/bench/src/section.rs
@@ -10,7 +10,8 @@
     control,
     failover,
     http,
-    placement, //
+    placement,
+    router, //
 };
 
 /// A part of the measurements.
@@ -28,7 +29,7 @@
 const PAGE: &str = "measurements.md";
 
 /// All sections, in their order on the page.
-pub const SECTIONS: [Section; 6] = [
+pub const SECTIONS: [Section; 7] = [
     Section {
         name: "placement",
         page: PAGE,
@@ -39,6 +40,11 @@
         page: PAGE,
         measure: |run, _| choice::measure(run),
     },
+    Section {
+        name: "router",
+        page: PAGE,
+        measure: router::measure,
+    },
     Section {
         name: "http",
         page: PAGE,
