Measure the state of a domain group and its leader's reducer

Cause: the design size has groups of 12 VMs, which Fleet cannot start (at most 9 VMs per domain). Ruled out: reading a real leader's processor time for the design size; too many processes.

--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -37,6 +37,7 @@
 };
 pub(crate) use proc::{
     Usage,
+    resident,
     usage, //
 };
 
--- a/crates/bench/src/deploy/proc.rs
+++ b/crates/bench/src/deploy/proc.rs
@@ -60,7 +60,7 @@
     Ok((sum.0 + sum.1) / TICKS)
 }
 
-fn resident(id: u32) -> io::Result<f64> {
+pub(crate) fn resident(id: u32) -> io::Result<f64> {
     let text = fs::read_to_string(format!("/proc/{id}/status"))?;
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let value = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,7 @@
 mod service;
 mod slopes;
 mod spread;
+pub mod state;
 mod table;
 
 pub use error::MeasureError;
--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: balance, moves and time of `place` against the baselines, and the leader's reducer
 //! in simulated time.
 
-mod group;
+pub(crate) mod group;
 mod rates;
 mod sizes;
 mod still;
@@ -120,7 +120,7 @@
     let skew = Skew::Bounded(HOTTEST_PART);
     let total = RATE * size.targets as f64;
     let mut keys = Keys::new(&service, size.keys, total, size.targets, skew, seed);
-    let mut group = Group::new(service, size.targets, keys.by_shard(), seed);
+    let mut group = Group::new(service, 3, size.targets, keys.by_shard(), seed);
     group.run(SETTLE, LIMIT);
     group.take_moves();
     group.run(WATCH, LIMIT);
--- a/crates/bench/src/placement/group.rs
+++ b/crates/bench/src/placement/group.rs
@@ -1,7 +1,10 @@
 //! A domain group in simulated time: the leader's reducer and the group's state machine, with
 //! senders that drain a shard within one step.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use camphordale_domain::{
     Command,
@@ -36,14 +39,15 @@
 const RENEW_STEPS: u64 = 10;
 /// Time between two load reports of a sender, in steps.
 const REPORT_STEPS: u64 = 100;
-/// VMs of the group.
-const VMS: u32 = 3;
 /// Incarnation of each VM.
 const INCARNATION: u64 = 1;
 
 /// The simulated group.
-pub(super) struct Group {
+pub(crate) struct Group {
     service: Service,
+    vms: u32,
+    /// Time that the leader's reducer took.
+    spent: Duration,
     state: State,
     leader: Leader,
     random: StdRng,
@@ -54,12 +58,18 @@
     owners: Vec<Option<TargetId>>,
     alive: Vec<TargetId>,
     /// Requests per second of each shard.
-    pub(super) rates: Vec<f64>,
+    pub(crate) rates: Vec<f64>,
 }
 
 impl Group {
-    /// Creates a group with `targets`, whose shards get `rates`.
-    pub(super) fn new(service: Service, targets: usize, rates: Vec<f64>, seed: u64) -> Self {
+    /// Creates a group of `vms` with `targets`, whose shards get `rates`.
+    pub(crate) fn new(
+        service: Service,
+        vms: u32,
+        targets: usize,
+        rates: Vec<f64>,
+        seed: u64,
+    ) -> Self {
         let ms = Duration::from_millis;
         let config = LeaseConfig {
             vm: ms(500),
@@ -67,6 +77,8 @@
             stall: ms(50),
         };
         let mut group = Group {
+            vms,
+            spent: Duration::ZERO,
             state: State::new(1, false),
             leader: Leader::new(config, seed),
             random: StdRng::seed_from_u64(seed),
@@ -104,7 +116,7 @@
     }
 
     /// Adds a target.
-    pub(super) fn join(&mut self) {
+    pub(crate) fn join(&mut self) {
         let number = self.index;
         let spec = TargetSpec {
             name: format!("t{number}").into(),
@@ -119,7 +131,7 @@
     }
 
     /// Lets the target that joined first leave; returns the number of its shards.
-    pub(super) fn leave(&mut self) -> usize {
+    pub(crate) fn leave(&mut self) -> usize {
         let id = self.alive.remove(0);
         self.apply(&Command::TargetLeaving(id));
         self.owners.iter().filter(|o| **o == Some(id)).count()
@@ -127,7 +139,7 @@
 
     /// Runs for `time`; returns the time after which the ratio of maximum to mean load stayed
     /// below `limit`, or none if it is not at the end.
-    pub(super) fn run(&mut self, time: Duration, limit: f64) -> Option<Duration> {
+    pub(crate) fn run(&mut self, time: Duration, limit: f64) -> Option<Duration> {
         let steps = (time.as_millis() / STEP.as_millis()) as u64;
         let mut good = 0;
         for step in 0..steps {
@@ -140,12 +152,12 @@
     }
 
     /// Returns the moves since the last call. A first owner is no move.
-    pub(super) fn take_moves(&mut self) -> u64 {
+    pub(crate) fn take_moves(&mut self) -> u64 {
         std::mem::take(&mut self.moves)
     }
 
     /// Returns the ratio of maximum to mean load by the true rates.
-    pub(super) fn ratio(&self) -> f64 {
+    pub(crate) fn ratio(&self) -> f64 {
         let mut loads = vec![0.0; self.alive.len()];
         for (owner, rate) in self.owners.iter().zip(&self.rates) {
             let at = owner.and_then(|owner| self.alive.iter().position(|&id| id == owner));
@@ -157,6 +169,18 @@
         loads.into_iter().fold(0.0, f64::max) / mean
     }
 
+    /// Returns the part of a core that the leader's reducer takes over the next `time`.
+    pub(crate) fn leader_part(&mut self, time: Duration) -> f64 {
+        self.spent = Duration::ZERO;
+        self.run(time, f64::INFINITY);
+        self.spent.as_secs_f64() / time.as_secs_f64()
+    }
+
+    /// Returns the state of the group.
+    pub(crate) fn state_mut(&mut self) -> &mut State {
+        &mut self.state
+    }
+
     fn now(&self) -> Duration {
         STEP * self.step as u32
     }
@@ -177,7 +201,7 @@
     fn renew(&mut self) {
         let until = self.now() + Duration::from_millis(150);
         self.event(Event::Quorum { until });
-        for vm in 1..=VMS {
+        for vm in 1..=self.vms {
             self.event(Event::RenewVm {
                 vm,
                 incarnation: INCARNATION,
@@ -243,7 +267,9 @@
 
     fn event(&mut self, event: Event) {
         let now = self.now();
+        let start = Instant::now();
         let effects = self.leader.step(&self.state, event, now);
+        self.spent += start.elapsed();
         for effect in effects {
             if let Effect::Propose(command) = effect {
                 self.apply(&command);
--- a/crates/bench/src/section.rs
+++ b/crates/bench/src/section.rs
@@ -11,7 +11,8 @@
     failover,
     http,
     placement,
-    router, //
+    router,
+    state, //
 };
 
 /// A part of the measurements.
@@ -29,7 +30,7 @@
 const PAGE: &str = "measurements.md";
 
 /// All sections, in their order on the page.
-pub const SECTIONS: [Section; 7] = [
+pub const SECTIONS: [Section; 8] = [
     Section {
         name: "placement",
         page: PAGE,
@@ -45,6 +46,11 @@
         page: PAGE,
         measure: router::measure,
     },
+    Section {
+        name: "state",
+        page: PAGE,
+        measure: state::measure,
+    },
     Section {
         name: "http",
         page: PAGE,
