Fit the control overhead by least squares; isolate failover cases

Cause: the sizes of the control section confounded VMs with targets per domain, and one stuck deployment failed all later failover runs. Change: seven sizes that tell four slopes and a constant apart; a new deployment per failover case and after a failed run; restarted VMs get a target to send to. Ruled out: repairing a stuck deployment; a control group of one voter does not elect a leader after its process restarts, so the runs after it fail too.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -32,34 +32,64 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Setup {
     domains: u8,
+    /// VMs in each domain.
+    vms: u8,
+    /// Targets in all domains.
     targets: u8,
     shards: u32,
 }
 
-/// The sizes: each differs from the first in one number, so that slopes can be told apart.
-const SETUPS: [Setup; 5] = [
+impl Setup {
+    /// Returns the sizes that the cost of a VM may depend on.
+    fn sizes(&self) -> [f64; 4] {
+        let group = f64::from(self.vms);
+        let all = f64::from(self.domains) * group;
+        let targets = f64::from(self.targets) / f64::from(self.domains);
+        [group, all - group, targets, f64::from(self.shards)]
+    }
+}
+
+/// The sizes. Together they tell the four slopes and the base apart.
+const SETUPS: [Setup; 7] = [
     Setup {
         domains: 3,
+        vms: 3,
         targets: 10,
         shards: 64,
     },
     Setup {
         domains: 1,
+        vms: 3,
         targets: 10,
         shards: 64,
     },
+    Setup {
+        domains: 1,
+        vms: 9,
+        targets: 10,
+        shards: 64,
+    },
+    Setup {
+        domains: 1,
+        vms: 9,
+        targets: 26,
+        shards: 64,
+    },
     Setup {
         domains: 3,
+        vms: 3,
         targets: 26,
         shards: 64,
     },
     Setup {
         domains: 3,
+        vms: 3,
         targets: 10,
         shards: 512,
     },
     Setup {
         domains: 3,
+        vms: 3,
         targets: 10,
         shards: 4_096,
     },
@@ -115,7 +145,7 @@
     for setup in SETUPS {
         let shape = Shape {
             domains: setup.domains,
-            vms: 3,
+            vms: setup.vms,
             shards: setup.shards,
             slots: 6,
         };
@@ -132,7 +162,7 @@
         table.condition(run.command("control"));
         table.condition(format!(
             "idle for {} s after the deployment came to rest; processor time from /proc/PID/stat \
-             in steps of 10 ms; 3 VMs per domain, one control voter in each; targets renew and get \
+             in steps of 10 ms; one control voter in each domain; targets renew and get \
              no requests",
             time.as_secs()
         ));
--- a/crates/bench/src/control/report.rs
+++ b/crates/bench/src/control/report.rs
@@ -4,15 +4,14 @@
     Slopes,
     Spread,
     Table,
-    slope, //
+    fit, //
 };
 
 use super::{
     BundleCost,
     Node,
     Role,
-    SETUPS,
-    Setup, //
+    SETUPS, //
 };
 
 /// A value of a VM with its name.
@@ -42,7 +41,7 @@
     let mut table = Table::new(
         "Control overhead per VM without requests",
         &[
-            "VMs",
+            "domains x VMs",
             "targets",
             "shards",
             "role",
@@ -74,7 +73,7 @@
             }
             let spread = |value: fn(&Node) -> f64| Spread::of(of_role().map(value));
             table.row([
-                (u32::from(setup.domains) * 3).to_string(),
+                format!("{} x {}", setup.domains, setup.vms),
                 setup.targets.to_string(),
                 setup.shards.to_string(),
                 name.to_string(),
@@ -89,52 +88,30 @@
     table
 }
 
-/// Works out the slopes. Those of the domain leaders are per target and shard of their own
-/// domain; those of the others are of the mean VM.
+/// Names of the slopes, in the order of [`super::Setup::sizes`] after the constant.
+const SLOPES: [&str; 5] = ["base", "group_vm", "other_vm", "target", "shard"];
+
+/// Works out the slopes of each role.
 pub(super) fn slopes(nodes: &[Node], bundles: Option<BundleCost>, slopes: &mut Slopes) {
-    let base = SETUPS[0];
-    for (name, value) in VALUES {
-        let mean = |setup: Setup, all: Filter<'_>| {
-            let of = nodes.iter().filter(|n| n.setup == setup && all(n));
-            let values: Vec<f64> = of.map(value).collect();
-            values.iter().sum::<f64>() / values.len() as f64
-        };
-        let line = |all: Filter<'_>, size: &dyn Fn(Setup) -> Option<f64>| {
-            let points = SETUPS
-                .iter()
-                .filter_map(|&setup| Some((size(setup)?, mean(setup, all))));
-            slope(&points.collect::<Vec<_>>())
-        };
-        let by_vm =
-            |s: Setup| (s.shards == 64 && s.targets == 10).then_some(f64::from(s.domains) * 3.0);
-        let parts = f64::from(base.domains);
-        let by_target = |s: Setup| {
-            let same = s.shards == 64 && s.domains == base.domains;
-            same.then_some(f64::from(s.targets) / parts)
-        };
-        let by_shard = |s: Setup| {
-            let same = s.targets == 10 && s.domains == base.domains;
-            same.then_some(f64::from(s.shards) / parts)
-        };
-        let roles: [(&str, Filter<'_>); 3] = [
-            ("entry", &|n| !n.leads && n.role == Role::Other),
-            ("domain_leader", &|n| n.leads),
-            ("control_leader", &|n| n.role == Role::ControlLeader),
-        ];
-        for (role, is) in roles {
-            let set = |slopes: &mut Slopes, what: &str, value: f64| {
-                slopes.set(&format!("control.{role}.{name}.{what}"), value);
-            };
-            set(slopes, "base", mean(base, is));
-            set(slopes, "per_vm", line(is, &by_vm));
-            set(slopes, "per_target", line(is, &by_target));
-            set(slopes, "per_shard", line(is, &by_shard));
+    let roles: [(&str, Filter<'_>); 4] = [
+        ("entry", &|n| !n.leads && n.role == Role::Other),
+        ("domain_leader", &|n| n.leads),
+        ("control_voter", &|n| n.role == Role::ControlVoter),
+        ("control_leader", &|n| n.role == Role::ControlLeader),
+    ];
+    for (role, is) in roles {
+        for (name, value) in VALUES {
+            let of_role = nodes.iter().filter(|n| is(n));
+            let samples: Vec<([f64; 4], f64)> =
+                of_role.map(|n| (n.setup.sizes(), value(n))).collect();
+            let most = samples.iter().map(|s| s.1).fold(f64::NAN, f64::max);
+            slopes.set(&format!("control.{role}.{name}.most"), most);
+            let fitted = fit(&samples);
+            for (at, part) in SLOPES.iter().enumerate() {
+                let value = fitted.as_ref().map_or(f64::NAN, |fitted| fitted[at]);
+                slopes.set(&format!("control.{role}.{name}.{part}"), value);
+            }
         }
-        let voter = |n: &Node| n.role == Role::ControlVoter;
-        slopes.set(
-            &format!("control.control_voter.{name}.base"),
-            mean(base, &voter),
-        );
     }
     if let Some(cost) = bundles {
         slopes.set("control.bundle.cpu_ms", cost.cpu_ms);
@@ -150,30 +127,25 @@
         &[
             "role",
             "value",
-            "9 VMs, 10 targets, 64 shards",
-            "per VM",
+            "constant",
+            "per VM of the domain",
+            "per other VM",
             "per target of the domain",
-            "per shard of the domain",
+            "per shard of all domains",
+            "most measured",
         ],
     );
-    table.condition(
-        "per VM: 3 against 9 VMs with 10 targets in all; per target and shard: least squares over \
-         the sizes above, counted per domain",
-    );
-    for role in ["entry", "domain_leader", "control_leader"] {
+    table.condition("least squares over all VMs of the role in all sizes above");
+    for role in ["entry", "domain_leader", "control_voter", "control_leader"] {
         for (name, unit) in DERIVED {
             let get = |what: &str| {
                 let value = slopes.get(&format!("control.{role}.{name}.{what}"));
                 value.map_or_else(|| "-".into(), |value| format!("{value:.4}"))
             };
-            table.row([
-                role.replace('_', " "),
-                unit.to_string(),
-                get("base"),
-                get("per_vm"),
-                get("per_target"),
-                get("per_shard"),
-            ]);
+            let mut cells = vec![role.replace('_', " "), unit.to_string()];
+            cells.extend(SLOPES.iter().map(|what| get(what)));
+            cells.push(get("most"));
+            table.row(cells);
         }
     }
     for (name, unit) in [
--- a/crates/bench/src/failover.rs
+++ b/crates/bench/src/failover.rs
@@ -21,7 +21,6 @@
     deploy::{
         Deployment,
         KEYED,
-        START_LIMIT,
         Shape, //
     },
     service::keyed_service,
@@ -40,6 +39,9 @@
 /// Time for which callers are watched after a loss.
 const WATCH: Duration = Duration::from_secs(4);
 
+/// Longest time until a deployment is at rest after a loss was repaired.
+const QUIET_LIMIT: Duration = Duration::from_secs(20);
+
 /// Time for which a target is stopped.
 const STOP: Duration = Duration::from_secs(3);
 
@@ -109,9 +111,12 @@
         if domains > 1 {
             cases.push(Case::ControlLeader);
         }
-        let mut bench = Bench::start(run, domains)?;
         let mut all = Vec::new();
+        let mut shards = 0;
         for case in cases {
+            // A deployment for each case, so that none depends on the losses of another.
+            let mut bench = Bench::start(run, domains)?;
+            shards = bench.shape.shards;
             all.extend(bench.repeat(case, run)?);
         }
         for results in &all {
@@ -120,7 +125,7 @@
                 results.back().max,
             );
         }
-        tables.push(table(run, domains, bench.shape.shards, &all));
+        tables.push(table(run, domains, shards, &all));
     }
     Ok(tables)
 }
@@ -238,7 +243,7 @@
         for number in 0..run.count(COUNT) {
             let outcome = self
                 .deployment
-                .await_quiet(START_LIMIT)
+                .await_quiet(QUIET_LIMIT)
                 .and_then(|()| self.once(case));
             match outcome {
                 Ok(seen) => {
@@ -249,21 +254,21 @@
                 Err(err) => {
                     eprintln!("camphordale-measure: {}, run {number}: {err}", case.name());
                     all[0].failures.push(format!("run {number}: {err}"));
-                    self.repair()?;
+                    // The deployment may be beyond repair; the next run must not depend on it.
+                    *self = Bench::start(run, self.shape.domains)?;
                 }
             }
         }
         Ok(all)
     }
 
-    /// Starts again what does not run.
-    fn repair(&mut self) -> Result<(), MeasureError> {
-        let running = self.deployment.running();
-        for place in self.deployment.fleet.places() {
-            if !running.contains(&place) {
-                self.deployment.fleet.start_daemon(place)?;
-            }
-        }
+    /// Replaces the target that was started first. The sender of the new one is the VM with the
+    /// fewest targets, which is one that was restarted; without this it would send nothing.
+    fn replace_target(&mut self) -> Result<(), MeasureError> {
+        let name = self.targets.remove(0);
+        self.deployment.fleet.kill_target(&name);
+        let next = self.deployment.add_target(1, KEYED, self.shape.slots)?;
+        self.targets.push(next);
         Ok(())
     }
 
@@ -307,6 +312,7 @@
                 self.deployment.fleet.start_daemon(victim)?;
                 // The restarted VM joins its group as a learner first.
                 thread::sleep(Duration::from_secs(2));
+                self.replace_target()?;
                 Ok(vec![seen])
             }
         }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -34,6 +34,6 @@
 pub use slopes::Slopes;
 pub use spread::{
     Spread,
-    slope, //
+    fit, //
 };
 pub use table::Table;
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -65,20 +65,57 @@
         .unwrap_or(f64::NAN)
 }
 
-/// Returns the slope of the line through `points` with the least sum of squares.
+/// Returns the coefficients of the linear function with the least sum of squares: first the
+/// constant, then one for each column of the samples. Returns none if the samples do not
+/// determine them.
 ///
 /// # Examples
 ///
 /// ```
-/// use camphordale_bench::slope;
+/// use camphordale_bench::fit;
 ///
-/// assert_eq!(slope(&[(0.0, 1.0), (1.0, 3.0), (2.0, 5.0)]), 2.0);
+/// let samples = [([0.0], 1.0), ([1.0], 3.0), ([2.0], 5.0)];
+/// let line = fit(&samples).unwrap_or_default();
+/// assert!((line[0] - 1.0).abs() < 1e-9 && (line[1] - 2.0).abs() < 1e-9);
 /// ```
-pub fn slope(points: &[(f64, f64)]) -> f64 {
-    let count = points.len() as f64;
-    let mean_x = points.iter().map(|p| p.0).sum::<f64>() / count;
-    let mean_y = points.iter().map(|p| p.1).sum::<f64>() / count;
-    let over: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
-    let under: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
-    over / under
+pub fn fit<const COLUMNS: usize>(samples: &[([f64; COLUMNS], f64)]) -> Option<Vec<f64>> {
+    let size = COLUMNS + 1;
+    // Columns of very different sizes would make the elimination inexact.
+    let scale: Vec<f64> = (0..COLUMNS)
+        .map(|at| samples.iter().map(|s| s.0[at].abs()).fold(1.0, f64::max))
+        .collect();
+    let mut rows = vec![vec![0.0; size + 1]; size];
+    for (sample, value) in samples {
+        let scaled = sample.iter().zip(&scale).map(|(x, scale)| x / scale);
+        let line: Vec<f64> = std::iter::once(1.0).chain(scaled).collect();
+        for (row, &x) in rows.iter_mut().zip(&line) {
+            for (cell, &y) in row.iter_mut().zip(line.iter().chain([value])) {
+                *cell += x * y;
+            }
+        }
+    }
+    for at in 0..size {
+        let best = (at..size).max_by(|&a, &b| rows[a][at].abs().total_cmp(&rows[b][at].abs()))?;
+        rows.swap(at, best);
+        if rows[at][at].abs() < 1e-9 {
+            return None;
+        }
+        let pivot = rows[at].clone();
+        for (other, row) in rows.iter_mut().enumerate() {
+            if other != at {
+                let factor = row[at] / pivot[at];
+                for (cell, value) in row.iter_mut().zip(&pivot) {
+                    *cell -= factor * value;
+                }
+            }
+        }
+    }
+    let solved = rows.iter().enumerate().map(|(at, row)| row[size] / row[at]);
+    let scales = std::iter::once(&1.0).chain(&scale);
+    Some(
+        solved
+            .zip(scales)
+            .map(|(value, scale)| value / scale)
+            .collect(),
+    )
 }
