Work out the capacity from the measured slopes

The forwarded path through a second VM is measured too, because most keyed requests take it at the design size. Ruled out: values typed into the page.

--- /dev/null
+++ b/crates/bench/src/capacity/needs.rs
@@ -0,0 +1,283 @@
+//! The requirements of the design size, one row each.
+
+use crate::{
+    Slopes,
+    Table, //
+};
+
+use super::{
+    GROUP_VMS,
+    REQUESTS,
+    VMS,
+    verdict, //
+};
+
+/// Part of the requests that carry an `Idempotency-Key` in the example of the records.
+const RECORDED: f64 = 0.01;
+
+/// Lifetime of a record in the example, in seconds.
+const RECORD_LIFE: f64 = 600.0;
+
+/// Memory limit of a node in bytes.
+const MEMORY: f64 = 32.0 * 1_024.0 * 1_024.0;
+
+/// VMs that fail or restart on a day.
+const RESTARTS: f64 = 2.0 + 91.0;
+
+/// One requirement.
+struct Need {
+    what: &'static str,
+    limit: &'static str,
+    value: Option<f64>,
+    unit: &'static str,
+    holds: fn(f64) -> bool,
+    basis: &'static str,
+    mechanism: &'static str,
+    mend: &'static str,
+}
+
+/// Returns the table of requirements.
+pub(super) fn table(slopes: &Slopes) -> Table {
+    let mut table = Table::new(
+        "Requirements of the design size",
+        &[
+            "requirement",
+            "limit",
+            "value",
+            "verdict",
+            "basis (section)",
+            "mechanism",
+            "if it misses",
+        ],
+    );
+    let all = throughput(slopes)
+        .into_iter()
+        .chain(availability(slopes))
+        .chain(state(slopes))
+        .chain(unmeasured());
+    for need in all {
+        let value = match need.value {
+            Some(value) if value.abs() < 10.0 => format!("{value:.2} {}", need.unit),
+            Some(value) => format!("{value:.0} {}", need.unit),
+            None => "-".into(),
+        };
+        let verdict = verdict(need.value, need.holds);
+        let mend = if verdict == "meets" { "" } else { need.mend };
+        table.row([
+            need.what,
+            need.limit,
+            &value,
+            verdict,
+            need.basis,
+            need.mechanism,
+            mend,
+        ]);
+    }
+    table
+}
+
+fn throughput(slopes: &Slopes) -> Vec<Need> {
+    // The slowest of the paths bounds the mix.
+    let least = |names: [&str; 3]| {
+        let values: Option<Vec<f64>> = names.iter().map(|name| slopes.get(name)).collect();
+        values.map(|values| values.into_iter().fold(f64::INFINITY, f64::min))
+    };
+    vec![
+        Need {
+            what: "3.2M requests/s over 480 VMs, 6,667 on each",
+            limit: "6,700 requests/s",
+            value: least(["http.keyed_rate", "http.forward_rate", "http.open_rate"]),
+            unit: "requests/s",
+            holds: |rate| rate >= 6_700.0,
+            basis: "measured (http): slowest of keyed, forwarded and unkeyed; load, VMs and target share one machine",
+            mechanism: "callers reach any VM; a keyed request is forwarded at most once",
+            mend: "take the lock of the router for less of a request; fewer threads per connection",
+        },
+        Need {
+            what: "router against direct at 32 connections",
+            limit: "0.45",
+            value: least(["http.keyed_ratio", "http.open_ratio", "http.open_ratio"]),
+            unit: "",
+            holds: |ratio| ratio > 0.45,
+            basis: "measured (http)",
+            mechanism: "kept connections, one reducer under one lock",
+            mend: "two reads, two writes and thread changes per request remain; serve the connection on the thread that waits for the target",
+        },
+        Need {
+            what: "added at p99 at half load",
+            limit: "1,000 µs",
+            value: slopes
+                .get("http.keyed_added_p99_us")
+                .zip(slopes.get("http.open_added_p99_us"))
+                .map(|(keyed, open)| keyed.max(open)),
+            unit: "µs",
+            holds: |added| added < 1_000.0,
+            basis: "measured (http)",
+            mechanism: "no waiting below the slots of the targets",
+            mend: "look at the wake-ups of threads at p99",
+        },
+        Need {
+            what: "router reducer per request at 34 targets, 1,088 shards",
+            limit: "75,000 ns (6,667 requests/s, each forwarded once: 13,333 steps/s)",
+            value: slopes
+                .get("router.keyed_34t_16w_ns")
+                .zip(slopes.get("router.open_34t_16w_ns"))
+                .map(|(keyed, open)| keyed.max(open)),
+            unit: "ns",
+            holds: |ns| ns < REQUESTS.recip() * VMS * 1e9 / 2.0,
+            basis: "measured (router)",
+            mechanism: "the reducer's work does not depend on the number of keys or other groups",
+            mend: "divide the router by service",
+        },
+    ]
+}
+
+fn availability(slopes: &Slopes) -> Vec<Need> {
+    let served = |what, name: &str, mechanism| Need {
+        what,
+        limit: "1,000 ms",
+        value: slopes.get(&format!("failover.{name}_ms_max_3d")),
+        unit: "ms at most",
+        holds: |ms| ms <= 1_000.0,
+        basis: "measured (failover), 3 domains x 3 VMs; not at 12 VMs per group",
+        mechanism,
+        mend: "shorter leases cost more renewals; see the row of the role's processor time",
+    };
+    vec![
+        served(
+            "key served again after a target is killed",
+            "target_killed",
+            "refused connections make the sender report it; lease of 600 ms",
+        ),
+        served(
+            "key served again after a target freezes",
+            "target_stopped",
+            "silence of 300 ms leads to a probe; lease of 600 ms",
+        ),
+        served(
+            "key served again after its sender is killed",
+            "sender_killed",
+            "lease of 500 ms; the owner stays",
+        ),
+        served(
+            "key served again after the domain leader is killed",
+            "domain_leader_killed",
+            "election in 150 to 300 ms, then one lease of 500 ms before a holder counts as expired",
+        ),
+        served(
+            "key served after the control leader is killed",
+            "control_leader_killed",
+            "domain groups work without the control group",
+        ),
+        Need {
+            what: "unavailable time per key and day from 2 failures and 91 restarts of VMs, each key's sender being 1 of 480",
+            limit: "none given",
+            value: slopes
+                .get("failover.sender_killed_ms_max_3d")
+                .map(|ms| ms * RESTARTS / VMS),
+            unit: "ms a day",
+            holds: |_| true,
+            basis: "worked out (failover), as if every restart were a kill; a drained VM hands over before it ends",
+            mechanism: "owners stay; only senders move",
+            mend: "",
+        },
+        Need {
+            what: "a bundle is in force everywhere",
+            limit: "12,000 ms",
+            value: slopes.get("bundle.in_force_ms_max"),
+            unit: "ms at most",
+            holds: |ms| ms <= 12_000.0,
+            basis: "measured (bundle) at 9 VMs; 480 VMs are not measured",
+            mechanism: "one Raft commit, then directory differences to each VM; VMs do not wait for each other",
+            mend: "push the directory to VMs rather than waiting for their next report",
+        },
+    ]
+}
+
+fn state(slopes: &Slopes) -> Vec<Need> {
+    let record = slopes.get("state.record_bytes");
+    let group_rate = REQUESTS / VMS * GROUP_VMS;
+    vec![
+        Need {
+            what: "reducer of a domain leader with 12 VMs, 34 targets, 1,088 shards",
+            limit: "1% of a core, with all else of the role",
+            value: slopes.get("state.leader_percent"),
+            unit: "% of a core",
+            holds: |percent| percent <= 1.0,
+            basis: "measured in simulated time (state); Raft and messages are in the table of roles",
+            mechanism: "one pass over the group's state per tick; nothing grows with keys or other groups",
+            mend: "look only at shards that changed",
+        },
+        Need {
+            what: "idempotency records of a group in each of its 5 voters, if 1% of the requests carry a key and records live 10 min",
+            limit: "32 MB",
+            value: record.map(|bytes| group_rate * RECORDED * RECORD_LIFE * bytes / MEMORY * 32.0),
+            unit: "MB",
+            holds: |mb| mb <= 32.0,
+            basis: "worked out (state): memory per record measured with answers of 200 bytes",
+            mechanism: "records are in memory of the group's voters until record_life ends",
+            mend: "shorter record_life, more and smaller groups, or keep only digests of answers",
+        },
+        Need {
+            what: "records per second that a group can keep for 10 min in 32 MB",
+            limit: "none given",
+            value: record.map(|bytes| MEMORY / bytes / RECORD_LIFE),
+            unit: "records/s",
+            holds: |_| true,
+            basis: "worked out (state)",
+            mechanism: "as above",
+            mend: "",
+        },
+    ]
+}
+
+fn unmeasured() -> Vec<Need> {
+    let row = |what, limit, mechanism, mend| Need {
+        what,
+        limit,
+        value: None,
+        unit: "",
+        holds: |_| true,
+        basis: "not measured",
+        mechanism,
+        mend,
+    };
+    vec![
+        row(
+            "570M keys in use",
+            "-",
+            "keys are hashed to shards; no state is kept per key, except a shard for each hot key that the bundle lists",
+            "-",
+        ),
+        row(
+            "VMs set aside for control",
+            "7",
+            "by design 0 to 7: control voters may be entry VMs; at most 7 voters",
+            "-",
+        ),
+        row(
+            "a rack, switch or failure domain is lost",
+            "-",
+            "domain lease, then the control group gives its shards a new home; without a domain lease an operator declares it lost",
+            "measure with a deployment whose domain is killed; the quickstart cuts one off",
+        ),
+        row(
+            "regions lose contact for minutes",
+            "-",
+            "each domain serves on within its domain lease; the control quorum is in one region only",
+            "measure with the relay and latency between regions",
+        ),
+        row(
+            "p99 of 10 ms over all requests at 3.2M requests/s",
+            "10 ms",
+            "queues are bounded by deadline; forwarding adds one call between VMs",
+            "measure on several machines",
+        ),
+        row(
+            "target: leases, renewals and grants",
+            "-",
+            "6.7 renewals/s to one VM of its domain; no part of the system runs on target VMs",
+            "the processor time of a real target is its own",
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/bench/src/capacity/roles.rs
@@ -0,0 +1,144 @@
+//! Control overhead of each role.
+
+use crate::{
+    Slopes,
+    Table, //
+};
+
+use super::{
+    BUNDLES,
+    DAY,
+    GROUP_SHARDS,
+    GROUP_TARGETS,
+    GROUP_VMS,
+    MEASURED_DOMAINS,
+    SHARDS,
+    VMS,
+    verdict, //
+};
+
+/// Slopes in the order of the sizes.
+const SLOPES: [&str; 4] = ["group_vm", "other_vm", "target", "shard"];
+
+/// Roles with their state and messages.
+const ROLES: [[&str; 4]; 4] = [
+    [
+        "entry",
+        "entry VM",
+        "router: targets of its domain, homes of all shards, requests in flight; lease",
+        "lease renewal every 100 ms (UDP), view and directory differences, load report every 1 s",
+    ],
+    [
+        "domain_leader",
+        "domain leader",
+        "that of an entry VM; sessions, owners, senders, records; lease times",
+        "heartbeats every 40 ms to 4 voters, 10 renewals/s from each VM, 6.7/s from each target, \
+         report to control every 250 ms",
+    ],
+    [
+        "control_voter",
+        "control voter (also entry VM)",
+        "bundle chain, registry, homes, group terms, audit; on disk",
+        "heartbeats every 100 ms from the leader, log entries",
+    ],
+    [
+        "control_leader",
+        "control leader (also entry VM)",
+        "that of a voter; what it sent to whom",
+        "reports of all domain leaders every 250 ms, directory differences to all VMs, heartbeats \
+         to at most 6 voters",
+    ],
+];
+
+/// Values with unit, limit and divisor from the measured unit.
+const VALUES: [(&str, &str, f64, f64); 3] = [
+    ("cpu_percent", "% of a core", 1.0, 1.0),
+    ("resident_kb", "MB", 32.0, 1_024.0),
+    ("bytes_s", "KB/s", 29.0, 1_024.0),
+];
+
+/// Returns the table of roles.
+pub(super) fn table(slopes: &Slopes) -> Table {
+    let mut table = Table::new(
+        "Control overhead per node, extrapolated",
+        &[
+            "role",
+            "state",
+            "messages",
+            "value",
+            "measured at most",
+            "at the design size",
+            "limit",
+            "verdict",
+        ],
+    );
+    table.condition(format!(
+        "{VMS} VMs, groups of {GROUP_VMS} VMs with {GROUP_TARGETS} targets and {GROUP_SHARDS} \
+         shards, {SHARDS} shards in all; constant and slopes of section control; a slope below 0 \
+         counts as 0; {BUNDLES} bundles a day are added"
+    ));
+    table.condition(
+        "shards of other groups count for memory, and for all values of control voters; processor \
+         time and traffic of the other roles depend on the shards of their own group",
+    );
+    for [role, name, state, messages] in ROLES {
+        for (at, (value, unit, limit, scale)) in VALUES.into_iter().enumerate() {
+            let most = slopes.get(&format!("control.{role}.{value}.most"));
+            let design = estimate(slopes, role, value).map(|v| v / scale);
+            let whole = SLOPES.iter().all(|what| {
+                let name = format!("control.{role}.{value}.{what}");
+                slopes.get(&name).is_some()
+            });
+            let verdict = match verdict(design, |v| v <= limit) {
+                "meets" if !whole => "not measured: no slope per VM",
+                verdict => verdict,
+            };
+            let text = |value: Option<f64>| value.map_or_else(|| "-".into(), |v| format!("{v:.2}"));
+            // State and messages are the same for all values of a role.
+            let first = |text: &str| {
+                if at == 0 {
+                    text.to_string()
+                } else {
+                    String::new()
+                }
+            };
+            table.row([
+                first(name),
+                first(state),
+                first(messages),
+                unit.to_string(),
+                text(most.map(|v| v / scale)),
+                text(design),
+                limit.to_string(),
+                verdict.to_string(),
+            ]);
+        }
+    }
+    table
+}
+
+/// Returns a value of a role at the design size.
+pub(super) fn estimate(slopes: &Slopes, role: &str, value: &str) -> Option<f64> {
+    let get = |what: &str| slopes.get(&format!("control.{role}.{value}.{what}"));
+    let all = value == "resident_kb" || role.starts_with("control");
+    // The shards were counted over all domains; a domain had its part of them.
+    let shards = if all {
+        SHARDS
+    } else {
+        GROUP_SHARDS * MEASURED_DOMAINS
+    };
+    let sizes = [GROUP_VMS, VMS - GROUP_VMS, GROUP_TARGETS, shards];
+    let mut sum = get("base")?;
+    for (what, size) in SLOPES.into_iter().zip(sizes) {
+        // A slope that was not measured counts as 0; the table says so.
+        sum += get(what).unwrap_or(0.0).max(0.0) * size;
+    }
+    let per_second = BUNDLES / DAY;
+    Some(match value {
+        "cpu_percent" => {
+            sum + slopes.get("control.bundle.cpu_ms").unwrap_or(0.0).max(0.0) * per_second / 10.0
+        }
+        "bytes_s" => sum + slopes.get("control.bundle.bytes").unwrap_or(0.0).max(0.0) * per_second,
+        _ => sum,
+    })
+}
--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -162,8 +162,8 @@
         table.condition(run.command("control"));
         table.condition(format!(
             "idle for {} s after the deployment came to rest; processor time from /proc/PID/stat \
-             in steps of 10 ms; one control voter in each domain; targets renew and get \
-             no requests",
+             in steps of 10 ms; one control voter in each domain; targets renew \
+             through the first VM of their domain, which is the control voter, and get no requests",
             time.as_secs()
         ));
     }
--- a/crates/bench/src/control/report.rs
+++ b/crates/bench/src/control/report.rs
@@ -106,7 +106,17 @@
                 of_role.map(|n| (n.setup.sizes(), value(n))).collect();
             let most = samples.iter().map(|s| s.1).fold(f64::NAN, f64::max);
             slopes.set(&format!("control.{role}.{name}.most"), most);
-            let fitted = fit(&samples);
+            let all = fit(&samples);
+            // A role that exists only with one number of VMs has no slope per VM.
+            let some = || {
+                let samples: Vec<([f64; 2], f64)> = samples
+                    .iter()
+                    .map(|&([_, _, target, shard], value)| ([target, shard], value))
+                    .collect();
+                let [base, target, shard] = fit(&samples)?.try_into().ok()?;
+                Some(vec![base, f64::NAN, f64::NAN, target, shard])
+            };
+            let fitted = all.or_else(some);
             for (at, part) in SLOPES.iter().enumerate() {
                 let value = fitted.as_ref().map_or(f64::NAN, |fitted| fitted[at]);
                 slopes.set(&format!("control.{role}.{name}.{part}"), value);
--- a/crates/bench/src/failover.rs
+++ b/crates/bench/src/failover.rs
@@ -175,6 +175,13 @@
                 times.any(|back| back.as_secs_f64() * 1e3 > LIMIT)
             })
             .count();
+        if results.runs.is_empty() {
+            let mut cells = vec![results.case.name().to_string(), "0".into()];
+            cells.resize(table.heads.len(), "-".into());
+            table.row(cells);
+            fail(&mut table, results);
+            continue;
+        }
         let back = match results.back() {
             spread if spread.max.is_nan() => "no outage".to_string(),
             spread => format!("{spread:.0}"),
@@ -190,13 +197,18 @@
             format!("{gap:.0}"),
             format!("{:.0}", Spread::of(results.runs.iter().map(failed))),
         ]);
-        for failure in &results.failures {
-            table.condition(format!("{}: {failure}", results.case.name()));
-        }
+        fail(&mut table, results);
     }
     table
 }
 
+/// Adds the runs that failed to the table's conditions.
+fn fail(table: &mut Table, results: &Results) {
+    for failure in &results.failures {
+        table.condition(format!("{}: {failure}", results.case.name()));
+    }
+}
+
 struct Bench {
     shape: Shape,
     deployment: Deployment,
--- a/crates/bench/src/http.rs
+++ b/crates/bench/src/http.rs
@@ -85,7 +85,8 @@
     loads.condition(run.command("http"));
     loads.condition(format!(
         "{rounds} rounds, direct and router in turn, {seconds} s each; one VM, one target per \
-         service with 64 slots and no work; all on one machine; min / median / max; the ratio is \
+         service with 64 slots and no work; forward: 3 VMs, asked is the one \
+         that is not the sender; all on one machine; min / median / max; the ratio is \
          of the same round; at least {LEAST_RATIO}"
     ));
     paces.condition(format!(
@@ -93,9 +94,51 @@
          counts from the time a request was due; added: router minus direct of the same round; \
          limit 1000"
     ));
-    for (name, target) in [(KEYED, keyed), (OPEN, open)] {
-        let path = format!("/{name}/book-7");
-        let load = |address| load(address, &path, Duration::from_secs_f64(seconds));
+    let mut bench = Bench {
+        loads,
+        paces,
+        rounds,
+        time: Duration::from_secs_f64(seconds),
+    };
+    bench.path(KEYED, KEYED, keyed, router, slopes)?;
+    bench.path(OPEN, OPEN, open, router, slopes)?;
+    drop(deployment);
+
+    // A request that arrives at another VM than the sender.
+    let shape = Shape { vms: 3, ..shape };
+    let mut deployment = Deployment::start(run, shape)?;
+    let (target, _target) = deployment.add_plain_target(KEYED, PORTS[0], SLOTS, run)?;
+    deployment.await_quiet(START_LIMIT)?;
+    thread::sleep(Duration::from_secs(2));
+    let shards = deployment.shards(1)?;
+    let sender = shards[0]["sender"].as_u64().unwrap_or_default();
+    let vm = if sender == 11 { 2 } else { 1 };
+    let other = deployment.fleet.address(Place { domain: 1, vm }, CALLERS);
+    bench.path("forward", KEYED, target, other, slopes)?;
+    Ok(vec![bench.loads, bench.paces])
+}
+
+/// The tables while they are filled.
+struct Bench {
+    loads: Table,
+    paces: Table,
+    rounds: usize,
+    time: Duration,
+}
+
+impl Bench {
+    /// Measures one path through the router against the target alone.
+    fn path(
+        &mut self,
+        name: &str,
+        service: &str,
+        target: SocketAddr,
+        router: SocketAddr,
+        slopes: &mut Slopes,
+    ) -> Result<(), MeasureError> {
+        let path = format!("/{service}/book-7");
+        let (time, rounds) = (self.time, self.rounds);
+        let load = |address| load(address, &path, time);
         load(router)?;
         let (mut direct, mut routed) = (Vec::new(), Vec::new());
         for _ in 0..rounds {
@@ -104,14 +147,19 @@
         }
         let both = direct.iter().zip(&routed);
         let ratio = Spread::of(both.map(|(d, r)| r.per_second / d.per_second));
-        load_row(&mut loads, &format!("{name}, direct"), &direct, None);
-        load_row(&mut loads, &format!("{name}, router"), &routed, Some(ratio));
+        load_row(&mut self.loads, &format!("{name}, direct"), &direct, None);
+        load_row(
+            &mut self.loads,
+            &format!("{name}, router"),
+            &routed,
+            Some(ratio),
+        );
         let rate = Spread::of(routed.iter().map(|r| r.per_second)).median;
         slopes.set(&format!("http.{name}_rate"), rate);
         slopes.set(&format!("http.{name}_ratio"), ratio.median);
 
         let half = rate / 2.0;
-        let pace = |address| pace(address, &path, half, Duration::from_secs_f64(seconds));
+        let pace = |address| pace(address, &path, half, time);
         let (mut direct, mut routed) = (Vec::new(), Vec::new());
         for _ in 0..rounds {
             direct.push(pace(target)?);
@@ -119,17 +167,23 @@
         }
         let both = direct.iter().zip(&routed);
         let added = Spread::of(both.map(|(d, r)| r.p99 - d.p99));
-        pace_row(&mut paces, &format!("{name}, direct"), half, &direct, None);
         pace_row(
-            &mut paces,
+            &mut self.paces,
+            &format!("{name}, direct"),
+            half,
+            &direct,
+            None,
+        );
+        pace_row(
+            &mut self.paces,
             &format!("{name}, router"),
             half,
             &routed,
             Some(added),
         );
         slopes.set(&format!("http.{name}_added_p99_us"), added.median);
+        Ok(())
     }
-    Ok(vec![loads, paces])
 }
 
 fn load(address: SocketAddr, path: &str, time: Duration) -> Result<LoadReport, MeasureError> {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/CAPACITY.md` needs to [`Slopes`].
 
 pub mod bundle;
+pub mod capacity;
 pub mod choice;
 pub mod control;
 mod deploy;
--- a/crates/bench/src/section.rs
+++ b/crates/bench/src/section.rs
@@ -6,6 +6,7 @@
     Slopes,
     Table,
     bundle,
+    capacity,
     choice,
     control,
     failover,
@@ -30,7 +31,7 @@
 const PAGE: &str = "measurements.md";
 
 /// All sections, in their order on the page.
-pub const SECTIONS: [Section; 8] = [
+pub const SECTIONS: [Section; 9] = [
     Section {
         name: "placement",
         page: PAGE,
@@ -71,4 +72,9 @@
         page: PAGE,
         measure: control::measure,
     },
+    Section {
+        name: "capacity",
+        page: "CAPACITY.md",
+        measure: capacity::measure,
+    },
 ];
