--- a/crates/bench/src/capacity/needs.rs
+++ b/crates/bench/src/capacity/needs.rs
@@ -61,7 +61,10 @@
             Some(value) => format!("{value:.0} {}", need.unit),
             None => "-".into(),
         };
-        let verdict = verdict(need.value, need.holds);
+        let verdict = match need.limit {
+            "none given" => "-",
+            _ => verdict(need.value, need.holds),
+        };
         let mend = if verdict == "meets" { "" } else { need.mend };
         table.row([
             need.what,
@@ -82,6 +85,10 @@
         let values: Option<Vec<f64>> = names.iter().map(|name| slopes.get(name)).collect();
         values.map(|values| values.into_iter().fold(f64::INFINITY, f64::min))
     };
+    let most = |names: [&str; 3]| {
+        let values: Option<Vec<f64>> = names.iter().map(|name| slopes.get(name)).collect();
+        values.map(|values| values.into_iter().fold(f64::MIN, f64::max))
+    };
     vec![
         Need {
             what: "3.2M requests/s over 480 VMs, 6,667 on each",
@@ -106,10 +113,11 @@
         Need {
             what: "added at p99 at half load",
             limit: "1,000 µs",
-            value: slopes
-                .get("http.keyed_added_p99_us")
-                .zip(slopes.get("http.open_added_p99_us"))
-                .map(|(keyed, open)| keyed.max(open)),
+            value: most([
+                "http.keyed_added_p99_us",
+                "http.open_added_p99_us",
+                "http.forward_added_p99_us",
+            ]),
             unit: "µs",
             holds: |added| added < 1_000.0,
             basis: "measured (http)",
@@ -169,6 +177,16 @@
             "control_leader_killed",
             "domain groups work without the control group",
         ),
+        Need {
+            what: "failover runs that could not be made, because the deployment was not at rest 20 s after an earlier loss and restart",
+            limit: "0",
+            value: failed(slopes),
+            unit: "runs",
+            holds: |runs| runs == 0.0,
+            basis: "measured (failover), 1 and 3 domains; the reasons are listed there",
+            mechanism: "a restarted VM joins its groups as a learner and is promoted",
+            mend: "repair the faults that the failed runs show before any other row counts",
+        },
         Need {
             what: "unavailable time per key and day from 2 failures and 91 restarts of VMs, each key's sender being 1 of 480",
             limit: "none given",
@@ -194,6 +212,22 @@
     ]
 }
 
+/// Returns the number of runs that failed over all cases.
+fn failed(slopes: &Slopes) -> Option<f64> {
+    let cases = [
+        "target_killed",
+        "target_stopped",
+        "sender_killed",
+        "domain_leader_killed",
+        "control_leader_killed",
+    ];
+    let names = cases
+        .iter()
+        .flat_map(|case| [1, 3].map(|domains| format!("failover.{case}_failed_{domains}d")));
+    let values: Vec<f64> = names.filter_map(|name| slopes.get(&name)).collect();
+    (!values.is_empty()).then(|| values.iter().sum())
+}
+
 fn state(slopes: &Slopes) -> Vec<Need> {
     let record = slopes.get("state.record_bytes");
     let group_rate = REQUESTS / VMS * GROUP_VMS;
--- a/crates/bench/src/failover.rs
+++ b/crates/bench/src/failover.rs
@@ -124,6 +124,8 @@
                 &format!("failover.{}_ms_max_{domains}d", results.case.slope()),
                 results.back().max,
             );
+            let failed = format!("failover.{}_failed_{domains}d", results.case.slope());
+            slopes.set(&failed, results.failures.len() as f64);
         }
         tables.push(table(run, domains, shards, &all));
     }
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -61,9 +61,4 @@
     pub fn get(&self, name: &str) -> Option<f64> {
         self.0.get(name).copied()
     }
-
-    /// Takes over the values of `other`.
-    pub fn merge(&mut self, other: Slopes) {
-        self.0.extend(other.0);
-    }
 }
