--- a/crates/bench/src/placement/group.rs
+++ b/crates/bench/src/placement/group.rs
@@ -254,6 +254,7 @@
                 };
                 Some(Event::Released {
                     vm: self.state.target(owner)?.sender?,
+                    incarnation: INCARNATION,
                     shard: ShardRef::new(&name, index),
                     token: entry.token,
                     clear: Duration::ZERO,
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -183,7 +183,7 @@
     draining: Arc<AtomicBool>,
     callers: Option<Server>,
     targets: Option<Server>,
-    peers: PeerServer,
+    peers: Arc<PeerServer>,
     datagrams: Arc<Datagrams>,
     operators: (JoinHandle<()>, std::sync::mpsc::Sender<()>),
     control: Option<(ControlHandle, JoinHandle<()>)>,
@@ -281,15 +281,13 @@
             keyring.clone(),
             handler.clone(),
         )?);
-        let server = PeerServer::start(
-            PeerServerConfig {
-                bind: listen,
-                vm: settings.vm,
-                keyring,
-                limits: ServerLimits::default(),
-            },
-            handler,
-        )?;
+        let config = PeerServerConfig {
+            bind: listen,
+            vm: settings.vm,
+            keyring,
+            limits: ServerLimits::default(),
+        };
+        let server = Arc::new(PeerServer::start(config, handler)?);
 
         let file = settings.data.as_deref().map(open_folder).transpose()?;
         let bundle = file.as_ref().map(BundleFile::load).transpose()?.flatten();
@@ -336,7 +334,15 @@
             control,
             entry,
         };
-        Pump::start(&app.plane, &peers, &app.datagrams, &metrics, &app.node)?;
+        let pump = Pump {
+            plane: Arc::downgrade(&app.plane),
+            peers,
+            server: Arc::clone(&app.peers),
+            datagrams: Arc::clone(&app.datagrams),
+            metrics,
+            node: app.node.clone(),
+        };
+        pump.start()?;
         info!(log, "started"; "vm" => app.settings.vm, "incarnation" => incarnation,
               "domain" => &*app.settings.domain);
         Ok(app)
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -262,7 +262,7 @@
                 term: own.group,
                 epoch: own.epoch,
                 leader: own.leader,
-                voter: own.group != 0,
+                voter: own.voter,
             },
             lease: LeaseBody {
                 valid: own.lease,
--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/pump.rs
@@ -14,7 +14,8 @@
 use camphordale_domain::Phase as ShardPhase;
 use camphordale_net::{
     Datagrams,
-    PeerClient, //
+    PeerClient,
+    PeerServer, //
 };
 use camphordale_node::EntryNode;
 use camphordale_types::{
@@ -38,11 +39,12 @@
 
 /// What is copied.
 pub(crate) struct Pump {
-    plane: Weak<Plane>,
-    peers: Arc<PeerClient>,
-    datagrams: Arc<Datagrams>,
-    metrics: Arc<Metrics>,
-    node: NodeHandle,
+    pub(crate) plane: Weak<Plane>,
+    pub(crate) peers: Arc<PeerClient>,
+    pub(crate) server: Arc<PeerServer>,
+    pub(crate) datagrams: Arc<Datagrams>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) node: NodeHandle,
 }
 
 /// The shards of one service that are homed here.
@@ -73,24 +75,11 @@
     /// # Errors
     ///
     /// The system may refuse the thread.
-    pub(crate) fn start(
-        plane: &Arc<Plane>,
-        peers: &Arc<PeerClient>,
-        datagrams: &Arc<Datagrams>,
-        metrics: &Arc<Metrics>,
-        node: &NodeHandle,
-    ) -> io::Result<()> {
-        let pump = Pump {
-            plane: Arc::downgrade(plane),
-            peers: Arc::clone(peers),
-            datagrams: Arc::clone(datagrams),
-            metrics: Arc::clone(metrics),
-            node: node.clone(),
-        };
+    pub(crate) fn start(self) -> io::Result<()> {
         thread::Builder::new()
             .name("metrics".into())
             .stack_size(128 * 1024)
-            .spawn(move || pump.run())?;
+            .spawn(move || self.run())?;
         Ok(())
     }
 
@@ -154,12 +143,13 @@
     }
 
     fn traffic(&self) -> Traffic {
-        let (client, datagrams) = (self.peers.stats(), self.datagrams.stats());
+        let client = self.peers.stats();
+        let (server, datagrams) = (self.server.stats(), self.datagrams.stats());
         Traffic {
-            messages_in: client.messages_in + datagrams.messages_in,
-            bytes_in: client.bytes_in + datagrams.bytes_in,
-            messages_out: client.messages_out + datagrams.messages_out,
-            bytes_out: client.bytes_out + datagrams.bytes_out,
+            messages_in: client.messages_in + server.messages_in + datagrams.messages_in,
+            bytes_in: client.bytes_in + server.bytes_in + datagrams.bytes_in,
+            messages_out: client.messages_out + server.messages_out + datagrams.messages_out,
+            bytes_out: client.bytes_out + server.bytes_out + datagrams.bytes_out,
         }
     }
 }
--- a/crates/node/src/domain.rs
+++ b/crates/node/src/domain.rs
@@ -215,6 +215,10 @@
         self.ready && self.raft.leader_until().is_some_and(|until| now < until)
     }
 
+    pub(crate) fn is_voter(&self) -> bool {
+        self.raft.members().voters.contains(&self.id)
+    }
+
     pub(crate) fn is_member(&self) -> bool {
         let members = self.raft.members();
         members.voters.contains(&self.id) || members.learners.contains(&self.id)
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -227,6 +227,8 @@
     pub epoch: u64,
     /// Leader of the domain group.
     pub leader: Option<VmId>,
+    /// Whether this VM votes in the domain group.
+    pub voter: bool,
     /// Leader of the control group, as far as known.
     pub control: Option<VmId>,
     /// Whether the lease is valid.
@@ -317,6 +319,7 @@
             group: self.member.as_ref().map_or(0, DomainMember::term),
             epoch: self.member.as_ref().map_or(0, DomainMember::epoch),
             leader: self.leader,
+            voter: self.member.as_ref().is_some_and(DomainMember::is_voter),
             control: self.calls.control_leader(),
             lease: self.session.valid && now < self.session.until,
             view: self.view.1,
--- a/crates/route/src/balance.rs
+++ b/crates/route/src/balance.rs
@@ -1,21 +1,6 @@
-//! Division of a target's capacity over VMs, and the choice among targets of an unkeyed service.
+//! The choice among targets of an unkeyed service.
 
-use camphordale_types::{TargetId, VmId};
-
-/// Divides `slots` exactly over `vms`, in their order; the remainder is rotated by the target.
-pub(crate) fn shares(slots: u32, vms: &[VmId], target: TargetId) -> Vec<u32> {
-    let count = vms.len() as u32;
-    if count == 0 {
-        return Vec::new();
-    }
-    let first = (target % u64::from(count)) as u32;
-    (0..count)
-        .map(|i| {
-            let turn = (i + count - first) % count;
-            slots / count + u32::from(turn < slots % count)
-        })
-        .collect()
-}
+use camphordale_types::TargetId;
 
 /// What this VM knows of a candidate for a request without a key.
 #[derive(Clone, Copy, Debug)]
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -5,7 +5,9 @@
 use camphordale_domain::TargetView;
 use camphordale_types::{RequestId, Service, ShardIndex, TargetInfo, TargetState, Token, VmId};
 
-use crate::{balance::shares, health::Health, queue::Turns};
+use camphordale_placement::shares;
+
+use crate::{health::Health, queue::Turns};
 
 /// A target of this VM's domain.
 #[derive(Debug)]
--- a/crates/route/src/unkeyed.rs
+++ b/crates/route/src/unkeyed.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use camphordale_placement::shares;
 use camphordale_types::{NotRun, RequestId, Side, TargetId, TargetState};
 
 use crate::{
     Origin, Router,
-    balance::{Candidate, choose, shares},
+    balance::{Candidate, choose},
     flight::Lane,
 };
 
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -365,6 +365,17 @@
         })
     }
 
+    /// Waits until every VM that runs votes in its domain group.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they do not by `limit`.
+    pub fn await_voters(&self, limit: Duration) -> Result<Duration, FleetError> {
+        self.await_each("domain voter", limit, |status| {
+            status["group"]["voter"].as_bool() == Some(true)
+        })
+    }
+
     /// Waits until the control group has a leader.
     ///
     /// # Errors
