Send no renewals after a VM has given its lease up

Cause: a VM that was shutting down went on renewing, so the domain leader opened a new session for it and could give it rights to send again.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -258,7 +258,10 @@
     accepted: Option<(SignedBundle, Bundle)>,
     /// Version of the bundle in force.
     in_force: u64,
+    /// Whether the VM is shutting down and uses no lease any more.
     leaving: bool,
+    /// Whether it has given its lease up.
+    left: bool,
     leader: Option<VmId>,
     session: Session,
     view: (u64, u64),
@@ -294,6 +297,7 @@
             accepted: None,
             in_force: 0,
             leaving: false,
+            left: false,
             leader: None,
             session: Session::default(),
             view: (0, 0),
@@ -379,7 +383,8 @@
             self.leaving = true;
             self.lose_lease(out);
         }
-        if !busy {
+        if !busy && !self.left {
+            self.left = true;
             let (vm, incarnation) = (self.config.info.vm, self.config.info.incarnation);
             let call = Call::Domain(DomainCall::Leave { vm, incarnation });
             self.internal(call, Dest::Domain, now);
@@ -439,6 +444,10 @@
     /// Asks the domain leader to renew this VM's lease; without a known leader, asks every entry
     /// VM of the domain who leads.
     fn renew(&mut self, now: Duration, out: &mut Vec<EntryEffect>) {
+        // A renewal would open a session again, and with it new rights to send.
+        if self.left {
+            return;
+        }
         let last = self.session.last_try;
         if last.is_some_and(|at| now < at + self.config.renew) {
             return;
