--- a/crates/node/tests/leases.rs
+++ b/crates/node/tests/leases.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use camphordale_node::ControlReply;
+use camphordale_node::{
+    ControlReply,
+    EntryEvent, //
+};
 use rand::Rng;
 
 mod sim;
@@ -256,3 +259,24 @@
     assert_eq!(sim.run(alone).entry.status(sim.local(alone)).group, term);
     assert!(sim.run(alone).entry.incarnation() > first);
 }
+
+/// Guards against a VM that gets new rights to send after it gave its lease up for a shutdown:
+/// requests forwarded to it would wait there until their deadlines.
+#[test]
+fn a_vm_that_left_gets_no_rights_again() {
+    let mut sim = Sim::serving(3, one_domain(3, 3), 2);
+    let (leader, others) = leader_and_others(&sim);
+    let gone = others[0];
+    sim.entry(gone, EntryEvent::Leave { busy: true });
+    sim.entry(gone, EntryEvent::Leave { busy: false });
+    let has_session = |sim: &Sim| {
+        let state = sim.run(leader).entry.domain_state().unwrap();
+        let sends = state.targets().any(|target| target.sender == Some(gone));
+        state.vm(gone).is_some() || sends
+    };
+    sim.until("the end of its session", ms(1_000), |sim| !has_session(sim));
+    for _ in 0..300 {
+        sim.advance(ms(10));
+        assert!(!has_session(&sim), "VM {gone} has a session again");
+    }
+}
