--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -29,12 +29,17 @@
 /// Accepted digests that are kept to recognise resends: 50 days at 1,300 bundles a day, 2 MB.
 const MAX_DIGESTS: usize = 65_536;
 
+/// Bundles before the standing one whose content is kept, so that operators can roll back.
+const MAX_EARLIER: usize = 32;
+
 /// The standing bundle and the digests of those before it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Chain {
     /// Operators that sign the first bundle.
     first: Operators,
     standing: Option<SignedBundle>,
+    /// The last bundles before it, the newest last.
+    earlier: VecDeque<SignedBundle>,
     /// Digests of the last accepted bundles; the last is the standing one.
     digests: VecDeque<Digest>,
     /// Version of the standing bundle, 0 for none.
@@ -60,6 +65,7 @@
         Chain {
             first,
             standing: None,
+            earlier: VecDeque::new(),
             digests: VecDeque::new(),
             version: 0,
             content: None,
@@ -70,6 +76,15 @@
         self.standing.as_ref()
     }
 
+    /// Returns the accepted bundle with this version, if it is kept.
+    pub(crate) fn at(&self, version: u64) -> Option<&SignedBundle> {
+        let back = self.version.checked_sub(version)?;
+        match usize::try_from(back).ok()? {
+            0 => self.standing(),
+            back => self.earlier.iter().rev().nth(back - 1),
+        }
+    }
+
     pub(crate) fn content(&self) -> Option<&Bundle> {
         self.content.as_ref()
     }
@@ -118,7 +133,10 @@
         }
         let signers = signed.signers(self.operators());
         self.version = bundle.version;
-        self.standing = Some(signed.clone());
+        self.earlier.extend(self.standing.replace(signed.clone()));
+        while self.earlier.len() > MAX_EARLIER {
+            self.earlier.pop_front();
+        }
         self.content = Some(bundle);
         self.digests.push_back(digest);
         while self.digests.len() > MAX_DIGESTS {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -362,6 +362,11 @@
         self.chain.content()
     }
 
+    /// Returns the accepted bundle with this version. Only the last ones are kept.
+    pub fn signed_at(&self, version: u64) -> Option<&SignedBundle> {
+        self.chain.at(version)
+    }
+
     /// Returns the standing bundle with its signatures.
     pub fn signed(&self) -> Option<&SignedBundle> {
         self.chain.standing()
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -571,3 +571,28 @@
     assert!(altered(|entries| entries.swap(5, 6)));
     assert!(altered(|entries| entries[5].hash = entries[6].hash));
 }
+
+/// Guards against a rollback for which the content of the earlier bundle is gone, and against
+/// keeping all of them.
+#[test]
+fn the_last_bundles_are_kept() {
+    let mut state = State::new(operators(1, &[1]));
+    let first = first_bundle(operators(1, &[1]));
+    state.apply(1, &common::submission(&first, 1));
+    for index in 2..=40 {
+        let next = common::next_bundle(&state);
+        state.apply(index, &common::submission(&next, 1));
+    }
+    let state = State::decode(&state.encode()).unwrap();
+    let version = |version| {
+        let signed = state.signed_at(version)?;
+        camphordale_bundle::decode(&signed.bytes)
+            .ok()
+            .map(|bundle| bundle.version)
+    };
+    assert_eq!(version(40), Some(40));
+    assert_eq!(version(39), Some(39));
+    assert_eq!(version(8), Some(8));
+    assert_eq!(version(7), None);
+    assert_eq!(version(41), None);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -311,9 +311,11 @@
     }
 
     fn bundle(&self, version: Option<u64>) -> Option<SignedBundle> {
-        let standing = self.state.bundle()?.version;
-        let wanted = version.is_none_or(|version| version == standing);
-        self.state.signed().filter(|_| wanted).cloned()
+        let found = match version {
+            Some(version) => self.state.signed_at(version),
+            None => self.state.signed(),
+        };
+        found.cloned()
     }
 
     fn audit(&self, from: u64) -> Vec<AuditEntry> {
