Let the naive router of the domain tests take the bundle of a view

Cause: views name their bundle since the change of hot keys; the fold in the test dropped it, so the comparison with the complete view failed. The check is as strict as before and now covers the new field.

--- a/crates/domain/tests/state.rs
+++ b/crates/domain/tests/state.rs
@@ -285,6 +285,7 @@
     known.targets.sort_by_key(|t| t.info.id);
     known.shards.sort_by_key(|s| s.index);
     known.vms = view.vms;
+    known.bundle = view.bundle;
     known.index = view.index;
 }
 
