Renew every request on a silent connection, not only the oldest

Requests that were younger than the ordinary silence when the probe was answered kept their slots until their deadline, and the next probe is due a second later. Each tick now looks at requests that were started before the last answered probe.

The tests of the router pass, its random histories included. Ruled out: probing more often, which costs 6 ms at some targets.

--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -7,6 +7,7 @@
 use crate::{
     Attempt, Effect, Router, Send,
     flight::{Flight, Stage},
+    health::Health,
     keyed::Place,
 };
 
@@ -330,6 +331,26 @@
         }
     }
 
+    /// Gives requests that may be repeated a new connection when theirs lost its way.
+    pub(crate) fn renew_stuck(&mut self, id: TargetId) {
+        let Some(target) = self.targets.get(&id) else {
+            return;
+        };
+        let now = self.now;
+        let is_stuck = |health: &Health, flight: &Flight| {
+            flight.repeatable && !flight.aborted && health.is_stuck(flight.started, now)
+        };
+        let mut flying = target.flying.iter();
+        let any = flying.any(|(request, _)| {
+            let flight = self.flights.get(request);
+            flight.is_some_and(|flight| is_stuck(&target.health, flight))
+        });
+        if any {
+            let health = target.health.clone();
+            self.abort_all(id, |flight| is_stuck(&health, flight));
+        }
+    }
+
     /// Closes the connections to a target and probes it.
     pub(crate) fn probe(&mut self, id: TargetId) {
         let Some(target) = self.targets.get_mut(&id) else {
@@ -352,12 +373,7 @@
         };
         let until = target.health.probe_ended(alive, self.now);
         if alive {
-            // The target answers on a new connection, so requests that have long been in flight
-            // are on connections that lost their way. Those that may be repeated get a new one.
-            let (now, limit) = (self.now, target.health.silence());
-            self.abort_all(id, |flight| {
-                flight.repeatable && now >= flight.started + limit
-            });
+            self.renew_stuck(id);
             return self.pump_target(id);
         }
         self.wakes.insert((until, id));
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -29,7 +29,7 @@
 const BACKOFF_MOST: Duration = Duration::from_millis(160);
 
 /// Observations of one target.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
     latency: f64,
     sampled: Duration,
@@ -37,6 +37,8 @@
     refused: Duration,
     broken: Option<Duration>,
     probed: Option<Duration>,
+    /// Start of the last probe that was answered.
+    answered: Option<Duration>,
     hold_until: Duration,
     backoff: Duration,
     /// Last time a request ended, or started while no other was in flight.
@@ -98,7 +100,7 @@
     }
 
     /// Returns the time without an answer that is out of the ordinary.
-    pub(crate) fn silence(&self) -> Duration {
+    fn silence(&self) -> Duration {
         let usual = Duration::try_from_secs_f64(self.latency * SILENCE_FACTOR).unwrap_or_default();
         SILENCE.max(usual)
     }
@@ -114,10 +116,17 @@
     pub(crate) fn probe_ended(&mut self, alive: bool, now: Duration) -> Duration {
         self.broken = None;
         self.progress = now;
+        self.answered = if alive { self.probed } else { None };
         self.hold_until = if alive { now } else { now + SUSPECT_HOLD };
         self.hold_until
     }
 
+    /// Tells whether a request that was started at `started` is on a connection that lost its way:
+    /// it has been silent for long, and the target answered on a newer connection since.
+    pub(crate) fn is_stuck(&self, started: Duration, now: Duration) -> bool {
+        self.answered.is_some_and(|at| started < at) && now >= started + self.silence()
+    }
+
     /// Tells whether new sends are held back.
     pub(crate) fn is_held(&self, now: Duration) -> bool {
         now < self.hold_until
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -218,6 +218,9 @@
         for id in silent {
             self.probe(id);
         }
+        for id in self.busy.clone() {
+            self.renew_stuck(id);
+        }
         for slot in 0..self.slots.len() {
             for side in [Side::Old, Side::New] {
                 if !self.slots[slot].pool(side).queue.is_empty() {
