--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,415 @@
+//! Events and effects of an entry VM, and the life of a request.
+
+mod flow;
+mod repeat;
+mod view;
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    net::SocketAddr,
+    time::Duration,
+};
+
+use camphordale_fleet::{
+    Address,
+    Domain,
+    Key,
+    PeerMessage,
+    ServiceName,
+    TargetId,
+    View, //
+};
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+use self::{
+    flow::Flow,
+    view::KeySample, //
+};
+use crate::{
+    budget::Budget,
+    link::{
+        Link,
+        LinkEffect, //
+    },
+    routes::RouteTable,
+    targets::{
+        LoadReport,
+        Peers, //
+    },
+};
+
+/// Names a request of a caller.
+pub type FlowId = u64;
+/// Names one sending of a request to a target.
+pub type AttemptId = u64;
+
+/// Settings of an entry VM.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Random id of this process.
+    pub entry: u64,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Peer addresses of control VMs from the settings.
+    pub seeds: Vec<SocketAddr>,
+    /// Repeats allowed for each request, over all VMs.
+    pub retry_ratio: f64,
+    /// Repeats allowed in a window beside the ratio, over all VMs.
+    pub retry_extra: f64,
+    /// How long requests may still go to a target that is draining.
+    pub drain: Duration,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A request that was received completely.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// Names the request.
+    pub flow: FlowId,
+    /// Host that the caller named.
+    pub host: Box<str>,
+    /// Path with the query.
+    pub path: Box<str>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The key, if the caller named one.
+    pub key: Option<Key>,
+}
+
+/// What became of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The target's complete answer.
+    Complete {
+        /// Status.
+        status: u16,
+        /// What the target says of its load.
+        load: Option<LoadReport>,
+    },
+    /// The target says that it did not run the request.
+    NotExecuted {
+        /// Status.
+        status: u16,
+        /// What the target says of its load.
+        load: Option<LoadReport>,
+    },
+    /// There is no usable answer.
+    Failed {
+        /// Whether a byte of the request may have arrived.
+        sent: bool,
+        /// Whether the target sent something, which shows that it is alive.
+        spoke: bool,
+    },
+}
+
+/// Input of the reducer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A request arrived.
+    Request(Arrival),
+    /// The caller has closed its connection.
+    CallerGone(FlowId),
+    /// An attempt ended.
+    Answered {
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        answer: Answer,
+    },
+    /// A message on the stream from control.
+    Stream(PeerMessage),
+    /// The stream from control ended.
+    StreamEnded,
+}
+
+/// Why a caller gets an answer of this VM, or why a request was sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// This VM has no routing yet.
+    NoRouting,
+    /// No route matches.
+    NoRoute,
+    /// The service divides its requests by key and there is none.
+    NoKey,
+    /// No target of the service takes work.
+    NoTarget,
+    /// No target could answer within the objective.
+    Full,
+    /// The key has no holder now.
+    NoHolder,
+    /// The holder of the key could not answer within the objective.
+    HolderFull,
+    /// The holder of the key cannot be reached.
+    HolderLost,
+    /// The target did not run the request and no other could be tried.
+    Shed,
+    /// The connection failed after the request was sent.
+    Lost,
+    /// The connection to the target could not be opened.
+    Unreached,
+    /// The deadline passed before the target answered.
+    TimedOut,
+    /// The deadline passed before the request was sent.
+    Expired,
+    /// The target answered with a failure.
+    Failure,
+    /// The target was slow; another one got the request too.
+    Slow,
+}
+
+impl Verdict {
+    /// Name in logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(camphordale_entry::Verdict::NoRoute.name(), "no-route");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Verdict::NoRouting => "no-routing",
+            Verdict::NoRoute => "no-route",
+            Verdict::NoKey => "no-key",
+            Verdict::NoTarget => "no-target",
+            Verdict::Full => "full",
+            Verdict::NoHolder => "no-holder",
+            Verdict::HolderFull => "holder-full",
+            Verdict::HolderLost => "holder-lost",
+            Verdict::Shed => "shed",
+            Verdict::Lost => "lost",
+            Verdict::Unreached => "unreached",
+            Verdict::TimedOut => "timed-out",
+            Verdict::Expired => "expired",
+            Verdict::Failure => "failure",
+            Verdict::Slow => "slow",
+        }
+    }
+}
+
+/// An answer of this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request cannot be routed.
+    NotFound,
+    /// The request lacks something.
+    Malformed,
+    /// The request has not run and will not; come back after the time.
+    NotRun(Duration),
+    /// The request may have run.
+    Unknown,
+    /// The request may have run, and the time is over.
+    TimedOut,
+}
+
+/// A decision about a request, for logs and metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The request.
+    pub flow: FlowId,
+    /// Why.
+    pub verdict: Verdict,
+    /// The service, if one was found.
+    pub service: Option<ServiceName>,
+    /// The target of the last attempt.
+    pub target: Option<TargetId>,
+    /// Attempts so far.
+    pub attempts: usize,
+    /// Time since the request arrived.
+    pub age: Duration,
+    /// Time that was left.
+    pub left: Duration,
+    /// The key.
+    pub key: Option<Key>,
+    /// Index of the view that the decision rests on.
+    pub view: u64,
+}
+
+/// Something that changed what the process believes; the edge logs and counts it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// The request was refused or failed.
+    Refused(Decision),
+    /// The request is sent again.
+    Repeated(Decision),
+    /// The stream from control came or went.
+    Control {
+        /// Whether the view comes from a leader now.
+        live: bool,
+        /// Index of the view.
+        view: u64,
+    },
+    /// A routing is in force.
+    Routing {
+        /// Its version.
+        version: u64,
+        /// Index of the view.
+        view: u64,
+    },
+}
+
+/// Output of the reducer, to be carried out in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send the request to a target.
+    Send {
+        /// Names the attempt.
+        attempt: AttemptId,
+        /// The request.
+        flow: FlowId,
+        /// The target.
+        target: TargetId,
+        /// Its address.
+        address: Address,
+        /// When the answer must be there.
+        deadline: Duration,
+        /// Most connections to the target.
+        connections: usize,
+    },
+    /// Give an attempt up: close its connection.
+    Cancel(AttemptId),
+    /// Pass the answer of an attempt on to the caller.
+    Pass {
+        /// The request.
+        flow: FlowId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Drop the answer of an attempt.
+    Discard(AttemptId),
+    /// Answer the caller.
+    Refuse {
+        /// The request.
+        flow: FlowId,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Connect to, send to or leave a control VM.
+    Link(LinkEffect),
+    /// Log and count.
+    Note(Note),
+}
+
+/// One entry VM.
+pub struct Entry {
+    config: Config,
+    view: View,
+    routes: RouteTable,
+    peers: Peers,
+    draining: BTreeMap<TargetId, Duration>,
+    budgets: HashMap<ServiceName, Budget>,
+    flows: HashMap<FlowId, Flow>,
+    attempts: HashMap<AttemptId, FlowId>,
+    timers: BTreeSet<(Duration, FlowId)>,
+    parked: BTreeSet<FlowId>,
+    next_attempt: AttemptId,
+    link: Link,
+    was_live: bool,
+    samples: BTreeMap<ServiceName, KeySample>,
+    random: StdRng,
+}
+
+impl Entry {
+    /// Starts without a view.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_entry::{Config, Entry};
+    ///
+    /// let entry = Entry::new(Config {
+    ///     entry: 1,
+    ///     domain: "a".into(),
+    ///     seeds: Vec::new(),
+    ///     retry_ratio: 0.1,
+    ///     retry_extra: 10.0,
+    ///     drain: Duration::from_secs(1),
+    ///     seed: 7,
+    /// });
+    /// assert!(!entry.is_ready());
+    /// ```
+    pub fn new(config: Config) -> Entry {
+        Entry {
+            view: View::default(),
+            routes: RouteTable::default(),
+            peers: Peers::default(),
+            draining: BTreeMap::new(),
+            budgets: HashMap::new(),
+            flows: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: BTreeSet::new(),
+            parked: BTreeSet::new(),
+            next_attempt: 0,
+            link: Link::new(config.entry, config.domain.clone(), config.seeds.clone()),
+            was_live: false,
+            samples: BTreeMap::new(),
+            random: StdRng::seed_from_u64(config.seed),
+            config,
+        }
+    }
+
+    /// Takes one event and returns the effects to carry out in order. `now` comes from a clock
+    /// that counts suspension.
+    pub fn step(&mut self, event: Event, now: Duration) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Request(arrival) => self.request(arrival, now, &mut out),
+            Event::CallerGone(flow) => self.caller_gone(flow, &mut out),
+            Event::Answered { attempt, answer } => self.answered(attempt, answer, now, &mut out),
+            Event::Stream(message) => self.stream(message, now, &mut out),
+            Event::StreamEnded => {
+                self.link.ended(now);
+                self.note_link(&mut out);
+            }
+        }
+        out
+    }
+
+    /// Whether the VM can route requests.
+    pub fn is_ready(&self) -> bool {
+        self.view.routing.is_some()
+    }
+
+    /// The view that decisions rest on.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Requests under way.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether a request is under way.
+    pub fn has_flow(&self, flow: FlowId) -> bool {
+        self.flows.contains_key(&flow)
+    }
+
+    /// When the next tick is needed for a request.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Replaces the addresses of control VMs from the settings.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.link.set_seeds(seeds);
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.tend_link(now, out);
+        while let Some((at, flow)) = self.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.remove(&(at, flow));
+            self.flow_due(flow, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry/flow.rs
@@ -0,0 +1,385 @@
+//! A request from its arrival to its first attempt, and its end.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use camphordale_fleet::{
+    Key,
+    Repeat,
+    Route,
+    ServiceName,
+    TargetId, //
+};
+
+use super::{
+    Arrival,
+    AttemptId,
+    Decision,
+    Effect,
+    Entry,
+    FlowId,
+    Note,
+    Refusal,
+    Verdict, //
+};
+use crate::choice::{
+    Shortage,
+    Situation, //
+};
+
+/// Part of its objective for which a request may wait here for a place or a holder.
+const PARK_PART: u32 = 10;
+/// Part of its objective after which another target gets an idempotent request too.
+const HEDGE_PART: f64 = 0.6;
+/// When to come back if this VM has no routing yet.
+const NO_ROUTING_PAUSE: Duration = Duration::from_millis(1000);
+/// When to come back if a service has no target or a key no holder.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(500);
+/// Bounds of the time after which to come back when targets are full.
+const FULL_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+
+/// A request under way.
+pub(super) struct Flow {
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) key: Option<Key>,
+    pub(super) arrived: Duration,
+    pub(super) deadline: Duration,
+    /// Targets that the request was sent to.
+    pub(super) tried: Vec<TargetId>,
+    /// Attempts under way.
+    pub(super) open: Vec<(AttemptId, TargetId)>,
+    /// Whether an attempt that ended may have run.
+    pub(super) may_have_run: bool,
+    /// Until when the request waits here, and what it is told afterwards.
+    pub(super) parked: Option<(Duration, Verdict)>,
+    /// When another target gets the request too.
+    pub(super) hedge: Option<Duration>,
+    /// Whether the caller has gone.
+    pub(super) gone: bool,
+}
+
+impl Flow {
+    pub(super) fn is_idempotent(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+}
+
+impl Entry {
+    pub(super) fn request(&mut self, arrival: Arrival, now: Duration, out: &mut Vec<Effect>) {
+        let flow = arrival.flow;
+        let refuse = |refusal, verdict, view: u64, out: &mut Vec<Effect>| {
+            out.push(Effect::Note(Note::Refused(Decision {
+                flow,
+                verdict,
+                service: None,
+                target: None,
+                attempts: 0,
+                age: Duration::ZERO,
+                left: arrival.patience.unwrap_or_default(),
+                key: arrival.key,
+                view,
+            })));
+            out.push(Effect::Refuse { flow, refusal });
+        };
+        let index = self.view.index;
+        if self.view.routing.is_none() {
+            let refusal = Refusal::NotRun(NO_ROUTING_PAUSE);
+            return refuse(refusal, Verdict::NoRouting, index, out);
+        }
+        let found = self.routes.find(&arrival.host, &arrival.path);
+        let Some((name, route)) = found.map(|(name, route)| (name.clone(), route.clone())) else {
+            return refuse(Refusal::NotFound, Verdict::NoRoute, index, out);
+        };
+        let Some(service) = self.routes.pick(&name, &route) else {
+            return refuse(Refusal::NotFound, Verdict::NoRoute, index, out);
+        };
+        let key = if self.view.is_keyed(&service) {
+            if arrival.key.is_none() {
+                return refuse(Refusal::Malformed, Verdict::NoKey, index, out);
+            }
+            arrival.key
+        } else {
+            None
+        };
+        if let Some(key) = key {
+            self.sample_key(&service, key);
+        }
+        if let Some(budget) = self.budgets.get_mut(&service) {
+            budget.earn();
+        }
+        let patience = arrival.patience.unwrap_or(route.timeout);
+        let deadline = now + patience.min(route.timeout);
+        self.timers.insert((deadline, flow));
+        self.flows.insert(
+            flow,
+            Flow {
+                route,
+                service,
+                key,
+                arrived: now,
+                deadline,
+                tried: Vec::new(),
+                open: Vec::new(),
+                may_have_run: false,
+                parked: None,
+                hedge: None,
+                gone: false,
+            },
+        );
+        self.dispatch(flow, now, out);
+    }
+
+    /// Sends a request to a target, lets it wait for a moment, or refuses it.
+    pub(super) fn dispatch(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        let choice = match flow.key {
+            Some(key) => self.choose_holder(flow, key, now),
+            None => self.choose(id, now),
+        };
+        match choice {
+            Ok(target) => self.send(id, target, now, out),
+            Err((verdict, pause)) => self.park_or_refuse(id, verdict, pause, now, out),
+        }
+    }
+
+    fn situation<'a>(&'a self, flow: &'a Flow, now: Duration) -> Situation<'a> {
+        let routing = self.view.routing.as_ref();
+        let service = routing.and_then(|routing| routing.services.get(&flow.service));
+        Situation {
+            domain: &self.config.domain,
+            share: self.link.share,
+            connections: service.map_or(1, |item| item.content.connections),
+            objective: flow.route.objective,
+            left: flow.deadline.saturating_sub(now),
+            tried: &flow.tried,
+            now,
+        }
+    }
+
+    /// Picks a target of a service that is not divided by key.
+    pub(super) fn choose(
+        &mut self,
+        id: FlowId,
+        now: Duration,
+    ) -> Result<TargetId, (Verdict, Duration)> {
+        let mut random = self.random.clone();
+        let Some(flow) = self.flows.get(&id) else {
+            return Err((Verdict::Expired, Duration::ZERO));
+        };
+        let situation = self.situation(flow, now);
+        let pick = situation.pick(&self.peers, &flow.service, &mut random);
+        self.random = random;
+        match pick {
+            Ok(pick) => Ok(pick.id),
+            Err(Shortage::NoTarget) => Err((Verdict::NoTarget, NO_TARGET_PAUSE)),
+            Err(Shortage::Full(expected)) => Err((Verdict::Full, expected)),
+        }
+    }
+
+    /// Finds the holder of a key.
+    fn choose_holder(
+        &self,
+        flow: &Flow,
+        key: Key,
+        now: Duration,
+    ) -> Result<TargetId, (Verdict, Duration)> {
+        let none = (Verdict::NoHolder, NO_TARGET_PAUSE);
+        let map = self.view.keys.get(&flow.service).ok_or(none)?;
+        let holder = map.find(key).holder.as_ref().ok_or(none)?;
+        let peer = self.peers.get(&holder.id).ok_or(none)?;
+        if peer.born != holder.born {
+            return Err(none);
+        }
+        // Until its keys have moved, a target that drains is the only one that can serve them.
+        let drained = self.draining.get(&holder.id);
+        if drained.is_some_and(|since| now >= *since + self.config.drain) {
+            return Err(none);
+        }
+        if peer.is_paused(now) || peer.is_stuck(now) {
+            return Err((Verdict::HolderLost, NO_TARGET_PAUSE));
+        }
+        match self.situation(flow, now).admits(peer) {
+            Ok(()) => Ok(holder.id.clone()),
+            Err(Shortage::Full(expected)) => Err((Verdict::HolderFull, expected)),
+            Err(Shortage::NoTarget) => Err(none),
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        id: FlowId,
+        target: TargetId,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        self.parked.remove(&id);
+        let connections = match self.flows.get(&id) {
+            Some(flow) => self.situation(flow, now).connections(),
+            None => return,
+        };
+        let Some(address) = self.peers.get(&target).map(|peer| peer.address) else {
+            return;
+        };
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        self.next_attempt += 1;
+        let attempt = self.next_attempt;
+        flow.parked = None;
+        flow.open.push((attempt, target.clone()));
+        if !flow.tried.contains(&target) {
+            flow.tried.push(target.clone());
+        }
+        if flow.is_idempotent() && flow.key.is_none() && flow.hedge.is_none() {
+            let hedge = flow.arrived + flow.route.objective.mul_f64(HEDGE_PART);
+            flow.hedge = Some(hedge);
+            self.timers.insert((hedge, id));
+        }
+        self.attempts.insert(attempt, id);
+        self.peers.began(&target, attempt, now);
+        out.push(Effect::Send {
+            attempt,
+            flow: id,
+            target,
+            address,
+            deadline: flow.deadline,
+            connections,
+        });
+    }
+
+    fn park_or_refuse(
+        &mut self,
+        id: FlowId,
+        verdict: Verdict,
+        pause: Duration,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        let until = flow.arrived + flow.route.objective / PARK_PART;
+        let may_change = !matches!(verdict, Verdict::NoTarget | Verdict::HolderLost);
+        if may_change && now < until {
+            flow.parked = Some((until, verdict));
+            self.parked.insert(id);
+            self.timers.insert((until, id));
+            return;
+        }
+        let pause = match verdict {
+            Verdict::Full | Verdict::HolderFull => pause.clamp(FULL_PAUSE.0, FULL_PAUSE.1),
+            _ => pause,
+        };
+        self.refuse(id, verdict, pause, now, out);
+    }
+
+    /// Ends a request without an answer of a target.
+    pub(super) fn refuse(
+        &mut self,
+        id: FlowId,
+        verdict: Verdict,
+        pause: Duration,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        let refusal = match verdict {
+            Verdict::TimedOut => Refusal::TimedOut,
+            _ if flow.may_have_run || !flow.open.is_empty() => Refusal::Unknown,
+            _ => Refusal::NotRun(pause),
+        };
+        let decision = self.decision(id, verdict, now);
+        self.end(id, None, out);
+        out.extend(decision.map(|decision| Effect::Note(Note::Refused(decision))));
+        out.push(Effect::Refuse { flow: id, refusal });
+    }
+
+    pub(super) fn decision(&self, id: FlowId, verdict: Verdict, now: Duration) -> Option<Decision> {
+        let flow = self.flows.get(&id)?;
+        Some(Decision {
+            flow: id,
+            verdict,
+            service: Some(flow.service.clone()),
+            target: flow.tried.last().cloned(),
+            attempts: flow.tried.len(),
+            age: now.saturating_sub(flow.arrived),
+            left: flow.deadline.saturating_sub(now),
+            key: flow.key,
+            view: self.view.index,
+        })
+    }
+
+    /// Forgets a request and gives its attempts up, except the one that is passed on.
+    pub(super) fn end(&mut self, id: FlowId, passed: Option<AttemptId>, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.remove(&id) else {
+            return;
+        };
+        self.parked.remove(&id);
+        self.timers.remove(&(flow.deadline, id));
+        for (attempt, target) in flow.open {
+            self.attempts.remove(&attempt);
+            if Some(attempt) != passed {
+                self.peers.dropped(&target, attempt);
+                out.push(Effect::Cancel(attempt));
+            }
+        }
+    }
+
+    /// Sends waiting requests for which there is a place or a holder now.
+    pub(super) fn retry_parked(
+        &mut self,
+        service: Option<&str>,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let waiting: Vec<FlowId> = self.parked.iter().copied().collect();
+        for id in waiting {
+            let flow = self.flows.get(&id);
+            let fits = flow.is_some_and(|f| service.is_none_or(|service| *f.service == *service));
+            if fits {
+                self.dispatch(id, now, out);
+            }
+        }
+    }
+
+    /// A timer of a request has passed.
+    pub(super) fn flow_due(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        if now >= flow.deadline {
+            let sent = flow.may_have_run || !flow.open.is_empty();
+            let verdict = if sent {
+                Verdict::TimedOut
+            } else {
+                Verdict::Expired
+            };
+            return self.refuse(id, verdict, NO_TARGET_PAUSE, now, out);
+        }
+        if flow.parked.is_some_and(|(until, _)| now >= until) {
+            return self.dispatch(id, now, out);
+        }
+        if flow.hedge.is_some_and(|at| now >= at) && flow.open.len() == 1 {
+            self.hedge(id, now, out);
+        }
+    }
+
+    pub(super) fn caller_gone(&mut self, id: FlowId, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        // Work that may run once, or that holds a key, is left to end by itself.
+        let cancel = (flow.is_idempotent() && flow.key.is_none()) || flow.open.is_empty();
+        flow.gone = true;
+        if cancel {
+            self.end(id, None, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry/repeat.rs
@@ -0,0 +1,190 @@
+//! Answers of targets, and when a request goes to another one.
+
+use std::time::Duration;
+
+use super::{
+    Answer,
+    AttemptId,
+    Effect,
+    Entry,
+    FlowId,
+    Note,
+    Verdict, //
+};
+
+/// Status of a target that does not hold the key.
+const MISDIRECTED: u16 = 421;
+/// Least status of a failure of the target.
+const FAILURE: u16 = 500;
+/// Pause told to callers whose request was shed by its target.
+const SHED_PAUSE: Duration = Duration::from_millis(250);
+/// Attempts that may fail to open a connection before the request is refused.
+const MAX_UNREACHED: usize = 3;
+
+impl Entry {
+    pub(super) fn answered(
+        &mut self,
+        attempt: AttemptId,
+        answer: Answer,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(id) = self.attempts.remove(&attempt) else {
+            out.push(Effect::Discard(attempt));
+            return;
+        };
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        let Some(at) = flow.open.iter().position(|(open, _)| *open == attempt) else {
+            return;
+        };
+        let (_, target) = flow.open.remove(at);
+        let service = flow.service.clone();
+        match answer {
+            Answer::Complete { status, load } => {
+                let failed = status >= FAILURE;
+                flow.may_have_run |= failed;
+                self.peers.answered(&target, attempt, failed, load, now);
+                self.complete(id, attempt, failed, now, out);
+            }
+            Answer::NotExecuted { status, load } => {
+                let moved = status == MISDIRECTED && flow.key.is_some();
+                self.peers.answered(&target, attempt, !moved, load, now);
+                out.push(Effect::Discard(attempt));
+                self.not_executed(id, moved, now, out);
+            }
+            Answer::Failed { sent, spoke } => {
+                flow.may_have_run |= sent;
+                self.peers.failed(&target, attempt, spoke, now);
+                self.failed(id, sent, now, out);
+            }
+        }
+        self.retry_parked(Some(&service), now, out);
+    }
+
+    fn complete(
+        &mut self,
+        id: FlowId,
+        attempt: AttemptId,
+        failed: bool,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        if failed && flow.is_idempotent() {
+            let others = !flow.open.is_empty();
+            if others || self.repeat(id, Verdict::Failure, now, out) {
+                out.push(Effect::Discard(attempt));
+                return;
+            }
+        }
+        self.end(id, Some(attempt), out);
+        out.push(Effect::Pass { flow: id, attempt });
+    }
+
+    fn not_executed(&mut self, id: FlowId, moved: bool, now: Duration, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        if !flow.open.is_empty() {
+            return;
+        }
+        if moved {
+            return self.await_holder(id, now, out);
+        }
+        if !self.repeat(id, Verdict::Shed, now, out) {
+            self.refuse(id, Verdict::Shed, SHED_PAUSE, now, out);
+        }
+    }
+
+    /// The holder of the key is changing: the request waits for the next view.
+    fn await_holder(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        let until = flow.arrived + flow.route.objective / 4;
+        let allowed = self.budgets.get_mut(&flow.service);
+        let allowed = allowed.is_some_and(|budget| budget.take());
+        if now >= until || !allowed {
+            return self.refuse(id, Verdict::NoHolder, SHED_PAUSE, now, out);
+        }
+        flow.parked = Some((until, Verdict::NoHolder));
+        self.parked.insert(id);
+        self.timers.insert((until, id));
+    }
+
+    fn failed(&mut self, id: FlowId, sent: bool, now: Duration, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        if !flow.open.is_empty() {
+            return;
+        }
+        if !sent {
+            return self.redirect(id, now, out);
+        }
+        let repeated = flow.is_idempotent() && self.repeat(id, Verdict::Lost, now, out);
+        if !repeated {
+            self.refuse(id, Verdict::Lost, SHED_PAUSE, now, out);
+        }
+    }
+
+    /// Nothing was sent, so another target may get the request without a repeat.
+    fn redirect(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        if flow.key.is_some() || flow.tried.len() >= MAX_UNREACHED {
+            return self.refuse(id, Verdict::Unreached, SHED_PAUSE, now, out);
+        }
+        match self.choose(id, now) {
+            Ok(target) => {
+                let decision = self.decision(id, Verdict::Unreached, now);
+                out.extend(decision.map(|d| Effect::Note(Note::Repeated(d))));
+                self.send(id, target, now, out);
+            }
+            Err((verdict, pause)) => self.refuse(id, verdict, pause, now, out),
+        }
+    }
+
+    /// Sends a request to one more target, if route, time and budget allow it.
+    fn repeat(
+        &mut self,
+        id: FlowId,
+        verdict: Verdict,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(flow) = self.flows.get(&id) else {
+            return false;
+        };
+        if flow.gone || flow.tried.len() >= flow.route.attempts as usize {
+            return false;
+        }
+        let service = flow.service.clone();
+        let target = match flow.key {
+            // Only the holder of the key can run the request, so a repeat goes there again.
+            Some(_) => flow.tried.last().cloned(),
+            None => self.choose(id, now).ok(),
+        };
+        let Some(target) = target else {
+            return false;
+        };
+        let budget = self.budgets.get_mut(&service);
+        if !budget.is_some_and(|budget| budget.take()) {
+            return false;
+        }
+        let decision = self.decision(id, verdict, now);
+        out.extend(decision.map(|decision| Effect::Note(Note::Repeated(decision))));
+        self.send(id, target, now, out);
+        true
+    }
+
+    /// The target is slow: another one gets the request too, and the first answer counts.
+    pub(super) fn hedge(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
+        self.repeat(id, Verdict::Slow, now, out);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry/view.rs
@@ -0,0 +1,189 @@
+//! The view from control, and the report of keys to it.
+
+use std::time::Duration;
+
+use camphordale_fleet::{
+    Command,
+    Key,
+    KeyLoad,
+    PeerMessage,
+    TargetState,
+    View, //
+};
+use rand::Rng;
+
+use super::{
+    Effect,
+    Entry,
+    Note, //
+};
+use crate::{
+    budget::Budget,
+    link::LinkEffect, //
+};
+
+/// Most keys in one report of a service.
+const SAMPLE_MAX: usize = 48;
+
+/// Keys requested since the last report: an even sample.
+#[derive(Debug, Default)]
+pub(super) struct KeySample {
+    total: u32,
+    keys: Vec<Key>,
+}
+
+impl Entry {
+    pub(super) fn tend_link(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        self.link.tick(&self.view, now, &mut effects);
+        if self.link.wants_ping(now) {
+            let load = self.key_load();
+            self.link.ping(self.view.index, load, now, &mut effects);
+        }
+        out.extend(effects.into_iter().map(Effect::Link));
+        self.note_link(out);
+    }
+
+    pub(super) fn note_link(&mut self, out: &mut Vec<Effect>) {
+        let live = self.link.is_live();
+        if live != self.was_live {
+            self.was_live = live;
+            let view = self.view.index;
+            out.push(Effect::Note(Note::Control { live, view }));
+        }
+    }
+
+    pub(super) fn stream(&mut self, message: PeerMessage, now: Duration, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        let follow = self.link.heard(&message, now, &mut effects);
+        out.extend(effects.into_iter().map(Effect::Link));
+        match message {
+            PeerMessage::Snapshot(view) if follow => self.take_view(*view, now, out),
+            PeerMessage::Update { index, command } if follow => {
+                self.take_update(index, &command, now, out);
+            }
+            PeerMessage::Pong { share, .. } => {
+                for budget in self.budgets.values_mut() {
+                    budget.share(share.all);
+                }
+            }
+            _ => {}
+        }
+        self.note_link(out);
+    }
+
+    fn take_view(&mut self, view: View, now: Duration, out: &mut Vec<Effect>) {
+        // An older leader may still answer; this VM never goes back.
+        if view.index < self.view.index {
+            out.push(Effect::Link(LinkEffect::Close));
+            self.link.ended(now);
+            return;
+        }
+        let old = self.version();
+        self.view = view;
+        self.peers.follow(&self.view);
+        for (id, target) in &self.view.targets {
+            if target.state != TargetState::Ready {
+                self.draining.entry(id.clone()).or_insert(Duration::ZERO);
+            }
+        }
+        self.follow_routing(old, out);
+        self.confirm(now, out);
+        self.retry_parked(None, now, out);
+    }
+
+    fn take_update(&mut self, index: u64, command: &Command, now: Duration, out: &mut Vec<Effect>) {
+        if index <= self.view.index {
+            return;
+        }
+        let old = self.version();
+        self.view.apply(index, command);
+        match command {
+            Command::Change(_) => {
+                self.follow_routing(old, out);
+                self.confirm(now, out);
+            }
+            Command::Announce { id, target } => {
+                if target.state == TargetState::Ready {
+                    self.draining.remove(id);
+                } else {
+                    self.draining.entry(id.clone()).or_insert(now);
+                }
+                self.peers.follow(&self.view);
+            }
+            Command::Remove { id, .. } => {
+                self.draining.remove(id);
+                self.peers.follow(&self.view);
+            }
+            Command::Assign { .. } | Command::Member(_) | Command::Forget(_) => {}
+        }
+        self.retry_parked(None, now, out);
+    }
+
+    fn version(&self) -> u64 {
+        self.view.routing.as_ref().map_or(0, |r| r.version)
+    }
+
+    fn follow_routing(&mut self, old: u64, out: &mut Vec<Effect>) {
+        let Some(routing) = &self.view.routing else {
+            return;
+        };
+        if routing.version == old {
+            return;
+        }
+        self.routes.follow(routing);
+        let (ratio, extra) = (self.config.retry_ratio, self.config.retry_extra);
+        self.budgets
+            .retain(|name, _| routing.services.contains_key(name));
+        for name in routing.services.keys() {
+            if !self.budgets.contains_key(name) {
+                let mut budget = Budget::new(ratio, extra);
+                if self.link.share.all > 0 {
+                    budget.share(self.link.share.all);
+                }
+                self.budgets.insert(name.clone(), budget);
+            }
+        }
+        out.push(Effect::Note(Note::Routing {
+            version: routing.version,
+            view: self.view.index,
+        }));
+    }
+
+    /// Tells the leader at once that a routing is in force here: an operator waits for it.
+    fn confirm(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if !self.link.is_live() {
+            return;
+        }
+        let mut effects = Vec::new();
+        let load = self.key_load();
+        self.link.ping(self.view.index, load, now, &mut effects);
+        out.extend(effects.into_iter().map(Effect::Link));
+    }
+
+    pub(super) fn sample_key(&mut self, service: &str, key: Key) {
+        let sample = match self.samples.get_mut(service) {
+            Some(sample) => sample,
+            None => self.samples.entry(service.into()).or_default(),
+        };
+        sample.total += 1;
+        if sample.keys.len() < SAMPLE_MAX {
+            sample.keys.push(key);
+            return;
+        }
+        let at = self.random.random_range(0..sample.total) as usize;
+        if let Some(kept) = sample.keys.get_mut(at) {
+            *kept = key;
+        }
+    }
+
+    fn key_load(&mut self) -> Vec<KeyLoad> {
+        let samples = std::mem::take(&mut self.samples).into_iter();
+        let load = samples.map(|(service, sample)| KeyLoad {
+            service,
+            total: sample.total,
+            sample: sample.keys,
+        });
+        load.collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/targets.rs
@@ -0,0 +1,261 @@
+//! What this VM has seen of each target.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration,
+};
+
+use camphordale_fleet::{
+    Address,
+    Born,
+    Domain,
+    ServiceName,
+    Target,
+    TargetId,
+    TargetState,
+    View, //
+};
+
+/// Assumed time of a request at a target that has answered none.
+const FIRST_GUESS: Duration = Duration::from_millis(150);
+/// Weight of one answer in the mean time of a target.
+const TIME_WEIGHT: f64 = 0.1;
+/// Weight of one answer in the mean rate of failures of a target.
+const FAIL_WEIGHT: f64 = 0.08;
+/// How fast a report of a target's load loses its meaning.
+const REPORT_AGE: Duration = Duration::from_millis(600);
+/// First pause after a connection to a target failed; doubled with each failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between attempts to reach a target.
+const LAST_PAUSE: Duration = Duration::from_millis(1600);
+/// A target is taken to be stuck when its oldest request has waited this multiple of its mean.
+const STUCK_MULTIPLE: f64 = 5.0;
+/// Least wait before a target is taken to be stuck.
+const STUCK_LEAST: Duration = Duration::from_millis(700);
+
+/// Requests that a target says it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Running.
+    pub running: u32,
+    /// Waiting.
+    pub waiting: u32,
+    /// Run at a time.
+    pub slots: u32,
+}
+
+/// One life of a target as this VM sees it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// The life.
+    pub born: Born,
+    /// Service.
+    pub service: ServiceName,
+    /// Address.
+    pub address: Address,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Requests that the target runs at a time.
+    pub slots: u32,
+    /// Whether new work may go there.
+    pub takes: bool,
+    /// Mean time of a request in seconds, without the wait that its load explains.
+    mean: f64,
+    /// Share of recent requests that failed.
+    failing: f64,
+    /// Requests of this VM under way: attempt and start.
+    open: BTreeMap<u64, Duration>,
+    others: f64,
+    reported: Duration,
+    pause: Duration,
+    paused_until: Duration,
+    answered: Duration,
+}
+
+impl Peer {
+    fn new(target: &Target) -> Peer {
+        Peer {
+            born: target.born,
+            service: target.service.clone(),
+            address: target.address,
+            domain: target.domain.clone(),
+            slots: target.slots.max(1),
+            takes: target.state == TargetState::Ready,
+            mean: 0.0,
+            failing: 0.0,
+            open: BTreeMap::new(),
+            others: 0.0,
+            reported: Duration::ZERO,
+            pause: Duration::ZERO,
+            paused_until: Duration::ZERO,
+            answered: Duration::ZERO,
+        }
+    }
+
+    /// Requests of this VM under way.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Mean time of one request in seconds.
+    pub fn mean(&self) -> f64 {
+        if self.mean == 0.0 {
+            FIRST_GUESS.as_secs_f64()
+        } else {
+            self.mean
+        }
+    }
+
+    /// Share of recent requests that failed.
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+
+    /// Requests that the target probably has: those of this VM, and those of others by the last
+    /// report, which fades.
+    pub fn load(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.reported).as_secs_f64();
+        let fade = (-age / REPORT_AGE.as_secs_f64()).exp();
+        self.open.len() as f64 + self.others * fade
+    }
+
+    /// Whether the target does not answer: it cannot be reached, or its oldest request has waited
+    /// far longer than usual without another answer meanwhile.
+    pub fn is_stuck(&self, now: Duration) -> bool {
+        let Some(oldest) = self.open.values().min() else {
+            return false;
+        };
+        let limit = Duration::from_secs_f64(self.mean() * STUCK_MULTIPLE).max(STUCK_LEAST);
+        now.saturating_sub((*oldest).max(self.answered)) > limit
+    }
+
+    /// Whether the target should get no work now. After a pause, one request tries it.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until || (!self.pause.is_zero() && !self.open.is_empty())
+    }
+
+    fn fail(&mut self, now: Duration) {
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LAST_PAUSE);
+        self.paused_until = now + self.pause;
+    }
+}
+
+/// All targets by id.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<TargetId, Peer>,
+    by_service: HashMap<ServiceName, Vec<TargetId>>,
+}
+
+impl Peers {
+    /// Takes over the directory. What was seen of a life that goes on is kept.
+    pub fn follow(&mut self, view: &View) {
+        self.peers.retain(|id, peer| {
+            let target = view.targets.get(id);
+            target.is_some_and(|target| target.born == peer.born)
+        });
+        for (id, target) in &view.targets {
+            self.update(id, target);
+        }
+        self.index();
+    }
+
+    /// Takes over the record of one target.
+    pub fn update(&mut self, id: &TargetId, target: &Target) {
+        let peer = self.peers.get_mut(id);
+        match peer.filter(|peer| peer.born == target.born) {
+            Some(peer) => {
+                peer.service = target.service.clone();
+                peer.address = target.address;
+                peer.slots = target.slots.max(1);
+                peer.takes = target.state == TargetState::Ready;
+            }
+            None => {
+                self.peers.insert(id.clone(), Peer::new(target));
+            }
+        }
+    }
+
+    /// Sorts the targets by service after updates.
+    pub fn index(&mut self) {
+        self.by_service.clear();
+        let mut ids: Vec<&TargetId> = self.peers.keys().collect();
+        ids.sort();
+        for id in ids {
+            let service = self.peers[id].service.clone();
+            self.by_service.entry(service).or_default().push(id.clone());
+        }
+    }
+
+    /// The target with this id.
+    pub fn get(&self, id: &str) -> Option<&Peer> {
+        self.peers.get(id)
+    }
+
+    /// Targets of a service.
+    pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = (&'a TargetId, &'a Peer)> {
+        let ids = self.by_service.get(service);
+        let ids = ids.into_iter().flatten();
+        ids.filter_map(|id| self.peers.get(id).map(|peer| (id, peer)))
+    }
+
+    /// Notes that a request is sent.
+    pub fn began(&mut self, id: &str, attempt: u64, now: Duration) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.open.insert(attempt, now);
+        }
+    }
+
+    /// Notes that a request was given up without an answer.
+    pub fn dropped(&mut self, id: &str, attempt: u64) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.open.remove(&attempt);
+        }
+    }
+
+    /// Notes a complete answer.
+    pub fn answered(
+        &mut self,
+        id: &str,
+        attempt: u64,
+        failed: bool,
+        report: Option<LoadReport>,
+        now: Duration,
+    ) {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return;
+        };
+        let started = peer.open.remove(&attempt);
+        peer.answered = now;
+        peer.pause = Duration::ZERO;
+        peer.paused_until = Duration::ZERO;
+        let fail = if failed { 1.0 } else { 0.0 };
+        peer.failing += (fail - peer.failing) * FAIL_WEIGHT;
+        if let Some(report) = report {
+            let total = f64::from(report.running + report.waiting);
+            peer.others = (total - peer.open.len() as f64).max(0.0);
+            peer.reported = now;
+            peer.slots = report.slots.max(1);
+        }
+        if let Some(started) = started.filter(|_| !failed) {
+            let took = now.saturating_sub(started).as_secs_f64();
+            let mean = peer.mean();
+            peer.mean = mean + (took - mean) * TIME_WEIGHT;
+        }
+    }
+
+    /// Notes that a request got no answer. `reached` tells whether the target took it.
+    pub fn failed(&mut self, id: &str, attempt: u64, reached: bool, now: Duration) {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return;
+        };
+        peer.open.remove(&attempt);
+        peer.failing += (1.0 - peer.failing) * FAIL_WEIGHT;
+        if !reached {
+            peer.fail(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/balance.rs
@@ -0,0 +1,266 @@
+//! Which ranges of keys should move, and where to.
+//!
+//! The input is a sample of recent keys, so a range weighs as much as the requests for it. Moves
+//! are few and narrow: each moved key is unavailable for a moment.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    directory::Holder,
+    keys::{
+        Key,
+        Span, //
+    },
+};
+
+/// A holder above this multiple of its fair load gives keys away.
+const HIGH: f64 = 1.3;
+/// A holder below this multiple of its fair load takes keys.
+const LOW: f64 = 0.95;
+/// Least sample on which load is balanced; smaller ones are noise.
+const MIN_SAMPLE: usize = 60;
+/// Part of the whole load that is spread evenly over all keys, so that unsampled keys weigh too.
+const EVEN_PART: f64 = 0.1;
+/// Most moves in one plan.
+const MAX_MOVES: usize = 4;
+/// Keys of the whole range.
+const ALL_KEYS: f64 = 65536.0;
+
+/// A target that may hold keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The target.
+    pub holder: Holder,
+    /// How much load it can carry, relative to the others.
+    pub capacity: f64,
+    /// Whether it may take more keys.
+    pub takes: bool,
+}
+
+/// A range that should go to another holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// The next holder.
+    pub next: Holder,
+}
+
+struct Loads<'a> {
+    spans: &'a [Span],
+    sample: Vec<Key>,
+    key_weight: f64,
+    width_weight: f64,
+    load: BTreeMap<Holder, f64>,
+    fair: BTreeMap<Holder, f64>,
+}
+
+/// Divides all keys evenly among the candidates by their capacity.
+///
+/// ```
+/// use camphordale_fleet::{Holder, balance::{Candidate, divide}};
+///
+/// let candidate = |id: &str| Candidate {
+///     holder: Holder { id: id.into(), born: 1 },
+///     capacity: 1.0,
+///     takes: true,
+/// };
+/// let moves = divide(&[candidate("a"), candidate("b")]);
+/// assert_eq!((moves[0].to, moves[1].from), (32767, 32768));
+/// ```
+pub fn divide(candidates: &[Candidate]) -> Vec<Move> {
+    let takers: Vec<&Candidate> = candidates.iter().filter(|c| c.takes).collect();
+    let sum: f64 = takers.iter().map(|c| c.capacity).sum();
+    let mut out = Vec::new();
+    let mut from = 0.0;
+    for (at, candidate) in takers.iter().enumerate() {
+        let to = match at + 1 == takers.len() {
+            true => ALL_KEYS,
+            false => (from + ALL_KEYS * candidate.capacity / sum).floor(),
+        };
+        if to > from {
+            out.push(Move {
+                from: from as Key,
+                to: (to - 1.0) as Key,
+                next: candidate.holder.clone(),
+            });
+        }
+        from = to;
+    }
+    out
+}
+
+/// Returns the moves that should begin now. `spans` are those of one service that are not on the
+/// move, `sample` holds recent keys in any order.
+pub fn plan(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Vec<Move> {
+    let mut loads = Loads::new(spans, candidates, sample);
+    let mut out = loads.leaving(candidates);
+    for _ in out.len()..MAX_MOVES {
+        match loads.next_move(candidates, sample.len() >= MIN_SAMPLE) {
+            Some((donor, found)) => {
+                loads.shift(&donor, &found);
+                out.push(found);
+            }
+            None => break,
+        }
+    }
+    out
+}
+
+/// Picks the candidate that carries the least load for its capacity.
+pub fn heir(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Option<Holder> {
+    Loads::new(spans, candidates, sample).least(candidates)
+}
+
+impl<'a> Loads<'a> {
+    fn new(spans: &'a [Span], candidates: &[Candidate], sample: &[Key]) -> Loads<'a> {
+        let mut sorted = sample.to_vec();
+        sorted.sort_unstable();
+        let sampled = if sample.is_empty() {
+            0.0
+        } else {
+            (1.0 - EVEN_PART) / sample.len() as f64
+        };
+        let even = if sample.is_empty() { 1.0 } else { EVEN_PART };
+        let mut loads = Loads {
+            spans,
+            sample: sorted,
+            key_weight: sampled,
+            width_weight: even / ALL_KEYS,
+            load: BTreeMap::new(),
+            fair: BTreeMap::new(),
+        };
+        let takers = candidates.iter().filter(|c| c.takes);
+        let sum: f64 = takers.clone().map(|c| c.capacity).sum();
+        for candidate in takers {
+            let fair = candidate.capacity / sum;
+            loads.fair.insert(candidate.holder.clone(), fair);
+            loads.load.insert(candidate.holder.clone(), 0.0);
+        }
+        for span in spans {
+            if let Some(holder) = &span.holder {
+                *loads.load.entry(holder.clone()).or_default() += loads.weight(span.from, span.to);
+            }
+        }
+        loads
+    }
+
+    fn count(&self, from: Key, to: Key) -> usize {
+        let start = self.sample.partition_point(|key| *key < from);
+        let end = self.sample.partition_point(|key| *key <= to);
+        end - start
+    }
+
+    fn weight(&self, from: Key, to: Key) -> f64 {
+        let width = f64::from(to) - f64::from(from) + 1.0;
+        self.count(from, to) as f64 * self.key_weight + width * self.width_weight
+    }
+
+    fn ratio(&self, holder: &Holder) -> f64 {
+        let fair = self.fair.get(holder).copied().unwrap_or(f64::MIN_POSITIVE);
+        self.load.get(holder).copied().unwrap_or(0.0) / fair
+    }
+
+    fn least(&self, candidates: &[Candidate]) -> Option<Holder> {
+        let takers = candidates.iter().filter(|c| c.takes);
+        let least = takers.min_by(|a, b| self.ratio(&a.holder).total_cmp(&self.ratio(&b.holder)));
+        least.map(|candidate| candidate.holder.clone())
+    }
+
+    /// Whole spans of holders that may not keep them.
+    fn leaving(&mut self, candidates: &[Candidate]) -> Vec<Move> {
+        let mut out = Vec::new();
+        for span in self.spans {
+            let Some(holder) = &span.holder else { continue };
+            let leaves = candidates.iter().any(|c| c.holder == *holder && !c.takes);
+            if !leaves {
+                continue;
+            }
+            let Some(next) = self.least(candidates) else {
+                break;
+            };
+            let found = Move {
+                from: span.from,
+                to: span.to,
+                next,
+            };
+            self.shift(holder, &found);
+            out.push(found);
+        }
+        out
+    }
+
+    fn shift(&mut self, donor: &Holder, found: &Move) {
+        let weight = self.weight(found.from, found.to);
+        *self.load.entry(donor.clone()).or_default() -= weight;
+        *self.load.entry(found.next.clone()).or_default() += weight;
+    }
+
+    /// The move that relieves the holder with the highest load. A candidate without keys gets
+    /// some in any case.
+    fn next_move(&self, candidates: &[Candidate], sampled: bool) -> Option<(Holder, Move)> {
+        let takers = candidates.iter().filter(|c| c.takes);
+        let donor = takers
+            .clone()
+            .max_by(|a, b| self.ratio(&a.holder).total_cmp(&self.ratio(&b.holder)))?;
+        let taker = self.least(candidates)?;
+        if donor.holder == taker {
+            return None;
+        }
+        let (high, low) = (self.ratio(&donor.holder), self.ratio(&taker));
+        let is_new = low == 0.0;
+        if !is_new && (!sampled || high < HIGH || low > LOW) {
+            return None;
+        }
+        let over = (high - 1.0).max(0.0) * self.fair.get(&donor.holder)?;
+        let under = (1.0 - low) * self.fair.get(&taker)?;
+        let half = self.load.get(&donor.holder)? / 2.0;
+        let wanted = if is_new {
+            under.min(half)
+        } else {
+            over.min(under)
+        };
+        let (from, to) = self.narrowest(&donor.holder, wanted, sampled)?;
+        let next = taker;
+        Some((donor.holder.clone(), Move { from, to, next }))
+    }
+
+    /// The narrowest range of the donor with about the wanted load.
+    fn narrowest(&self, donor: &Holder, wanted: f64, sampled: bool) -> Option<(Key, Key)> {
+        let own = self
+            .spans
+            .iter()
+            .filter(|s| s.holder.as_ref() == Some(donor));
+        let need = (wanted / self.key_weight.max(f64::MIN_POSITIVE)).round() as usize;
+        let mut best: Option<(Key, Key)> = None;
+        if sampled && need > 0 {
+            for span in own.clone() {
+                let start = self.sample.partition_point(|key| *key < span.from);
+                let end = self.sample.partition_point(|key| *key <= span.to);
+                for part in self.sample[start..end].windows(need) {
+                    let (from, to) = (part[0], part[need - 1]);
+                    // Repeats of the last key belong to the range too; one key may be all load.
+                    let heavy = self.weight(from, to) > 1.5 * wanted;
+                    let narrower = best.is_none_or(|(f, t)| to - from < t - f);
+                    if narrower && !heavy {
+                        best = Some((from, to));
+                    }
+                }
+            }
+        }
+        if best.is_some() {
+            return best;
+        }
+        let widest = own.max_by_key(|span| span.width())?;
+        let weight = self.weight(widest.from, widest.to);
+        if weight <= 0.0 || widest.width() < 2 {
+            return None;
+        }
+        let part = (wanted / weight).clamp(0.0, 0.5);
+        let keys = (f64::from(widest.width()) * part) as u32;
+        let from = u32::from(widest.to) + 1 - keys.max(1);
+        Some((from as Key, widest.to))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control.rs
@@ -0,0 +1,658 @@
+//! The reducer of a control VM.
+//!
+//! Every control VM takes part in the Raft group. The leader answers operators and targets,
+//! streams the view to entry VMs and grants keys; the others redirect.
+
+mod calls;
+mod holders;
+mod members;
+mod streams;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use camphordale_raft::{
+    self as raft,
+    MemberId,
+    Payload,
+    Persist,
+    Raft,
+    Recovered,
+    Role,
+    Snapshot, //
+};
+
+use self::{
+    calls::{
+        Pending,
+        Seen, //
+    },
+    holders::Holders,
+    members::Roster,
+    streams::Stream, //
+};
+use crate::{
+    directory::{
+        Announcement,
+        Born,
+        Holder,
+        TargetId, //
+    },
+    grants::{
+        Answer,
+        CallId,
+        Dispatch,
+        Grants, //
+    },
+    keys::Span,
+    message::{
+        Member,
+        PeerMessage, //
+    },
+    routing::{
+        Change,
+        Routing,
+        Version, //
+    },
+    state::{
+        Command,
+        Outcome,
+        State, //
+    },
+};
+
+/// Entries after which the log is compacted.
+const COMPACT_AFTER: u64 = 512;
+
+/// Names a call of an operator or target that awaits its reply.
+pub type Token = u64;
+
+/// Settings of a control VM.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This VM.
+    pub me: Member,
+    /// Voters that the group aims at.
+    pub voters: usize,
+    /// How long a target may hold keys after a grant.
+    pub hold: Duration,
+    /// Least time without a leader before an election.
+    pub election: Duration,
+    /// Time between heartbeats of the leader.
+    pub heartbeat: Duration,
+    /// Time after which a silent target leaves the directory.
+    pub target_silence: Duration,
+    /// Time after which a silent voter is replaced by a member that is up to date.
+    pub member_silence: Duration,
+    /// Longest time for which an accepted change waits for entry VMs.
+    pub apply_wait: Duration,
+    /// Seed of the election times.
+    pub seed: u64,
+}
+
+/// What an operator or a target wants.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Change the routing.
+    Change(Box<Change>),
+    /// Return the newest routing.
+    Read,
+    /// Take an announcement of a target.
+    Announce(Box<Announcement>),
+    /// A target leaves.
+    Leave {
+        /// Its id.
+        id: TargetId,
+        /// Its life, if it said so.
+        born: Option<Born>,
+    },
+}
+
+/// The reply to a [`Call`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The call is done. `here` says whether this VM should get the next announcement.
+    Done {
+        /// Whether this VM leads.
+        here: bool,
+    },
+    /// The newest routing.
+    Routing(Arc<Routing>),
+    /// The leader listens there.
+    Redirect(SocketAddr),
+    /// Another version is current.
+    Stale(Version),
+    /// The call cannot be carried out as it is.
+    Invalid(Box<str>),
+    /// No answer can be given now; the call may have been carried out.
+    Unavailable(&'static str),
+}
+
+/// Input of the reducer.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message of another control VM, or of a member-to-be.
+    Peer(PeerMessage),
+    /// A message on the stream of an entry VM.
+    Stream {
+        /// Number of the connection.
+        conn: u64,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// The connection of a stream ended.
+    StreamEnded(u64),
+    /// An operator or a target calls.
+    Call {
+        /// Names the call.
+        token: Token,
+        /// What is wanted.
+        call: Call,
+    },
+    /// An order was answered.
+    Answered {
+        /// Number of the order.
+        call: CallId,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+/// Something that changed what the process believes; the edge logs and counts it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// The role in the group changed.
+    Role {
+        /// Whether this VM leads and has the state of its term.
+        leads: bool,
+        /// The term.
+        term: u64,
+        /// The leader, if known.
+        leader: Option<MemberId>,
+    },
+    /// A change was decided.
+    Change {
+        /// Version that it builds on.
+        base: Version,
+        /// Its version.
+        version: Version,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A target came, changed its state or was forgotten.
+    Target {
+        /// Its id.
+        id: TargetId,
+        /// The life.
+        born: Born,
+        /// What happened.
+        change: &'static str,
+    },
+    /// A range of keys got another holder.
+    Assigned {
+        /// The service.
+        service: Box<str>,
+        /// The range and its holder.
+        span: Span,
+    },
+    /// A range of keys begins to move.
+    Moving {
+        /// The service.
+        service: Box<str>,
+        /// First and last key.
+        range: (u16, u16),
+        /// The next holder.
+        next: Holder,
+    },
+    /// A grant or release was not carried out.
+    Order {
+        /// The target.
+        holder: Holder,
+        /// What became of it.
+        answer: Answer,
+    },
+    /// The members of the group changed.
+    Members {
+        /// Voters.
+        voters: Vec<MemberId>,
+        /// Members that only receive the log.
+        learners: Vec<MemberId>,
+    },
+    /// An entry VM opened or lost its stream.
+    Entries(usize),
+    /// A snapshot or command could not be read or written.
+    Codec(&'static str),
+}
+
+/// Output of the reducer, to be carried out in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Make this durable before the effects after it.
+    Persist(Persist),
+    /// Send to the peer address of a control VM; may be lost.
+    Send {
+        /// The address.
+        to: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send on the stream of an entry VM.
+    Stream {
+        /// Number of the connection.
+        conn: u64,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Close the connection of a stream.
+    CloseStream(u64),
+    /// Reply to a call.
+    Reply {
+        /// The call.
+        token: Token,
+        /// The reply.
+        reply: Reply,
+    },
+    /// Send an order to a target, unless `before` has passed by the clock at the time of sending.
+    Order {
+        /// The order.
+        dispatch: Dispatch,
+        /// Until when no other leader can exist.
+        before: Duration,
+    },
+    /// Keep the addresses of the control VMs.
+    KeepBook(Vec<Member>),
+    /// Log and count.
+    Note(Note),
+}
+
+/// What only the leader keeps.
+struct Lead {
+    since: Duration,
+    grants: Grants,
+    seen: BTreeMap<TargetId, Seen>,
+    holders: Holders,
+}
+
+/// One control VM.
+pub struct Control {
+    config: Config,
+    raft: Raft,
+    state: State,
+    applied: u64,
+    lead: Option<Lead>,
+    role: (bool, u64, Option<MemberId>),
+    pending: BTreeMap<u64, Pending>,
+    publishing: Vec<calls::Publishing>,
+    next_id: u64,
+    streams: BTreeMap<u64, Stream>,
+    roster: Roster,
+}
+
+/// Founds a group: the first snapshot that all founding members start from.
+///
+/// ```
+/// use camphordale_fleet::{Control, Member};
+///
+/// let member = Member {
+///     id: 1,
+///     peer: "10.0.0.1:7000".parse()?,
+///     control: "10.0.0.1:8000".parse()?,
+///     domain: "a".into(),
+/// };
+/// let recovered = Control::found(vec![member])?;
+/// assert_eq!(recovered.snapshot.map(|s| s.members.voters.len()), Some(1));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+impl Control {
+    /// State of a founding member before its first start.
+    ///
+    /// # Errors
+    ///
+    /// Those of `postcard`, if the state cannot be encoded.
+    pub fn found(members: Vec<Member>) -> Result<Recovered, postcard::Error> {
+        let mut state = State::default();
+        let mut snapshot = Snapshot::default();
+        for member in members {
+            snapshot.members.voters.insert(member.id);
+            state.view.members.insert(member.id, member);
+        }
+        snapshot.data = postcard::to_stdvec(&state)?;
+        Ok(Recovered {
+            snapshot: Some(snapshot),
+            ..Recovered::default()
+        })
+    }
+
+    /// Starts a member from its durable state. `book` holds the control VMs known from before and
+    /// from the settings.
+    ///
+    /// # Errors
+    ///
+    /// Those of `postcard`, if the state in the snapshot cannot be decoded.
+    pub fn new(
+        config: Config,
+        recovered: Recovered,
+        book: Vec<Member>,
+    ) -> Result<Control, postcard::Error> {
+        let state = match &recovered.snapshot {
+            Some(snapshot) => postcard::from_bytes(&snapshot.data)?,
+            None => State::default(),
+        };
+        let applied = recovered.snapshot.as_ref().map_or(0, |s| s.index);
+        let raft = Raft::new(
+            raft::Config {
+                id: config.me.id,
+                election: config.election,
+                heartbeat: config.heartbeat,
+                batch: 64,
+                seed: config.seed,
+            },
+            recovered,
+        );
+        let roster = Roster::new(book, &state.view);
+        Ok(Control {
+            config,
+            raft,
+            state,
+            applied,
+            lead: None,
+            role: (false, 0, None),
+            pending: BTreeMap::new(),
+            publishing: Vec::new(),
+            next_id: 0,
+            streams: BTreeMap::new(),
+            roster,
+        })
+    }
+
+    /// Takes one event and returns the effects to carry out in order. `now` comes from a clock
+    /// that counts suspension.
+    pub fn step(&mut self, event: Event, now: Duration) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Peer(message) => self.peer(message, now, &mut out),
+            Event::Stream { conn, message } => self.stream(conn, message, now, &mut out),
+            Event::StreamEnded(conn) => self.end_stream(conn, &mut out),
+            Event::Call { token, call } => self.call(token, call, now, &mut out),
+            Event::Answered { call, answer } => self.order_answered(call, &answer, now, &mut out),
+        }
+        out
+    }
+
+    /// The replicated state as far as this member knows it.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Whether this VM leads and has the state of its term.
+    pub fn leads(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// Tells the group that the storage of this member failed.
+    pub fn storage_failed(&mut self, now: Duration) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.drive(raft::Event::StorageFailed, now, &mut out);
+        out
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.drive(raft::Event::Tick, now, out);
+        self.tend_roster(now, out);
+        if self.lead.is_some() {
+            self.tend_members(now, out);
+            self.tend_targets(now, out);
+            self.tend_holders(now, out);
+            self.tend_streams(now, out);
+            self.publish(now, out);
+        }
+        if self.raft.log_len() > COMPACT_AFTER && self.applied > 0 {
+            match postcard::to_stdvec(&self.state) {
+                Ok(data) => {
+                    let index = self.applied;
+                    self.drive(raft::Event::Compact { index, data }, now, out);
+                }
+                Err(_) => out.push(Effect::Note(Note::Codec("state has no encoding"))),
+            }
+        }
+    }
+
+    /// Passes an event to the group and carries out what follows.
+    fn drive(&mut self, event: raft::Event, now: Duration, out: &mut Vec<Effect>) {
+        for effect in self.raft.step(event, now) {
+            match effect {
+                raft::Effect::Persist(persist) => out.push(Effect::Persist(persist)),
+                raft::Effect::Send { to, message } => self.send_raft(to, message, out),
+                raft::Effect::Apply {
+                    index,
+                    term,
+                    id,
+                    payload,
+                } => self.apply(index, term, id, &payload, now, out),
+                raft::Effect::Restore(snapshot) => self.restore(&snapshot, out),
+                raft::Effect::ReadReady { id, .. } => self.read_ready(id, out),
+                raft::Effect::Dropped { id, .. } => self.dropped(id, out),
+                raft::Effect::Role { role, term, leader } => {
+                    self.role_changed(role, term, leader, out);
+                }
+            }
+        }
+    }
+
+    fn propose(&mut self, command: &Command, then: Pending, now: Duration, out: &mut Vec<Effect>) {
+        match postcard::to_stdvec(command) {
+            Ok(data) => {
+                self.next_id += 1;
+                let id = self.next_id;
+                self.pending.insert(id, then);
+                self.drive(raft::Event::Propose { id, data }, now, out);
+            }
+            Err(_) => out.push(Effect::Note(Note::Codec("command has no encoding"))),
+        }
+    }
+
+    fn apply(
+        &mut self,
+        index: u64,
+        term: u64,
+        id: Option<u64>,
+        payload: &Payload,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        self.applied = index;
+        match payload {
+            Payload::Noop => {}
+            Payload::Members(members) => out.push(Effect::Note(Note::Members {
+                voters: members.voters.iter().copied().collect(),
+                learners: members.learners.iter().copied().collect(),
+            })),
+            Payload::Data(data) => match postcard::from_bytes::<Command>(data) {
+                Ok(command) => self.apply_command(index, id, command, now, out),
+                Err(_) => out.push(Effect::Note(Note::Codec("command cannot be decoded"))),
+            },
+        }
+        // A leader knows all commands that were accepted before once an entry of its own term is
+        // committed.
+        if self.lead.is_none() && self.raft.role() == Role::Leader && term == self.raft.term() {
+            self.begin_lead(now, out);
+        }
+    }
+
+    fn apply_command(
+        &mut self,
+        index: u64,
+        id: Option<u64>,
+        command: Command,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let outcome = self.state.apply(index, &command);
+        let pending = id.and_then(|id| self.pending.remove(&id));
+        if outcome == Outcome::Done {
+            self.applied_done(&command, out);
+            self.stream_update(index, &command, out);
+        }
+        if let Command::Change(change) = &command {
+            out.push(Effect::Note(Note::Change {
+                base: change.base,
+                version: change.version,
+                outcome: outcome.clone(),
+            }));
+        }
+        if let Some(pending) = pending {
+            self.decided(pending, index, outcome, now, out);
+        }
+    }
+
+    /// What the leader's own bookkeeping takes from a command.
+    fn applied_done(&mut self, command: &Command, out: &mut Vec<Effect>) {
+        match command {
+            Command::Member(_) | Command::Forget(_) => {
+                if self.roster.follow(&self.state.view) {
+                    out.push(Effect::KeepBook(self.roster.book()));
+                }
+            }
+            Command::Assign { service, span } => {
+                if let Some(lead) = &mut self.lead {
+                    lead.grants.assigned(service, span);
+                }
+                out.push(Effect::Note(Note::Assigned {
+                    service: service.clone(),
+                    span: span.clone(),
+                }));
+            }
+            Command::Announce { id, target } => out.push(Effect::Note(Note::Target {
+                id: id.clone(),
+                born: target.born,
+                change: match target.state {
+                    crate::TargetState::Ready => "ready",
+                    crate::TargetState::Draining => "draining",
+                    crate::TargetState::Left => "left",
+                },
+            })),
+            Command::Remove { id, born } => out.push(Effect::Note(Note::Target {
+                id: id.clone(),
+                born: *born,
+                change: "forgotten",
+            })),
+            Command::Change(_) => {}
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot, out: &mut Vec<Effect>) {
+        match postcard::from_bytes(&snapshot.data) {
+            Ok(state) => {
+                self.state = state;
+                self.applied = snapshot.index;
+                if self.roster.follow(&self.state.view) {
+                    out.push(Effect::KeepBook(self.roster.book()));
+                }
+            }
+            Err(_) => out.push(Effect::Note(Note::Codec("snapshot cannot be decoded"))),
+        }
+    }
+
+    fn role_changed(
+        &mut self,
+        role: Role,
+        term: u64,
+        leader: Option<MemberId>,
+        out: &mut Vec<Effect>,
+    ) {
+        if role != Role::Leader {
+            self.end_lead(out);
+        }
+        self.note_role(term, leader, out);
+    }
+
+    fn note_role(&mut self, term: u64, leader: Option<MemberId>, out: &mut Vec<Effect>) {
+        let role = (self.lead.is_some(), term, leader);
+        if role != self.role {
+            self.role = role;
+            let (leads, term, leader) = role;
+            out.push(Effect::Note(Note::Role {
+                leads,
+                term,
+                leader,
+            }));
+        }
+    }
+
+    fn begin_lead(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let term = self.raft.term();
+        self.lead = Some(Lead {
+            since: now,
+            grants: Grants::new(self.config.hold, term, &self.state.view, now),
+            seen: BTreeMap::new(),
+            holders: Holders::default(),
+        });
+        self.roster.begin_lead(now);
+        self.note_role(term, Some(self.config.me.id), out);
+    }
+
+    fn end_lead(&mut self, out: &mut Vec<Effect>) {
+        if self.lead.take().is_none() {
+            return;
+        }
+        // What was published is committed, so it is acknowledged even now.
+        for publishing in self.publishing.drain(..) {
+            out.push(Effect::Reply {
+                token: publishing.token,
+                reply: Reply::Done { here: false },
+            });
+        }
+        let leader = self.leader_member().map(|member| member.peer);
+        for conn in std::mem::take(&mut self.streams).into_keys() {
+            let message = PeerMessage::NotLeader { leader };
+            out.push(Effect::Stream { conn, message });
+            out.push(Effect::CloseStream(conn));
+        }
+    }
+
+    fn leader_member(&self) -> Option<&Member> {
+        let leader = self.raft.leader()?;
+        self.roster.find(leader)
+    }
+
+    fn send_raft(&self, to: MemberId, message: raft::Message, out: &mut Vec<Effect>) {
+        let Some(member) = self.roster.find(to) else {
+            return;
+        };
+        out.push(Effect::Send {
+            to: member.peer,
+            message: PeerMessage::Raft {
+                from: self.config.me.id,
+                to,
+                message,
+            },
+        });
+    }
+
+    fn order_answered(
+        &mut self,
+        call: CallId,
+        answer: &Answer,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(lead) = &mut self.lead {
+            let holder = lead.grants.answered(call, answer, now);
+            let done = matches!(answer, Answer::Granted | Answer::Released(_));
+            if let Some(holder) = holder.filter(|_| !done) {
+                out.push(Effect::Note(Note::Order {
+                    holder,
+                    answer: answer.clone(),
+                }));
+            }
+            self.tend_holders(now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/holders.rs
@@ -0,0 +1,241 @@
+//! Upkeep of the holders of keys by the leader.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration,
+};
+
+use super::{
+    Control,
+    Effect,
+    Note,
+    calls::Pending, //
+};
+use crate::{
+    balance::{
+        self,
+        Candidate, //
+    },
+    directory::{
+        Holder,
+        TargetState, //
+    },
+    grants::Lease,
+    keys::{
+        Key,
+        Span, //
+    },
+    message::KeyLoad,
+    routing::ServiceName,
+    state::Command,
+};
+
+/// Time after the start of a leader in which targets announce themselves before keys are divided.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// Time between two looks at the balance.
+const PLAN_PERIOD: Duration = Duration::from_millis(400);
+/// How long a sampled key counts.
+const SAMPLE_AGE: Duration = Duration::from_millis(2500);
+/// Most sampled keys of one service.
+const SAMPLE_MAX: usize = 4000;
+/// Time without an announcement after which a target gets no more keys.
+const FRESH: Duration = Duration::from_millis(2500);
+
+/// What the leader knows of the load on keys.
+#[derive(Default)]
+pub(super) struct Holders {
+    samples: BTreeMap<ServiceName, VecDeque<(Duration, Key)>>,
+    next_plan: Duration,
+}
+
+impl Holders {
+    /// Takes the report of an entry VM.
+    pub(super) fn record(&mut self, load: Vec<KeyLoad>, now: Duration) {
+        for KeyLoad {
+            service, sample, ..
+        } in load
+        {
+            let kept = self.samples.entry(service).or_default();
+            kept.extend(sample.into_iter().map(|key| (now, key)));
+            let over = kept.len().saturating_sub(SAMPLE_MAX);
+            kept.drain(..over);
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        for kept in self.samples.values_mut() {
+            let old = kept.partition_point(|(at, _)| now.saturating_sub(*at) > SAMPLE_AGE);
+            kept.drain(..old);
+        }
+    }
+
+    fn sample(&self, service: &str) -> Vec<Key> {
+        let kept = self.samples.get(service);
+        kept.map_or(Vec::new(), |kept| {
+            kept.iter().map(|(_, key)| *key).collect()
+        })
+    }
+}
+
+impl Control {
+    /// Sends due grants and releases, gives free ranges to others and balances the load.
+    pub(super) fn tend_holders(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.divide_unheld(now, out);
+        self.hand_off(now, out);
+        self.plan_moves(now, out);
+        let before = self.raft.leader_until();
+        let Some(before) = before.filter(|before| *before > now) else {
+            return;
+        };
+        let Some(lead) = &mut self.lead else { return };
+        for dispatch in lead.grants.due(&self.state.view, now) {
+            out.push(Effect::Order { dispatch, before });
+        }
+    }
+
+    /// Targets of a keyed service, and whether they may take keys.
+    fn candidates(&self, service: &str, now: Duration) -> Vec<Candidate> {
+        let Some(lead) = &self.lead else {
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        for (id, target) in &self.state.view.targets {
+            if &*target.service != service {
+                continue;
+            }
+            let holder = Holder {
+                id: id.clone(),
+                born: target.born,
+            };
+            let ready = target.state == TargetState::Ready;
+            let seen = lead.seen.get(id).filter(|seen| seen.born == target.born);
+            let at = seen.map_or(lead.since, |seen| seen.at);
+            let mut leases = lead.grants.leases(service).iter();
+            let deaf = leases.any(|l| l.span.holder.as_ref() == Some(&holder) && l.is_lost());
+            if ready && (now.saturating_sub(at) > FRESH || deaf) {
+                continue;
+            }
+            out.push(Candidate {
+                holder,
+                capacity: f64::from(target.slots.max(1)),
+                takes: ready,
+            });
+        }
+        out
+    }
+
+    fn keyed_services(&self) -> Vec<ServiceName> {
+        let routing = self.state.view.routing.as_ref();
+        let services = routing.into_iter().flat_map(|routing| &routing.services);
+        services
+            .filter(|(_, item)| item.content.keyed)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Divides the keys of services that have no holders yet.
+    fn divide_unheld(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let Some(lead) = &self.lead else { return };
+        if now.saturating_sub(lead.since) < SETTLE {
+            return;
+        }
+        for service in self.keyed_services() {
+            let map = self.state.view.keys.get(&service);
+            let held = map.is_some_and(|map| map.spans().iter().any(|s| s.holder.is_some()));
+            let Some(lead) = &mut self.lead else { return };
+            if held || !lead.holders.may_plan(now) {
+                continue;
+            }
+            let candidates = self.candidates(&service, now);
+            for found in balance::divide(&candidates) {
+                let span = Span {
+                    from: found.from,
+                    to: found.to,
+                    holder: Some(found.next),
+                    handover: None,
+                };
+                self.assign(&service, span, now, out);
+            }
+        }
+    }
+
+    fn assign(&mut self, service: &ServiceName, span: Span, now: Duration, out: &mut Vec<Effect>) {
+        let command = Command::Assign {
+            service: service.clone(),
+            span: span.clone(),
+        };
+        self.propose(&command, Pending::Assign(service.clone(), span), now, out);
+    }
+
+    /// Gives ranges that are free to the next holder.
+    fn hand_off(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let Some(lead) = &self.lead else { return };
+        let services: Vec<ServiceName> = lead.grants.services().cloned().collect();
+        let mut heirs = BTreeMap::new();
+        for service in services {
+            let candidates = self.candidates(&service, now);
+            let Some(lead) = &self.lead else { return };
+            let sample = lead.holders.sample(&service);
+            let spans: Vec<Span> = lead
+                .grants
+                .leases(&service)
+                .iter()
+                .map(Lease::span)
+                .collect();
+            heirs.insert(service, (spans, candidates, sample));
+        }
+        let Some(lead) = &mut self.lead else { return };
+        let handoffs = lead
+            .grants
+            .handoffs(&self.state.view, now, |service, span| {
+                let (spans, candidates, sample) = heirs.get_mut(service)?;
+                let heir = balance::heir(spans, candidates, sample)?;
+                // The next range sees the load that this one brings.
+                for known in spans.iter_mut().filter(|known| known.from == span.from) {
+                    known.holder = Some(heir.clone());
+                }
+                Some(heir)
+            });
+        for handoff in handoffs {
+            self.assign(&handoff.service, handoff.span, now, out);
+        }
+    }
+
+    /// Begins the moves that balance the load.
+    fn plan_moves(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let Some(lead) = &mut self.lead else { return };
+        if !lead.holders.may_plan(now) {
+            return;
+        }
+        lead.holders.next_plan = now + PLAN_PERIOD;
+        lead.holders.forget(now);
+        for service in self.keyed_services() {
+            let candidates = self.candidates(&service, now);
+            let Some(lead) = &mut self.lead else { return };
+            let leases = lead.grants.leases(&service);
+            if leases.iter().any(Lease::is_moving) {
+                continue;
+            }
+            let spans: Vec<Span> = leases.iter().map(Lease::span).collect();
+            let sample = lead.holders.sample(&service);
+            for found in balance::plan(&spans, &candidates, &sample) {
+                lead.grants
+                    .begin_move(&service, found.from, found.to, &found.next);
+                out.push(Effect::Note(Note::Moving {
+                    service: service.clone(),
+                    range: (found.from, found.to),
+                    next: found.next,
+                }));
+            }
+        }
+    }
+}
+
+impl Holders {
+    fn may_plan(&self, now: Duration) -> bool {
+        now >= self.next_plan
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/grants.rs
@@ -0,0 +1,530 @@
+//! The leader's view of the holds that targets may have.
+//!
+//! A [`Lease`] stands for one range of keys and its holder. Its `until` is the latest time at
+//! which the holder may still act on a grant, whatever became of the calls: a hold starts when the
+//! call arrives, which is at the latest when the call ended, and a target's clock may be slow.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use crate::{
+    directory::{
+        Address,
+        Holder, //
+    },
+    keys::{
+        Handover,
+        Key,
+        KeyMap,
+        Span, //
+    },
+    routing::ServiceName,
+    state::View,
+};
+
+/// Orders the holders of a key; rises with each new holder.
+pub type Fence = u64;
+/// Number of a call to a target.
+pub type CallId = u64;
+
+/// Bits of a fence below the term, enough for a million grants by one leader.
+const TERM_SHIFT: u32 = 20;
+/// Longest time a grant may take. A call is reset after it, so that it cannot arrive later.
+pub const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Longest time a release may take; it lasts as long as the work that runs on the keys.
+pub const RELEASE_LIMIT: Duration = Duration::from_millis(2500);
+/// Added to the end of a hold, for the time between a target's checks and its start of work.
+const HOLD_MARGIN: Duration = Duration::from_millis(100);
+/// How much slower than the leader's clock a target's clock may be: a part of the hold.
+const CLOCK_DRIFT: f64 = 0.02;
+/// Renewals in one hold.
+const RENEWALS: u32 = 3;
+/// Time between two attempts after a target did not take an order.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// A shorter hold is not worth a call.
+const MIN_HOLD: Duration = Duration::from_millis(300);
+
+/// An order to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Grants or renews a range of keys.
+    Grant {
+        /// First key.
+        from: Key,
+        /// Last key.
+        to: Key,
+        /// Fence.
+        fence: Fence,
+        /// How long the target may hold the keys, from the arrival of the call.
+        hold: Duration,
+        /// What the former holder gave.
+        handover: Option<Handover>,
+    },
+    /// Stops new work on a range of keys.
+    Release {
+        /// First key.
+        from: Key,
+        /// Last key.
+        to: Key,
+        /// Fence.
+        fence: Fence,
+    },
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The grant is in force.
+    Granted,
+    /// The target has seen a higher fence.
+    Fenced,
+    /// The keys are free.
+    Released(Option<Handover>),
+    /// The target refused the order with this status.
+    Refused(u16),
+    /// There is no answer; the target may carry the order out if some of it was sent.
+    Lost {
+        /// Whether a byte of the order may have arrived.
+        sent: bool,
+    },
+}
+
+/// Where a lease is on its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The holder is granted the keys again and again.
+    Renewing,
+    /// The holder was told to release the keys.
+    Releasing {
+        /// Who gets the keys next.
+        next: Holder,
+    },
+    /// The holder has released the keys; an earlier grant may still be carried out.
+    Released {
+        /// Who gets the keys next.
+        next: Holder,
+        /// What the holder gave for the next one.
+        handover: Option<Handover>,
+    },
+    /// The change of holder was proposed.
+    Proposed,
+}
+
+/// A range of keys and the hold that its holder may have.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// The range and its holder, as replicated.
+    pub span: Span,
+    fence: Fence,
+    phase: Phase,
+    /// Whether a grant with this fence was answered.
+    settled: bool,
+    /// When the last answered grant started.
+    confirmed: Option<Duration>,
+    /// Latest time at which the holder may act on any grant.
+    until: Duration,
+    /// Latest time at which a grant without an answer may be carried out.
+    late_until: Duration,
+    /// Whether the last grant got no answer.
+    lost: bool,
+    /// Grants since the last one that was carried out.
+    failures: u32,
+    renew: Duration,
+    open: Option<CallId>,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    service: ServiceName,
+    holder: Holder,
+    started: Duration,
+    /// The hold asked for; zero for a release.
+    hold: Duration,
+    /// End of the holds before the call.
+    former_until: Duration,
+}
+
+/// A change of holder that is safe now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handoff {
+    /// The service.
+    pub service: ServiceName,
+    /// The range, its next holder and what the former one gave.
+    pub span: Span,
+}
+
+/// An order to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispatch {
+    /// Number of the call.
+    pub call: CallId,
+    /// The target.
+    pub holder: Holder,
+    /// Its address.
+    pub address: Address,
+    /// The order.
+    pub order: Order,
+    /// When the call is reset.
+    pub limit: Duration,
+}
+
+/// All leases of a leader.
+#[derive(Debug)]
+pub struct Grants {
+    hold: Duration,
+    term: u64,
+    counter: u64,
+    calls: CallId,
+    leases: BTreeMap<ServiceName, Vec<Lease>>,
+    open: BTreeMap<CallId, Open>,
+}
+
+impl Lease {
+    /// Whether the range is on its way to another holder.
+    pub fn is_moving(&self) -> bool {
+        self.phase != Phase::Renewing
+    }
+
+    /// Whether the last grant got no answer.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
+    /// The range and its holder.
+    pub fn span(&self) -> Span {
+        self.span.clone()
+    }
+
+    /// Latest time at which the holder may act on a grant.
+    pub fn until(&self) -> Duration {
+        self.until
+    }
+}
+
+impl Grants {
+    /// Starts with what the state machine says. Until a holder answers, it may hold its keys from
+    /// a grant that the former leader sent last just before `now`.
+    pub fn new(hold: Duration, term: u64, view: &View, now: Duration) -> Grants {
+        let mut grants = Grants {
+            hold,
+            term,
+            counter: 0,
+            calls: 0,
+            leases: BTreeMap::new(),
+            open: BTreeMap::new(),
+        };
+        let until = now + CALL_LIMIT + slowest(hold);
+        for (service, map) in &view.keys {
+            let leases = map.spans().iter().map(|span| grants.lease(span, until));
+            let leases = leases.collect();
+            grants.leases.insert(service.clone(), leases);
+        }
+        grants
+    }
+
+    fn lease(&mut self, span: &Span, until: Duration) -> Lease {
+        self.counter += 1;
+        Lease {
+            span: span.clone(),
+            fence: (self.term << TERM_SHIFT) + self.counter,
+            phase: Phase::Renewing,
+            settled: false,
+            confirmed: None,
+            until,
+            late_until: until,
+            lost: false,
+            failures: 0,
+            renew: Duration::ZERO,
+            open: None,
+        }
+    }
+
+    /// Leases of a service in the order of their keys.
+    pub fn leases(&self, service: &str) -> &[Lease] {
+        self.leases.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Services with leases.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.leases.keys()
+    }
+
+    /// Takes a committed assignment. The new holder has nothing yet, and the former one can no
+    /// longer act.
+    pub fn assigned(&mut self, service: &ServiceName, span: &Span) {
+        let mut leases = self.leases.remove(service).unwrap_or_default();
+        if leases.is_empty() {
+            for old in KeyMap::default().spans() {
+                leases.push(self.lease(old, Duration::ZERO));
+            }
+        }
+        let fresh = self.lease(span, Duration::ZERO);
+        carve(&mut leases, span.from, span.to);
+        leases.retain(|lease| lease.span.to < span.from || lease.span.from > span.to);
+        leases.push(fresh);
+        leases.sort_by_key(|lease| lease.span.from);
+        self.leases.insert(service.clone(), leases);
+    }
+
+    /// Begins to move a range to another holder. A range that overlaps a move is left alone.
+    pub fn begin_move(&mut self, service: &str, from: Key, to: Key, next: &Holder) {
+        let Some(leases) = self.leases.get_mut(service) else {
+            return;
+        };
+        let inside = |lease: &Lease| lease.span.from <= to && lease.span.to >= from;
+        if leases.iter().filter(|l| inside(l)).any(Lease::is_moving) {
+            return;
+        }
+        carve(leases, from, to);
+        for lease in leases.iter_mut().filter(|lease| inside(lease)) {
+            lease.phase = Phase::Releasing { next: next.clone() };
+            lease.renew = Duration::ZERO;
+        }
+    }
+
+    /// Returns the orders that are due.
+    pub fn due(&mut self, view: &View, now: Duration) -> Vec<Dispatch> {
+        let mut out = Vec::new();
+        let mut busy: Vec<Holder> = self
+            .open
+            .values()
+            .filter(|open| !open.hold.is_zero())
+            .map(|open| open.holder.clone())
+            .collect();
+        for (service, leases) in &mut self.leases {
+            for lease in leases {
+                let Some(holder) = lease.span.holder.clone() else {
+                    continue;
+                };
+                if lease.open.is_some() || now < lease.renew || !view.is_current(&holder) {
+                    continue;
+                }
+                let Some(target) = view.targets.get(&holder.id) else {
+                    continue;
+                };
+                let Some((order, limit)) = lease.order(self.hold, now) else {
+                    continue;
+                };
+                let former_until = lease.until;
+                let hold = match order {
+                    Order::Grant { hold, .. } => hold,
+                    Order::Release { .. } => Duration::ZERO,
+                };
+                if !hold.is_zero() {
+                    // One grant at a time keeps a target's connections and bursts of work low.
+                    if busy.contains(&holder) {
+                        continue;
+                    }
+                    busy.push(holder.clone());
+                    lease.until = lease.until.max(now + limit + slowest(hold));
+                }
+                self.calls += 1;
+                lease.open = Some(self.calls);
+                self.open.insert(
+                    self.calls,
+                    Open {
+                        service: service.clone(),
+                        holder: holder.clone(),
+                        started: now,
+                        hold,
+                        former_until,
+                    },
+                );
+                out.push(Dispatch {
+                    call: self.calls,
+                    holder,
+                    address: target.address,
+                    order,
+                    limit: now + limit,
+                });
+            }
+        }
+        out
+    }
+
+    /// Takes the answer to an order. Returns the target that it was sent to.
+    pub fn answered(&mut self, call: CallId, answer: &Answer, now: Duration) -> Option<Holder> {
+        let open = self.open.remove(&call)?;
+        self.counter += 1;
+        let fresh = (self.term << TERM_SHIFT) + self.counter;
+        let hold = self.hold;
+        let leases = self.leases.get_mut(&open.service);
+        // Parts of a range that was divided meanwhile share the fate of the call.
+        for lease in leases.into_iter().flatten() {
+            if lease.open != Some(call) {
+                continue;
+            }
+            lease.open = None;
+            if !open.hold.is_zero() {
+                lease.failures += 1;
+            }
+            match answer {
+                Answer::Granted => {
+                    lease.settled = true;
+                    lease.lost = false;
+                    lease.failures = 0;
+                    lease.confirmed = Some(open.started);
+                    lease.renew = open.started + hold / RENEWALS;
+                }
+                Answer::Released(handover) => {
+                    if let Phase::Releasing { next } = &lease.phase {
+                        lease.phase = Phase::Released {
+                            next: next.clone(),
+                            handover: handover.clone(),
+                        };
+                    }
+                }
+                Answer::Fenced => {
+                    lease.fence = fresh;
+                    lease.renew = now + RETRY_PAUSE;
+                }
+                Answer::Lost { sent: true } if !open.hold.is_zero() => {
+                    lease.lost = true;
+                    lease.late_until = lease.late_until.max(now + slowest(open.hold));
+                    lease.renew = now + RETRY_PAUSE;
+                }
+                Answer::Refused(_) | Answer::Lost { .. } => {
+                    if !open.hold.is_zero() {
+                        lease.until = open.former_until;
+                    }
+                    lease.renew = now + RETRY_PAUSE;
+                }
+            }
+        }
+        Some(open.holder)
+    }
+
+    /// Returns the changes of holder that are safe now, and notes them as proposed. `heir` picks a
+    /// holder for a range whose holder is gone; without one, the range waits.
+    pub fn handoffs<Heir>(&mut self, view: &View, now: Duration, mut heir: Heir) -> Vec<Handoff>
+    where
+        Heir: FnMut(&ServiceName, &Span) -> Option<Holder>,
+    {
+        let mut out = Vec::new();
+        for (service, leases) in &mut self.leases {
+            for lease in leases {
+                let Some(holder) = &lease.span.holder else {
+                    continue;
+                };
+                let replaced = view.is_replaced(holder) && lease.open.is_none();
+                // A holder that was not asked yet is no reason to look for another.
+                let asked = lease.failures > 0 || !view.is_current(holder);
+                let ended = replaced || (asked && now >= lease.until);
+                let (next, handover) = match &lease.phase {
+                    Phase::Proposed => continue,
+                    Phase::Released { next, handover } if ended || now >= lease.late_until => {
+                        (Some(next.clone()), handover.clone())
+                    }
+                    Phase::Releasing { next } if ended => (Some(next.clone()), None),
+                    Phase::Renewing if ended => (None, None),
+                    _ => continue,
+                };
+                let next = next.filter(|next| view.is_current(next));
+                let Some(next) = next.or_else(|| heir(service, &lease.span)) else {
+                    continue;
+                };
+                lease.phase = Phase::Proposed;
+                out.push(Handoff {
+                    service: service.clone(),
+                    span: Span {
+                        holder: Some(next),
+                        handover,
+                        ..lease.span.clone()
+                    },
+                });
+            }
+        }
+        out
+    }
+
+    /// Notes that a proposal was dropped; the change of holder is tried again.
+    pub fn reopen(&mut self, service: &str, span: &Span) {
+        for lease in self.leases.get_mut(service).into_iter().flatten() {
+            if lease.phase == Phase::Proposed
+                && lease.span.from >= span.from
+                && lease.span.to <= span.to
+            {
+                // The keys are free already, so the next look at them proposes again.
+                lease.phase = Phase::Renewing;
+                lease.failures += 1;
+                lease.until = Duration::ZERO;
+            }
+        }
+    }
+}
+
+impl Lease {
+    /// The next order to the holder and the longest time that it may take.
+    fn order(&self, hold: Duration, now: Duration) -> Option<(Order, Duration)> {
+        let Span { from, to, .. } = self.span;
+        let fence = self.fence;
+        match &self.phase {
+            Phase::Renewing => Some((
+                Order::Grant {
+                    from,
+                    to,
+                    fence,
+                    hold: self.next_hold(hold, now)?,
+                    handover: self.span.handover.clone(),
+                },
+                CALL_LIMIT,
+            )),
+            // A release before the first answered grant of this leader would leave calls of the
+            // former leader that the fence does not cover.
+            Phase::Releasing { .. } if !self.settled => Some((
+                Order::Grant {
+                    from,
+                    to,
+                    fence,
+                    hold: self.next_hold(hold, now)?,
+                    handover: self.span.handover.clone(),
+                },
+                CALL_LIMIT,
+            )),
+            Phase::Releasing { .. } => Some((Order::Release { from, to, fence }, RELEASE_LIMIT)),
+            Phase::Released { .. } | Phase::Proposed => None,
+        }
+    }
+
+    /// The hold to ask for. While a holder does not answer, holds get shorter, so that the time
+    /// at which the keys are surely free does not move away with each attempt.
+    fn next_hold(&self, hold: Duration, now: Duration) -> Option<Duration> {
+        if !self.lost || now >= self.until {
+            return Some(hold);
+        }
+        let left = self.until.saturating_sub(now + CALL_LIMIT + HOLD_MARGIN);
+        let short = left.div_f64(1.0 + CLOCK_DRIFT).min(hold);
+        (short >= MIN_HOLD).then_some(short)
+    }
+}
+
+/// Longest time that a hold may last after the call arrived.
+fn slowest(hold: Duration) -> Duration {
+    hold.mul_f64(1.0 + CLOCK_DRIFT) + HOLD_MARGIN
+}
+
+/// Divides leases so that none crosses `from` or `to`.
+fn carve(leases: &mut Vec<Lease>, from: Key, to: Key) {
+    let mut parts = Vec::new();
+    for lease in leases.iter_mut() {
+        if lease.span.from < from && lease.span.to >= from {
+            let mut part = lease.clone();
+            part.span.from = from;
+            lease.span.to = from - 1;
+            parts.push(part);
+        }
+    }
+    leases.append(&mut parts);
+    for lease in leases.iter_mut() {
+        if lease.span.from <= to && lease.span.to > to {
+            let mut part = lease.clone();
+            part.span.from = to + 1;
+            lease.span.to = to;
+            parts.push(part);
+        }
+    }
+    leases.append(&mut parts);
+    leases.sort_by_key(|lease| lease.span.from);
+}
--- /dev/null
+++ b/crates/fleet/src/keys.rs
@@ -0,0 +1,106 @@
+//! Ranges of keys and their holders.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::directory::Holder;
+
+/// A key.
+pub type Key = u16;
+/// What the former holder of a range gave for the next one.
+pub type Handover = Box<str>;
+
+/// A range of keys with one holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Span {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// Who holds the keys, if anyone does.
+    pub holder: Option<Holder>,
+    /// What the former holder gave for this one.
+    pub handover: Option<Handover>,
+}
+
+impl Span {
+    /// Number of keys.
+    pub fn width(&self) -> u32 {
+        u32::from(self.to) - u32::from(self.from) + 1
+    }
+}
+
+/// Holders of all keys of one service: spans in order, without gaps or overlaps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyMap(Vec<Span>);
+
+impl Default for KeyMap {
+    fn default() -> Self {
+        KeyMap(vec![Span {
+            from: 0,
+            to: Key::MAX,
+            holder: None,
+            handover: None,
+        }])
+    }
+}
+
+impl KeyMap {
+    /// The spans in order.
+    pub fn spans(&self) -> &[Span] {
+        &self.0
+    }
+
+    /// The span that contains `key`.
+    ///
+    /// ```
+    /// use camphordale_fleet::{KeyMap, Span};
+    ///
+    /// let mut map = KeyMap::default();
+    /// map.assign(Span { from: 10, to: 20, holder: None, handover: Some("h".into()) });
+    /// assert_eq!(map.find(15).from, 10);
+    /// assert_eq!(map.find(21).from, 21);
+    /// ```
+    pub fn find(&self, key: Key) -> &Span {
+        let at = self.0.partition_point(|span| span.to < key);
+        &self.0[at]
+    }
+
+    /// Gives the keys of `span` the holder that it names. Spans that overlap keep their other
+    /// keys.
+    pub fn assign(&mut self, span: Span) {
+        let mut next = Vec::with_capacity(self.0.len() + 2);
+        let mut placed = Some(span.clone());
+        for old in self.0.drain(..) {
+            if old.from < span.from {
+                next.push(Span {
+                    to: old.to.min(span.from - 1),
+                    ..old.clone()
+                });
+            }
+            if old.to >= span.from
+                && let Some(span) = placed.take()
+            {
+                next.push(span);
+            }
+            if old.to > span.to {
+                next.push(Span {
+                    from: old.from.max(span.to + 1),
+                    ..old
+                });
+            }
+        }
+        self.0 = next;
+    }
+
+    /// Number of keys that `holder` has.
+    pub fn width_of(&self, holder: &Holder) -> u32 {
+        self.0
+            .iter()
+            .filter(|span| span.holder.as_ref() == Some(holder))
+            .map(Span::width)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,88 @@
+//! Control of a fleet of entry VMs, as reducers without I/O.
+//!
+//! One [`Control`] runs on each control VM. It replicates a [`State`] with `camphordale-raft`:
+//! the [`Routing`] that operators send, the directory of [`Target`]s that announce themselves,
+//! and the [`KeyMap`] of each service whose targets own keys. The leader grants keys by calls to
+//! the targets and streams the [`View`] to the entry VMs.
+//!
+//! Start with [`Control::step`], then [`State::apply`].
+//!
+//! | module | responsibility |
+//! |---|---|
+//! | `routing` | routes, services and limits; checks; changes |
+//! | `directory` | announcements of targets |
+//! | `keys` | ranges of keys and their holders |
+//! | `state` | the replicated state machine |
+//! | `message` | messages between VMs |
+//! | `control` | the reducer of a control VM |
+//! | `grants` | the leader's view of the holds that targets may have |
+//! | `balance` | which ranges should move |
+
+pub mod balance;
+mod control;
+mod directory;
+pub mod grants;
+mod keys;
+mod message;
+mod routing;
+mod state;
+
+pub use control::{
+    Call,
+    Config,
+    Control,
+    Effect,
+    Event,
+    Note,
+    Reply,
+    Token, //
+};
+pub use directory::{
+    Address,
+    Announcement,
+    Born,
+    Holder,
+    Target,
+    TargetId,
+    TargetState, //
+};
+pub use grants::{
+    Answer,
+    CallId,
+    Fence,
+    Order, //
+};
+pub use keys::{
+    Handover,
+    Key,
+    KeyMap,
+    Span, //
+};
+pub use message::{
+    KeyLoad,
+    Member,
+    PeerMessage,
+    Share, //
+};
+pub use routing::{
+    Change,
+    Digest,
+    Domain,
+    Invalid,
+    Item,
+    Limits,
+    Part,
+    Repeat,
+    Route,
+    RouteName,
+    Routing,
+    Service,
+    ServiceName,
+    Version, //
+};
+pub use state::{
+    Command,
+    Outcome,
+    State,
+    View, //
+};
--- /dev/null
+++ b/crates/fleet/src/state.rs
@@ -0,0 +1,231 @@
+//! The replicated state machine.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+};
+
+use camphordale_raft::MemberId;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    directory::{
+        Born,
+        Holder,
+        Target,
+        TargetId, //
+    },
+    keys::{
+        KeyMap,
+        Span, //
+    },
+    message::Member,
+    routing::{
+        Change,
+        Digest,
+        Invalid,
+        Routing,
+        ServiceName,
+        Version, //
+    },
+};
+
+/// A command of the state machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Notes where a control VM is.
+    Member(Member),
+    /// Forgets a control VM.
+    Forget(MemberId),
+    /// Changes the routing.
+    Change(Box<Change>),
+    /// Notes what a target says of itself.
+    Announce {
+        /// Id of the target.
+        id: TargetId,
+        /// Its record.
+        target: Target,
+    },
+    /// Forgets one life of a target.
+    Remove {
+        /// Id of the target.
+        id: TargetId,
+        /// The life.
+        born: Born,
+    },
+    /// Gives a range of keys to a holder.
+    Assign {
+        /// The service.
+        service: ServiceName,
+        /// The range and its holder.
+        span: Span,
+    },
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is in force.
+    Done,
+    /// The same change was accepted before.
+    Repeated,
+    /// The change builds on a version that is not the current one.
+    Stale {
+        /// The current version.
+        current: Version,
+    },
+    /// The change was refused.
+    Invalid(Invalid),
+    /// A younger life is known; nothing changed.
+    Outdated,
+}
+
+/// The part of the state that entry VMs follow.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// Index of the last command contained.
+    pub index: u64,
+    /// The routing, once an operator has sent one.
+    pub routing: Option<Arc<Routing>>,
+    /// Targets by id.
+    pub targets: BTreeMap<TargetId, Target>,
+    /// Holders of keys by service.
+    pub keys: BTreeMap<ServiceName, KeyMap>,
+    /// Control VMs.
+    pub members: BTreeMap<MemberId, Member>,
+}
+
+impl View {
+    /// Whether `holder` is the life that the directory has.
+    pub fn is_current(&self, holder: &Holder) -> bool {
+        let target = self.targets.get(&holder.id);
+        target.is_some_and(|target| target.born == holder.born)
+    }
+
+    /// Whether a younger life than `holder` is known under its id.
+    pub fn is_replaced(&self, holder: &Holder) -> bool {
+        let target = self.targets.get(&holder.id);
+        target.is_some_and(|target| target.born > holder.born)
+    }
+
+    /// Whether the service divides its requests by key.
+    pub fn is_keyed(&self, service: &str) -> bool {
+        let routing = self.routing.as_ref();
+        let item = routing.and_then(|routing| routing.services.get(service));
+        item.is_some_and(|item| item.content.keyed)
+    }
+
+    /// Applies the command at `index`. An entry VM follows the leader with the same method.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        self.index = index;
+        match command {
+            Command::Member(member) => {
+                self.members.insert(member.id, member.clone());
+                Outcome::Done
+            }
+            Command::Forget(id) => {
+                self.members.remove(id);
+                Outcome::Done
+            }
+            Command::Change(change) => self.change(change),
+            Command::Announce { id, target } => self.announce(id, target),
+            Command::Remove { id, born } => {
+                let known = self.targets.get(id);
+                if known.is_none_or(|known| known.born != *born) {
+                    return Outcome::Outdated;
+                }
+                self.targets.remove(id);
+                Outcome::Done
+            }
+            Command::Assign { service, span } => {
+                let map = self.keys.entry(service.clone()).or_default();
+                map.assign(span.clone());
+                Outcome::Done
+            }
+        }
+    }
+
+    fn change(&mut self, change: &Change) -> Outcome {
+        let empty = Arc::default();
+        let routing = self.routing.as_ref().unwrap_or(&empty);
+        if change.base != routing.version {
+            return Outcome::Stale {
+                current: routing.version,
+            };
+        }
+        match routing.changed(change) {
+            Ok(next) => {
+                self.routing = Some(Arc::new(next));
+                Outcome::Done
+            }
+            Err(error) => Outcome::Invalid(error),
+        }
+    }
+
+    /// Takes a record unless a younger life is known under its id or at its address. An older
+    /// life at the address has ended, because two processes cannot listen there.
+    fn announce(&mut self, id: &TargetId, target: &Target) -> Outcome {
+        let newer = |known: &Target| known.born > target.born;
+        if self.targets.get(id).is_some_and(newer) {
+            return Outcome::Outdated;
+        }
+        let other = self
+            .targets
+            .iter()
+            .find(|(other, known)| *other != id && known.address == target.address)
+            .map(|(other, known)| (other.clone(), newer(known)));
+        match other {
+            Some((_, true)) => return Outcome::Outdated,
+            Some((other, false)) => {
+                self.targets.remove(&other);
+            }
+            None => {}
+        }
+        self.targets.insert(id.clone(), target.clone());
+        Outcome::Done
+    }
+}
+
+/// All that is replicated.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// The part that entry VMs follow.
+    pub view: View,
+    /// Digests of accepted changes.
+    accepted: BTreeSet<Digest>,
+}
+
+impl State {
+    /// Applies the command at `index`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_fleet::{Command, Outcome, State};
+    ///
+    /// let mut state = State::default();
+    /// let command = Command::Remove { id: "t1".into(), born: 7 };
+    /// assert_eq!(state.apply(1, &command), Outcome::Outdated);
+    /// assert_eq!(state.view.index, 1);
+    /// ```
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        let Command::Change(change) = command else {
+            return self.view.apply(index, command);
+        };
+        if self.accepted.contains(&change.digest) {
+            self.view.index = index;
+            return Outcome::Repeated;
+        }
+        let outcome = self.view.apply(index, command);
+        if outcome == Outcome::Done {
+            self.accepted.insert(change.digest);
+        }
+        outcome
+    }
+}
--- a/crates/http/src/codec/mod.rs
+++ b/crates/http/src/codec/mod.rs
@@ -5,6 +5,10 @@
 mod request;
 mod response;
 
+pub use crate::encode::{
+    write_request,
+    write_response, //
+};
 pub use chunked::{
     ChunkError,
     Chunked, //
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -1,4 +1,7 @@
 //! Encoding of heads.
+//!
+//! Connections with a thread of their own use [`request`] and [`response`], which leave long bodies
+//! out of the buffer. A readiness loop uses [`write_request`] and [`write_response`].
 
 use std::{
     io::Write,
@@ -165,6 +168,53 @@
     Some(end(out, body))
 }
 
+/// Appends a request to `out`.
+///
+/// # Errors
+///
+/// Names the part of the request that is invalid. `out` may then hold a part of it.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_http::{OutRequest, codec::write_request};
+///
+/// let request = OutRequest { method: "GET", path: "/a", headers: &[], body: b"" };
+/// let mut out = Vec::new();
+/// write_request(&mut out, &request, "10.0.0.1:80".parse().unwrap())?;
+/// assert!(out.starts_with(b"GET /a HTTP/1.1\r\n"));
+/// # Ok::<(), &str>(())
+/// ```
+pub fn write_request(
+    out: &mut Vec<u8>,
+    request: &OutRequest<'_>,
+    peer: SocketAddr,
+) -> Result<(), &'static str> {
+    let rest = self::request(out, request, peer)?;
+    out.extend_from_slice(rest);
+    Ok(())
+}
+
+/// Appends a response to `out`, and reports whether it could be encoded.
+///
+/// ```
+/// use camphordale_http::{Response, codec::write_response};
+///
+/// let mut out = Vec::new();
+/// assert!(write_response(&mut out, &Response::text(200, "ok"), false, true));
+/// assert!(out.ends_with(b"\r\n\r\nok\n"));
+/// ```
+pub fn write_response(out: &mut Vec<u8>, response: &Response, is_head: bool, close: bool) -> bool {
+    let after = if close { After::Close } else { After::Open };
+    match self::response(out, response, is_head, after) {
+        Some(rest) => {
+            out.extend_from_slice(rest);
+            true
+        }
+        None => false,
+    }
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- /dev/null
+++ b/crates/reactor/src/client_side.rs
@@ -0,0 +1,208 @@
+//! The client's side of an HTTP connection, without I/O: one exchange at a time.
+
+use std::time::Duration;
+
+use camphordale_http::{
+    Response,
+    codec::{
+        Chunked,
+        Framing,
+        ResponseHead, //
+    },
+};
+
+/// Longest head of a response.
+const MAX_HEAD: usize = 64 << 10;
+/// Longest body of a response.
+const MAX_BODY: usize = 64 << 20;
+
+/// What to look for in the response.
+#[derive(Clone, Debug, Default)]
+pub struct Expected {
+    /// Header field, in lower case, and the value that marks the response as ours. A response with
+    /// another value belongs to an earlier request.
+    pub mark: Option<(Box<str>, Box<str>)>,
+    /// Whether the request was a `HEAD`.
+    pub is_head: bool,
+}
+
+/// How far a response is.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// More bytes are needed.
+    More,
+    /// The response is complete.
+    Done {
+        /// The response.
+        response: Response,
+        /// Whether the connection may carry another request.
+        reusable: bool,
+        /// How long the target keeps the connection open without a request, if it said so.
+        keep: Option<Duration>,
+    },
+    /// The bytes are not the response.
+    Broken(&'static str),
+}
+
+enum Phase {
+    Head,
+    Body {
+        head: Box<ResponseHead>,
+        chunked: Option<Chunked>,
+        body: Vec<u8>,
+    },
+}
+
+/// The response to one request.
+pub struct ClientSide {
+    expected: Expected,
+    phase: Phase,
+}
+
+impl ClientSide {
+    /// Awaits a response.
+    ///
+    /// ```
+    /// use camphordale_reactor::{ClientSide, Expected, Progress};
+    ///
+    /// let mut side = ClientSide::new(Expected::default());
+    /// let mut input = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_vec();
+    /// let progress = side.advance(&mut input, false);
+    /// assert!(matches!(progress, Progress::Done { reusable: true, .. }));
+    /// ```
+    pub fn new(expected: Expected) -> ClientSide {
+        ClientSide {
+            expected,
+            phase: Phase::Head,
+        }
+    }
+
+    /// Takes bytes from `input`. `ended` tells that the target has closed its side in order.
+    pub fn advance(&mut self, input: &mut Vec<u8>, ended: bool) -> Progress {
+        loop {
+            if let Phase::Head = self.phase {
+                match self.take_head(input) {
+                    Ok(true) => {}
+                    Ok(false) if ended => return Progress::Broken("closed before the response"),
+                    Ok(false) => return Progress::More,
+                    Err(reason) => return Progress::Broken(reason),
+                }
+            }
+            let Phase::Body {
+                head,
+                chunked,
+                body,
+            } = &mut self.phase
+            else {
+                // An interim response was skipped.
+                continue;
+            };
+            let done = match (head.framing, chunked) {
+                _ if self.expected.is_head || matches!(head.status, 204 | 304) => true,
+                (_, Some(chunked)) => match chunked.decode(input, body) {
+                    Ok(taken) => {
+                        input.drain(..taken);
+                        chunked.is_done()
+                    }
+                    Err(_) => return Progress::Broken("chunked body is malformed"),
+                },
+                (Framing::Length(length), None) => {
+                    let wanted = (length as usize).saturating_sub(body.len());
+                    let taken = wanted.min(input.len());
+                    body.extend(input.drain(..taken));
+                    body.len() as u64 == length
+                }
+                _ => {
+                    body.append(input);
+                    ended
+                }
+            };
+            if body.len() > MAX_BODY {
+                return Progress::Broken("body is too long");
+            }
+            if !done {
+                return match ended {
+                    true => Progress::Broken("closed within the response"),
+                    false => Progress::More,
+                };
+            }
+            if let Some(progress) = self.finish(input) {
+                return progress;
+            }
+        }
+    }
+
+    fn take_head(&mut self, input: &mut Vec<u8>) -> Result<bool, &'static str> {
+        let Some((head, length)) = ResponseHead::parse(input).map_err(|error| error.0)? else {
+            return match input.len() > MAX_HEAD {
+                true => Err("head is too long"),
+                false => Ok(false),
+            };
+        };
+        input.drain(..length);
+        if head.status < 200 {
+            return match head.status {
+                101 => Err("protocol was switched"),
+                _ => self.take_head(input),
+            };
+        }
+        let chunked = match head.framing {
+            Framing::Length(length) if length > MAX_BODY as u64 => {
+                return Err("body is too long");
+            }
+            Framing::Chunked => Some(Chunked::new(MAX_BODY)),
+            _ => None,
+        };
+        self.phase = Phase::Body {
+            head: Box::new(head),
+            chunked,
+            body: Vec::new(),
+        };
+        Ok(true)
+    }
+
+    /// Ends a complete response. Returns `None` if it belongs to another request.
+    fn finish(&mut self, input: &[u8]) -> Option<Progress> {
+        let Phase::Body { head, body, .. } = std::mem::replace(&mut self.phase, Phase::Head) else {
+            return None;
+        };
+        let framed = head.framing != Framing::Unstated || matches!(head.status, 204 | 304);
+        let keep = keep_alive(&head);
+        let reusable = head.keep_alive && framed && input.is_empty();
+        let response = Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+        };
+        if let Some((name, value)) = &self.expected.mark {
+            let found = response.header(name);
+            if found.is_some_and(|found| *found != **value) {
+                if !framed {
+                    return Some(Progress::Broken("response of another request"));
+                }
+                return None;
+            }
+            if found.is_none() && response.status < 400 {
+                return Some(Progress::Broken("response names no request"));
+            }
+        }
+        Some(Progress::Done {
+            response,
+            reusable,
+            keep,
+        })
+    }
+}
+
+/// The idle time that a response states, in whole seconds.
+fn keep_alive(head: &ResponseHead) -> Option<Duration> {
+    let (_, value) = head
+        .headers
+        .iter()
+        .find(|(name, _)| &**name == "keep-alive")?;
+    let timeout = value.split(',').find_map(|part| {
+        let (name, value) = part.split_once('=')?;
+        name.trim().eq_ignore_ascii_case("timeout").then_some(value)
+    })?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/reactor/src/control_process.rs
@@ -0,0 +1,499 @@
+//! A control VM: operators, targets, other control VMs and entry VMs.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use camphordale_fleet::{
+    Answer,
+    Call,
+    CallId,
+    Config,
+    Control,
+    Effect,
+    Event,
+    Member,
+    Note,
+    Order,
+    PeerMessage,
+    Reply,
+    Token, //
+};
+use camphordale_http::{
+    OutRequest,
+    Request,
+    Response,
+    codec::write_request, //
+};
+use camphordale_raft::{
+    Persist,
+    Recovered, //
+};
+use camphordale_store::{
+    AtomicFile,
+    Identity,
+    Store, //
+};
+use slog::{
+    info,
+    warn, //
+};
+
+use crate::{
+    client_side::Expected,
+    dialect::{
+        CallKind,
+        Dialect, //
+    },
+    engine::{
+        ConnId,
+        Exchange,
+        ExchangeFailure,
+        Incoming,
+        Purpose, //
+    },
+    process::{
+        ProcessError,
+        Shared,
+        system, //
+    },
+    settings::{
+        ControlSettings,
+        Settings,
+        SettingsError, //
+    },
+};
+
+/// Time between two ticks of the reducer; elections and renewals need no finer one.
+const TICK: Duration = Duration::from_millis(30);
+/// Time between two looks at the settings file.
+const RELOAD_PERIOD: Duration = Duration::from_millis(2000);
+/// Pause before the storage is opened again after a failure.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+/// Connections to one target for orders: one for grants, one for a release that waits.
+const ORDER_CONNECTIONS: usize = 3;
+/// File with the control VMs that this one knows.
+const BOOK_FILE: &str = "members";
+
+/// A call that awaits its reply.
+struct Waiting {
+    conn: ConnId,
+    kind: CallKind,
+    path: Box<str>,
+}
+
+/// A control VM.
+pub struct ControlProcess<Language> {
+    settings: Settings,
+    own: ControlSettings,
+    dialect: Language,
+    control: Control,
+    store: Option<Store>,
+    failed: Option<Duration>,
+    calls: HashMap<Token, Waiting>,
+    orders: HashMap<CallId, Order>,
+    next_token: Token,
+    next_tick: Duration,
+    next_reload: Duration,
+}
+
+/// Id of a founding member: all that found the group must agree on it without talking.
+fn founding_id(address: std::net::SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        std::net::IpAddr::V4(ip) => u128::from(u32::from(ip)),
+        std::net::IpAddr::V6(ip) => u128::from(ip),
+    };
+    // Random ids have the highest bit, so the two kinds never meet.
+    ((ip << 16 | u128::from(address.port())) as u64) & (u64::MAX >> 1)
+}
+
+fn member_at(settings: &Settings, control: std::net::SocketAddr) -> Member {
+    Member {
+        id: founding_id(control),
+        peer: settings.peer_of(control),
+        control,
+        domain: "".into(),
+    }
+}
+
+struct Opened {
+    control: Control,
+    store: Store,
+    founded: bool,
+}
+
+/// Opens the durable state and starts the reducer from it.
+fn open(settings: &Settings, own: &ControlSettings) -> Result<Opened, ProcessError> {
+    std::fs::create_dir_all(&own.data).map_err(system("create the data directory"))?;
+    let seeds = settings.seeds.iter().map(|seed| member_at(settings, *seed));
+    let seeds: Vec<Member> = seeds.collect();
+    let founder = own.bootstrap && settings.seeds.contains(&own.control);
+    let (mut store, mut recovered) = Store::open(&own.data)?;
+    let is_blank = recovered == Recovered::default();
+    let fresh = if founder && is_blank {
+        founding_id(own.control)
+    } else {
+        rand::random::<u64>() | (1 << 63)
+    };
+    let id = Identity::open(&own.data, fresh)?.member;
+    let founded = founder && is_blank && id == founding_id(own.control);
+    if founded {
+        let state = |error: postcard::Error| ProcessError::State(error.to_string().into());
+        recovered = Control::found(seeds.clone()).map_err(state)?;
+        store.persist(&Persist {
+            snapshot: recovered.snapshot.clone(),
+            ..Persist::default()
+        })?;
+    }
+    let book = AtomicFile::<Vec<Member>>::new(own.data.join(BOOK_FILE));
+    let mut known = seeds;
+    known.extend(book.read()?.unwrap_or_default());
+    let tuning = &settings.tuning;
+    let config = Config {
+        me: Member {
+            id,
+            peer: settings.peer_of(own.control),
+            control: own.control,
+            domain: settings.domain.clone(),
+        },
+        voters: 2 * own.tolerate + 1,
+        hold: tuning.hold.min(own.hold_max),
+        election: tuning.election,
+        heartbeat: tuning.heartbeat,
+        target_silence: tuning.target_silence,
+        member_silence: tuning.member_silence,
+        apply_wait: tuning.apply_wait,
+        seed: rand::random(),
+    };
+    let control = Control::new(config, recovered, known)
+        .map_err(|error| ProcessError::State(error.to_string().into()))?;
+    Ok(Opened {
+        control,
+        store,
+        founded,
+    })
+}
+
+impl<Language> ControlProcess<Language>
+where
+    Language: Dialect,
+{
+    pub(crate) fn start(
+        settings: &Settings,
+        own: ControlSettings,
+        dialect: Language,
+        shared: &mut Shared,
+    ) -> Result<Self, ProcessError> {
+        let peers = settings.peer_of(own.control);
+        let metrics = (settings.ip, settings.metrics_port).into();
+        for (address, purpose) in [
+            (own.control, Purpose::Control),
+            (peers, Purpose::Peers),
+            (metrics, Purpose::Metrics),
+        ] {
+            shared
+                .engine
+                .listen(address, purpose)
+                .map_err(system(format!("listen on {address}")))?;
+        }
+        let opened = open(settings, &own)?;
+        info!(shared.logger, "state opened"; "founded" => opened.founded,
+            "bytes" => opened.store.size());
+        Ok(ControlProcess {
+            settings: settings.clone(),
+            own,
+            dialect,
+            control: opened.control,
+            store: Some(opened.store),
+            failed: None,
+            calls: HashMap::new(),
+            orders: HashMap::new(),
+            next_token: 0,
+            next_tick: Duration::ZERO,
+            next_reload: RELOAD_PERIOD,
+        })
+    }
+
+    pub(crate) fn run<Reload>(
+        &mut self,
+        shared: &mut Shared,
+        reload: Reload,
+    ) -> Result<(), ProcessError>
+    where
+        Reload: Fn() -> Result<Settings, SettingsError>,
+    {
+        while !shared.signals.stop() {
+            let incoming = shared.engine.wait(self.next_tick).map_err(system("wait"))?;
+            for event in incoming {
+                self.incoming(event, shared);
+            }
+            let now = shared.clock.now();
+            if now >= self.next_tick {
+                self.next_tick = now + TICK;
+                self.reopen(now, shared);
+                self.step(Event::Tick, shared);
+                shared.tend_logs(now);
+            }
+            self.reload(now, shared, &reload);
+        }
+        Ok(())
+    }
+
+    fn reload<Reload>(&mut self, now: Duration, shared: &mut Shared, reload: &Reload)
+    where
+        Reload: Fn() -> Result<Settings, SettingsError>,
+    {
+        let asked = shared.signals.take_reload();
+        if !asked && now < self.next_reload {
+            return;
+        }
+        self.next_reload = now + RELOAD_PERIOD;
+        match reload() {
+            Ok(settings) => {
+                if settings.seeds != self.settings.seeds {
+                    self.settings.seeds.clone_from(&settings.seeds);
+                    let seeds = settings.seeds.iter();
+                    let book = seeds.map(|seed| member_at(&settings, *seed)).collect();
+                    self.step(Event::Peer(PeerMessage::Book(book)), shared);
+                    info!(shared.logger, "seeds changed"; "seeds" => settings.seeds.len());
+                }
+                if asked {
+                    info!(shared.logger, "settings reloaded");
+                }
+            }
+            Err(error) => {
+                if shared.may_log("reload") {
+                    warn!(shared.logger, "settings not reloaded"; "error" => error.to_string());
+                }
+            }
+        }
+    }
+
+    fn incoming(&mut self, event: Incoming, shared: &mut Shared) {
+        match event {
+            Incoming::Request {
+                conn,
+                purpose: Purpose::Control,
+                request,
+            } => self.call(conn, &request, shared),
+            Incoming::Request { conn, request, .. } => {
+                let response = shared.scrape(&request);
+                shared.engine.respond(conn, &response);
+            }
+            Incoming::Peer { conn, message } => match message {
+                PeerMessage::Raft { .. } | PeerMessage::Book(_) | PeerMessage::Join(_) => {
+                    self.step(Event::Peer(message), shared);
+                }
+                message => self.step(Event::Stream { conn, message }, shared),
+            },
+            Incoming::PeerClosed(conn) => self.step(Event::StreamEnded(conn), shared),
+            Incoming::Exchanged { id, result } => self.ordered(id, result, shared),
+            Incoming::CallerGone(_) => {}
+        }
+    }
+
+    fn call(&mut self, conn: ConnId, request: &Request, shared: &mut Shared) {
+        let call = match self.dialect.call(request) {
+            Ok(call) => call,
+            Err(response) => {
+                shared.metrics.event("unreadable-call");
+                if shared.may_log("unreadable call") {
+                    info!(shared.logger, "call cannot be read"; "path" => &*request.path,
+                        "status" => response.status);
+                }
+                return shared.engine.respond(conn, &response);
+            }
+        };
+        let kind = match &call {
+            Call::Change(_) | Call::Read => CallKind::Routing,
+            Call::Announce(_) | Call::Leave { .. } => CallKind::Target,
+        };
+        self.next_token += 1;
+        let token = self.next_token;
+        let path = request.path.clone();
+        self.calls.insert(token, Waiting { conn, kind, path });
+        self.step(Event::Call { token, call }, shared);
+    }
+
+    fn reply(&self, waiting: &Waiting, reply: &Reply, shared: &mut Shared) {
+        let Waiting { conn, kind, path } = waiting;
+        let response = self.dialect.reply(*kind, path, reply, self.own.control);
+        shared.engine.respond(*conn, &response);
+    }
+
+    fn ordered(
+        &mut self,
+        call: CallId,
+        result: Result<Response, ExchangeFailure>,
+        shared: &mut Shared,
+    ) {
+        let Some(order) = self.orders.remove(&call) else {
+            return;
+        };
+        let answer = match result {
+            Ok(response) => self.dialect.order_answer(&order, &response),
+            Err(failure) => Answer::Lost { sent: failure.sent },
+        };
+        self.step(Event::Answered { call, answer }, shared);
+    }
+
+    fn step(&mut self, event: Event, shared: &mut Shared) {
+        let effects = self.control.step(event, shared.clock.now());
+        self.carry_out(effects, shared);
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>, shared: &mut Shared) {
+        for effect in effects {
+            match effect {
+                Effect::Persist(persist) => {
+                    if !self.persist(&persist, shared) {
+                        // What follows relies on what could not be made durable.
+                        return;
+                    }
+                }
+                Effect::Send { to, message } => shared.engine.send_to(to, &message),
+                Effect::Stream { conn, message } => shared.engine.send(conn, &message),
+                Effect::CloseStream(conn) => shared.engine.close(conn),
+                Effect::Reply { token, reply } => {
+                    if let Some(waiting) = self.calls.remove(&token) {
+                        self.reply(&waiting, &reply, shared);
+                    }
+                }
+                Effect::Order { dispatch, before } => {
+                    let now = shared.clock.now();
+                    if now >= before {
+                        // Another leader may exist by now; the order must not leave.
+                        let answer = Answer::Lost { sent: false };
+                        let call = dispatch.call;
+                        self.step(Event::Answered { call, answer }, shared);
+                        continue;
+                    }
+                    let request = self.dialect.order(&dispatch.order);
+                    let out = OutRequest {
+                        method: request.method,
+                        path: &request.path,
+                        headers: &request.headers,
+                        body: &request.body,
+                    };
+                    let mut bytes = Vec::new();
+                    if let Err(part) = write_request(&mut bytes, &out, dispatch.address) {
+                        warn!(shared.logger, "order has no encoding"; "part" => part);
+                    }
+                    self.orders.insert(dispatch.call, dispatch.order);
+                    shared.engine.exchange(Exchange {
+                        id: dispatch.call,
+                        address: dispatch.address,
+                        bytes,
+                        expected: Expected::default(),
+                        connections: ORDER_CONNECTIONS,
+                        deadline: dispatch.limit,
+                    });
+                }
+                Effect::KeepBook(members) => {
+                    let file = AtomicFile::new(self.own.data.join(BOOK_FILE));
+                    if let Err(error) = file.write(&members)
+                        && shared.may_log("book")
+                    {
+                        warn!(shared.logger, "members not kept"; "error" => error.to_string());
+                    }
+                }
+                Effect::Note(note) => note_change(&note, shared),
+            }
+        }
+    }
+
+    fn persist(&mut self, persist: &Persist, shared: &mut Shared) -> bool {
+        let result = match &mut self.store {
+            Some(store) => store.persist(persist),
+            None => return false,
+        };
+        let Err(error) = result else {
+            return true;
+        };
+        warn!(shared.logger, "storage failed"; "error" => error.to_string());
+        shared.metrics.event("storage-failed");
+        let now = shared.clock.now();
+        self.store = None;
+        self.failed = Some(now);
+        let effects = self.control.storage_failed(now);
+        self.carry_out(effects, shared);
+        false
+    }
+
+    /// After a failure of the storage, starts again from what is durable.
+    fn reopen(&mut self, now: Duration, shared: &mut Shared) {
+        let Some(since) = self.failed else { return };
+        if now < since + REOPEN_PAUSE {
+            return;
+        }
+        self.failed = Some(now);
+        match open(&self.settings, &self.own) {
+            Ok(opened) => {
+                self.control = opened.control;
+                self.store = Some(opened.store);
+                self.failed = None;
+                for waiting in std::mem::take(&mut self.calls).into_values() {
+                    self.reply(&waiting, &Reply::Unavailable("storage failed"), shared);
+                }
+                info!(shared.logger, "storage opened again");
+            }
+            Err(error) => {
+                if shared.may_log("reopen") {
+                    warn!(shared.logger, "storage not opened"; "error" => error.to_string());
+                }
+            }
+        }
+    }
+}
+
+fn note_change(note: &Note, shared: &mut Shared) {
+    let kind = match note {
+        Note::Role { .. } => "role",
+        Note::Change { .. } => "change",
+        Note::Target { .. } => "target",
+        Note::Assigned { .. } => "assigned",
+        Note::Moving { .. } => "moving",
+        Note::Order { .. } => "order",
+        Note::Members { .. } => "members",
+        Note::Entries(_) => "entries",
+        Note::Codec(_) => "codec",
+    };
+    shared.metrics.event(kind);
+    if !shared.may_log(kind) {
+        return;
+    }
+    let logger = &shared.logger;
+    match note {
+        Note::Role {
+            leads,
+            term,
+            leader,
+        } => info!(logger, "role"; "leads" => leads, "term" => term, "leader" => leader),
+        Note::Change {
+            base,
+            version,
+            outcome,
+        } => info!(logger, "change decided"; "base" => base, "version" => version,
+            "outcome" => format!("{outcome:?}")),
+        Note::Target { id, born, change } => {
+            info!(logger, "target"; "target" => &**id, "born" => born, "state" => change);
+        }
+        Note::Assigned { service, span } => info!(logger, "keys assigned";
+            "service" => &**service, "from" => span.from, "to" => span.to,
+            "target" => span.holder.as_ref().map_or("-", |holder| &*holder.id),
+            "handover" => span.handover.is_some()),
+        Note::Moving {
+            service,
+            range,
+            next,
+        } => info!(logger, "keys begin to move"; "service" => &**service,
+            "from" => range.0, "to" => range.1, "target" => &*next.id),
+        Note::Order { holder, answer } => info!(logger, "order not carried out";
+            "target" => &*holder.id, "answer" => format!("{answer:?}")),
+        Note::Members { voters, learners } => info!(logger, "members";
+            "voters" => format!("{voters:?}"), "learners" => format!("{learners:?}")),
+        Note::Entries(count) => info!(logger, "entry VMs"; "count" => count),
+        Note::Codec(what) => warn!(logger, "codec"; "what" => what),
+    }
+}
--- /dev/null
+++ b/crates/reactor/src/engine.rs
@@ -0,0 +1,441 @@
+//! The readiness loop of a process: sockets in, typed events out.
+//!
+//! One thread serves all connections. [`Engine::wait`] returns what happened; everything else
+//! queues bytes and returns at once.
+
+mod conn;
+mod peers;
+mod server;
+mod targets;
+
+use std::{
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
+    io,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use camphordale_fleet::{
+    Limits,
+    PeerMessage, //
+};
+use camphordale_http::{
+    Request,
+    Response, //
+};
+use camphordale_wire::Keyring;
+use mio::{
+    Events,
+    Interest,
+    Poll,
+    Token,
+    net::TcpListener, //
+};
+use slab::Slab;
+
+use self::{
+    conn::{
+        Conn,
+        Kind, //
+    },
+    targets::Pool, //
+};
+use crate::clock::Clock;
+
+/// Readiness events taken at a time.
+const EVENTS: usize = 256;
+/// Tokens from here on are listeners.
+const LISTENER_BASE: usize = 1 << 30;
+/// Connections waiting to be accepted.
+const BACKLOG: i32 = 1024;
+/// Connections of callers on one listener; more are closed at once.
+const MAX_CALLERS: usize = 3000;
+
+/// Names a connection; never used again.
+pub type ConnId = u64;
+/// Names an exchange with a target.
+pub type ExchangeId = u64;
+
+/// What a listener is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Callers.
+    Callers,
+    /// Readiness questions.
+    Readiness,
+    /// Operators and targets.
+    Control,
+    /// Metrics.
+    Metrics,
+    /// Other VMs.
+    Peers,
+}
+
+/// A request to a target.
+pub struct Exchange {
+    /// Names the exchange.
+    pub id: ExchangeId,
+    /// The target.
+    pub address: SocketAddr,
+    /// The encoded request.
+    pub bytes: Vec<u8>,
+    /// What marks the response.
+    pub expected: crate::Expected,
+    /// Most connections to the target.
+    pub connections: usize,
+    /// When the exchange is given up.
+    pub deadline: Duration,
+}
+
+/// Why an exchange failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExchangeFailure {
+    /// Whether a byte of the request may have arrived.
+    pub sent: bool,
+    /// Whether the target sent something.
+    pub spoke: bool,
+    /// What happened.
+    pub reason: Box<str>,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Incoming {
+    /// A request was received.
+    Request {
+        /// The connection.
+        conn: ConnId,
+        /// What its listener is for.
+        purpose: Purpose,
+        /// The request.
+        request: Request,
+    },
+    /// The caller closed a connection on which a request awaits its response.
+    CallerGone(ConnId),
+    /// An exchange ended.
+    Exchanged {
+        /// The exchange.
+        id: ExchangeId,
+        /// The response, or why there is none.
+        result: Result<Response, ExchangeFailure>,
+    },
+    /// A message of another VM.
+    Peer {
+        /// The connection.
+        conn: ConnId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A connection with another VM ended.
+    PeerClosed(ConnId),
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineStats {
+    /// Connections accepted.
+    pub accepted: u64,
+    /// Connections refused because there were too many.
+    pub refused: u64,
+    /// Requests refused by the codec or a limit.
+    pub malformed: u64,
+    /// Connections opened to targets.
+    pub opened: u64,
+    /// Connections between VMs that failed.
+    pub peer_failures: u64,
+}
+
+/// The readiness loop.
+pub struct Engine {
+    poll: Poll,
+    events: Events,
+    clock: Clock,
+    keyring: Keyring,
+    listeners: Vec<(TcpListener, Purpose)>,
+    conns: Slab<Conn>,
+    callers: usize,
+    generation: u64,
+    timers: BTreeSet<(Duration, usize, ConnId)>,
+    pools: HashMap<SocketAddr, Pool>,
+    exchanges: HashMap<ExchangeId, usize>,
+    outbound: HashMap<SocketAddr, ConnId>,
+    incoming: Vec<Incoming>,
+    scratch: Vec<u8>,
+    limits: Limits,
+    draining: bool,
+    stats: EngineStats,
+}
+
+impl Engine {
+    /// Starts without sockets.
+    ///
+    /// # Errors
+    ///
+    /// Those of the operating system.
+    pub fn new(clock: Clock, keyring: Keyring) -> io::Result<Engine> {
+        Ok(Engine {
+            poll: Poll::new()?,
+            events: Events::with_capacity(EVENTS),
+            clock,
+            keyring,
+            listeners: Vec::new(),
+            conns: Slab::new(),
+            callers: 0,
+            generation: 0,
+            timers: BTreeSet::new(),
+            pools: HashMap::new(),
+            exchanges: HashMap::new(),
+            outbound: HashMap::new(),
+            incoming: Vec::new(),
+            scratch: vec![0; 32 << 10],
+            limits: Limits::default(),
+            draining: false,
+            stats: EngineStats::default(),
+        })
+    }
+
+    /// Listens on an address. Returns the address, which has a port even if none was given.
+    ///
+    /// # Errors
+    ///
+    /// Those of the operating system.
+    pub fn listen(&mut self, address: SocketAddr, purpose: Purpose) -> io::Result<SocketAddr> {
+        let socket = socket2::Socket::new(
+            socket2::Domain::for_address(address),
+            socket2::Type::STREAM,
+            None,
+        )?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        let token = Token(LISTENER_BASE + self.listeners.len());
+        self.poll
+            .registry()
+            .register(&mut listener, token, Interest::READABLE)?;
+        let bound = listener.local_addr()?;
+        self.listeners.push((listener, purpose));
+        Ok(bound)
+    }
+
+    /// Sets the limits of callers.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// From now on each response ends its connection.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Counts since the start.
+    pub fn stats(&self) -> EngineStats {
+        self.stats
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Connections of callers that are open.
+    pub fn callers(&self) -> usize {
+        self.callers
+    }
+
+    /// Waits until something happens, at the longest until `until`. A signal ends the wait.
+    ///
+    /// # Errors
+    ///
+    /// Those of the operating system.
+    pub fn wait(&mut self, until: Duration) -> io::Result<Vec<Incoming>> {
+        let until = match self.timers.first() {
+            Some((at, ..)) => until.min(*at),
+            None => until,
+        };
+        let timeout = if self.incoming.is_empty() {
+            until.saturating_sub(self.clock.now())
+        } else {
+            Duration::ZERO
+        };
+        match self.poll.poll(&mut self.events, Some(timeout)) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+                return Ok(std::mem::take(&mut self.incoming));
+            }
+            Err(error) => return Err(error),
+        }
+        let now = self.clock.now();
+        let events = std::mem::replace(&mut self.events, Events::with_capacity(1));
+        for event in &events {
+            let token = event.token().0;
+            if token >= LISTENER_BASE {
+                self.accept(token - LISTENER_BASE, now);
+            } else if self.conns.contains(token) {
+                if event.is_writable() {
+                    self.writable(token, now);
+                }
+                if self.conns.contains(token) && (event.is_readable() || event.is_read_closed()) {
+                    self.readable(token, event.is_read_closed(), now);
+                }
+            }
+        }
+        self.events = events;
+        self.expire(now);
+        Ok(std::mem::take(&mut self.incoming))
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some((at, key, id)) = self.timers.first().copied() {
+            if at > now {
+                return;
+            }
+            self.timers.remove(&(at, key, id));
+            let conn = self.conns.get(key).filter(|conn| conn.id == id);
+            if conn.is_some_and(|conn| conn.deadline == Some(at)) {
+                self.expired(key, now);
+            }
+        }
+    }
+
+    /// A connection has passed its time limit.
+    fn expired(&mut self, key: usize, now: Duration) {
+        match &self.conns[key].kind {
+            Kind::Caller { .. } => self.caller_expired(key, now),
+            Kind::Target { .. } => self.target_expired(key, now),
+            Kind::Peer { .. } => self.close_key(key, "time limit", now),
+        }
+    }
+
+    fn set_deadline(&mut self, key: usize, at: Option<Duration>) {
+        let conn = &mut self.conns[key];
+        if conn.deadline == at {
+            return;
+        }
+        if let Some(old) = conn.deadline.take() {
+            self.timers.remove(&(old, key, conn.id));
+        }
+        if let Some(at) = at {
+            conn.deadline = Some(at);
+            self.timers.insert((at, key, conn.id));
+        }
+    }
+
+    fn find(&self, id: ConnId) -> Option<usize> {
+        let key = (id & u64::from(u32::MAX)) as usize;
+        let conn = self.conns.get(key)?;
+        (conn.id == id).then_some(key)
+    }
+
+    fn insert(&mut self, socket: mio::net::TcpStream, kind: Kind) -> Option<usize> {
+        self.generation += 1;
+        let entry = self.conns.vacant_entry();
+        let key = entry.key();
+        let id = (self.generation << 32) | key as u64;
+        let conn = entry.insert(Conn::new(id, socket, kind));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registry = self.poll.registry();
+        if registry
+            .register(&mut conn.socket, Token(key), interest)
+            .is_err()
+        {
+            self.conns.remove(key);
+            return None;
+        }
+        Some(key)
+    }
+
+    fn writable(&mut self, key: usize, now: Duration) {
+        let conn = &mut self.conns[key];
+        if !conn.connected {
+            match conn.finish_connect() {
+                Ok(true) => self.target_connected(key),
+                Ok(false) => return,
+                Err(error) => {
+                    let reason = error.to_string();
+                    return self.close_key(key, &reason, now);
+                }
+            }
+        }
+        self.flush(key, now);
+    }
+
+    /// Writes what can be written now.
+    fn flush(&mut self, key: usize, now: Duration) {
+        let conn = &mut self.conns[key];
+        if !conn.connected {
+            return;
+        }
+        if let Err(error) = conn.flush() {
+            let reason = error.to_string();
+            return self.close_key(key, &reason, now);
+        }
+        if conn.output_is_empty() && conn.ending {
+            self.end_caller(key, now);
+        }
+    }
+
+    fn readable(&mut self, key: usize, closed: bool, now: Duration) {
+        let conn = &mut self.conns[key];
+        if !conn.connected {
+            return;
+        }
+        let ended = match conn.read(&mut self.scratch, closed) {
+            Ok(ended) => ended,
+            Err(error) => {
+                let reason = error.to_string();
+                return self.close_key(key, &reason, now);
+            }
+        };
+        match &self.conns[key].kind {
+            Kind::Caller { .. } => self.caller_readable(key, ended, now),
+            Kind::Target { .. } => self.target_readable(key, ended, now),
+            Kind::Peer { .. } => self.peer_readable(key, ended, now),
+        }
+    }
+
+    /// Closes a connection and tells whom it concerns.
+    fn close_key(&mut self, key: usize, reason: &str, now: Duration) {
+        let Some(mut conn) = self.conns.try_remove(key) else {
+            return;
+        };
+        if let Some(at) = conn.deadline.take() {
+            self.timers.remove(&(at, key, conn.id));
+        }
+        if self.poll.registry().deregister(&mut conn.socket).is_err() {
+            // The socket is dropped in any case.
+            self.stats.peer_failures += 1;
+        }
+        match conn.kind {
+            Kind::Caller {
+                purpose, ref side, ..
+            } => {
+                if purpose == Purpose::Callers {
+                    self.callers -= 1;
+                }
+                if side.is_busy() {
+                    self.incoming.push(Incoming::CallerGone(conn.id));
+                }
+            }
+            Kind::Target { .. } => self.target_closed(conn, reason, now),
+            Kind::Peer { outbound, .. } => {
+                if let Some(address) = outbound {
+                    self.outbound.remove(&address);
+                }
+                self.incoming.push(Incoming::PeerClosed(conn.id));
+            }
+        }
+    }
+
+    /// Closes a connection between VMs.
+    pub fn close(&mut self, id: ConnId) {
+        if let Some(key) = self.find(id) {
+            let now = self.clock.now();
+            self.close_key(key, "closed by this side", now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/reactor/src/entry_process.rs
@@ -0,0 +1,457 @@
+//! An entry VM: callers on one side, targets on the other.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use camphordale_entry::{
+    Answer,
+    Arrival,
+    AttemptId,
+    Config,
+    Decision,
+    Effect,
+    Entry,
+    Event,
+    FlowId,
+    LinkEffect,
+    Note, //
+};
+use camphordale_http::{
+    OutRequest,
+    Request,
+    Response,
+    codec::write_request, //
+};
+use slog::{
+    Logger,
+    info,
+    warn, //
+};
+
+use crate::{
+    client_side::Expected,
+    dialect::{
+        CallerFields,
+        Dialect, //
+    },
+    engine::{
+        ConnId,
+        Exchange,
+        ExchangeFailure,
+        Incoming,
+        Purpose, //
+    },
+    process::{
+        ProcessError,
+        Shared,
+        system, //
+    },
+    settings::{
+        EntrySettings,
+        Settings,
+        SettingsError, //
+    },
+};
+
+/// Time between two ticks of the reducer while no request has a timer.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks at the settings file.
+const RELOAD_PERIOD: Duration = Duration::from_millis(2000);
+/// After the request to stop, how long new connections are taken, until nobody sends them here.
+const LAST_CALLERS: Duration = Duration::from_millis(2600);
+/// Time kept free before the process would be killed.
+const GRACE_SLACK: Duration = Duration::from_millis(300);
+/// An answer that comes this long after its deadline is given up by the socket too.
+const LATE_SLACK: Duration = Duration::from_millis(200);
+
+/// A request under way.
+struct Live {
+    conn: ConnId,
+    request: Request,
+    fields: CallerFields,
+    arrived: Duration,
+}
+
+/// An entry VM.
+pub struct EntryProcess<Language> {
+    entry: Entry,
+    dialect: Language,
+    live: HashMap<FlowId, Live>,
+    flows: HashMap<ConnId, FlowId>,
+    answers: HashMap<AttemptId, Response>,
+    link: Option<ConnId>,
+    next_flow: FlowId,
+    next_tick: Duration,
+    next_reload: Duration,
+    stopping: Option<Duration>,
+    grace: Duration,
+    version: u64,
+}
+
+impl<Language> EntryProcess<Language>
+where
+    Language: Dialect,
+{
+    pub(crate) fn start(
+        settings: &Settings,
+        own: &EntrySettings,
+        dialect: Language,
+        shared: &mut Shared,
+    ) -> Result<Self, ProcessError> {
+        let engine = &mut shared.engine;
+        let metrics = (settings.ip, settings.metrics_port).into();
+        for (address, purpose) in [
+            (own.callers, Purpose::Callers),
+            (own.readiness, Purpose::Readiness),
+            (metrics, Purpose::Metrics),
+        ] {
+            engine
+                .listen(address, purpose)
+                .map_err(system(format!("listen on {address}")))?;
+        }
+        let config = Config {
+            entry: rand::random(),
+            domain: settings.domain.clone(),
+            seeds: settings.seed_peers(),
+            retry_ratio: own.retry_ratio,
+            retry_extra: own.retry_extra,
+            drain: own.drain / 2,
+            seed: rand::random(),
+        };
+        Ok(EntryProcess {
+            entry: Entry::new(config),
+            dialect,
+            live: HashMap::new(),
+            flows: HashMap::new(),
+            answers: HashMap::new(),
+            link: None,
+            next_flow: 0,
+            next_tick: Duration::ZERO,
+            next_reload: RELOAD_PERIOD,
+            stopping: None,
+            grace: own.grace,
+            version: 0,
+        })
+    }
+
+    pub(crate) fn run<Reload>(
+        &mut self,
+        shared: &mut Shared,
+        reload: Reload,
+    ) -> Result<(), ProcessError>
+    where
+        Reload: Fn() -> Result<Settings, SettingsError>,
+    {
+        loop {
+            let due = self.entry.next_due().unwrap_or(Duration::MAX);
+            let until = self.next_tick.min(due);
+            let incoming = shared.engine.wait(until).map_err(system("wait"))?;
+            let now = shared.clock.now();
+            for event in incoming {
+                self.incoming(event, now, shared);
+            }
+            let due = self.entry.next_due().unwrap_or(Duration::MAX);
+            if now >= self.next_tick || now >= due {
+                if now >= self.next_tick {
+                    self.next_tick = now + TICK;
+                }
+                self.step(Event::Tick, now, shared);
+                shared.tend_logs(now);
+            }
+            self.reload(now, shared, &reload);
+            if self.has_ended(now, shared) {
+                return Ok(());
+            }
+        }
+    }
+
+    fn reload<Reload>(&mut self, now: Duration, shared: &mut Shared, reload: &Reload)
+    where
+        Reload: Fn() -> Result<Settings, SettingsError>,
+    {
+        let asked = shared.signals.take_reload();
+        if !asked && now < self.next_reload {
+            return;
+        }
+        self.next_reload = now + RELOAD_PERIOD;
+        match reload() {
+            Ok(settings) => {
+                self.entry.set_seeds(settings.seed_peers());
+                if asked {
+                    info!(shared.logger, "settings reloaded"; "seeds" => settings.seeds.len());
+                }
+            }
+            Err(error) => {
+                if shared.may_log("reload") {
+                    warn!(shared.logger, "settings not reloaded"; "error" => error.to_string());
+                }
+            }
+        }
+    }
+
+    /// After the request to stop, the VM first says that it is not ready and goes on serving, then
+    /// ends when nothing is under way.
+    fn has_ended(&mut self, now: Duration, shared: &mut Shared) -> bool {
+        if !shared.signals.stop() {
+            return false;
+        }
+        let since = *self.stopping.get_or_insert_with(|| {
+            info!(shared.logger, "stopping"; "requests" => self.live.len());
+            shared.engine.drain();
+            now
+        });
+        if now < since + LAST_CALLERS {
+            return false;
+        }
+        shared.engine.close_idle_callers();
+        let over = now + GRACE_SLACK >= since + self.grace;
+        over || (self.live.is_empty() && shared.engine.callers() == 0)
+    }
+
+    fn incoming(&mut self, event: Incoming, now: Duration, shared: &mut Shared) {
+        match event {
+            Incoming::Request {
+                conn,
+                purpose: Purpose::Callers,
+                request,
+            } => self.request(conn, request, now, shared),
+            Incoming::Request {
+                conn,
+                purpose,
+                request,
+            } => {
+                let response = match purpose {
+                    Purpose::Metrics => shared.scrape(&request),
+                    _ if !self.dialect.asks_readiness(&request) => Response::text(404, "not found"),
+                    _ if self.entry.is_ready() && self.stopping.is_none() => {
+                        Response::text(200, "ready")
+                    }
+                    _ => Response::text(503, "not ready"),
+                };
+                shared.engine.respond(conn, &response);
+            }
+            Incoming::CallerGone(conn) => {
+                if let Some(flow) = self.flows.remove(&conn) {
+                    self.step(Event::CallerGone(flow), now, shared);
+                }
+            }
+            Incoming::Exchanged { id, result } => self.exchanged(id, result, now, shared),
+            Incoming::Peer { conn, message } if self.link == Some(conn) => {
+                self.step(Event::Stream(message), now, shared);
+            }
+            Incoming::PeerClosed(conn) if self.link == Some(conn) => {
+                self.link = None;
+                self.step(Event::StreamEnded, now, shared);
+            }
+            Incoming::Peer { .. } | Incoming::PeerClosed(_) => {}
+        }
+    }
+
+    fn request(&mut self, conn: ConnId, request: Request, now: Duration, shared: &mut Shared) {
+        let Some(fields) = self.dialect.caller_fields(&request) else {
+            shared.metrics.refused("malformed");
+            let response = Response::text(400, "a header field cannot be read");
+            shared.engine.respond(conn, &response);
+            return;
+        };
+        self.next_flow += 1;
+        let flow = self.next_flow;
+        let arrival = Arrival {
+            flow,
+            host: request.header("host").unwrap_or_default().into(),
+            path: request.path.clone(),
+            patience: fields.patience,
+            key: fields.key,
+        };
+        self.flows.insert(conn, flow);
+        self.live.insert(
+            flow,
+            Live {
+                conn,
+                request,
+                fields,
+                arrived: now,
+            },
+        );
+        self.step(Event::Request(arrival), now, shared);
+    }
+
+    fn exchanged(
+        &mut self,
+        id: AttemptId,
+        result: Result<Response, ExchangeFailure>,
+        now: Duration,
+        shared: &mut Shared,
+    ) {
+        let answer = match result {
+            Ok(response) => {
+                let reply = self.dialect.target_reply(&response);
+                let (status, load) = (response.status, reply.load);
+                if reply.not_executed {
+                    Answer::NotExecuted { status, load }
+                } else {
+                    self.answers.insert(id, response);
+                    Answer::Complete { status, load }
+                }
+            }
+            Err(failure) => {
+                if shared.may_log("attempt") {
+                    info!(shared.logger, "attempt failed"; "attempt" => id,
+                        "reason" => &*failure.reason, "sent" => failure.sent);
+                }
+                Answer::Failed {
+                    sent: failure.sent,
+                    spoke: failure.spoke,
+                }
+            }
+        };
+        let attempt = id;
+        self.step(Event::Answered { attempt, answer }, now, shared);
+    }
+
+    fn step(&mut self, event: Event, now: Duration, shared: &mut Shared) {
+        for effect in self.entry.step(event, now) {
+            match effect {
+                Effect::Send {
+                    attempt,
+                    flow,
+                    target,
+                    address,
+                    deadline,
+                    connections,
+                } => {
+                    let Some(live) = self.live.get(&flow) else {
+                        continue;
+                    };
+                    let left = deadline.saturating_sub(shared.clock.now());
+                    let headers = self.dialect.forwarded(&live.request, &target, left);
+                    let request = OutRequest {
+                        method: &live.request.method,
+                        path: &live.request.path,
+                        headers: &headers,
+                        body: &live.request.body,
+                    };
+                    let mut bytes = Vec::new();
+                    if let Err(part) = write_request(&mut bytes, &request, address) {
+                        warn!(shared.logger, "request has no encoding"; "part" => part);
+                    }
+                    let mark = live.fields.id.clone();
+                    let id_field = self.dialect.id_field();
+                    shared.engine.exchange(Exchange {
+                        id: attempt,
+                        address,
+                        bytes,
+                        expected: Expected {
+                            mark: mark.map(|id| (id_field.into(), id)),
+                            is_head: &*live.request.method == "HEAD",
+                        },
+                        connections,
+                        deadline: deadline + LATE_SLACK,
+                    });
+                }
+                Effect::Cancel(attempt) => shared.engine.abort(attempt),
+                Effect::Discard(attempt) => {
+                    self.answers.remove(&attempt);
+                }
+                Effect::Pass { flow, attempt } => {
+                    let response = self.answers.remove(&attempt);
+                    let (Some(live), Some(response)) = (self.live.remove(&flow), response) else {
+                        continue;
+                    };
+                    self.flows.remove(&live.conn);
+                    let took = now.saturating_sub(live.arrived);
+                    shared.metrics.answered("all", response.status, took);
+                    shared.engine.respond(live.conn, &response);
+                }
+                Effect::Refuse { flow, refusal } => {
+                    if let Some(live) = self.live.remove(&flow) {
+                        self.flows.remove(&live.conn);
+                        let response = self.dialect.refusal(refusal, &live.fields);
+                        shared.engine.respond(live.conn, &response);
+                    }
+                }
+                Effect::Link(effect) => self.link(effect, shared),
+                Effect::Note(note) => self.note(note, shared),
+            }
+        }
+        self.sweep();
+    }
+
+    /// Forgets requests that the reducer has ended without an answer, because their caller left.
+    fn sweep(&mut self) {
+        if self.live.len() > self.entry.flows() {
+            let entry = &self.entry;
+            self.live.retain(|flow, _| entry.has_flow(*flow));
+        }
+    }
+
+    fn link(&mut self, effect: LinkEffect, shared: &mut Shared) {
+        match effect {
+            LinkEffect::Connect(to) => {
+                self.close_link(shared);
+                self.link = shared.engine.dial(to);
+            }
+            LinkEffect::Send(message) => {
+                if let Some(link) = self.link {
+                    shared.engine.send(link, &message);
+                }
+            }
+            LinkEffect::Close => self.close_link(shared),
+        }
+    }
+
+    fn close_link(&mut self, shared: &mut Shared) {
+        if let Some(link) = self.link.take() {
+            shared.engine.close(link);
+        }
+    }
+
+    fn note(&mut self, note: Note, shared: &mut Shared) {
+        match note {
+            Note::Refused(decision) => {
+                shared.metrics.refused(decision.verdict.name());
+                if shared.may_log("refused") {
+                    self.log_decision(&shared.logger, "refused", &decision);
+                }
+            }
+            Note::Repeated(decision) => {
+                shared.metrics.repeated(decision.verdict.name());
+                if shared.may_log("repeated") {
+                    self.log_decision(&shared.logger, "repeated", &decision);
+                }
+            }
+            Note::Control { live, view } => {
+                shared.metrics.event("control");
+                info!(shared.logger, "stream from control"; "live" => live, "view" => view);
+            }
+            Note::Routing { version, view } => {
+                shared.metrics.event("routing");
+                self.version = version;
+                if let Some(routing) = &self.entry.view().routing {
+                    shared.engine.set_limits(routing.limits());
+                }
+                info!(shared.logger, "routing in force"; "version" => version, "view" => view);
+            }
+        }
+    }
+
+    fn log_decision(&self, logger: &Logger, what: &'static str, decision: &Decision) {
+        let live = self.live.get(&decision.flow);
+        let id = live
+            .and_then(|live| live.fields.id.as_deref())
+            .unwrap_or("-");
+        info!(logger, "{}", what;
+            "request" => id,
+            "reason" => decision.verdict.name(),
+            "service" => decision.service.as_deref().unwrap_or("-"),
+            "target" => decision.target.as_deref().unwrap_or("-"),
+            "attempts" => decision.attempts,
+            "age_ms" => decision.age.as_millis() as u64,
+            "left_ms" => decision.left.as_millis() as u64,
+            "key" => decision.key,
+            "view" => decision.view,
+            "version" => self.version);
+    }
+}
--- /dev/null
+++ b/crates/reactor/src/metrics.rs
@@ -0,0 +1,142 @@
+//! Counters and histograms in the Prometheus text format.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{
+        Counter,
+        Gauge,
+        Histogram,
+        MeterProvider as _, //
+    },
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{
+    Encoder,
+    Registry,
+    TextEncoder, //
+};
+
+/// Bounds of the buckets for times, in seconds.
+const TIME_BOUNDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 10.0,
+];
+
+/// What a process counts.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    repeats: Counter<u64>,
+    duration: Histogram<f64>,
+    events: Counter<u64>,
+    levels: Gauge<u64>,
+}
+
+/// Metrics that cannot be set up or rendered.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics: {0}")]
+pub struct MetricsError(Box<str>);
+
+impl Metrics {
+    /// Starts with zeros.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] if the exporter cannot be set up.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_reactor::Metrics;
+    ///
+    /// let metrics = Metrics::new().unwrap();
+    /// metrics.refused("full");
+    /// assert!(metrics.render().unwrap().contains(r#"reason="full""#));
+    /// ```
+    pub fn new() -> Result<Metrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .map_err(|error| MetricsError(error.to_string().into()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("camphordale");
+        let counter = |name: &'static str, help: &'static str| {
+            meter.u64_counter(name).with_description(help).build()
+        };
+        Ok(Metrics {
+            requests: counter(
+                "camphordale.requests",
+                "Requests answered, by service and status",
+            ),
+            refusals: counter(
+                "camphordale.refusals",
+                "Answers that this VM gave itself, by reason",
+            ),
+            repeats: counter(
+                "camphordale.repeats",
+                "Requests sent to another target, by reason",
+            ),
+            duration: meter
+                .f64_histogram("camphordale.request.duration")
+                .with_unit("s")
+                .with_description("Time from the end of a request to its answer, by service")
+                .with_boundaries(TIME_BOUNDS.to_vec())
+                .build(),
+            events: counter("camphordale.events", "Changes of state, by kind"),
+            levels: meter
+                .u64_gauge("camphordale.level")
+                .with_description("Present numbers, by kind")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that a target answered.
+    pub fn answered(&self, service: &str, status: u16, took: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        let status = KeyValue::new("status", i64::from(status));
+        self.duration
+            .record(took.as_secs_f64(), std::slice::from_ref(&service));
+        self.requests.add(1, &[service, status]);
+    }
+
+    /// Counts an answer that this VM gave itself.
+    pub fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a request that went to another target.
+    pub fn repeated(&self, reason: &'static str) {
+        self.repeats.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a change of state.
+    pub fn event(&self, kind: &'static str) {
+        self.events.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Sets a present number.
+    pub fn level(&self, kind: &'static str, value: u64) {
+        self.levels.record(value, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Renders the text that a scraper gets.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] if a metric has no encoding.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        let mut out = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut out)
+            .map_err(|error| MetricsError(error.to_string().into()))?;
+        String::from_utf8(out).map_err(|error| MetricsError(error.to_string().into()))
+    }
+}
--- /dev/null
+++ b/crates/reactor/src/peer_side.rs
@@ -0,0 +1,147 @@
+//! One side of a connection between VMs, without I/O.
+
+use camphordale_fleet::PeerMessage;
+use camphordale_wire::{
+    HELLO_LEN,
+    Handshake,
+    Keyring,
+    Kind,
+    NONCE_LEN,
+    Role,
+    Session, //
+};
+
+/// Longest message in bytes: a snapshot of the whole state.
+const MAX_MESSAGE: usize = 32 << 20;
+
+/// One side of a connection. Messages can be queued before the handshake is over.
+pub struct PeerSide {
+    role: Role,
+    handshake: Option<Handshake>,
+    session: Option<Session>,
+    ready: bool,
+    queue: Vec<Vec<u8>>,
+}
+
+/// A connection that must be closed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("connection between VMs: {0}")]
+pub struct PeerError(pub Box<str>);
+
+impl PeerSide {
+    /// Starts a handshake; its hello is added to `output`. `nonce` must be random.
+    pub fn new(
+        role: Role,
+        keyring: &Keyring,
+        nonce: [u8; NONCE_LEN],
+        output: &mut Vec<u8>,
+    ) -> PeerSide {
+        let handshake = Handshake::new(role, 0, keyring, nonce);
+        output.extend_from_slice(&handshake.hello());
+        PeerSide {
+            role,
+            handshake: Some(handshake),
+            session: None,
+            ready: false,
+            queue: Vec::new(),
+        }
+    }
+
+    /// Whether the handshake is over.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Sends a message, or queues it until the handshake is over.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] if the message cannot be encoded or is too long.
+    pub fn send(&mut self, message: &PeerMessage, output: &mut Vec<u8>) -> Result<(), PeerError> {
+        let payload = message.encode().map_err(fail)?;
+        if !self.ready {
+            self.queue.push(payload);
+            return Ok(());
+        }
+        self.seal(Kind::Cast, &payload, output)
+    }
+
+    fn seal(&mut self, kind: Kind, payload: &[u8], output: &mut Vec<u8>) -> Result<(), PeerError> {
+        match &mut self.session {
+            Some(session) => session.sealer.seal(kind, payload, output).map_err(fail),
+            None => Err(PeerError("no session".into())),
+        }
+    }
+
+    /// Takes bytes from `input` and returns the messages that are complete.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] if the bytes do not come from a VM with the same key, or are no messages.
+    pub fn advance(
+        &mut self,
+        input: &mut Vec<u8>,
+        output: &mut Vec<u8>,
+        keyring: &Keyring,
+    ) -> Result<Vec<PeerMessage>, PeerError> {
+        if self.session.is_none() {
+            let Some((hello, _)) = input.split_first_chunk::<HELLO_LEN>() else {
+                return Ok(Vec::new());
+            };
+            let Some(handshake) = self.handshake.take() else {
+                return Err(PeerError("no handshake".into()));
+            };
+            let session = handshake
+                .finish(hello, keyring, MAX_MESSAGE)
+                .map_err(fail)?;
+            self.session = Some(session);
+            input.drain(..HELLO_LEN);
+            if self.role == Role::Client {
+                self.seal(Kind::Ready, b"", output)?;
+            }
+        }
+        let mut out = Vec::new();
+        let Some(session) = &mut self.session else {
+            return Ok(out);
+        };
+        session.inbound.push(input);
+        input.clear();
+        loop {
+            let Some(session) = &mut self.session else {
+                return Ok(out);
+            };
+            let Some(frame) = session.inbound.next_frame().map_err(fail)? else {
+                return Ok(out);
+            };
+            match frame.kind {
+                Kind::Ready if !self.ready => self.begin(output)?,
+                Kind::Cast if self.ready => {
+                    out.push(PeerMessage::decode(&frame.payload).map_err(fail)?);
+                }
+                kind => return Err(PeerError(format!("unexpected {kind:?} frame").into())),
+            }
+        }
+    }
+
+    /// The peer has proved that it knows the key.
+    fn begin(&mut self, output: &mut Vec<u8>) -> Result<(), PeerError> {
+        self.ready = true;
+        if let Some(session) = &mut self.session {
+            session.inbound.set_limit(MAX_MESSAGE);
+        }
+        if self.role == Role::Server {
+            self.seal(Kind::Ready, b"", output)?;
+        }
+        for payload in std::mem::take(&mut self.queue) {
+            self.seal(Kind::Cast, &payload, output)?;
+        }
+        Ok(())
+    }
+}
+
+fn fail<Failure>(failure: Failure) -> PeerError
+where
+    Failure: std::fmt::Display,
+{
+    PeerError(failure.to_string().into())
+}
--- /dev/null
+++ b/crates/reactor/src/process.rs
@@ -0,0 +1,205 @@
+//! What all processes share: start, signals, logs and the end.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use camphordale_http::{
+    Request,
+    Response, //
+};
+use camphordale_store::StoreError;
+use slog::{
+    Logger,
+    info,
+    warn, //
+};
+
+use crate::{
+    clock::Clock,
+    control_process::ControlProcess,
+    dialect::Dialect,
+    engine::Engine,
+    entry_process::EntryProcess,
+    log::{
+        Budgeted,
+        LogSink, //
+    },
+    metrics::{
+        Metrics,
+        MetricsError, //
+    },
+    settings::{
+        Role,
+        Settings,
+        SettingsError, //
+    },
+};
+
+/// Why a process ends.
+#[derive(Debug, thiserror::Error)]
+pub enum ProcessError {
+    /// The settings cannot be used.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// A socket or signal cannot be set up.
+    #[error("{step}: {source}")]
+    System {
+        /// What was to be done.
+        step: Box<str>,
+        /// Why it failed.
+        source: io::Error,
+    },
+    /// The durable state cannot be opened.
+    #[error("durable state: {0}")]
+    Store(#[from] StoreError),
+    /// The durable state cannot be read.
+    #[error("decode the durable state: {0}")]
+    State(Box<str>),
+    /// The metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+pub(crate) fn system<Step>(step: Step) -> impl FnOnce(io::Error) -> ProcessError
+where
+    Step: ToString,
+{
+    move |source| ProcessError::System {
+        step: step.to_string().into(),
+        source,
+    }
+}
+
+/// Signals that the process was sent.
+#[derive(Clone, Default)]
+pub(crate) struct Signals {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    fn register() -> io::Result<Signals> {
+        let signals = Signals::default();
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::flag::register(signal, signals.stop.clone())?;
+        }
+        signal_hook::flag::register(signal_hook::consts::SIGHUP, signals.reload.clone())?;
+        Ok(signals)
+    }
+
+    pub(crate) fn stop(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
+}
+
+/// What all processes share.
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    pub(crate) engine: Engine,
+    pub(crate) signals: Signals,
+    pub(crate) logger: Logger,
+    pub(crate) budget: Budgeted,
+    pub(crate) metrics: Metrics,
+    sink: LogSink,
+}
+
+impl Shared {
+    /// Whether one more line of a kind may be written.
+    pub(crate) fn may_log(&mut self, kind: &'static str) -> bool {
+        self.budget.allows(kind)
+    }
+
+    /// Writes waiting log lines, and says how many were left out.
+    pub(crate) fn tend_logs(&mut self, now: Duration) {
+        for (kind, count) in self.budget.left_out(now) {
+            warn!(self.logger, "log lines left out"; "kind" => kind, "count" => count);
+        }
+        self.sink.flush_to_stdout();
+    }
+
+    /// The response to a scrape.
+    pub(crate) fn scrape(&mut self, request: &Request) -> Response {
+        if !request.path.starts_with("/metrics") {
+            return Response::text(404, "not found");
+        }
+        let stats = self.engine.stats();
+        self.metrics.level("connections", self.engine.open() as u64);
+        self.metrics.level("accepted", stats.accepted);
+        self.metrics.level("connections-refused", stats.refused);
+        self.metrics.level("malformed", stats.malformed);
+        self.metrics
+            .level("target-connections-opened", stats.opened);
+        self.metrics.level("peer-failures", stats.peer_failures);
+        self.metrics.level("log-lines-dropped", self.sink.dropped());
+        match self.metrics.render() {
+            Ok(text) => Response::new(200, text.into_bytes())
+                .with("Content-Type", "text/plain; version=0.0.4"),
+            Err(error) => {
+                warn!(self.logger, "metrics cannot be rendered"; "error" => error.to_string());
+                Response::text(500, "metrics cannot be rendered")
+            }
+        }
+    }
+}
+
+/// Runs a process until it is told to stop. `reload` reads the settings again.
+///
+/// # Errors
+///
+/// [`ProcessError`] if the process cannot start or cannot go on.
+pub fn run<Language, Reload>(
+    settings: Settings,
+    dialect: Language,
+    reload: Reload,
+) -> Result<(), ProcessError>
+where
+    Language: Dialect,
+    Reload: Fn() -> Result<Settings, SettingsError>,
+{
+    let clock = Clock::start();
+    let sink = LogSink::default();
+    let logger = sink.logger(&settings.node);
+    if let Err(error) = LogSink::unblock_stdout() {
+        warn!(logger, "standard output may block"; "error" => error.to_string());
+    }
+    let engine = Engine::new(clock, settings.keyring.clone()).map_err(system("start the loop"))?;
+    let mut shared = Shared {
+        clock,
+        engine,
+        signals: Signals::register().map_err(system("register signals"))?,
+        logger,
+        budget: Budgeted::new(settings.tuning.log_lines),
+        metrics: Metrics::new()?,
+        sink,
+    };
+    let role = match &settings.role {
+        Role::Entry(_) => "entry",
+        Role::Control(_) => "control",
+    };
+    info!(shared.logger, "start"; "role" => role, "version" => env!("CARGO_PKG_VERSION"));
+    let result = match settings.role.clone() {
+        Role::Entry(entry) => EntryProcess::start(&settings, &entry, dialect, &mut shared)
+            .and_then(|mut process| process.run(&mut shared, reload)),
+        Role::Control(control) => ControlProcess::start(&settings, control, dialect, &mut shared)
+            .and_then(|mut process| process.run(&mut shared, reload)),
+    };
+    match &result {
+        Ok(()) => info!(shared.logger, "stop"),
+        Err(error) => warn!(shared.logger, "stop"; "error" => error.to_string()),
+    }
+    shared.sink.flush_to_stdout();
+    result
+}
--- /dev/null
+++ b/crates/reactor/src/settings.rs
@@ -0,0 +1,274 @@
+//! Checked settings of a process.
+
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::Duration,
+};
+
+use camphordale_fleet::Domain;
+use camphordale_wire::{
+    ClusterKey,
+    KeyError,
+    Keyring, //
+};
+use serde::Deserialize;
+use serde_with::{
+    DurationMilliSeconds,
+    serde_as, //
+};
+
+/// Number that names the only cluster key on the wire.
+const KEY_ID: u8 = 1;
+
+/// Settings of a process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the VM in logs.
+    pub node: Box<str>,
+    /// Address of the VM.
+    pub ip: IpAddr,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Addresses at which control VMs take calls, as known when the settings were written.
+    pub seeds: Vec<SocketAddr>,
+    /// Port for messages between VMs; the same on all VMs.
+    pub peer_port: u16,
+    /// Port for metrics.
+    pub metrics_port: u16,
+    /// Key that proves that a process belongs to the system.
+    pub keyring: Keyring,
+    /// Figures that operators may change.
+    pub tuning: Tuning,
+    /// What the process is for.
+    pub role: Role,
+}
+
+/// What a process is for.
+#[derive(Clone, Debug)]
+pub enum Role {
+    /// Takes requests of callers.
+    Entry(EntrySettings),
+    /// Takes part in the control group.
+    Control(ControlSettings),
+}
+
+/// Settings of an entry VM.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for questions whether the VM takes callers.
+    pub readiness: SocketAddr,
+    /// Repeats allowed for each request, over all VMs.
+    pub retry_ratio: f64,
+    /// Repeats allowed in a window beside the ratio, over all VMs.
+    pub retry_extra: f64,
+    /// Time within which a target that drains must get no more requests.
+    pub drain: Duration,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Settings of a control VM.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Address for operators and targets.
+    pub control: SocketAddr,
+    /// Directory for durable state.
+    pub data: PathBuf,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Control VMs that may be lost at a time.
+    pub tolerate: usize,
+    /// Longest hold that targets take.
+    pub hold_max: Duration,
+}
+
+/// Figures that operators may change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tuning {
+    /// How long a target may hold keys after a grant.
+    pub hold: Duration,
+    /// Least time without a leader before an election.
+    pub election: Duration,
+    /// Time between heartbeats of the control leader.
+    pub heartbeat: Duration,
+    /// Time after which a silent target leaves the directory.
+    pub target_silence: Duration,
+    /// Time after which a silent voter is replaced.
+    pub member_silence: Duration,
+    /// Longest time for which an accepted change waits for entry VMs.
+    pub apply_wait: Duration,
+    /// Most log lines of one kind in a second.
+    pub log_lines: u32,
+}
+
+/// The settings file for [`Tuning`], as YAML. Missing fields have their default.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawTuning {
+    /// Milliseconds of a hold: a lost target's keys are unavailable for about as long.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub hold_ms: Duration,
+    /// Milliseconds of the least election time: several heartbeats.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub election_ms: Duration,
+    /// Milliseconds between heartbeats.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub heartbeat_ms: Duration,
+    /// Milliseconds of silence after which a target is forgotten.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub target_silence_ms: Duration,
+    /// Milliseconds of silence after which a voter is replaced.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub member_silence_ms: Duration,
+    /// Milliseconds for which a change waits for entry VMs.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub apply_wait_ms: Duration,
+    /// Log lines of one kind in a second.
+    pub log_lines: u32,
+}
+
+impl Default for RawTuning {
+    fn default() -> Self {
+        RawTuning {
+            hold_ms: Duration::from_millis(3000),
+            election_ms: Duration::from_millis(700),
+            heartbeat_ms: Duration::from_millis(150),
+            target_silence_ms: Duration::from_secs(20),
+            member_silence_ms: Duration::from_millis(3500),
+            apply_wait_ms: Duration::from_millis(500),
+            log_lines: 20,
+        }
+    }
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// A file cannot be read.
+    #[error("read {path}: {source}")]
+    Read {
+        /// The file.
+        path: Box<str>,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A file is not in its format.
+    #[error("parse {path}: {reason}")]
+    Parse {
+        /// The file.
+        path: Box<str>,
+        /// Why, with the place.
+        reason: Box<str>,
+    },
+    /// A field is missing or cannot be used.
+    #[error("field {field}: {reason}")]
+    Field {
+        /// The field.
+        field: &'static str,
+        /// Why.
+        reason: Box<str>,
+    },
+    /// The cluster key cannot be used.
+    #[error("cluster key: {0}")]
+    Key(#[from] KeyError),
+}
+
+impl SettingsError {
+    /// Names a field and what is wrong with it.
+    pub fn field<Reason>(field: &'static str, reason: Reason) -> SettingsError
+    where
+        Reason: ToString,
+    {
+        SettingsError::Field {
+            field,
+            reason: reason.to_string().into(),
+        }
+    }
+}
+
+impl TryFrom<RawTuning> for Tuning {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawTuning) -> Result<Tuning, SettingsError> {
+        if raw.heartbeat_ms.is_zero() || raw.election_ms < raw.heartbeat_ms * 3 {
+            let reason = "must be at least three times heartbeat_ms, which must not be 0";
+            return Err(SettingsError::field("election_ms", reason));
+        }
+        if raw.hold_ms < Duration::from_millis(1000) {
+            return Err(SettingsError::field("hold_ms", "must be at least 1000"));
+        }
+        if raw.log_lines == 0 {
+            return Err(SettingsError::field("log_lines", "must not be 0"));
+        }
+        Ok(Tuning {
+            hold: raw.hold_ms,
+            election: raw.election_ms,
+            heartbeat: raw.heartbeat_ms,
+            target_silence: raw.target_silence_ms,
+            member_silence: raw.member_silence_ms,
+            apply_wait: raw.apply_wait_ms,
+            log_lines: raw.log_lines,
+        })
+    }
+}
+
+impl Tuning {
+    /// Reads the figures from a YAML file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names the file or the field.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_reactor::{RawTuning, Tuning};
+    ///
+    /// assert!(Tuning::try_from(RawTuning::default()).is_ok());
+    /// assert!(Tuning::read("/nonexistent".as_ref()).is_err());
+    /// ```
+    pub fn read(path: &Path) -> Result<Tuning, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.display().to_string().into(),
+            source,
+        })?;
+        let raw: RawTuning =
+            serde_norway::from_str(&text).map_err(|error| SettingsError::Parse {
+                path: path.display().to_string().into(),
+                reason: error.to_string().into(),
+            })?;
+        Tuning::try_from(raw)
+    }
+}
+
+impl Settings {
+    /// Makes the keyring from the secret, 64 hexadecimal digits.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Key`] if the secret cannot be used.
+    pub fn keyring(secret: &str) -> Result<Keyring, SettingsError> {
+        let key = ClusterKey::from_hex(KEY_ID, secret)?;
+        Ok(Keyring::new(vec![key], KEY_ID)?)
+    }
+
+    /// Address for messages between VMs of the control VM that takes calls at `control`.
+    pub fn peer_of(&self, control: SocketAddr) -> SocketAddr {
+        SocketAddr::new(control.ip(), self.peer_port)
+    }
+
+    /// Peer addresses of the seeds.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| self.peer_of(*seed)).collect()
+    }
+}
