--- a/crates/entry/src/choice.rs
+++ b/crates/entry/src/choice.rs
@@ -14,19 +14,27 @@
     Peers, //
 };
 
-/// Requests that may be at a target for each of its slots before it is full: as many as run, and
-/// as many again that wait.
-const DEPTH: f64 = 2.0;
+/// Requests that may be at a target for each of its slots, running or waiting, before it is full.
+const DEPTH: f64 = 2.5;
+/// Least number of requests that a VM may have at a target.
+const LEAST_SHARE: f64 = 2.0;
+/// Factor on the score of a target that this VM has not tried, so that it is tried soon.
+const UNTRIED_FACTOR: f64 = 0.1;
 /// Factor on the expected time at a target of another failure domain, whose bytes are dear.
 const REMOTE_FACTOR: f64 = 1.3;
+/// Factor on the expected time at a target of the own failure domain that is quick enough.
+const LOCAL_FACTOR: f64 = 0.2;
 /// Relative spread of a random factor, so that VMs with the same view do not all pick the same.
 const JITTER: f64 = 0.2;
 /// How much a failing target is avoided: its expected time grows by this factor at full failure.
 const FAILING_FACTOR: f64 = 8.0;
 /// Part of a target's connections that all VMs together use.
 const CONNECTION_PART: f64 = 0.8;
-/// Expected times up to this part of the objective are admitted.
-const OBJECTIVE_PART: f64 = 1.0;
+/// Part of the time left within which an answer is expected, for a caller that came back.
+const LEFT_PART: f64 = 0.8;
+/// A request stays in its failure domain while a target there is expected to answer within this
+/// part of the objective.
+const LOCAL_PART: f64 = 0.5;
 
 /// A target for a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +66,8 @@
     pub objective: Duration,
     /// Time until the deadline.
     pub left: Duration,
+    /// Whether the caller waits for less than the route allows, because it has tried before.
+    pub returned: bool,
     /// Targets that this request was sent to before.
     pub tried: &'a [TargetId],
     /// Now.
@@ -67,12 +77,18 @@
 impl Situation<'_> {
     /// Expected time of one more request at a target in seconds.
     fn expected(&self, peer: &Peer) -> f64 {
-        let slots = f64::from(peer.slots);
-        let load = peer.load(self.now);
-        let wait = ((load + 1.0 - slots) / slots).max(0.0);
-        // Targets slow down as they fill.
-        let busy = (load / slots).min(1.0);
-        peer.mean() * (1.0 + 0.3 * busy * busy + wait)
+        peer.mean() * peer.slowdown(self.now)
+    }
+
+    /// The longest expected time with which a request is admitted: beyond the objective, others
+    /// would be late too. A caller that came back has waited already and gets what time is left.
+    fn limit(&self) -> f64 {
+        let limit = if self.returned {
+            self.left.mul_f64(LEFT_PART)
+        } else {
+            self.objective.min(self.left)
+        };
+        limit.as_secs_f64()
     }
 
     /// Connections that this VM may have to a target.
@@ -82,9 +98,12 @@
         (own as usize).max(1)
     }
 
-    fn is_full(&self, peer: &Peer) -> bool {
+    /// Whether a target should get no more requests. `vms` is how many VMs send to it: each keeps
+    /// to its share of the places, because reports of the others' load are late.
+    fn is_full(&self, peer: &Peer, vms: u32) -> bool {
         let places = f64::from(peer.slots) * DEPTH;
-        peer.open() >= self.connections() || peer.load(self.now) >= places
+        let share = (places / f64::from(vms.max(1))).ceil().max(LEAST_SHARE);
+        peer.open() >= self.connections().min(share as usize) || peer.load(self.now) >= places
     }
 
     /// Picks the target with the least expected time.
@@ -113,30 +132,34 @@
                 continue;
             }
             soonest = Some(soonest.map_or(expected, |other: f64| other.min(expected)));
-            if self.is_full(peer) {
+            if self.is_full(peer, self.share.domain) {
                 continue;
             }
-            let distance = if peer.domain == *self.domain {
-                1.0
-            } else {
-                REMOTE_FACTOR
+            let near = expected <= self.objective.mul_f64(LOCAL_PART).as_secs_f64();
+            let distance = match peer.domain == *self.domain {
+                true if near => LOCAL_FACTOR,
+                true => 1.0,
+                false => REMOTE_FACTOR,
             };
             let failing = 1.0 + FAILING_FACTOR * peer.failing();
             let jitter = 1.0 + JITTER * random.random::<f64>();
-            let score = expected * distance * failing * jitter;
+            let fresh = if peer.is_untried() && peer.domain == *self.domain {
+                UNTRIED_FACTOR
+            } else {
+                1.0
+            };
+            let score = expected * distance * failing * jitter * fresh;
             if best.is_none_or(|(other, ..)| score < other) {
                 best = Some((score, expected, id));
             }
         }
-        let limit = self.objective.mul_f64(OBJECTIVE_PART).min(self.left);
+        let limit = self.limit();
         let pick = |expected: f64, id: &TargetId| Pick {
             id: id.clone(),
             expected: Duration::from_secs_f64(expected),
         };
         match (best, soonest, fallback) {
-            (Some((_, expected, id)), ..) if expected <= limit.as_secs_f64() => {
-                Ok(pick(expected, id))
-            }
+            (Some((_, expected, id)), ..) if expected <= limit => Ok(pick(expected, id)),
             (_, Some(soonest), _) => Err(Shortage::Full(Duration::from_secs_f64(soonest))),
             (_, None, Some((expected, id))) => Ok(pick(expected, id)),
             (_, None, None) => Err(Shortage::NoTarget),
@@ -146,8 +169,7 @@
     /// Whether the holder of a key can take a request now.
     pub fn admits(&self, peer: &Peer) -> Result<(), Shortage> {
         let expected = self.expected(peer);
-        let limit = self.objective.mul_f64(OBJECTIVE_PART).min(self.left);
-        if self.is_full(peer) || expected > limit.as_secs_f64() {
+        if self.is_full(peer, self.share.all) || expected > self.limit() {
             return Err(Shortage::Full(Duration::from_secs_f64(expected)));
         }
         Ok(())
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -313,6 +313,7 @@
     link: Link,
     was_live: bool,
     samples: BTreeMap<ServiceName, KeySample>,
+    next_times: Duration,
     random: StdRng,
 }
 
@@ -349,6 +350,7 @@
             link: Link::new(config.entry, config.domain.clone(), config.seeds.clone()),
             was_live: false,
             samples: BTreeMap::new(),
+            next_times: Duration::ZERO,
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -33,8 +33,10 @@
 const PARK_PART: u32 = 10;
 /// Part of its objective after which another target gets an idempotent request too.
 const HEDGE_PART: f64 = 0.6;
+/// A caller that waits for less than this part of the route's timeout has tried before.
+const RETURNED_PART: f64 = 0.9;
 /// When to come back if this VM has no routing yet.
-const NO_ROUTING_PAUSE: Duration = Duration::from_millis(1000);
+const NO_ROUTING_PAUSE: Duration = Duration::from_millis(400);
 /// When to come back if a service has no target or a key no holder.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(500);
 /// Bounds of the time after which to come back when targets are full.
@@ -49,6 +51,10 @@
     pub(super) deadline: Duration,
     /// Targets that the request was sent to.
     pub(super) tried: Vec<TargetId>,
+    /// How often the request was sent.
+    pub(super) sends: u32,
+    /// Whether the caller has tried before.
+    pub(super) returned: bool,
     /// Attempts under way.
     pub(super) open: Vec<(AttemptId, TargetId)>,
     /// Whether an attempt that ended may have run.
@@ -111,6 +117,7 @@
             budget.earn();
         }
         let patience = arrival.patience.unwrap_or(route.timeout);
+        let returned = patience < route.timeout.mul_f64(RETURNED_PART);
         let deadline = now + patience.min(route.timeout);
         self.timers.insert((deadline, flow));
         self.flows.insert(
@@ -122,6 +129,8 @@
                 arrived: now,
                 deadline,
                 tried: Vec::new(),
+                sends: 0,
+                returned,
                 open: Vec::new(),
                 may_have_run: false,
                 parked: None,
@@ -156,6 +165,7 @@
             connections: service.map_or(1, |item| item.content.connections),
             objective: flow.route.objective,
             left: flow.deadline.saturating_sub(now),
+            returned: flow.returned,
             tried: &flow.tried,
             now,
         }
@@ -231,6 +241,7 @@
         self.next_attempt += 1;
         let attempt = self.next_attempt;
         flow.parked = None;
+        flow.sends += 1;
         flow.open.push((attempt, target.clone()));
         if !flow.tried.contains(&target) {
             flow.tried.push(target.clone());
@@ -375,8 +386,8 @@
         let Some(flow) = self.flows.get_mut(&id) else {
             return;
         };
-        // Work that may run once, or that holds a key, is left to end by itself.
-        let cancel = (flow.is_idempotent() && flow.key.is_none()) || flow.open.is_empty();
+        // Work that may run once is left to end by itself.
+        let cancel = flow.is_idempotent() || flow.open.is_empty();
         flow.gone = true;
         if cancel {
             self.end(id, None, out);
--- a/crates/entry/src/entry/repeat.rs
+++ b/crates/entry/src/entry/repeat.rs
@@ -11,6 +11,7 @@
     Note,
     Verdict, //
 };
+use crate::targets::Peer;
 
 /// Status of a target that does not hold the key.
 const MISDIRECTED: u16 = 421;
@@ -18,6 +19,8 @@
 const FAILURE: u16 = 500;
 /// Pause told to callers whose request was shed by its target.
 const SHED_PAUSE: Duration = Duration::from_millis(250);
+/// A repeat is sent only if this part of its target's mean time is left.
+const WORTHWHILE_PART: f64 = 0.7;
 /// Attempts that may fail to open a connection before the request is refused.
 const MAX_UNREACHED: usize = 3;
 
@@ -161,9 +164,10 @@
         let Some(flow) = self.flows.get(&id) else {
             return false;
         };
-        if flow.gone || flow.tried.len() >= flow.route.attempts as usize {
+        if flow.gone || flow.sends >= flow.route.attempts {
             return false;
         }
+        let left = flow.deadline.saturating_sub(now);
         let service = flow.service.clone();
         let target = match flow.key {
             // Only the holder of the key can run the request, so a repeat goes there again.
@@ -173,6 +177,10 @@
         let Some(target) = target else {
             return false;
         };
+        let mean = self.peers.get(&target).map_or(0.0, Peer::mean);
+        if left.as_secs_f64() < mean * WORTHWHILE_PART {
+            return false;
+        }
         let budget = self.budgets.get_mut(&service);
         if !budget.is_some_and(|budget| budget.take()) {
             return false;
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -8,6 +8,7 @@
     KeyLoad,
     PeerMessage,
     TargetState,
+    TargetTimes,
     View, //
 };
 use rand::Rng;
@@ -25,6 +26,9 @@
 /// Most keys in one report of a service.
 const SAMPLE_MAX: usize = 48;
 
+/// Time between two reports of the times of targets, which change slowly.
+const TIMES_PERIOD: Duration = Duration::from_millis(2000);
+
 /// Keys requested since the last report: an even sample.
 #[derive(Debug, Default)]
 pub(super) struct KeySample {
@@ -37,7 +41,7 @@
         let mut effects = Vec::new();
         self.link.tick(&self.view, now, &mut effects);
         if self.link.wants_ping(now) {
-            let load = self.key_load();
+            let load = self.report(now);
             self.link.ping(self.view.index, load, now, &mut effects);
         }
         out.extend(effects.into_iter().map(Effect::Link));
@@ -156,7 +160,7 @@
             return;
         }
         let mut effects = Vec::new();
-        let load = self.key_load();
+        let load = self.report(now);
         self.link.ping(self.view.index, load, now, &mut effects);
         out.extend(effects.into_iter().map(Effect::Link));
     }
@@ -177,6 +181,21 @@
         }
     }
 
+    /// What the leader needs to balance the load on keys.
+    fn report(&mut self, now: Duration) -> (Vec<KeyLoad>, Vec<TargetTimes>) {
+        let mut times = Vec::new();
+        if now < self.next_times {
+            return (self.key_load(), times);
+        }
+        self.next_times = now + TIMES_PERIOD;
+        let routing = self.view.routing.clone();
+        let services = routing.iter().flat_map(|routing| &routing.services);
+        for (name, _) in services.filter(|(_, item)| item.content.keyed) {
+            times.extend(self.peers.take_times(name));
+        }
+        (self.key_load(), times)
+    }
+
     fn key_load(&mut self) -> Vec<KeyLoad> {
         let samples = std::mem::take(&mut self.samples).into_iter();
         let load = samples.map(|(service, sample)| KeyLoad {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -10,11 +10,12 @@
     KeyLoad,
     PeerMessage,
     Share,
+    TargetTimes,
     View, //
 };
 
 /// Time between pings.
-const PING_PERIOD: Duration = Duration::from_millis(500);
+const PING_PERIOD: Duration = Duration::from_millis(300);
 /// Time without a message after which another control VM is tried.
 const SILENCE: Duration = Duration::from_millis(1300);
 /// Time in which a control VM must answer a subscription.
@@ -104,7 +105,7 @@
     pub fn ping(
         &mut self,
         index: u64,
-        load: Vec<KeyLoad>,
+        (load, times): (Vec<KeyLoad>, Vec<TargetTimes>),
         now: Duration,
         out: &mut Vec<LinkEffect>,
     ) {
@@ -113,6 +114,7 @@
             sent: now,
             index,
             load,
+            times,
         }));
     }
 
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -16,6 +16,7 @@
     Target,
     TargetId,
     TargetState,
+    TargetTimes,
     View, //
 };
 
@@ -25,16 +26,18 @@
 const TIME_WEIGHT: f64 = 0.1;
 /// Weight of one answer in the mean rate of failures of a target.
 const FAIL_WEIGHT: f64 = 0.08;
+/// How much longer a request takes at a target whose slots are all in use.
+const BUSY_PART: f64 = 0.3;
 /// How fast a report of a target's load loses its meaning.
-const REPORT_AGE: Duration = Duration::from_millis(600);
+const REPORT_AGE: Duration = Duration::from_millis(1500);
 /// First pause after a connection to a target failed; doubled with each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between attempts to reach a target.
 const LAST_PAUSE: Duration = Duration::from_millis(1600);
 /// A target is taken to be stuck when its oldest request has waited this multiple of its mean.
-const STUCK_MULTIPLE: f64 = 5.0;
+const STUCK_MULTIPLE: f64 = 6.0;
 /// Least wait before a target is taken to be stuck.
-const STUCK_LEAST: Duration = Duration::from_millis(700);
+const STUCK_LEAST: Duration = Duration::from_millis(1000);
 
 /// Requests that a target says it has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +50,14 @@
     pub slots: u32,
 }
 
+/// A request under way.
+#[derive(Clone, Copy, Debug)]
+struct Started {
+    at: Duration,
+    /// By how much the load at that time makes the answer later.
+    slowdown: f64,
+}
+
 /// One life of a target as this VM sees it.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -66,8 +77,10 @@
     mean: f64,
     /// Share of recent requests that failed.
     failing: f64,
-    /// Requests of this VM under way: attempt and start.
-    open: BTreeMap<u64, Duration>,
+    /// Requests of this VM under way.
+    open: BTreeMap<u64, Started>,
+    /// Answers since the last report, and the sum of their times in milliseconds.
+    times: (u32, f64),
     others: f64,
     reported: Duration,
     pause: Duration,
@@ -87,6 +100,7 @@
             mean: 0.0,
             failing: 0.0,
             open: BTreeMap::new(),
+            times: (0, 0.0),
             others: 0.0,
             reported: Duration::ZERO,
             pause: Duration::ZERO,
@@ -100,6 +114,11 @@
         self.open.len()
     }
 
+    /// Whether the target has neither answered nor got a request yet.
+    pub fn is_untried(&self) -> bool {
+        self.answered.is_zero() && self.open.is_empty()
+    }
+
     /// Mean time of one request in seconds.
     pub fn mean(&self) -> f64 {
         if self.mean == 0.0 {
@@ -125,11 +144,11 @@
     /// Whether the target does not answer: it cannot be reached, or its oldest request has waited
     /// far longer than usual without another answer meanwhile.
     pub fn is_stuck(&self, now: Duration) -> bool {
-        let Some(oldest) = self.open.values().min() else {
+        let Some(oldest) = self.open.values().map(|started| started.at).min() else {
             return false;
         };
         let limit = Duration::from_secs_f64(self.mean() * STUCK_MULTIPLE).max(STUCK_LEAST);
-        now.saturating_sub((*oldest).max(self.answered)) > limit
+        now.saturating_sub(oldest.max(self.answered)) > limit
     }
 
     /// Whether the target should get no work now. After a pause, one request tries it.
@@ -137,6 +156,15 @@
         now < self.paused_until || (!self.pause.is_zero() && !self.open.is_empty())
     }
 
+    /// By how much one more request takes longer than at an idle target.
+    pub fn slowdown(&self, now: Duration) -> f64 {
+        let slots = f64::from(self.slots);
+        let load = self.load(now);
+        let wait = ((load + 1.0 - slots) / slots).max(0.0);
+        let busy = (load / slots).min(1.0);
+        1.0 + BUSY_PART * busy * busy + wait
+    }
+
     fn fail(&mut self, now: Duration) {
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LAST_PAUSE);
         self.paused_until = now + self.pause;
@@ -202,10 +230,28 @@
         ids.filter_map(|id| self.peers.get(id).map(|peer| (id, peer)))
     }
 
+    /// Takes the times of answers since the last report, for the targets of a service.
+    pub fn take_times(&mut self, service: &str) -> Vec<TargetTimes> {
+        let mut out = Vec::new();
+        for id in self.by_service.get(service).into_iter().flatten() {
+            let Some(peer) = self.peers.get_mut(id).filter(|peer| peer.times.0 > 0) else {
+                continue;
+            };
+            let (count, millis) = std::mem::take(&mut peer.times);
+            out.push(TargetTimes {
+                id: id.clone(),
+                count,
+                millis: millis as u32,
+            });
+        }
+        out
+    }
+
     /// Notes that a request is sent.
     pub fn began(&mut self, id: &str, attempt: u64, now: Duration) {
         if let Some(peer) = self.peers.get_mut(id) {
-            peer.open.insert(attempt, now);
+            let slowdown = peer.slowdown(now);
+            peer.open.insert(attempt, Started { at: now, slowdown });
         }
     }
 
@@ -241,9 +287,11 @@
             peer.slots = report.slots.max(1);
         }
         if let Some(started) = started.filter(|_| !failed) {
-            let took = now.saturating_sub(started).as_secs_f64();
+            let took = now.saturating_sub(started.at).as_secs_f64() / started.slowdown;
             let mean = peer.mean();
             peer.mean = mean + (took - mean) * TIME_WEIGHT;
+            peer.times.0 += 1;
+            peer.times.1 += took * 1000.0;
         }
     }
 
--- /dev/null
+++ b/crates/entry/tests/requests.rs
@@ -0,0 +1,201 @@
+//! The life of a request on one entry VM.
+
+mod common;
+
+use camphordale_entry::{
+    Event,
+    Refusal, //
+};
+use camphordale_fleet::{
+    Command,
+    Holder,
+    PeerMessage,
+    Span,
+    TargetState, //
+};
+use common::{
+    KEYED,
+    ORDERS,
+    READS,
+    World,
+    complete,
+    failed,
+    ms,
+    not_executed,
+    target, //
+};
+use rstest::rstest;
+
+/// The only attempt of a step.
+fn only(seen: &common::Seen) -> (u64, Box<str>) {
+    assert_eq!(seen.sent.len(), 1, "{seen:?}");
+    (seen.sent[0].0, seen.sent[0].2.clone())
+}
+
+#[rstest]
+#[case(READS)]
+#[case(ORDERS)]
+#[case(KEYED)]
+fn an_answer_is_passed_on(#[case] service: &str) {
+    let mut world = World::new();
+    let (flow, seen) = world.request(service);
+    let (attempt, _) = only(&seen);
+    assert_eq!(world.answer(attempt, complete(200)).passed, [flow]);
+    assert_eq!(world.entry.flows(), 0);
+}
+
+#[test]
+fn a_request_without_a_route_is_not_found() {
+    let mut world = World::new();
+    let (flow, seen) = world.request("nothing");
+    assert_eq!(seen.refused, [(flow, Refusal::NotFound)]);
+}
+
+/// Seen on a day on which callers left early: reads at holders of keys ran on.
+#[rstest]
+#[case(READS, true)]
+#[case(KEYED, true)]
+#[case(ORDERS, false)]
+fn a_caller_that_leaves_cancels_idempotent_work(#[case] service: &str, #[case] cancels: bool) {
+    let mut world = World::new();
+    let (flow, seen) = world.request(service);
+    let (attempt, _) = only(&seen);
+    let seen = world.step(Event::CallerGone(flow));
+    assert_eq!(seen.cancelled == [attempt], cancels);
+}
+
+#[test]
+fn an_idempotent_request_goes_to_another_target_after_a_failure() {
+    let mut world = World::new();
+    let (_, seen) = world.request(READS);
+    let (attempt, first) = only(&seen);
+    let (_, second) = only(&world.answer(attempt, complete(500)));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn work_that_may_run_once_is_sent_again_only_if_it_surely_did_not_run() {
+    let mut world = World::new();
+    let (flow, seen) = world.request(ORDERS);
+    let (attempt, _) = only(&seen);
+    let seen = world.answer(attempt, failed(true));
+    assert_eq!(seen.refused, [(flow, Refusal::Unknown)]);
+
+    let (_, seen) = world.request(ORDERS);
+    let (attempt, first) = only(&seen);
+    let (_, second) = only(&world.answer(attempt, failed(false)));
+    assert_ne!(first, second);
+
+    let (_, seen) = world.request(ORDERS);
+    let (attempt, first) = only(&seen);
+    let (_, second) = only(&world.answer(attempt, not_executed(503)));
+    assert_ne!(first, second);
+}
+
+/// A refusal must not say "not run" once an attempt may have run.
+#[test]
+fn a_refusal_after_a_lost_attempt_says_that_the_request_may_have_run() {
+    let mut world = World::new();
+    let (flow, seen) = world.request(READS);
+    let (attempt, _) = only(&seen);
+    let (attempt, _) = only(&world.answer(attempt, failed(true)));
+    let seen = world.answer(attempt, not_executed(503));
+    assert_eq!(seen.refused, [(flow, Refusal::Unknown)]);
+}
+
+#[test]
+fn a_request_ends_at_its_deadline() {
+    let mut world = World::new();
+    let (flow, seen) = world.request_within(ORDERS, ms(400));
+    let (attempt, _) = only(&seen);
+    let seen = world.after(ms(400));
+    assert_eq!(seen.refused, [(flow, Refusal::TimedOut)]);
+    assert_eq!(seen.cancelled, [attempt]);
+    assert!(world.answer(attempt, complete(200)).passed.is_empty());
+}
+
+/// Seen on a calm day: a request that its holder always fails went there five times.
+#[test]
+fn a_request_is_sent_no_more_often_than_its_route_allows() {
+    let mut world = World::new();
+    let (flow, seen) = world.request(KEYED);
+    let (attempt, _) = only(&seen);
+    let (attempt, _) = only(&world.answer(attempt, complete(500)));
+    assert_eq!(world.answer(attempt, complete(500)).passed, [flow]);
+}
+
+#[test]
+fn a_slow_answer_makes_another_target_try_too() {
+    let mut world = World::new();
+    let (flow, seen) = world.request(READS);
+    let (first, slow) = only(&seen);
+    let (second, other) = only(&world.after(ms(360)));
+    assert_ne!(slow, other);
+    let seen = world.answer(second, complete(200));
+    assert_eq!((seen.passed, seen.cancelled), (vec![flow], vec![first]));
+}
+
+#[test]
+fn a_request_waits_for_the_next_holder_of_its_key() {
+    let mut world = World::new();
+    let (flow, seen) = world.request(KEYED);
+    let (attempt, first) = only(&seen);
+    assert_eq!(&*first, "keyed-0");
+    let seen = world.answer(attempt, not_executed(421));
+    assert!(seen.sent.is_empty() && seen.refused.is_empty());
+    let span = Span {
+        from: 0,
+        to: u16::MAX,
+        holder: Some(Holder {
+            id: "keyed-1".into(),
+            born: 1,
+        }),
+        handover: None,
+    };
+    let command = Box::new(Command::Assign {
+        service: KEYED.into(),
+        span,
+    });
+    let seen = world.stream(PeerMessage::Update { index: 11, command });
+    let (attempt, next) = only(&seen);
+    assert_eq!(&*next, "keyed-1");
+    assert_eq!(world.answer(attempt, complete(200)).passed, [flow]);
+}
+
+#[test]
+fn a_request_without_a_holder_is_refused_before_its_objective() {
+    let mut world = World::new();
+    let (flow, seen) = world.request(KEYED);
+    let (attempt, _) = only(&seen);
+    world.answer(attempt, not_executed(421));
+    let seen = world.after(ms(200));
+    assert!(matches!(seen.refused[..], [(refused, Refusal::NotRun(_))] if refused == flow));
+}
+
+#[test]
+fn a_draining_target_gets_no_new_requests() {
+    let mut world = World::new();
+    for number in [0, 2] {
+        let mut draining = target(READS, 1 + number, "a");
+        draining.state = TargetState::Draining;
+        let command = Box::new(Command::Announce {
+            id: format!("reads-{number}").into(),
+            target: draining,
+        });
+        let index = 11 + u64::from(number);
+        world.stream(PeerMessage::Update { index, command });
+    }
+    for _ in 0..4 {
+        let (_, seen) = world.request(READS);
+        assert_eq!(&*only(&seen).1, "reads-1");
+    }
+}
+
+/// An entry VM never acts on an older view than one it has acted on.
+#[test]
+fn an_older_view_is_not_taken() {
+    let mut world = World::new();
+    let view = camphordale_fleet::View::default();
+    world.stream(PeerMessage::Snapshot(Box::new(view)));
+    assert_eq!(world.entry.view().index, 10);
+}
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -14,11 +14,14 @@
 };
 
 /// A holder above this multiple of its fair load gives keys away.
-const HIGH: f64 = 1.3;
+const HIGH: f64 = 1.25;
 /// A holder below this multiple of its fair load takes keys.
 const LOW: f64 = 0.95;
-/// Least sample on which load is balanced; smaller ones are noise.
-const MIN_SAMPLE: usize = 60;
+/// A load counts as high only if it lies this many standard deviations of its sample above the
+/// fair one.
+const DEVIATIONS: f64 = 3.0;
+/// Least sample on which load is balanced.
+const MIN_SAMPLE: usize = 30;
 /// Part of the whole load that is spread evenly over all keys, so that unsampled keys weigh too.
 const EVEN_PART: f64 = 0.1;
 /// Most moves in one plan.
@@ -48,8 +51,9 @@
     pub next: Holder,
 }
 
-struct Loads<'a> {
-    spans: &'a [Span],
+struct Loads {
+    /// The spans, with the moves of this plan carried out.
+    spans: Vec<Span>,
     sample: Vec<Key>,
     key_weight: f64,
     width_weight: f64,
@@ -114,8 +118,8 @@
     Loads::new(spans, candidates, sample).least(candidates)
 }
 
-impl<'a> Loads<'a> {
-    fn new(spans: &'a [Span], candidates: &[Candidate], sample: &[Key]) -> Loads<'a> {
+impl Loads {
+    fn new(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Loads {
         let mut sorted = sample.to_vec();
         sorted.sort_unstable();
         let sampled = if sample.is_empty() {
@@ -125,7 +129,7 @@
         };
         let even = if sample.is_empty() { 1.0 } else { EVEN_PART };
         let mut loads = Loads {
-            spans,
+            spans: spans.to_vec(),
             sample: sorted,
             key_weight: sampled,
             width_weight: even / ALL_KEYS,
@@ -172,7 +176,7 @@
     /// Whole spans of holders that may not keep them.
     fn leaving(&mut self, candidates: &[Candidate]) -> Vec<Move> {
         let mut out = Vec::new();
-        for span in self.spans {
+        for span in self.spans.clone() {
             let Some(holder) = &span.holder else { continue };
             let leaves = candidates.iter().any(|c| c.holder == *holder && !c.takes);
             if !leaves {
@@ -196,6 +200,34 @@
         let weight = self.weight(found.from, found.to);
         *self.load.entry(donor.clone()).or_default() -= weight;
         *self.load.entry(found.next.clone()).or_default() += weight;
+        let mut next = Vec::with_capacity(self.spans.len() + 2);
+        for span in self.spans.drain(..) {
+            // Parts before, within and after the range that moves.
+            let (from, to) = (span.from.max(found.from), span.to.min(found.to));
+            if from > to {
+                next.push(span);
+                continue;
+            }
+            if span.from < from {
+                next.push(Span {
+                    to: from - 1,
+                    ..span.clone()
+                });
+            }
+            next.push(Span {
+                from,
+                to,
+                holder: Some(found.next.clone()),
+                handover: None,
+            });
+            if span.to > to {
+                next.push(Span {
+                    from: to + 1,
+                    ..span
+                });
+            }
+        }
+        self.spans = next;
     }
 
     /// The move that relieves the holder with the highest load. A candidate without keys gets
@@ -211,7 +243,7 @@
         }
         let (high, low) = (self.ratio(&donor.holder), self.ratio(&taker));
         let is_new = low == 0.0;
-        if !is_new && (!sampled || high < HIGH || low > LOW) {
+        if !is_new && (!sampled || low > LOW || !self.is_high(&donor.holder, high)) {
             return None;
         }
         let over = (high - 1.0).max(0.0) * self.fair.get(&donor.holder)?;
@@ -227,6 +259,12 @@
         Some((donor.holder.clone(), Move { from, to, next }))
     }
 
+    /// Whether a holder's load is high beyond the noise of the sample.
+    fn is_high(&self, holder: &Holder, ratio: f64) -> bool {
+        let fair = self.fair.get(holder).copied().unwrap_or(0.0) * self.sample.len() as f64;
+        ratio > HIGH && (ratio - 1.0) * fair > DEVIATIONS * fair.sqrt()
+    }
+
     /// The narrowest range of the donor with about the wanted load.
     fn narrowest(&self, donor: &Holder, wanted: f64, sampled: bool) -> Option<(Key, Key)> {
         let own = self
--- a/crates/fleet/src/control/holders.rs
+++ b/crates/fleet/src/control/holders.rs
@@ -21,6 +21,7 @@
     },
     directory::{
         Holder,
+        TargetId,
         TargetState, //
     },
     grants::Lease,
@@ -28,7 +29,10 @@
         Key,
         Span, //
     },
-    message::KeyLoad,
+    message::{
+        KeyLoad,
+        TargetTimes, //
+    },
     routing::ServiceName,
     state::Command,
 };
@@ -37,8 +41,14 @@
 const SETTLE: Duration = Duration::from_millis(1500);
 /// Time between two looks at the balance.
 const PLAN_PERIOD: Duration = Duration::from_millis(400);
-/// How long a sampled key counts.
-const SAMPLE_AGE: Duration = Duration::from_millis(2500);
+/// How long a sampled key counts for the slow balance.
+const SAMPLE_AGE: Duration = Duration::from_millis(5000);
+/// How long a sampled key counts for a sudden rise.
+const RECENT_AGE: Duration = Duration::from_millis(1000);
+/// Weight of one answer in the mean time of a target.
+const TIME_WEIGHT: f64 = 0.03;
+/// Bounds of a target's capacity relative to the middle one.
+const CAPACITY: (f64, f64) = (0.4, 2.0);
 /// Most sampled keys of one service.
 const SAMPLE_MAX: usize = 4000;
 /// Time without an announcement after which a target gets no more keys.
@@ -48,6 +58,8 @@
 #[derive(Default)]
 pub(super) struct Holders {
     samples: BTreeMap<ServiceName, VecDeque<(Duration, Key)>>,
+    /// Mean time of an answer in milliseconds.
+    times: BTreeMap<TargetId, f64>,
     next_plan: Duration,
 }
 
@@ -72,11 +84,36 @@
         }
     }
 
-    fn sample(&self, service: &str) -> Vec<Key> {
-        let kept = self.samples.get(service);
-        kept.map_or(Vec::new(), |kept| {
-            kept.iter().map(|(_, key)| *key).collect()
-        })
+    /// Keys sampled since `since`.
+    fn sample(&self, service: &str, since: Duration) -> Vec<Key> {
+        let kept = self.samples.get(service).into_iter().flatten();
+        let recent = kept.filter(|(at, _)| *at >= since);
+        recent.map(|(_, key)| *key).collect()
+    }
+
+    /// Takes the times that an entry VM reports.
+    pub(super) fn record_times(&mut self, times: Vec<TargetTimes>) {
+        for TargetTimes { id, count, millis } in times {
+            if count == 0 {
+                continue;
+            }
+            let seen = f64::from(millis) / f64::from(count);
+            let mean = self.times.entry(id).or_insert(seen);
+            let kept = (1.0 - TIME_WEIGHT).powi(count as i32);
+            *mean = *mean * kept + seen * (1.0 - kept);
+        }
+    }
+
+    /// How fast a target is, relative to the middle one of the service.
+    fn speed(&self, id: &TargetId, middle: f64) -> f64 {
+        let mean = self.times.get(id).copied().unwrap_or(middle);
+        (middle / mean.max(1.0)).clamp(CAPACITY.0, CAPACITY.1)
+    }
+
+    fn middle_time<'a>(&self, ids: impl Iterator<Item = &'a TargetId>) -> f64 {
+        let mut times: Vec<f64> = ids.filter_map(|id| self.times.get(id)).copied().collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied().unwrap_or(1.0)
     }
 }
 
@@ -102,10 +139,12 @@
             return Vec::new();
         };
         let mut out = Vec::new();
-        for (id, target) in &self.state.view.targets {
-            if &*target.service != service {
-                continue;
-            }
+        let targets = &self.state.view.targets;
+        let own = targets
+            .iter()
+            .filter(|(_, target)| &*target.service == service);
+        let middle = lead.holders.middle_time(own.clone().map(|(id, _)| id));
+        for (id, target) in own {
             let holder = Holder {
                 id: id.clone(),
                 born: target.born,
@@ -120,7 +159,7 @@
             }
             out.push(Candidate {
                 holder,
-                capacity: f64::from(target.slots.max(1)),
+                capacity: f64::from(target.slots.max(1)) * lead.holders.speed(id, middle),
                 takes: ready,
             });
         }
@@ -178,7 +217,7 @@
         for service in services {
             let candidates = self.candidates(&service, now);
             let Some(lead) = &self.lead else { return };
-            let sample = lead.holders.sample(&service);
+            let sample = lead.holders.sample(&service, Duration::ZERO);
             let spans: Vec<Span> = lead
                 .grants
                 .leases(&service)
@@ -220,8 +259,14 @@
                 continue;
             }
             let spans: Vec<Span> = leases.iter().map(Lease::span).collect();
-            let sample = lead.holders.sample(&service);
-            for found in balance::plan(&spans, &candidates, &sample) {
+            let recent = now.saturating_sub(RECENT_AGE);
+            let sample = lead.holders.sample(&service, recent);
+            let mut moves = balance::plan(&spans, &candidates, &sample);
+            if moves.is_empty() {
+                let sample = lead.holders.sample(&service, Duration::ZERO);
+                moves = balance::plan(&spans, &candidates, &sample);
+            }
+            for found in moves {
                 lead.grants
                     .begin_move(&service, found.from, found.to, &found.next);
                 out.push(Effect::Note(Note::Moving {
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -42,7 +42,12 @@
                 domain,
                 index,
             } => self.subscribe(conn, entry, domain, index, now, out),
-            PeerMessage::Ping { sent, index, load } => {
+            PeerMessage::Ping {
+                sent,
+                index,
+                load,
+                times,
+            } => {
                 let Some(stream) = self.streams.get_mut(&conn) else {
                     return;
                 };
@@ -56,6 +61,7 @@
                 out.push(Effect::Stream { conn, message });
                 if let Some(lead) = &mut self.lead {
                     lead.holders.record(load, now);
+                    lead.holders.record_times(times);
                 }
                 self.publish(now, out);
             }
--- a/crates/fleet/src/grants.rs
+++ b/crates/fleet/src/grants.rs
@@ -32,7 +32,7 @@
 /// Bits of a fence below the term, enough for a million grants by one leader.
 const TERM_SHIFT: u32 = 20;
 /// Longest time a grant may take. A call is reset after it, so that it cannot arrive later.
-pub const CALL_LIMIT: Duration = Duration::from_millis(400);
+pub const CALL_LIMIT: Duration = Duration::from_millis(300);
 /// Longest time a release may take; it lasts as long as the work that runs on the keys.
 pub const RELEASE_LIMIT: Duration = Duration::from_millis(2500);
 /// Added to the end of a hold, for the time between a target's checks and its start of work.
@@ -40,7 +40,7 @@
 /// How much slower than the leader's clock a target's clock may be: a part of the hold.
 const CLOCK_DRIFT: f64 = 0.02;
 /// Renewals in one hold.
-const RENEWALS: u32 = 3;
+const RENEWALS: u32 = 4;
 /// Time between two attempts after a target did not take an order.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// A shorter hold is not worth a call.
@@ -287,6 +287,9 @@
     /// Returns the orders that are due.
     pub fn due(&mut self, view: &View, now: Duration) -> Vec<Dispatch> {
         let mut out = Vec::new();
+        for leases in self.leases.values_mut() {
+            merge(leases);
+        }
         let mut busy: Vec<Holder> = self
             .open
             .values()
@@ -363,6 +366,7 @@
             match answer {
                 Answer::Granted => {
                     lease.settled = true;
+                    lease.span.handover = None;
                     lease.lost = false;
                     lease.failures = 0;
                     lease.confirmed = Some(open.started);
@@ -500,6 +504,31 @@
     }
 }
 
+/// Joins neighbouring ranges of one holder, so that one grant renews them.
+fn merge(leases: &mut Vec<Lease>) {
+    let is_steady = |lease: &Lease| {
+        let steady = lease.phase == Phase::Renewing && lease.open.is_none() && !lease.lost;
+        steady && lease.settled && lease.failures == 0
+    };
+    leases.dedup_by(|next, kept| {
+        let joins = is_steady(next)
+            && is_steady(kept)
+            && kept.span.holder == next.span.holder
+            && u32::from(kept.span.to) + 1 == u32::from(next.span.from);
+        if joins {
+            kept.span.to = next.span.to;
+            kept.span.handover = None;
+            // Fences of both were above those of all other holders.
+            kept.fence = kept.fence.max(next.fence);
+            kept.confirmed = kept.confirmed.min(next.confirmed);
+            kept.until = kept.until.max(next.until);
+            kept.late_until = kept.late_until.max(next.late_until);
+            kept.renew = kept.renew.min(next.renew);
+        }
+        joins
+    });
+}
+
 /// Longest time that a hold may last after the call arrived.
 fn slowest(hold: Duration) -> Duration {
     hold.mul_f64(1.0 + CLOCK_DRIFT) + HOLD_MARGIN
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -62,7 +62,8 @@
     KeyLoad,
     Member,
     PeerMessage,
-    Share, //
+    Share,
+    TargetTimes, //
 };
 pub use routing::{
     Change,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    directory::TargetId,
     keys::Key,
     routing::{
         Domain,
@@ -50,6 +51,17 @@
     pub sample: Vec<Key>,
 }
 
+/// Times of answers of one target since the last report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetTimes {
+    /// The target.
+    pub id: TargetId,
+    /// Answers.
+    pub count: u32,
+    /// Sum of their times in milliseconds, without the waits that the load explains.
+    pub millis: u32,
+}
+
 /// How many entry VMs share the targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -106,6 +118,8 @@
         index: u64,
         /// Requests for keys since the last ping.
         load: Vec<KeyLoad>,
+        /// Times of targets that hold keys.
+        times: Vec<TargetTimes>,
     },
     /// Answers a ping.
     Pong {
