--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -59,8 +59,10 @@
     pub(super) open: Vec<(AttemptId, TargetId)>,
     /// Whether an attempt that ended may have run.
     pub(super) may_have_run: bool,
-    /// Until when the request waits here, and what it is told afterwards.
-    pub(super) parked: Option<(Duration, Verdict)>,
+    /// Until when the request waits here, if it does.
+    pub(super) parked: Option<Duration>,
+    /// When the holder of the key is asked again after it said that it does not hold it.
+    pub(super) ask_again: Duration,
     /// When another target gets the request too.
     pub(super) hedge: Option<Duration>,
     /// Whether the caller has gone.
@@ -134,6 +136,7 @@
                 open: Vec::new(),
                 may_have_run: false,
                 parked: None,
+                ask_again: Duration::ZERO,
                 hedge: None,
                 gone: false,
             },
@@ -277,7 +280,7 @@
         let until = flow.arrived + flow.route.objective / PARK_PART;
         let may_change = !matches!(verdict, Verdict::NoTarget | Verdict::HolderLost);
         if may_change && now < until {
-            flow.parked = Some((until, verdict));
+            flow.parked = Some(until);
             self.parked.insert(id);
             self.timers.insert((until, id));
             return;
@@ -353,7 +356,11 @@
         let waiting: Vec<FlowId> = self.parked.iter().copied().collect();
         for id in waiting {
             let flow = self.flows.get(&id);
-            let fits = flow.is_some_and(|f| service.is_none_or(|service| *f.service == *service));
+            // A holder that has just sent the request away would do so again; a new view may name
+            // another.
+            let fits = flow.is_some_and(|flow| {
+                service.is_none_or(|service| *flow.service == *service && now >= flow.ask_again)
+            });
             if fits {
                 self.dispatch(id, now, out);
             }
@@ -374,7 +381,8 @@
             };
             return self.refuse(id, verdict, NO_TARGET_PAUSE, now, out);
         }
-        if flow.parked.is_some_and(|(until, _)| now >= until) {
+        let asks = !flow.ask_again.is_zero() && now >= flow.ask_again;
+        if flow.parked.is_some_and(|until| asks || now >= until) {
             return self.dispatch(id, now, out);
         }
         if flow.hedge.is_some_and(|at| now >= at) && flow.open.len() == 1 {
--- a/crates/entry/src/entry/repeat.rs
+++ b/crates/entry/src/entry/repeat.rs
@@ -19,6 +19,8 @@
 const FAILURE: u16 = 500;
 /// Pause told to callers whose request was shed by its target.
 const SHED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before the same holder is asked again; a change of holder takes about as long.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
 /// A repeat is sent only if this part of its target's mean time is left.
 const WORTHWHILE_PART: f64 = 0.7;
 /// Attempts that may fail to open a connection before the request is refused.
@@ -114,9 +116,10 @@
         if now >= until || !allowed {
             return self.refuse(id, Verdict::NoHolder, SHED_PAUSE, now, out);
         }
-        flow.parked = Some((until, Verdict::NoHolder));
+        flow.parked = Some(until);
+        flow.ask_again = now + ASK_AGAIN;
         self.parked.insert(id);
-        self.timers.insert((until, id));
+        self.timers.insert((until.min(flow.ask_again), id));
     }
 
     fn failed(&mut self, id: FlowId, sent: bool, now: Duration, out: &mut Vec<Effect>) {
