Keep a hot key apart; take all ranges from a holder that does not answer

Cause: a zone cut cost keyed requests of the other domains up to 5 s, because each range of a silent target was given away only after a failed attempt of its own, one in 300 ms; a key hotter than its holder stayed beside other keys. Ruled out: a longer or shorter hold as the cause. Conclusion: kept; the key moves once only to a clearly stronger target.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -24,8 +24,16 @@
 const MIN_SAMPLE: usize = 30;
 /// Part of the whole load that is spread evenly over all keys, so that unsampled keys weigh too.
 const EVEN_PART: f64 = 0.1;
+/// A key that alone is this part of its holder's fair load is kept apart from other keys.
+const HOT_PART: f64 = 0.9;
+/// A hot key goes to a target that can carry this multiple of what its holder can.
+const STRONGER: f64 = 1.35;
+/// Multiple of its fair load up to which a target takes keys from the holder of a hot key.
+const ROOM: f64 = 1.2;
+/// Least part of a range that moves at a time.
+const LEAST_PART: f64 = 0.2;
 /// Most moves in one plan.
-const MAX_MOVES: usize = 4;
+const MAX_MOVES: usize = 6;
 /// Keys of the whole range.
 const ALL_KEYS: f64 = 65536.0;
 
@@ -246,6 +254,10 @@
         if !is_new && (!sampled || low > LOW || !self.is_high(&donor.holder, high)) {
             return None;
         }
+        if !is_new && let Some(key) = self.hot_key(&donor.holder) {
+            let found = self.isolate(&donor.holder, key, candidates)?;
+            return Some((donor.holder.clone(), found));
+        }
         let over = (high - 1.0).max(0.0) * self.fair.get(&donor.holder)?;
         let under = (1.0 - low) * self.fair.get(&taker)?;
         let half = self.load.get(&donor.holder)? / 2.0;
@@ -259,6 +271,72 @@
         Some((donor.holder.clone(), Move { from, to, next }))
     }
 
+    /// The key of a holder that alone is more than its fair load, if there is one.
+    fn hot_key(&self, holder: &Holder) -> Option<Key> {
+        let fair = self.fair.get(holder)?;
+        let own = self
+            .spans
+            .iter()
+            .filter(|s| s.holder.as_ref() == Some(holder));
+        let mut best = (0, 0);
+        for span in own {
+            let start = self.sample.partition_point(|key| *key < span.from);
+            let end = self.sample.partition_point(|key| *key <= span.to);
+            for run in self.sample[start..end].chunk_by(|a, b| a == b) {
+                best = best.max((run.len(), run[0]));
+            }
+        }
+        let (count, key) = best;
+        (count as f64 * self.key_weight > HOT_PART * fair).then_some(key)
+    }
+
+    /// One key is too much for its holder, and cannot be divided: it goes to the target that can
+    /// carry most, and all other keys of that target go elsewhere.
+    fn isolate(&self, holder: &Holder, key: Key, candidates: &[Candidate]) -> Option<Move> {
+        let takers = candidates.iter().filter(|c| c.takes);
+        let capacity = |holder: &Holder| {
+            let own = candidates.iter().find(|c| c.holder == *holder);
+            own.map_or(0.0, |candidate| candidate.capacity)
+        };
+        let strongest = takers.max_by(|a, b| a.capacity.total_cmp(&b.capacity))?;
+        if strongest.capacity > capacity(holder) * STRONGER {
+            return Some(Move {
+                from: key,
+                to: key,
+                next: strongest.holder.clone(),
+            });
+        }
+        let own = self
+            .spans
+            .iter()
+            .filter(|s| s.holder.as_ref() == Some(holder));
+        let rest = own.flat_map(|span| {
+            let below = (span.from < key).then(|| (span.from, span.to.min(key.saturating_sub(1))));
+            let above = (span.to > key).then(|| (span.from.max(key.saturating_add(1)), span.to));
+            below
+                .into_iter()
+                .chain(above)
+                .filter(|(from, to)| from <= to)
+        });
+        let (from, to) =
+            rest.max_by(|a, b| self.weight(a.0, a.1).total_cmp(&self.weight(b.0, b.1)))?;
+        let others: Vec<Candidate> = candidates
+            .iter()
+            .filter(|c| c.holder != *holder)
+            .cloned()
+            .collect();
+        let next = self.least(&others)?;
+        // A range that would be too much for its next holder moves in parts.
+        let room = self.fair.get(&next)? * ROOM - self.load.get(&next)?;
+        let part = (room / self.weight(from, to)).clamp(LEAST_PART, 1.0);
+        let keys = (f64::from(to - from) * part) as Key;
+        Some(Move {
+            from,
+            to: from + keys,
+            next,
+        })
+    }
+
     /// Whether a holder's load is high beyond the noise of the sample.
     fn is_high(&self, holder: &Holder, ratio: f64) -> bool {
         let fair = self.fair.get(holder).copied().unwrap_or(0.0) * self.sample.len() as f64;
--- a/crates/fleet/src/control/holders.rs
+++ b/crates/fleet/src/control/holders.rs
@@ -40,7 +40,7 @@
 /// Time after the start of a leader in which targets announce themselves before keys are divided.
 const SETTLE: Duration = Duration::from_millis(1500);
 /// Time between two looks at the balance.
-const PLAN_PERIOD: Duration = Duration::from_millis(400);
+const PLAN_PERIOD: Duration = Duration::from_millis(200);
 /// How long a sampled key counts for the slow balance.
 const SAMPLE_AGE: Duration = Duration::from_millis(5000);
 /// How long a sampled key counts for a sudden rise.
--- a/crates/fleet/src/grants.rs
+++ b/crates/fleet/src/grants.rs
@@ -5,7 +5,10 @@
 //! call arrives, which is at the latest when the call ended, and a target's clock may be slow.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -407,14 +410,22 @@
         Heir: FnMut(&ServiceName, &Span) -> Option<Holder>,
     {
         let mut out = Vec::new();
+        let deaf: BTreeSet<Holder> = self
+            .leases
+            .values()
+            .flatten()
+            .filter(|lease| lease.failures > 0)
+            .filter_map(|lease| lease.span.holder.clone())
+            .collect();
         for (service, leases) in &mut self.leases {
             for lease in leases {
                 let Some(holder) = &lease.span.holder else {
                     continue;
                 };
                 let replaced = view.is_replaced(holder) && lease.open.is_none();
-                // A holder that was not asked yet is no reason to look for another.
-                let asked = lease.failures > 0 || !view.is_current(holder);
+                // A holder that was not asked yet is no reason to look for another. One that failed
+                // to answer for one range does so for all.
+                let asked = deaf.contains(holder) || !view.is_current(holder);
                 let ended = replaced || (asked && now >= lease.until);
                 let (next, handover) = match &lease.phase {
                     Phase::Proposed => continue,
