--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -386,6 +386,11 @@
         out
     }
 
+    /// Members of the control group in force.
+    pub fn members(&self) -> &raft::Members {
+        self.raft.members()
+    }
+
     /// The replicated state as far as this member knows it.
     pub fn state(&self) -> &State {
         &self.state
--- a/crates/fleet/src/grants.rs
+++ b/crates/fleet/src/grants.rs
@@ -236,7 +236,8 @@
             settled: false,
             confirmed: None,
             until,
-            late_until: until,
+            // A release follows an answered grant, whose fence is above those of former leaders.
+            late_until: Duration::ZERO,
             lost: false,
             failures: 0,
             renew: Duration::ZERO,
--- /dev/null
+++ b/crates/fleet/tests/balance.rs
@@ -0,0 +1,222 @@
+//! Which ranges move, under patterns of load that each test names.
+
+use camphordale_fleet::{
+    Holder, Key, Span,
+    balance::{
+        Candidate,
+        Move,
+        divide,
+        heir,
+        plan, //
+    },
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+fn holder(number: usize) -> Holder {
+    Holder {
+        id: format!("t{number}").into(),
+        born: 1,
+    }
+}
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    let candidate = |number| Candidate {
+        holder: holder(number),
+        capacity: 4.0,
+        takes: true,
+    };
+    (0..count).map(candidate).collect()
+}
+
+fn spans(moves: &[Move]) -> Vec<Span> {
+    let span = |found: &Move| Span {
+        from: found.from,
+        to: found.to,
+        holder: Some(found.next.clone()),
+        handover: None,
+    };
+    moves.iter().map(span).collect()
+}
+
+/// Carries a plan out, key by key.
+fn owners(spans: &[Span]) -> Vec<Option<Holder>> {
+    let mut out = vec![None; 65536];
+    for span in spans {
+        for key in span.from..=span.to {
+            out[usize::from(key)].clone_from(&span.holder);
+        }
+    }
+    out
+}
+
+fn carry_out(spans: &[Span], moves: &[Move]) -> Vec<Span> {
+    let mut map = camphordale_fleet::KeyMap::default();
+    for span in spans {
+        map.assign(span.clone());
+    }
+    for found in moves {
+        map.assign(Span {
+            from: found.from,
+            to: found.to,
+            holder: Some(found.next.clone()),
+            handover: None,
+        });
+    }
+    map.spans().to_vec()
+}
+
+fn even(count: usize, seed: u64) -> Vec<Key> {
+    let mut random = StdRng::seed_from_u64(seed);
+    (0..count).map(|_| random.random()).collect()
+}
+
+fn load(spans: &[Span], sample: &[Key]) -> Vec<usize> {
+    let owners = owners(spans);
+    let mut out = vec![0; 16];
+    for key in sample {
+        if let Some(holder) = &owners[usize::from(*key)] {
+            let number: usize = holder.id[1..].parse().unwrap();
+            out[number] += 1;
+        }
+    }
+    out
+}
+
+#[test]
+fn first_division_covers_all_keys_once() {
+    let moves = divide(&candidates(11));
+    assert_eq!(moves.len(), 11);
+    assert_eq!((moves[0].from, moves[10].to), (0, Key::MAX));
+    for pair in moves.windows(2) {
+        assert_eq!(u32::from(pair[0].to) + 1, u32::from(pair[1].from));
+    }
+}
+
+/// Nothing has changed: nothing moves, whatever the noise of the sample.
+#[test]
+fn steady_load_moves_nothing() {
+    let candidates = candidates(11);
+    let spans = spans(&divide(&candidates));
+    let moved: usize = (0..50)
+        .map(|seed| plan(&spans, &candidates, &even(100, seed)).len())
+        .sum();
+    assert!(moved <= 3, "{moved}");
+}
+
+/// Busy keys lie close together: their range is divided among several targets.
+#[test]
+fn warm_range_is_divided() {
+    let candidates = candidates(8);
+    let mut now = spans(&divide(&candidates));
+    let mut sample = even(300, 1);
+    sample.extend((0..300).map(|at| 1000 + at % 200));
+    let before = load(&now, &sample).into_iter().max().unwrap();
+    for _ in 0..6 {
+        let moves = plan(&now, &candidates, &sample);
+        now = carry_out(&now, &moves);
+    }
+    let after = load(&now, &sample).into_iter().max().unwrap();
+    assert!(after * 2 < before, "{before} to {after}");
+}
+
+/// One key is hotter than any target: it is kept apart from the others, which go elsewhere.
+#[test]
+fn hot_key_is_kept_apart() {
+    let candidates = candidates(8);
+    let mut now = spans(&divide(&candidates));
+    let mut sample = even(300, 1);
+    sample.extend(std::iter::repeat_n(1000, 200));
+    for _ in 0..10 {
+        let moves = plan(&now, &candidates, &sample);
+        now = carry_out(&now, &moves);
+    }
+    let owners = owners(&now);
+    let hot = owners[1000].clone();
+    let others = owners.iter().filter(|owner| **owner == hot).count();
+    assert!(others < 2000, "{others} keys beside the hot one");
+}
+
+#[test]
+fn hot_key_goes_to_a_clearly_stronger_target_once() {
+    let mut candidates = candidates(8);
+    candidates[5].capacity = 8.0;
+    let mut now = spans(&divide(&candidates));
+    let mut sample = even(300, 1);
+    sample.extend(std::iter::repeat_n(1000, 200));
+    let moves = plan(&now, &candidates, &sample);
+    assert_eq!(
+        (moves[0].from, moves[0].to, &moves[0].next),
+        (1000, 1000, &holder(5))
+    );
+    now = carry_out(&now, &moves);
+    for _ in 0..5 {
+        let moves = plan(&now, &candidates, &sample);
+        let again = |found: &Move| found.from <= 1000 && found.to >= 1000;
+        assert!(!moves.iter().any(again));
+        now = carry_out(&now, &moves);
+    }
+}
+
+#[test]
+fn joined_target_gets_keys_at_once() {
+    let all = candidates(9);
+    let now = spans(&divide(&all[..8]));
+    let moves = plan(&now, &all, &even(20, 1));
+    assert!(moves.iter().any(|found| found.next == holder(8)));
+}
+
+#[test]
+fn draining_target_gives_all_keys_away() {
+    let mut all = candidates(8);
+    let now = spans(&divide(&all));
+    all[3].takes = false;
+    let now = carry_out(&now, &plan(&now, &all, &even(100, 1)));
+    assert!(owners(&now).iter().all(|owner| *owner != Some(holder(3))));
+}
+
+#[test]
+fn slow_target_gets_fewer_keys() {
+    let mut all = candidates(4);
+    all[2].capacity = 1.0;
+    let now = spans(&divide(&all));
+    let width = |number: usize| now[number].width();
+    assert!(width(2) * 3 < width(1));
+}
+
+#[test]
+fn heir_is_the_target_with_the_least_load() {
+    let all = candidates(3);
+    let mut now = spans(&divide(&all));
+    now[2].holder = Some(holder(0));
+    assert_eq!(heir(&now, &all, &even(200, 3)), Some(holder(2)));
+    assert_eq!(heir(&now, &[], &[]), None);
+}
+
+/// Whatever the load, a plan names only ranges whose holder changes, and none of them twice.
+#[test]
+fn moves_of_one_plan_do_not_overlap_in_vain() {
+    let mut random = StdRng::seed_from_u64(9);
+    for round in 0..300 {
+        let all = candidates(random.random_range(2..9));
+        let mut now = spans(&divide(&all));
+        let center: Key = random.random();
+        let mut sample = even(random.random_range(0..200), round);
+        let width = random.random_range(1..500);
+        for _ in 0..random.random_range(0..200) {
+            sample.push(center.saturating_add(random.random_range(0..width)));
+        }
+        for _ in 0..5 {
+            let moves = plan(&now, &all, &sample);
+            for found in &moves {
+                assert!(found.from <= found.to);
+            }
+            let next = carry_out(&now, &moves);
+            assert!(moves.is_empty() || owners(&next) != owners(&now));
+            now = next;
+        }
+    }
+}
