Let hot keys leave weak holders only, ranges rest after a move

Change: a range rests 2.5 s after a move, narrow parts of it do not; times are normalised by the load that comes with the answer; busy targets are reported at once; only a weak holder gives a hot key away.

--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -29,6 +29,9 @@
 /// Time between two reports of the times of targets, which change slowly.
 const TIMES_PERIOD: Duration = Duration::from_millis(2000);
 
+/// Answers of one target that are reported before the others' are due.
+const MANY_ANSWERS: u32 = 4;
+
 /// Keys requested since the last report: an even sample.
 #[derive(Debug, Default)]
 pub(super) struct KeySample {
@@ -186,14 +189,17 @@
     /// What the leader needs to balance the load on keys.
     fn report(&mut self, now: Duration) -> (Vec<KeyLoad>, Vec<TargetTimes>) {
         let mut times = Vec::new();
-        if now < self.next_times {
-            return (self.key_load(), times);
-        }
-        self.next_times = now + TIMES_PERIOD;
+        // A target with many answers is under load, and its speed may be changing.
+        let least = if now < self.next_times {
+            MANY_ANSWERS
+        } else {
+            self.next_times = now + TIMES_PERIOD;
+            1
+        };
         let routing = self.view.routing.clone();
         let services = routing.iter().flat_map(|routing| &routing.services);
         for (name, _) in services.filter(|(_, item)| item.content.keyed) {
-            times.extend(self.peers.take_times(name));
+            times.extend(self.peers.take_times(name, least));
         }
         (self.key_load(), times)
     }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -28,8 +28,6 @@
 const FAIL_WEIGHT: f64 = 0.08;
 /// How much longer a request takes at a target whose slots are all in use.
 const BUSY_PART: f64 = 0.3;
-/// Answers to requests that found their target busier than this say nothing about its speed.
-const CALM: f64 = 1.3;
 /// How fast a report of a target's load loses its meaning.
 const REPORT_AGE: Duration = Duration::from_millis(1500);
 /// Answers that a summary for a new leader stands for.
@@ -162,8 +160,11 @@
 
     /// By how much one more request takes longer than at an idle target.
     pub fn slowdown(&self, now: Duration) -> f64 {
+        self.slowdown_at(self.load(now))
+    }
+
+    fn slowdown_at(&self, load: f64) -> f64 {
         let slots = f64::from(self.slots);
-        let load = self.load(now);
         let wait = ((load + 1.0 - slots) / slots).max(0.0);
         let busy = (load / slots).min(1.0);
         1.0 + BUSY_PART * busy * busy + wait
@@ -242,11 +243,12 @@
         }
     }
 
-    /// Takes the times of answers since the last report, for the targets of a service.
-    pub fn take_times(&mut self, service: &str) -> Vec<TargetTimes> {
+    /// Takes the times of answers since the last report, for the targets of a service that gave at
+    /// least so many.
+    pub fn take_times(&mut self, service: &str, least: u32) -> Vec<TargetTimes> {
         let mut out = Vec::new();
         for id in self.by_service.get(service).into_iter().flatten() {
-            let Some(peer) = self.peers.get_mut(id).filter(|peer| peer.times.0 > 0) else {
+            let Some(peer) = self.peers.get_mut(id).filter(|peer| peer.times.0 >= least) else {
                 continue;
             };
             let (count, millis) = std::mem::take(&mut peer.times);
@@ -299,14 +301,15 @@
             peer.slots = report.slots.max(1);
         }
         if let Some(started) = started.filter(|_| !failed) {
-            let took = now.saturating_sub(started.at).as_secs_f64() / started.slowdown;
+            // The load that the target reports with the answer is fresher than what this VM knew
+            // when the request started.
+            let reported = report.map_or(0.0, |r| f64::from(r.running + r.waiting));
+            let slowdown = started.slowdown.max(peer.slowdown_at(reported));
+            let took = now.saturating_sub(started.at).as_secs_f64() / slowdown;
             let mean = peer.mean();
             peer.mean = mean + (took - mean) * TIME_WEIGHT;
-            // The time at a full target says little about its speed.
-            if started.slowdown <= CALM {
-                peer.times.0 += 1;
-                peer.times.1 += took * 1000.0;
-            }
+            peer.times.0 += 1;
+            peer.times.1 += took * 1000.0;
         }
     }
 
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -26,8 +26,8 @@
 const EVEN_PART: f64 = 0.1;
 /// A key that alone is this part of its holder's fair load is kept apart from other keys.
 const HOT_PART: f64 = 0.9;
-/// A hot key goes to a target that can carry this multiple of what its holder can.
-const STRONGER: f64 = 1.35;
+/// A hot key leaves a holder if the middle target can carry this multiple of what the holder can.
+const WEAK: f64 = 1.25;
 /// Multiple of its fair load up to which a target takes keys from the holder of a hot key.
 const ROOM: f64 = 1.2;
 /// Least part of a range that moves at a time.
@@ -293,16 +293,20 @@
         (count as f64 * self.key_weight > HOT_PART * fair).then_some(key)
     }
 
-    /// One key is too much for its holder, and cannot be divided: it goes to the target that can
-    /// carry most, and all other keys of that target go elsewhere.
+    /// One key is too much for its holder, and cannot be divided: it leaves a weak holder, and all
+    /// other keys of its holder go elsewhere.
     fn isolate(&self, holder: &Holder, key: Key, candidates: &[Candidate]) -> Option<Move> {
         let takers = candidates.iter().filter(|c| c.takes);
         let capacity = |holder: &Holder| {
             let own = candidates.iter().find(|c| c.holder == *holder);
             own.map_or(0.0, |candidate| candidate.capacity)
         };
-        let strongest = takers.max_by(|a, b| a.capacity.total_cmp(&b.capacity))?;
-        if strongest.capacity > capacity(holder) * STRONGER {
+        let mut order: Vec<&Candidate> = takers.collect();
+        order.sort_by(|a, b| a.capacity.total_cmp(&b.capacity));
+        let strongest = order.last()?;
+        let middle = order[order.len() / 2].capacity;
+        // How strong a target is shows only under load, so a holder that is not weak keeps the key.
+        if capacity(holder) * WEAK < middle && capacity(holder) * WEAK < strongest.capacity {
             return Some(Move {
                 from: key,
                 to: key,
--- a/crates/fleet/src/control/holders.rs
+++ b/crates/fleet/src/control/holders.rs
@@ -45,6 +45,10 @@
 const SAMPLE_AGE: Duration = Duration::from_millis(5000);
 /// How long a sampled key counts for a sudden rise.
 const RECENT_AGE: Duration = Duration::from_millis(1000);
+/// Time for which a range stays after a move for the sake of balance.
+const REST_AFTER_MOVE: Duration = Duration::from_millis(2500);
+/// A part of a range this many times narrower than the range does not rest with it.
+const NARROW_PART: u32 = 4;
 /// Weight of one answer in the mean time of a target.
 const TIME_WEIGHT: f64 = 0.03;
 /// Bounds of a target's capacity relative to the middle one.
@@ -58,6 +62,8 @@
 #[derive(Default)]
 pub(super) struct Holders {
     samples: BTreeMap<ServiceName, VecDeque<(Duration, Key)>>,
+    /// Ranges that moved for the sake of balance, and when.
+    moved: Vec<(ServiceName, Key, Key, Duration)>,
     /// Mean time of an answer in milliseconds.
     times: BTreeMap<TargetId, f64>,
     next_plan: Duration,
@@ -267,6 +273,17 @@
                 moves = balance::plan(&spans, &candidates, &sample);
             }
             for found in moves {
+                let leaves = candidates.iter().any(|candidate| {
+                    let held = |span: &&Span| span.from <= found.from && span.to >= found.from;
+                    let holder = spans
+                        .iter()
+                        .find(held)
+                        .and_then(|span| span.holder.as_ref());
+                    !candidate.takes && holder == Some(&candidate.holder)
+                });
+                if !leaves && !lead.holders.may_move(&service, found.from, found.to, now) {
+                    continue;
+                }
                 lead.grants
                     .begin_move(&service, found.from, found.to, &found.next);
                 out.push(Effect::Note(Note::Moving {
@@ -283,4 +300,22 @@
     fn may_plan(&self, now: Duration) -> bool {
         now >= self.next_plan
     }
+
+    /// Whether a range may move for the sake of balance. One that has just moved rests: the
+    /// samples still show the load at its former holder. A narrow part of it may go on, because
+    /// that is how a hot key is found.
+    fn may_move(&mut self, service: &ServiceName, from: Key, to: Key, now: Duration) -> bool {
+        self.moved
+            .retain(|(.., at)| now.saturating_sub(*at) < REST_AFTER_MOVE);
+        let mut recent = self.moved.iter();
+        let rests = |(name, f, t, _): &(ServiceName, Key, Key, Duration)| {
+            let overlaps = name == service && *f <= to && *t >= from;
+            overlaps && u32::from(t - f) < (u32::from(to - from) + 1) * NARROW_PART
+        };
+        if recent.any(rests) {
+            return false;
+        }
+        self.moved.push((service.clone(), from, to, now));
+        true
+    }
 }
