--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,6 @@
 mod answers;
 pub mod app;
 mod callers;
-mod clock;
 mod control_loop;
 mod entry_loop;
 mod flights;
@@ -25,4 +24,4 @@
 mod sync;
 mod targets;
 
-pub use clock::Clock;
+pub use camphordale_clock::Clock;
--- a/crates/entry/tests/load.rs
+++ b/crates/entry/tests/load.rs
@@ -1,5 +1,7 @@
 //! Patterns of load, each named by the test that answers it.
 
+#![allow(clippy::unwrap_used)]
+
 mod common;
 
 use std::collections::BTreeMap;
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -1,5 +1,7 @@
 //! The life of a request on one entry VM.
 
+#![allow(clippy::unwrap_used)]
+
 mod common;
 
 use camphordale_entry::{
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -1,5 +1,7 @@
 //! Which ranges move, under patterns of load that each test names.
 
+#![allow(clippy::unwrap_used)]
+
 use camphordale_fleet::{
     Holder, Key, Span,
     balance::{
--- a/crates/fleet/tests/grants.rs
+++ b/crates/fleet/tests/grants.rs
@@ -1,5 +1,7 @@
 //! Holds of keys: no two targets may hold a key at a time, whatever becomes of the calls.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     collections::{
         BTreeMap,
--- a/crates/reactor/src/engine.rs
+++ b/crates/reactor/src/engine.rs
@@ -43,7 +43,7 @@
     },
     targets::Pool, //
 };
-use crate::clock::Clock;
+use crate::Clock;
 
 /// Readiness events taken at a time.
 const EVENTS: usize = 256;
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -12,10 +12,8 @@
 //! | `dialect` | the edge to one deployment's protocol |
 //! | `settings` | checked settings |
 //! | `log`, `metrics` | what operators see |
-//! | `clock` | a clock that counts suspension |
 
 mod client_side;
-mod clock;
 mod control_process;
 mod dialect;
 mod engine;
@@ -32,7 +30,7 @@
     Expected,
     Progress, //
 };
-pub use clock::Clock;
+pub use camphordale_clock::Clock;
 pub use control_process::ControlProcess;
 pub use dialect::{
     CallKind,
--- a/crates/reactor/src/process.rs
+++ b/crates/reactor/src/process.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    clock::Clock,
+    Clock,
     control_process::ControlProcess,
     dialect::Dialect,
     engine::Engine,
