--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -25,12 +25,12 @@
 mod server_side;
 mod settings;
 
+pub use camphordale_clock::Clock;
 pub use client_side::{
     ClientSide,
     Expected,
     Progress, //
 };
-pub use camphordale_clock::Clock;
 pub use control_process::ControlProcess;
 pub use dialect::{
     CallKind,
