Trace a failed request from its id; log late and failed answers

Cause: a target's failure that was passed on and a late answer had no line, and nothing led from a request to the state that explains it. Change: lines for both, 100 lines of a kind in a second, camphorctl trace.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -52,6 +52,8 @@
     Explain(ExplainArgs),
     #[options(help = "show the state of the VM that answers")]
     Status(NoArgs),
+    #[options(help = "find the cause of a failed request in log files")]
+    Trace(TraceArgs),
 }
 
 // A command that only holds others.
@@ -146,6 +148,17 @@
     pub(crate) help: bool,
 }
 
+#[derive(Debug, Options)]
+#[options(no_short)]
+pub(crate) struct TraceArgs {
+    #[options(help = "show this text")]
+    pub(crate) help: bool,
+    #[options(free, required, help = "id of the request")]
+    pub(crate) request: String,
+    #[options(free, required, help = "log files of VMs, as JSON lines")]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 #[options(no_short)]
 pub(crate) struct FileArgs {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,6 +6,7 @@
 pub(crate) mod key;
 pub(crate) mod show;
 pub(crate) mod submit;
+pub(crate) mod trace;
 
 use crate::CliError;
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -59,6 +59,7 @@
         Command::Audit(group) => commands::audit::run(group.command, &client, console),
         Command::Key(group) => commands::key::run(group.command, console),
         Command::Explain(args) => commands::show::explain(&args, &client, console),
+        Command::Trace(args) => commands::trace::run(&args, console),
         Command::Status(_) => commands::show::status(&client, console),
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -165,6 +165,8 @@
     Failure,
     /// The target was slow; another one got the request too.
     Slow,
+    /// The target answered with success.
+    Success,
 }
 
 impl Verdict {
@@ -190,6 +192,7 @@
             Verdict::Expired => "expired",
             Verdict::Failure => "failure",
             Verdict::Slow => "slow",
+            Verdict::Success => "success",
         }
     }
 }
@@ -281,6 +284,10 @@
         flow: FlowId,
         /// The attempt.
         attempt: AttemptId,
+        /// What it took to get the answer.
+        decision: Decision,
+        /// Whether the answer comes after the route's objective.
+        late: bool,
     },
     /// Drop the answer of an attempt.
     Discard(AttemptId),
--- a/crates/entry/src/entry/repeat.rs
+++ b/crates/entry/src/entry/repeat.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use camphordale_fleet::TargetId;
+
 use super::{
     Answer,
     AttemptId,
+    Decision,
     Effect,
     Entry,
     FlowId,
@@ -51,7 +54,7 @@
                 let failed = status >= FAILURE;
                 flow.may_have_run |= failed;
                 self.peers.answered(&target, attempt, failed, load, now);
-                self.complete(id, attempt, failed, now, out);
+                self.complete(id, (attempt, target), failed, now, out);
             }
             Answer::NotExecuted { status, load } => {
                 let moved = status == MISDIRECTED && flow.key.is_some();
@@ -72,7 +75,7 @@
     fn complete(
         &mut self,
         id: FlowId,
-        attempt: AttemptId,
+        (attempt, target): (AttemptId, TargetId),
         failed: bool,
         now: Duration,
         out: &mut Vec<Effect>,
@@ -80,6 +83,7 @@
         let Some(flow) = self.flows.get(&id) else {
             return;
         };
+        let late = now > flow.arrived + flow.route.objective;
         if failed && flow.is_idempotent() {
             let others = !flow.open.is_empty();
             if others || self.repeat(id, Verdict::Failure, now, out) {
@@ -87,8 +91,22 @@
                 return;
             }
         }
+        let verdict = if failed {
+            Verdict::Failure
+        } else {
+            Verdict::Success
+        };
+        let decision = self.decision(id, verdict, now).map(|decision| Decision {
+            target: Some(target),
+            ..decision
+        });
         self.end(id, Some(attempt), out);
-        out.push(Effect::Pass { flow: id, attempt });
+        out.extend(decision.map(|decision| Effect::Pass {
+            flow: id,
+            attempt,
+            decision,
+            late,
+        }));
     }
 
     fn not_executed(&mut self, id: FlowId, moved: bool, now: Duration, out: &mut Vec<Effect>) {
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -16,7 +16,8 @@
     Event,
     FlowId,
     LinkEffect,
-    Note, //
+    Note,
+    Verdict, //
 };
 use camphordale_http::{
     OutRequest,
@@ -355,14 +356,21 @@
                 Effect::Discard(attempt) => {
                     self.answers.remove(&attempt);
                 }
-                Effect::Pass { flow, attempt } => {
+                Effect::Pass {
+                    flow,
+                    attempt,
+                    decision,
+                    late,
+                } => {
+                    self.log_answer(&decision, late, shared);
                     let response = self.answers.remove(&attempt);
                     let (Some(live), Some(response)) = (self.live.remove(&flow), response) else {
                         continue;
                     };
                     self.flows.remove(&live.conn);
                     let took = now.saturating_sub(live.arrived);
-                    shared.metrics.answered("all", response.status, took);
+                    let service = decision.service.as_deref().unwrap_or("-");
+                    shared.metrics.answered(service, response.status, took);
                     shared.engine.respond(live.conn, &response);
                 }
                 Effect::Refuse { flow, refusal } => {
@@ -437,6 +445,18 @@
         }
     }
 
+    /// Answers in time are counted only; a target's failure and a late answer have a line.
+    fn log_answer(&self, decision: &Decision, late: bool, shared: &mut Shared) {
+        let what = match decision.verdict {
+            Verdict::Failure => "target failed",
+            _ if late => "late",
+            _ => return,
+        };
+        if shared.may_log(what) {
+            self.log_decision(&shared.logger, what, decision);
+        }
+    }
+
     fn log_decision(&self, logger: &Logger, what: &'static str, decision: &Decision) {
         let live = self.live.get(&decision.flow);
         let id = live
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -146,7 +146,7 @@
             target_silence_ms: Duration::from_secs(20),
             member_silence_ms: Duration::from_millis(3500),
             apply_wait_ms: Duration::from_millis(500),
-            log_lines: 20,
+            log_lines: 100,
         }
     }
 }
