--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -194,6 +194,13 @@
         }
     }
 
+    /// The holder of a request's key by the view, whether it can be reached or not.
+    fn holder_of(&self, flow: &Flow) -> Option<TargetId> {
+        let map = self.view.keys.get(&flow.service)?;
+        let holder = map.find(flow.key?).holder.as_ref()?;
+        Some(holder.id.clone())
+    }
+
     /// Finds the holder of a key.
     fn choose_holder(
         &self,
@@ -321,7 +328,7 @@
             flow: id,
             verdict,
             service: Some(flow.service.clone()),
-            target: flow.tried.last().cloned(),
+            target: flow.tried.last().cloned().or_else(|| self.holder_of(flow)),
             attempts: flow.tried.len(),
             age: now.saturating_sub(flow.arrived),
             left: flow.deadline.saturating_sub(now),
