--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -86,23 +86,22 @@
     roster: Roster,
 }
 
-/// Founds a group: the first snapshot that all founding members start from.
-///
-/// ```
-/// use camphordale_fleet::{Control, Member};
-///
-/// let member = Member {
-///     id: 1,
-///     peer: "10.0.0.1:7000".parse()?,
-///     control: "10.0.0.1:8000".parse()?,
-///     domain: "a".into(),
-/// };
-/// let recovered = Control::found(vec![member])?;
-/// assert_eq!(recovered.snapshot.map(|s| s.members.voters.len()), Some(1));
-/// # Ok::<(), Box<dyn std::error::Error>>(())
-/// ```
 impl Control {
-    /// State of a founding member before its first start.
+    /// State of a founding member before its first start: the same for all members.
+    ///
+    /// ```
+    /// use camphordale_fleet::{Control, Member};
+    ///
+    /// let member = Member {
+    ///     id: 1,
+    ///     peer: "10.0.0.1:7000".parse()?,
+    ///     control: "10.0.0.1:8000".parse()?,
+    ///     domain: "a".into(),
+    /// };
+    /// let recovered = Control::found(vec![member])?;
+    /// assert_eq!(recovered.snapshot.map(|s| s.members.voters.len()), Some(1));
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     ///
     /// # Errors
     ///
--- a/crates/reactor/src/engine.rs
+++ b/crates/reactor/src/engine.rs
@@ -144,8 +144,8 @@
     pub malformed: u64,
     /// Connections opened to targets.
     pub opened: u64,
-    /// Connections between VMs that failed.
-    pub peer_failures: u64,
+    /// Connections between VMs that failed, and socket calls that did.
+    pub socket_errors: u64,
 }
 
 /// The readiness loop.
@@ -408,7 +408,7 @@
         }
         if self.poll.registry().deregister(&mut conn.socket).is_err() {
             // The socket is dropped in any case.
-            self.stats.peer_failures += 1;
+            self.stats.socket_errors += 1;
         }
         match conn.kind {
             Kind::Caller {
--- a/crates/reactor/src/engine/peers.rs
+++ b/crates/reactor/src/engine/peers.rs
@@ -72,7 +72,7 @@
             Some(key) => key,
             None => {
                 let Some(key) = self.open_peer(to, true, now) else {
-                    self.stats.peer_failures += 1;
+                    self.stats.socket_errors += 1;
                     return;
                 };
                 self.outbound.insert(to, self.conns[key].id);
@@ -97,7 +97,7 @@
         };
         let result = side.send(message, &mut conn.output);
         if result.is_err() || conn.output.len() > MAX_OUTPUT {
-            self.stats.peer_failures += 1;
+            self.stats.socket_errors += 1;
             return self.close_key(key, "message cannot be sent", now);
         }
         self.flush(key, now);
@@ -124,7 +124,7 @@
                 self.flush(key, now);
             }
             Err(error) => {
-                self.stats.peer_failures += 1;
+                self.stats.socket_errors += 1;
                 return self.close_key(key, &error.0, now);
             }
         }
--- a/crates/reactor/src/engine/targets.rs
+++ b/crates/reactor/src/engine/targets.rs
@@ -204,19 +204,17 @@
 
     pub(super) fn target_closed(&mut self, conn: Conn, reason: &str, now: Duration) {
         let Kind::Target {
-            address, carried, ..
+            address,
+            ref carried,
+            ..
         } = conn.kind
         else {
             return;
         };
         if let Some(carried) = carried {
             self.exchanges.remove(&carried.id);
-            // What was not delivered yet must not arrive later.
-            if SockRef::from(&conn.socket)
-                .set_linger(Some(Duration::ZERO))
-                .is_err()
-            {
-                self.stats.peer_failures += 1;
+            if reset_on_drop(&conn).is_err() {
+                self.stats.socket_errors += 1;
             }
             self.incoming.push(Incoming::Exchanged {
                 id: carried.id,
@@ -253,11 +251,11 @@
             if let Kind::Target { carried, .. } = &mut conn.kind {
                 *carried = None;
             }
-            if SockRef::from(&conn.socket)
-                .set_linger(Some(Duration::ZERO))
-                .is_err()
+            // The exchange is gone, so closing tells nobody; the target sees a reset.
+            if let Some(conn) = self.conns.get(key)
+                && reset_on_drop(conn).is_err()
             {
-                self.stats.peer_failures += 1;
+                self.stats.socket_errors += 1;
             }
             return self.close_key(key, "given up", now);
         }
@@ -266,3 +264,9 @@
         }
     }
 }
+
+/// Makes the socket reset its connection when it is dropped, so that what was not delivered yet
+/// does not arrive later.
+fn reset_on_drop(conn: &Conn) -> std::io::Result<()> {
+    SockRef::from(&conn.socket).set_linger(Some(Duration::ZERO))
+}
--- a/crates/reactor/src/process.rs
+++ b/crates/reactor/src/process.rs
@@ -173,7 +173,7 @@
         self.metrics.level("malformed", stats.malformed);
         self.metrics
             .level("target-connections-opened", stats.opened);
-        self.metrics.level("peer-failures", stats.peer_failures);
+        self.metrics.level("socket-errors", stats.socket_errors);
         self.metrics.level("log-lines-dropped", self.sink.dropped());
         match self.metrics.render() {
             Ok(text) => Response::new(200, text.into_bytes())
