Move hot keys to the strongest target, by absolute load; log what decided a refusal

Ruled out: targets that weaken when full. Change: capacities and demand in requests a second; a key that needs 0.7 of its holder goes to a target that carries 1.25 times as much; a holder below half of its capacity is not relieved. Decisions carry the target's load, the report's age, the expected time and failures. Tests: balance/hot_key_goes_to_the_strongest_target_at_once, balance/hot_key_stays_where_there_is_room (both fail with the rule of before, tried on a scratch copy).

--- a/crates/daemon/tests/failures.rs
+++ b/crates/daemon/tests/failures.rs
@@ -169,6 +169,9 @@
     assert_eq!(ended, Some(true), "{}", daemon.log_text());
     let (summary, records) = load.finish();
     println!("term: {summary:?}");
+    if count(&summary, Outcome::Ok) != summary.requests {
+        site.explain(&records);
+    }
     let cut: Vec<_> = records
         .iter()
         .filter(|record| record.outcome != Outcome::Ok && !record.outcome.is_harmless())
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -247,6 +247,23 @@
         Load { thread, records }
     }
 
+    /// Prints every attempt of the requests that did not end well, and the logs of all VMs.
+    pub fn explain(&mut self, records: &[Record]) {
+        let failed: std::collections::BTreeSet<_> = records
+            .iter()
+            .filter(|record| record.last && record.outcome != camphordale_standin::Outcome::Ok)
+            .map(|record| record.id.clone())
+            .collect();
+        for record in records.iter().filter(|record| failed.contains(&record.id)) {
+            println!("attempt: {record:?}");
+        }
+        for number in 1..=self.vms {
+            if let Some(daemon) = self.fleet.daemon(vm(number)) {
+                println!("log of VM {number}:\n{}", daemon.log_text());
+            }
+        }
+    }
+
     /// Checks the journals of all targets against the records.
     pub fn check(&self, records: &[Record]) -> CheckReport {
         let mut entries: Vec<Entry> = Vec::new();
--- a/crates/entry/src/choice.rs
+++ b/crates/entry/src/choice.rs
@@ -75,11 +75,6 @@
 }
 
 impl Situation<'_> {
-    /// Expected time of one more request at a target in seconds.
-    fn expected(&self, peer: &Peer) -> f64 {
-        peer.mean() * peer.slowdown(self.now)
-    }
-
     /// The longest expected time with which a request is admitted: beyond the objective, others
     /// would be late too. A caller that came back has waited already and gets what time is left.
     fn limit(&self) -> f64 {
@@ -123,7 +118,7 @@
             if !peer.takes || self.tried.contains(id) {
                 continue;
             }
-            let expected = self.expected(peer);
+            let expected = peer.expected(self.now);
             if peer.is_paused(self.now) || peer.is_stuck(self.now) {
                 let paused = peer.is_paused(self.now);
                 if !paused && fallback.is_none_or(|(other, _)| expected < other) {
@@ -168,7 +163,7 @@
 
     /// Whether the holder of a key can take a request now.
     pub fn admits(&self, peer: &Peer) -> Result<(), Shortage> {
-        let expected = self.expected(peer);
+        let expected = peer.expected(self.now);
         if self.is_full(peer, self.share.all) || expected > self.limit() {
             return Err(Shortage::Full(Duration::from_secs_f64(expected)));
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -40,6 +40,7 @@
     },
     routes::RouteTable,
     targets::{
+        Evidence,
         LoadReport,
         Peers, //
     },
@@ -233,6 +234,8 @@
     pub key: Option<Key>,
     /// Index of the view that the decision rests on.
     pub view: u64,
+    /// What was known of the target.
+    pub evidence: Option<Evidence>,
 }
 
 /// Something that changed what the process believes; the edge logs and counts it.
--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -89,6 +89,7 @@
                 left: arrival.patience.unwrap_or_default(),
                 key: arrival.key,
                 view,
+                evidence: None,
             })));
             out.push(Effect::Refuse { flow, refusal });
         };
@@ -324,11 +325,15 @@
 
     pub(super) fn decision(&self, id: FlowId, verdict: Verdict, now: Duration) -> Option<Decision> {
         let flow = self.flows.get(&id)?;
+        let target = flow.tried.last().cloned().or_else(|| self.holder_of(flow));
+        let peer = target.as_deref().and_then(|target| self.peers.get(target));
+        let evidence = peer.map(|peer| peer.evidence(now));
         Some(Decision {
             flow: id,
             verdict,
             service: Some(flow.service.clone()),
-            target: flow.tried.last().cloned().or_else(|| self.holder_of(flow)),
+            target,
+            evidence,
             attempts: flow.tried.len(),
             age: now.saturating_sub(flow.arrived),
             left: flow.deadline.saturating_sub(now),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,6 +48,7 @@
 };
 pub use routes::RouteTable;
 pub use targets::{
+    Evidence,
     LoadReport,
     Peer,
     Peers, //
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -52,6 +52,23 @@
     pub slots: u32,
 }
 
+/// What this VM knows of a target at the time of a decision, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Evidence {
+    /// Requests of this VM under way there.
+    pub open: usize,
+    /// Requests that the target probably has from all VMs.
+    pub load: f64,
+    /// Expected time of one more request.
+    pub expected: Duration,
+    /// Age of the target's last report of its load, if there was one.
+    pub age: Option<Duration>,
+    /// Share of recent requests that failed.
+    pub failing: f64,
+    /// Whether the target gets no requests now because it could not be reached or does not answer.
+    pub silent: bool,
+}
+
 /// A request under way.
 #[derive(Clone, Copy, Debug)]
 struct Started {
@@ -170,6 +187,24 @@
         1.0 + BUSY_PART * busy * busy + wait
     }
 
+    /// Expected time of one more request in seconds.
+    pub fn expected(&self, now: Duration) -> f64 {
+        self.mean() * self.slowdown(now)
+    }
+
+    /// What this VM knows of the target now.
+    pub fn evidence(&self, now: Duration) -> Evidence {
+        let reported = !self.reported.is_zero();
+        Evidence {
+            open: self.open.len(),
+            load: self.load(now),
+            expected: Duration::from_secs_f64(self.expected(now)),
+            age: reported.then(|| now.saturating_sub(self.reported)),
+            failing: self.failing,
+            silent: self.is_paused(now) || self.is_stuck(now),
+        }
+    }
+
     fn fail(&mut self, now: Duration) {
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LAST_PAUSE);
         self.paused_until = now + self.pause;
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -1,7 +1,8 @@
 //! Which ranges of keys should move, and where to.
 //!
 //! The input is a sample of recent keys, so a range weighs as much as the requests for it. Moves
-//! are few and narrow: each moved key is unavailable for a moment.
+//! are few and narrow: each moved key is unavailable for a moment. Holders that have room keep
+//! what they have.
 
 use std::collections::BTreeMap;
 
@@ -26,8 +27,13 @@
 const EVEN_PART: f64 = 0.1;
 /// A key that alone is this part of its holder's fair load is kept apart from other keys.
 const HOT_PART: f64 = 0.9;
-/// A hot key leaves a holder if the middle target can carry this multiple of what the holder can.
-const WEAK: f64 = 1.25;
+/// A hot key leaves its holder if another target can carry this multiple of what the holder can.
+const STRONGER: f64 = 1.25;
+/// A holder whose load is below this part of its capacity is not relieved: its requests hardly
+/// wait, and a move would make them.
+const BUSY_USE: f64 = 0.5;
+/// A hot key that takes less than this part of its holder's capacity stays there.
+const HOT_USE: f64 = 0.7;
 /// Multiple of its fair load up to which a target takes keys from the holder of a hot key.
 const ROOM: f64 = 1.2;
 /// Least part of a range that moves at a time.
@@ -42,12 +48,21 @@
 pub struct Candidate {
     /// The target.
     pub holder: Holder,
-    /// How much load it can carry, relative to the others.
+    /// Requests that it can carry in a second.
     pub capacity: f64,
     /// Whether it may take more keys.
     pub takes: bool,
 }
 
+/// Recent requests for the keys of one service.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// A sample of their keys, in any order.
+    pub sample: &'a [Key],
+    /// Requests in a second.
+    pub rate: f64,
+}
+
 /// A range that should go to another holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
@@ -65,6 +80,8 @@
     sample: Vec<Key>,
     key_weight: f64,
     width_weight: f64,
+    /// All requests in a second, as a part of all that the takers can carry.
+    use_of_all: f64,
     load: BTreeMap<Holder, f64>,
     fair: BTreeMap<Holder, f64>,
 }
@@ -105,12 +122,26 @@
 }
 
 /// Returns the moves that should begin now. `spans` are those of one service that are not on the
-/// move, `sample` holds recent keys in any order.
-pub fn plan(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Vec<Move> {
-    let mut loads = Loads::new(spans, candidates, sample);
+/// move.
+///
+/// ```
+/// use camphordale_fleet::{Holder, Span, balance::{Candidate, Demand, plan}};
+///
+/// let holder = |id: &str| Holder { id: id.into(), born: 1 };
+/// let candidate = |id: &str, takes| Candidate { holder: holder(id), capacity: 30.0, takes };
+/// let span = Span { from: 0, to: u16::MAX, holder: Some(holder("a")), handover: None };
+/// let moves = plan(
+///     &[span],
+///     &[candidate("a", false), candidate("b", true)],
+///     &Demand { sample: &[], rate: 0.0 },
+/// );
+/// assert_eq!(moves[0].next, holder("b"));
+/// ```
+pub fn plan(spans: &[Span], candidates: &[Candidate], demand: &Demand<'_>) -> Vec<Move> {
+    let mut loads = Loads::new(spans, candidates, demand);
     let mut out = loads.leaving(candidates);
     for _ in out.len()..MAX_MOVES {
-        match loads.next_move(candidates, sample.len() >= MIN_SAMPLE) {
+        match loads.next_move(candidates, demand.sample.len() >= MIN_SAMPLE) {
             Some((donor, found)) => {
                 loads.shift(&donor, &found);
                 out.push(found);
@@ -123,11 +154,13 @@
 
 /// Picks the candidate that carries the least load for its capacity.
 pub fn heir(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Option<Holder> {
-    Loads::new(spans, candidates, sample).least(candidates)
+    let demand = Demand { sample, rate: 0.0 };
+    Loads::new(spans, candidates, &demand).least(candidates)
 }
 
 impl Loads {
-    fn new(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Loads {
+    fn new(spans: &[Span], candidates: &[Candidate], demand: &Demand<'_>) -> Loads {
+        let sample = demand.sample;
         let mut sorted = sample.to_vec();
         sorted.sort_unstable();
         let sampled = if sample.is_empty() {
@@ -141,11 +174,13 @@
             sample: sorted,
             key_weight: sampled,
             width_weight: even / ALL_KEYS,
+            use_of_all: 0.0,
             load: BTreeMap::new(),
             fair: BTreeMap::new(),
         };
         let takers = candidates.iter().filter(|c| c.takes);
         let sum: f64 = takers.clone().map(|c| c.capacity).sum();
+        loads.use_of_all = demand.rate / sum.max(f64::MIN_POSITIVE);
         for candidate in takers {
             let fair = candidate.capacity / sum;
             loads.fair.insert(candidate.holder.clone(), fair);
@@ -175,6 +210,12 @@
         self.load.get(holder).copied().unwrap_or(0.0) / fair
     }
 
+    /// The part of its capacity that a holder uses for a load, which is a part of all requests.
+    fn use_of(&self, holder: &Holder, load: f64) -> f64 {
+        let fair = self.fair.get(holder).copied().unwrap_or(f64::MIN_POSITIVE);
+        load / fair * self.use_of_all
+    }
+
     fn least(&self, candidates: &[Candidate]) -> Option<Holder> {
         let takers = candidates.iter().filter(|c| c.takes);
         let least = takers.min_by(|a, b| self.ratio(&a.holder).total_cmp(&self.ratio(&b.holder)));
@@ -274,9 +315,8 @@
         Some((donor.holder.clone(), Move { from, to, next }))
     }
 
-    /// The key of a holder that alone is more than its fair load, if there is one.
-    fn hot_key(&self, holder: &Holder) -> Option<Key> {
-        let fair = self.fair.get(holder)?;
+    /// The part of all requests that is for the hottest key of a holder, and the key.
+    fn hottest(&self, holder: &Holder) -> (f64, Key) {
         let own = self
             .spans
             .iter()
@@ -290,27 +330,39 @@
             }
         }
         let (count, key) = best;
-        (count as f64 * self.key_weight > HOT_PART * fair).then_some(key)
+        (count as f64 * self.key_weight, key)
     }
 
-    /// One key is too much for its holder, and cannot be divided: it leaves a weak holder, and all
-    /// other keys of its holder go elsewhere.
+    /// The key of a holder that alone is about its fair load and keeps it busy, if there is one.
+    fn hot_key(&self, holder: &Holder) -> Option<Key> {
+        let fair = self.fair.get(holder)?;
+        let (load, key) = self.hottest(holder);
+        (load > HOT_PART * fair && self.use_of(holder, load) > BUSY_USE).then_some(key)
+    }
+
+    /// The target that can carry a hot key far better than its holder, if there is one.
+    fn stronger(&self, holder: &Holder, candidates: &[Candidate]) -> Option<Holder> {
+        let (load, _) = self.hottest(holder);
+        if self.use_of(holder, load) < HOT_USE {
+            return None;
+        }
+        let own = candidates.iter().find(|c| c.holder == *holder)?;
+        // Two hot keys on one target would displace each other.
+        let others = candidates
+            .iter()
+            .filter(|c| c.takes && c.holder != *holder && self.hot_key(&c.holder).is_none());
+        let strongest = others.max_by(|a, b| a.capacity.total_cmp(&b.capacity))?;
+        (strongest.capacity > own.capacity * STRONGER).then(|| strongest.holder.clone())
+    }
+
+    /// One key is too much for its holder, and cannot be divided: it goes to a far stronger target
+    /// if there is one, and all other keys of its holder go elsewhere.
     fn isolate(&self, holder: &Holder, key: Key, candidates: &[Candidate]) -> Option<Move> {
-        let takers = candidates.iter().filter(|c| c.takes);
-        let capacity = |holder: &Holder| {
-            let own = candidates.iter().find(|c| c.holder == *holder);
-            own.map_or(0.0, |candidate| candidate.capacity)
-        };
-        let mut order: Vec<&Candidate> = takers.collect();
-        order.sort_by(|a, b| a.capacity.total_cmp(&b.capacity));
-        let strongest = order.last()?;
-        let middle = order[order.len() / 2].capacity;
-        // How strong a target is shows only under load, so a holder that is not weak keeps the key.
-        if capacity(holder) * WEAK < middle && capacity(holder) * WEAK < strongest.capacity {
+        if let Some(next) = self.stronger(holder, candidates) {
             return Some(Move {
                 from: key,
                 to: key,
-                next: strongest.holder.clone(),
+                next,
             });
         }
         let own = self
@@ -353,7 +405,8 @@
     /// Whether a holder's load is high beyond the noise of the sample.
     fn is_high(&self, holder: &Holder, ratio: f64) -> bool {
         let fair = self.fair.get(holder).copied().unwrap_or(0.0) * self.sample.len() as f64;
-        ratio > HIGH && (ratio - 1.0) * fair > DEVIATIONS * fair.sqrt()
+        let busy = ratio * self.use_of_all > BUSY_USE;
+        busy && ratio > HIGH && (ratio - 1.0) * fair > DEVIATIONS * fair.sqrt()
     }
 
     /// The narrowest range of the donor with about the wanted load.
--- a/crates/fleet/src/control/holders.rs
+++ b/crates/fleet/src/control/holders.rs
@@ -17,7 +17,8 @@
 use crate::{
     balance::{
         self,
-        Candidate, //
+        Candidate,
+        Demand, //
     },
     directory::{
         Holder,
@@ -51,17 +52,48 @@
 const NARROW_PART: u32 = 4;
 /// Weight of one answer in the mean time of a target.
 const TIME_WEIGHT: f64 = 0.03;
-/// Bounds of a target's capacity relative to the middle one.
-const CAPACITY: (f64, f64) = (0.4, 2.0);
+/// Bounds of a target's speed relative to the middle one.
+const SPEED: (f64, f64) = (0.4, 2.0);
+/// Assumed time of an answer in milliseconds while no target of a service has answered.
+const FIRST_GUESS_MS: f64 = 150.0;
 /// Most sampled keys of one service.
 const SAMPLE_MAX: usize = 4000;
 /// Time without an announcement after which a target gets no more keys.
 const FRESH: Duration = Duration::from_millis(2500);
 
+/// Recent requests of one service, by the time at which they were reported.
+#[derive(Default)]
+struct Requests {
+    keys: VecDeque<(Duration, Key)>,
+    counts: VecDeque<(Duration, u32)>,
+}
+
+impl Requests {
+    fn forget(&mut self, before: Duration) {
+        let old = self.keys.partition_point(|(at, _)| *at < before);
+        self.keys.drain(..old);
+        let old = self.counts.partition_point(|(at, _)| *at < before);
+        self.counts.drain(..old);
+    }
+
+    fn sample(&self, since: Duration) -> Vec<Key> {
+        let recent = self.keys.iter().filter(|(at, _)| *at >= since);
+        recent.map(|(_, key)| *key).collect()
+    }
+
+    /// Requests in a second since then.
+    fn rate(&self, since: Duration, now: Duration) -> f64 {
+        let recent = self.counts.iter().filter(|(at, _)| *at >= since);
+        let count: u32 = recent.map(|(_, count)| count).sum();
+        let time = now.saturating_sub(since).as_secs_f64();
+        f64::from(count) / time.max(f64::MIN_POSITIVE)
+    }
+}
+
 /// What the leader knows of the load on keys.
 #[derive(Default)]
 pub(super) struct Holders {
-    samples: BTreeMap<ServiceName, VecDeque<(Duration, Key)>>,
+    requests: BTreeMap<ServiceName, Requests>,
     /// Ranges that moved for the sake of balance, and when.
     moved: Vec<(ServiceName, Key, Key, Duration)>,
     /// Mean time of an answer in milliseconds.
@@ -73,28 +105,32 @@
     /// Takes the report of an entry VM.
     pub(super) fn record(&mut self, load: Vec<KeyLoad>, now: Duration) {
         for KeyLoad {
-            service, sample, ..
+            service,
+            total,
+            sample,
         } in load
         {
-            let kept = self.samples.entry(service).or_default();
-            kept.extend(sample.into_iter().map(|key| (now, key)));
-            let over = kept.len().saturating_sub(SAMPLE_MAX);
-            kept.drain(..over);
+            let Requests { keys, counts } = self.requests.entry(service).or_default();
+            counts.push_back((now, total));
+            keys.extend(sample.into_iter().map(|key| (now, key)));
+            let over = keys.len().saturating_sub(SAMPLE_MAX);
+            keys.drain(..over);
         }
     }
 
     fn forget(&mut self, now: Duration) {
-        for kept in self.samples.values_mut() {
-            let old = kept.partition_point(|(at, _)| now.saturating_sub(*at) > SAMPLE_AGE);
-            kept.drain(..old);
+        for requests in self.requests.values_mut() {
+            requests.forget(now.saturating_sub(SAMPLE_AGE));
         }
     }
 
-    /// Keys sampled since `since`.
-    fn sample(&self, service: &str, since: Duration) -> Vec<Key> {
-        let kept = self.samples.get(service).into_iter().flatten();
-        let recent = kept.filter(|(at, _)| *at >= since);
-        recent.map(|(_, key)| *key).collect()
+    /// Keys sampled within `age`, and the requests in a second during that time.
+    fn demand(&self, service: &str, age: Duration, now: Duration) -> (Vec<Key>, f64) {
+        let since = now.saturating_sub(age);
+        match self.requests.get(service) {
+            Some(requests) => (requests.sample(since), requests.rate(since, now)),
+            None => (Vec::new(), 0.0),
+        }
     }
 
     /// Takes the times that an entry VM reports.
@@ -110,16 +146,19 @@
         }
     }
 
-    /// How fast a target is, relative to the middle one of the service.
-    fn speed(&self, id: &TargetId, middle: f64) -> f64 {
+    /// Requests that a target can carry in a second. `middle` is the time of an answer of the
+    /// middle target of the service in milliseconds.
+    fn capacity(&self, id: &TargetId, slots: u32, middle: f64) -> f64 {
         let mean = self.times.get(id).copied().unwrap_or(middle);
-        (middle / mean.max(1.0)).clamp(CAPACITY.0, CAPACITY.1)
+        let speed = (middle / mean.max(1.0)).clamp(SPEED.0, SPEED.1);
+        f64::from(slots.max(1)) * speed * 1000.0 / middle
     }
 
     fn middle_time<'a>(&self, ids: impl Iterator<Item = &'a TargetId>) -> f64 {
         let mut times: Vec<f64> = ids.filter_map(|id| self.times.get(id)).copied().collect();
         times.sort_by(f64::total_cmp);
-        times.get(times.len() / 2).copied().unwrap_or(1.0)
+        let middle = times.get(times.len() / 2).copied();
+        middle.unwrap_or(FIRST_GUESS_MS).max(1.0)
     }
 }
 
@@ -165,7 +204,7 @@
             }
             out.push(Candidate {
                 holder,
-                capacity: f64::from(target.slots.max(1)) * lead.holders.speed(id, middle),
+                capacity: lead.holders.capacity(id, target.slots, middle),
                 takes: ready,
             });
         }
@@ -234,7 +273,7 @@
         for service in services {
             let candidates = self.candidates(&service, now);
             let Some(lead) = &self.lead else { return };
-            let sample = lead.holders.sample(&service, Duration::ZERO);
+            let (sample, _) = lead.holders.demand(&service, SAMPLE_AGE, now);
             let spans: Vec<Span> = lead
                 .grants
                 .leases(&service)
@@ -276,12 +315,15 @@
                 continue;
             }
             let spans: Vec<Span> = leases.iter().map(Lease::span).collect();
-            let recent = now.saturating_sub(RECENT_AGE);
-            let sample = lead.holders.sample(&service, recent);
-            let mut moves = balance::plan(&spans, &candidates, &sample);
-            if moves.is_empty() {
-                let sample = lead.holders.sample(&service, Duration::ZERO);
-                moves = balance::plan(&spans, &candidates, &sample);
+            let mut moves = Vec::new();
+            // A sudden rise shows in the last moments, a slow one only in a longer sample.
+            for age in [RECENT_AGE, SAMPLE_AGE] {
+                let (sample, rate) = lead.holders.demand(&service, age, now);
+                let sample = &sample;
+                moves = balance::plan(&spans, &candidates, &Demand { sample, rate });
+                if !moves.is_empty() {
+                    break;
+                }
             }
             for found in moves {
                 let leaves = candidates.iter().any(|candidate| {
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -5,11 +5,12 @@
 use camphordale_fleet::{
     Holder, Key, Span,
     balance::{
+        self,
         Candidate,
+        Demand,
         Move,
         divide,
-        heir,
-        plan, //
+        heir, //
     },
 };
 use rand::{
@@ -44,6 +45,12 @@
     moves.iter().map(span).collect()
 }
 
+/// The plan while the targets have just room for all requests.
+fn plan(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Vec<Move> {
+    let rate = candidates.iter().map(|c| c.capacity).sum();
+    balance::plan(spans, candidates, &Demand { sample, rate })
+}
+
 /// Carries a plan out, key by key.
 fn owners(spans: &[Span]) -> Vec<Option<Holder>> {
     let mut out = vec![None; 65536];
@@ -247,3 +254,42 @@
         }
     }
 }
+
+/// A key is hot while its holder is neither the weakest nor the strongest target: it goes to the
+/// strongest at once. Seen on a calm day: the key stayed with a middling holder that could not
+/// carry it, beside two that could.
+#[test]
+fn hot_key_goes_to_the_strongest_target_at_once() {
+    let mut candidates = candidates(8);
+    candidates[0].capacity = 52.0;
+    for (number, candidate) in candidates.iter_mut().enumerate().skip(1) {
+        candidate.capacity = [34.0, 52.0, 52.0, 86.0][number % 4];
+    }
+    let now = spans(&divide(&candidates));
+    let mut sample = even(120, 1);
+    sample.extend(std::iter::repeat_n(1000, 60));
+    let demand = Demand {
+        sample: &sample,
+        rate: 180.0,
+    };
+    let moves = balance::plan(&now, &candidates, &demand);
+    let hot = moves
+        .iter()
+        .find(|found| (found.from, found.to) == (1000, 1000));
+    let next = hot.map(|found| found.next.id.to_string());
+    assert!(matches!(next.as_deref(), Some("t3" | "t7")), "{moves:?}");
+}
+
+/// A key is hot but its holder has room for it: nothing moves.
+#[test]
+fn hot_key_stays_where_there_is_room() {
+    let candidates = candidates(8);
+    let now = spans(&divide(&candidates));
+    let mut sample = even(120, 1);
+    sample.extend(std::iter::repeat_n(1000, 60));
+    let demand = Demand {
+        sample: &sample,
+        rate: 4.0,
+    };
+    assert!(balance::plan(&now, &candidates, &demand).is_empty());
+}
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -443,7 +443,14 @@
         let id = live
             .and_then(|live| live.fields.id.as_deref())
             .unwrap_or("-");
+        let seen = decision.evidence.as_ref();
         info!(logger, "{}", what;
+            "report_age_ms" => seen.and_then(|seen| seen.age).map(|age| age.as_millis() as u64),
+            "silent" => seen.map(|seen| seen.silent),
+            "failing" => seen.map(|seen| seen.failing as f32),
+            "expected_ms" => seen.map(|seen| seen.expected.as_millis() as u64),
+            "load" => seen.map(|seen| seen.load as f32),
+            "open" => seen.map(|seen| seen.open),
             "request" => id,
             "reason" => decision.verdict.name(),
             "service" => decision.service.as_deref().unwrap_or("-"),
