Lead sooner after a restart of everything, and tell entry VMs at once

Ruled out: remembering when a heartbeat was answered (no clock survives a loss of power). The raft simulation now runs with a lease below the election time throughout.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -512,6 +512,7 @@
         raft: RaftConfig {
             id: identity.member,
             election: settings.control.election,
+            lease: settings.control.election,
             heartbeat: settings.control.heartbeat,
             batch: 256,
             seed: rand::random(),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -29,7 +29,10 @@
 };
 
 use self::{
-    flow::Flow,
+    flow::{
+        Flow,
+        Unrouted, //
+    },
     view::KeySample, //
 };
 use crate::{
@@ -321,6 +324,7 @@
     handovers: Handovers,
     budgets: HashMap<ServiceName, Budget>,
     flows: HashMap<FlowId, Flow>,
+    unrouted: Vec<Unrouted>,
     attempts: HashMap<AttemptId, FlowId>,
     timers: BTreeSet<(Duration, FlowId)>,
     parked: BTreeSet<FlowId>,
@@ -359,6 +363,7 @@
             handovers: Handovers::default(),
             budgets: HashMap::new(),
             flows: HashMap::new(),
+            unrouted: Vec::new(),
             attempts: HashMap::new(),
             timers: BTreeSet::new(),
             parked: BTreeSet::new(),
@@ -378,7 +383,7 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut out),
-            Event::Request(arrival) => self.request(arrival, now, &mut out),
+            Event::Request(arrival) => self.arrived(arrival, now, &mut out),
             Event::CallerGone(flow) => self.caller_gone(flow, &mut out),
             Event::Answered { attempt, answer } => self.answered(attempt, answer, now, &mut out),
             Event::Stream(message) => self.stream(message, now, &mut out),
@@ -402,17 +407,18 @@
 
     /// Requests under way.
     pub fn flows(&self) -> usize {
-        self.flows.len()
+        self.flows.len() + self.unrouted.len()
     }
 
     /// Whether a request is under way.
     pub fn has_flow(&self, flow: FlowId) -> bool {
-        self.flows.contains_key(&flow)
+        self.flows.contains_key(&flow) || self.unrouted.iter().any(|u| u.arrival.flow == flow)
     }
 
-    /// When the next tick is needed for a request.
-    pub fn next_due(&self) -> Option<Duration> {
-        self.timers.first().map(|(at, _)| *at)
+    /// When the next tick is needed.
+    pub fn next_due(&self) -> Duration {
+        let link = self.link.next_due();
+        self.timers.first().map_or(link, |(at, _)| link.min(*at))
     }
 
     /// Replaces the addresses of control VMs from the settings.
--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -37,8 +37,14 @@
 const HEDGE_PART: f64 = 0.6;
 /// A caller that waits for less than this part of the route's timeout has tried before.
 const RETURNED_PART: f64 = 0.9;
+/// Part of its patience for which a caller waits here for the first routing.
+const ROUTING_PART: u32 = 4;
+/// Longest wait for the first routing: the time that an election takes.
+const ROUTING_WAIT: Duration = Duration::from_millis(300);
+/// Most requests that wait for the first routing.
+const MAX_UNROUTED: usize = 256;
 /// When to come back if this VM has no routing yet.
-const NO_ROUTING_PAUSE: Duration = Duration::from_millis(400);
+const NO_ROUTING_PAUSE: Duration = Duration::from_millis(250);
 /// When to come back if a key is still between two holders.
 const MOVING_PAUSE: Duration = Duration::from_millis(150);
 /// When to come back if a service has no target or a key no holder.
@@ -46,6 +52,13 @@
 /// Bounds of the time after which to come back when targets are full.
 const FULL_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// A request that came before the first routing.
+pub(super) struct Unrouted {
+    pub(super) arrival: Arrival,
+    arrived: Duration,
+    until: Duration,
+}
+
 /// A request under way.
 pub(super) struct Flow {
     pub(super) route: Arc<Route>,
@@ -81,7 +94,47 @@
 }
 
 impl Entry {
-    pub(super) fn request(&mut self, arrival: Arrival, now: Duration, out: &mut Vec<Effect>) {
+    /// Takes a request. A VM that has just started lets it wait for a moment: after a restart of
+    /// everything the routing is on its way.
+    pub(super) fn arrived(&mut self, arrival: Arrival, now: Duration, out: &mut Vec<Effect>) {
+        if self.view.routing.is_some() || self.unrouted.len() >= MAX_UNROUTED {
+            return self.request(arrival, now, now, out);
+        }
+        let patience = arrival.patience.unwrap_or(ROUTING_WAIT * ROUTING_PART);
+        let until = now + (patience / ROUTING_PART).min(ROUTING_WAIT);
+        self.timers.insert((until, arrival.flow));
+        self.unrouted.push(Unrouted {
+            arrival,
+            arrived: now,
+            until,
+        });
+    }
+
+    /// Goes on with requests that waited for the first routing.
+    pub(super) fn route_waiting(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        for waiting in std::mem::take(&mut self.unrouted) {
+            self.request(waiting.arrival, waiting.arrived, now, out);
+        }
+    }
+
+    fn routing_overdue(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
+        let found = self
+            .unrouted
+            .iter()
+            .position(|waiting| waiting.arrival.flow == id && now >= waiting.until);
+        if let Some(at) = found {
+            let waiting = self.unrouted.swap_remove(at);
+            self.request(waiting.arrival, waiting.arrived, now, out);
+        }
+    }
+
+    fn request(
+        &mut self,
+        arrival: Arrival,
+        arrived: Duration,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
         let flow = arrival.flow;
         let refuse = |refusal, verdict, view: u64, out: &mut Vec<Effect>| {
             out.push(Effect::Note(Note::Refused(Decision {
@@ -90,7 +143,7 @@
                 service: None,
                 target: None,
                 attempts: 0,
-                age: Duration::ZERO,
+                age: now.saturating_sub(arrived),
                 left: arrival.patience.unwrap_or_default(),
                 key: arrival.key,
                 view,
@@ -126,7 +179,7 @@
         }
         let patience = arrival.patience.unwrap_or(route.timeout);
         let returned = patience < route.timeout.mul_f64(RETURNED_PART);
-        let deadline = now + patience.min(route.timeout);
+        let deadline = arrived + patience.min(route.timeout);
         self.timers.insert((deadline, flow));
         self.flows.insert(
             flow,
@@ -134,7 +187,7 @@
                 route,
                 service,
                 key,
-                arrived: now,
+                arrived,
                 deadline,
                 tried: Vec::new(),
                 sends: 0,
@@ -441,7 +494,7 @@
     /// A timer of a request has passed.
     pub(super) fn flow_due(&mut self, id: FlowId, now: Duration, out: &mut Vec<Effect>) {
         let Some(flow) = self.flows.get(&id) else {
-            return;
+            return self.routing_overdue(id, now, out);
         };
         if now >= flow.deadline {
             let sent = flow.may_have_run || !flow.open.is_empty();
@@ -463,6 +516,7 @@
 
     pub(super) fn caller_gone(&mut self, id: FlowId, out: &mut Vec<Effect>) {
         let Some(flow) = self.flows.get_mut(&id) else {
+            self.unrouted.retain(|waiting| waiting.arrival.flow != id);
             return;
         };
         // Work that may run once is left to end by itself.
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -106,7 +106,7 @@
                 self.draining.entry(id.clone()).or_insert(Duration::ZERO);
             }
         }
-        self.follow_routing(old, out);
+        self.follow_routing(old, now, out);
         self.peers.repeat_times();
         self.next_times = now;
         self.handovers.clear();
@@ -122,7 +122,7 @@
         self.view.apply(index, command);
         match command {
             Command::Change(_) => {
-                self.follow_routing(old, out);
+                self.follow_routing(old, now, out);
                 self.confirm(now, out);
             }
             Command::Announce { id, target } => {
@@ -151,7 +151,7 @@
         self.view.routing.as_ref().map_or(0, |r| r.version)
     }
 
-    fn follow_routing(&mut self, old: u64, out: &mut Vec<Effect>) {
+    fn follow_routing(&mut self, old: u64, now: Duration, out: &mut Vec<Effect>) {
         let Some(routing) = &self.view.routing else {
             return;
         };
@@ -175,6 +175,7 @@
             version: routing.version,
             view: self.view.index,
         }));
+        self.route_waiting(now, out);
     }
 
     /// Tells the leader at once that a routing is in force here: an operator waits for it.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -20,8 +20,8 @@
 const SILENCE: Duration = Duration::from_millis(1300);
 /// Time in which a control VM must answer a subscription.
 const ANSWER_LIMIT: Duration = Duration::from_millis(700);
-/// Pause before the next control VM is tried.
-const PAUSE: Duration = Duration::from_millis(60);
+/// Pause before the next control VM is tried; one that knows no leader answers only after a while.
+const PAUSE: Duration = Duration::from_millis(30);
 
 /// What the link wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -82,6 +82,15 @@
         matches!(self.phase, Phase::Live { .. })
     }
 
+    /// When the next tick is needed.
+    pub fn next_due(&self) -> Duration {
+        match self.phase {
+            Phase::Idle { until } => until,
+            Phase::Waiting { since } => since + ANSWER_LIMIT,
+            Phase::Live { heard } => self.next_ping.min(heard + SILENCE),
+        }
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, view: &View, now: Duration, out: &mut Vec<LinkEffect>) {
         match self.phase {
@@ -126,7 +135,10 @@
         }));
         let to = match self.hint.take() {
             Some(hint) => hint,
-            None if known.is_empty() => return,
+            None if known.is_empty() => {
+                self.phase = Phase::Idle { until: now + PAUSE };
+                return;
+            }
             None => {
                 self.next = self.next.wrapping_add(1);
                 known[self.next % known.len()]
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -279,3 +279,30 @@
     world.stream(PeerMessage::Snapshot(Box::new(view)));
     assert_eq!(world.entry.view().index, 10);
 }
+
+/// Seen after every restart of everything: requests were refused although the routing came 200 ms
+/// later.
+#[test]
+fn a_request_waits_a_moment_for_the_first_routing() {
+    let mut world = World::without_view();
+    let (flow, seen) = world.request(READS);
+    assert!(seen.sent.is_empty() && seen.refused.is_empty());
+    assert!(world.entry.has_flow(flow));
+    assert!(world.after(ms(200)).refused.is_empty());
+    let view = PeerMessage::Snapshot(Box::new(World::view()));
+    let (attempt, _) = only(&world.stream(view));
+    assert_eq!(world.answer(attempt, complete(200)).passed, [flow]);
+    assert_eq!(world.entry.flows(), 0);
+}
+
+#[test]
+fn a_request_without_a_routing_is_refused_after_a_moment() {
+    let mut world = World::without_view();
+    let (flow, _) = world.request_within(READS, ms(800));
+    let (gone, _) = world.request_within(READS, ms(800));
+    world.step(Event::CallerGone(gone));
+    assert!(world.after(ms(190)).refused.is_empty());
+    let seen = world.after(ms(20));
+    assert!(matches!(seen.refused[..], [(refused, Refusal::NotRun(_))] if refused == flow));
+    assert_eq!(world.entry.flows(), 0);
+}
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -40,7 +40,10 @@
     },
     holders::Holders,
     members::Roster,
-    streams::Stream, //
+    streams::{
+        Stream,
+        Waiting, //
+    },
 };
 use crate::{
     directory::TargetId,
@@ -83,6 +86,7 @@
     publishing: Vec<calls::Publishing>,
     next_id: u64,
     streams: BTreeMap<u64, Stream>,
+    waiting: Vec<Waiting>,
     roster: Roster,
 }
 
@@ -140,6 +144,7 @@
             raft::Config {
                 id: config.me.id,
                 election: config.election,
+                lease: config.lease,
                 heartbeat: config.heartbeat,
                 batch: 64,
                 seed: config.seed,
@@ -158,6 +163,7 @@
             publishing: Vec::new(),
             next_id: 0,
             streams: BTreeMap::new(),
+            waiting: Vec::new(),
             roster,
         })
     }
@@ -174,6 +180,7 @@
             Event::Call { token, call } => self.call(token, call, now, &mut out),
             Event::Answered { call, answer } => self.order_answered(call, &answer, now, &mut out),
         }
+        self.tend_waiting(now, &mut out);
         out
     }
 
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -50,6 +50,8 @@
     pub hold: Duration,
     /// Least time without a leader before an election.
     pub election: Duration,
+    /// How long a leader may rely on the answer of another member; the same for all members.
+    pub lease: Duration,
     /// Time between heartbeats of the leader.
     pub heartbeat: Duration,
     /// Time after which a silent target leaves the directory.
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -1,6 +1,9 @@
 //! Streams of the view to entry VMs.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use super::{
     Control,
@@ -23,6 +26,19 @@
 /// Time without a ping after which an entry VM no longer counts.
 const STREAM_SILENCE: Duration = Duration::from_millis(2000);
 
+/// Longest time for which a subscription waits here until a leader is known, before the entry VM
+/// asks another control VM.
+const LEADER_WAIT: Duration = Duration::from_millis(250);
+
+/// A subscription that came while no leader was known.
+pub(super) struct Waiting {
+    conn: u64,
+    entry: u64,
+    domain: Domain,
+    index: u64,
+    until: Duration,
+}
+
 /// The stream of one entry VM.
 pub(super) struct Stream {
     entry: u64,
@@ -85,8 +101,18 @@
     ) {
         let behind = self.state.view.index < index;
         if self.lead.is_none() || behind {
-            let leader = self.leader_member().map(|member| member.peer);
-            let leader = leader.filter(|leader| *leader != self.config.me.peer);
+            let leader = self.other_leader();
+            if leader.is_none() && !behind {
+                self.waiting.retain(|waiting| waiting.conn != conn);
+                self.waiting.push(Waiting {
+                    conn,
+                    entry,
+                    domain,
+                    index,
+                    until: now + LEADER_WAIT,
+                });
+                return;
+            }
             let message = PeerMessage::NotLeader { leader };
             out.push(Effect::Stream { conn, message });
             return;
@@ -104,7 +130,38 @@
         out.push(Effect::Note(Note::Entries(self.streams.len())));
     }
 
+    fn other_leader(&self) -> Option<SocketAddr> {
+        let leader = self.leader_member().map(|member| member.peer);
+        leader.filter(|leader| *leader != self.config.me.peer)
+    }
+
+    /// Answers subscriptions that waited for a leader, once there is one or their time is over.
+    pub(super) fn tend_waiting(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let known = self.lead.is_some() || self.other_leader().is_some();
+        for waiting in std::mem::take(&mut self.waiting) {
+            let Waiting {
+                conn,
+                entry,
+                ref domain,
+                index,
+                until,
+            } = waiting;
+            if known {
+                self.subscribe(conn, entry, domain.clone(), index, now, out);
+            } else if now < until {
+                self.waiting.push(waiting);
+            } else {
+                let message = PeerMessage::NotLeader { leader: None };
+                out.push(Effect::Stream { conn, message });
+            }
+        }
+    }
+
     pub(super) fn end_stream(&mut self, conn: u64, out: &mut Vec<Effect>) {
+        self.waiting.retain(|waiting| waiting.conn != conn);
         if self.streams.remove(&conn).is_some() {
             out.push(Effect::Note(Note::Entries(self.streams.len())));
         }
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -60,6 +60,7 @@
         voters: 3,
         hold: ms(2000),
         election: ms(350),
+        lease: ms(250),
         heartbeat: ms(100),
         target_silence: ms(20_000),
         member_silence: ms(3500),
--- a/crates/node/src/entry/group.rs
+++ b/crates/node/src/entry/group.rs
@@ -100,6 +100,7 @@
         let config = RaftConfig {
             id: domain_member(info.vm, info.incarnation),
             election: self.config.election,
+            lease: self.config.election,
             heartbeat: self.config.heartbeat,
             batch: 256,
             seed: self.config.seed ^ group.term,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -315,6 +315,7 @@
         raft: camphordale_raft::Config {
             id: member_id(leader, 0),
             election: ms(400),
+            lease: ms(400),
             heartbeat: ms(100),
             batch: 64,
             seed: 1,
--- a/crates/node/tests/sim/mod.rs
+++ b/crates/node/tests/sim/mod.rs
@@ -308,6 +308,7 @@
                 raft: RaftConfig {
                     id: one.member,
                     election: ms(400),
+                    lease: ms(400),
                     heartbeat: ms(100),
                     batch: 64,
                     seed,
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -56,7 +56,10 @@
     }
 
     fn ask_votes(&mut self, pre: bool, out: &mut Vec<Effect>) {
-        self.reset_deadline();
+        match pre {
+            true => self.retry_soon(),
+            false => self.reset_deadline(),
+        }
         self.votes = [self.config.id].into();
         let message = Message::Vote {
             term: self.hard.term + u64::from(pre),
@@ -83,7 +86,7 @@
         pre: bool,
         out: &mut Vec<Effect>,
     ) {
-        // A leader may rely on this member's last answer for one least election time. A member
+        // A leader may rely on this member's last answer for the time of a lease. A member
         // that starts from nothing cannot judge the candidate's log.
         let sticky = self.now < self.quiet || self.leader_until() > Some(self.now);
         if sticky || self.log.snapshot().is_none() || term < self.hard.term {
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -33,7 +33,7 @@
         }
         self.become_follower(term, Some(from), out);
         self.reset_deadline();
-        self.quiet = self.quiet.max(self.now + self.config.election);
+        self.quiet = self.quiet.max(self.now + self.config.lease);
         true
     }
 
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -31,6 +31,10 @@
     },
 };
 
+/// Parts of the least election time between the turns of two voters after a restart, enough for a
+/// vote to be counted in between.
+const TURN_PARTS: u32 = 8;
+
 /// One member of a group.
 ///
 /// The reducer has no clock: `now` is the time since the process started, from a monotonic clock.
@@ -73,6 +77,8 @@
     /// let config = Config {
     ///     id: 1,
     ///     election: Duration::from_millis(150),
+    ///     lease: Duration::from_millis(150),
+    ///     lease: Duration::from_millis(150),
     ///     heartbeat: Duration::from_millis(40),
     ///     batch: 64,
     ///     seed: 7,
@@ -123,6 +129,8 @@
     /// let config = Config {
     ///     id: 1,
     ///     election: Duration::from_millis(150),
+    ///     lease: Duration::from_millis(150),
+    ///     lease: Duration::from_millis(150),
     ///     heartbeat: Duration::from_millis(40),
     ///     batch: 64,
     ///     seed: 7,
@@ -160,9 +168,9 @@
     }
 
     /// The time until which no other member can become leader, while this member leads: the start
-    /// of the latest heartbeat round that a quorum answered plus the least election time.
+    /// of the latest heartbeat round that a quorum answered plus the lease.
     pub fn leader_until(&self) -> Option<Duration> {
-        self.lead.as_ref()?.until(self.config.election)
+        self.lead.as_ref()?.until(self.config.lease)
     }
 
     /// Present role.
@@ -221,7 +229,8 @@
         // A member with a term may have answered a heartbeat just before it restarted.
         self.quiet = self.now;
         if self.hard.term > 0 {
-            self.quiet += self.config.election;
+            self.quiet += self.config.lease;
+            self.deadline = self.deadline.min(self.quiet + self.turn());
         }
         if self.is_sole_voter() {
             self.deadline = self.quiet;
@@ -334,6 +343,21 @@
         self.deadline = self.now + self.config.election + extra;
     }
 
+    /// How long this member waits for others after a restart of all: the voters stand for election
+    /// one after the other, so that they do not divide the votes.
+    fn turn(&mut self) -> Duration {
+        let before = |id: &&MemberId| **id < self.config.id;
+        let rank = self.members().voters.iter().filter(before).count();
+        let step = self.config.election / TURN_PARTS;
+        step * rank as u32 + step.mul_f64(self.rng.random::<f64>() / 2.0)
+    }
+
+    /// Draws the time of the next attempt to win a pre-vote, which disturbs nobody.
+    pub(crate) fn retry_soon(&mut self) {
+        let step = self.config.election / TURN_PARTS;
+        self.deadline = self.now + step.mul_f64(1.0 + self.rng.random::<f64>());
+    }
+
     pub(crate) fn is_sole_voter(&self) -> bool {
         let voters = &self.members().voters;
         voters.len() == 1 && voters.contains(&self.config.id)
--- a/crates/raft/src/read.rs
+++ b/crates/raft/src/read.rs
@@ -9,8 +9,8 @@
 };
 
 impl Lead {
-    pub(crate) fn until(&self, election: Duration) -> Option<Duration> {
-        self.confirmed.map(|(_, start)| start + election)
+    pub(crate) fn until(&self, lease: Duration) -> Option<Duration> {
+        self.confirmed.map(|(_, start)| start + lease)
     }
 }
 
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -15,6 +15,9 @@
     /// Least time without a leader before an election; the actual time is drawn from one to two
     /// times this value.
     pub election: Duration,
+    /// How long a leader may rely on the answer of a voter, which grants no other vote meanwhile;
+    /// at most `election`, and the same for all members. A voter that restarts waits for as long.
+    pub lease: Duration,
     /// Time between a leader's heartbeats.
     pub heartbeat: Duration,
     /// Most entries in one append message.
--- a/crates/raft/tests/raft/sim.rs
+++ b/crates/raft/tests/raft/sim.rs
@@ -31,6 +31,7 @@
 };
 
 pub(crate) const ELECTION: Duration = Duration::from_millis(150);
+pub(crate) const LEASE: Duration = Duration::from_millis(90);
 const TICK: Duration = Duration::from_millis(10);
 
 pub(crate) fn ms(count: u64) -> Duration {
@@ -41,6 +42,7 @@
     Config {
         id,
         election: ELECTION,
+        lease: LEASE,
         heartbeat: ms(40),
         batch: 4,
         seed,
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -157,6 +157,7 @@
         voters: 2 * own.tolerate + 1,
         hold: tuning.hold.min(own.hold_max),
         election: tuning.election,
+        lease: tuning.lease,
         heartbeat: tuning.heartbeat,
         target_silence: tuning.target_silence,
         member_silence: tuning.member_silence,
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -142,15 +142,13 @@
         Reload: Fn() -> Result<Settings, SettingsError>,
     {
         loop {
-            let due = self.entry.next_due().unwrap_or(Duration::MAX);
-            let until = self.next_tick.min(due);
+            let until = self.next_tick.min(self.entry.next_due());
             let incoming = shared.engine.wait(until).map_err(system("wait"))?;
             let now = shared.clock.now();
             for event in incoming {
                 self.incoming(event, now, shared);
             }
-            let due = self.entry.next_due().unwrap_or(Duration::MAX);
-            if now >= self.next_tick || now >= due {
+            if now >= self.next_tick || now >= self.entry.next_due() {
                 if now >= self.next_tick {
                     self.next_tick = now + TICK;
                 }
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -98,6 +98,8 @@
     pub hold: Duration,
     /// Least time without a leader before an election.
     pub election: Duration,
+    /// How long the control leader may rely on the answer of another member.
+    pub lease: Duration,
     /// Time between heartbeats of the control leader.
     pub heartbeat: Duration,
     /// Time after which a silent target leaves the directory.
@@ -121,6 +123,10 @@
     /// Milliseconds of the least election time: several heartbeats.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub election_ms: Duration,
+    /// Milliseconds for which the leader may rely on an answer: a voter that restarts waits for as
+    /// long before it votes.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lease_ms: Duration,
     /// Milliseconds between heartbeats.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub heartbeat_ms: Duration,
@@ -142,6 +148,7 @@
         RawTuning {
             hold_ms: Duration::from_millis(3000),
             election_ms: Duration::from_millis(700),
+            lease_ms: Duration::from_millis(500),
             heartbeat_ms: Duration::from_millis(150),
             target_silence_ms: Duration::from_secs(20),
             member_silence_ms: Duration::from_millis(3500),
@@ -204,6 +211,10 @@
             let reason = "must be at least three times heartbeat_ms, which must not be 0";
             return Err(SettingsError::field("election_ms", reason));
         }
+        if raw.lease_ms > raw.election_ms || raw.lease_ms < raw.heartbeat_ms * 3 / 2 {
+            let reason = "must be at most election_ms and at least 1.5 times heartbeat_ms";
+            return Err(SettingsError::field("lease_ms", reason));
+        }
         if raw.hold_ms < Duration::from_millis(1000) {
             return Err(SettingsError::field("hold_ms", "must be at least 1000"));
         }
@@ -213,6 +224,7 @@
         Ok(Tuning {
             hold: raw.hold_ms,
             election: raw.election_ms,
+            lease: raw.lease_ms,
             heartbeat: raw.heartbeat_ms,
             target_silence: raw.target_silence_ms,
             member_silence: raw.member_silence_ms,
--- a/crates/store/tests/restart.rs
+++ b/crates/store/tests/restart.rs
@@ -61,6 +61,7 @@
     let config = Config {
         id: 1,
         election: Duration::from_millis(400),
+        lease: Duration::from_millis(400),
         heartbeat: Duration::from_millis(100),
         batch: 64,
         seed: 1,
