Tell callers of targets that shed with free slots to come back at once

Ruled out: more repeats here: the budget of repeats is used up by then. Test: load/callers_come_back_soon_when_targets_shed_with_free_slots (250 ms before).

--- a/crates/entry/src/entry/repeat.rs
+++ b/crates/entry/src/entry/repeat.rs
@@ -20,8 +20,11 @@
 const MISDIRECTED: u16 = 421;
 /// Least status of a failure of the target.
 const FAILURE: u16 = 500;
-/// Pause told to callers whose request was shed by its target.
+/// Pause told to callers whose request was sent away by a full target or could not be delivered.
 const SHED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause told to callers whose request was sent away by a target with free slots: nothing gets
+/// better by a longer wait.
+const FREE_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before the same holder is asked again; a change of holder takes about as long.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 /// A repeat is sent only if this part of its target's mean time is left.
@@ -119,8 +122,13 @@
         if moved {
             return self.await_holder(id, now, out);
         }
+        let last = flow.tried.last().and_then(|target| self.peers.get(target));
+        let pause = match last {
+            Some(peer) if peer.load(now) < f64::from(peer.slots) => FREE_PAUSE,
+            _ => SHED_PAUSE,
+        };
         if !self.repeat(id, Verdict::Shed, now, out) {
-            self.refuse(id, Verdict::Shed, SHED_PAUSE, now, out);
+            self.refuse(id, Verdict::Shed, pause, now, out);
         }
     }
 
--- a/crates/entry/tests/entry/load.rs
+++ b/crates/entry/tests/entry/load.rs
@@ -13,7 +13,12 @@
     ms,
     target, //
 };
-use camphordale_entry::Refusal;
+use camphordale_entry::{
+    Answer,
+    LoadReport,
+    Refusal, //
+};
+use rstest::rstest;
 
 /// Requests pile up faster than they are answered: a burst. Each target gets a bounded number, the
 /// rest is told at once to come back.
@@ -213,3 +218,35 @@
     let sent: usize = (0..8).map(|_| world.request(KEYED).1.sent.len()).sum();
     assert_eq!(sent, 2);
 }
+
+/// Targets send requests away although they have free slots: callers may come back at once. A full
+/// target needs time.
+#[rstest]
+#[case(1, 0, 50)]
+#[case(4, 6, 250)]
+fn callers_come_back_soon_when_targets_shed_with_free_slots(
+    #[case] running: u32,
+    #[case] waiting: u32,
+    #[case] longest: u64,
+) {
+    let mut world = World::new();
+    let (_, seen) = world.request(ORDERS);
+    let first = seen.sent[0].0;
+    let shed = Answer::NotExecuted {
+        status: 503,
+        load: Some(LoadReport {
+            running,
+            waiting,
+            slots: 4,
+        }),
+    };
+    let second = world.answer(first, shed).sent[0].0;
+    let refused = world.answer(second, shed).refused;
+    let Refusal::NotRun(pause) = refused[0].1 else {
+        panic!("{refused:?}");
+    };
+    assert!(
+        pause <= ms(longest) && pause >= ms(longest / 5),
+        "{pause:?}"
+    );
+}
