--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -224,7 +224,7 @@
 
     /// The key of a request is between two holders: it waits for the word that the next one has
     /// it.
-    fn await_handover(
+    pub(super) fn await_handover(
         &mut self,
         id: FlowId,
         again: Duration,
--- a/crates/entry/src/entry/repeat.rs
+++ b/crates/entry/src/entry/repeat.rs
@@ -27,6 +27,8 @@
 const FREE_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before the same holder is asked again; a change of holder takes about as long.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
+/// Part of its objective for which a request may wait here after the holder sent it away.
+const HOLDER_PART: u32 = 4;
 /// A repeat is sent only if this part of its target's mean time is left.
 const WORTHWHILE_PART: f64 = 0.7;
 /// Attempts that may fail to open a connection before the request is refused.
@@ -137,12 +139,17 @@
         let Some(flow) = self.flows.get_mut(&id) else {
             return;
         };
-        let until = flow.arrived + flow.route.objective / 4;
+        let until = flow.arrived + flow.route.objective / HOLDER_PART;
+        let key = flow.key.unwrap_or_default();
+        let moving = self.handovers.until(&flow.service, key, now);
         let allowed = self.budgets.get_mut(&flow.service);
         let allowed = allowed.is_some_and(|budget| budget.take());
-        if now >= until || !allowed {
+        if !allowed || (now >= until && moving.is_none()) {
             return self.refuse(id, Verdict::NoHolder, SHED_PAUSE, now, out);
         }
+        if let Some(again) = moving {
+            return self.await_handover(id, again, now, out);
+        }
         flow.ask_again = now + ASK_AGAIN;
         self.park(id, until);
     }
