--- a/crates/reactor/src/engine/peers.rs
+++ b/crates/reactor/src/engine/peers.rs
@@ -18,8 +18,9 @@
 };
 use crate::peer_side::PeerSide;
 
-/// Time in which a connection between VMs must open and finish its handshake.
-const OPEN_LIMIT: Duration = Duration::from_millis(600);
+/// Time in which a connection between VMs must open and finish its handshake: one retransmission
+/// of a lost packet. The first packet to a VM that starts just then is repeated only after a second.
+const OPEN_LIMIT: Duration = Duration::from_millis(250);
 /// Time without a message after which a connection between VMs is closed.
 const SILENCE: Duration = Duration::from_secs(10);
 /// Bytes that may wait to be written to another VM; a VM that does not read is dropped.
