--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -124,6 +124,7 @@
         "no-target" => "no target of the service took work: see the lines on targets",
         "full" => "every target would have answered after the objective: see the load",
         "no-holder" => "the key had no holder: it was moving, or its holder's hold had ended",
+        "moving" => "the key was between two holders for longer than the request could wait",
         "holder-full" => "the holder of the key would have answered after the objective: a hot key",
         "holder-lost" => "the holder of the key did not answer this VM; its hold has to run out",
         "shed" => "the target refused the request, and no repeat was allowed",
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -43,6 +43,19 @@
     Duration::new(seconds, nanos)
 }
 
+/// The time of day in milliseconds since 1970, for records that people read. It may jump, so no
+/// decision rests on it.
+///
+/// ```
+/// assert!(camphordale_clock::unix_ms() > 0);
+/// ```
+pub fn unix_ms() -> u64 {
+    let time = clock_gettime(ClockId::Realtime);
+    let millis = i128::from(time.tv_sec) * 1000 + i128::from(time.tv_nsec) / 1_000_000;
+    // A clock that was never set may lie before 1970.
+    u64::try_from(millis).unwrap_or_default()
+}
+
 impl Clock {
     /// Starts at zero.
     pub fn start() -> Clock {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -233,6 +233,8 @@
     pub target: Option<TargetId>,
     /// Attempts so far.
     pub attempts: usize,
+    /// Time until the request was first sent, or until now.
+    pub queued: Duration,
     /// Time since the request arrived.
     pub age: Duration,
     /// Time that was left.
--- a/crates/entry/src/entry/flow.rs
+++ b/crates/entry/src/entry/flow.rs
@@ -66,6 +66,8 @@
     pub(super) key: Option<Key>,
     pub(super) arrived: Duration,
     pub(super) deadline: Duration,
+    /// When the request was first sent.
+    pub(super) sent: Option<Duration>,
     /// Targets that the request was sent to.
     pub(super) tried: Vec<TargetId>,
     /// How often the request was sent.
@@ -143,6 +145,7 @@
                 service: None,
                 target: None,
                 attempts: 0,
+                queued: now.saturating_sub(arrived),
                 age: now.saturating_sub(arrived),
                 left: arrival.patience.unwrap_or_default(),
                 key: arrival.key,
@@ -189,6 +192,7 @@
                 key,
                 arrived,
                 deadline,
+                sent: None,
                 tried: Vec::new(),
                 sends: 0,
                 returned,
@@ -347,6 +351,7 @@
         self.next_attempt += 1;
         let attempt = self.next_attempt;
         flow.parked = None;
+        flow.sent.get_or_insert(now);
         flow.sends += 1;
         flow.open.push((attempt, target.clone()));
         if !flow.tried.contains(&target) {
@@ -428,6 +433,7 @@
             target,
             evidence,
             attempts: flow.tried.len(),
+            queued: flow.sent.unwrap_or(now).saturating_sub(flow.arrived),
             age: now.saturating_sub(flow.arrived),
             left: flow.deadline.saturating_sub(now),
             key: flow.key,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -82,6 +82,7 @@
     Version, //
 };
 pub use state::{
+    Accepted,
     Command,
     Outcome,
     State,
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -147,6 +147,8 @@
     pub dropped_services: Vec<ServiceName>,
     /// Digest of the operator's bytes, by which a repeated change is recognised.
     pub digest: Digest,
+    /// When a control VM received the change, in milliseconds of its clock since 1970.
+    pub received: u64,
 }
 
 /// Why a routing is refused.
@@ -242,6 +244,7 @@
     ///     dropped_routes: Vec::new(),
     ///     dropped_services: Vec::new(),
     ///     digest: [0; 16],
+    ///     received: 0,
     /// };
     /// let refused = Routing::default().changed(&change);
     /// assert_eq!(refused, Err(Invalid::Version { version: 0, current: 0 }));
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        VecDeque, //
     },
     sync::Arc,
 };
@@ -30,12 +31,18 @@
         Change,
         Digest,
         Invalid,
+        RouteName,
         Routing,
         ServiceName,
         Version, //
     },
 };
 
+/// Accepted changes that the audit trail keeps: those of a day.
+const MAX_HISTORY: usize = 1500;
+/// Names of routes that the audit trail keeps of one change.
+const MAX_NAMES: usize = 20;
+
 /// A command of the state machine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
@@ -202,11 +209,55 @@
     }
 }
 
+/// An accepted change, for the audit trail.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Index of the command.
+    pub index: u64,
+    /// When a control VM received it, in milliseconds of its clock since 1970.
+    pub received: u64,
+    /// Version that it builds on.
+    pub base: Version,
+    /// Version after it.
+    pub version: Version,
+    /// Whether it replaced the whole routing.
+    pub whole: bool,
+    /// Names of the routes that it set.
+    pub routes: Vec<RouteName>,
+    /// Names of the routes that it removed.
+    pub dropped: Vec<RouteName>,
+    /// Digest of the operator's bytes.
+    pub digest: Digest,
+}
+
+impl Accepted {
+    fn new(index: u64, change: &Change) -> Accepted {
+        let names = change.routes.iter().map(|(name, _)| name.clone());
+        Accepted {
+            index,
+            received: change.received,
+            base: change.base,
+            version: change.version,
+            whole: change.whole,
+            routes: names.take(MAX_NAMES).collect(),
+            dropped: change
+                .dropped_routes
+                .iter()
+                .take(MAX_NAMES)
+                .cloned()
+                .collect(),
+            digest: change.digest,
+        }
+    }
+}
+
 /// All that is replicated.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     /// The part that entry VMs follow.
     pub view: View,
+    /// The last accepted changes, oldest first.
+    pub history: VecDeque<Accepted>,
     /// Digests of accepted changes.
     accepted: BTreeSet<Digest>,
 }
@@ -235,6 +286,10 @@
         let outcome = self.view.apply(index, command);
         if outcome == Outcome::Done {
             self.accepted.insert(change.digest);
+            self.history.push_back(Accepted::new(index, change));
+            if self.history.len() > MAX_HISTORY {
+                self.history.pop_front();
+            }
         }
         outcome
     }
--- a/crates/fleet/tests/control/situations.rs
+++ b/crates/fleet/tests/control/situations.rs
@@ -227,3 +227,26 @@
     let redirected = world.entry.0 != Some(all[0]);
     assert!(follows || redirected);
 }
+
+/// The audit trail names what was accepted, in order, and nothing that was refused or repeated. It
+/// survives the loss of any one member.
+#[test]
+fn the_audit_trail_names_accepted_changes_once() {
+    let mut world = World::new(13);
+    let first = Call::Change(Box::new(change(0, 2, 7)));
+    world.ask(first.clone());
+    world.ask(Call::Change(Box::new(change(0, 2, 8))));
+    world.ask(Call::Change(Box::new(change(2, 5, 9))));
+    world.ask(first);
+    let all: Vec<SocketAddr> = world.vms.keys().copied().collect();
+    world.wipe(all[0], 1 << 63 | 5);
+    world.run(ms(6000));
+    for vm in world.vms.values() {
+        let history = &vm.control.as_ref().unwrap().state().history;
+        let seen: Vec<_> = history
+            .iter()
+            .map(|entry| (entry.base, entry.version, entry.received))
+            .collect();
+        assert_eq!(seen, [(0, 2, 2000), (2, 5, 5000)]);
+    }
+}
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -86,6 +86,7 @@
         dropped_routes: Vec::new(),
         dropped_services: Vec::new(),
         digest,
+        received: 1000 * version,
     }
 }
 
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -65,6 +65,8 @@
     },
 };
 
+/// Path of the audit trail on the metrics address.
+const AUDIT_PATH: &str = "/changes";
 /// Time between two ticks of the reducer; elections and renewals need no finer one.
 const TICK: Duration = Duration::from_millis(20);
 /// Pause before the storage is opened again after a failure.
@@ -262,7 +264,10 @@
                 request,
             } => self.call(conn, &request, shared),
             Incoming::Request { conn, request, .. } => {
-                let response = shared.scrape(&request);
+                let response = match &*request.path {
+                    AUDIT_PATH => self.audit_trail(shared),
+                    _ => shared.scrape(&request),
+                };
                 shared.engine.respond(conn, &response);
             }
             Incoming::Peer { conn, message } => match message {
@@ -277,8 +282,19 @@
         }
     }
 
+    /// The accepted changes as far as this member knows them, as JSON, oldest first.
+    fn audit_trail(&self, shared: &Shared) -> Response {
+        match serde_json::to_vec(&self.control.state().history) {
+            Ok(body) => Response::new(200, body).with("Content-Type", "application/json"),
+            Err(error) => {
+                warn!(shared.logger, "audit trail has no encoding"; "error" => error.to_string());
+                Response::text(500, "audit trail has no encoding")
+            }
+        }
+    }
+
     fn call(&mut self, conn: ConnId, request: &Request, shared: &mut Shared) {
-        let call = match self.dialect.call(request) {
+        let mut call = match self.dialect.call(request) {
             Ok(call) => call,
             Err(response) => {
                 shared.metrics.event("unreadable-call");
@@ -289,6 +305,9 @@
                 return shared.engine.respond(conn, &response);
             }
         };
+        if let Call::Change(change) = &mut call {
+            change.received = camphordale_clock::unix_ms();
+        }
         let kind = match &call {
             Call::Change(_) | Call::Read => CallKind::Routing,
             Call::Announce(_) | Call::Leave { .. } => CallKind::Target,
@@ -328,6 +347,7 @@
     }
 
     fn carry_out(&mut self, effects: Vec<Effect>, shared: &mut Shared) {
+        let mut unsent = Vec::new();
         for effect in effects {
             match effect {
                 Effect::Persist(persist) => {
@@ -363,6 +383,8 @@
                     let mut bytes = Vec::new();
                     if let Err(part) = write_request(&mut bytes, &out, dispatch.address) {
                         warn!(shared.logger, "order has no encoding"; "part" => part);
+                        unsent.push(dispatch.call);
+                        continue;
                     }
                     self.orders.insert(dispatch.call, dispatch.order);
                     shared.engine.exchange(Exchange {
@@ -385,6 +407,10 @@
                 Effect::Note(note) => note_change(&note, shared),
             }
         }
+        for call in unsent {
+            let answer = Answer::Lost { sent: false };
+            self.step(Event::Answered { call, answer }, shared);
+        }
     }
 
     fn persist(&mut self, persist: &Persist, shared: &mut Shared) -> bool {
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -292,6 +292,7 @@
     }
 
     fn step(&mut self, event: Event, now: Duration, shared: &mut Shared) {
+        let mut unsent = Vec::new();
         for effect in self.entry.step(event, now) {
             match effect {
                 Effect::Send {
@@ -316,6 +317,8 @@
                     let mut bytes = Vec::new();
                     if let Err(part) = write_request(&mut bytes, &request, address) {
                         warn!(shared.logger, "request has no encoding"; "part" => part);
+                        unsent.push((attempt, part));
+                        continue;
                     }
                     let mark = live.fields.id.clone();
                     let id_field = self.dialect.id_field();
@@ -349,7 +352,10 @@
                     self.flows.remove(&live.conn);
                     let took = now.saturating_sub(live.arrived);
                     let service = decision.service.as_deref().unwrap_or("-");
-                    shared.metrics.answered(service, response.status, took);
+                    let queued = decision.queued;
+                    shared
+                        .metrics
+                        .answered(service, response.status, queued, took);
                     shared.engine.respond(live.conn, &response);
                 }
                 Effect::Refuse { flow, refusal } => {
@@ -363,6 +369,14 @@
                 Effect::Note(note) => self.note(note, shared),
             }
         }
+        for (attempt, part) in unsent {
+            let failure = ExchangeFailure {
+                sent: false,
+                spoke: false,
+                reason: part.into(),
+            };
+            self.exchanged(attempt, Err(failure), now, shared);
+        }
         self.sweep();
     }
 
@@ -454,6 +468,7 @@
             "service" => decision.service.as_deref().unwrap_or("-"),
             "target" => decision.target.as_deref().unwrap_or("-"),
             "attempts" => decision.attempts,
+            "queued_ms" => decision.queued.as_millis() as u64,
             "age_ms" => decision.age.as_millis() as u64,
             "left_ms" => decision.left.as_millis() as u64,
             "key" => decision.key,
--- a/crates/reactor/src/metrics.rs
+++ b/crates/reactor/src/metrics.rs
@@ -30,6 +30,8 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     repeats: Counter<u64>,
+    queued: Histogram<f64>,
+    served: Histogram<f64>,
     duration: Histogram<f64>,
     events: Counter<u64>,
     levels: Gauge<u64>,
@@ -69,7 +71,23 @@
         let counter = |name: &'static str, help: &'static str| {
             meter.u64_counter(name).with_description(help).build()
         };
+        let time = |name: &'static str, help: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(help)
+                .with_boundaries(TIME_BOUNDS.to_vec())
+                .build()
+        };
         Ok(Metrics {
+            queued: time(
+                "camphordale.request.queued",
+                "Time from the end of a request until it is first sent, by service",
+            ),
+            served: time(
+                "camphordale.request.served",
+                "Time from the first sending of a request to its answer, by service",
+            ),
             requests: counter(
                 "camphordale.requests",
                 "Requests answered, by service and status",
@@ -82,12 +100,10 @@
                 "camphordale.repeats",
                 "Requests sent to another target, by reason",
             ),
-            duration: meter
-                .f64_histogram("camphordale.request.duration")
-                .with_unit("s")
-                .with_description("Time from the end of a request to its answer, by service")
-                .with_boundaries(TIME_BOUNDS.to_vec())
-                .build(),
+            duration: time(
+                "camphordale.request.duration",
+                "Time from the end of a request to its answer, by service",
+            ),
             events: counter("camphordale.events", "Changes of state, by kind"),
             levels: meter
                 .u64_gauge("camphordale.level")
@@ -98,12 +114,19 @@
         })
     }
 
-    /// Counts a request that a target answered.
-    pub fn answered(&self, service: &str, status: u16, took: Duration) {
+    /// Counts a request that a target answered. `queued` is the time until it was first sent,
+    /// `took` the whole time.
+    pub fn answered(&self, service: &str, status: u16, queued: Duration, took: Duration) {
         let service = KeyValue::new("service", service.to_owned());
         let status = KeyValue::new("status", i64::from(status));
-        self.duration
-            .record(took.as_secs_f64(), std::slice::from_ref(&service));
+        let stages = [
+            (&self.queued, queued),
+            (&self.served, took.saturating_sub(queued)),
+            (&self.duration, took),
+        ];
+        for (stage, time) in stages {
+            stage.record(time.as_secs_f64(), std::slice::from_ref(&service));
+        }
         self.requests.add(1, &[service, status]);
     }
 
