Send callers away from an entry VM whose view is stale

Change: an entry VM that has not heard the control leader for 1.3 s says that it is not ready; 2 s later its answers end their connections; without keyed services it is 10 s. It goes on serving whoever comes. A silent leader is left after 0.9 s.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -50,6 +50,16 @@
     },
 };
 
+/// A view that was not confirmed for this long may name former holders of keys: a change of the
+/// control leader takes less.
+const STALE: Duration = Duration::from_millis(1300);
+/// The same without services that are divided by key: targets and routes change seldom, and this
+/// VM may be the only one near its callers.
+const STALE_UNKEYED: Duration = Duration::from_secs(10);
+/// Time in which whoever spreads the callers notices that a VM is not ready: two questions, one a
+/// second.
+const NOTICED: Duration = Duration::from_millis(2000);
+
 /// Names a request of a caller.
 pub type FlowId = u64;
 /// Names one sending of a request to a target.
@@ -261,6 +271,13 @@
         /// Index of the view.
         view: u64,
     },
+    /// The VM should get new callers, or no longer.
+    Ready {
+        /// Whether it should.
+        ready: bool,
+        /// Time since the leader was last heard.
+        silence: Duration,
+    },
     /// A routing is in force.
     Routing {
         /// Its version.
@@ -333,6 +350,7 @@
     next_attempt: AttemptId,
     link: Link,
     was_live: bool,
+    was_ready: bool,
     samples: BTreeMap<ServiceName, KeySample>,
     next_times: Duration,
     random: StdRng,
@@ -354,7 +372,7 @@
     ///     drain: Duration::from_secs(1),
     ///     seed: 7,
     /// });
-    /// assert!(!entry.is_ready());
+    /// assert!(!entry.is_ready(Duration::ZERO));
     /// ```
     pub fn new(config: Config) -> Entry {
         Entry {
@@ -372,6 +390,7 @@
             next_attempt: 0,
             link: Link::new(config.entry, config.domain.clone(), config.seeds.clone()),
             was_live: false,
+            was_ready: false,
             samples: BTreeMap::new(),
             next_times: Duration::ZERO,
             random: StdRng::seed_from_u64(config.seed),
@@ -397,9 +416,26 @@
         out
     }
 
-    /// Whether the VM can route requests.
-    pub fn is_ready(&self) -> bool {
-        self.view.routing.is_some()
+    /// Whether the VM should get new callers: it can route requests and its view is not stale. One
+    /// that is not ready goes on serving those that it has.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        self.view.routing.is_some() && self.link.silence(now) < self.patience()
+    }
+
+    /// For how long the view serves without word from the control leader.
+    fn patience(&self) -> Duration {
+        let routing = self.view.routing.iter();
+        let mut services = routing.flat_map(|routing| routing.services.values());
+        match services.any(|item| item.content.keyed) {
+            true => STALE,
+            false => STALE_UNKEYED,
+        }
+    }
+
+    /// Whether callers should go elsewhere: the view is stale, and others have had time to notice
+    /// that this VM is not ready.
+    pub fn sends_away(&self, now: Duration) -> bool {
+        self.view.routing.is_some() && self.link.silence(now) >= self.patience() + NOTICED
     }
 
     /// The view that decisions rest on.
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -49,6 +49,12 @@
         }
         out.extend(effects.into_iter().map(Effect::Link));
         self.note_link(out);
+        let ready = self.is_ready(now);
+        if ready != self.was_ready {
+            self.was_ready = ready;
+            let silence = self.link.silence(now);
+            out.push(Effect::Note(Note::Ready { ready, silence }));
+        }
     }
 
     pub(super) fn note_link(&mut self, out: &mut Vec<Effect>) {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -16,8 +16,8 @@
 
 /// Time between pings.
 const PING_PERIOD: Duration = Duration::from_millis(300);
-/// Time without a message after which another control VM is tried.
-const SILENCE: Duration = Duration::from_millis(1300);
+/// Time without a message after which another control VM is tried: three pings.
+const SILENCE: Duration = Duration::from_millis(900);
 /// Time in which a control VM must answer a subscription.
 const ANSWER_LIMIT: Duration = Duration::from_millis(700);
 /// Pause before the next control VM is tried; one that knows no leader answers only after a while.
@@ -51,6 +51,8 @@
     hint: Option<SocketAddr>,
     phase: Phase,
     next_ping: Duration,
+    /// When the leader was last heard.
+    heard: Duration,
     /// How many VMs share the targets.
     pub share: Share,
 }
@@ -68,6 +70,7 @@
                 until: Duration::ZERO,
             },
             next_ping: Duration::ZERO,
+            heard: Duration::ZERO,
             share: Share::default(),
         }
     }
@@ -82,6 +85,11 @@
         matches!(self.phase, Phase::Live { .. })
     }
 
+    /// Time since the leader was last heard.
+    pub fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.heard)
+    }
+
     /// When the next tick is needed.
     pub fn next_due(&self) -> Duration {
         match self.phase {
@@ -183,12 +191,14 @@
             }
             PeerMessage::Snapshot(_) => {
                 self.phase = Phase::Live { heard: now };
+                self.heard = now;
                 true
             }
             PeerMessage::Pong { share, .. } => {
                 self.share = *share;
                 if self.is_live() {
                     self.phase = Phase::Live { heard: now };
+                    self.heard = now;
                 }
                 true
             }
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -306,3 +306,31 @@
     assert!(matches!(seen.refused[..], [(refused, Refusal::NotRun(_))] if refused == flow));
     assert_eq!(world.entry.flows(), 0);
 }
+
+/// A VM that is cut off from control sends keyed requests to former holders and routes by an old
+/// version: callers go elsewhere while it serves those that it has. Seen on days that cut entry VMs
+/// off from control for 10 s.
+#[test]
+fn a_vm_with_a_stale_view_is_not_ready_and_sends_callers_away() {
+    let mut world = World::new();
+    let states = |world: &World| {
+        let entry = &world.entry;
+        (entry.is_ready(world.now), entry.sends_away(world.now))
+    };
+    assert_eq!(states(&world), (true, false));
+    world.step(Event::StreamEnded);
+    world.after(ms(1400));
+    assert_eq!(
+        states(&world),
+        (true, false),
+        "control may be electing a leader"
+    );
+    world.after(ms(200));
+    assert_eq!(states(&world), (false, false));
+    world.after(ms(2500));
+    assert_eq!(states(&world), (false, true));
+    let (_, seen) = world.request(READS);
+    only(&seen);
+    world.stream(PeerMessage::Snapshot(Box::new(World::view())));
+    assert_eq!(states(&world), (true, false));
+}
--- a/crates/reactor/src/engine.rs
+++ b/crates/reactor/src/engine.rs
@@ -165,7 +165,7 @@
     incoming: Vec<Incoming>,
     scratch: Vec<u8>,
     limits: Limits,
-    draining: bool,
+    ending: bool,
     stats: EngineStats,
 }
 
@@ -192,7 +192,7 @@
             incoming: Vec::new(),
             scratch: vec![0; 32 << 10],
             limits: Limits::default(),
-            draining: false,
+            ending: false,
             stats: EngineStats::default(),
         })
     }
@@ -227,9 +227,9 @@
         self.limits = limits;
     }
 
-    /// From now on each response ends its connection.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// Sets whether each response ends its connection.
+    pub fn end_connections(&mut self, ends: bool) {
+        self.ending = ends;
     }
 
     /// Counts since the start.
--- a/crates/reactor/src/engine/server.rs
+++ b/crates/reactor/src/engine/server.rs
@@ -160,7 +160,7 @@
             return;
         };
         let now = self.clock.now();
-        let close = self.draining;
+        let close = self.ending;
         let conn = &mut self.conns[key];
         let Kind::Caller { side, .. } = &mut conn.kind else {
             return;
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -153,6 +153,8 @@
                     self.next_tick = now + TICK;
                 }
                 self.step(Event::Tick, now, shared);
+                let ends = self.stopping.is_some() || self.entry.sends_away(now);
+                shared.engine.end_connections(ends);
                 shared.tend_logs(now);
             }
             self.reload(now, shared, &reload);
@@ -179,7 +181,7 @@
         }
         let since = *self.stopping.get_or_insert_with(|| {
             info!(shared.logger, "stopping"; "requests" => self.live.len());
-            shared.engine.drain();
+            shared.engine.end_connections(true);
             now
         });
         if now < since + LAST_CALLERS {
@@ -205,7 +207,7 @@
                 let response = match purpose {
                     Purpose::Metrics => shared.scrape(&request),
                     _ if !self.dialect.asks_readiness(&request) => Response::text(404, "not found"),
-                    _ if self.entry.is_ready() && self.stopping.is_none() => {
+                    _ if self.entry.is_ready(now) && self.stopping.is_none() => {
                         Response::text(200, "ready")
                     }
                     _ => Response::text(503, "not ready"),
@@ -427,6 +429,11 @@
                 shared.metrics.event("control");
                 info!(shared.logger, "stream from control"; "live" => live, "view" => view);
             }
+            Note::Ready { ready, silence } => {
+                shared.metrics.event("ready");
+                info!(shared.logger, "readiness"; "ready" => ready,
+                    "silence_ms" => silence.as_millis() as u64);
+            }
             Note::Routing { version, view } => {
                 shared.metrics.event("routing");
                 self.version = version;
--- a/crates/reactor/tests/engine.rs
+++ b/crates/reactor/tests/engine.rs
@@ -242,7 +242,7 @@
     caller
         .write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
         .unwrap();
-    world.engine.drain();
+    world.engine.end_connections(true);
     let conn = world.until(|incoming| match incoming {
         Incoming::Request { conn, .. } => Some(conn),
         _ => None,
