Draw the times of few answers towards the middle target

Change: all answers count alike until there are many; ten answers of the middle target are added to each target's own. Test: control/a_hot_key_goes_to_a_target_that_has_proved_quick (takes the lucky target without the prior).

--- a/crates/fleet/src/control/holders.rs
+++ b/crates/fleet/src/control/holders.rs
@@ -52,6 +52,8 @@
 const NARROW_PART: u32 = 4;
 /// Weight of one answer in the mean time of a target.
 const TIME_WEIGHT: f64 = 0.03;
+/// Answers of the middle target that a target's own are weighed against: with fewer, chance decides.
+const PRIOR_ANSWERS: f64 = 10.0;
 /// Bounds of a target's speed relative to the middle one.
 const SPEED: (f64, f64) = (0.4, 2.0);
 /// Assumed time of an answer in milliseconds while no target of a service has answered.
@@ -90,14 +92,37 @@
     }
 }
 
+/// Mean time of the answers of one target in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanTime {
+    mean: f64,
+    answers: u32,
+}
+
+impl MeanTime {
+    /// Takes the mean of some answers: all count alike until there are many, then the last ones
+    /// count most.
+    fn add(&mut self, seen: f64, count: u32) {
+        self.answers = self.answers.saturating_add(count);
+        let recent = 1.0 - (1.0 - TIME_WEIGHT).powf(f64::from(count));
+        let even = f64::from(count) / f64::from(self.answers.max(1));
+        self.mean += (seen - self.mean) * recent.max(even);
+    }
+
+    /// The mean, drawn towards that of the middle target while there are few answers.
+    fn estimate(&self, middle: f64) -> f64 {
+        let answers = f64::from(self.answers);
+        (self.mean * answers + middle * PRIOR_ANSWERS) / (answers + PRIOR_ANSWERS)
+    }
+}
+
 /// What the leader knows of the load on keys.
 #[derive(Default)]
 pub(super) struct Holders {
     requests: BTreeMap<ServiceName, Requests>,
     /// Ranges that moved for the sake of balance, and when.
     moved: Vec<(ServiceName, Key, Key, Duration)>,
-    /// Mean time of an answer in milliseconds.
-    times: BTreeMap<TargetId, f64>,
+    times: BTreeMap<TargetId, MeanTime>,
     next_plan: Duration,
 }
 
@@ -140,22 +165,22 @@
                 continue;
             }
             let seen = f64::from(millis) / f64::from(count);
-            let mean = self.times.entry(id).or_insert(seen);
-            let kept = (1.0 - TIME_WEIGHT).powi(count as i32);
-            *mean = *mean * kept + seen * (1.0 - kept);
+            self.times.entry(id).or_default().add(seen, count);
         }
     }
 
     /// Requests that a target can carry in a second. `middle` is the time of an answer of the
     /// middle target of the service in milliseconds.
     fn capacity(&self, id: &TargetId, slots: u32, middle: f64) -> f64 {
-        let mean = self.times.get(id).copied().unwrap_or(middle);
+        let time = self.times.get(id).copied().unwrap_or_default();
+        let mean = time.estimate(middle);
         let speed = (middle / mean.max(1.0)).clamp(SPEED.0, SPEED.1);
         f64::from(slots.max(1)) * speed * 1000.0 / middle
     }
 
     fn middle_time<'a>(&self, ids: impl Iterator<Item = &'a TargetId>) -> f64 {
-        let mut times: Vec<f64> = ids.filter_map(|id| self.times.get(id)).copied().collect();
+        let times = ids.filter_map(|id| self.times.get(id));
+        let mut times: Vec<f64> = times.map(|time| time.mean).collect();
         times.sort_by(f64::total_cmp);
         let middle = times.get(times.len() / 2).copied();
         middle.unwrap_or(FIRST_GUESS_MS).max(1.0)
--- a/crates/fleet/tests/control/situations.rs
+++ b/crates/fleet/tests/control/situations.rs
@@ -6,11 +6,13 @@
     Call,
     Event,
     Item,
+    KeyLoad,
     PeerMessage,
     Reply,
     Service,
     Span,
     TargetState,
+    TargetTimes,
     View, //
 };
 use camphordale_raft::Recovered;
@@ -162,24 +164,75 @@
     assert!(!matches!(world.reply(token), Some(Reply::Done { .. })));
 }
 
-/// Seen on a day with 78 entry VMs: keys were divided a second time while the first division was on
-/// its way to the disks, and two targets held the same keys.
-#[test]
-fn keys_are_divided_once_however_long_that_takes() {
-    let mut world = World::new(11);
+/// The first routing, with one service that is divided by key.
+fn keyed_change() -> camphordale_fleet::Change {
     let mut first = change(0, 2, 7);
-    let service = Service {
+    let content = Service {
         health: "/health".into(),
         connections: 10,
         keyed: true,
         warm: ms(0),
     };
     let source = "{}".into();
-    let item = Item {
-        content: service,
-        source,
+    first.services.push(("s".into(), Item { content, source }));
+    first
+}
+
+/// Seen on a calm day: a key became hot in the first seconds and went to a target that had looked
+/// quick in two answers.
+#[test]
+fn a_hot_key_goes_to_a_target_that_has_proved_quick() {
+    let mut world = World::new(14);
+    world.ask(Call::Change(Box::new(keyed_change())));
+    let leader = world.leader().unwrap();
+    for number in 0..6u64 {
+        let mut target = announcement(1, 100, false);
+        target.id = format!("t{number}").into();
+        target.address = format!("10.1.0.{}:80", number + 1).parse().unwrap();
+        world.call(leader, Call::Announce(Box::new(target)));
+    }
+    world.run(ms(2200));
+    let holder = world.entry.1.keys["s"].find(7).holder.clone().unwrap();
+    let others: Vec<String> = (0..6).map(|number| format!("t{number}")).collect();
+    let mut others = others.iter().filter(|id| **id != *holder.id);
+    let (proved, lucky) = (others.next().unwrap(), others.next().unwrap());
+    let times = |id: &str, count: u32, mean: u32| TargetTimes {
+        id: id.into(),
+        count,
+        millis: count * mean,
     };
-    first.services.push(("s".into(), item));
+    let mut reports = vec![
+        times(&holder.id, 100, 150),
+        times(proved, 100, 80),
+        times(lucky, 2, 50),
+    ];
+    reports.extend(others.map(|id| times(id, 100, 150)));
+    for _ in 0..4 {
+        let even = (0..10).map(|part| part * 6000);
+        let load = KeyLoad {
+            service: "s".into(),
+            total: 30,
+            sample: std::iter::repeat_n(7, 20).chain(even).collect(),
+        };
+        let message = PeerMessage::Ping {
+            sent: world.now,
+            index: world.entry.1.index,
+            load: vec![load],
+            times: std::mem::take(&mut reports),
+        };
+        world.step(leader, Event::Stream { conn: 1, message });
+        world.run(ms(200));
+    }
+    let hot = world.moving.iter().find(|(range, _)| *range == (7, 7));
+    assert_eq!(hot.map(|(_, next)| &**next), Some(&**proved));
+}
+
+/// Seen on a day with 78 entry VMs: keys were divided a second time while the first division was on
+/// its way to the disks, and two targets held the same keys.
+#[test]
+fn keys_are_divided_once_however_long_that_takes() {
+    let mut world = World::new(11);
+    let first = keyed_change();
     world.ask(Call::Change(Box::new(first)));
     world.delay = 300;
     let leader = world.leader().unwrap();
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -21,10 +21,12 @@
     Item,
     Limits,
     Member,
+    Note,
     PeerMessage,
     Reply,
     Routing,
     Span,
+    TargetId,
     Token,
     View, //
 };
@@ -128,6 +130,8 @@
     pub(crate) delay: u64,
     /// Ranges that entry VMs saw change their holder.
     pub(crate) assigned: Vec<Span>,
+    /// Ranges that began to move, and their next holders.
+    pub(crate) moving: Vec<((u16, u16), TargetId)>,
     pub(crate) wire: Vec<(Duration, SocketAddr, SocketAddr, PeerMessage)>,
     pub(crate) replies: BTreeMap<Token, (Duration, Reply)>,
     pub(crate) next_token: Token,
@@ -146,6 +150,7 @@
             loss: 0.0,
             delay: 20,
             assigned: Vec::new(),
+            moving: Vec::new(),
             wire: Vec::new(),
             replies: BTreeMap::new(),
             next_token: 0,
@@ -212,6 +217,9 @@
                 Effect::Reply { token, reply } => {
                     self.replies.insert(token, (now, reply));
                 }
+                Effect::Note(Note::Moving { range, next, .. }) => {
+                    self.moving.push((range, next.id));
+                }
                 Effect::Stream { message, .. } if self.entry.0 == Some(at) => {
                     self.entry_heard(message);
                 }
