Count requests that are sent away as neither quick answers nor failures; plan by donor

Change: requests that were sent away count only as a sign of life; a plan goes on with the next donor; no cut by width while there is a sample; the longer sample leaves holders of hot keys out.

--- a/crates/entry/src/entry/repeat.rs
+++ b/crates/entry/src/entry/repeat.rs
@@ -63,7 +63,10 @@
             }
             Answer::NotExecuted { status, load } => {
                 let moved = status == MISDIRECTED && flow.key.is_some();
-                self.peers.answered(&target, attempt, !moved, load, now);
+                match moved {
+                    true => self.peers.sent_away(&target, attempt, load, now),
+                    false => self.peers.answered(&target, attempt, true, load, now),
+                }
                 out.push(Effect::Discard(attempt));
                 self.not_executed(id, moved, now, out);
             }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -209,6 +209,19 @@
         }
     }
 
+    /// The target answered something.
+    fn heard(&mut self, report: Option<LoadReport>, now: Duration) {
+        self.answered = now;
+        self.pause = Duration::ZERO;
+        self.paused_until = Duration::ZERO;
+        if let Some(report) = report {
+            let total = f64::from(report.running + report.waiting);
+            self.others = (total - self.open.len() as f64).max(0.0);
+            self.reported = now;
+            self.slots = report.slots.max(1);
+        }
+    }
+
     fn fail(&mut self, now: Duration) {
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LAST_PAUSE);
         self.paused_until = now + self.pause;
@@ -315,6 +328,15 @@
         }
     }
 
+    /// Notes that the target sent a request away because it does not hold the key. That says
+    /// nothing about its speed or health.
+    pub fn sent_away(&mut self, id: &str, attempt: u64, report: Option<LoadReport>, now: Duration) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.open.remove(&attempt);
+            peer.heard(report, now);
+        }
+    }
+
     /// Notes a complete answer.
     pub fn answered(
         &mut self,
@@ -328,17 +350,9 @@
             return;
         };
         let started = peer.open.remove(&attempt);
-        peer.answered = now;
-        peer.pause = Duration::ZERO;
-        peer.paused_until = Duration::ZERO;
+        peer.heard(report, now);
         let fail = if failed { 1.0 } else { 0.0 };
         peer.failing += (fail - peer.failing) * FAIL_WEIGHT;
-        if let Some(report) = report {
-            let total = f64::from(report.running + report.waiting);
-            peer.others = (total - peer.open.len() as f64).max(0.0);
-            peer.reported = now;
-            peer.slots = report.slots.max(1);
-        }
         if let Some(started) = started.filter(|_| !failed) {
             // The load that the target reports with the answer is fresher than what this VM knew
             // when the request started.
--- a/crates/entry/tests/entry/load.rs
+++ b/crates/entry/tests/entry/load.rs
@@ -16,6 +16,7 @@
 use camphordale_entry::{
     Answer,
     LoadReport,
+    Peers,
     Refusal, //
 };
 use rstest::rstest;
@@ -250,3 +251,25 @@
         "{pause:?}"
     );
 }
+
+/// Targets send requests away at once while keys move: that does not make them look quick. Seen on a
+/// calm day: a hot key went to the target that had sent most requests away.
+#[test]
+fn requests_that_are_sent_away_do_not_make_a_target_look_quick() {
+    let mut peers = Peers::default();
+    peers.follow(&World::view());
+    let mut now = ms(1000);
+    for attempt in 0..20 {
+        peers.began("keyed-0", attempt, now);
+        now += ms(1);
+        peers.sent_away("keyed-0", attempt, None, now);
+    }
+    assert!(peers.take_times(KEYED, 1).is_empty());
+    let mean = |peers: &Peers| peers.get("keyed-0").unwrap().mean();
+    let unknown = mean(&peers);
+    peers.began("keyed-0", 20, now);
+    now += ms(300);
+    peers.answered("keyed-0", 20, false, None, now);
+    assert!(mean(&peers) > unknown);
+    assert_eq!(peers.get("keyed-0").unwrap().failing(), 0.0);
+}
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -4,7 +4,10 @@
 //! are few and narrow: each moved key is unavailable for a moment. Holders that have room keep
 //! what they have.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use crate::{
     directory::Holder,
@@ -152,6 +155,18 @@
     out
 }
 
+/// The holders that one key alone keeps busy.
+pub fn hot_holders(
+    spans: &[Span],
+    candidates: &[Candidate],
+    demand: &Demand<'_>,
+) -> BTreeSet<Holder> {
+    let loads = Loads::new(spans, candidates, demand);
+    let holders = candidates.iter().filter(|c| c.takes).map(|c| &c.holder);
+    let hot = holders.filter(|holder| loads.hot_key(holder).is_some());
+    hot.cloned().collect()
+}
+
 /// Picks the candidate that carries the least load for its capacity.
 pub fn heir(spans: &[Span], candidates: &[Candidate], sample: &[Key]) -> Option<Holder> {
     let demand = Demand { sample, rate: 0.0 };
@@ -279,50 +294,64 @@
         self.spans = next;
     }
 
-    /// The move that relieves the holder with the highest load. A candidate without keys gets
-    /// some in any case.
+    /// The move that relieves the holder with the highest load that can be relieved. A candidate
+    /// without keys gets some in any case.
     fn next_move(&self, candidates: &[Candidate], sampled: bool) -> Option<(Holder, Move)> {
-        let takers = candidates.iter().filter(|c| c.takes);
         let taker = self.least(candidates)?;
-        let low = self.ratio(&taker);
-        let is_new = low == 0.0;
-        // A hot key stays where it is when a new target asks for keys.
-        let gives = |c: &&Candidate| !is_new || self.hot_key(&c.holder).is_none();
-        let donor = takers
-            .filter(gives)
-            .max_by(|a, b| self.ratio(&a.holder).total_cmp(&self.ratio(&b.holder)))?;
-        if donor.holder == taker {
+        let is_new = self.ratio(&taker) == 0.0;
+        if !is_new && (!sampled || self.ratio(&taker) > LOW) {
             return None;
         }
-        let high = self.ratio(&donor.holder);
-        if !is_new && (!sampled || low > LOW || !self.is_high(&donor.holder, high)) {
+        let donors = candidates.iter().filter(|c| c.takes && c.holder != taker);
+        let mut donors: Vec<&Holder> = donors.map(|c| &c.holder).collect();
+        donors.sort_by(|a, b| self.ratio(b).total_cmp(&self.ratio(a)));
+        donors.into_iter().find_map(|donor| {
+            let found = match is_new {
+                true => self.share_out(donor, &taker, sampled),
+                false => self.relieve(donor, &taker, candidates),
+            };
+            found.map(|found| (donor.clone(), found))
+        })
+    }
+
+    /// A part of a donor's keys for a target that has none. A hot key stays where it is.
+    fn share_out(&self, donor: &Holder, taker: &Holder, sampled: bool) -> Option<Move> {
+        if self.hot_key(donor).is_some() {
             return None;
         }
-        if !is_new && let Some(key) = self.hot_key(&donor.holder) {
-            let found = self.isolate(&donor.holder, key, candidates)?;
-            return Some((donor.holder.clone(), found));
-        }
-        let over = (high - 1.0).max(0.0) * self.fair.get(&donor.holder)?;
-        let under = (1.0 - low) * self.fair.get(&taker)?;
-        let half = self.load.get(&donor.holder)? / 2.0;
-        let wanted = if is_new {
-            under.min(half)
-        } else {
-            over.min(under)
+        let half = self.load.get(donor)? / 2.0;
+        let wanted = self.fair.get(taker)?.min(half);
+        let found = match sampled {
+            true => self.narrowest(donor, wanted),
+            false => None,
         };
-        let (from, to) = self.narrowest(&donor.holder, wanted, sampled)?;
-        let next = taker;
-        Some((donor.holder.clone(), Move { from, to, next }))
+        let (from, to) = found.or_else(|| self.part_of_widest(donor, wanted))?;
+        let next = taker.clone();
+        Some(Move { from, to, next })
+    }
+
+    /// A part of the keys of a busy donor for the target with the least load.
+    fn relieve(&self, donor: &Holder, taker: &Holder, candidates: &[Candidate]) -> Option<Move> {
+        let high = self.ratio(donor);
+        if !self.is_high(donor, high) {
+            return None;
+        }
+        if let Some(key) = self.hot_key(donor) {
+            return self.isolate(donor, key, candidates);
+        }
+        let over = (high - 1.0) * self.fair.get(donor)?;
+        let under = (1.0 - self.ratio(taker)) * self.fair.get(taker)?;
+        // Where one key is most of the load there is no such range, and a cut by width would take
+        // the key along by chance.
+        let (from, to) = self.narrowest(donor, over.min(under))?;
+        let next = taker.clone();
+        Some(Move { from, to, next })
     }
 
     /// The part of all requests that is for the hottest key of a holder, and the key.
     fn hottest(&self, holder: &Holder) -> (f64, Key) {
-        let own = self
-            .spans
-            .iter()
-            .filter(|s| s.holder.as_ref() == Some(holder));
         let mut best = (0, 0);
-        for span in own {
+        for span in self.own_spans(holder) {
             let start = self.sample.partition_point(|key| *key < span.from);
             let end = self.sample.partition_point(|key| *key <= span.to);
             for run in self.sample[start..end].chunk_by(|a, b| a == b) {
@@ -365,11 +394,7 @@
                 next,
             });
         }
-        let own = self
-            .spans
-            .iter()
-            .filter(|s| s.holder.as_ref() == Some(holder));
-        let rest = own.flat_map(|span| {
+        let rest = self.own_spans(holder).flat_map(|span| {
             let below = (span.from < key).then(|| (span.from, span.to.min(key.saturating_sub(1))));
             let above = (span.to > key).then(|| (span.from.max(key.saturating_add(1)), span.to));
             below
@@ -409,33 +434,38 @@
         busy && ratio > HIGH && (ratio - 1.0) * fair > DEVIATIONS * fair.sqrt()
     }
 
-    /// The narrowest range of the donor with about the wanted load.
-    fn narrowest(&self, donor: &Holder, wanted: f64, sampled: bool) -> Option<(Key, Key)> {
-        let own = self
-            .spans
+    fn own_spans(&self, holder: &Holder) -> impl Iterator<Item = &Span> {
+        self.spans
             .iter()
-            .filter(|s| s.holder.as_ref() == Some(donor));
+            .filter(move |span| span.holder.as_ref() == Some(holder))
+    }
+
+    /// The narrowest range of the donor with about the wanted load, by the sample.
+    fn narrowest(&self, donor: &Holder, wanted: f64) -> Option<(Key, Key)> {
         let need = (wanted / self.key_weight.max(f64::MIN_POSITIVE)).round() as usize;
+        if need == 0 {
+            return None;
+        }
         let mut best: Option<(Key, Key)> = None;
-        if sampled && need > 0 {
-            for span in own.clone() {
-                let start = self.sample.partition_point(|key| *key < span.from);
-                let end = self.sample.partition_point(|key| *key <= span.to);
-                for part in self.sample[start..end].windows(need) {
-                    let (from, to) = (part[0], part[need - 1]);
-                    // Repeats of the last key belong to the range too; one key may be all load.
-                    let heavy = self.weight(from, to) > 1.5 * wanted;
-                    let narrower = best.is_none_or(|(f, t)| to - from < t - f);
-                    if narrower && !heavy {
-                        best = Some((from, to));
-                    }
+        for span in self.own_spans(donor) {
+            let start = self.sample.partition_point(|key| *key < span.from);
+            let end = self.sample.partition_point(|key| *key <= span.to);
+            for part in self.sample[start..end].windows(need) {
+                let (from, to) = (part[0], part[need - 1]);
+                // Repeats of the last key belong to the range too; one key may be all load.
+                let heavy = self.weight(from, to) > 1.5 * wanted;
+                let narrower = best.is_none_or(|(f, t)| to - from < t - f);
+                if narrower && !heavy {
+                    best = Some((from, to));
                 }
             }
         }
-        if best.is_some() {
-            return best;
-        }
-        let widest = own.max_by_key(|span| span.width())?;
+        best
+    }
+
+    /// The upper part of the donor's widest range, cut by width.
+    fn part_of_widest(&self, donor: &Holder, wanted: f64) -> Option<(Key, Key)> {
+        let widest = self.own_spans(donor).max_by_key(|span| span.width())?;
         let weight = self.weight(widest.from, widest.to);
         if weight <= 0.0 || widest.width() < 2 {
             return None;
--- a/crates/fleet/src/control/holders.rs
+++ b/crates/fleet/src/control/holders.rs
@@ -18,7 +18,8 @@
     balance::{
         self,
         Candidate,
-        Demand, //
+        Demand,
+        Move, //
     },
     directory::{
         Holder,
@@ -158,6 +159,37 @@
         }
     }
 
+    /// The moves that balance the load of a service. A sudden rise shows in the last moments, a
+    /// slow one only in a longer sample.
+    fn moves(
+        &self,
+        service: &str,
+        spans: &[Span],
+        candidates: &[Candidate],
+        now: Duration,
+    ) -> Vec<Move> {
+        let (sample, rate) = self.demand(service, RECENT_AGE, now);
+        let sample = &sample;
+        let recent = Demand { sample, rate };
+        let moves = balance::plan(spans, candidates, &recent);
+        if !moves.is_empty() {
+            return moves;
+        }
+        let hot = balance::hot_holders(spans, candidates, &recent);
+        let (sample, rate) = self.demand(service, SAMPLE_AGE, now);
+        let sample = &sample;
+        let mut moves = balance::plan(spans, candidates, &Demand { sample, rate });
+        // The longer sample shows a range as busy of which only one key is hot, and that for a
+        // moment.
+        moves.retain(|found| {
+            let mut held = spans.iter();
+            let holder = held.find(|span| span.from <= found.from && found.from <= span.to);
+            let former = holder.and_then(|span| span.holder.as_ref());
+            !hot.contains(&found.next) && former.is_none_or(|former| !hot.contains(former))
+        });
+        moves
+    }
+
     /// Takes the times that an entry VM reports.
     pub(super) fn record_times(&mut self, times: Vec<TargetTimes>) {
         for TargetTimes { id, count, millis } in times {
@@ -342,16 +374,7 @@
             }
             let spans: Vec<Span> = leases.iter().map(Lease::next_span).collect();
             let mut begun = Vec::new();
-            let mut moves = Vec::new();
-            // A sudden rise shows in the last moments, a slow one only in a longer sample.
-            for age in [RECENT_AGE, SAMPLE_AGE] {
-                let (sample, rate) = lead.holders.demand(&service, age, now);
-                let sample = &sample;
-                moves = balance::plan(&spans, &candidates, &Demand { sample, rate });
-                if !moves.is_empty() {
-                    break;
-                }
-            }
+            let moves = lead.holders.moves(&service, &spans, &candidates, now);
             for found in moves {
                 let leaves = candidates.iter().any(|candidate| {
                     let held = |span: &&Span| span.from <= found.from && span.to >= found.from;
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -293,3 +293,29 @@
     };
     assert!(balance::plan(&now, &candidates, &demand).is_empty());
 }
+
+/// A key became hot a moment ago: in a sample of several seconds its holder is busy, but the key is
+/// not hot yet. The key stays. Seen on a calm day: it went along with a part of its range that was
+/// cut by width, to a target that could not carry it.
+#[test]
+fn hot_key_does_not_go_along_with_a_part_of_its_range() {
+    let candidates = candidates(8);
+    // The second target holds a wide range with little but the key, and some narrow ones.
+    let narrow = (0..6).map(|number| Move {
+        from: number * 1000,
+        to: number * 1000 + 99,
+        next: holder(1),
+    });
+    let narrow: Vec<Move> = narrow.collect();
+    let now = carry_out(&spans(&divide(&candidates)), &narrow);
+    let key = 15_000;
+    let mut sample = vec![key; 42];
+    for found in &narrow {
+        sample.extend((0..8).map(|at| found.from + at * 10));
+    }
+    let elsewhere = even(400, 1).into_iter().filter(|k| *k > 16_384);
+    sample.extend(elsewhere);
+    let moves = plan(&now, &candidates, &sample);
+    let takes_key = |found: &Move| found.from <= key && key <= found.to;
+    assert!(!moves.iter().any(takes_key), "{moves:?}");
+}
