Keep a key that is becoming hot where it is

Ruled out: the estimates of capacity (a trial that printed them shows them right). Test: balance/key_that_becomes_hot_does_not_move_to_relieve_its_holder (moves it before).

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -30,6 +30,9 @@
 const EVEN_PART: f64 = 0.1;
 /// A key that alone is this part of its holder's fair load is kept apart from other keys.
 const HOT_PART: f64 = 0.9;
+/// A key that alone is this part of its holder's fair load may be becoming hot: it does not move to
+/// relieve its holder, because only a stronger target could carry it.
+const WARM_PART: f64 = 0.4;
 /// A hot key leaves its holder if another target can carry this multiple of what the holder can.
 const STRONGER: f64 = 1.25;
 /// A holder whose load is below this part of its capacity is not relieved: its requests hardly
@@ -322,7 +325,7 @@
         let half = self.load.get(donor)? / 2.0;
         let wanted = self.fair.get(taker)?.min(half);
         let found = match sampled {
-            true => self.narrowest(donor, wanted),
+            true => self.narrowest(donor, wanted, None),
             false => None,
         };
         let (from, to) = found.or_else(|| self.part_of_widest(donor, wanted))?;
@@ -343,7 +346,9 @@
         let under = (1.0 - self.ratio(taker)) * self.fair.get(taker)?;
         // Where one key is most of the load there is no such range, and a cut by width would take
         // the key along by chance.
-        let (from, to) = self.narrowest(donor, over.min(under))?;
+        let (load, key) = self.hottest(donor);
+        let kept = (load > WARM_PART * self.fair.get(donor)?).then_some(key);
+        let (from, to) = self.narrowest(donor, over.min(under), kept)?;
         let next = taker.clone();
         Some(Move { from, to, next })
     }
@@ -440,8 +445,9 @@
             .filter(move |span| span.holder.as_ref() == Some(holder))
     }
 
-    /// The narrowest range of the donor with about the wanted load, by the sample.
-    fn narrowest(&self, donor: &Holder, wanted: f64) -> Option<(Key, Key)> {
+    /// The narrowest range of the donor with about the wanted load, by the sample, and without the
+    /// key that it keeps.
+    fn narrowest(&self, donor: &Holder, wanted: f64, kept: Option<Key>) -> Option<(Key, Key)> {
         let need = (wanted / self.key_weight.max(f64::MIN_POSITIVE)).round() as usize;
         if need == 0 {
             return None;
@@ -455,7 +461,8 @@
                 // Repeats of the last key belong to the range too; one key may be all load.
                 let heavy = self.weight(from, to) > 1.5 * wanted;
                 let narrower = best.is_none_or(|(f, t)| to - from < t - f);
-                if narrower && !heavy {
+                let keeps = kept.is_none_or(|key| key < from || key > to);
+                if narrower && !heavy && keeps {
                     best = Some((from, to));
                 }
             }
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -319,3 +319,35 @@
     let takes_key = |found: &Move| found.from <= key && key <= found.to;
     assert!(!moves.iter().any(takes_key), "{moves:?}");
 }
+
+/// A key is becoming hot on the strongest target, whose load is high already: other keys leave, the
+/// key does not. Seen on a calm day: it was the narrowest range with the wanted load and went to the
+/// target with the least load, which could not carry it.
+#[test]
+fn key_that_becomes_hot_does_not_move_to_relieve_its_holder() {
+    let mut candidates = candidates(11);
+    for (number, candidate) in candidates.iter_mut().enumerate() {
+        candidate.capacity = [89.0, 50.0, 50.0, 57.0][number % 4];
+    }
+    let even_candidates: Vec<Candidate> = candidates
+        .iter()
+        .map(|candidate| Candidate {
+            capacity: 1.0,
+            ..candidate.clone()
+        })
+        .collect();
+    let now = spans(&divide(&even_candidates));
+    let (span, key) = (&now[4], now[4].from + 1000);
+    assert_eq!(candidates[4].capacity, 89.0);
+    let mut sample = even(90, 2);
+    sample.extend(std::iter::repeat_n(key, 13));
+    sample.extend((0..20).map(|at| span.from + 2000 + at * 150));
+    let demand = Demand {
+        sample: &sample,
+        rate: 330.0,
+    };
+    let moves = balance::plan(&now, &candidates, &demand);
+    assert!(!moves.is_empty());
+    let takes_key = |found: &Move| found.from <= key && key <= found.to;
+    assert!(!moves.iter().any(takes_key), "{moves:?}");
+}
