--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -125,7 +125,9 @@
         "full" => "every target would have answered after the objective: see the load",
         "no-holder" => "the key had no holder: it was moving, or its holder's hold had ended",
         "moving" => "the key was between two holders for longer than the request could wait",
-        "holder-full" => "the holder of the key would have answered after the objective: a hot key",
+        "holder-full" => {
+            "the holder of the key had no place: compare load, open and expected_ms of the line"
+        }
         "holder-lost" => "the holder of the key did not answer this VM; its hold has to run out",
         "shed" => "the target refused the request, and no repeat was allowed",
         "lost" => "the connection failed after the request was sent; it may have run",
--- a/crates/entry/tests/entry/common.rs
+++ b/crates/entry/tests/entry/common.rs
@@ -10,11 +10,13 @@
     Arrival,
     AttemptId,
     Config,
+    Decision,
     Effect,
     Entry,
     Event,
     FlowId,
     LoadReport,
+    Note,
     Refusal, //
 };
 use camphordale_fleet::{
@@ -114,6 +116,8 @@
     pub(crate) cancelled: Vec<AttemptId>,
     pub(crate) passed: Vec<FlowId>,
     pub(crate) refused: Vec<(FlowId, Refusal)>,
+    /// What is logged of refusals and repeats.
+    pub(crate) decisions: Vec<Decision>,
 }
 
 impl World {
@@ -191,6 +195,9 @@
                 Effect::Cancel(attempt) => seen.cancelled.push(attempt),
                 Effect::Pass { flow, .. } => seen.passed.push(flow),
                 Effect::Refuse { flow, refusal } => seen.refused.push((flow, refusal)),
+                Effect::Note(Note::Refused(decision) | Note::Repeated(decision)) => {
+                    seen.decisions.push(decision);
+                }
                 Effect::Discard(_) | Effect::Link(_) | Effect::Note(_) => {}
             }
         }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,5 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod common;
+mod decisions;
 mod load;
 mod requests;
