--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,6 +3,7 @@
 mod flow;
 mod repeat;
 mod view;
+mod waiting;
 
 use std::{
     collections::{
@@ -29,11 +30,9 @@
 };
 
 use self::{
-    flow::{
-        Flow,
-        Unrouted, //
-    },
-    view::KeySample, //
+    flow::Flow,
+    view::KeySample,
+    waiting::Unrouted, //
 };
 use crate::{
     budget::Budget,
