End the acceptor of a draining server when it cannot accept

Cause: read as a newcomer: with no descriptors left the acceptor would wait for the last connection for ever, and the drain, which frees descriptors, for the acceptor. There is no test of this case: it needs a process without descriptors.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -367,6 +367,8 @@
                 Ok((_, peer)) if self.closing.last.get() == Some(&peer) => return,
                 Ok((stream, peer)) => self.admit(stream, peer),
                 Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                // Descriptors may be short until the drain goes on.
+                Err(_) if self.closing.last.get().is_some() => return,
                 Err(_) => {
                     self.context.counts.refused("accept");
                     thread::sleep(ACCEPT_PAUSE);
