Run the older raft situations with the lease that they were written for

Change: situations have a lease of 150 ms as before, each as it was; histories of the simulation and the new test keep 90 ms.

--- a/crates/raft/tests/raft/sim.rs
+++ b/crates/raft/tests/raft/sim.rs
@@ -42,7 +42,7 @@
     Config {
         id,
         election: ELECTION,
-        lease: LEASE,
+        lease: ELECTION,
         heartbeat: ms(40),
         batch: 4,
         seed,
@@ -193,7 +193,12 @@
         node.hash = snapshot.map_or(0, |snapshot| decode(&snapshot.data));
         node.shown = Some((Role::Follower, node.disk.hard.term, None));
         node.crash = false;
-        node.raft = Some(Raft::new(config(id, seed), node.disk.clone()));
+        // Histories run with a lease below the election time.
+        let config = Config {
+            lease: LEASE,
+            ..config(id, seed)
+        };
+        node.raft = Some(Raft::new(config, node.disk.clone()));
         self.requests.retain(|_, (node, _)| *node != id);
     }
 
--- a/crates/raft/tests/raft/situations.rs
+++ b/crates/raft/tests/raft/situations.rs
@@ -3,6 +3,7 @@
 use camphordale_raft::{
     AppendReply,
     Change,
+    Config,
     Effect,
     Entry,
     Event,
@@ -397,7 +398,7 @@
     }
     assert_eq!(leader.leader_until(), None);
     receive(&mut leader, 2, answer(5, 2, 1), 402);
-    assert_eq!(leader.leader_until(), Some(ms(400) + LEASE));
+    assert_eq!(leader.leader_until(), Some(ms(400) + ELECTION));
 }
 
 /// Guards against a read that is answered by a round from before it arrived.
@@ -462,10 +463,24 @@
     assert_eq!(slow.collect::<Vec<_>>(), [] as [u64; 0]);
 }
 
-/// Guards against a vote within the lease that a leader may have had when the voter restarted.
+/// Guards against a vote within the lease that a leader may have had when the voter restarted, and
+/// against a wait for the longer election time.
 #[test]
 fn a_voter_that_restarted_grants_nothing_within_the_lease() {
-    let mut voter = member(2, 5, &[1]);
+    let recovered = Recovered {
+        hard: HardState {
+            term: 5,
+            voted: None,
+        },
+        entries: entries(vec![(1, Payload::Noop)]),
+        ..first([1, 2, 3])
+    };
+    let config = Config {
+        lease: LEASE,
+        ..config(2, 7)
+    };
+    let mut voter = Raft::new(config, recovered);
+    voter.step(Event::Tick, ms(0));
     let pre = Message::Vote {
         term: 6,
         last_index: 9,
