--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -280,7 +280,10 @@
     pub fn commits(&self, marker: &str) -> Vec<Entry> {
         let mut found = Vec::new();
         for journal in &self.journals {
-            let entries: Vec<Entry> = read_lines(journal).unwrap_or_default();
+            // The last line may be half written while targets work; it is read again then.
+            let (entries, _) = wait_for("a whole journal", LIMIT, || {
+                read_lines::<Entry>(journal).ok()
+            });
             found.extend(entries.into_iter().filter(|entry| {
                 entry.phase == camphordale_standin::Phase::Commit
                     && entry.marker.as_deref() == Some(marker)
