Deliver key leases in the answers to targets' announcements

Cause: services of the further deployment state that their targets get leases in the answers to their heartbeats.

Change: KeyDelivery is a property of a service (unkeyed, by call, by heartbeat; the encodings of the old bool are kept). The lease table decides for both. With delivery by heartbeat an announcement carries what the target holds and has let go, and its answer all that it may hold. A range is left out of an answer only if the target has reported it under a token of this leader; its release and the commit of the change precede the answer to the next holder. Answers with leases are checked against the leader lease right before they are written. The lease is derived from the interval between announcements and checked when settings are read. Candidates are found without a scan of all leases for each target.

Ruled out: counting the absence of a range from an announcement as proof at once: the history with that check removed fails the test a_range_that_was_not_reported_under_this_leader_is_not_withheld.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -433,7 +433,7 @@
     fn view_timeout(&self) -> Duration {
         let routing = self.view.routing.iter();
         let mut services = routing.flat_map(|routing| routing.services.values());
-        match services.any(|item| item.spec.keyed) {
+        match services.any(|item| item.spec.keys.is_keyed()) {
             true => KEYED_VIEW_TIMEOUT,
             false => UNKEYED_VIEW_TIMEOUT,
         }
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -162,7 +162,8 @@
             }
             Command::Assign { service, range, .. } => {
                 let range = (range.from, range.to);
-                self.handovers.assigned(service, range, now);
+                let delivery = self.view.key_delivery(service);
+                self.handovers.assigned(service, range, delivery, now);
                 return self.retry_range(service, range, now, out);
             }
             Command::Member(_) | Command::Forget(_) => return,
@@ -241,7 +242,7 @@
         };
         let routing = self.view.routing.clone();
         let services = routing.iter().flat_map(|routing| &routing.services);
-        for (name, _) in services.filter(|(_, item)| item.spec.keyed) {
+        for (name, _) in services.filter(|(_, item)| item.spec.keys.is_keyed()) {
             latencies.extend(self.targets.take_latencies(name, least));
         }
         (self.key_load(), latencies)
--- a/crates/entry/src/handovers.rs
+++ b/crates/entry/src/handovers.rs
@@ -7,6 +7,7 @@
 
 use camphordale_fleet::{
     Key,
+    KeyDelivery,
     ServiceName, //
 };
 
@@ -16,6 +17,9 @@
 /// Maximum time for which requests wait for the notice that a new holder has its keys: a few round
 /// trips between VMs of a region. After it the new holder is tried anyway.
 const MAX_GRANT_WAIT: Duration = Duration::from_millis(60);
+/// The same limit where the holder is told in the answer to its next announcement: about one
+/// interval between announcements.
+const MAX_CLAIM_WAIT: Duration = Duration::from_millis(1000);
 /// Time after which a running request that may be retried is cancelled, so that it does not delay
 /// the release; most requests take less.
 pub(crate) const RELEASE_GRACE: Duration = Duration::from_millis(200);
@@ -53,8 +57,18 @@
     }
 
     /// Records that a range was assigned to another holder, which has not acknowledged it yet.
-    pub fn assigned(&mut self, service: &str, range: (Key, Key), now: Duration) {
-        self.set(service, range, now + MAX_GRANT_WAIT, None, now);
+    pub fn assigned(
+        &mut self,
+        service: &str,
+        range: (Key, Key),
+        delivery: KeyDelivery,
+        now: Duration,
+    ) {
+        let wait = match delivery {
+            KeyDelivery::Heartbeat => MAX_CLAIM_WAIT,
+            KeyDelivery::Call | KeyDelivery::Unkeyed => MAX_GRANT_WAIT,
+        };
+        self.set(service, range, now + wait, None, now);
     }
 
     fn set(
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -23,6 +23,7 @@
     ConfigResource,
     EntryCounts,
     Holder,
+    KeyDelivery,
     KeyRange,
     PeerMessage,
     RetryPolicy,
@@ -73,15 +74,15 @@
         ..Routing::default()
     };
     let kinds = [
-        (READS, RetryPolicy::Idempotent, false),
-        (ORDERS, RetryPolicy::AtMostOnce, false),
-        (KEYED, RetryPolicy::Idempotent, true),
+        (READS, RetryPolicy::Idempotent, KeyDelivery::Unkeyed),
+        (ORDERS, RetryPolicy::AtMostOnce, KeyDelivery::Unkeyed),
+        (KEYED, RetryPolicy::Idempotent, KeyDelivery::Call),
     ];
-    for (name, retry_policy, keyed) in kinds {
+    for (name, retry_policy, keys) in kinds {
         let service = Service {
             health_path: "/health".into(),
             max_connections: 100,
-            keyed,
+            keys,
             warm_up: ms(2000),
         };
         routing.services.insert(name.into(), item(service));
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod calls;
+mod heartbeats;
 mod members;
 mod rebalance;
 mod streams;
@@ -38,6 +39,7 @@
         LastAnnouncement,
         Pending, //
     },
+    heartbeats::DelayedAnswer,
     members::MemberTable,
     rebalance::LoadStats,
     streams::{
@@ -72,6 +74,7 @@
     lease_table: LeaseTable,
     announcements: BTreeMap<TargetId, LastAnnouncement>,
     load_stats: LoadStats,
+    delayed_answers: Vec<DelayedAnswer>,
 }
 
 /// One control VM.
@@ -215,6 +218,7 @@
             self.maintain_members(now, out);
             self.forget_silent_targets(now, out);
             self.maintain_key_leases(now, out);
+            self.send_delayed_answers(now, out);
             self.close_silent_streams(now, out);
             self.acknowledge_changes(now, out);
         }
@@ -307,6 +311,9 @@
         if outcome == Outcome::Done {
             self.on_command_applied(&command, out);
             self.stream_update(index, &command, out);
+            if matches!(command, Command::Assign { .. }) {
+                self.send_delayed_answers(now, out);
+            }
         }
         if let Command::Change(change) = &command {
             out.push(Effect::Log(LogEvent::Change {
@@ -398,17 +405,21 @@
         let term = self.raft.term();
         self.leader_state = Some(LeaderState {
             elected_at: now,
-            lease_table: LeaseTable::new(self.config.key_lease, term, &self.state.view, now),
+            lease_table: LeaseTable::new(self.config.lease_times, term, &self.state.view, now),
             announcements: BTreeMap::new(),
             load_stats: LoadStats::default(),
+            delayed_answers: Vec::new(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
     }
 
     fn step_down(&mut self, out: &mut Vec<Effect>) {
-        if self.leader_state.take().is_none() {
+        let Some(leader) = self.leader_state.take() else {
             return;
+        };
+        for delayed in leader.delayed_answers {
+            out.push(delayed.unavailable("leadership was lost"));
         }
         // These changes are committed, so they are acknowledged even after leadership is lost.
         for ack in self.pending_acks.drain(..) {
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -15,6 +15,8 @@
     key_leases::{
         Answer,
         Dispatch,
+        GrantedRange,
+        LeaseTimes,
         OrderId, //
     },
     keys::KeyRange,
@@ -46,8 +48,8 @@
     pub member: Member,
     /// Desired number of voters.
     pub voters: usize,
-    /// Duration of a key lease.
-    pub key_lease: Duration,
+    /// Durations of key leases.
+    pub lease_times: LeaseTimes,
     /// Minimum time without a leader before an election.
     pub election_timeout: Duration,
     /// Duration of the leader lease: how long a leader may rely on another member's answer. It must
@@ -92,6 +94,13 @@
         /// Whether this VM is the leader.
         is_leader: bool,
     },
+    /// The announcement is registered; these are all the keys that the target may hold.
+    Leases {
+        /// The granted ranges, in key order.
+        granted: Box<[GrantedRange]>,
+        /// Lease duration, counted from when the target sent the announcement.
+        lease: Duration,
+    },
     /// The latest routing.
     Routing(Arc<Routing>),
     /// Calls are served by the leader at this address.
@@ -182,6 +191,17 @@
         /// The next holder.
         next: Holder,
     },
+    /// A key range was left out of an answer to its holder, so that it can move.
+    Withheld {
+        /// The service.
+        service: Box<str>,
+        /// First and last key.
+        range: (u16, u16),
+        /// The previous holder.
+        holder: Holder,
+        /// The next holder.
+        next: Holder,
+    },
     /// An order was not carried out.
     Order {
         /// The target.
@@ -230,6 +250,18 @@
         /// The reply.
         reply: Reply,
     },
+    /// Reply to an announcement with [`Reply::Leases`], or with [`Reply::Unavailable`] if the clock
+    /// has passed `send_before` at the time of sending.
+    LeaseReply {
+        /// The call.
+        token: CallToken,
+        /// The granted ranges, in key order.
+        granted: Box<[GrantedRange]>,
+        /// Lease duration, counted from when the target sent the announcement.
+        lease: Duration,
+        /// End of the leader lease: no other leader can exist before it.
+        send_before: Duration,
+    },
     /// Send an order to a target, unless the clock has passed `send_before` at the time of sending.
     Order {
         /// The order.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -12,6 +12,7 @@
     Reply, //
 };
 use crate::{
+    key_leases::LeaseReport,
     keys::KeyRange,
     registry::{
         Announcement,
@@ -21,6 +22,7 @@
     },
     routing::{
         Change,
+        KeyDelivery,
         ServiceName, //
     },
     state::{
@@ -42,6 +44,15 @@
     Read(CallToken),
     /// Reply to the target whose state changed.
     Announce(CallToken),
+    /// Reply to the target whose state changed, with its key leases.
+    Leases {
+        /// The call.
+        token: CallToken,
+        /// The target.
+        id: TargetId,
+        /// What it reported about its keys.
+        report: Box<LeaseReport>,
+    },
     /// Retry the assignment of a key range if it fails.
     Assign(ServiceName, KeyRange),
     /// Nothing; no call waits for it.
@@ -157,9 +168,9 @@
                 target.state = TargetState::Left;
             }
         }
+        let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
-            let reply = Reply::Done { is_leader: true };
-            out.push(Effect::Reply { token, reply });
+            self.answer_announcement(token, &announcement.id, &announcement.report, now, out);
             return;
         }
         let command = Command::Announce {
@@ -169,7 +180,13 @@
         // Only a reply to a draining target must wait until the state is durable, because it
         // promises that no more requests will be sent. A target whose registration is lost
         // announces itself again.
-        let then = if announcement.draining {
+        let then = if by_heartbeat {
+            Pending::Leases {
+                token,
+                id: announcement.id.clone(),
+                report: Box::new(announcement.report.clone()),
+            }
+        } else if announcement.draining {
             Pending::Announce(token)
         } else {
             let reply = Reply::Done { is_leader: true };
@@ -265,7 +282,12 @@
 
     pub(super) fn on_proposal_dropped(&mut self, id: u64, out: &mut Vec<Effect>) {
         match self.pending.remove(&id) {
-            Some(Pending::Change(token) | Pending::Read(token) | Pending::Announce(token)) => {
+            Some(
+                Pending::Change(token)
+                | Pending::Read(token)
+                | Pending::Announce(token)
+                | Pending::Leases { token, .. },
+            ) => {
                 let reply = Reply::Unavailable("leadership was lost");
                 out.push(Effect::Reply { token, reply });
             }
@@ -295,6 +317,10 @@
                 out.push(Effect::Reply { token, reply });
                 return;
             }
+            Pending::Leases { token, id, report } => {
+                self.answer_announcement(token, &id, &report, now, out);
+                return;
+            }
             Pending::Assign(service, range) => {
                 if let (Outcome::Outdated, Some(leader)) = (outcome, &mut self.leader_state) {
                     leader
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         VecDeque, //
     },
     time::Duration,
@@ -13,7 +14,8 @@
     Control,
     Effect,
     LogEvent,
-    calls::Pending, //
+    calls::Pending,
+    heartbeats::SILENT_INTERVALS, //
 };
 use crate::{
     balance::{
@@ -36,7 +38,10 @@
         TargetId,
         TargetState, //
     },
-    routing::ServiceName,
+    routing::{
+        KeyDelivery,
+        ServiceName, //
+    },
     state::Command,
 };
 
@@ -64,7 +69,10 @@
 const DEFAULT_LATENCY_MS: f64 = 150.0;
 /// Maximum number of sampled keys per service.
 const MAX_SAMPLE: usize = 4000;
-/// Time without an announcement after which a target receives no more keys.
+/// A free range goes to a target that can be told within this time, if there is one.
+const FREE_RANGE_WAIT: Duration = Duration::from_millis(300);
+/// Time without an announcement after which a target that is called for grants receives no more
+/// keys.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Recently reported requests of one service, with the time of the report.
@@ -248,7 +256,7 @@
     }
 
     /// Targets of a keyed service that may hold keys, and whether each accepts more.
-    fn candidates(&self, service: &str, now: Duration) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, service: &str, now: Duration) -> Vec<Candidate> {
         let Some(leader) = &self.leader_state else {
             return Vec::new();
         };
@@ -260,6 +268,15 @@
         let median = leader
             .load_stats
             .median_latency(own.clone().map(|(id, _)| id));
+        let leases = leader.lease_table.leases(service).iter();
+        let unanswered: BTreeSet<&Holder> = leases
+            .filter(|lease| lease.is_unanswered())
+            .filter_map(|lease| lease.range.holder.as_ref())
+            .collect();
+        let timeout = match self.state.view.key_delivery(service) {
+            KeyDelivery::Heartbeat => self.config.lease_times.interval * SILENT_INTERVALS,
+            KeyDelivery::Call | KeyDelivery::Unkeyed => ANNOUNCEMENT_TIMEOUT,
+        };
         for (id, target) in own {
             let holder = Holder {
                 id: id.clone(),
@@ -271,10 +288,8 @@
                 .get(id)
                 .filter(|latest| latest.incarnation == target.incarnation);
             let at = latest.map_or(leader.elected_at, |latest| latest.received_at);
-            let mut leases = leader.lease_table.leases(service).iter();
-            let unresponsive =
-                leases.any(|l| l.range.holder.as_ref() == Some(&holder) && l.is_unanswered());
-            if ready && (now.saturating_sub(at) > ANNOUNCEMENT_TIMEOUT || unresponsive) {
+            let unresponsive = unanswered.contains(&holder);
+            if ready && (now.saturating_sub(at) > timeout || unresponsive) {
                 continue;
             }
             out.push(Candidate {
@@ -290,7 +305,7 @@
         let routing = self.state.view.routing.as_ref();
         let services = routing.into_iter().flat_map(|routing| &routing.services);
         services
-            .filter(|(_, item)| item.spec.keyed)
+            .filter(|(_, item)| item.spec.keys.is_keyed())
             .map(|(name, _)| name.clone())
             .collect()
     }
@@ -346,17 +361,27 @@
     }
 
     /// Proposes the next holders of ranges that are free.
-    fn propose_holder_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
+    pub(super) fn propose_holder_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let Some(leader) = &self.leader_state else {
             return;
         };
         let services: Vec<ServiceName> = leader.lease_table.services().cloned().collect();
         let mut candidates_by_service = BTreeMap::new();
         for service in services {
-            let candidates = self.candidates(&service, now);
+            let mut candidates = self.candidates(&service, now);
             let Some(leader) = &self.leader_state else {
                 return;
             };
+            if self.state.view.key_delivery(&service) == KeyDelivery::Heartbeat {
+                let interval = self.config.lease_times.interval;
+                let is_due = |c: &Candidate| {
+                    let due = leader.announced_in(&c.holder, interval, now);
+                    c.accepts_keys && due.is_some_and(|due| due <= FREE_RANGE_WAIT)
+                };
+                if candidates.iter().any(is_due) {
+                    candidates.retain(is_due);
+                }
+            }
             let (sample, _) = leader.load_stats.demand(&service, SAMPLE_WINDOW, now);
             let ranges: Vec<KeyRange> = leader
                 .lease_table
@@ -388,7 +413,7 @@
     }
 
     /// Starts the moves that balance the load.
-    fn plan_moves(&mut self, now: Duration, out: &mut Vec<Effect>) {
+    pub(super) fn plan_moves(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let Some(leader) = &mut self.leader_state else {
             return;
         };
@@ -440,6 +465,10 @@
                     }));
                 }
             }
+            // Where the holder is told in an answer, the move starts with that answer.
+            if self.state.view.key_delivery(&service) == KeyDelivery::Heartbeat {
+                continue;
+            }
             for range in started {
                 self.stream_handover(&service, range, false, out);
             }
@@ -448,6 +477,16 @@
 }
 
 impl LoadStats {
+    /// Lets the next balancing pass run at once.
+    pub(super) fn plan_now(&mut self, now: Duration) {
+        self.next_plan = self.next_plan.min(now);
+    }
+
+    /// Keys sampled in the longer window, and the rate of requests per second in that time.
+    pub(super) fn lasting_demand(&self, service: &str, now: Duration) -> (Vec<Key>, f64) {
+        self.demand(service, SAMPLE_WINDOW, now)
+    }
+
     fn may_plan(&self, now: Duration) -> bool {
         now >= self.next_plan
     }
--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -4,7 +4,12 @@
 //! holder may still act on a grant, whether or not the grant was answered. It is a worst case: the
 //! target counts the lease from the arrival of the order, which may be as late as the order's
 //! deadline, and the target's clock may be slow.
+//!
+//! Services with [`KeyDelivery::Call`] get orders from [`LeaseTable::due_orders`]. Targets of
+//! services with [`KeyDelivery::Heartbeat`] report what they hold and get all their leases in the
+//! answer: see the module `heartbeat`.
 
+mod heartbeat;
 mod lease;
 
 use std::{
@@ -15,6 +20,14 @@
     time::Duration, //
 };
 
+pub use self::heartbeat::{
+    FreedRange,
+    GrantedRange,
+    HeartbeatAnswer,
+    HeldRange,
+    LeaseReport,
+    MAX_GRANTED_RANGES, //
+};
 use self::lease::{
     merge_adjacent,
     split_at,
@@ -31,7 +44,10 @@
         Address,
         Holder, //
     },
-    routing::ServiceName,
+    routing::{
+        KeyDelivery,
+        ServiceName, //
+    },
     state::View,
 };
 
@@ -50,6 +66,9 @@
 pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Renewals per lease duration.
 const RENEWALS_PER_LEASE: u32 = 4;
+/// Announcement intervals in which the holder of a newly assigned range is expected to announce
+/// itself.
+const CLAIM_INTERVALS: u32 = 2;
 /// Delay before an order that the target did not carry out is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -103,11 +122,17 @@
 enum Phase {
     /// The lease is renewed periodically.
     Renewing,
-    /// The holder has been ordered to release the keys.
+    /// The holder is to release the keys. It has been ordered to, or, with delivery by heartbeat,
+    /// its next answer may leave them out.
     Releasing {
         /// The next holder.
         next: Holder,
     },
+    /// The keys were left out of an answer to the holder, which has not reported their release.
+    Withheld {
+        /// The next holder.
+        next: Holder,
+    },
     /// The holder has released the keys. An earlier grant may still take effect.
     Released {
         /// The next holder.
@@ -116,7 +141,10 @@
         handover: Option<HandoverData>,
     },
     /// The change of holder has been proposed to the Raft group.
-    Proposed,
+    Proposed {
+        /// The next holder.
+        next: Holder,
+    },
 }
 
 /// A key range and the lease that its holder may have.
@@ -143,6 +171,20 @@
     failures: u32,
     next_renewal: Duration,
     in_flight: Option<OrderId>,
+    /// Until when the holder of a range assigned under this leader is expected to announce itself,
+    /// which is when it can be told. Only with delivery by heartbeat.
+    claim_by: Option<Duration>,
+}
+
+/// Durations of key leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// Lease of services whose targets are called.
+    pub call: Duration,
+    /// Lease of services whose targets get it in answers to their announcements.
+    pub heartbeat: Duration,
+    /// Time between two announcements of a target.
+    pub interval: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -196,7 +238,7 @@
 /// All key leases of a leader.
 #[derive(Debug)]
 pub struct LeaseTable {
-    lease_duration: Duration,
+    times: LeaseTimes,
     term: u64,
     fence_counter: u64,
     last_order: OrderId,
@@ -212,7 +254,7 @@
 
     /// Whether a change of holder has been proposed and is not committed yet.
     pub fn is_proposed(&self) -> bool {
-        self.phase == Phase::Proposed
+        matches!(self.phase, Phase::Proposed { .. })
     }
 
     /// Whether the last grant was left unanswered.
@@ -228,8 +270,11 @@
     /// The range with its next holder if it is moving, otherwise with its current one.
     pub fn next_range(&self) -> KeyRange {
         let next = match &self.phase {
-            Phase::Releasing { next } | Phase::Released { next, .. } => Some(next),
-            Phase::Renewing | Phase::Proposed => None,
+            Phase::Releasing { next }
+            | Phase::Withheld { next }
+            | Phase::Released { next, .. }
+            | Phase::Proposed { next } => Some(next),
+            Phase::Renewing => None,
         };
         KeyRange {
             holder: next.or(self.range.holder.as_ref()).cloned(),
@@ -246,22 +291,36 @@
 impl LeaseTable {
     /// Starts from the replicated state. Until a holder answers, it may have a lease from a grant
     /// that the previous leader sent just before `now`.
-    pub fn new(lease_duration: Duration, term: u64, view: &View, now: Duration) -> LeaseTable {
+    pub fn new(times: LeaseTimes, term: u64, view: &View, now: Duration) -> LeaseTable {
         let mut table = LeaseTable {
-            lease_duration,
+            times,
             term,
             fence_counter: 0,
             last_order: 0,
             leases: BTreeMap::new(),
             in_flight: BTreeMap::new(),
         };
-        let expiry = now + GRANT_TIMEOUT + worst_case_duration(lease_duration);
         for (service, map) in &view.keys {
-            let leases = map
-                .ranges()
-                .iter()
-                .map(|range| table.new_lease(range, expiry));
-            let leases = leases.collect();
+            let expiry = match view.key_delivery(service) {
+                KeyDelivery::Heartbeat => now + worst_case_duration(times.heartbeat),
+                KeyDelivery::Call | KeyDelivery::Unkeyed => {
+                    now + GRANT_TIMEOUT + worst_case_duration(times.call)
+                }
+            };
+            let mut leases: Vec<Lease> = Vec::with_capacity(map.ranges().len());
+            for range in map.ranges() {
+                match leases.last_mut() {
+                    // Answers to heartbeats have room for a limited number of ranges.
+                    Some(last)
+                        if view.key_delivery(service) == KeyDelivery::Heartbeat
+                            && last.range.holder == range.holder =>
+                    {
+                        last.range.to = range.to;
+                        last.range.handover = None;
+                    }
+                    _ => leases.push(table.new_lease(range, expiry)),
+                }
+            }
             table.leases.insert(service.clone(), leases);
         }
         table
@@ -284,6 +343,7 @@
             failures: 0,
             next_renewal: Duration::ZERO,
             in_flight: None,
+            claim_by: None,
         }
     }
 
@@ -348,6 +408,9 @@
             .map(|order| order.holder.clone())
             .collect();
         for (service, leases) in &mut self.leases {
+            if view.key_delivery(service) == KeyDelivery::Heartbeat {
+                continue;
+            }
             for lease in leases {
                 let Some(holder) = lease.range.holder.clone() else {
                     continue;
@@ -361,7 +424,7 @@
                 let Some(target) = view.targets.get(&holder.id) else {
                     continue;
                 };
-                let Some((order, timeout)) = lease.next_order(self.lease_duration, now) else {
+                let Some((order, timeout)) = lease.next_order(self.times.call, now) else {
                     continue;
                 };
                 let previous_expiry = lease.expiry;
@@ -415,7 +478,7 @@
         let mut confirmed_ranges = Vec::new();
         self.fence_counter += 1;
         let new_fence = (self.term << FENCE_COUNTER_BITS) + self.fence_counter;
-        let lease_duration = self.lease_duration;
+        let lease_duration = self.times.call;
         let leases = self.leases.get_mut(&order.service);
         // If the range was split after the order was sent, the answer applies to all parts.
         for lease in leases.into_iter().flatten() {
@@ -494,6 +557,7 @@
             .filter_map(|lease| lease.range.holder.clone())
             .collect();
         for (service, leases) in &mut self.leases {
+            let by_heartbeat = view.key_delivery(service) == KeyDelivery::Heartbeat;
             for lease in leases {
                 let Some(holder) = &lease.range.holder else {
                     continue;
@@ -503,15 +567,30 @@
                 // One that did not carry out a grant for one range counts as failing for all its
                 // ranges.
                 let failing = unresponsive.contains(holder) || !view.is_current(holder);
-                let expired = replaced || (failing && now >= lease.expiry);
+                let expired = match by_heartbeat {
+                    true => {
+                        // The holder of a newly assigned range is told when it announces itself.
+                        let claim_by = lease
+                            .claim_by
+                            .get_or_insert(now + self.times.interval * CLAIM_INTERVALS);
+                        let claimable = lease.expiry.is_zero()
+                            && lease.phase == Phase::Renewing
+                            && view.is_current(holder)
+                            && now < *claim_by;
+                        replaced || (now >= lease.expiry && !claimable)
+                    }
+                    false => replaced || (failing && now >= lease.expiry),
+                };
                 let (next, handover) = match &lease.phase {
-                    Phase::Proposed => continue,
+                    Phase::Proposed { .. } => continue,
                     Phase::Released { next, handover }
                         if expired || now >= lease.unanswered_expiry =>
                     {
                         (Some(next.clone()), handover.clone())
                     }
-                    Phase::Releasing { next } if expired => (Some(next.clone()), None),
+                    Phase::Releasing { next } | Phase::Withheld { next } if expired => {
+                        (Some(next.clone()), None)
+                    }
                     Phase::Renewing if expired => (None, None),
                     _ => continue,
                 };
@@ -519,7 +598,7 @@
                 let Some(next) = next.or_else(|| pick_holder(service, &lease.range)) else {
                     continue;
                 };
-                lease.phase = Phase::Proposed;
+                lease.phase = Phase::Proposed { next: next.clone() };
                 out.push(HolderChange {
                     service: service.clone(),
                     previous: lease.range.holder.clone(),
@@ -538,10 +617,7 @@
     /// proposed again.
     pub fn record_dropped_assignment(&mut self, service: &str, range: &KeyRange) {
         for lease in self.leases.get_mut(service).into_iter().flatten() {
-            if lease.phase == Phase::Proposed
-                && lease.range.from >= range.from
-                && lease.range.to <= range.to
-            {
+            if lease.is_proposed() && lease.range.from >= range.from && lease.range.to <= range.to {
                 // The keys are already free, so the next pass proposes the change again.
                 lease.phase = Phase::Renewing;
                 lease.failures += 1;
--- a/crates/fleet/src/key_leases/lease.rs
+++ b/crates/fleet/src/key_leases/lease.rs
@@ -31,7 +31,7 @@
         let KeyRange { from, to, .. } = self.range;
         let fence = self.fence;
         match &self.phase {
-            Phase::Released { .. } | Phase::Proposed => None,
+            Phase::Withheld { .. } | Phase::Released { .. } | Phase::Proposed { .. } => None,
             // A release before this leader's first acknowledged grant would leave orders of the
             // previous leader in flight that the fencing token does not cover.
             Phase::Releasing { .. } if self.acknowledged => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,6 +40,12 @@
 pub use key_leases::{
     Answer,
     FencingToken,
+    FreedRange,
+    GrantedRange,
+    HeldRange,
+    LeaseReport,
+    LeaseTimes,
+    MAX_GRANTED_RANGES,
     Order,
     OrderId, //
 };
@@ -71,6 +77,7 @@
     Digest,
     Domain,
     Invalid,
+    KeyDelivery,
     Limits,
     RetryPolicy,
     Route,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -7,9 +7,12 @@
     Serialize, //
 };
 
-use crate::routing::{
-    Domain,
-    ServiceName, //
+use crate::{
+    key_leases::LeaseReport,
+    routing::{
+        Domain,
+        ServiceName, //
+    },
 };
 
 /// Id from a target's announcements. A target may restart under the same id.
@@ -53,6 +56,8 @@
     pub draining: bool,
     /// Time in milliseconds for which the target stays slow after its start.
     pub warm_up: u64,
+    /// What the target says about its keys. Empty for targets that are called to grant keys.
+    pub report: LeaseReport,
 }
 
 /// One incarnation of a target, as replicated.
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -66,6 +66,35 @@
     pub split: Vec<WeightedService>,
 }
 
+/// How the targets of a service get the leases of the keys that they hold.
+///
+/// The first two variants have the `postcard` encodings of `false` and `true`, which older versions
+/// stored in this place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyDelivery {
+    /// The service is not divided by key.
+    #[default]
+    Unkeyed,
+    /// The leader calls the target to grant and release keys.
+    Call,
+    /// The target gets all its leases in the answer to each of its announcements.
+    Heartbeat,
+}
+
+impl KeyDelivery {
+    /// Whether the service is divided by key.
+    ///
+    /// ```
+    /// use camphordale_fleet::KeyDelivery;
+    ///
+    /// assert!(KeyDelivery::Heartbeat.is_keyed());
+    /// assert!(!KeyDelivery::Unkeyed.is_keyed());
+    /// ```
+    pub fn is_keyed(self) -> bool {
+        self != KeyDelivery::Unkeyed
+    }
+}
+
 /// A service whose targets register themselves.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -73,8 +102,9 @@
     pub health_path: Box<str>,
     /// Maximum number of connections that one target accepts from all VMs.
     pub max_connections: u32,
-    /// Whether each key is served by one target only, the holder of the key.
-    pub keyed: bool,
+    /// Whether each key is served by one target only, the holder of the key, and how the holder
+    /// gets its lease.
+    pub keys: KeyDelivery,
     /// How long keys are slow at a holder that received them without handover data.
     pub warm_up: Duration,
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -31,6 +31,7 @@
         Change,
         Digest,
         Invalid,
+        KeyDelivery,
         RouteName,
         Routing,
         ServiceName,
@@ -125,9 +126,14 @@
 
     /// Whether requests of the service are assigned to targets by key.
     pub fn is_keyed(&self, service: &str) -> bool {
+        self.key_delivery(service).is_keyed()
+    }
+
+    /// How the targets of the service get their key leases.
+    pub fn key_delivery(&self, service: &str) -> KeyDelivery {
         let routing = self.routing.as_ref();
         let item = routing.and_then(|routing| routing.services.get(service));
-        item.is_some_and(|item| item.spec.keyed)
+        item.map_or(KeyDelivery::Unkeyed, |item| item.spec.keys)
     }
 
     /// Applies the command at `index`. Entry VMs apply the leader's updates with the same method.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -22,6 +22,8 @@
     Effect,
     Event,
     KeyRange,
+    LeaseReport,
+    LeaseTimes,
     Limits,
     LogEvent,
     Member,
@@ -61,7 +63,11 @@
     Config {
         member,
         voters: 3,
-        key_lease: ms(2000),
+        lease_times: LeaseTimes {
+            call: ms(2000),
+            heartbeat: ms(2740),
+            interval: ms(870),
+        },
         election_timeout: ms(350),
         leader_lease: ms(250),
         heartbeat_interval: ms(100),
@@ -218,6 +224,16 @@
                 Effect::Reply { token, reply } => {
                     self.replies.insert(token, (now, reply));
                 }
+                Effect::LeaseReply {
+                    token,
+                    granted,
+                    lease,
+                    send_before,
+                } => {
+                    assert!(now < send_before);
+                    let reply = Reply::Leases { granted, lease };
+                    self.replies.insert(token, (now, reply));
+                }
                 Effect::Log(LogEvent::Moving { range, next, .. }) => {
                     self.moving.push((range, next.id));
                 }
@@ -361,6 +377,7 @@
         slots: 4,
         draining,
         warm_up: 0,
+        report: LeaseReport::default(),
     }
 }
 
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -3,5 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod cluster;
+mod heartbeats;
 mod randomized;
 mod scenarios;
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -6,6 +6,7 @@
     Call,
     ConfigResource,
     Event,
+    KeyDelivery,
     KeyLoad,
     KeyRange,
     PeerMessage,
@@ -166,12 +167,12 @@
 }
 
 /// The first routing, with one keyed service.
-fn keyed_change() -> camphordale_fleet::Change {
+pub(crate) fn keyed_change() -> camphordale_fleet::Change {
     let mut first = change(0, 2, 7);
     let spec = Service {
         health_path: "/health".into(),
         max_connections: 10,
-        keyed: true,
+        keys: KeyDelivery::Call,
         warm_up: ms(0),
     };
     let document = "{}".into();
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -12,7 +12,8 @@
 };
 
 use camphordale_fleet::{
-    Answer, FencingToken, Holder, Key, KeyMap, KeyRange, Order, OrderId, Target, TargetState, View,
+    Answer, FencingToken, Holder, Key, KeyMap, KeyRange, LeaseTimes, Order, OrderId, Target,
+    TargetState, View,
     key_leases::{
         Dispatch,
         LeaseTable, //
@@ -27,6 +28,11 @@
 
 const SERVICE: &str = "s";
 const LEASE: Duration = Duration::from_millis(2000);
+const TIMES: LeaseTimes = LeaseTimes {
+    call: LEASE,
+    heartbeat: Duration::from_millis(2740),
+    interval: Duration::from_millis(870),
+};
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -82,7 +88,7 @@
 #[test]
 fn a_lease_is_renewed_before_it_expires() {
     let view = view(1);
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     let mut last = ms(0);
     for step in 0..500 {
         let now = ms(step * 10);
@@ -99,7 +105,7 @@
 #[test]
 fn a_holder_without_an_order_keeps_its_range() {
     let view = view(2);
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     let range = KeyRange {
         from: 0,
         to: 99,
@@ -117,7 +123,7 @@
 #[test]
 fn a_silent_holder_loses_its_range_only_after_its_lease() {
     let view = view(2);
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     let mut lost_at = None;
     let mut last_sent = ms(0);
     for step in 0..1000 {
@@ -160,7 +166,7 @@
             handover: None,
         });
     }
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     let mut reassigned_at = Vec::new();
     for step in 0..1000 {
         let now = ms(step * 10);
@@ -190,7 +196,7 @@
 #[test]
 fn a_move_waits_for_the_release() {
     let view = view(2);
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     for order in table.due_orders(&view, ms(0)) {
         table.record_answer(order.id, &Answer::Granted, ms(5));
     }
@@ -225,7 +231,7 @@
 #[test]
 fn a_move_waits_for_an_unanswered_grant() {
     let view = view(2);
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     for order in table.due_orders(&view, ms(0)) {
         table.record_answer(order.id, &Answer::Granted, ms(5));
     }
@@ -255,7 +261,7 @@
 #[test]
 fn a_newer_incarnation_frees_the_range_at_once() {
     let mut view = view(2);
-    let mut table = LeaseTable::new(LEASE, 1, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
     for order in table.due_orders(&view, ms(0)) {
         table.record_answer(order.id, &Answer::Granted, ms(5));
     }
@@ -349,7 +355,7 @@
         (0..targets).map(|_| TargetLeases::default()).collect();
     let mut highest_fences: BTreeMap<Key, (FencingToken, usize)> = BTreeMap::new();
     let mut term = 1;
-    let mut table = LeaseTable::new(LEASE, term, &view, ms(0));
+    let mut table = LeaseTable::new(TIMES, term, &view, ms(0));
     let mut pending: Vec<PendingOrder> = Vec::new();
     let mut faulty: BTreeSet<usize> = BTreeSet::new();
     for step in 0..1500u64 {
@@ -361,7 +367,7 @@
             // A new leader starts after the lease of the previous one, whose orders may still be in
             // flight.
             term += 1;
-            table = LeaseTable::new(LEASE, term, &view, now);
+            table = LeaseTable::new(TIMES, term, &view, now);
             for order in &mut pending {
                 order.answer_arrives = false;
             }
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -13,6 +13,7 @@
     Control,
     Effect,
     Event,
+    LeaseTimes,
     LogEvent,
     Member,
     Order,
@@ -168,7 +169,11 @@
             domain: settings.domain.clone(),
         },
         voters: 2 * role_settings.tolerated_failures + 1,
-        key_lease: tuning.key_lease.min(role_settings.max_lease),
+        lease_times: LeaseTimes {
+            call: tuning.key_lease.min(role_settings.max_lease),
+            heartbeat: role_settings.announced_lease(),
+            interval: role_settings.announcement_interval,
+        },
         election_timeout: tuning.election_timeout,
         leader_lease: tuning.leader_lease,
         heartbeat_interval: tuning.heartbeat_interval,
@@ -381,6 +386,22 @@
                         self.reply(&pending, &reply, context);
                     }
                 }
+                Effect::LeaseReply {
+                    token,
+                    granted,
+                    lease,
+                    send_before,
+                } => {
+                    let reply = if context.clock.now() < send_before {
+                        Reply::Leases { granted, lease }
+                    } else {
+                        // Another leader may exist by now.
+                        Reply::Unavailable("leadership is not confirmed")
+                    };
+                    if let Some(pending) = self.calls.remove(&token) {
+                        self.reply(&pending, &reply, context);
+                    }
+                }
                 Effect::Order {
                     dispatch,
                     send_before,
@@ -489,6 +510,7 @@
         LogEvent::Target { .. } => "target",
         LogEvent::Assigned { .. } => "assigned",
         LogEvent::Moving { .. } => "moving",
+        LogEvent::Withheld { .. } => "withheld",
         LogEvent::Order { .. } => "order",
         LogEvent::Members { .. } => "members",
         LogEvent::Entries(_) => "entries",
@@ -528,6 +550,13 @@
             next,
         } => info!(logger, "keys begin to move"; "service" => &**service,
             "from" => range.0, "to" => range.1, "target" => &*next.id),
+        LogEvent::Withheld {
+            service,
+            range,
+            holder,
+            next,
+        } => info!(logger, "keys left out of an answer"; "service" => &**service,
+            "from" => range.0, "to" => range.1, "target" => &*holder.id, "next" => &*next.id),
         LogEvent::Order { holder, answer } => info!(logger, "order not carried out";
             "target" => &*holder.id, "answer" => format!("{answer:?}")),
         LogEvent::Members { voters, learners } => info!(logger, "members";
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -27,6 +27,11 @@
 /// Identifier of the only cluster key on the wire.
 const CLUSTER_KEY_ID: u8 = 1;
 
+/// Time after which a target gives up on the answer to an announcement.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Announcement intervals that a lease covers.
+const LEASED_INTERVALS: u32 = 2;
+
 /// Settings of a process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -89,6 +94,49 @@
     pub tolerated_failures: usize,
     /// Longest key lease that targets accept.
     pub max_lease: Duration,
+    /// Time between two announcements of a target.
+    pub announcement_interval: Duration,
+}
+
+impl ControlSettings {
+    /// Lease of a key range that targets get in answers to their announcements. It outlasts one
+    /// announcement that is lost: the target waits for its answer for [`ANSWER_TIMEOUT`] before it
+    /// calls another control VM. Every further interval would be added to the time for which the
+    /// keys of a lost target are unavailable.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_reactor::ControlSettings;
+    ///
+    /// let settings = ControlSettings {
+    ///     control_address: "10.0.0.1:8000".parse()?,
+    ///     data_dir: "/data".into(),
+    ///     bootstrap: false,
+    ///     tolerated_failures: 1,
+    ///     max_lease: Duration::from_secs(10),
+    ///     announcement_interval: Duration::from_millis(900),
+    /// };
+    /// assert_eq!(settings.announced_lease(), Duration::from_millis(2800));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn announced_lease(&self) -> Duration {
+        (self.announcement_interval * LEASED_INTERVALS + ANSWER_TIMEOUT).min(self.max_lease)
+    }
+
+    /// Checks that targets can renew their leases in time.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Field`] if the interval between announcements is zero, or too long for the
+    /// longest lease.
+    pub fn validate(self) -> Result<ControlSettings, SettingsError> {
+        let interval = self.announcement_interval;
+        if interval.is_zero() || self.max_lease < interval * LEASED_INTERVALS {
+            let reason = "the longest lease must be at least two announcement intervals";
+            return Err(SettingsError::field("announcement_interval", reason));
+        }
+        Ok(self)
+    }
 }
 
 /// Settings that operators may change.
