Pace long responses, and bound what comes without end

Cause 2: bytes without end. Interim responses (100) without end overflowed the stack and ended the process: parse_head called itself. A caller that sent without end after its error response was never closed, since each event set the linger time anew. One connection that always had more to read kept the loop from all others. A head that came byte by byte was parsed anew for each byte. A response of 60 MB was collected whatever the memory.

Change: beyond 16 KiB a response is read and written in portions of 20 ms at 80 % of the link's rate, in turns. A connection reads at most 256 KiB in its turn. What the loop holds of incomplete messages is bounded by a quarter of the VM's memory; a connection that exceeds it is closed. At most 8 responses that do not belong to the request are skipped. A head is parsed when its end is there. The write side is shut down once.

Ruled out: the processors (0.06 cores of 0.1 at most), the control group, memory (2.7 MB at most).

--- a/crates/reactor/src/client_connection.rs
+++ b/crates/reactor/src/client_connection.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::head_end::HeadEnd;
 use camphordale_http::{
     Response,
     codec::{
@@ -13,6 +14,8 @@
 
 /// Longest accepted head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest number of interim responses and responses of other requests before the response.
+const MAX_SKIPPED: u32 = 8;
 /// Longest accepted body of a response.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -57,6 +60,9 @@
 pub struct ClientConnection {
     expected: ExpectedResponse,
     phase: Phase,
+    head_end: HeadEnd,
+    /// Responses that were skipped: interim ones, and those of other requests.
+    skipped: u32,
 }
 
 impl ClientConnection {
@@ -74,6 +80,16 @@
         ClientConnection {
             expected,
             phase: Phase::Head,
+            head_end: HeadEnd::default(),
+            skipped: 0,
+        }
+    }
+
+    /// Number of bytes received of the body of an incomplete response.
+    pub fn buffered_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Head => 0,
+            Phase::Body { body, .. } => body.len(),
         }
     }
 
@@ -138,20 +154,27 @@
         }
     }
 
+    /// Parses the head of a final response, and skips interim responses before it.
     fn parse_head(&mut self, input: &mut Vec<u8>) -> Result<bool, &'static str> {
-        let Some((head, length)) = ResponseHead::parse(input).map_err(|error| error.0)? else {
-            return match input.len() > MAX_HEAD_BYTES {
-                true => Err("response head exceeds 64 KiB"),
-                false => Ok(false),
+        let head = loop {
+            let parsed = match self.head_end.is_complete(input) {
+                true => ResponseHead::parse(input).map_err(|error| error.0)?,
+                false => None,
             };
-        };
-        input.drain(..length);
-        if head.status < 200 {
-            return match head.status {
-                101 => Err("unexpected status 101 (switching protocols)"),
-                _ => self.parse_head(input),
+            let Some((head, length)) = parsed else {
+                return match input.len() > MAX_HEAD_BYTES {
+                    true => Err("response head exceeds 64 KiB"),
+                    false => Ok(false),
+                };
             };
-        }
+            input.drain(..length);
+            self.head_end = HeadEnd::default();
+            match head.status {
+                101 => return Err("unexpected status 101 (switching protocols)"),
+                100..200 => self.skip()?,
+                _ => break head,
+            }
+        };
         let chunked = match head.framing {
             Framing::Length(length) if length > MAX_BODY_BYTES as u64 => {
                 return Err("response body exceeds 64 MiB");
@@ -167,6 +190,15 @@
         Ok(true)
     }
 
+    /// Counts a skipped response.
+    fn skip(&mut self) -> Result<(), &'static str> {
+        self.skipped += 1;
+        match self.skipped > MAX_SKIPPED {
+            true => Err("too many responses that do not belong to the request"),
+            false => Ok(()),
+        }
+    }
+
     /// Returns a complete response, or `None` if it belongs to another request and is skipped.
     fn finish(&mut self, input: &[u8]) -> Option<Progress> {
         let Phase::Body { head, body, .. } = std::mem::replace(&mut self.phase, Phase::Head) else {
@@ -188,7 +220,7 @@
                         "response carries the id of another request and has no length",
                     ));
                 }
-                return None;
+                return self.skip().err().map(Progress::Invalid);
             }
             if found.is_none() && response.status < 400 {
                 return Some(Progress::Invalid("response carries no request id"));
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -4,6 +4,7 @@
 //! all other methods queue their output and return without blocking.
 
 mod conn;
+mod pacing;
 mod peers;
 mod server;
 mod targets;
@@ -41,6 +42,13 @@
         Conn,
         ConnKind, //
     },
+    pacing::{
+        Deferred,
+        Direction,
+        Pacer,
+        READ_TURN_BYTES,
+        UNPACED_BYTES, //
+    },
     targets::Pool, //
 };
 use crate::Clock;
@@ -54,6 +62,9 @@
 /// Largest number of open caller connections; further ones are closed on accept.
 const MAX_CALLER_CONNECTIONS: usize = 3000;
 
+/// Received bytes that the loop holds at most if no limit is set.
+const DEFAULT_BUFFER_LIMIT: usize = 64 << 20;
+
 /// Identifier of a connection; it is never reused.
 pub type ConnId = u64;
 /// Identifier of an exchange with a target.
@@ -166,6 +177,11 @@
     scratch: Vec<u8>,
     limits: Limits,
     close_after: bool,
+    bulk_in: Pacer,
+    bulk_out: Pacer,
+    deferred: Deferred,
+    buffered: usize,
+    buffer_limit: usize,
     stats: EventLoopStats,
 }
 
@@ -193,6 +209,11 @@
             scratch: vec![0; 32 << 10],
             limits: Limits::default(),
             close_after: false,
+            bulk_in: Pacer::default(),
+            bulk_out: Pacer::default(),
+            deferred: Deferred::default(),
+            buffered: 0,
+            buffer_limit: DEFAULT_BUFFER_LIMIT,
             stats: EventLoopStats::default(),
         })
     }
@@ -236,6 +257,17 @@
         self.close_after = enabled;
     }
 
+    /// Sets the number of received bytes that the loop holds at most for all connections together.
+    /// A connection that would exceed it is closed.
+    pub fn set_buffer_limit(&mut self, bytes: usize) {
+        self.buffer_limit = bytes;
+    }
+
+    /// Number of received bytes that the loop holds for incomplete requests and responses.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered
+    }
+
     /// Returns the counters since the start of the process.
     pub fn stats(&self) -> EventLoopStats {
         self.stats
@@ -261,6 +293,7 @@
             Some((deadline, ..)) => until.min(*deadline),
             None => until,
         };
+        let until = self.deferred.next_at().map_or(until, |at| until.min(at));
         let timeout = if self.io_events.is_empty() {
             until.saturating_sub(self.clock.now())
         } else {
@@ -289,6 +322,7 @@
             }
         }
         self.events = events;
+        self.resume_deferred(now);
         self.expire_timers(now);
         Ok(std::mem::take(&mut self.io_events))
     }
@@ -368,16 +402,33 @@
         self.flush(key, now);
     }
 
-    /// Writes buffered output until the socket would block.
+    /// Writes buffered output until the socket would block. A long response is written in portions.
     fn flush(&mut self, key: usize, now: Duration) {
         let conn = &mut self.conns[key];
         if !conn.connected {
             return;
         }
-        if let Err(error) = conn.flush() {
-            let reason = error.to_string();
-            return self.close_connection(key, &reason, now);
+        let paced = matches!(conn.kind, ConnKind::HttpServer { .. })
+            && conn.output_length() > UNPACED_BYTES;
+        let allowance = match paced {
+            true => self.bulk_out.allowance(now),
+            false => usize::MAX,
+        };
+        let written = match conn.flush(allowance) {
+            Ok(written) => written,
+            Err(error) => {
+                let reason = error.to_string();
+                return self.close_connection(key, &reason, now);
+            }
+        };
+        if paced {
+            self.bulk_out.spend(written);
+            let conn = &self.conns[key];
+            if written == allowance && !conn.output_is_empty() {
+                return self.defer(key, Direction::Write, true, now);
+            }
         }
+        let conn = &self.conns[key];
         if conn.output_is_empty() && conn.closing {
             self.shut_down_write(key, now);
         }
@@ -385,20 +436,49 @@
 
     fn on_readable(&mut self, key: usize, read_closed: bool, now: Duration) {
         let conn = &mut self.conns[key];
-        if !conn.connected {
+        if !conn.connected || conn.read_deferred {
             return;
         }
-        let eof = match conn.read(&mut self.scratch, read_closed) {
-            Ok(eof) => eof,
+        let paced = matches!(conn.kind, ConnKind::Target { .. }) && conn.buffered() > UNPACED_BYTES;
+        let allowance = match paced {
+            true => self.bulk_in.allowance(now).min(READ_TURN_BYTES),
+            false => READ_TURN_BYTES,
+        };
+        let outcome = match conn.read(&mut self.scratch, read_closed, allowance) {
+            Ok(outcome) => outcome,
             Err(error) => {
                 let reason = error.to_string();
                 return self.close_connection(key, &reason, now);
             }
         };
+        if paced {
+            self.bulk_in.spend(outcome.bytes);
+        }
+        if outcome.has_more {
+            self.defer(key, Direction::Read, paced, now);
+        }
+        // A pipelined request may be buffered already.
+        if outcome.bytes == 0 && !outcome.eof && self.conns[key].input.is_empty() {
+            return;
+        }
         match &self.conns[key].kind {
-            ConnKind::HttpServer { .. } => self.on_http_server_readable(key, eof, now),
-            ConnKind::Target { .. } => self.on_target_readable(key, eof, now),
-            ConnKind::Peer { .. } => self.on_peer_readable(key, eof, now),
+            ConnKind::HttpServer { .. } => self.on_http_server_readable(key, outcome.eof, now),
+            ConnKind::Target { .. } => self.on_target_readable(key, outcome.eof, now),
+            ConnKind::Peer { .. } => self.on_peer_readable(key, outcome.eof, now),
+        }
+        self.account(key, now);
+    }
+
+    /// Counts what a connection holds, and closes it if the loop holds too much.
+    fn account(&mut self, key: usize, now: Duration) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        let held = conn.buffered();
+        let before = std::mem::replace(&mut conn.accounted, held);
+        self.buffered = self.buffered - before + held;
+        if held > before && self.buffered > self.buffer_limit {
+            self.close_connection(key, "too many bytes are held", now);
         }
     }
 
@@ -410,6 +490,7 @@
         if let Some(deadline) = conn.deadline.take() {
             self.timers.remove(&(deadline, key, conn.id));
         }
+        self.buffered -= conn.accounted;
         if self.poll.registry().deregister(&mut conn.socket).is_err() {
             // Not fatal: the socket is closed when it is dropped.
             self.stats.socket_errors += 1;
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -76,12 +76,30 @@
     pub(super) connected: bool,
     /// Whether the connection is closed after its output is written.
     pub(super) closing: bool,
+    /// Whether the write side is shut down.
+    pub(super) write_closed: bool,
     pub(super) input: Vec<u8>,
     pub(super) output: Vec<u8>,
     /// Number of bytes at the start of `output` that are already written.
     written: usize,
     /// When the connection times out, if it can.
     pub(super) deadline: Option<Duration>,
+    /// Whether reading goes on later, in turn.
+    pub(super) read_deferred: bool,
+    /// Whether writing goes on later, in turn.
+    pub(super) write_deferred: bool,
+    /// Number of received bytes that the event loop has counted for this connection.
+    pub(super) accounted: usize,
+}
+
+/// Result of reading from a socket.
+pub(super) struct ReadOutcome {
+    /// Bytes read.
+    pub(super) bytes: usize,
+    /// Whether the end of the stream was reached.
+    pub(super) eof: bool,
+    /// Whether reading stopped at the allowance, so that more may be in the socket.
+    pub(super) has_more: bool,
 }
 
 impl Conn {
@@ -92,10 +110,14 @@
             connected: matches!(kind, ConnKind::HttpServer { .. }),
             kind,
             closing: false,
+            write_closed: false,
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
             deadline: None,
+            read_deferred: false,
+            write_deferred: false,
+            accounted: 0,
         }
     }
 
@@ -125,9 +147,30 @@
         self.written == self.output.len()
     }
 
-    pub(super) fn flush(&mut self) -> io::Result<()> {
-        while self.written < self.output.len() {
-            match self.socket.write(&self.output[self.written..]) {
+    /// Number of bytes that are to be written.
+    pub(super) fn output_length(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Number of received bytes that the connection holds for an incomplete message.
+    pub(super) fn buffered(&self) -> usize {
+        let body = match &self.kind {
+            ConnKind::HttpServer { protocol, .. } => protocol.buffered_bytes(),
+            ConnKind::Target { active, .. } => active
+                .as_ref()
+                .map_or(0, |active| active.protocol.buffered_bytes()),
+            ConnKind::Peer { .. } => 0,
+        };
+        self.input.len() + body
+    }
+
+    /// Writes at most `allowance` bytes, until the socket would block. Returns the number of bytes
+    /// written.
+    pub(super) fn flush(&mut self, allowance: usize) -> io::Result<usize> {
+        let start = self.written;
+        let end = self.output.len().min(start.saturating_add(allowance));
+        while self.written < end {
+            match self.socket.write(&self.output[self.written..end]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => {
                     self.written += count;
@@ -139,36 +182,57 @@
                         active.sent = true;
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
-        self.output.clear();
-        self.output.shrink_to(MAX_IDLE_BUFFER_BYTES);
-        self.written = 0;
-        Ok(())
+        let count = self.written - start;
+        if self.output_is_empty() {
+            self.output.clear();
+            self.output.shrink_to(MAX_IDLE_BUFFER_BYTES);
+            self.written = 0;
+        }
+        Ok(count)
     }
 
-    /// Reads until the socket would block. Returns whether the end of the stream was reached. If
-    /// `read_closed` is set, the end of the stream is pending, so reading continues after a short
-    /// read.
-    pub(super) fn read(&mut self, scratch: &mut [u8], read_closed: bool) -> io::Result<bool> {
+    /// Reads at most `allowance` bytes, until the socket would block. If `read_closed` is set, the
+    /// end of the stream is pending, so reading continues after a short read.
+    pub(super) fn read(
+        &mut self,
+        scratch: &mut [u8],
+        read_closed: bool,
+        allowance: usize,
+    ) -> io::Result<ReadOutcome> {
+        let mut outcome = ReadOutcome {
+            bytes: 0,
+            eof: false,
+            has_more: false,
+        };
         while self.input.len() < MAX_PIPELINED_INPUT_BYTES || !self.awaits_response() {
-            match self.socket.read(scratch) {
-                Ok(0) => return Ok(true),
+            let length = scratch.len().min(allowance - outcome.bytes);
+            if length == 0 {
+                outcome.has_more = true;
+                break;
+            }
+            match self.socket.read(&mut scratch[..length]) {
+                Ok(0) => {
+                    outcome.eof = true;
+                    break;
+                }
                 Ok(count) => {
+                    outcome.bytes += count;
                     self.input.extend_from_slice(&scratch[..count]);
-                    if count < scratch.len() && !read_closed {
-                        return Ok(false);
+                    if count < length && !read_closed {
+                        break;
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
-        Ok(false)
+        Ok(outcome)
     }
 
     fn awaits_response(&self) -> bool {
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -196,6 +196,10 @@
     /// Shuts down the write side after the last response. The connection is closed when the client
     /// has closed its side, at the latest after [`LINGER_TIMEOUT`].
     pub(super) fn shut_down_write(&mut self, key: usize, now: Duration) {
+        // A client that goes on sending must not extend the time.
+        if std::mem::replace(&mut self.conns[key].write_closed, true) {
+            return;
+        }
         let result = self.conns[key].socket.shutdown(Shutdown::Write);
         match result {
             Ok(()) => self.set_deadline(key, Some(now + LINGER_TIMEOUT)),
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | `event_loop` | sockets, timers and connection pools |
 //! | `server_connection`, `client_connection` | HTTP state machines, without I/O |
+//! | `head_end` | the end of an HTTP head in input that comes in parts |
 //! | `peer_connection` | state machine between VMs, without I/O |
 //! | `entry_process`, `control_process` | events to the reducers, effects from them |
 //! | `adapter` | interface to the protocol of a deployment |
@@ -20,6 +21,7 @@
 mod control_process;
 mod entry_process;
 mod event_loop;
+mod head_end;
 mod log;
 mod metrics;
 mod peer_connection;
--- a/crates/reactor/src/process.rs
+++ b/crates/reactor/src/process.rs
@@ -44,6 +44,10 @@
     },
 };
 
+/// Part of the memory for requests and responses that are being received. A complete message is
+/// copied once before it is sent on, so it takes up to twice its length.
+const BUFFER_DIVISOR: usize = 4;
+
 /// An error that ends a process.
 #[derive(Debug, thiserror::Error)]
 pub enum ProcessError {
@@ -208,8 +212,12 @@
     if let Err(error) = LogSink::set_stdout_nonblocking() {
         warn!(logger, "cannot make standard output non-blocking"; "error" => error.to_string());
     }
-    let event_loop = EventLoop::new(clock, settings.keyring.clone())
+    let mut event_loop = EventLoop::new(clock, settings.keyring.clone())
         .map_err(system_error("start the event loop"))?;
+    event_loop.set_link_rate(settings.link_rate);
+    if let Some(memory) = settings.memory {
+        event_loop.set_buffer_limit(memory / BUFFER_DIVISOR);
+    }
     let mut context = ProcessContext {
         clock,
         event_loop,
--- a/crates/reactor/src/server_connection.rs
+++ b/crates/reactor/src/server_connection.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use crate::head_end::HeadEnd;
 use camphordale_fleet::Limits;
 use camphordale_http::{
     Request, Response,
@@ -48,6 +49,7 @@
     keep_alive: bool,
     is_head: bool,
     request_started: Option<Duration>,
+    head_end: HeadEnd,
 }
 
 impl Default for ServerConnection {
@@ -68,6 +70,15 @@
             keep_alive: true,
             is_head: false,
             request_started: None,
+            head_end: HeadEnd::default(),
+        }
+    }
+
+    /// Number of bytes received of the body of an incomplete request.
+    pub fn buffered_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Body { body, .. } => body.len(),
+            Phase::Head | Phase::AwaitingResponse => 0,
         }
     }
 
@@ -158,7 +169,10 @@
         output: &mut Vec<u8>,
         limits: &Limits,
     ) -> Result<(), RequestError> {
-        let parsed = RequestHead::parse(input).map_err(|e| request_error(e.status, e.reason))?;
+        let parsed = match self.head_end.is_complete(input) {
+            true => RequestHead::parse(input).map_err(|e| request_error(e.status, e.reason))?,
+            false => None,
+        };
         let Some((head, length)) = parsed else {
             if input.len() > limits.max_head {
                 return Err(request_error(431, "head is too long"));
@@ -176,6 +190,7 @@
             _ => None,
         };
         input.drain(..length);
+        self.head_end = HeadEnd::default();
         if head.expects_continue && input.is_empty() {
             output.extend_from_slice(CONTINUE_RESPONSE);
         }
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -49,6 +49,10 @@
     pub metrics_port: u16,
     /// Keys by which processes of the system authenticate each other.
     pub keyring: Keyring,
+    /// Rate of the VM's link in bytes per second in each direction, if it is known.
+    pub link_rate: Option<f64>,
+    /// Memory of the process in bytes, if it is limited.
+    pub memory: Option<usize>,
     /// Settings that operators may change.
     pub tuning: Tuning,
     /// Role of the process, with its settings.
