Write the effects of one turn together, and plan only what is due

Each proposal of a turn was made durable by a sync of its own; each update was encoded and written once for each of 103 streams; each announcement computed the candidates of all services, and each one of a leaving target a whole plan. Followers take a leader that is silent for 250 ms for lost: elections at 24.5, 27.7 and 29.9 s.

Messages of the group go before other events. An update is encoded once for all streams, and what a turn queues for a VM is written with one call. Candidates are computed for services with free ranges only, plans for a leaving target once, receivers once an answer. Turns of 40 ms or more are logged (long turn).

Ruled out: the decisions of the reducer (at most 83 ms, most of it for leaving targets, now planned once).

--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -241,6 +241,13 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Send the same message on several streams.
+    Broadcast {
+        /// Ids of the connections.
+        conns: Box<[u64]>,
+        /// The message.
+        message: PeerMessage,
+    },
     /// Close the connection of a stream.
     CloseStream(u64),
     /// Reply to a call.
--- a/crates/fleet/src/control/heartbeats.rs
+++ b/crates/fleet/src/control/heartbeats.rs
@@ -22,6 +22,7 @@
         Candidate, //
     },
     key_leases::{
+        HeldPhase,
         Lease,
         LeaseReport,
         MAX_GRANTED_RANGES, //
@@ -113,7 +114,8 @@
             .delayed_answers
             .extract_if(.., |delayed| delayed.holder.id == *id);
         out.extend(superseded.map(|delayed| delayed.unavailable("superseded")));
-        if leaves {
+        let stays = HeldPhase::Steady;
+        if leaves && leader.lease_table.has_ranges_in(&service, &holder, stays) {
             leader.load_stats.plan_now(now);
             self.plan_moves(now, out);
         }
@@ -199,18 +201,17 @@
         let Some(leader) = &self.leader_state else {
             return receivers;
         };
-        let leases = leader.lease_table.leases(service);
-        let moving =
-            |lease: &Lease| lease.range.holder.as_ref() == Some(holder) && lease.is_moving();
-        if !leases.iter().any(moving) {
+        let table = &leader.lease_table;
+        if !table.has_ranges_in(service, holder, HeldPhase::Leaving) {
             return receivers;
         }
+        let counts = table.range_counts(service);
         let interval = self.config.lease_times.interval;
         for candidate in self.candidates(service, now) {
             let Some(due_in) = leader.announced_in(&candidate.holder, interval, now) else {
                 continue;
             };
-            let count = leader.lease_table.range_count(service, &candidate.holder);
+            let count = counts.get(&candidate.holder).copied().unwrap_or(0);
             if !candidate.accepts_keys || candidate.holder == *holder || count >= MAX_GRANTED_RANGES
             {
                 continue;
@@ -221,7 +222,11 @@
             }
         }
         let (sample, _) = leader.load_stats.lasting_demand(service, now);
-        let ranges: Vec<_> = leases.iter().map(Lease::next_range).collect();
+        let ranges: Vec<_> = table
+            .leases(service)
+            .iter()
+            .map(Lease::next_range)
+            .collect();
         receivers.least_loaded = balance::least_loaded(&ranges, &receivers.due_soon, &sample);
         receivers
     }
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -363,10 +363,14 @@
 
     /// Proposes the next holders of ranges that are free.
     pub(super) fn propose_holder_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        let Some(leader) = &self.leader_state else {
+        let Some(leader) = &mut self.leader_state else {
             return;
         };
-        let services: Vec<ServiceName> = leader.lease_table.services().cloned().collect();
+        let view = &self.state.view;
+        let services = leader.lease_table.services_with_free_ranges(view, now);
+        if services.is_empty() {
+            return;
+        }
         let mut candidates_by_service = BTreeMap::new();
         for service in services {
             let mut candidates = self.candidates(&service, now);
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -168,15 +168,8 @@
     }
 
     pub(super) fn stream_update(&mut self, index: u64, command: &Command, out: &mut Vec<Effect>) {
-        for conn in self.streams.keys() {
-            out.push(Effect::Stream {
-                conn: *conn,
-                message: PeerMessage::Update {
-                    index,
-                    command: Box::new(command.clone()),
-                },
-            });
-        }
+        let command = Box::new(command.clone());
+        self.broadcast(PeerMessage::Update { index, command }, out);
     }
 
     /// Notifies the entry VMs that a range started or finished moving, so that they delay its
@@ -188,15 +181,20 @@
         done: bool,
         out: &mut Vec<Effect>,
     ) {
-        for conn in self.streams.keys() {
-            out.push(Effect::Stream {
-                conn: *conn,
-                message: PeerMessage::Handover {
-                    service: service.clone(),
-                    from,
-                    to,
-                    done,
-                },
+        let message = PeerMessage::Handover {
+            service: service.clone(),
+            from,
+            to,
+            done,
+        };
+        self.broadcast(message, out);
+    }
+
+    fn broadcast(&self, message: PeerMessage, out: &mut Vec<Effect>) {
+        if !self.streams.is_empty() {
+            out.push(Effect::Broadcast {
+                conns: self.streams.keys().copied().collect(),
+                message,
             });
         }
     }
--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -24,6 +24,7 @@
     FreedRange,
     GrantedRange,
     HeartbeatAnswer,
+    HeldPhase,
     HeldRange,
     LeaseReport,
     MAX_GRANTED_RANGES, //
@@ -549,52 +550,14 @@
         PickHolder: FnMut(&ServiceName, &KeyRange) -> Option<Holder>,
     {
         let mut out = Vec::new();
-        let unresponsive: BTreeSet<Holder> = self
-            .leases
-            .values()
-            .flatten()
-            .filter(|lease| lease.failures > 0)
-            .filter_map(|lease| lease.range.holder.clone())
-            .collect();
+        let failing = self.failing_holders();
         for (service, leases) in &mut self.leases {
-            let by_heartbeat = view.key_delivery(service) == KeyDelivery::Heartbeat;
+            let delivery = view.key_delivery(service);
             for lease in leases {
-                let Some(holder) = &lease.range.holder else {
+                let Some(free) = lease.free_range(&failing, delivery, view, self.times, now) else {
                     continue;
                 };
-                let replaced = view.is_replaced(holder) && lease.in_flight.is_none();
-                // A holder to which this leader has sent no grant yet does not count as failing.
-                // One that did not carry out a grant for one range counts as failing for all its
-                // ranges.
-                let failing = unresponsive.contains(holder) || !view.is_current(holder);
-                let expired = match by_heartbeat {
-                    true => {
-                        // The holder of a newly assigned range is told when it announces itself.
-                        let claim_by = lease
-                            .claim_by
-                            .get_or_insert(now + self.times.interval * CLAIM_INTERVALS);
-                        let claimable = lease.expiry.is_zero()
-                            && lease.phase == Phase::Renewing
-                            && view.is_current(holder)
-                            && now < *claim_by;
-                        replaced || (now >= lease.expiry && !claimable)
-                    }
-                    false => replaced || (failing && now >= lease.expiry),
-                };
-                let (next, handover) = match &lease.phase {
-                    Phase::Proposed { .. } => continue,
-                    Phase::Released { next, handover }
-                        if expired || now >= lease.unanswered_expiry =>
-                    {
-                        (Some(next.clone()), handover.clone())
-                    }
-                    Phase::Releasing { next } | Phase::Withheld { next } if expired => {
-                        (Some(next.clone()), None)
-                    }
-                    Phase::Renewing if expired => (None, None),
-                    _ => continue,
-                };
-                let next = next.filter(|next| view.is_current(next));
+                let next = free.next.filter(|next| view.is_current(next));
                 let Some(next) = next.or_else(|| pick_holder(service, &lease.range)) else {
                     continue;
                 };
@@ -604,7 +567,7 @@
                     previous: lease.range.holder.clone(),
                     range: KeyRange {
                         holder: Some(next),
-                        handover,
+                        handover: free.handover,
                         ..lease.range.clone()
                     },
                 });
@@ -613,6 +576,33 @@
         out
     }
 
+    /// Services with ranges that have no holder any more and wait for a change.
+    pub fn services_with_free_ranges(&mut self, view: &View, now: Duration) -> Vec<ServiceName> {
+        let failing = self.failing_holders();
+        let times = self.times;
+        let mut with_free = Vec::new();
+        for (service, leases) in &mut self.leases {
+            let delivery = view.key_delivery(service);
+            let mut free = leases
+                .iter_mut()
+                .filter_map(|lease| lease.free_range(&failing, delivery, view, times, now));
+            if free.next().is_some() {
+                with_free.push(service.clone());
+            }
+        }
+        with_free
+    }
+
+    /// Holders that did not carry out a grant. One that failed for one range counts as failing for
+    /// all its ranges.
+    fn failing_holders(&self) -> BTreeSet<Holder> {
+        let leases = self.leases.values().flatten();
+        leases
+            .filter(|lease| lease.failures > 0)
+            .filter_map(|lease| lease.range.holder.clone())
+            .collect()
+    }
+
     /// Records that the proposal of an assignment was dropped, so that the change of holder is
     /// proposed again.
     pub fn record_dropped_assignment(&mut self, service: &str, range: &KeyRange) {
--- a/crates/fleet/src/key_leases/heartbeat.rs
+++ b/crates/fleet/src/key_leases/heartbeat.rs
@@ -10,7 +10,10 @@
 //! the range under a fencing token of this leader before. Without that, the announcement may have
 //! been sent before an answer of the previous leader was received.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use super::{
     FENCE_COUNTER_BITS,
@@ -81,6 +84,15 @@
     pub handover: Option<HandoverData>,
 }
 
+/// State of a range at its holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldPhase {
+    /// The range does not move.
+    Steady,
+    /// The next answer may leave the range out.
+    Leaving,
+}
+
 /// The answer to an announcement: all that the target may hold from now on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeartbeatAnswer {
@@ -233,12 +245,27 @@
         answer
     }
 
-    /// Number of ranges that a target holds or is to hold.
-    pub fn range_count(&self, service: &str, holder: &Holder) -> usize {
-        let leases = self.leases(service).iter();
-        leases
-            .filter(|lease| lease.next_range().holder.as_ref() == Some(holder))
-            .count()
+    /// Number of ranges that each target holds or is to hold.
+    pub fn range_counts(&self, service: &str) -> BTreeMap<Holder, usize> {
+        let mut counts = BTreeMap::new();
+        for lease in self.leases(service) {
+            if let Some(holder) = lease.next_range().holder {
+                *counts.entry(holder).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Whether a target has a range that does not move, or one that its next answer may leave out.
+    pub fn has_ranges_in(&self, service: &str, holder: &Holder, phase: HeldPhase) -> bool {
+        self.leases(service).iter().any(|lease| {
+            let found = match &lease.phase {
+                Phase::Renewing => phase == HeldPhase::Steady,
+                Phase::Releasing { .. } => phase == HeldPhase::Leaving && lease.acknowledged,
+                Phase::Withheld { .. } | Phase::Released { .. } | Phase::Proposed { .. } => false,
+            };
+            found && lease.range.holder.as_ref() == Some(holder)
+        })
     }
 
     /// Whether a range is on its way to a target: its previous holder has been told to let it go,
--- a/crates/fleet/src/key_leases/lease.rs
+++ b/crates/fleet/src/key_leases/lease.rs
@@ -1,17 +1,28 @@
 //! One lease: its next order, and splitting and merging of ranges.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use super::{
+    CLAIM_INTERVALS,
     GRANT_TIMEOUT,
     Lease,
+    LeaseTimes,
     Order,
     Phase,
     RELEASE_TIMEOUT, //
 };
-use crate::keys::{
-    Key,
-    KeyRange, //
+use crate::{
+    keys::{
+        HandoverData,
+        Key,
+        KeyRange, //
+    },
+    registry::Holder,
+    routing::KeyDelivery,
+    state::View,
 };
 
 /// A shorter lease is not worth an order.
@@ -21,7 +32,57 @@
 /// How much slower than the leader's clock a target's clock may run, as a fraction of the lease.
 const MAX_CLOCK_DRIFT: f64 = 0.02;
 
+/// A range whose holder can no longer act.
+pub(super) struct FreeRange {
+    /// The next holder, if it was picked before.
+    pub(super) next: Option<Holder>,
+    /// Handover data of the previous holder.
+    pub(super) handover: Option<HandoverData>,
+}
+
 impl Lease {
+    /// Returns the range with what is known of its move if its holder can no longer act. A holder
+    /// that is called and to which this leader has sent no grant yet does not count as failing.
+    pub(super) fn free_range(
+        &mut self,
+        failing: &BTreeSet<Holder>,
+        delivery: KeyDelivery,
+        view: &View,
+        times: LeaseTimes,
+        now: Duration,
+    ) -> Option<FreeRange> {
+        let holder = self.range.holder.as_ref()?;
+        let replaced = view.is_replaced(holder) && self.in_flight.is_none();
+        let expired = match delivery {
+            KeyDelivery::Heartbeat => {
+                // The holder of a newly assigned range is told when it announces itself.
+                let claim_by = self
+                    .claim_by
+                    .get_or_insert(now + times.interval * CLAIM_INTERVALS);
+                let claimable = self.expiry.is_zero()
+                    && self.phase == Phase::Renewing
+                    && view.is_current(holder)
+                    && now < *claim_by;
+                replaced || (now >= self.expiry && !claimable)
+            }
+            KeyDelivery::Call | KeyDelivery::Unkeyed => {
+                let failing = failing.contains(holder) || !view.is_current(holder);
+                replaced || (failing && now >= self.expiry)
+            }
+        };
+        let (next, handover) = match &self.phase {
+            Phase::Released { next, handover } if expired || now >= self.unanswered_expiry => {
+                (Some(next.clone()), handover.clone())
+            }
+            Phase::Releasing { next } | Phase::Withheld { next } if expired => {
+                (Some(next.clone()), None)
+            }
+            Phase::Renewing if expired => (None, None),
+            _ => return None,
+        };
+        Some(FreeRange { next, handover })
+    }
+
     /// Returns the next order to the holder and its time limit.
     pub(super) fn next_order(
         &self,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,6 +39,7 @@
 };
 pub use key_leases::{
     Answer,
+    Dispatch,
     FencingToken,
     FreedRange,
     GrantedRange,
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -237,7 +237,9 @@
                 Effect::Log(LogEvent::Moving { range, next, .. }) => {
                     self.moving.push((range, next.id));
                 }
-                Effect::Stream { message, .. } if self.entry.0 == Some(at) => {
+                Effect::Stream { message, .. } | Effect::Broadcast { message, .. }
+                    if self.entry.0 == Some(at) =>
+                {
                     self.on_entry_message(message);
                 }
                 _ => {}
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -213,6 +213,44 @@
     pub entries: Vec<Entry>,
 }
 
+impl DurableWrite {
+    /// Combines writes that follow each other, so that they are made durable together. Writes with
+    /// snapshots stay apart.
+    ///
+    /// ```
+    /// use camphordale_raft::{DurableWrite, Entry, Payload};
+    ///
+    /// let write = |index| DurableWrite {
+    ///     entries: vec![Entry { index, term: 1, payload: Payload::Noop }],
+    ///     ..DurableWrite::default()
+    /// };
+    /// let combined = DurableWrite::combine(vec![write(1), write(2), write(3)]);
+    /// assert_eq!(combined.len(), 1);
+    /// assert_eq!(combined[0].entries.len(), 3);
+    /// ```
+    pub fn combine(writes: Vec<DurableWrite>) -> Vec<DurableWrite> {
+        let mut combined: Vec<DurableWrite> = Vec::new();
+        for write in writes {
+            match combined.last_mut() {
+                Some(last)
+                    if last.snapshot.is_none()
+                        && write.snapshot.is_none()
+                        && !last.discard_log
+                        && !write.discard_log =>
+                {
+                    last.hard_state = write.hard_state.or(last.hard_state.take());
+                    if let Some(first) = write.entries.first() {
+                        last.entries.retain(|entry| entry.index < first.index);
+                    }
+                    last.entries.extend(write.entries);
+                }
+                _ => combined.push(write),
+            }
+        }
+        combined
+    }
+}
+
 /// Role of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -11,6 +11,7 @@
     CallToken,
     Config,
     Control,
+    Dispatch,
     Effect,
     Event,
     LeaseTimes,
@@ -70,6 +71,8 @@
 const AUDIT_PATH: &str = "/changes";
 /// Interval between ticks of the reducer; elections and renewals need no finer one.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// A turn of the loop that takes longer is logged: a leader must send heartbeats in between.
+const LONG_TURN: Duration = Duration::from_millis(40);
 /// Delay before the storage is opened again after a failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Largest number of connections to one target for orders: one for grants, and one for a release
@@ -93,6 +96,8 @@
     control: Control,
     store: Option<Store>,
     storage_failure: Option<Duration>,
+    /// Effects that are not carried out yet.
+    effects: Vec<Effect>,
     calls: HashMap<CallToken, PendingCall>,
     orders: HashMap<OrderId, Order>,
     next_token: CallToken,
@@ -223,6 +228,7 @@
             control: opened.control,
             store: Some(opened.store),
             storage_failure: None,
+            effects: Vec::new(),
             calls: HashMap::new(),
             orders: HashMap::new(),
             next_token: 0,
@@ -243,7 +249,12 @@
                 .event_loop
                 .wait(self.next_tick)
                 .map_err(system_error("wait"))?;
-            for event in events {
+            let started = context.clock.now();
+            let count = events.len();
+            // Work on behalf of targets and entry VMs must not delay the heartbeats of the group.
+            let (consensus, other): (Vec<IoEvent>, Vec<IoEvent>) =
+                events.into_iter().partition(is_consensus);
+            for event in consensus.into_iter().chain(other) {
                 self.on_io_event(event, context);
             }
             let now = context.clock.now();
@@ -253,6 +264,9 @@
                 self.step(Event::Tick, context);
                 context.flush_logs(now);
             }
+            let decided = context.clock.now();
+            self.carry_out(context);
+            log_long_turn(count, started, decided, context);
             self.reload(now, context, &reload);
         }
         Ok(())
@@ -363,97 +377,114 @@
         self.step(Event::OrderAnswered { id, answer }, context);
     }
 
-    fn step(&mut self, event: Event, context: &mut ProcessContext) {
+    /// Passes an event to the reducer. Its effects are carried out by [`Self::carry_out`].
+    fn step(&mut self, event: Event, context: &ProcessContext) {
         let effects = self.control.step(event, context.clock.now());
-        self.apply_effects(effects, context);
+        self.effects.extend(effects);
     }
 
-    fn apply_effects(&mut self, effects: Vec<Effect>, context: &mut ProcessContext) {
-        let mut encode_failures = Vec::new();
-        for effect in effects {
-            match effect {
-                Effect::Persist(write) => {
-                    if !self.persist(&write, context) {
-                        // The remaining effects rely on state that could not be made durable.
-                        return;
-                    }
+    /// Carries out the effects of all steps since the last call. What must be durable is written
+    /// first, in as few writes as possible, so that many changes cost one sync.
+    fn carry_out(&mut self, context: &mut ProcessContext) {
+        while !self.effects.is_empty() {
+            let effects = std::mem::take(&mut self.effects);
+            let (writes, effects): (Vec<Effect>, Vec<Effect>) = effects
+                .into_iter()
+                .partition(|effect| matches!(effect, Effect::Persist(_)));
+            let writes = writes.into_iter().filter_map(|effect| match effect {
+                Effect::Persist(write) => Some(write),
+                _ => None,
+            });
+            for write in DurableWrite::combine(writes.collect()) {
+                if !self.persist(&write, context) {
+                    // The effects rely on state that could not be made durable.
+                    return;
                 }
-                Effect::Send { to, message } => context.event_loop.send_to(to, &message),
-                Effect::Stream { conn, message } => context.event_loop.send(conn, &message),
-                Effect::CloseStream(conn) => context.event_loop.close_peer(conn),
-                Effect::Reply { token, reply } => {
-                    if let Some(pending) = self.calls.remove(&token) {
-                        self.reply(&pending, &reply, context);
-                    }
-                }
-                Effect::LeaseReply {
-                    token,
-                    granted,
-                    lease,
-                    send_before,
-                } => {
-                    let reply = if context.clock.now() < send_before {
-                        Reply::Leases { granted, lease }
-                    } else {
-                        // Another leader may exist by now.
-                        Reply::Unavailable("leadership is not confirmed")
-                    };
-                    if let Some(pending) = self.calls.remove(&token) {
-                        self.reply(&pending, &reply, context);
-                    }
-                }
-                Effect::Order {
-                    dispatch,
-                    send_before,
-                } => {
-                    let now = context.clock.now();
-                    if now >= send_before {
-                        // Another leader may exist by now, so the order must not be sent.
-                        let answer = Answer::Lost { sent: false };
-                        let id = dispatch.id;
-                        self.step(Event::OrderAnswered { id, answer }, context);
-                        continue;
-                    }
-                    let request = self.adapter.order_request(&dispatch.order);
-                    let out_request = OutgoingRequest {
-                        method: request.method,
-                        path: &request.path,
-                        headers: &request.headers,
-                        body: &request.body,
-                    };
-                    let mut bytes = Vec::new();
-                    if let Err(part) = write_request(&mut bytes, &out_request, dispatch.address) {
-                        warn!(context.logger, "cannot encode the order to a target";
-                            "part" => part);
-                        encode_failures.push(dispatch.id);
-                        continue;
-                    }
-                    self.orders.insert(dispatch.id, dispatch.order);
-                    context.event_loop.start_exchange(Exchange {
-                        id: dispatch.id,
-                        address: dispatch.address,
-                        bytes,
-                        expected: ExpectedResponse::default(),
-                        connections: MAX_ORDER_CONNECTIONS,
-                        deadline: dispatch.deadline,
-                    });
-                }
-                Effect::StoreMembers(members) => {
-                    let file = AtomicFile::new(self.role_settings.data_dir.join(MEMBERS_FILE));
-                    if let Err(error) = file.write(&members)
-                        && context.may_log("book")
-                    {
-                        warn!(context.logger, "cannot store the known control VMs";
-                            "error" => error.to_string());
-                    }
+            }
+            for effect in effects {
+                self.apply_effect(effect, context);
+            }
+        }
+    }
+
+    fn apply_effect(&mut self, effect: Effect, context: &mut ProcessContext) {
+        match effect {
+            Effect::Persist(_) => {}
+            Effect::Send { to, message } => context.event_loop.send_to(to, &message),
+            Effect::Stream { conn, message } => context.event_loop.send(conn, &message),
+            Effect::Broadcast { conns, message } => context.event_loop.send_all(&conns, &message),
+            Effect::CloseStream(conn) => context.event_loop.close_peer(conn),
+            Effect::Reply { token, reply } => self.reply_to(token, &reply, context),
+            Effect::LeaseReply {
+                token,
+                granted,
+                lease,
+                send_before,
+            } => {
+                let reply = if context.clock.now() < send_before {
+                    Reply::Leases { granted, lease }
+                } else {
+                    // Another leader may exist by now.
+                    Reply::Unavailable("leadership is not confirmed")
+                };
+                self.reply_to(token, &reply, context);
+            }
+            Effect::Order {
+                dispatch,
+                send_before,
+            } => self.send_order(dispatch, send_before, context),
+            Effect::StoreMembers(members) => {
+                let file = AtomicFile::new(self.role_settings.data_dir.join(MEMBERS_FILE));
+                if let Err(error) = file.write(&members)
+                    && context.may_log("book")
+                {
+                    warn!(context.logger, "cannot store the known control VMs";
+                        "error" => error.to_string());
                 }
-                Effect::Log(event) => log_event(&event, context),
             }
+            Effect::Log(event) => log_event(&event, context),
+        }
+    }
+
+    fn reply_to(&mut self, token: CallToken, reply: &Reply, context: &mut ProcessContext) {
+        if let Some(pending) = self.calls.remove(&token) {
+            self.reply(&pending, reply, context);
+        }
+    }
+
+    fn send_order(
+        &mut self,
+        dispatch: Dispatch,
+        send_before: Duration,
+        context: &mut ProcessContext,
+    ) {
+        let id = dispatch.id;
+        let answer = Answer::Lost { sent: false };
+        if context.clock.now() >= send_before {
+            // Another leader may exist by now, so the order must not be sent.
+            return self.step(Event::OrderAnswered { id, answer }, context);
         }
-        for id in encode_failures {
-            let answer = Answer::Lost { sent: false };
-            self.step(Event::OrderAnswered { id, answer }, context);
+        let request = self.adapter.order_request(&dispatch.order);
+        let out_request = OutgoingRequest {
+            method: request.method,
+            path: &request.path,
+            headers: &request.headers,
+            body: &request.body,
+        };
+        let mut bytes = Vec::new();
+        if let Err(part) = write_request(&mut bytes, &out_request, dispatch.address) {
+            warn!(context.logger, "cannot encode the order to a target"; "part" => part);
+            return self.step(Event::OrderAnswered { id, answer }, context);
         }
+        self.orders.insert(id, dispatch.order);
+        context.event_loop.start_exchange(Exchange {
+            id,
+            address: dispatch.address,
+            bytes,
+            expected: ExpectedResponse::default(),
+            connections: MAX_ORDER_CONNECTIONS,
+            deadline: dispatch.deadline,
+        });
     }
 
     fn persist(&mut self, write: &DurableWrite, context: &mut ProcessContext) -> bool {
@@ -469,8 +500,7 @@
         let now = context.clock.now();
         self.store = None;
         self.storage_failure = Some(now);
-        let effects = self.control.storage_failed(now);
-        self.apply_effects(effects, context);
+        self.effects = self.control.storage_failed(now);
         false
     }
 
@@ -503,6 +533,35 @@
     }
 }
 
+fn is_consensus(event: &IoEvent) -> bool {
+    matches!(
+        event,
+        IoEvent::PeerMessage {
+            message: PeerMessage::Raft { .. },
+            ..
+        }
+    )
+}
+
+/// Logs a turn of the loop after which followers may take the leader for lost.
+fn log_long_turn(
+    events: usize,
+    started: Duration,
+    decided: Duration,
+    context: &mut ProcessContext,
+) {
+    let ended = context.clock.now();
+    if ended - started < LONG_TURN {
+        return;
+    }
+    context.metrics.count_event("long-turn");
+    if context.may_log("long turn") {
+        info!(context.logger, "long turn"; "events" => events,
+            "decide_ms" => (decided - started).as_millis() as u64,
+            "carry_out_ms" => (ended - decided).as_millis() as u64);
+    }
+}
+
 fn log_event(event: &LogEvent, context: &mut ProcessContext) {
     let kind = match event {
         LogEvent::Role { .. } => "role",
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -180,6 +180,8 @@
     bulk_in: Pacer,
     bulk_out: Pacer,
     deferred: Deferred,
+    /// Connections to other VMs with queued messages.
+    unflushed: Vec<(usize, ConnId)>,
     buffered: usize,
     buffer_limit: usize,
     stats: EventLoopStats,
@@ -212,6 +214,7 @@
             bulk_in: Pacer::default(),
             bulk_out: Pacer::default(),
             deferred: Deferred::default(),
+            unflushed: Vec::new(),
             buffered: 0,
             buffer_limit: DEFAULT_BUFFER_LIMIT,
             stats: EventLoopStats::default(),
@@ -289,6 +292,7 @@
     ///
     /// Returns the error of the operating system.
     pub fn wait(&mut self, until: Duration) -> io::Result<Vec<IoEvent>> {
+        self.flush_peers(self.clock.now());
         let until = match self.timers.first() {
             Some((deadline, ..)) => until.min(*deadline),
             None => until,
@@ -518,10 +522,14 @@
         }
     }
 
-    /// Closes a connection to another VM. Has no effect if it is closed already.
+    /// Closes a connection to another VM, after what is queued was written as far as the socket
+    /// takes it. Has no effect if it is closed already.
     pub fn close_peer(&mut self, id: ConnId) {
+        let now = self.clock.now();
+        if let Some(key) = self.key_of(id) {
+            self.flush(key, now);
+        }
         if let Some(key) = self.key_of(id) {
-            let now = self.clock.now();
             self.close_connection(key, "closed by this process", now);
         }
     }
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -101,21 +101,56 @@
         }
     }
 
+    /// Sends the same message on several connections, and encodes it once. Closed connections are
+    /// left out.
+    pub fn send_all(&mut self, ids: &[ConnId], message: &PeerMessage) {
+        let now = self.clock.now();
+        let Ok(payload) = message.encode() else {
+            self.stats.socket_errors += 1;
+            return;
+        };
+        for id in ids {
+            if let Some(key) = self.key_of(*id) {
+                self.send_payload(key, &payload, now);
+            }
+        }
+    }
+
     fn send_message(&mut self, key: usize, message: &PeerMessage, now: Duration) {
+        match message.encode() {
+            Ok(payload) => self.send_payload(key, &payload, now),
+            Err(_) => {
+                self.stats.socket_errors += 1;
+                self.close_connection(key, "message cannot be encoded", now);
+            }
+        }
+    }
+
+    /// Queues a message. All that is queued for a connection is written by the next
+    /// [`EventLoop::wait`], in one system call.
+    fn send_payload(&mut self, key: usize, payload: &[u8], now: Duration) {
         let conn = &mut self.conns[key];
+        let was_empty = conn.output_is_empty();
         let ConnKind::Peer { protocol, .. } = &mut conn.kind else {
             return;
         };
-        let result = protocol.send(message, &mut conn.output);
+        let result = protocol.send(payload, &mut conn.output);
         if result.is_err() || conn.output.len() > MAX_OUTPUT_BYTES {
             self.stats.socket_errors += 1;
-            return self.close_connection(
-                key,
-                "message cannot be encoded, or too much output is buffered",
-                now,
-            );
+            return self.close_connection(key, "too much output is buffered", now);
+        }
+        if was_empty {
+            self.unflushed.push((key, conn.id));
+        }
+    }
+
+    /// Writes what was queued for other VMs.
+    pub(super) fn flush_peers(&mut self, now: Duration) {
+        for (key, id) in std::mem::take(&mut self.unflushed) {
+            if self.conns.get(key).is_some_and(|conn| conn.id == id) {
+                self.flush(key, now);
+            }
         }
-        self.flush(key, now);
     }
 
     pub(super) fn on_peer_readable(&mut self, key: usize, eof: bool, now: Duration) {
--- a/crates/reactor/src/peer_connection.rs
+++ b/crates/reactor/src/peer_connection.rs
@@ -53,18 +53,17 @@
         self.ready
     }
 
-    /// Seals a message into `output`, or queues it until the handshake is complete.
+    /// Seals an encoded message into `output`, or queues it until the handshake is complete.
     ///
     /// # Errors
     ///
-    /// [`PeerError`] if the message cannot be encoded or is too long.
-    pub fn send(&mut self, message: &PeerMessage, output: &mut Vec<u8>) -> Result<(), PeerError> {
-        let payload = message.encode().map_err(peer_error)?;
+    /// [`PeerError`] if the message is too long.
+    pub fn send(&mut self, payload: &[u8], output: &mut Vec<u8>) -> Result<(), PeerError> {
         if !self.ready {
-            self.queue.push(payload);
+            self.queue.push(payload.to_vec());
             return Ok(());
         }
-        self.seal(FrameKind::Cast, &payload, output)
+        self.seal(FrameKind::Cast, payload, output)
     }
 
     fn seal(
