Go on from the view of an entry VM, and read before idle callers are closed

Change: control VMs keep the last 1,024 updates; an entry VM with a view gets those that it lacks (Resubscribe, Resume). Every other attempt asks for the whole view as before, which a control VM of an older version understands.

Change: what has arrived is read and served; a connection that is idle then is closed without reading, so that its caller sees that the request was not read.

Ruled out: elections (0.45 s), turns of the leader (two of 40 ms).

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -18,8 +18,15 @@
 const PING_INTERVAL: Duration = Duration::from_millis(300);
 /// Time without a message after which another control VM is tried: three pings.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time limit for the reply to a subscription.
+/// Time limit for the reply to a subscription. It doubles with each attempt that failed, since the
+/// queue of a narrow link may hold a connection back for longer.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time limit for opening a connection, which doubles likewise: enough for one retransmission of a
+/// lost packet. A lost first packet (SYN), for example to a VM that is just starting, is
+/// retransmitted only after one second, so opening a new connection is faster.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of times that these limits double at most.
+const MAX_DOUBLINGS: u32 = 2;
 /// Delay before the next control VM is tried. A control VM that knows no leader replies only after
 /// a wait.
 const RECONNECT_DELAY: Duration = Duration::from_millis(30);
@@ -27,8 +34,13 @@
 /// An action on the connection to a control VM, for the process to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ControlStreamEffect {
-    /// Open a connection to this control VM, replacing any other.
-    Connect(SocketAddr),
+    /// Open a connection to a control VM, replacing any other.
+    Connect {
+        /// The control VM.
+        to: SocketAddr,
+        /// Time within which it must open and complete its handshake.
+        timeout: Duration,
+    },
     /// Send on the open connection.
     Send(PeerMessage),
     /// Close the connection.
@@ -52,6 +64,8 @@
     leader_hint: Option<SocketAddr>,
     phase: Phase,
     next_ping: Duration,
+    /// Consecutive attempts without an established stream.
+    failures: u32,
     /// When the leader was last heard from.
     last_heard: Duration,
     /// Number of VMs that share the targets.
@@ -71,6 +85,7 @@
                 until: Duration::ZERO,
             },
             next_ping: Duration::ZERO,
+            failures: 0,
             last_heard: Duration::ZERO,
             entries: EntryCounts::default(),
         }
@@ -95,16 +110,24 @@
     pub fn next_deadline(&self) -> Duration {
         match self.phase {
             Phase::Idle { until } => until,
-            Phase::Subscribing { since } => since + SUBSCRIBE_TIMEOUT,
+            Phase::Subscribing { since } => since + self.stretched(SUBSCRIBE_TIMEOUT),
             Phase::Established { last_heard } => self.next_ping.min(last_heard + SILENCE_TIMEOUT),
         }
     }
 
+    /// A time limit after the attempts that failed.
+    fn stretched(&self, limit: Duration) -> Duration {
+        limit * 2u32.pow(self.failures.min(MAX_DOUBLINGS))
+    }
+
     /// Reconnects when the current phase has timed out.
     pub fn tick(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
         match self.phase {
             Phase::Idle { until } if now >= until => self.connect(view, now, out),
-            Phase::Subscribing { since } if now.saturating_sub(since) >= SUBSCRIBE_TIMEOUT => {
+            Phase::Subscribing { since }
+                if now.saturating_sub(since) >= self.stretched(SUBSCRIBE_TIMEOUT) =>
+            {
+                self.failures += 1;
                 self.reconnect_later(now, out);
             }
             Phase::Established { last_heard }
@@ -158,12 +181,24 @@
             }
         };
         self.phase = Phase::Subscribing { since: now };
-        out.push(ControlStreamEffect::Connect(to));
-        out.push(ControlStreamEffect::Send(PeerMessage::Subscribe {
-            entry_id: self.entry_id,
-            domain: self.domain.clone(),
-            index: view.index,
-        }));
+        let timeout = self.stretched(CONNECT_TIMEOUT);
+        out.push(ControlStreamEffect::Connect { to, timeout });
+        let (entry_id, domain, index) = (self.entry_id, self.domain.clone(), view.index);
+        // A control VM of an older version closes the connection on a message that it does not
+        // know, so every other attempt asks for the whole view.
+        let subscription = match index > 0 && self.failures.is_multiple_of(2) {
+            true => PeerMessage::Resubscribe {
+                entry_id,
+                domain,
+                index,
+            },
+            false => PeerMessage::Subscribe {
+                entry_id,
+                domain,
+                index,
+            },
+        };
+        out.push(ControlStreamEffect::Send(subscription));
     }
 
     fn reconnect_later(&mut self, now: Duration, out: &mut Vec<ControlStreamEffect>) {
@@ -175,6 +210,9 @@
 
     /// Handles the end of the connection.
     pub fn on_closed(&mut self, now: Duration) {
+        if matches!(self.phase, Phase::Subscribing { .. }) {
+            self.failures += 1;
+        }
         if !matches!(self.phase, Phase::Idle { .. }) {
             self.phase = Phase::Idle {
                 until: now + RECONNECT_DELAY,
@@ -202,7 +240,8 @@
                 out.push(ControlStreamEffect::Close);
                 false
             }
-            PeerMessage::Snapshot(_) => {
+            PeerMessage::Snapshot(_) | PeerMessage::Resume { .. } => {
+                self.failures = 0;
                 self.phase = Phase::Established { last_heard: now };
                 self.last_heard = now;
                 true
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -78,6 +78,12 @@
         out.extend(effects.into_iter().map(Effect::ControlStream));
         match message {
             PeerMessage::Snapshot(view) if is_established => self.replace_view(*view, now, out),
+            PeerMessage::Resume { .. } if is_established => {
+                // Notices of moves may have been missed.
+                self.handovers.clear();
+                self.confirm_view(now, out);
+                self.retry_where(now, out, |_| true);
+            }
             PeerMessage::Update { index, command } if is_established => {
                 self.apply_update(index, &command, now, out);
             }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod control_stream;
 mod decisions;
 mod harness;
 mod load;
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -44,6 +44,7 @@
     rebalance::LoadStats,
     streams::{
         EntryStream,
+        RecentUpdates,
         WaitingSubscription, //
     },
 };
@@ -90,6 +91,7 @@
     next_id: u64,
     streams: BTreeMap<u64, EntryStream>,
     waiting: Vec<WaitingSubscription>,
+    recent_updates: RecentUpdates,
     member_table: MemberTable,
 }
 
@@ -167,6 +169,7 @@
             next_id: 0,
             streams: BTreeMap::new(),
             waiting: Vec::new(),
+            recent_updates: RecentUpdates::new(applied),
             member_table,
         })
     }
@@ -367,6 +370,7 @@
             Ok(state) => {
                 self.state = state;
                 self.applied = snapshot.index;
+                self.recent_updates = RecentUpdates::new(snapshot.index);
                 if self.member_table.sync(&self.state.view) {
                     out.push(Effect::StoreMembers(self.member_table.to_vec()));
                 }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -1,6 +1,7 @@
 //! Streams of the view to entry VMs.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     time::Duration, //
 };
@@ -30,12 +31,59 @@
 /// told to ask another control VM.
 const LEADER_WAIT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// A subscription received while no leader was known.
-pub(super) struct WaitingSubscription {
+/// Updates that are kept for entry VMs that subscribe again: more than a fleet makes while a leader
+/// is replaced.
+const MAX_RECENT_UPDATES: usize = 1024;
+
+/// The last updates of the view. Every control VM keeps them, so that a new leader need not send the
+/// whole view to each entry VM.
+pub(super) struct RecentUpdates {
+    /// The updates after this index are kept.
+    from: u64,
+    updates: VecDeque<(u64, Command)>,
+}
+
+impl RecentUpdates {
+    /// Starts with the state at `index`.
+    pub(super) fn new(index: u64) -> RecentUpdates {
+        RecentUpdates {
+            from: index,
+            updates: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn push(&mut self, index: u64, command: Command) {
+        self.updates.push_back((index, command));
+        if self.updates.len() > MAX_RECENT_UPDATES
+            && let Some((dropped, _)) = self.updates.pop_front()
+        {
+            self.from = dropped;
+        }
+    }
+
+    /// The updates after `index`, or `None` if they are not all kept. A view without any state has
+    /// index 0.
+    fn since(&self, index: u64) -> Option<impl Iterator<Item = (u64, &Command)>> {
+        let first = self.updates.partition_point(|(at, _)| *at <= index);
+        let rest = self.updates.range(first..);
+        (index > 0 && index >= self.from).then(|| rest.map(|(at, command)| (*at, command)))
+    }
+}
+
+/// A subscription of an entry VM.
+struct Subscription {
     conn: u64,
     entry_id: u64,
     domain: Domain,
+    /// Index of the entry VM's view.
     index: u64,
+    /// Whether the entry VM can go on from its view.
+    resumes: bool,
+}
+
+/// A subscription received while no leader was known.
+pub(super) struct WaitingSubscription {
+    subscription: Subscription,
     deadline: Duration,
 }
 
@@ -61,7 +109,30 @@
                 entry_id,
                 domain,
                 index,
-            } => self.subscribe(conn, entry_id, domain, index, now, out),
+            } => {
+                let subscription = Subscription {
+                    conn,
+                    entry_id,
+                    domain,
+                    index,
+                    resumes: false,
+                };
+                self.subscribe(subscription, now, out);
+            }
+            PeerMessage::Resubscribe {
+                entry_id,
+                domain,
+                index,
+            } => {
+                let subscription = Subscription {
+                    conn,
+                    entry_id,
+                    domain,
+                    index,
+                    resumes: true,
+                };
+                self.subscribe(subscription, now, out);
+            }
             PeerMessage::Ping {
                 sent,
                 index,
@@ -90,25 +161,16 @@
         }
     }
 
-    fn subscribe(
-        &mut self,
-        conn: u64,
-        entry_id: u64,
-        domain: Domain,
-        index: u64,
-        now: Duration,
-        out: &mut Vec<Effect>,
-    ) {
+    fn subscribe(&mut self, subscription: Subscription, now: Duration, out: &mut Vec<Effect>) {
+        let Subscription { conn, index, .. } = subscription;
         let is_behind = self.state.view.index < index;
         if self.leader_state.is_none() || is_behind {
             let leader = self.other_leader();
             if leader.is_none() && !is_behind {
-                self.waiting.retain(|waiting| waiting.conn != conn);
+                self.waiting
+                    .retain(|waiting| waiting.subscription.conn != conn);
                 self.waiting.push(WaitingSubscription {
-                    conn,
-                    entry_id,
-                    domain,
-                    index,
+                    subscription,
                     deadline: now + LEADER_WAIT_TIMEOUT,
                 });
                 return;
@@ -117,16 +179,34 @@
             out.push(Effect::Stream { conn, message });
             return;
         }
+        let entry_id = subscription.entry_id;
         self.streams.retain(|_, stream| stream.entry_id != entry_id);
+        let updates = match subscription.resumes {
+            true => self.recent_updates.since(index),
+            false => None,
+        };
+        match updates {
+            Some(updates) => {
+                let message = PeerMessage::Resume { index };
+                out.push(Effect::Stream { conn, message });
+                out.extend(updates.map(|(index, command)| {
+                    let command = Box::new(command.clone());
+                    let message = PeerMessage::Update { index, command };
+                    Effect::Stream { conn, message }
+                }));
+            }
+            None => {
+                let message = PeerMessage::Snapshot(Box::new(self.state.view.clone()));
+                out.push(Effect::Stream { conn, message });
+            }
+        }
         let stream = EntryStream {
             entry_id,
-            domain,
+            domain: subscription.domain,
             index,
             last_heard: now,
         };
         self.streams.insert(conn, stream);
-        let message = PeerMessage::Snapshot(Box::new(self.state.view.clone()));
-        out.push(Effect::Stream { conn, message });
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
 
@@ -142,18 +222,12 @@
         }
         let known = self.leader_state.is_some() || self.other_leader().is_some();
         for waiting in std::mem::take(&mut self.waiting) {
-            let WaitingSubscription {
-                conn,
-                entry_id,
-                ref domain,
-                index,
-                deadline,
-            } = waiting;
             if known {
-                self.subscribe(conn, entry_id, domain.clone(), index, now, out);
-            } else if now < deadline {
+                self.subscribe(waiting.subscription, now, out);
+            } else if now < waiting.deadline {
                 self.waiting.push(waiting);
             } else {
+                let conn = waiting.subscription.conn;
                 let message = PeerMessage::NotLeader { leader: None };
                 out.push(Effect::Stream { conn, message });
             }
@@ -161,13 +235,15 @@
     }
 
     pub(super) fn on_stream_closed(&mut self, conn: u64, out: &mut Vec<Effect>) {
-        self.waiting.retain(|waiting| waiting.conn != conn);
+        self.waiting
+            .retain(|waiting| waiting.subscription.conn != conn);
         if self.streams.remove(&conn).is_some() {
             out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
         }
     }
 
     pub(super) fn stream_update(&mut self, index: u64, command: &Command, out: &mut Vec<Effect>) {
+        self.recent_updates.push(index, command.clone());
         let command = Box::new(command.clone());
         self.broadcast(PeerMessage::Update { index, command }, out);
     }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -141,6 +141,21 @@
         /// Number of entry VMs that share the targets.
         entries: EntryCounts,
     },
+    /// [`PeerMessage::Subscribe`] of an entry VM that can go on from its view.
+    Resubscribe {
+        /// Random id of the process.
+        entry_id: u64,
+        /// Failure domain of the entry VM.
+        domain: Domain,
+        /// Index of the entry VM's view.
+        index: u64,
+    },
+    /// Reply to [`PeerMessage::Resubscribe`] instead of a snapshot: the updates after the index of
+    /// the entry VM's view follow.
+    Resume {
+        /// Index of the entry VM's view.
+        index: u64,
+    },
 }
 
 impl PeerMessage {
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -142,6 +142,8 @@
     pub(crate) in_transit: Vec<(Duration, SocketAddr, SocketAddr, PeerMessage)>,
     pub(crate) replies: BTreeMap<CallToken, (Duration, Reply)>,
     pub(crate) next_token: CallToken,
+    /// Whole views that the entry VM received.
+    pub(crate) snapshots: usize,
     /// View of an entry VM, and the VM to which it has a stream.
     pub(crate) entry: (Option<SocketAddr>, View),
 }
@@ -161,6 +163,7 @@
             in_transit: Vec::new(),
             replies: BTreeMap::new(),
             next_token: 0,
+            snapshots: 0,
             entry: (None, View::default()),
         };
         for member in &members {
@@ -251,6 +254,7 @@
         let view = &mut self.entry.1;
         match message {
             PeerMessage::Snapshot(new) => {
+                self.snapshots += 1;
                 assert!(new.index >= view.index, "the view index decreased");
                 *view = *new;
             }
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -310,3 +310,52 @@
         assert_eq!(seen, [(0, 2, 2000), (2, 5, 5000)]);
     }
 }
+
+/// Guards against a rush of whole views on narrow links after a change of leader: an entry VM that
+/// has a view gets what it lacks.
+#[test]
+fn a_subscription_goes_on_from_the_view_of_the_entry_vm() {
+    let mut cluster = TestCluster::new(15);
+    cluster.ask(Call::Change(Box::new(change(0, 2, 7))));
+    cluster.run(ms(500));
+    let view = cluster.entry.1.clone();
+    cluster.ask(announce(1, 100, false));
+    cluster.ask(Call::Change(Box::new(change(2, 3, 8))));
+    let old = cluster.leader().unwrap();
+    cluster.stop(old);
+    while cluster.leader().is_none() {
+        cluster.run(ms(20));
+    }
+    let leader = cluster.leader().unwrap();
+    let expected = cluster.vms[&leader]
+        .control
+        .as_ref()
+        .unwrap()
+        .state()
+        .view
+        .clone();
+    cluster.entry = (Some(leader), view.clone());
+    cluster.snapshots = 0;
+    let message = PeerMessage::Resubscribe {
+        entry_id: 1,
+        domain: "a".into(),
+        index: view.index,
+    };
+    cluster.step(leader, Event::Stream { conn: 1, message });
+    let found = &cluster.entry.1;
+    assert_eq!(cluster.snapshots, 0);
+    assert_eq!(found.routing.as_ref().unwrap().version, 3);
+    assert_eq!(
+        (&found.targets, &found.keys),
+        (&expected.targets, &expected.keys)
+    );
+    // Without a view, everything is sent.
+    cluster.entry = (Some(leader), View::default());
+    let message = PeerMessage::Resubscribe {
+        entry_id: 1,
+        domain: "a".into(),
+        index: 0,
+    };
+    cluster.step(leader, Event::Stream { conn: 1, message });
+    assert_eq!(cluster.snapshots, 1);
+}
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -413,9 +413,9 @@
 
     fn on_control_stream(&mut self, effect: ControlStreamEffect, context: &mut ProcessContext) {
         match effect {
-            ControlStreamEffect::Connect(to) => {
+            ControlStreamEffect::Connect { to, timeout } => {
                 self.close_control_stream(context);
-                self.control_stream = context.event_loop.connect_peer(to);
+                self.control_stream = context.event_loop.connect_peer(to, timeout);
             }
             ControlStreamEffect::Send(message) => {
                 if let Some(stream) = self.control_stream {
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -22,6 +22,8 @@
 /// retransmission of a lost packet. A lost first packet (SYN), for example to a VM that is just
 /// starting, is retransmitted only after one second, so opening a new connection is faster.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The same limit for accepted connections, whose other end has its own.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time without a message from the other VM after which a connection is closed. It does not apply
 /// to connections that this process opened only to send.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -41,7 +43,7 @@
         if let Some(key) = self.insert(socket, kind) {
             self.conns[key].connected = true;
             self.conns[key].output = output;
-            self.set_deadline(key, Some(now + HANDSHAKE_TIMEOUT));
+            self.set_deadline(key, Some(now + ACCEPT_TIMEOUT));
             self.flush(key, now);
         }
     }
@@ -50,6 +52,7 @@
         &mut self,
         to: SocketAddr,
         outbound: bool,
+        timeout: Duration,
         now: Duration,
     ) -> Option<usize> {
         let socket = TcpStream::connect(to).ok()?;
@@ -63,14 +66,15 @@
         };
         let key = self.insert(socket, kind)?;
         self.conns[key].output = output;
-        self.set_deadline(key, Some(now + HANDSHAKE_TIMEOUT));
+        self.set_deadline(key, Some(now + timeout));
         Some(key)
     }
 
-    /// Opens a connection to another VM. Returns `None` if it fails immediately.
-    pub fn connect_peer(&mut self, to: SocketAddr) -> Option<ConnId> {
+    /// Opens a connection to another VM, which must complete its handshake within `timeout`. Returns
+    /// `None` if it fails immediately.
+    pub fn connect_peer(&mut self, to: SocketAddr, timeout: Duration) -> Option<ConnId> {
         let now = self.clock.now();
-        let key = self.open_peer_connection(to, false, now)?;
+        let key = self.open_peer_connection(to, false, timeout, now)?;
         Some(self.conns[key].id)
     }
 
@@ -82,7 +86,7 @@
         let key = match id.and_then(|id| self.key_of(id)) {
             Some(key) => key,
             None => {
-                let Some(key) = self.open_peer_connection(to, true, now) else {
+                let Some(key) = self.open_peer_connection(to, true, HANDSHAKE_TIMEOUT, now) else {
                     self.stats.socket_errors += 1;
                     return;
                 };
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -207,33 +207,37 @@
         }
     }
 
-    /// Closes caller connections that have no request in progress.
+    /// Closes caller connections that have no request in progress. A request that has arrived is
+    /// read first. One that crosses the close is not read, so its caller can tell that it was not
+    /// processed.
     pub fn close_idle_callers(&mut self) {
-        let idle: Vec<usize> = self
-            .conns
-            .iter()
-            .filter(|(_, conn)| {
-                let ConnKind::HttpServer {
-                    listener_kind,
-                    protocol,
-                    ..
-                } = &conn.kind
-                else {
-                    return false;
-                };
+        let is_idle = |conn: &Conn| match &conn.kind {
+            ConnKind::HttpServer {
+                listener_kind,
+                protocol,
+                ..
+            } => {
                 *listener_kind == ListenerKind::Callers
                     && !protocol.is_awaiting_response()
                     && protocol.request_started().is_none()
                     && conn.input.is_empty()
                     && conn.output_is_empty()
                     && !conn.closing
-            })
+            }
+            ConnKind::Target { .. } | ConnKind::Peer { .. } => false,
+        };
+        let idle: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| is_idle(conn))
             .map(|(key, _)| key)
             .collect();
         let now = self.clock.now();
         for key in idle {
-            self.conns[key].closing = true;
-            self.shut_down_write(key, now);
+            self.on_readable(key, true, now);
+            if self.conns.get(key).is_some_and(is_idle) {
+                self.close_connection(key, "idle", now);
+            }
         }
     }
 }
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -144,7 +144,7 @@
 
     let mut fixture = Fixture::new();
     let start = fixture.clock.now();
-    let opened = fixture.event_loop.connect_peer(address).unwrap();
+    let opened = fixture.event_loop.connect_peer(address, ms(250)).unwrap();
     fixture.wait_for(|event| match event {
         IoEvent::PeerClosed(conn) => (conn == opened).then_some(()),
         _ => None,
@@ -263,3 +263,54 @@
     let response = String::from_utf8_lossy(&buffer[..count]).to_ascii_lowercase();
     assert!(response.contains("connection: close"), "{response}");
 }
+
+fn connected_caller(fixture: &mut Fixture) -> TcpStream {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let address = fixture
+        .event_loop
+        .listen(any, ListenerKind::Callers)
+        .unwrap();
+    let caller = TcpStream::connect(address).unwrap();
+    caller.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+    while fixture.event_loop.caller_connections() == 0 {
+        let next = fixture.clock.now() + ms(5);
+        fixture.event_loop.wait(next).unwrap();
+    }
+    caller
+}
+
+/// Guards against a planned stop that cuts off a request which has arrived, but was not read when
+/// the idle connections were closed.
+#[test]
+fn a_request_that_has_arrived_is_served_when_idle_connections_are_closed() {
+    let mut fixture = Fixture::new();
+    let mut caller = connected_caller(&mut fixture);
+    caller
+        .write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    fixture.event_loop.set_close_after_response(true);
+    fixture.event_loop.close_idle_callers();
+    let conn = fixture.wait_for(|event| match event {
+        IoEvent::Request { conn, .. } => Some(conn),
+        _ => None,
+    });
+    fixture.event_loop.respond(conn, &Response::text(200, "ok"));
+    let mut text = String::new();
+    caller.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+}
+
+/// A request that crosses the close of its idle connection must not be read: its caller may send
+/// it again only if it was not.
+#[test]
+fn a_request_after_the_close_of_an_idle_connection_is_not_read() {
+    let mut fixture = Fixture::new();
+    let mut caller = connected_caller(&mut fixture);
+    fixture.event_loop.close_idle_callers();
+    assert_eq!(fixture.event_loop.open_connections(), 0);
+    // The write may succeed before the reset arrives.
+    let written = caller.write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    let mut text = String::new();
+    let read = caller.read_to_string(&mut text);
+    assert!(text.is_empty(), "{written:?} {read:?}");
+}
