Give long responses what short ones leave of the link

Long responses were sent at 80 % of the link's rate whatever else was sent; with connects, requests and short responses that was more than the link takes, for as long as a long response waited.

Change: all transfers count against 90 % of the link's rate, with an allowance for packet headers and for opening connections. Short messages do not wait, long responses wait until tokens are left.

--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -177,8 +177,8 @@
     scratch: Vec<u8>,
     limits: Limits,
     close_after: bool,
-    bulk_in: Pacer,
-    bulk_out: Pacer,
+    link_in: Pacer,
+    link_out: Pacer,
     deferred: Deferred,
     /// Connections to other VMs with queued messages.
     unflushed: Vec<(usize, ConnId)>,
@@ -211,8 +211,8 @@
             scratch: vec![0; 32 << 10],
             limits: Limits::default(),
             close_after: false,
-            bulk_in: Pacer::default(),
-            bulk_out: Pacer::default(),
+            link_in: Pacer::default(),
+            link_out: Pacer::default(),
             deferred: Deferred::default(),
             unflushed: Vec::new(),
             buffered: 0,
@@ -415,7 +415,7 @@
         let paced = matches!(conn.kind, ConnKind::HttpServer { .. })
             && conn.output_length() > UNPACED_BYTES;
         let allowance = match paced {
-            true => self.bulk_out.allowance(now),
+            true => self.link_out.allowance(now),
             false => usize::MAX,
         };
         let written = match conn.flush(allowance) {
@@ -425,8 +425,8 @@
                 return self.close_connection(key, &reason, now);
             }
         };
+        self.link_out.spend(written, now);
         if paced {
-            self.bulk_out.spend(written);
             let conn = &self.conns[key];
             if written == allowance && !conn.output_is_empty() {
                 return self.defer(key, Direction::Write, true, now);
@@ -445,7 +445,7 @@
         }
         let paced = matches!(conn.kind, ConnKind::Target { .. }) && conn.buffered() > UNPACED_BYTES;
         let allowance = match paced {
-            true => self.bulk_in.allowance(now).min(READ_TURN_BYTES),
+            true => self.link_in.allowance(now).min(READ_TURN_BYTES),
             false => READ_TURN_BYTES,
         };
         let outcome = match conn.read(&mut self.scratch, read_closed, allowance) {
@@ -455,9 +455,7 @@
                 return self.close_connection(key, &reason, now);
             }
         };
-        if paced {
-            self.bulk_in.spend(outcome.bytes);
-        }
+        self.link_in.spend(outcome.bytes, now);
         if outcome.has_more {
             self.defer(key, Direction::Read, paced, now);
         }
--- a/crates/reactor/src/event_loop/pacing.rs
+++ b/crates/reactor/src/event_loop/pacing.rs
@@ -20,9 +20,15 @@
 pub(super) const UNPACED_BYTES: usize = 16 << 10;
 /// Bytes that one connection reads before the others get their turn.
 pub(super) const READ_TURN_BYTES: usize = 256 << 10;
-/// Fraction of the link's rate for long responses, in each direction. The rest is for everything
-/// else.
-const BULK_FRACTION: f64 = 0.8;
+/// Fraction of the link's rate that is used, in each direction. What short messages leave of it is
+/// for long responses.
+const LINK_FRACTION: f64 = 0.9;
+/// Bytes that a transfer adds on the link: packet headers and acknowledgements.
+const TRANSFER_OVERHEAD_BYTES: usize = 120;
+/// Bytes that opening and closing a connection adds on the link.
+pub(super) const CONNECTION_OVERHEAD_BYTES: usize = 300;
+/// Time for which short messages at most hold long responses back.
+const MAX_DEBT: Duration = Duration::from_millis(500);
 /// Time in which a portion passes the link, which is how long short messages wait behind it.
 const PORTION_TIME: Duration = Duration::from_millis(20);
 
@@ -33,7 +39,8 @@
     Write,
 }
 
-/// Token bucket for the long responses of one direction.
+/// Token bucket for one direction of the link. Short messages take their tokens without a wait, so
+/// that long responses get what is left.
 #[derive(Debug, Default)]
 pub(super) struct Pacer {
     /// Bytes per second; zero for no limit.
@@ -46,7 +53,7 @@
     /// Limits long responses on a link with `rate` bytes per second.
     pub(super) fn new(rate: f64) -> Pacer {
         Pacer {
-            rate: rate * BULK_FRACTION,
+            rate: rate * LINK_FRACTION,
             ..Pacer::default()
         }
     }
@@ -60,9 +67,7 @@
         if self.rate == 0.0 {
             return usize::MAX;
         }
-        let passed = now.saturating_sub(self.updated).as_secs_f64();
-        self.updated = now;
-        self.tokens = (self.tokens + passed * self.rate).min(self.portion());
+        self.refill(now);
         // Less than half a portion is not worth a system call.
         match self.tokens >= self.portion() / 2.0 {
             true => self.tokens as usize,
@@ -70,8 +75,19 @@
         }
     }
 
-    pub(super) fn spend(&mut self, bytes: usize) {
-        self.tokens -= bytes as f64;
+    fn refill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = now;
+        self.tokens = (self.tokens + passed * self.rate).min(self.portion());
+    }
+
+    /// Counts a transfer.
+    pub(super) fn spend(&mut self, bytes: usize, now: Duration) {
+        if bytes > 0 && self.rate > 0.0 {
+            self.refill(now);
+            self.tokens -= (bytes + TRANSFER_OVERHEAD_BYTES) as f64;
+            self.tokens = self.tokens.max(-self.rate * MAX_DEBT.as_secs_f64());
+        }
     }
 
     /// When the next portion may be transferred.
@@ -107,16 +123,16 @@
     /// Paces long responses on a link with `rate` bytes per second in each direction. Without a
     /// rate they are not paced.
     pub fn set_link_rate(&mut self, rate: Option<f64>) {
-        self.bulk_in = Pacer::new(rate.unwrap_or_default());
-        self.bulk_out = Pacer::new(rate.unwrap_or_default());
+        self.link_in = Pacer::new(rate.unwrap_or_default());
+        self.link_out = Pacer::new(rate.unwrap_or_default());
     }
 
     /// Lets a connection go on later. It is resumed once, however often it is deferred before.
     pub(super) fn defer(&mut self, key: usize, direction: Direction, paced: bool, now: Duration) {
         let at = match (paced, direction) {
             (false, _) => now,
-            (true, Direction::Read) => self.bulk_in.ready_at(now),
-            (true, Direction::Write) => self.bulk_out.ready_at(now),
+            (true, Direction::Read) => self.link_in.ready_at(now),
+            (true, Direction::Write) => self.link_out.ready_at(now),
         };
         let conn = &mut self.conns[key];
         let deferred = match direction {
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -14,6 +14,7 @@
         Conn,
         ConnKind, //
     },
+    pacing::CONNECTION_OVERHEAD_BYTES,
 };
 use crate::server_connection::{
     RequestError,
@@ -45,6 +46,8 @@
                 }
             };
             self.stats.accepted += 1;
+            self.link_in.spend(CONNECTION_OVERHEAD_BYTES, now);
+            self.link_out.spend(CONNECTION_OVERHEAD_BYTES, now);
             let full = listener_kind == ListenerKind::Callers
                 && self.caller_connections >= MAX_CALLER_CONNECTIONS;
             if full || Conn::configure(&socket).is_err() {
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -15,6 +15,7 @@
         Conn,
         ConnKind, //
     },
+    pacing::CONNECTION_OVERHEAD_BYTES,
 };
 use crate::client_connection::{
     ClientConnection,
@@ -71,6 +72,8 @@
             return self.fail_exchange(&exchange, &error.to_string());
         }
         self.stats.opened += 1;
+        self.link_in.spend(CONNECTION_OVERHEAD_BYTES, now);
+        self.link_out.spend(CONNECTION_OVERHEAD_BYTES, now);
         let kind = ConnKind::Target {
             address,
             active: None,
--- /dev/null
+++ b/crates/reactor/tests/pacing.rs
@@ -0,0 +1,150 @@
+//! Long responses on a narrow link: short ones are not held up behind them.
+
+#![allow(clippy::unwrap_used, reason = "clippy does not see helpers as tests")]
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpStream,
+    thread,
+    time::Duration, //
+};
+
+use camphordale_clock::Clock;
+use camphordale_http::Response;
+use camphordale_reactor::{
+    ConnId,
+    EventLoop,
+    IoEvent,
+    ListenerKind, //
+};
+use camphordale_wire::{
+    ClusterKey,
+    Keyring, //
+};
+
+/// Rate of the link in bytes per second.
+const LINK_RATE: f64 = 400_000.0;
+
+struct Fixture {
+    event_loop: EventLoop,
+    clock: Clock,
+    address: std::net::SocketAddr,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let clock = Clock::start();
+        let key = ClusterKey {
+            id: 1,
+            secret: [7; 32],
+        };
+        let keyring = Keyring::new(vec![key], 1).unwrap();
+        let mut event_loop = EventLoop::new(clock, keyring).unwrap();
+        event_loop.set_link_rate(Some(LINK_RATE));
+        let any = "127.0.0.1:0".parse().unwrap();
+        let address = event_loop.listen(any, ListenerKind::Callers).unwrap();
+        Fixture {
+            event_loop,
+            clock,
+            address,
+        }
+    }
+
+    /// Sends a request from a thread, which returns the body of the response.
+    fn request(&mut self) -> (ConnId, thread::JoinHandle<Vec<u8>>) {
+        let address = self.address;
+        let caller = thread::spawn(move || {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream
+                .write_all(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                .unwrap();
+            let mut received = Vec::new();
+            stream.read_to_end(&mut received).unwrap();
+            received
+        });
+        loop {
+            let next = self.clock.now() + Duration::from_millis(5);
+            for event in self.event_loop.wait(next).unwrap() {
+                if let IoEvent::Request { conn, .. } = event {
+                    return (conn, caller);
+                }
+            }
+        }
+    }
+
+    fn run_until_finished(&mut self, caller: thread::JoinHandle<Vec<u8>>) -> Vec<u8> {
+        while !caller.is_finished() {
+            let next = self.clock.now() + Duration::from_millis(5);
+            self.event_loop.wait(next).unwrap();
+        }
+        caller.join().unwrap()
+    }
+}
+
+#[test]
+fn a_long_response_takes_the_time_of_the_link_and_arrives_whole() {
+    let mut fixture = Fixture::new();
+    let (conn, caller) = fixture.request();
+    let body: Vec<u8> = (0..200_000u32).map(|at| at as u8).collect();
+    let started = fixture.clock.now();
+    fixture
+        .event_loop
+        .respond(conn, &Response::new(200, body.clone()));
+    let received = fixture.run_until_finished(caller);
+    let took = fixture.clock.now() - started;
+    assert!(received.ends_with(&body));
+    // All but the first portion at the rate of the link.
+    assert!(took >= Duration::from_millis(350), "{took:?}");
+}
+
+#[test]
+fn a_short_response_passes_a_long_one() {
+    let mut fixture = Fixture::new();
+    let (long, long_caller) = fixture.request();
+    let (short, short_caller) = fixture.request();
+    let body = vec![7; 400_000];
+    fixture.event_loop.respond(long, &Response::new(200, body));
+    fixture
+        .event_loop
+        .respond(short, &Response::text(200, "short"));
+    let received = fixture.run_until_finished(short_caller);
+    assert!(received.ends_with(b"short\n"));
+    assert!(!long_caller.is_finished());
+    fixture.run_until_finished(long_caller);
+}
+
+/// Guards against a queue on the link that grows while short messages take more than the share that
+/// long responses leave.
+#[test]
+fn long_responses_give_way_to_short_ones() {
+    let mut fixture = Fixture::new();
+    let time_for = |fixture: &mut Fixture, others: usize| {
+        let (long, long_caller) = fixture.request();
+        let started = fixture.clock.now();
+        let body = vec![7; 120_000];
+        fixture.event_loop.respond(long, &Response::new(200, body));
+        let callers: Vec<_> = (0..others)
+            .map(|_| {
+                let (conn, caller) = fixture.request();
+                let body = vec![1; 10_000];
+                fixture.event_loop.respond(conn, &Response::new(200, body));
+                caller
+            })
+            .collect();
+        for caller in callers {
+            fixture.run_until_finished(caller);
+        }
+        fixture.run_until_finished(long_caller);
+        fixture.clock.now() - started
+    };
+    let alone = time_for(&mut fixture, 0);
+    let beside = time_for(&mut fixture, 10);
+    // 100,000 bytes of short responses take a quarter of a second of the link.
+    assert!(
+        beside >= alone + Duration::from_millis(150),
+        "{alone:?} alone, {beside:?} beside others"
+    );
+}
