Acknowledge a leave when the entry VMs know of it

The leave was acknowledged when it was committed, while the news was still on its way to entry VMs with loaded links, which sent to the target until it came.

Change: the reply waits until all entry VMs with a live stream have confirmed the index, at most 600 ms (a target takes a reply within a second).

Measured: a_leave_is_acknowledged_when_the_entry_vms_know fails without the wait.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -33,6 +33,9 @@
 
 /// Maximum number of registered targets. It bounds what unauthenticated announcements can add.
 const MAX_TARGETS: usize = 8192;
+/// Maximum time for which a target that leaves waits until the entry VMs know. It takes a reply
+/// within a second only.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(600);
 /// A target that left is removed after the target silence divided by this.
 const LEFT_TIMEOUT_DIVISOR: u32 = 2;
 
@@ -59,11 +62,13 @@
     NoReply,
 }
 
-/// An accepted change that is acknowledged once the entry VMs have it.
+/// An accepted change or leave that is acknowledged once the entry VMs have it.
 pub(super) struct PendingAck {
     pub(super) token: CallToken,
     index: u64,
     deadline: Duration,
+    /// The target that leaves, with what it reported about its keys, if it gets leases in the reply.
+    leases: Option<(TargetId, Box<LeaseReport>)>,
 }
 
 /// The latest announcement of a target that the leader has received.
@@ -313,13 +318,14 @@
         let token = match pending {
             Pending::Change(token) => token,
             Pending::Announce(token) => {
-                let reply = Reply::Done { is_leader: true };
-                out.push(Effect::Reply { token, reply });
-                return;
+                return self.acknowledge_leave(token, index, None, now, out);
             }
             Pending::Leases { token, id, report } => {
-                self.answer_announcement(token, &id, &report, now, out);
-                return;
+                let target = self.state.view.targets.get(&id);
+                return match target.is_some_and(|target| target.state != TargetState::Ready) {
+                    true => self.acknowledge_leave(token, index, Some((id, report)), now, out),
+                    false => self.answer_announcement(token, &id, &report, now, out),
+                };
             }
             Pending::Assign(service, range) => {
                 if let (Outcome::Outdated, Some(leader)) = (outcome, &mut self.leader_state) {
@@ -337,6 +343,7 @@
                     token,
                     index,
                     deadline: now + self.config.apply_timeout,
+                    leases: None,
                 });
                 self.acknowledge_changes(now, out);
                 return;
@@ -348,20 +355,47 @@
         out.push(Effect::Reply { token, reply });
     }
 
-    /// Acknowledges changes that all entry VMs with a live stream have, or whose wait has timed
-    /// out.
+    /// Acknowledges the leave of a target when the entry VMs know of it: from then on, none may
+    /// send requests to it for long.
+    fn acknowledge_leave(
+        &mut self,
+        token: CallToken,
+        index: u64,
+        leases: Option<(TargetId, Box<LeaseReport>)>,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        self.pending_acks.push(PendingAck {
+            token,
+            index,
+            deadline: now + LEAVE_TIMEOUT,
+            leases,
+        });
+        self.acknowledge_changes(now, out);
+    }
+
+    /// Acknowledges changes and leaves that all entry VMs with a live stream have, or whose wait has
+    /// timed out.
     pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.pending_acks.is_empty() {
+            return;
+        }
         let oldest_index = self.streams.values().map(|stream| stream.index).min();
         let oldest_index = oldest_index.unwrap_or(u64::MAX);
-        self.pending_acks.retain(|ack| {
-            let done = ack.index <= oldest_index || now >= ack.deadline;
-            if done {
-                out.push(Effect::Reply {
+        let due: Vec<PendingAck> = self
+            .pending_acks
+            .extract_if(.., |ack| ack.index <= oldest_index || now >= ack.deadline)
+            .collect();
+        for ack in due {
+            match ack.leases {
+                Some((id, report)) => {
+                    self.answer_announcement(ack.token, &id, &report, now, out);
+                }
+                None => out.push(Effect::Reply {
                     token: ack.token,
                     reply: Reply::Done { is_leader: true },
-                });
+                }),
             }
-            !done
-        });
+        }
     }
 }
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -359,3 +359,48 @@
     cluster.step(leader, Event::Stream { conn: 1, message });
     assert_eq!(cluster.snapshots, 1);
 }
+
+/// Guards against requests that reach a target long after its leave was acknowledged, because the
+/// news was still on its way to an entry VM.
+#[test]
+fn a_leave_is_acknowledged_when_the_entry_vms_know() {
+    let mut cluster = TestCluster::new(16);
+    cluster.ask(announce(1, 100, false));
+    cluster.run(ms(500));
+    let leader = cluster.leader().unwrap();
+    // An entry VM that stays behind.
+    let message = PeerMessage::Subscribe {
+        entry_id: 9,
+        domain: "a".into(),
+        index: 0,
+    };
+    cluster.step(leader, Event::Stream { conn: 9, message });
+    let ping = |index| PeerMessage::Ping {
+        sent: ms(0),
+        index,
+        load: Vec::new(),
+        latencies: Vec::new(),
+    };
+    let old = cluster.entry.1.index;
+    cluster.step(
+        leader,
+        Event::Stream {
+            conn: 9,
+            message: ping(old),
+        },
+    );
+    let token = cluster.call(leader, announce(2, 100, true));
+    cluster.run(ms(300));
+    assert_eq!(cluster.entry.1.targets["t1"].state, TargetState::Draining);
+    assert_eq!(cluster.reply(token), None, "before the entry VM knows");
+    let message = ping(cluster.entry.1.index);
+    cluster.step(leader, Event::Stream { conn: 9, message });
+    assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+    // One that does not answer delays the reply for less than a second.
+    let token = cluster.call(leader, announce(3, 100, false));
+    cluster.run(ms(100));
+    assert!(cluster.reply(token).is_some());
+    let token = cluster.call(leader, announce(4, 100, true));
+    cluster.run(ms(900));
+    assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+}
