Let limits of streams and connects follow what they take on a loaded link

Replies waited in the queue of its link for more than 900 ms, and a new stream waited there too. 138 attempts to connect to targets ended after 300 ms in 5 s, for the same reason.

Change: a stream is given up after three round trips, between 0.9 and 3 s. A connection to a target has four times what connections took lately, between 0.3 and 1.2 s.

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -16,8 +16,13 @@
 
 /// Interval between pings.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
-/// Time without a message after which another control VM is tried: three pings.
+/// Time without a message after which another control VM is tried: three pings, or three round
+/// trips if these take longer on a loaded link. A new stream would wait in the same queue.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time without a message, however long round trips take.
+const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
+/// Weight of one round trip in their mean while they get shorter; a longer one counts at once.
+const ROUND_TRIP_WEIGHT: f64 = 0.125;
 /// Time limit for the reply to a subscription. It doubles with each attempt that failed, since the
 /// queue of a narrow link may hold a connection back for longer.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -66,6 +71,8 @@
     next_ping: Duration,
     /// Consecutive attempts without an established stream.
     failures: u32,
+    /// Recent time from a ping to its reply.
+    round_trip: Duration,
     /// When the leader was last heard from.
     last_heard: Duration,
     /// Number of VMs that share the targets.
@@ -86,6 +93,7 @@
             },
             next_ping: Duration::ZERO,
             failures: 0,
+            round_trip: Duration::ZERO,
             last_heard: Duration::ZERO,
             entries: EntryCounts::default(),
         }
@@ -111,10 +119,22 @@
         match self.phase {
             Phase::Idle { until } => until,
             Phase::Subscribing { since } => since + self.stretched(SUBSCRIBE_TIMEOUT),
-            Phase::Established { last_heard } => self.next_ping.min(last_heard + SILENCE_TIMEOUT),
+            Phase::Established { last_heard } => {
+                self.next_ping.min(last_heard + self.silence_timeout())
+            }
         }
     }
 
+    fn silence_timeout(&self) -> Duration {
+        (self.round_trip * 3).clamp(SILENCE_TIMEOUT, MAX_SILENCE_TIMEOUT)
+    }
+
+    fn record_round_trip(&mut self, took: Duration) {
+        let smoothed =
+            self.round_trip.mul_f64(1.0 - ROUND_TRIP_WEIGHT) + took.mul_f64(ROUND_TRIP_WEIGHT);
+        self.round_trip = smoothed.max(took);
+    }
+
     /// A time limit after the attempts that failed.
     fn stretched(&self, limit: Duration) -> Duration {
         limit * 2u32.pow(self.failures.min(MAX_DOUBLINGS))
@@ -131,7 +151,7 @@
                 self.reconnect_later(now, out);
             }
             Phase::Established { last_heard }
-                if now.saturating_sub(last_heard) >= SILENCE_TIMEOUT =>
+                if now.saturating_sub(last_heard) >= self.silence_timeout() =>
             {
                 self.reconnect_later(now, out);
             }
@@ -246,8 +266,9 @@
                 self.last_heard = now;
                 true
             }
-            PeerMessage::Pong { entries, .. } => {
+            PeerMessage::Pong { entries, sent } => {
                 self.entries = *entries;
+                self.record_round_trip(now.saturating_sub(*sent));
                 if self.is_established() {
                     self.phase = Phase::Established { last_heard: now };
                     self.last_heard = now;
--- a/crates/entry/tests/entry/control_stream.rs
+++ b/crates/entry/tests/entry/control_stream.rs
@@ -10,6 +10,7 @@
     ControlStreamEffect, //
 };
 use camphordale_fleet::{
+    EntryCounts,
     PeerMessage,
     View, //
 };
@@ -84,3 +85,36 @@
         .collect();
     assert_eq!(resumes, [true, false, true, false]);
 }
+
+/// Time after the last reply at which a stream is given up whose replies take `round_trip`.
+fn silence_limit(round_trip: Duration) -> Duration {
+    let mut stream = stream();
+    let mut now = ms(0);
+    let view = View::default();
+    next_attempt(&mut stream, &view, &mut now);
+    let whole = PeerMessage::Snapshot(Box::default());
+    stream.on_message(&whole, now, &mut Vec::new());
+    for _ in 0..20 {
+        now += ms(300);
+        let pong = PeerMessage::Pong {
+            sent: now.saturating_sub(round_trip),
+            entries: EntryCounts::default(),
+        };
+        stream.on_message(&pong, now, &mut Vec::new());
+    }
+    let last = now;
+    while stream.is_established() {
+        now += ms(10);
+        stream.tick(&view, now, &mut Vec::new());
+    }
+    now - last
+}
+
+/// Guards against streams that are given up because their replies wait in the queue of a loaded
+/// link, while updates arrive. It took seconds to replace them over the same link.
+#[test]
+fn a_slow_stream_is_not_given_up() {
+    assert_eq!(silence_limit(ms(20)), ms(900));
+    assert_eq!(silence_limit(ms(600)), ms(1800));
+    assert_eq!(silence_limit(ms(5000)), ms(3000));
+}
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -173,6 +173,8 @@
     pools: HashMap<SocketAddr, Pool>,
     exchanges: HashMap<ExchangeId, usize>,
     outbound: HashMap<SocketAddr, ConnId>,
+    /// Recent time in which connections to targets opened.
+    connect_time: Duration,
     io_events: Vec<IoEvent>,
     scratch: Vec<u8>,
     limits: Limits,
@@ -207,6 +209,7 @@
             pools: HashMap::new(),
             exchanges: HashMap::new(),
             outbound: HashMap::new(),
+            connect_time: Duration::ZERO,
             io_events: Vec::new(),
             scratch: vec![0; 32 << 10],
             limits: Limits::default(),
@@ -395,7 +398,7 @@
         let conn = &mut self.conns[key];
         if !conn.connected {
             match conn.check_connected() {
-                Ok(true) => self.on_target_connected(key),
+                Ok(true) => self.on_target_connected(key, now),
                 Ok(false) => return,
                 Err(error) => {
                     let reason = error.to_string();
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -59,6 +59,8 @@
         active: Option<ActiveExchange>,
         /// How long the target keeps an idle connection open, if it stated a time.
         keep_alive: Option<Duration>,
+        /// When the connection was begun to be opened.
+        opened_at: Duration,
     },
     /// Opened or accepted between VMs.
     Peer {
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -25,6 +25,13 @@
 /// Time within which a connection must open. A target on the same network accepts far sooner, and
 /// a lost packet is retransmitted within it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The limit while the queue of the link holds connections back: this multiple of the time that they
+/// took lately.
+const CONNECT_TIME_FACTOR: u32 = 4;
+/// Longest time within which a connection must open.
+const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Weight of one connection in the time that they take.
+const CONNECT_TIME_WEIGHT: f64 = 0.1;
 /// Longest time that an idle connection is kept, and the default if the target states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of the keep-alive time stated by a target after which an idle connection is closed, so
@@ -78,12 +85,15 @@
             address,
             active: None,
             keep_alive: None,
+            opened_at: now,
         };
         let Some(key) = self.insert(socket, kind) else {
             return self.fail_exchange(&exchange, "socket cannot be registered for events");
         };
         self.pools.entry(address).or_default().open += 1;
-        let until = exchange.deadline.min(now + CONNECT_TIMEOUT);
+        let timeout =
+            (self.connect_time * CONNECT_TIME_FACTOR).clamp(CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT);
+        let until = exchange.deadline.min(now + timeout);
         self.start_exchange_on(key, exchange, now);
         if self.conns.contains(key) && !self.conns[key].connected {
             self.set_deadline(key, Some(until));
@@ -119,15 +129,19 @@
     }
 
     /// Replaces the connect timeout by the deadline of the exchange once the connection is open.
-    pub(super) fn on_target_connected(&mut self, key: usize) {
+    pub(super) fn on_target_connected(&mut self, key: usize, now: Duration) {
         let ConnKind::Target {
             active: Some(active),
+            opened_at,
             ..
         } = &self.conns[key].kind
         else {
             return;
         };
+        let took = now.saturating_sub(*opened_at);
         let deadline = active.deadline;
+        self.connect_time = self.connect_time.mul_f64(1.0 - CONNECT_TIME_WEIGHT)
+            + took.mul_f64(CONNECT_TIME_WEIGHT);
         self.set_deadline(key, Some(deadline));
     }
 
