Ask for long responses as the link takes them

Change: the mean length of the responses of a route is known; long ones (from 16 KiB) are asked for only as many as pass the link within 600 ms. The rest waits like a request for a full target, and is refused as not run, with the time until there is room. No second copy of a long response is asked for on a full link.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -40,6 +40,7 @@
         ControlStreamEffect, //
     },
     handovers::Handovers,
+    link::LinkShare,
     retry_budget::RetryBudget,
     routes::RouteTable,
     targets::{
@@ -79,6 +80,8 @@
     pub retry_extra: f64,
     /// How long keyed requests may still be sent to a draining target.
     pub drain_grace: Duration,
+    /// Rate of the VM's link in bytes per second, if it is known.
+    pub link_rate: Option<f64>,
     /// Seed for random choices.
     pub seed: u64,
 }
@@ -139,6 +142,8 @@
         attempt: AttemptId,
         /// How it ended.
         result: AttemptResult,
+        /// Length of the response body in bytes.
+        length: usize,
     },
     /// A message on the control stream.
     Stream(PeerMessage),
@@ -157,6 +162,8 @@
     NoKey,
     /// No target of the service accepts requests.
     NoTarget,
+    /// The VM's link has no room for a long response.
+    LinkFull,
     /// No target is expected to respond within the latency objective.
     Full,
     /// The key has no holder.
@@ -197,6 +204,7 @@
             Reason::NoRoute => "no-route",
             Reason::NoKey => "no-key",
             Reason::NoTarget => "no-target",
+            Reason::LinkFull => "link-full",
             Reason::Full => "full",
             Reason::NoHolder => "no-holder",
             Reason::Moving => "moving",
@@ -339,6 +347,7 @@
     routes: RouteTable,
     targets: TargetTracker,
     draining_since: BTreeMap<TargetId, Duration>,
+    link: LinkShare,
     handovers: Handovers,
     budgets: HashMap<ServiceName, RetryBudget>,
     requests: HashMap<RequestHandle, ActiveRequest>,
@@ -370,6 +379,7 @@
     ///     retry_ratio: 0.1,
     ///     retry_extra: 10.0,
     ///     drain_grace: Duration::from_secs(1),
+    ///     link_rate: None,
     ///     seed: 7,
     /// });
     /// assert!(!entry.is_ready(Duration::ZERO));
@@ -380,6 +390,7 @@
             routes: RouteTable::default(),
             targets: TargetTracker::default(),
             draining_since: BTreeMap::new(),
+            link: LinkShare::new(config.link_rate),
             handovers: Handovers::default(),
             budgets: HashMap::new(),
             requests: HashMap::new(),
@@ -411,9 +422,11 @@
             Event::Tick => self.tick(now, &mut out),
             Event::Request(incoming) => self.on_request(incoming, now, &mut out),
             Event::CallerDisconnected(request) => self.on_caller_disconnected(request, &mut out),
-            Event::AttemptEnded { attempt, result } => {
-                self.on_attempt_ended(attempt, result, now, &mut out)
-            }
+            Event::AttemptEnded {
+                attempt,
+                result,
+                length,
+            } => self.on_attempt_ended(attempt, (result, length), now, &mut out),
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
             Event::StreamClosed => {
                 self.control_stream.on_closed(now);
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -9,6 +9,7 @@
     Key,
     RetryPolicy,
     Route,
+    RouteName,
     ServiceName,
     TargetId, //
 };
@@ -55,6 +56,8 @@
     pub(super) first_sent: Option<Duration>,
     /// Targets that the request was sent to.
     pub(super) tried_targets: Vec<TargetId>,
+    /// Name of the route.
+    pub(super) route_name: RouteName,
     /// Number of attempts sent.
     pub(super) attempts_sent: u32,
     /// Whether the caller is retrying.
@@ -157,6 +160,7 @@
                 deadline,
                 first_sent: None,
                 tried_targets: Vec::new(),
+                route_name: name,
                 attempts_sent: 0,
                 is_retry,
                 in_flight: Vec::new(),
@@ -176,6 +180,9 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        if let Err(wait) = self.link_room(request) {
+            return self.park_or_refuse(id, Reason::LinkFull, wait, now, out);
+        }
         let moving = request
             .key
             .and_then(|key| self.handovers.wait_until(&request.service, key, now));
@@ -190,6 +197,16 @@
         }
     }
 
+    /// Whether the VM's link has room for the response to a request that is not sent yet.
+    pub(super) fn link_room(&self, request: &ActiveRequest) -> Result<(), Duration> {
+        let Some(expected) = self.link.expected(&request.route_name) else {
+            return Ok(());
+        };
+        let others = self.requests.values().filter(|r| !r.in_flight.is_empty());
+        let pending = others.filter_map(|r| self.link.expected(&r.route_name));
+        self.link.admit(expected, pending.sum())
+    }
+
     fn selection_context<'a>(
         &'a self,
         request: &'a ActiveRequest,
@@ -329,7 +346,7 @@
             return self.park(id, until);
         }
         let retry_after = match reason {
-            Reason::Full | Reason::HolderFull => {
+            Reason::Full | Reason::HolderFull | Reason::LinkFull => {
                 retry_after.clamp(FULL_RETRY_AFTER.0, FULL_RETRY_AFTER.1)
             }
             _ => retry_after,
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -39,7 +39,7 @@
     pub(super) fn on_attempt_ended(
         &mut self,
         attempt: AttemptId,
-        result: AttemptResult,
+        (result, length): (AttemptResult, usize),
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -59,8 +59,13 @@
         };
         let (_, target) = request.in_flight.remove(at);
         let service = request.service.clone();
+        let route_name = request.route_name.clone();
+        let is_long = self.link.expected(&route_name).is_some();
         match result {
             AttemptResult::Complete { status, load } => {
+                if status < MIN_FAILURE_STATUS {
+                    self.link.record(&route_name, length);
+                }
                 let failed = status >= MIN_FAILURE_STATUS;
                 request.may_have_run |= failed;
                 self.targets
@@ -88,7 +93,8 @@
                 self.on_attempt_failed(id, sent, now, out);
             }
         }
-        self.retry_parked(Some(&service), now, out);
+        // Room on the link is for requests of any service.
+        self.retry_parked((!is_long).then_some(&service), now, out);
     }
 
     fn on_response(
@@ -265,6 +271,13 @@
 
     /// Sends the request of a slow target to another one too. The first response is used.
     pub(super) fn hedge(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
-        self.retry(id, Reason::Slow, now, out);
+        // A second copy of a long response would delay the first one on a full link.
+        let room = self
+            .requests
+            .get(&id)
+            .map(|request| self.link_room(request));
+        if room == Some(Ok(())) {
+            self.retry(id, Reason::Slow, now, out);
+        }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `routes` | matching of host and path to a service |
 //! | `targets` | latency, load and failures of each target as seen by this VM |
 //! | `selection` | target selection and admission |
+//! | `link` | share of the VM's link for long responses |
 //! | `handovers` | key ranges that are moving between two holders |
 //! | `retry_budget` | limit on retries |
 //! | `control_stream` | the stream from the control leader |
@@ -19,6 +20,7 @@
 mod control_stream;
 mod entry;
 mod handovers;
+mod link;
 mod retry_budget;
 mod routes;
 mod selection;
@@ -43,6 +45,7 @@
     RequestHandle, //
 };
 pub use handovers::Handovers;
+pub use link::LinkShare;
 pub use retry_budget::RetryBudget;
 pub use routes::RouteTable;
 pub use selection::{
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -174,6 +174,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             drain_grace: ms(1000),
+            link_rate: Some(200_000.0),
             seed: 7,
         });
         Harness {
@@ -236,7 +237,21 @@
     }
 
     pub(crate) fn end_attempt(&mut self, attempt: AttemptId, result: AttemptResult) -> StepOutput {
-        self.step(Event::AttemptEnded { attempt, result })
+        self.end_attempt_with(attempt, result, 0)
+    }
+
+    /// Ends an attempt with a response body of `length` bytes.
+    pub(crate) fn end_attempt_with(
+        &mut self,
+        attempt: AttemptId,
+        result: AttemptResult,
+        length: usize,
+    ) -> StepOutput {
+        self.step(Event::AttemptEnded {
+            attempt,
+            result,
+            length,
+        })
     }
 }
 
--- a/crates/entry/tests/entry/load.rs
+++ b/crates/entry/tests/entry/load.rs
@@ -7,6 +7,7 @@
     KEYED,
     ORDERS,
     READS,
+    StepOutput,
     complete,
     complete_with,
     failed,
@@ -276,3 +277,32 @@
     assert!(mean_latency(&targets) > unknown);
     assert_eq!(targets.get("keyed-0").unwrap().failure_rate(), 0.0);
 }
+
+/// Guards against long responses that fill the link of a VM, so that short ones and connects wait
+/// behind them. Two of 50,000 bytes pass a link of 200,000 bytes per second within 600 ms.
+#[test]
+fn long_responses_are_asked_for_as_the_link_takes_them() {
+    let mut harness = Harness::new();
+    let (_, output) = harness.request(READS);
+    let first = output.sent[0].0;
+    harness.end_attempt_with(first, complete(200), 50_000);
+    let sent = |output: &StepOutput| output.sent.len();
+    let attempts: Vec<StepOutput> = (0..3).map(|_| harness.request(READS).1).collect();
+    assert_eq!(attempts.iter().map(sent).collect::<Vec<_>>(), [1, 1, 0]);
+    // Short responses are not held back.
+    assert_eq!(sent(&harness.request(ORDERS).1), 1);
+    // The waiting one is sent when there is room.
+    let output = harness.end_attempt_with(attempts[0].sent[0].0, complete(200), 50_000);
+    assert_eq!(sent(&output), 1);
+    // One that finds no room within a short part of its objective is refused as not run.
+    let (_, output) = harness.request(READS);
+    assert_eq!(sent(&output), 0);
+    let output = harness.advance(ms(400));
+    assert!(
+        output
+            .refused
+            .iter()
+            .any(|(_, refusal)| matches!(refusal, Refusal::NotRun(_))),
+        "{output:?}"
+    );
+}
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -117,6 +117,7 @@
             retry_ratio: role_settings.retry_ratio,
             retry_extra: role_settings.retry_extra,
             drain_grace: role_settings.drain_timeout / 2,
+            link_rate: settings.link_rate,
             seed: rand::random(),
         };
         Ok(EntryProcess {
@@ -284,6 +285,7 @@
         now: Duration,
         context: &mut ProcessContext,
     ) {
+        let length = result.as_ref().map_or(0, |response| response.body.len());
         let result = match result {
             Ok(response) => {
                 let fields = self.adapter.target_fields(&response);
@@ -307,7 +309,12 @@
             }
         };
         let attempt = id;
-        self.step(Event::AttemptEnded { attempt, result }, now, context);
+        let event = Event::AttemptEnded {
+            attempt,
+            result,
+            length,
+        };
+        self.step(event, now, context);
     }
 
     fn step(&mut self, event: Event, now: Duration, context: &mut ProcessContext) {
