--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -124,6 +124,7 @@
         }
         "no-route" => "no route of the version in force matches host and path",
         "no-key" => "the service needs a key to route a request, and the request had none",
+        "link-full" => "the VM's link had no room for a long response: see its rate and the route",
         "no-target" => "no target of the service accepted requests: see the lines on targets",
         "full" => "every target would have responded later than the objective: see the load",
         "no-holder" => {
