--- a/crates/fleet/tests/heartbeat/steps.rs
+++ b/crates/fleet/tests/heartbeat/steps.rs
@@ -321,3 +321,13 @@
     let answer = table.answer_heartbeat(SERVICE, &holder(0), ms(0), |_, _| None);
     assert_eq!(answer.granted.len(), 1);
 }
+
+/// State that an older version stored has `false` or `true` in the place of the delivery.
+#[test]
+fn the_encoding_of_the_delivery_continues_that_of_a_flag() {
+    for (flag, delivery) in [(false, KeyDelivery::Unkeyed), (true, KeyDelivery::Call)] {
+        let old = postcard::to_stdvec(&flag).unwrap();
+        assert_eq!(postcard::from_bytes::<KeyDelivery>(&old).unwrap(), delivery);
+        assert_eq!(postcard::to_stdvec(&delivery).unwrap(), old);
+    }
+}
