Answer an overtaken announcement without leases

Cause: found by reading. The answer to an announcement whose change of state is being committed, or to a leave that waits up to 600 ms, looked the target up by its id only. If the target started again meanwhile, the former life got the leases of the new one; if a newer announcement came first, the older report was recorded after it.

Change: the announcement is kept with its incarnation and sequence number, and gets leases only while it is the newest one of the registered incarnation.

Measured: an_announcement_that_is_overtaken_while_it_waits_gets_no_leases failed before the change and passes now.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -9,10 +9,10 @@
     CallToken,
     Control,
     Effect,
-    Reply, //
+    Reply,
+    heartbeats::LeaseRequest, //
 };
 use crate::{
-    key_leases::LeaseReport,
     keys::KeyRange,
     registry::{
         Announcement,
@@ -48,14 +48,7 @@
     /// Reply to the target whose state changed.
     Announce(CallToken),
     /// Reply to the target whose state changed, with its key leases.
-    Leases {
-        /// The call.
-        token: CallToken,
-        /// The target.
-        id: TargetId,
-        /// What it reported about its keys.
-        report: Box<LeaseReport>,
-    },
+    Leases(CallToken, Box<LeaseRequest>),
     /// Retry the assignment of a key range if it fails.
     Assign(ServiceName, KeyRange),
     /// Nothing; no call waits for it.
@@ -67,14 +60,14 @@
     pub(super) token: CallToken,
     index: u64,
     deadline: Duration,
-    /// The target that leaves, with what it reported about its keys, if it gets leases in the reply.
-    leases: Option<(TargetId, Box<LeaseReport>)>,
+    /// The announcement of the target that leaves, if it gets leases in the reply.
+    leases: Option<Box<LeaseRequest>>,
 }
 
 /// The latest announcement of a target that the leader has received.
 pub(super) struct LastAnnouncement {
     pub(super) incarnation: Incarnation,
-    sequence: u64,
+    pub(super) sequence: u64,
     pub(super) received_at: Duration,
 }
 
@@ -175,8 +168,8 @@
         }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
-            self.answer_announcement(token, &announcement.id, &announcement.report, now, out);
-            return;
+            let request = LeaseRequest::new(announcement);
+            return self.answer_announcement(token, &request, now, out);
         }
         let command = Command::Announce {
             id: announcement.id.clone(),
@@ -186,11 +179,7 @@
         // promises that no more requests will be sent. A target whose registration is lost
         // announces itself again.
         let then = if by_heartbeat {
-            Pending::Leases {
-                token,
-                id: announcement.id.clone(),
-                report: Box::new(announcement.report.clone()),
-            }
+            Pending::Leases(token, Box::new(LeaseRequest::new(announcement)))
         } else if announcement.draining {
             Pending::Announce(token)
         } else {
@@ -291,7 +280,7 @@
                 Pending::Change(token)
                 | Pending::Read(token)
                 | Pending::Announce(token)
-                | Pending::Leases { token, .. },
+                | Pending::Leases(token, _),
             ) => {
                 let reply = Reply::Unavailable("leadership was lost");
                 out.push(Effect::Reply { token, reply });
@@ -320,11 +309,11 @@
             Pending::Announce(token) => {
                 return self.acknowledge_leave(token, index, None, now, out);
             }
-            Pending::Leases { token, id, report } => {
-                let target = self.state.view.targets.get(&id);
+            Pending::Leases(token, request) => {
+                let target = self.state.view.targets.get(&request.holder.id);
                 return match target.is_some_and(|target| target.state != TargetState::Ready) {
-                    true => self.acknowledge_leave(token, index, Some((id, report)), now, out),
-                    false => self.answer_announcement(token, &id, &report, now, out),
+                    true => self.acknowledge_leave(token, index, Some(request), now, out),
+                    false => self.answer_announcement(token, &request, now, out),
                 };
             }
             Pending::Assign(service, range) => {
@@ -361,7 +350,7 @@
         &mut self,
         token: CallToken,
         index: u64,
-        leases: Option<(TargetId, Box<LeaseReport>)>,
+        leases: Option<Box<LeaseRequest>>,
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -388,9 +377,7 @@
             .collect();
         for ack in due {
             match ack.leases {
-                Some((id, report)) => {
-                    self.answer_announcement(ack.token, &id, &report, now, out);
-                }
+                Some(request) => self.answer_announcement(ack.token, &request, now, out),
                 None => out.push(Effect::Reply {
                     token: ack.token,
                     reply: Reply::Done { is_leader: true },
--- a/crates/fleet/src/control/heartbeats.rs
+++ b/crates/fleet/src/control/heartbeats.rs
@@ -28,8 +28,8 @@
         MAX_GRANTED_RANGES, //
     },
     registry::{
+        Announcement,
         Holder,
-        TargetId,
         TargetState, //
     },
     routing::{
@@ -47,6 +47,26 @@
 /// Announcement intervals after which a target without announcements gets no more keys.
 pub(super) const SILENT_INTERVALS: u32 = 2;
 
+/// The part of an announcement that is answered with leases.
+pub(super) struct LeaseRequest {
+    pub(super) holder: Holder,
+    sequence: u64,
+    report: LeaseReport,
+}
+
+impl LeaseRequest {
+    pub(super) fn new(announcement: &Announcement) -> LeaseRequest {
+        LeaseRequest {
+            holder: Holder {
+                id: announcement.id.clone(),
+                incarnation: announcement.incarnation,
+            },
+            sequence: announcement.sequence,
+            report: announcement.report.clone(),
+        }
+    }
+}
+
 /// An announcement whose answer is delayed.
 pub(super) struct DelayedAnswer {
     token: CallToken,
@@ -83,39 +103,46 @@
 
 impl Control {
     /// Answers an announcement of a registered target, at once or when the key ranges that are on
-    /// their way to it have arrived.
+    /// their way to it have arrived. One that was overtaken while its change of state was committed
+    /// is answered without leases, because its report is outdated.
     pub(super) fn answer_announcement(
         &mut self,
         token: CallToken,
-        id: &TargetId,
-        report: &LeaseReport,
+        request: &LeaseRequest,
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
         let view = &self.state.view;
-        let target = view
-            .targets
-            .get(id)
-            .filter(|target| view.key_delivery(&target.service) == KeyDelivery::Heartbeat);
-        let (Some(target), Some(leader)) = (target, &mut self.leader_state) else {
+        let LeaseRequest {
+            holder,
+            sequence,
+            report,
+        } = request;
+        let target = view.targets.get(&holder.id).filter(|target| {
+            let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
+            by_heartbeat && target.incarnation == holder.incarnation
+        });
+        let leader = self.leader_state.as_mut().filter(|leader| {
+            let latest = leader.announcements.get(&holder.id);
+            latest.is_some_and(|latest| {
+                (latest.incarnation, latest.sequence) == (holder.incarnation, *sequence)
+            })
+        });
+        let (Some(target), Some(leader)) = (target, leader) else {
             let reply = Reply::Done { is_leader: true };
             out.push(Effect::Reply { token, reply });
             return;
         };
-        let holder = Holder {
-            id: id.clone(),
-            incarnation: target.incarnation,
-        };
         let service = target.service.clone();
         let leaves = target.state != TargetState::Ready;
-        leader.lease_table.record_report(&service, &holder, report);
+        leader.lease_table.record_report(&service, holder, report);
         // The target has given up on its earlier announcements.
         let superseded = leader
             .delayed_answers
-            .extract_if(.., |delayed| delayed.holder.id == *id);
+            .extract_if(.., |delayed| delayed.holder.id == holder.id);
         out.extend(superseded.map(|delayed| delayed.unavailable("superseded")));
         let stays = HeldPhase::Steady;
-        if leaves && leader.lease_table.has_ranges_in(&service, &holder, stays) {
+        if leaves && leader.lease_table.has_ranges_in(&service, holder, stays) {
             leader.load_stats.plan_now(now);
             self.plan_moves(now, out);
         }
@@ -123,16 +150,16 @@
         let Some(leader) = &mut self.leader_state else {
             return;
         };
-        if leader.lease_table.is_receiving(&service, &holder) {
+        if leader.lease_table.is_receiving(&service, holder) {
             leader.delayed_answers.push(DelayedAnswer {
                 token,
                 service,
-                holder,
+                holder: holder.clone(),
                 deadline: now + MAX_ANSWER_DELAY,
             });
             return;
         }
-        self.send_leases(token, &service, &holder, now, out);
+        self.send_leases(token, &service, holder, now, out);
     }
 
     /// Sends the delayed answers that wait for nothing any more.
--- a/crates/fleet/tests/control/heartbeats.rs
+++ b/crates/fleet/tests/control/heartbeats.rs
@@ -5,11 +5,13 @@
 use camphordale_fleet::{
     Call,
     CallToken,
+    Event,
     FreedRange,
     GrantedRange,
     HeldRange,
     KeyDelivery,
     LeaseReport,
+    PeerMessage,
     Reply,
     TargetId, //
 };
@@ -269,3 +271,42 @@
     let rows: Vec<&GrantedRange> = granted.iter().collect();
     assert!(!rows.is_empty());
 }
+
+/// Guards against the leases of a target's new life in the answer to its former life, and against
+/// an outdated report: the answer to a leave waits, and a newer announcement comes meanwhile.
+#[test]
+fn an_announcement_that_is_overtaken_while_it_waits_gets_no_leases() {
+    for reborn in [false, true] {
+        let mut fleet = Fleet::new(29, &[0, 300]);
+        fleet.run(3500);
+        assert!(fleet.width(0) > 0);
+        let leader = fleet.cluster.leader().unwrap();
+        // An entry VM that confirms nothing delays the answer to the leave.
+        let message = PeerMessage::Subscribe {
+            entry_id: 9,
+            domain: "a".into(),
+            index: 0,
+        };
+        fleet
+            .cluster
+            .step(leader, Event::Stream { conn: 9, message });
+        fleet.targets[0].draining = true;
+        let waiting = fleet.announce(0, leader);
+        fleet.cluster.run(ms(200));
+        assert_eq!(fleet.cluster.reply(waiting), None);
+        let next = match reborn {
+            true => {
+                let mut sent = announcement(1, 200, false);
+                sent.id = fleet.targets[0].id.clone();
+                sent.address = "10.1.0.1:80".parse().unwrap();
+                fleet.cluster.call(leader, Call::Announce(Box::new(sent)))
+            }
+            false => fleet.announce(0, leader),
+        };
+        fleet.cluster.run(ms(1200));
+        let reply = fleet.cluster.reply(waiting);
+        assert_eq!(reply, Some(&Reply::Done { is_leader: true }), "{reborn}");
+        let reply = fleet.cluster.reply(next);
+        assert!(matches!(reply, Some(Reply::Leases { .. })), "{reply:?}");
+    }
+}
