--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -104,7 +104,7 @@
 
 impl ControlSettings {
     /// Lease of a key range that targets get in answers to their announcements. It outlasts one
-    /// announcement that is lost: the target waits for its answer for [`ANSWER_TIMEOUT`] before it
+    /// announcement that is lost: the target waits for its answer for a second before it
     /// calls another control VM. Every further interval would be added to the time for which the
     /// keys of a lost target are unavailable.
     ///
