Keep an announcement from undoing a leave that is not committed

An announcement that came between the proposal of a leave and its commit was judged by the state before it, and registered the target as ready again after the commit.

Change: the leader remembers the incarnations whose leave it has received.

Ruled out: a stale view of the entry VM (its view went on from 590 at 8.01 s to 645 at 9.76 s).

Measured: an_announcement_does_not_undo_a_leave_that_is_not_committed failed before and passes now.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -58,7 +58,10 @@
         Member,
         PeerMessage, //
     },
-    registry::TargetId,
+    registry::{
+        Incarnation,
+        TargetId, //
+    },
     state::{
         Command,
         Outcome,
@@ -76,6 +79,8 @@
     announcements: BTreeMap<TargetId, LastAnnouncement>,
     load_stats: LoadStats,
     delayed_answers: Vec<DelayedAnswer>,
+    /// Incarnations whose leave was received, also while it is not committed yet.
+    leaving: BTreeMap<TargetId, Incarnation>,
 }
 
 /// One control VM.
@@ -413,6 +418,7 @@
             announcements: BTreeMap::new(),
             load_stats: LoadStats::default(),
             delayed_answers: Vec::new(),
+            leaving: BTreeMap::new(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -166,6 +166,10 @@
                 target.state = TargetState::Left;
             }
         }
+        // Its leave may not be committed yet.
+        if leader.leaving.get(&announcement.id) == Some(&target.incarnation) {
+            target.state = TargetState::Left;
+        }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
             let request = LeaseRequest::new(announcement);
@@ -208,6 +212,9 @@
         };
         let mut target = target.clone();
         target.state = TargetState::Left;
+        if let Some(leader) = &mut self.leader_state {
+            leader.leaving.insert(id.clone(), target.incarnation);
+        }
         let command = Command::Announce {
             id: id.clone(),
             target,
@@ -240,6 +247,7 @@
                 silent.push((id.clone(), target.incarnation));
             }
         }
+        leader.leaving.retain(|id, _| targets.contains_key(id));
         for (id, incarnation) in silent {
             // Restarting the silence keeps a single removal in flight.
             if let Some(leader) = &mut self.leader_state {
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -404,3 +404,23 @@
     cluster.run(ms(900));
     assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
 }
+
+/// Guards against an announcement that comes while a leave is being committed and undoes it.
+#[test]
+fn an_announcement_does_not_undo_a_leave_that_is_not_committed() {
+    let mut cluster = TestCluster::new(17);
+    cluster.ask(announce(1, 100, false));
+    cluster.run(ms(500));
+    let leader = cluster.leader().unwrap();
+    let leave = Call::Leave {
+        id: "t1".into(),
+        incarnation: Some(100),
+    };
+    let token = cluster.call(leader, leave);
+    let mut late = announcement(2, 100, false);
+    late.slots += 1;
+    cluster.call(leader, Call::Announce(Box::new(late)));
+    cluster.run(ms(1000));
+    assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+    assert_eq!(cluster.entry.1.targets["t1"].state, TargetState::Left);
+}
