Log orders that go over a new connection to a target

The logs named orders that failed only, without address, token or connection, so a renewal that reaches another process at the address could not be told from an order that is late on a connection of the former one.

Change: ExchangeEnded tells whether the connection carried exchanges before. Control logs and counts the first order on each connection with its target, address, range, token and answer.

The line is limited to a few a second, so not every order before a break is in the log.

--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -38,6 +38,7 @@
     Store, //
 };
 use slog::{
+    Logger,
     info,
     warn, //
 };
@@ -99,7 +100,7 @@
     /// Effects that are not carried out yet.
     effects: Vec<Effect>,
     calls: HashMap<CallToken, PendingCall>,
-    orders: HashMap<OrderId, Order>,
+    orders: HashMap<OrderId, Dispatch>,
     next_token: CallToken,
     next_tick: Duration,
 }
@@ -310,7 +311,9 @@
                 message => self.step(Event::Stream { conn, message }, context),
             },
             IoEvent::PeerClosed(conn) => self.step(Event::StreamClosed(conn), context),
-            IoEvent::ExchangeEnded { id, result } => self.on_order_response(id, result, context),
+            IoEvent::ExchangeEnded { id, result, reused } => {
+                self.on_order_response(id, result, reused, context)
+            }
             IoEvent::ClientDisconnected(_) => {}
         }
     }
@@ -365,15 +368,23 @@
         &mut self,
         id: OrderId,
         result: Result<Response, ExchangeError>,
+        reused: bool,
         context: &mut ProcessContext,
     ) {
-        let Some(order) = self.orders.remove(&id) else {
+        let Some(dispatch) = self.orders.remove(&id) else {
             return;
         };
         let answer = match result {
-            Ok(response) => self.adapter.parse_answer(&order, &response),
+            Ok(response) => self.adapter.parse_answer(&dispatch.order, &response),
             Err(error) => Answer::Lost { sent: error.sent },
         };
+        // Another process may listen at the address since the last connection was opened.
+        if !reused {
+            context.metrics.count_event("order-connection");
+            if context.may_log("order over a new connection") {
+                log_order(&dispatch, &answer, &context.logger);
+            }
+        }
         self.step(Event::OrderAnswered { id, answer }, context);
     }
 
@@ -476,7 +487,6 @@
             warn!(context.logger, "cannot encode the order to a target"; "part" => part);
             return self.step(Event::OrderAnswered { id, answer }, context);
         }
-        self.orders.insert(id, dispatch.order);
         context.event_loop.start_exchange(Exchange {
             id,
             address: dispatch.address,
@@ -485,6 +495,7 @@
             connections: MAX_ORDER_CONNECTIONS,
             deadline: dispatch.deadline,
         });
+        self.orders.insert(id, dispatch);
     }
 
     fn persist(&mut self, write: &DurableWrite, context: &mut ProcessContext) -> bool {
@@ -562,6 +573,19 @@
     }
 }
 
+/// Logs the first order on a connection to a target, with its answer.
+fn log_order(dispatch: &Dispatch, answer: &Answer, logger: &Logger) {
+    let (kind, from, to, fence) = match dispatch.order {
+        Order::Grant {
+            from, to, fence, ..
+        } => ("grant", from, to, fence),
+        Order::Release { from, to, fence } => ("release", from, to, fence),
+    };
+    info!(logger, "order over a new connection"; "kind" => kind, "from" => from, "to" => to,
+        "fence" => fence, "target" => &*dispatch.holder.id, "born" => dispatch.holder.incarnation,
+        "address" => dispatch.address.to_string(), "answer" => format!("{answer:?}"));
+}
+
 fn log_event(event: &LogEvent, context: &mut ProcessContext) {
     let kind = match event {
         LogEvent::Role { .. } => "role",
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -229,7 +229,7 @@
                     self.step(Event::CallerDisconnected(handle), now, context);
                 }
             }
-            IoEvent::ExchangeEnded { id, result } => {
+            IoEvent::ExchangeEnded { id, result, .. } => {
                 self.on_exchange_ended(id, result, now, context)
             }
             IoEvent::PeerMessage { conn, message } if self.control_stream == Some(conn) => {
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -132,6 +132,8 @@
         id: ExchangeId,
         /// The response, or why the exchange failed.
         result: Result<Response, ExchangeError>,
+        /// Whether its connection carried exchanges before.
+        reused: bool,
     },
     /// A message of another VM was received.
     PeerMessage {
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -35,6 +35,8 @@
 /// The exchange in progress on a connection to a target.
 pub(super) struct ActiveExchange {
     pub(super) id: ExchangeId,
+    /// Whether the connection carried exchanges before.
+    pub(super) reused: bool,
     pub(super) protocol: ClientConnection,
     /// Whether any byte of the request was written.
     pub(super) sent: bool,
@@ -61,6 +63,8 @@
         keep_alive: Option<Duration>,
         /// When the connection was begun to be opened.
         opened_at: Duration,
+        /// Whether an exchange was started on it.
+        used: bool,
     },
     /// Opened or accepted between VMs.
     Peer {
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -86,6 +86,7 @@
             active: None,
             keep_alive: None,
             opened_at: now,
+            used: false,
         };
         let Some(key) = self.insert(socket, kind) else {
             return self.fail_exchange(&exchange, "socket cannot be registered for events");
@@ -108,6 +109,7 @@
                 received: false,
                 reason: reason.into(),
             }),
+            reused: false,
         });
     }
 
@@ -116,9 +118,10 @@
         self.exchanges.insert(exchange.id, key);
         let conn = &mut self.conns[key];
         conn.output.extend_from_slice(&exchange.bytes);
-        if let ConnKind::Target { active, .. } = &mut conn.kind {
+        if let ConnKind::Target { active, used, .. } = &mut conn.kind {
             *active = Some(ActiveExchange {
                 id: exchange.id,
+                reused: std::mem::replace(used, true),
                 protocol: ClientConnection::new(exchange.expected),
                 sent: false,
                 received: false,
@@ -171,7 +174,7 @@
                 reusable,
                 keep_alive,
             } => {
-                let id = exchange.id;
+                let (id, reused) = (exchange.id, exchange.reused);
                 *active = None;
                 *stored = keep_alive.or(*stored);
                 // No request can follow one that was written only partially.
@@ -180,6 +183,7 @@
                 self.io_events.push(IoEvent::ExchangeEnded {
                     id,
                     result: Ok(response),
+                    reused,
                 });
                 if reusable {
                     self.release_connection(key, now);
@@ -248,6 +252,7 @@
                     received: active.received,
                     reason: reason.into(),
                 }),
+                reused: active.reused,
             });
         }
         let Some(pool) = self.pools.get_mut(&address) else {
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -94,7 +94,7 @@
 
     fn next_exchange(&mut self) -> (u64, Result<Response, ExchangeError>) {
         self.wait_for(|event| match event {
-            IoEvent::ExchangeEnded { id, result } => Some((id, result)),
+            IoEvent::ExchangeEnded { id, result, .. } => Some((id, result)),
             _ => None,
         })
     }
