Name the target in each order

Cause: a grant or a release was sent to an address, and whichever process listened there took it. When a holder had ended and another target had started at its address, renewals of the former one's lease reached the new one, until its first announcement was committed. Class of fault: a message addressed by location instead of identity.

Change: an order names its target, as requests to targets do already; the answer to an order for another target means that it was not carried out. Such a holder counts as failing, so its keys move when the leases that it was granted before have run out.

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -109,6 +109,8 @@
     Fenced,
     /// The keys are released, with the handover data for the next holder.
     Released(Option<HandoverData>),
+    /// Another target listens at the address. It did not carry the order out.
+    OtherTarget,
     /// The target refused the order with this status.
     Refused(u16),
     /// No answer was received. If part of the order was sent, the target may still carry it out.
@@ -487,7 +489,7 @@
                 continue;
             }
             lease.in_flight = None;
-            if !order.lease_duration.is_zero() {
+            if !order.lease_duration.is_zero() || *answer == Answer::OtherTarget {
                 lease.failures += 1;
             }
             match answer {
@@ -522,7 +524,7 @@
                         .max(now + worst_case_duration(order.lease_duration));
                     lease.next_renewal = now + RETRY_DELAY;
                 }
-                Answer::Refused(_) | Answer::Lost { .. } => {
+                Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. } => {
                     if !order.lease_duration.is_zero() {
                         lease.expiry = order.previous_expiry;
                     }
--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -107,8 +107,9 @@
         local_address: SocketAddr,
     ) -> Response;
 
-    /// The request that carries an order to a target.
-    fn order_request(&self, order: &Order) -> OrderRequest;
+    /// The request that carries an order to `target`. It must name the target, so that another one
+    /// that listens at the address does not carry the order out.
+    fn order_request(&self, order: &Order, target: &TargetId) -> OrderRequest;
 
     /// Parses a target's response to an order.
     fn parse_answer(&self, order: &Order, response: &Response) -> Answer;
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -475,7 +475,9 @@
             // Another leader may exist by now, so the order must not be sent.
             return self.step(Event::OrderAnswered { id, answer }, context);
         }
-        let request = self.adapter.order_request(&dispatch.order);
+        let request = self
+            .adapter
+            .order_request(&dispatch.order, &dispatch.holder.id);
         let out_request = OutgoingRequest {
             method: request.method,
             path: &request.path,
