--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -11,6 +11,7 @@
 
 mod heartbeat;
 mod lease;
+mod orders;
 
 use std::{
     collections::{
@@ -29,10 +30,20 @@
     LeaseReport,
     MAX_GRANTED_RANGES, //
 };
-use self::lease::{
-    merge_adjacent,
-    split_at,
-    worst_case_duration, //
+pub use self::orders::{
+    Answer,
+    AnsweredOrder,
+    Dispatch,
+    FencingToken,
+    Order,
+    OrderId, //
+};
+use self::{
+    lease::{
+        split_at,
+        worst_case_duration, //
+    },
+    orders::InFlightOrder, //
 };
 use crate::{
     keys::{
@@ -41,10 +52,7 @@
         KeyMap,
         KeyRange, //
     },
-    registry::{
-        Address,
-        Holder, //
-    },
+    registry::Holder,
     routing::{
         KeyDelivery,
         ServiceName, //
@@ -52,11 +60,6 @@
     state::View,
 };
 
-/// Fencing token: orders the holders of a key. It rises with each new holder.
-pub type FencingToken = u64;
-/// Number of an order sent to a target.
-pub type OrderId = u64;
-
 /// Number of low bits of a fencing token that count the grants of one leader, about a million; the
 /// term is in the bits above.
 const FENCE_COUNTER_BITS: u32 = 20;
@@ -65,61 +68,9 @@
 pub const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for a release, which lasts as long as the requests that are running on the keys.
 pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Renewals per lease duration.
-const RENEWALS_PER_LEASE: u32 = 4;
 /// Announcement intervals in which the holder of a newly assigned range is expected to announce
 /// itself.
 const CLAIM_INTERVALS: u32 = 2;
-/// Delay before an order that the target did not carry out is sent again.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-
-/// An order to a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// Grants or renews the lease of a key range.
-    Grant {
-        /// First key.
-        from: Key,
-        /// Last key.
-        to: Key,
-        /// Fencing token.
-        fence: FencingToken,
-        /// Lease duration, counted from the arrival of the order.
-        lease: Duration,
-        /// Handover data from the previous holder.
-        handover: Option<HandoverData>,
-    },
-    /// Stops new requests on a key range.
-    Release {
-        /// First key.
-        from: Key,
-        /// Last key.
-        to: Key,
-        /// Fencing token.
-        fence: FencingToken,
-    },
-}
-
-/// Result of an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The grant is in force.
-    Granted,
-    /// The target has seen a higher fencing token.
-    Fenced,
-    /// The keys are released, with the handover data for the next holder.
-    Released(Option<HandoverData>),
-    /// Another target listens at the address. It did not carry the order out.
-    OtherTarget,
-    /// The target refused the order with this status.
-    Refused(u16),
-    /// No answer was received. If part of the order was sent, the target may still carry it out.
-    Lost {
-        /// Whether a byte of the order may have arrived.
-        sent: bool,
-    },
-}
-
 /// State of a lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Phase {
@@ -190,17 +141,6 @@
     pub interval: Duration,
 }
 
-#[derive(Clone, Debug)]
-struct InFlightOrder {
-    service: ServiceName,
-    holder: Holder,
-    sent_at: Duration,
-    /// Requested lease duration; zero for a release.
-    lease_duration: Duration,
-    /// `expiry` of the lease before this order.
-    previous_expiry: Duration,
-}
-
 /// A change of holder that is safe to propose.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HolderChange {
@@ -212,32 +152,6 @@
     pub range: KeyRange,
 }
 
-/// An order to send.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Dispatch {
-    /// Number of the order.
-    pub id: OrderId,
-    /// The target.
-    pub holder: Holder,
-    /// Its address.
-    pub address: Address,
-    /// The order.
-    pub order: Order,
-    /// When the exchange is aborted.
-    pub deadline: Duration,
-}
-
-/// An answered order: the target, and the key ranges that its answer confirmed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AnsweredOrder {
-    /// The service.
-    pub service: ServiceName,
-    /// The target that answered.
-    pub holder: Holder,
-    /// First and last keys of the ranges whose first grant the target has acknowledged.
-    pub confirmed: Vec<(Key, Key)>,
-}
-
 /// All key leases of a leader.
 #[derive(Debug)]
 pub struct LeaseTable {
@@ -398,147 +312,6 @@
         true
     }
 
-    /// Returns the orders that are due.
-    pub fn due_orders(&mut self, view: &View, now: Duration) -> Vec<Dispatch> {
-        let mut out = Vec::new();
-        for leases in self.leases.values_mut() {
-            merge_adjacent(leases);
-        }
-        let mut busy: Vec<Holder> = self
-            .in_flight
-            .values()
-            .filter(|order| !order.lease_duration.is_zero())
-            .map(|order| order.holder.clone())
-            .collect();
-        for (service, leases) in &mut self.leases {
-            if view.key_delivery(service) == KeyDelivery::Heartbeat {
-                continue;
-            }
-            for lease in leases {
-                let Some(holder) = lease.range.holder.clone() else {
-                    continue;
-                };
-                if lease.in_flight.is_some()
-                    || now < lease.next_renewal
-                    || !view.is_current(&holder)
-                {
-                    continue;
-                }
-                let Some(target) = view.targets.get(&holder.id) else {
-                    continue;
-                };
-                let Some((order, timeout)) = lease.next_order(self.times.call, now) else {
-                    continue;
-                };
-                let previous_expiry = lease.expiry;
-                let lease_duration = match order {
-                    Order::Grant { lease, .. } => lease,
-                    Order::Release { .. } => Duration::ZERO,
-                };
-                if !lease_duration.is_zero() {
-                    // One grant at a time limits connections to the target and bursts of work
-                    // there.
-                    if busy.contains(&holder) {
-                        continue;
-                    }
-                    busy.push(holder.clone());
-                    lease.expiry = lease
-                        .expiry
-                        .max(now + timeout + worst_case_duration(lease_duration));
-                }
-                self.last_order += 1;
-                lease.in_flight = Some(self.last_order);
-                self.in_flight.insert(
-                    self.last_order,
-                    InFlightOrder {
-                        service: service.clone(),
-                        holder: holder.clone(),
-                        sent_at: now,
-                        lease_duration,
-                        previous_expiry,
-                    },
-                );
-                out.push(Dispatch {
-                    id: self.last_order,
-                    holder,
-                    address: target.address,
-                    order,
-                    deadline: now + timeout,
-                });
-            }
-        }
-        out
-    }
-
-    /// Records the answer to an order. Returns `None` if the order is unknown.
-    pub fn record_answer(
-        &mut self,
-        order_id: OrderId,
-        answer: &Answer,
-        now: Duration,
-    ) -> Option<AnsweredOrder> {
-        let order = self.in_flight.remove(&order_id)?;
-        let mut confirmed_ranges = Vec::new();
-        self.fence_counter += 1;
-        let new_fence = (self.term << FENCE_COUNTER_BITS) + self.fence_counter;
-        let lease_duration = self.times.call;
-        let leases = self.leases.get_mut(&order.service);
-        // If the range was split after the order was sent, the answer applies to all parts.
-        for lease in leases.into_iter().flatten() {
-            if lease.in_flight != Some(order_id) {
-                continue;
-            }
-            lease.in_flight = None;
-            if !order.lease_duration.is_zero() || *answer == Answer::OtherTarget {
-                lease.failures += 1;
-            }
-            match answer {
-                Answer::Granted => {
-                    if lease.unconfirmed {
-                        lease.unconfirmed = false;
-                        confirmed_ranges.push((lease.range.from, lease.range.to));
-                    }
-                    lease.acknowledged = true;
-                    lease.range.handover = None;
-                    lease.unanswered = false;
-                    lease.failures = 0;
-                    lease.acknowledged_at = Some(order.sent_at);
-                    lease.next_renewal = order.sent_at + lease_duration / RENEWALS_PER_LEASE;
-                }
-                Answer::Released(handover) => {
-                    if let Phase::Releasing { next } = &lease.phase {
-                        lease.phase = Phase::Released {
-                            next: next.clone(),
-                            handover: handover.clone(),
-                        };
-                    }
-                }
-                Answer::Fenced => {
-                    lease.fence = new_fence;
-                    lease.next_renewal = now + RETRY_DELAY;
-                }
-                Answer::Lost { sent: true } if !order.lease_duration.is_zero() => {
-                    lease.unanswered = true;
-                    lease.unanswered_expiry = lease
-                        .unanswered_expiry
-                        .max(now + worst_case_duration(order.lease_duration));
-                    lease.next_renewal = now + RETRY_DELAY;
-                }
-                Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. } => {
-                    if !order.lease_duration.is_zero() {
-                        lease.expiry = order.previous_expiry;
-                    }
-                    lease.next_renewal = now + RETRY_DELAY;
-                }
-            }
-        }
-        Some(AnsweredOrder {
-            service: order.service,
-            holder: order.holder,
-            confirmed: confirmed_ranges,
-        })
-    }
-
     /// Returns the changes of holder that are safe now, and marks them as proposed. `pick_holder`
     /// picks the next holder of a range if none was picked yet or that one is no longer current. If
     /// it returns `None`, the range keeps its holder until a later call.
--- a/crates/fleet/src/key_leases/heartbeat.rs
+++ b/crates/fleet/src/key_leases/heartbeat.rs
@@ -21,7 +21,7 @@
     Lease,
     LeaseTable,
     Phase,
-    merge_adjacent,
+    lease::merge_adjacent,
     split_at,
     worst_case_duration, //
 };
