Tell incarnations of a target apart in orders

What callers would see: two processes that hold the same keys, or a later one under the token of the former (OWNER).

Cause: an order names the id of its target, but a later incarnation may have the same id and address. It took renewals under the token of the former one. Once it had announced itself, the range went to another target at once, although it could hold the range by such a grant. Beside it, orders of all kinds shared connections, and answers to orders carry no id, so a second copy of an earlier answer could have been taken for the answer to a release.

Change: a fencing token is sent over one connection only, which ends with the process that accepted it; without it the next grant has a new token. A range whose holder has started again goes to the later incarnation, and the time until which its grants may last is kept. Each release has a connection of its own.

Ruled out: telling incarnations apart by their start time; it is by the target's clock, and no order carries it. Delivery by heartbeat: the answer goes back to the process that asked.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -345,7 +345,9 @@
             }
             Command::Assign { service, range, .. } => {
                 if let Some(leader) = &mut self.leader_state {
-                    leader.lease_table.record_assignment(service, range);
+                    leader
+                        .lease_table
+                        .record_assignment(service, range, &self.state.view);
                 }
                 out.push(Effect::Log(LogEvent::Assigned {
                     service: service.clone(),
--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -36,7 +36,9 @@
     Dispatch,
     FencingToken,
     Order,
-    OrderId, //
+    OrderConnection,
+    OrderId,
+    SessionId, //
 };
 use self::{
     lease::{
@@ -125,6 +127,9 @@
     failures: u32,
     next_renewal: Duration,
     in_flight: Option<OrderId>,
+    /// The connection over which the current fencing token was sent. The token is sent over no
+    /// other one, because another incarnation of the target may answer there.
+    session: Option<SessionId>,
     /// Until when the holder of a range assigned under this leader is expected to announce itself,
     /// which is when it can be told. Only with delivery by heartbeat.
     claim_by: Option<Duration>,
@@ -161,6 +166,9 @@
     last_order: OrderId,
     leases: BTreeMap<ServiceName, Vec<Lease>>,
     in_flight: BTreeMap<OrderId, InFlightOrder>,
+    last_session: SessionId,
+    /// The open connections for grants.
+    sessions: BTreeMap<Holder, SessionId>,
 }
 
 impl Lease {
@@ -216,6 +224,8 @@
             last_order: 0,
             leases: BTreeMap::new(),
             in_flight: BTreeMap::new(),
+            last_session: 0,
+            sessions: BTreeMap::new(),
         };
         for (service, map) in &view.keys {
             let expiry = match view.key_delivery(service) {
@@ -243,11 +253,15 @@
         table
     }
 
-    fn new_lease(&mut self, range: &KeyRange, expiry: Duration) -> Lease {
+    fn next_fence(&mut self) -> FencingToken {
         self.fence_counter += 1;
+        (self.term << FENCE_COUNTER_BITS) + self.fence_counter
+    }
+
+    fn new_lease(&mut self, range: &KeyRange, expiry: Duration) -> Lease {
         Lease {
             range: range.clone(),
-            fence: (self.term << FENCE_COUNTER_BITS) + self.fence_counter,
+            fence: self.next_fence(),
             phase: Phase::Renewing,
             unconfirmed: false,
             acknowledged: false,
@@ -260,6 +274,7 @@
             failures: 0,
             next_renewal: Duration::ZERO,
             in_flight: None,
+            session: None,
             claim_by: None,
         }
     }
@@ -275,19 +290,30 @@
     }
 
     /// Records a committed assignment. The new holder has no lease yet, and the previous holder can
-    /// no longer act.
-    pub fn record_assignment(&mut self, service: &ServiceName, range: &KeyRange) {
+    /// no longer act. A later incarnation of the previous holder may have a lease from a grant that
+    /// reached it instead of the earlier one.
+    pub fn record_assignment(&mut self, service: &ServiceName, range: &KeyRange, view: &View) {
         let mut leases = self.leases.remove(service).unwrap_or_default();
         if leases.is_empty() {
             for old in KeyMap::default().ranges() {
                 leases.push(self.new_lease(old, Duration::ZERO));
             }
         }
-        let assigned = Lease {
+        let mut assigned = Lease {
             unconfirmed: true,
             ..self.new_lease(range, Duration::ZERO)
         };
         split_at(&mut leases, range.from, range.to);
+        let is_called = view.key_delivery(service) != KeyDelivery::Heartbeat;
+        let overlaps =
+            |lease: &&Lease| lease.range.to >= range.from && lease.range.from <= range.to;
+        for former in leases.iter().filter(overlaps) {
+            if is_called && former.is_of_earlier_incarnation(range.holder.as_ref()) {
+                assigned.expiry = assigned.expiry.max(former.expiry);
+                assigned.unanswered_expiry =
+                    assigned.unanswered_expiry.max(former.unanswered_expiry);
+            }
+        }
         leases.retain(|lease| lease.range.to < range.from || lease.range.from > range.to);
         leases.push(assigned);
         leases.sort_by_key(|lease| lease.range.from);
@@ -327,9 +353,8 @@
         let mut out = Vec::new();
         let failing = self.failing_holders();
         for (service, leases) in &mut self.leases {
-            let delivery = view.key_delivery(service);
             for lease in leases {
-                let Some(free) = lease.free_range(&failing, delivery, view, self.times, now) else {
+                let Some(free) = lease.free_range(&failing, service, view, self.times, now) else {
                     continue;
                 };
                 let next = free.next.filter(|next| view.is_current(next));
@@ -357,10 +382,9 @@
         let times = self.times;
         let mut with_free = Vec::new();
         for (service, leases) in &mut self.leases {
-            let delivery = view.key_delivery(service);
             let mut free = leases
                 .iter_mut()
-                .filter_map(|lease| lease.free_range(&failing, delivery, view, times, now));
+                .filter_map(|lease| lease.free_range(&failing, service, view, times, now));
             if free.next().is_some() {
                 with_free.push(service.clone());
             }
@@ -383,10 +407,14 @@
     pub fn record_dropped_assignment(&mut self, service: &str, range: &KeyRange) {
         for lease in self.leases.get_mut(service).into_iter().flatten() {
             if lease.is_proposed() && lease.range.from >= range.from && lease.range.to <= range.to {
-                // The keys are already free, so the next pass proposes the change again.
+                // Unless the next holder is a later incarnation, the keys are already free, so the
+                // next pass proposes the change again.
+                let next = lease.next_range().holder;
                 lease.phase = Phase::Renewing;
                 lease.failures += 1;
-                lease.expiry = Duration::ZERO;
+                if !lease.is_of_earlier_incarnation(next.as_ref()) {
+                    lease.expiry = Duration::ZERO;
+                }
             }
         }
     }
--- a/crates/fleet/src/key_leases/lease.rs
+++ b/crates/fleet/src/key_leases/lease.rs
@@ -46,15 +46,15 @@
     pub(super) fn free_range(
         &mut self,
         failing: &BTreeSet<Holder>,
-        delivery: KeyDelivery,
+        service: &str,
         view: &View,
         times: LeaseTimes,
         now: Duration,
     ) -> Option<FreeRange> {
         let holder = self.range.holder.as_ref()?;
-        let replaced = view.is_replaced(holder) && self.in_flight.is_none();
-        let expired = match delivery {
+        let expired = match view.key_delivery(service) {
             KeyDelivery::Heartbeat => {
+                let replaced = view.is_replaced(holder);
                 // The holder of a newly assigned range is told when it announces itself.
                 let claim_by = self
                     .claim_by
@@ -66,8 +66,19 @@
                 replaced || (now >= self.expiry && !claimable)
             }
             KeyDelivery::Call | KeyDelivery::Unkeyed => {
+                let is_moved =
+                    matches!(self.phase, Phase::Released { .. } | Phase::Proposed { .. });
+                // A grant may have reached the later incarnation before that was known, so no other
+                // target can have the range yet.
+                let successor = view.successor(holder, service);
+                if successor.is_some() && !is_moved && self.in_flight.is_none() {
+                    return Some(FreeRange {
+                        next: successor,
+                        handover: None,
+                    });
+                }
                 let failing = failing.contains(holder) || !view.is_current(holder);
-                replaced || (failing && now >= self.expiry)
+                failing && now >= self.expiry
             }
         };
         let (next, handover) = match &self.phase {
@@ -83,6 +94,14 @@
         Some(FreeRange { next, handover })
     }
 
+    /// Whether the holder is an earlier incarnation of the target `next`.
+    pub(super) fn is_of_earlier_incarnation(&self, next: Option<&Holder>) -> bool {
+        let earlier = |(holder, next): (&Holder, &Holder)| {
+            holder.id == next.id && holder.incarnation < next.incarnation
+        };
+        self.range.holder.as_ref().zip(next).is_some_and(earlier)
+    }
+
     /// Returns the next order to the holder and its time limit.
     pub(super) fn next_order(
         &self,
@@ -137,6 +156,7 @@
         let joins = is_steady(next)
             && is_steady(kept)
             && kept.range.holder == next.range.holder
+            && kept.session == next.session
             && u32::from(kept.range.to) + 1 == u32::from(next.range.from);
         if joins {
             kept.range.to = next.range.to;
--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -31,6 +31,8 @@
 pub type FencingToken = u64;
 /// Number of an order sent to a target.
 pub type OrderId = u64;
+/// Number of a connection that carries the grants to one holder.
+pub type SessionId = u64;
 
 /// Renewals per lease duration.
 const RENEWALS_PER_LEASE: u32 = 4;
@@ -91,10 +93,34 @@
     sent_at: Duration,
     /// Requested lease duration; zero for a release.
     lease_duration: Duration,
+    connection: OrderConnection,
     /// `expiry` of the lease before this order.
     previous_expiry: Duration,
 }
 
+/// The connection of an order. A connection ends with the process that accepted it, so it tells
+/// incarnations of a target apart, which an id does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderConnection {
+    /// A new connection, which is kept for further grants.
+    Open(SessionId),
+    /// The connection that was opened for this session. Once it is closed, the order is not sent.
+    Kept(SessionId),
+    /// A new connection for this order only. An answer to an earlier order that arrives late cannot
+    /// be taken for the answer to this one.
+    Single,
+}
+
+impl OrderConnection {
+    /// The session of a grant.
+    fn session(self) -> Option<SessionId> {
+        match self {
+            OrderConnection::Open(session) | OrderConnection::Kept(session) => Some(session),
+            OrderConnection::Single => None,
+        }
+    }
+}
+
 /// An order to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dispatch {
@@ -106,6 +132,8 @@
     pub address: Address,
     /// The order.
     pub order: Order,
+    /// The connection over which it may be sent.
+    pub connection: OrderConnection,
     /// When the exchange is aborted.
     pub deadline: Duration,
 }
@@ -125,6 +153,7 @@
     /// Returns the orders that are due.
     pub fn due_orders(&mut self, view: &View, now: Duration) -> Vec<Dispatch> {
         let mut out = Vec::new();
+        self.sessions.retain(|holder, _| view.is_current(holder));
         for leases in self.leases.values_mut() {
             merge_adjacent(leases);
         }
@@ -151,24 +180,44 @@
                 let Some(target) = view.targets.get(&holder.id) else {
                     continue;
                 };
-                let Some((order, timeout)) = lease.next_order(self.times.call, now) else {
+                let Some((mut order, timeout)) = lease.next_order(self.times.call, now) else {
                     continue;
                 };
                 let previous_expiry = lease.expiry;
-                let lease_duration = match order {
-                    Order::Grant { lease, .. } => lease,
-                    Order::Release { .. } => Duration::ZERO,
-                };
-                if !lease_duration.is_zero() {
+                let mut lease_duration = Duration::ZERO;
+                let mut connection = OrderConnection::Single;
+                if let Order::Grant {
+                    fence,
+                    lease: requested,
+                    ..
+                } = &mut order
+                {
                     // One grant at a time limits connections to the target and bursts of work
                     // there.
                     if busy.contains(&holder) {
                         continue;
                     }
                     busy.push(holder.clone());
+                    lease_duration = *requested;
                     lease.expiry = lease
                         .expiry
                         .max(now + timeout + worst_case_duration(lease_duration));
+                    let open = self.sessions.get(&holder).copied();
+                    if lease.session.is_some() && lease.session != open {
+                        self.fence_counter += 1;
+                        lease.fence = (self.term << FENCE_COUNTER_BITS) + self.fence_counter;
+                        lease.acknowledged = false;
+                        *fence = lease.fence;
+                    }
+                    connection = match open {
+                        Some(session) => OrderConnection::Kept(session),
+                        None => {
+                            self.last_session += 1;
+                            self.sessions.insert(holder.clone(), self.last_session);
+                            OrderConnection::Open(self.last_session)
+                        }
+                    };
+                    lease.session = connection.session();
                 }
                 self.last_order += 1;
                 lease.in_flight = Some(self.last_order);
@@ -179,6 +228,7 @@
                         holder: holder.clone(),
                         sent_at: now,
                         lease_duration,
+                        connection,
                         previous_expiry,
                     },
                 );
@@ -187,6 +237,7 @@
                     holder,
                     address: target.address,
                     order,
+                    connection,
                     deadline: now + timeout,
                 });
             }
@@ -203,8 +254,17 @@
     ) -> Option<AnsweredOrder> {
         let order = self.in_flight.remove(&order_id)?;
         let mut confirmed_ranges = Vec::new();
-        self.fence_counter += 1;
-        let new_fence = (self.term << FENCE_COUNTER_BITS) + self.fence_counter;
+        let new_fence = self.next_fence();
+        let has_ended = matches!(
+            answer,
+            Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. }
+        );
+        if has_ended && self.sessions.get(&order.holder).copied() == order.connection.session() {
+            self.sessions.remove(&order.holder);
+        }
+        // The order waits for another connection.
+        let unsent = matches!(order.connection, OrderConnection::Kept(_))
+            && *answer == Answer::Lost { sent: false };
         let lease_duration = self.times.call;
         let leases = self.leases.get_mut(&order.service);
         // If the range was split after the order was sent, the answer applies to all parts.
@@ -213,6 +273,11 @@
                 continue;
             }
             lease.in_flight = None;
+            if unsent {
+                lease.expiry = order.previous_expiry;
+                lease.next_renewal = now;
+                continue;
+            }
             if !order.lease_duration.is_zero() || *answer == Answer::OtherTarget {
                 lease.failures += 1;
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -48,7 +48,9 @@
     LeaseTimes,
     MAX_GRANTED_RANGES,
     Order,
-    OrderId, //
+    OrderConnection,
+    OrderId,
+    SessionId, //
 };
 pub use keys::{
     HandoverData,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -124,6 +124,16 @@
         target.is_some_and(|target| target.incarnation > holder.incarnation)
     }
 
+    /// The registered later incarnation of the holder's target, if it belongs to the service.
+    pub fn successor(&self, holder: &Holder, service: &str) -> Option<Holder> {
+        let target = self.targets.get(&holder.id)?;
+        let succeeds = target.incarnation > holder.incarnation && &*target.service == service;
+        succeeds.then(|| Holder {
+            id: holder.id.clone(),
+            incarnation: target.incarnation,
+        })
+    }
+
     /// Whether requests of the service are assigned to targets by key.
     pub fn is_keyed(&self, service: &str) -> bool {
         self.key_delivery(service).is_keyed()
--- a/crates/fleet/tests/heartbeat/histories.rs
+++ b/crates/fleet/tests/heartbeat/histories.rs
@@ -210,7 +210,8 @@
             self.moves += 1;
             let map = self.view.keys.get_mut(SERVICE).unwrap();
             map.assign(change.range.clone());
-            self.table.record_assignment(&change.service, &change.range);
+            self.table
+                .record_assignment(&change.service, &change.range, &self.view);
         }
     }
 
--- a/crates/fleet/tests/heartbeat/steps.rs
+++ b/crates/fleet/tests/heartbeat/steps.rs
@@ -168,7 +168,7 @@
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].range.holder, Some(holder(1)));
     assert_eq!(changes[0].range.handover.as_deref(), Some("h"));
-    table.record_assignment(&SERVICE.into(), &changes[0].range);
+    table.record_assignment(&SERVICE.into(), &changes[0].range, &view);
     let next = table.answer_heartbeat(SERVICE, &holder(1), ms(910), |_, _| None);
     let row = next.granted.iter().find(|row| row.from == 100).unwrap();
     assert!(row.fence > fence);
@@ -275,7 +275,7 @@
         holder: Some(holder(1)),
         handover: None,
     };
-    table.record_assignment(&SERVICE.into(), &range);
+    table.record_assignment(&SERVICE.into(), &range, &view);
     assert!(
         table
             .due_holder_changes(&view, ms(10), |_, _| Some(holder(0)))
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -112,7 +112,7 @@
         holder: Some(holder(1)),
         handover: None,
     };
-    table.record_assignment(&SERVICE.into(), &range);
+    table.record_assignment(&SERVICE.into(), &range, &view);
     assert!(
         table
             .due_holder_changes(&view, ms(1), |_, _| Some(holder(0)))
@@ -462,7 +462,7 @@
                 .get_mut(SERVICE)
                 .unwrap()
                 .assign(change.range.clone());
-            table.record_assignment(&change.service, &change.range);
+            table.record_assignment(&change.service, &change.range, &view);
         }
         for key in tested_keys(0, Key::MAX) {
             let holders: Vec<usize> = (0..targets)
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -18,6 +18,7 @@
     LogEvent,
     Member,
     Order,
+    OrderConnection,
     OrderId,
     PeerMessage,
     Reply, //
@@ -51,6 +52,7 @@
     client_connection::ExpectedResponse,
     event_loop::{
         ConnId,
+        ConnectionUse,
         Exchange,
         ExchangeError,
         IoEvent,
@@ -76,9 +78,6 @@
 const LONG_TURN: Duration = Duration::from_millis(40);
 /// Delay before the storage is opened again after a failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
-/// Largest number of connections to one target for orders: one for grants, and one for a release
-/// that waits.
-const MAX_ORDER_CONNECTIONS: usize = 3;
 /// File that stores the control VMs that this one knows.
 const MEMBERS_FILE: &str = "members";
 
@@ -489,12 +488,17 @@
             warn!(context.logger, "cannot encode the order to a target"; "part" => part);
             return self.step(Event::OrderAnswered { id, answer }, context);
         }
+        let connection = match dispatch.connection {
+            OrderConnection::Open(session) => ConnectionUse::Open(session),
+            OrderConnection::Kept(session) => ConnectionUse::Kept(session),
+            OrderConnection::Single => ConnectionUse::Single,
+        };
         context.event_loop.start_exchange(Exchange {
             id,
             address: dispatch.address,
             bytes,
             expected: ExpectedResponse::default(),
-            connections: MAX_ORDER_CONNECTIONS,
+            connection,
             deadline: dispatch.deadline,
         });
         self.orders.insert(id, dispatch);
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -39,6 +39,7 @@
     client_connection::ExpectedResponse,
     event_loop::{
         ConnId,
+        ConnectionUse,
         Exchange,
         ExchangeError,
         IoEvent,
@@ -359,7 +360,7 @@
                             request_id: request_id.map(|id| (request_id_header.into(), id)),
                             is_head: &*active.request.method == "HEAD",
                         },
-                        connections,
+                        connection: ConnectionUse::Pooled { limit: connections },
                         deadline: deadline + DEADLINE_SLACK,
                     });
                 }
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -85,6 +85,23 @@
     Peers,
 }
 
+/// The connection that carries an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// Any connection to the address from a pool.
+    Pooled {
+        /// Largest number of pooled connections to the address.
+        limit: usize,
+    },
+    /// A new connection, which is kept under this number.
+    Open(u64),
+    /// The connection that was opened under this number. The exchange fails without being sent if
+    /// it is closed.
+    Kept(u64),
+    /// A new connection for this exchange only.
+    Single,
+}
+
 /// An HTTP exchange with a target: a request and its response.
 pub struct Exchange {
     /// Identifier that the result carries.
@@ -95,8 +112,8 @@
     pub bytes: Vec<u8>,
     /// How the response is recognized.
     pub expected: crate::ExpectedResponse,
-    /// Largest number of connections to the target.
-    pub connections: usize,
+    /// The connection that carries it.
+    pub connection: ConnectionUse,
     /// When the exchange fails, on the clock of the process.
     pub deadline: Duration,
 }
@@ -173,6 +190,8 @@
     generation: u64,
     timers: BTreeSet<(Duration, usize, ConnId)>,
     pools: HashMap<SocketAddr, Pool>,
+    /// Connections that are kept under a number.
+    kept: HashMap<u64, ConnId>,
     exchanges: HashMap<ExchangeId, usize>,
     outbound: HashMap<SocketAddr, ConnId>,
     /// Recent time in which connections to targets opened.
@@ -209,6 +228,7 @@
             generation: 0,
             timers: BTreeSet::new(),
             pools: HashMap::new(),
+            kept: HashMap::new(),
             exchanges: HashMap::new(),
             outbound: HashMap::new(),
             connect_time: Duration::ZERO,
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -16,6 +16,7 @@
 
 use super::{
     ConnId,
+    ConnectionUse,
     ExchangeId,
     ListenerKind, //
 };
@@ -58,6 +59,7 @@
     /// Opened to a target; carries requests to it.
     Target {
         address: SocketAddr,
+        connection: ConnectionUse,
         active: Option<ActiveExchange>,
         /// How long the target keeps an idle connection open, if it stated a time.
         keep_alive: Option<Duration>,
@@ -74,6 +76,19 @@
     },
 }
 
+impl ConnKind {
+    /// Whether the connection stays open after an exchange.
+    pub(super) fn is_kept(&self) -> bool {
+        !matches!(
+            self,
+            ConnKind::Target {
+                connection: ConnectionUse::Single,
+                ..
+            }
+        )
+    }
+}
+
 /// A connection of any kind.
 pub(super) struct Conn {
     pub(super) id: ConnId,
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 
 use super::{
-    ConnId, EventLoop, Exchange, ExchangeError, ExchangeId, IoEvent,
+    ConnId, ConnectionUse, EventLoop, Exchange, ExchangeError, ExchangeId, IoEvent,
     conn::{
         ActiveExchange,
         Conn,
@@ -48,9 +48,29 @@
 }
 
 impl EventLoop {
-    /// Sends a request to a target. The exchange is queued while all connections are in use.
+    /// Sends a request to a target. The exchange is queued while all pooled connections are in use.
     pub fn start_exchange(&mut self, exchange: Exchange) {
         let now = self.clock.now();
+        match exchange.connection {
+            ConnectionUse::Pooled { limit } => self.start_pooled_exchange(exchange, limit, now),
+            ConnectionUse::Open(_) | ConnectionUse::Single => self.connect_target(exchange, now),
+            ConnectionUse::Kept(number) => match self.idle_kept_connection(number) {
+                Some(key) => self.start_exchange_on(key, exchange, now),
+                None => self.fail_exchange(&exchange, "kept connection is not open"),
+            },
+        }
+    }
+
+    /// Key of the connection that is kept under `number`, if it can carry an exchange.
+    fn idle_kept_connection(&self, number: u64) -> Option<usize> {
+        let key = self.key_of(*self.kept.get(&number)?)?;
+        match &self.conns[key].kind {
+            ConnKind::Target { active: None, .. } => Some(key),
+            _ => None,
+        }
+    }
+
+    fn start_pooled_exchange(&mut self, exchange: Exchange, limit: usize, now: Duration) {
         let address = exchange.address;
         while let Some(id) = self
             .pools
@@ -62,7 +82,7 @@
             }
         }
         let pool = self.pools.entry(address).or_default();
-        if pool.open >= exchange.connections {
+        if pool.open >= limit {
             pool.queued.push_back(exchange);
             return;
         }
@@ -81,8 +101,10 @@
         self.stats.opened += 1;
         self.link_in.spend(CONNECTION_OVERHEAD_BYTES, now);
         self.link_out.spend(CONNECTION_OVERHEAD_BYTES, now);
+        let connection = exchange.connection;
         let kind = ConnKind::Target {
             address,
+            connection,
             active: None,
             keep_alive: None,
             opened_at: now,
@@ -91,7 +113,13 @@
         let Some(key) = self.insert(socket, kind) else {
             return self.fail_exchange(&exchange, "socket cannot be registered for events");
         };
-        self.pools.entry(address).or_default().open += 1;
+        match connection {
+            ConnectionUse::Pooled { .. } => self.pools.entry(address).or_default().open += 1,
+            ConnectionUse::Open(number) => {
+                self.kept.insert(number, self.conns[key].id);
+            }
+            ConnectionUse::Kept(_) | ConnectionUse::Single => {}
+        }
         let timeout =
             (self.connect_time * CONNECT_TIME_FACTOR).clamp(CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT);
         let until = exchange.deadline.min(now + timeout);
@@ -185,7 +213,7 @@
                     result: Ok(response),
                     reused,
                 });
-                if reusable {
+                if reusable && conn.kind.is_kept() {
                     self.release_connection(key, now);
                 } else {
                     self.close_connection(key, "not reusable", now);
@@ -200,17 +228,20 @@
         let id = conn.id;
         let ConnKind::Target {
             address,
+            connection,
             keep_alive,
             ..
         } = &conn.kind
         else {
             return;
         };
-        let (address, keep_alive) = (*address, *keep_alive);
+        let (address, connection, keep_alive) = (*address, *connection, *keep_alive);
         let keep_alive = keep_alive.map_or(IDLE_TIMEOUT, |keep_alive| {
             keep_alive.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT)
         });
-        if let Some(pool) = self.pools.get_mut(&address) {
+        if matches!(connection, ConnectionUse::Pooled { .. })
+            && let Some(pool) = self.pools.get_mut(&address)
+        {
             while let Some(next) = pool.queued.pop_front() {
                 if next.deadline > now {
                     return self.start_exchange_on(key, next, now);
@@ -234,6 +265,7 @@
     pub(super) fn on_target_closed(&mut self, conn: Conn, reason: &str, now: Duration) {
         let ConnKind::Target {
             address,
+            connection,
             ref active,
             ..
         } = conn.kind
@@ -255,6 +287,14 @@
                 reused: active.reused,
             });
         }
+        match connection {
+            ConnectionUse::Pooled { .. } => {}
+            ConnectionUse::Open(number) => {
+                self.kept.remove(&number);
+                return;
+            }
+            ConnectionUse::Kept(_) | ConnectionUse::Single => return,
+        }
         let Some(pool) = self.pools.get_mut(&address) else {
             return;
         };
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -46,6 +46,7 @@
 pub use entry_process::EntryProcess;
 pub use event_loop::{
     ConnId,
+    ConnectionUse,
     EventLoop,
     EventLoopStats,
     Exchange,
--- a/crates/reactor/tests/endless.rs
+++ b/crates/reactor/tests/endless.rs
@@ -29,6 +29,7 @@
 use camphordale_http::Response;
 use camphordale_reactor::{
     ClientConnection,
+    ConnectionUse,
     EventLoop,
     Exchange,
     ExpectedResponse,
@@ -118,7 +119,7 @@
                 request_id: Some(("i".into(), "1".into())),
                 is_head: false,
             },
-            connections: 10,
+            connection: ConnectionUse::Pooled { limit: 10 },
             deadline: started + EXCHANGE_LIMIT,
         });
     }
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -18,6 +18,7 @@
 use camphordale_clock::Clock;
 use camphordale_http::Response;
 use camphordale_reactor::{
+    ConnectionUse,
     EventLoop,
     Exchange,
     ExchangeError,
@@ -79,6 +80,11 @@
     }
 
     fn start_exchange(&mut self, id: u64, address: SocketAddr, connections: usize) {
+        let connection = ConnectionUse::Pooled { limit: connections };
+        self.start_exchange_over(id, address, connection);
+    }
+
+    fn start_exchange_over(&mut self, id: u64, address: SocketAddr, connection: ConnectionUse) {
         self.event_loop.start_exchange(Exchange {
             id,
             address,
@@ -87,7 +93,7 @@
                 request_id: Some(("request-id".into(), format!("r{id}").into())),
                 is_head: false,
             },
-            connections,
+            connection,
             deadline: self.clock.now() + WAIT_LIMIT,
         });
     }
@@ -314,3 +320,55 @@
     let read = caller.read_to_string(&mut text);
     assert!(text.is_empty(), "{written:?} {read:?}");
 }
+
+/// Accepts connections one after the other and answers the exchanges on each, whose ids are given.
+fn serve_connections(listener: TcpListener, exchanges: &'static [&'static [u64]]) {
+    std::thread::spawn(move || {
+        for ids in exchanges {
+            let mut stream = accept(&listener);
+            for id in *ids {
+                read_request(&mut stream);
+                stream.write_all(&response(*id)).unwrap();
+            }
+        }
+    });
+}
+
+/// Guards against an order that reaches the next process at an address, because the connection to
+/// the former one has closed and another is opened.
+#[test]
+fn an_exchange_for_a_closed_connection_is_not_sent_over_another() {
+    let (listener, address) = target_listener();
+    serve_connections(listener, &[&[1, 2], &[3]]);
+    let mut fixture = Fixture::new();
+    fixture.start_exchange_over(1, address, ConnectionUse::Open(7));
+    assert!(fixture.next_exchange().1.is_ok());
+    // While it is open, the connection carries further exchanges.
+    fixture.start_exchange_over(2, address, ConnectionUse::Kept(7));
+    assert!(fixture.next_exchange().1.is_ok());
+
+    let end = fixture.clock.now() + WAIT_LIMIT;
+    while fixture.event_loop.open_connections() > 0 && fixture.clock.now() < end {
+        let next = fixture.clock.now() + ms(20);
+        fixture.event_loop.wait(next).unwrap();
+    }
+    fixture.start_exchange_over(3, address, ConnectionUse::Kept(7));
+    let (id, result) = fixture.next_exchange();
+    assert_eq!((id, result.unwrap_err().sent), (3, false));
+    assert_eq!(fixture.event_loop.stats().opened, 1);
+}
+
+/// Guards against a second copy of an answer that is taken for the answer to the next order.
+#[test]
+fn a_single_exchange_has_a_connection_of_its_own() {
+    let (listener, address) = target_listener();
+    serve_connections(listener, &[&[1], &[2]]);
+    let mut fixture = Fixture::new();
+    for id in 1..=2 {
+        fixture.start_exchange_over(id, address, ConnectionUse::Single);
+        let (ended, result) = fixture.next_exchange();
+        assert_eq!((ended, result.is_ok()), (id, true));
+        assert_eq!(fixture.event_loop.open_connections(), 0);
+        assert_eq!(fixture.event_loop.stats().opened, id);
+    }
+}
