Move the range of a holder that ends during a release

What callers saw: keys without a holder for up to the time in which the registry forgets a silent target (20 s by default), if the target ended while the only range that it held was being released.

Cause: only grants that fail make a holder count as failing, and a range that is being released gets no grants.

Change: each order without the wanted answer counts. The time until which the holder may act decides as before.

Measured: a_range_moves_when_its_holder_ends_during_the_release fails before (no move within 6 s) and passes; the random histories pass.

--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -278,7 +278,7 @@
                 lease.next_renewal = now;
                 continue;
             }
-            if !order.lease_duration.is_zero() || *answer == Answer::OtherTarget {
+            if !matches!(answer, Answer::Released(_)) {
                 lease.failures += 1;
             }
             match answer {
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -257,6 +257,35 @@
     assert!(moved_at.unwrap() >= ms(700) + LEASE.mul_f64(1.02));
 }
 
+/// Guards against keys without a holder until the registry forgets a target that ended while its only
+/// range was being released.
+#[test]
+fn a_range_moves_when_its_holder_ends_during_the_release() {
+    let view = view(2);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+    }
+    table.begin_move(SERVICE, 0, 32767, &holder(1));
+    let mut moved_at = None;
+    for step in 1..600 {
+        let now = ms(step * 10);
+        for order in table.due_orders(&view, now) {
+            let answer = match order.holder == holder(0) {
+                true => Answer::Lost { sent: false },
+                false => Answer::Granted,
+            };
+            table.record_answer(order.id, &answer, now);
+        }
+        if !table.due_holder_changes(&view, now, |_, _| None).is_empty() {
+            moved_at = moved_at.or(Some(now));
+        }
+    }
+    let moved_at = moved_at.expect("the range moves");
+    assert!(moved_at >= LEASE.mul_f64(1.02));
+    assert!(moved_at < LEASE.mul_f64(1.5), "{moved_at:?}");
+}
+
 /// A newer incarnation proves that the previous one holds nothing.
 #[test]
 fn a_newer_incarnation_frees_the_range_at_once() {
