Number sessions anew in each term

Cause: the numbers under which connections to targets are kept started at one again with each lease table, while the process may still keep connections of a former term under them. A connection that closes late would have removed the entry of the new one.

Change: numbers start at the term's part of the fencing tokens, and a closed connection removes only its own entry. Nothing was seen to fail.

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -224,7 +224,8 @@
             last_order: 0,
             leases: BTreeMap::new(),
             in_flight: BTreeMap::new(),
-            last_session: 0,
+            // Numbers of a former term may still be in use by the process.
+            last_session: term << FENCE_COUNTER_BITS,
             sessions: BTreeMap::new(),
         };
         for (service, map) in &view.keys {
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -290,7 +290,9 @@
         match connection {
             ConnectionUse::Pooled { .. } => {}
             ConnectionUse::Open(number) => {
-                self.kept.remove(&number);
+                if self.kept.get(&number) == Some(&conn.id) {
+                    self.kept.remove(&number);
+                }
                 return;
             }
             ConnectionUse::Kept(_) | ConnectionUse::Single => return,
