Move the keys of a target whose address another one has at once

Change: the answer proves that the former target has ended, as a newer announcement at its address does; its ranges are free at once.

Measured: a_range_moves_at_once_when_another_target_has_the_address fails without the change (0 moves, 1 is due) and passes; incarnations, 400 histories, pass.

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -123,7 +123,9 @@
     unanswered_expiry: Duration,
     /// Whether the last grant was left unanswered.
     unanswered: bool,
-    /// Consecutive grants that were not carried out.
+    /// Whether another target was found at the address of the holder, which has ended therefore.
+    has_ended: bool,
+    /// Consecutive orders that were not carried out.
     failures: u32,
     next_renewal: Duration,
     in_flight: Option<OrderId>,
@@ -272,6 +274,7 @@
             // previous leaders.
             unanswered_expiry: Duration::ZERO,
             unanswered: false,
+            has_ended: false,
             failures: 0,
             next_renewal: Duration::ZERO,
             in_flight: None,
--- a/crates/fleet/src/key_leases/lease.rs
+++ b/crates/fleet/src/key_leases/lease.rs
@@ -77,8 +77,9 @@
                         handover: None,
                     });
                 }
+                let ended = self.has_ended && self.in_flight.is_none();
                 let failing = failing.contains(holder) || !view.is_current(holder);
-                failing && now >= self.expiry
+                ended || (failing && now >= self.expiry)
             }
         };
         let (next, handover) = match &self.phase {
--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -75,7 +75,8 @@
     Fenced,
     /// The keys are released, with the handover data for the next holder.
     Released(Option<HandoverData>),
-    /// Another target listens at the address. It did not carry the order out.
+    /// Another target listens at the address. It did not carry the order out, and the one that was
+    /// meant has ended, because two processes cannot listen there.
     OtherTarget,
     /// The target refused the order with this status.
     Refused(u16),
@@ -255,13 +256,19 @@
         let order = self.in_flight.remove(&order_id)?;
         let mut confirmed_ranges = Vec::new();
         let new_fence = self.next_fence();
-        let has_ended = matches!(
+        let is_broken = matches!(
             answer,
             Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. }
         );
-        if has_ended && self.sessions.get(&order.holder).copied() == order.connection.session() {
+        if is_broken && self.sessions.get(&order.holder).copied() == order.connection.session() {
             self.sessions.remove(&order.holder);
         }
+        if *answer == Answer::OtherTarget {
+            let held = self.leases.values_mut().flatten();
+            for lease in held.filter(|lease| lease.range.holder.as_ref() == Some(&order.holder)) {
+                lease.has_ended = true;
+            }
+        }
         // The order waits for another connection.
         let unsent = matches!(order.connection, OrderConnection::Kept(_))
             && *answer == Answer::Lost { sent: false };
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -286,6 +286,27 @@
     assert!(moved_at < LEASE.mul_f64(1.5), "{moved_at:?}");
 }
 
+/// Guards against keys that wait for the lease of a target that has certainly ended, because another
+/// one answers at its address.
+#[test]
+fn a_range_moves_at_once_when_another_target_has_the_address() {
+    let view = view(2);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+    }
+    let renewals = table.due_orders(&view, ms(600));
+    let renewal = renewals.iter().find(|order| order.holder == holder(0));
+    let renewal = renewal.expect("a renewal is due");
+    let changes = |table: &mut LeaseTable| {
+        let changes = table.due_holder_changes(&view, ms(610), |_, _| Some(holder(1)));
+        changes.len()
+    };
+    assert_eq!(changes(&mut table), 0);
+    table.record_answer(renewal.id, &Answer::OtherTarget, ms(610));
+    assert_eq!(changes(&mut table), 1);
+}
+
 /// A newer incarnation proves that the previous one holds nothing.
 #[test]
 fn a_newer_incarnation_frees_the_range_at_once() {
