Add the types with which crashing requests are recognised

A request may end every target that begins to execute it, and comes again at any entry VM. No type says which requests are the same, that a target ended while it had a request, or that a request is refused for that reason.

Change: IncomingRequest.fingerprint, AttemptResult::Failed.closed, Reason::Quarantined, Refusal::Quarantined and Decision.crashed. The reactor still passes a constant fingerprint and `closed: false`, so no decision changes.

Ruled out: a hash inside the reducer, which does not see the method and the body and should not copy them.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -18,6 +18,7 @@
 use camphordale_fleet::{
     Address,
     Domain,
+    Fingerprint,
     Key,
     PeerMessage,
     ServiceName,
@@ -99,6 +100,8 @@
     pub caller_timeout: Option<Duration>,
     /// The key, if the request has one.
     pub key: Option<Key>,
+    /// Equal for requests that targets execute in the same way.
+    pub fingerprint: Fingerprint,
 }
 
 /// How an attempt ended.
@@ -124,6 +127,8 @@
         sent: bool,
         /// Whether any byte of a response was received, which shows that the target is alive.
         received: bool,
+        /// Whether the target closed or reset the connection while it had the request.
+        closed: bool,
     },
 }
 
@@ -188,6 +193,8 @@
     Failure,
     /// The target was slow, so the request was also sent to another one.
     Slow,
+    /// Several targets ended while they executed requests with this fingerprint.
+    Quarantined,
     /// The target responded successfully.
     Success,
 }
@@ -217,6 +224,7 @@
             Reason::Expired => "expired",
             Reason::Failure => "failure",
             Reason::Slow => "slow",
+            Reason::Quarantined => "quarantined",
             Reason::Success => "success",
         }
     }
@@ -235,6 +243,9 @@
     Unknown,
     /// The request may have been executed, and its deadline has passed.
     TimedOut,
+    /// Several targets ended while they executed requests with this fingerprint. A repetition is
+    /// refused as well.
+    Quarantined,
 }
 
 /// A decision about a request with its inputs, for logs and metrics.
@@ -262,6 +273,8 @@
     pub view_index: u64,
     /// Statistics of the target at the time of the decision.
     pub target_stats: Option<TargetStats>,
+    /// Targets that ended while they executed requests with this fingerprint.
+    pub crashed: Vec<TargetId>,
 }
 
 /// A change of state or a decision for the process to log and count.
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -117,6 +117,7 @@
                 key: incoming.key,
                 view_index,
                 target_stats: None,
+                crashed: Vec::new(),
             })));
             out.push(Effect::Refuse { request, refusal });
         };
@@ -411,6 +412,7 @@
             remaining: request.deadline.saturating_sub(now),
             key: request.key,
             view_index: self.view.index,
+            crashed: Vec::new(),
         })
     }
 
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -85,7 +85,7 @@
                 out.push(Effect::Discard(attempt));
                 self.on_not_executed(id, misdirected, now, out);
             }
-            AttemptResult::Failed { sent, received } => {
+            AttemptResult::Failed { sent, received, .. } => {
                 request.may_have_run |= sent;
                 // An established connection shows that the target is reachable.
                 self.targets
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -227,6 +227,7 @@
             path: format!("/{service}/x").into(),
             caller_timeout: Some(caller_timeout),
             key: (service == KEYED).then_some(handle as u16),
+            fingerprint: handle.into(),
         }));
         (handle, output)
     }
@@ -276,5 +277,6 @@
     AttemptResult::Failed {
         sent,
         received: false,
+        closed: false,
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,11 +15,13 @@
 //! | `state` | the replicated state machine |
 //! | `message` | messages between VMs |
 //! | `control` | the reducer of a control VM |
+//! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
 pub mod balance;
 mod control;
+mod crash_evidence;
 pub mod key_leases;
 mod keys;
 mod message;
@@ -37,6 +39,7 @@
     LogEvent,
     Reply, //
 };
+pub use crash_evidence::Fingerprint;
 pub use key_leases::{
     Answer,
     Dispatch,
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -264,6 +264,7 @@
             path: request.path.clone(),
             caller_timeout: fields.caller_timeout,
             key: fields.key,
+            fingerprint: 0,
         };
         self.by_conn.insert(conn, handle);
         self.requests.insert(
@@ -305,6 +306,7 @@
                 AttemptResult::Failed {
                     sent: error.sent,
                     received: error.received,
+                    closed: false,
                 }
             }
         };
