Report what ended an exchange with a target

Cause: a failed exchange said whether bytes were sent and received and gave a text. Whether the target had closed the connection, as one that ends does, could not be told from a deadline or a garbled response.

Change: FailureCause, passed from where a connection is closed. A read or write that fails with a reset, an abort or a broken pipe, and an end of stream before the response is complete (Progress::Truncated), are Closed; bytes that are no response stay Invalid even if a close follows. ExchangeError::closed_by_target reaches the reducer as `closed`. Exchange and its errors move to a file of their own.

Ruled out: the text of the reason as the criterion, which differs by operating system; TCP_INFO to tell whether a close crossed the request on its way, as it says nothing about targets that reject connections. `closed` alone therefore does not prove that a target ended.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -127,7 +127,9 @@
         sent: bool,
         /// Whether any byte of a response was received, which shows that the target is alive.
         received: bool,
-        /// Whether the target closed or reset the connection while it had the request.
+        /// Whether the target closed or reset the connection while it had the request. This alone
+        /// does not show that the target ended: it may also reject a connection in this way, or
+        /// close an idle one at the moment at which the request is sent.
         closed: bool,
     },
 }
--- a/crates/reactor/src/client_connection.rs
+++ b/crates/reactor/src/client_connection.rs
@@ -45,6 +45,8 @@
     },
     /// The bytes are not a valid response to the request.
     Invalid(&'static str),
+    /// The target closed the connection before the response was complete.
+    Truncated(&'static str),
 }
 
 enum Phase {
@@ -100,7 +102,7 @@
                 match self.parse_head(input) {
                     Ok(true) => {}
                     Ok(false) if eof => {
-                        return Progress::Invalid(
+                        return Progress::Truncated(
                             "connection closed before the response head was complete",
                         );
                     }
@@ -142,9 +144,9 @@
             }
             if !is_complete {
                 return match eof {
-                    true => {
-                        Progress::Invalid("connection closed before the response body was complete")
-                    }
+                    true => Progress::Truncated(
+                        "connection closed before the response body was complete",
+                    ),
                     false => Progress::Incomplete,
                 };
             }
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -41,6 +41,7 @@
         ConnId,
         Exchange,
         ExchangeError,
+        FailureCause,
         IoEvent,
         ListenerKind, //
     },
@@ -301,12 +302,13 @@
             Err(error) => {
                 if context.may_log("attempt") {
                     info!(context.logger, "attempt failed"; "attempt" => id,
-                        "reason" => &*error.reason, "sent" => error.sent);
+                        "reason" => &*error.reason, "sent" => error.sent,
+                        "cause" => error.cause.name());
                 }
                 AttemptResult::Failed {
                     sent: error.sent,
                     received: error.received,
-                    closed: false,
+                    closed: error.closed_by_target(),
                 }
             }
         };
@@ -405,6 +407,7 @@
             let error = ExchangeError {
                 sent: false,
                 received: false,
+                cause: FailureCause::Local,
                 reason: part.into(),
             };
             self.on_exchange_ended(attempt, Err(error), now, context);
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -4,6 +4,7 @@
 //! all other methods queue their output and return without blocking.
 
 mod conn;
+mod exchange;
 mod pacing;
 mod peers;
 mod server;
@@ -37,6 +38,12 @@
 };
 use slab::Slab;
 
+pub use self::exchange::{
+    Exchange,
+    ExchangeError,
+    ExchangeId,
+    FailureCause, //
+};
 use self::{
     conn::{
         Conn,
@@ -67,8 +74,6 @@
 
 /// Identifier of a connection; it is never reused.
 pub type ConnId = u64;
-/// Identifier of an exchange with a target.
-pub type ExchangeId = u64;
 
 /// Kind of traffic that a listener accepts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,33 +90,6 @@
     Peers,
 }
 
-/// An HTTP exchange with a target: a request and its response.
-pub struct Exchange {
-    /// Identifier that the result carries.
-    pub id: ExchangeId,
-    /// Address of the target.
-    pub address: SocketAddr,
-    /// The encoded request.
-    pub bytes: Vec<u8>,
-    /// How the response is recognized.
-    pub expected: crate::ExpectedResponse,
-    /// Largest number of connections to the target.
-    pub connections: usize,
-    /// When the exchange fails, on the clock of the process.
-    pub deadline: Duration,
-}
-
-/// Why an exchange failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ExchangeError {
-    /// Whether any byte of the request may have reached the target.
-    pub sent: bool,
-    /// Whether any byte was received from the target.
-    pub received: bool,
-    /// Description of the failure.
-    pub reason: Box<str>,
-}
-
 /// An event that [`EventLoop::wait`] returns.
 #[derive(Debug)]
 pub enum IoEvent {
@@ -352,7 +330,12 @@
         match &self.conns[key].kind {
             ConnKind::HttpServer { .. } => self.on_http_server_timeout(key, now),
             ConnKind::Target { .. } => self.on_target_timeout(key, now),
-            ConnKind::Peer { .. } => self.close_connection(key, "handshake or idle timeout", now),
+            ConnKind::Peer { .. } => self.close_connection(
+                key,
+                FailureCause::TimedOut,
+                "handshake or idle timeout",
+                now,
+            ),
         }
     }
 
@@ -402,7 +385,8 @@
                 Ok(false) => return,
                 Err(error) => {
                     let reason = error.to_string();
-                    return self.close_connection(key, &reason, now);
+                    let cause = FailureCause::Unconnected;
+                    return self.close_connection(key, cause, &reason, now);
                 }
             }
         }
@@ -424,8 +408,8 @@
         let written = match conn.flush(allowance) {
             Ok(written) => written,
             Err(error) => {
-                let reason = error.to_string();
-                return self.close_connection(key, &reason, now);
+                let cause = FailureCause::from_io(&error);
+                return self.close_connection(key, cause, &error.to_string(), now);
             }
         };
         self.link_out.spend(written, now);
@@ -454,8 +438,8 @@
         let outcome = match conn.read(&mut self.scratch, read_closed, allowance) {
             Ok(outcome) => outcome,
             Err(error) => {
-                let reason = error.to_string();
-                return self.close_connection(key, &reason, now);
+                let cause = FailureCause::from_io(&error);
+                return self.close_connection(key, cause, &error.to_string(), now);
             }
         };
         self.link_in.spend(outcome.bytes, now);
@@ -483,12 +467,12 @@
         let before = std::mem::replace(&mut conn.accounted, held);
         self.buffered = self.buffered - before + held;
         if held > before && self.buffered > self.buffer_limit {
-            self.close_connection(key, "too many bytes are held", now);
+            self.close_connection(key, FailureCause::Local, "too many bytes are held", now);
         }
     }
 
     /// Closes a connection and queues the event that reports it.
-    fn close_connection(&mut self, key: usize, reason: &str, now: Duration) {
+    fn close_connection(&mut self, key: usize, cause: FailureCause, reason: &str, now: Duration) {
         let Some(mut conn) = self.conns.try_remove(key) else {
             return;
         };
@@ -513,7 +497,7 @@
                     self.io_events.push(IoEvent::ClientDisconnected(conn.id));
                 }
             }
-            ConnKind::Target { .. } => self.on_target_closed(conn, reason, now),
+            ConnKind::Target { .. } => self.on_target_closed(conn, cause, reason, now),
             ConnKind::Peer { outbound, .. } => {
                 if let Some(address) = outbound {
                     self.outbound.remove(&address);
@@ -531,7 +515,7 @@
             self.flush(key, now);
         }
         if let Some(key) = self.key_of(id) {
-            self.close_connection(key, "closed by this process", now);
+            self.close_connection(key, FailureCause::Local, "closed by this process", now);
         }
     }
 }
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -10,7 +10,7 @@
 use mio::net::TcpStream;
 
 use super::{
-    ConnId, EventLoop, IoEvent,
+    ConnId, EventLoop, FailureCause, IoEvent,
     conn::{
         Conn,
         ConnKind, //
@@ -125,7 +125,7 @@
             Ok(payload) => self.send_payload(key, &payload, now),
             Err(_) => {
                 self.stats.socket_errors += 1;
-                self.close_connection(key, "message cannot be encoded", now);
+                self.close_connection(key, FailureCause::Local, "message cannot be encoded", now);
             }
         }
     }
@@ -141,7 +141,12 @@
         let result = protocol.send(payload, &mut conn.output);
         if result.is_err() || conn.output.len() > MAX_OUTPUT_BYTES {
             self.stats.socket_errors += 1;
-            return self.close_connection(key, "too much output is buffered", now);
+            return self.close_connection(
+                key,
+                FailureCause::Local,
+                "too much output is buffered",
+                now,
+            );
         }
         if was_empty {
             self.unflushed.push((key, conn.id));
@@ -180,11 +185,11 @@
             }
             Err(error) => {
                 self.stats.socket_errors += 1;
-                return self.close_connection(key, &error.0, now);
+                return self.close_connection(key, FailureCause::Invalid, &error.0, now);
             }
         }
         if eof && self.conns.contains(key) {
-            self.close_connection(key, "closed by the peer", now);
+            self.close_connection(key, FailureCause::Closed, "closed by the peer", now);
         }
     }
 }
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -9,7 +9,7 @@
 use camphordale_http::Response;
 
 use super::{
-    ConnId, EventLoop, IoEvent, ListenerKind, MAX_CALLER_CONNECTIONS,
+    ConnId, EventLoop, FailureCause, IoEvent, ListenerKind, MAX_CALLER_CONNECTIONS,
     conn::{
         Conn,
         ConnKind, //
@@ -83,7 +83,7 @@
         }
         // A client that has closed its side no longer waits for a response.
         if conn.output_is_empty() || conn.closing {
-            self.close_connection(key, "closed by the client", now);
+            self.close_connection(key, FailureCause::Closed, "closed by the client", now);
         }
     }
 
@@ -165,7 +165,7 @@
             };
             return self.reject_request(key, error, now);
         }
-        self.close_connection(key, "idle", now);
+        self.close_connection(key, FailureCause::TimedOut, "idle", now);
     }
 
     /// Sends the response to the pending request of a connection. Has no effect if the client has
@@ -206,7 +206,7 @@
         let result = self.conns[key].socket.shutdown(Shutdown::Write);
         match result {
             Ok(()) => self.set_deadline(key, Some(now + LINGER_TIMEOUT)),
-            Err(_) => self.close_connection(key, "closed by the client", now),
+            Err(_) => self.close_connection(key, FailureCause::Closed, "closed by the client", now),
         }
     }
 
@@ -239,7 +239,7 @@
         for key in idle {
             self.on_readable(key, true, now);
             if self.conns.get(key).is_some_and(is_idle) {
-                self.close_connection(key, "idle", now);
+                self.close_connection(key, FailureCause::Local, "idle", now);
             }
         }
     }
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 
 use super::{
-    ConnId, EventLoop, Exchange, ExchangeError, ExchangeId, IoEvent,
+    ConnId, EventLoop, Exchange, ExchangeError, ExchangeId, FailureCause, IoEvent,
     conn::{
         ActiveExchange,
         Conn,
@@ -73,10 +73,13 @@
         let address = exchange.address;
         let socket = match TcpStream::connect(address) {
             Ok(socket) => socket,
-            Err(error) => return self.fail_exchange(&exchange, &error.to_string()),
+            Err(error) => {
+                let cause = FailureCause::Unconnected;
+                return self.fail_exchange(&exchange, cause, &error.to_string());
+            }
         };
         if let Err(error) = Conn::configure(&socket) {
-            return self.fail_exchange(&exchange, &error.to_string());
+            return self.fail_exchange(&exchange, FailureCause::Local, &error.to_string());
         }
         self.stats.opened += 1;
         self.link_in.spend(CONNECTION_OVERHEAD_BYTES, now);
@@ -88,7 +91,11 @@
             opened_at: now,
         };
         let Some(key) = self.insert(socket, kind) else {
-            return self.fail_exchange(&exchange, "socket cannot be registered for events");
+            return self.fail_exchange(
+                &exchange,
+                FailureCause::Local,
+                "socket cannot be registered for events",
+            );
         };
         self.pools.entry(address).or_default().open += 1;
         let timeout =
@@ -100,12 +107,13 @@
         }
     }
 
-    fn fail_exchange(&mut self, exchange: &Exchange, reason: &str) {
+    fn fail_exchange(&mut self, exchange: &Exchange, cause: FailureCause, reason: &str) {
         self.io_events.push(IoEvent::ExchangeEnded {
             id: exchange.id,
             result: Err(ExchangeError {
                 sent: false,
                 received: false,
+                cause,
                 reason: reason.into(),
             }),
         });
@@ -158,14 +166,23 @@
         let Some(exchange) = active else {
             // No request is outstanding, so received data belongs to none.
             if eof || !conn.input.is_empty() {
-                self.close_connection(key, "closed or sent data without a request", now);
+                let cause = match eof {
+                    true => FailureCause::Closed,
+                    false => FailureCause::Invalid,
+                };
+                self.close_connection(key, cause, "closed or sent data without a request", now);
             }
             return;
         };
         exchange.received |= !conn.input.is_empty();
         match exchange.protocol.advance(&mut conn.input, eof) {
             Progress::Incomplete => {}
-            Progress::Invalid(reason) => self.close_connection(key, reason, now),
+            Progress::Invalid(reason) => {
+                self.close_connection(key, FailureCause::Invalid, reason, now);
+            }
+            Progress::Truncated(reason) => {
+                self.close_connection(key, FailureCause::Closed, reason, now);
+            }
             Progress::Complete {
                 response,
                 reusable,
@@ -184,7 +201,7 @@
                 if reusable {
                     self.release_connection(key, now);
                 } else {
-                    self.close_connection(key, "not reusable", now);
+                    self.close_connection(key, FailureCause::Local, "not reusable", now);
                 }
             }
         }
@@ -219,15 +236,23 @@
 
     pub(super) fn on_target_timeout(&mut self, key: usize, now: Duration) {
         let conn = &self.conns[key];
-        let reason = if conn.connected {
-            "no complete response before the deadline"
-        } else {
-            "connect timed out"
+        let (cause, reason) = match conn.connected {
+            true => (
+                FailureCause::TimedOut,
+                "no complete response before the deadline",
+            ),
+            false => (FailureCause::Unconnected, "connect timed out"),
         };
-        self.close_connection(key, reason, now);
+        self.close_connection(key, cause, reason, now);
     }
 
-    pub(super) fn on_target_closed(&mut self, conn: Conn, reason: &str, now: Duration) {
+    pub(super) fn on_target_closed(
+        &mut self,
+        conn: Conn,
+        cause: FailureCause,
+        reason: &str,
+        now: Duration,
+    ) {
         let ConnKind::Target {
             address,
             ref active,
@@ -246,6 +271,7 @@
                 result: Err(ExchangeError {
                     sent: active.sent,
                     received: active.received,
+                    cause,
                     reason: reason.into(),
                 }),
             });
@@ -263,7 +289,11 @@
             if next.deadline > now {
                 self.connect_target(next, now);
             } else {
-                self.fail_exchange(&next, "deadline passed while queued for a connection");
+                self.fail_exchange(
+                    &next,
+                    FailureCause::TimedOut,
+                    "deadline passed while queued for a connection",
+                );
             }
         }
     }
@@ -282,7 +312,7 @@
             {
                 self.stats.socket_errors += 1;
             }
-            return self.close_connection(key, "exchange aborted", now);
+            return self.close_connection(key, FailureCause::Local, "exchange aborted", now);
         }
         for pool in self.pools.values_mut() {
             pool.queued.retain(|exchange| exchange.id != id);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -51,6 +51,7 @@
     Exchange,
     ExchangeError,
     ExchangeId,
+    FailureCause,
     IoEvent,
     ListenerKind, //
 };
