Compute the fingerprint of each request of a caller

Cause: entry VMs must agree on which requests are the same. The request id and the deadline differ between the attempts of a caller.

On the platform the shard key is what requests of one caller share, so CallerFields needs no new field.

Ruled out: xxh3_128, which is faster, but collisions can be made at will, and a caller could have the request of another one refused; a seed from the cluster key does not mend that for xxh3. Hashing only the beginning of a long body, for the same reason. Other header fields: attempts differ in them.

--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -45,6 +45,7 @@
         IoEvent,
         ListenerKind, //
     },
+    fingerprint::fingerprint,
     process::{
         ProcessContext,
         ProcessError,
@@ -265,7 +266,7 @@
             path: request.path.clone(),
             caller_timeout: fields.caller_timeout,
             key: fields.key,
-            fingerprint: 0,
+            fingerprint: fingerprint(&request, fields.key),
         };
         self.by_conn.insert(conn, handle);
         self.requests.insert(
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -21,6 +21,7 @@
 mod control_process;
 mod entry_process;
 mod event_loop;
+mod fingerprint;
 mod head_end;
 mod log;
 mod metrics;
@@ -55,6 +56,7 @@
     IoEvent,
     ListenerKind, //
 };
+pub use fingerprint::fingerprint;
 pub use log::{
     LogRateLimiter,
     LogSink, //
