Log and count what is known of requests that crash targets

Change: decision lines carry the fingerprint, and the targets that crashed if there are any. Failed exchanges are counted by cause (camphordale_exchange_failures_total); refusals as quarantined are counted by reason like all others. camphorctl trace shows, for a quarantined request, the earlier decisions with its fingerprint and the changes of the targets that crashed, however old they are.

Ruled out: a counter by target, whose label would grow with each new id.

Measured: tests of reactor and cli pass, one of them new.

--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -86,7 +86,8 @@
     let last = decisions.last()?;
     let related = |line: &&Line| {
         let age = last.seconds - line.seconds;
-        (0.0..=CONTEXT_SECONDS).contains(&age) && is_related(&line.value, &last.value)
+        let recent = (0.0..=CONTEXT_SECONDS).contains(&age) && is_related(&line.value, &last.value);
+        recent || (age >= 0.0 && is_evidence(&line.value, &last.value))
     };
     let context = lines.iter().filter(related).cloned().collect();
     let cause = cause(last.value["reason"].as_str().unwrap_or_default());
@@ -116,6 +117,20 @@
     }
 }
 
+/// Tells whether a line is evidence for a refusal because of crashes: an earlier decision about the
+/// same request under another id, or a change of a target that crashed. It may be older than other
+/// context.
+fn is_evidence(line: &Value, decision: &Value) -> bool {
+    let Some(crashed) = decision["crashed"].as_str() else {
+        return false;
+    };
+    let is_repetition = line["fingerprint"].is_string()
+        && line["fingerprint"] == decision["fingerprint"]
+        && line["request"] != decision["request"];
+    let target = line["target"].as_str().unwrap_or_default();
+    is_repetition || (line["msg"] == "target" && crashed.split(',').any(|name| name == target))
+}
+
 /// Returns what a reason means and which lines to check next.
 fn cause(reason: &str) -> &'static str {
     match reason {
@@ -142,6 +157,9 @@
         "unreached" => "no connection to a target could be opened",
         "timed-out" => "the target did not respond before the deadline",
         "expired" => "the deadline passed before the request could be sent",
+        "quarantined" => {
+            "targets crashed while they ran this request: see the lines with its fingerprint"
+        }
         "failure" => "the target responded with a failure",
         "slow" | "success" => "the target responded late: compare the times of its other requests",
         _ => "the reason is not known to this version of the tool",
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -16,6 +16,12 @@
   1.3 front-1 {"msg":"repeated","ts":"2026-01-31T10:00:01.3Z","node":"front-1","request":"r1","reason":"lost","service":"s","target":"t1","key":15}
   1.4 front-1 {"msg":"refused","ts":"2026-01-31T10:00:01.4Z","node":"front-1","request":"r1","reason":"no-holder","service":"s","target":"t1","key":15}
   1.5 front-2 {"msg":"refused","ts":"2026-01-31T10:00:01.5Z","node":"front-2","request":"r2","reason":"full","service":"p","target":"-","key":null}
+  0.1 front-1 {"msg":"refused","ts":"2026-01-31T10:00:20.0Z","node":"front-1","request":"d1","reason":"lost","service":"s","target":"t7","fingerprint":"ab"}
+  0.2 core-1 {"msg":"target","ts":"2026-01-31T10:00:21.0Z","node":"core-1","target":"t7","state":"Ready"}
+  0.3 front-1 {"msg":"refused","ts":"2026-01-31T10:00:22.0Z","node":"front-1","request":"x1","reason":"lost","service":"s","target":"t7","fingerprint":"cd"}
+  0.4 core-1 {"msg":"target","ts":"2026-01-31T10:00:23.0Z","node":"core-1","target":"t77","state":"Ready"}
+  0.5 front-2 {"msg":"refused","ts":"2026-01-31T10:00:40.0Z","node":"front-2","request":"d2","reason":"quarantined","service":"s","target":"-","fingerprint":"ab","crashed":"t7,t8,t9"}
+  0.6 front-2 {"msg":"refused","ts":"2026-01-31T10:00:50.0Z","node":"front-2","request":"d3","reason":"quarantined","service":"s","target":"-","fingerprint":"ab","crashed":"t7,t8,t9"}
 "#;
 
 fn trace(request: &str) -> (Exit, String) {
@@ -44,6 +50,24 @@
     assert!(out.contains("cause: the key had no holder"), "{out}");
 }
 
+/// The crashes may be older than other context, and happened to attempts with other ids.
+#[test]
+fn a_quarantined_request_is_shown_with_the_crashes_before_it() {
+    let (exit, out) = trace("d2");
+    assert_eq!(exit, Exit::Done);
+    for shown in [
+        "\"d1\"",
+        "\"d2\"",
+        "\"target\":\"t7\",\"state\"",
+        "cause: targets crashed",
+    ] {
+        assert!(out.contains(shown), "{shown}: {out}");
+    }
+    for other in ["\"x1\"", "\"t77\"", "\"d3\""] {
+        assert!(!out.contains(other), "{other}: {out}");
+    }
+}
+
 #[rstest]
 #[case("r2", Exit::Done)]
 #[case("nobody", Exit::Usage)]
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -19,6 +19,7 @@
     Reason,
     RequestHandle, //
 };
+use camphordale_fleet::Fingerprint;
 use camphordale_http::{
     OutgoingRequest,
     Request,
@@ -73,6 +74,7 @@
     conn: ConnId,
     request: Request,
     fields: CallerFields,
+    fingerprint: Fingerprint,
     arrived_at: Duration,
 }
 
@@ -258,6 +260,7 @@
             context.event_loop.respond(conn, &response);
             return;
         };
+        let fingerprint = fingerprint(&request, fields.key);
         self.next_handle += 1;
         let handle = self.next_handle;
         let incoming = IncomingRequest {
@@ -266,7 +269,7 @@
             path: request.path.clone(),
             caller_timeout: fields.caller_timeout,
             key: fields.key,
-            fingerprint: fingerprint(&request, fields.key),
+            fingerprint,
         };
         self.by_conn.insert(conn, handle);
         self.requests.insert(
@@ -275,6 +278,7 @@
                 conn,
                 request,
                 fields,
+                fingerprint,
                 arrived_at: now,
             },
         );
@@ -301,6 +305,7 @@
                 }
             }
             Err(error) => {
+                context.metrics.count_failure(error.cause.name());
                 if context.may_log("attempt") {
                     info!(context.logger, "attempt failed"; "attempt" => id,
                         "reason" => &*error.reason, "sent" => error.sent,
@@ -497,7 +502,10 @@
             .and_then(|active| active.fields.id.as_deref())
             .unwrap_or("-");
         let stats = decision.target_stats.as_ref();
+        let crashed = (!decision.crashed.is_empty()).then(|| decision.crashed.join(","));
         info!(logger, "{}", message;
+            "crashed" => crashed,
+            "fingerprint" => active.map(|active| format!("{:032x}", active.fingerprint)),
             "report_age_ms" => stats.and_then(|stats| stats.report_age)
                 .map(|age| age.as_millis() as u64),
             "silent" => stats.map(|stats| stats.unresponsive),
--- a/crates/reactor/src/metrics.rs
+++ b/crates/reactor/src/metrics.rs
@@ -30,6 +30,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    failures: Counter<u64>,
     queued: Histogram<f64>,
     served: Histogram<f64>,
     duration: Histogram<f64>,
@@ -100,6 +101,10 @@
                 "camphordale.repeats",
                 "Requests sent to another target, by reason",
             ),
+            failures: counter(
+                "camphordale.exchange.failures",
+                "Exchanges with targets that ended without a response, by cause",
+            ),
             duration: histogram(
                 "camphordale.request.duration",
                 "Time from the end of a request to its answer, by service",
@@ -140,6 +145,11 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts an exchange with a target that ended without a response.
+    pub fn count_failure(&self, cause: &'static str) {
+        self.failures.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a state change.
     pub fn count_event(&self, kind: &'static str) {
         self.events.add(1, &[KeyValue::new("kind", kind)]);
