--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub mod balance;
 mod control;
-mod crash_evidence;
+pub mod crash_evidence;
 pub mod key_leases;
 mod keys;
 mod message;
@@ -39,7 +39,12 @@
     LogEvent,
     Reply, //
 };
-pub use crash_evidence::Fingerprint;
+pub use crash_evidence::{
+    CrashEvidence,
+    CrashRecord,
+    Fingerprint,
+    Verdict, //
+};
 pub use key_leases::{
     Answer,
     Dispatch,
