Join the evidence on crashing requests at the control leader

The crashes of one request are seen by different entry VMs.

Change: PeerMessage::CrashEvidence (at the end of the enum). The leader joins the reports, tells all entry VMs about a request with two crashes and about each later change, at most 16 requests every 100 ms, quarantined ones first, and tells a VM what it missed. An announcement of the very incarnation 500 ms after the report of its crash refutes the crash; the look-up is by incarnation. The last time a target was heard is kept apart from the time at which its removal was proposed, which is no sign of life. The leader sends such messages only to entry VMs that have sent one on the same stream: an older VM would close it.

Ruled out: the Raft log, because the entry VMs tell a new leader what they know; one message for each lost request, because a request with one crash need not be known elsewhere.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod calls;
+mod crashes;
 mod heartbeats;
 mod members;
 mod rebalance;
@@ -39,6 +40,7 @@
         LastAnnouncement,
         Pending, //
     },
+    crashes::CrashNews,
     heartbeats::DelayedAnswer,
     members::MemberTable,
     rebalance::LoadStats,
@@ -81,6 +83,7 @@
     delayed_answers: Vec<DelayedAnswer>,
     /// Incarnations whose leave was received, also while it is not committed yet.
     leaving: BTreeMap<TargetId, Incarnation>,
+    crash_news: CrashNews,
 }
 
 /// One control VM.
@@ -227,6 +230,7 @@
             self.forget_silent_targets(now, out);
             self.maintain_key_leases(now, out);
             self.send_delayed_answers(now, out);
+            self.share_crash_evidence(now, out);
             self.close_silent_streams(now, out);
             self.acknowledge_changes(now, out);
         }
@@ -419,6 +423,7 @@
             load_stats: LoadStats::default(),
             delayed_answers: Vec::new(),
             leaving: BTreeMap::new(),
+            crash_news: CrashNews::default(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -16,6 +16,7 @@
     keys::KeyRange,
     registry::{
         Announcement,
+        Holder,
         Incarnation,
         TargetId,
         TargetState, //
@@ -68,7 +69,10 @@
 pub(super) struct LastAnnouncement {
     pub(super) incarnation: Incarnation,
     pub(super) sequence: u64,
+    /// When it was received, or when the removal of the silent target was proposed.
     pub(super) received_at: Duration,
+    /// When it was received.
+    pub(super) heard_at: Option<Duration>,
 }
 
 impl Control {
@@ -157,8 +161,14 @@
                 incarnation: announcement.incarnation,
                 sequence: announcement.sequence,
                 received_at: now,
+                heard_at: Some(now),
             },
         );
+        let holder = Holder {
+            id: announcement.id.clone(),
+            incarnation: announcement.incarnation,
+        };
+        leader.crash_news.refute(&holder, now);
         let mut target = announcement.target();
         if let Some(known) = known.filter(|known| known.incarnation == target.incarnation) {
             // A target that has left does not return within the same incarnation.
@@ -251,14 +261,13 @@
         for (id, incarnation) in silent {
             // Restarting the silence keeps a single removal in flight.
             if let Some(leader) = &mut self.leader_state {
-                let sequence = leader
-                    .announcements
-                    .get(&id)
-                    .map_or(0, |latest| latest.sequence);
+                let latest = leader.announcements.get(&id);
+                let same = latest.filter(|latest| latest.incarnation == incarnation);
                 let latest = LastAnnouncement {
                     incarnation,
-                    sequence,
+                    sequence: latest.map_or(0, |latest| latest.sequence),
                     received_at: now,
+                    heard_at: same.and_then(|latest| latest.heard_at),
                 };
                 leader.announcements.insert(id.clone(), latest);
             }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -94,6 +94,8 @@
     /// Index of the entry VM's view.
     pub(super) index: u64,
     last_heard: Duration,
+    /// Whether the entry VM takes evidence on requests that crash their targets.
+    pub(super) takes_evidence: bool,
 }
 
 impl Control {
@@ -156,6 +158,9 @@
                 }
                 self.acknowledge_changes(now, out);
             }
+            PeerMessage::CrashEvidence { records, .. } => {
+                self.on_crash_evidence(conn, &records, now, out);
+            }
             // Other messages are for control VMs; a peer may send them on any connection.
             other => self.on_peer_message(other, now, out),
         }
@@ -205,6 +210,7 @@
             domain: subscription.domain,
             index,
             last_heard: now,
+            takes_evidence: false,
         };
         self.streams.insert(conn, stream);
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -15,8 +15,12 @@
 };
 
 use crate::{
+    crash_evidence::CrashRecord,
     keys::Key,
-    registry::TargetId,
+    registry::{
+        Holder,
+        TargetId, //
+    },
     routing::{
         Domain,
         ServiceName, //
@@ -156,6 +160,16 @@
         /// Index of the entry VM's view.
         index: u64,
     },
+    /// Evidence on requests that end their targets, between an entry VM and the leader. An entry VM
+    /// sends it when its stream is established, which also says that it takes such messages, and
+    /// after each change that it saw itself. The leader sends what all entry VMs must know.
+    CrashEvidence {
+        /// Evidence on single requests.
+        records: Vec<CrashRecord>,
+        /// Incarnations that announced themselves after a reported crash, and the time since. Only
+        /// the leader knows them.
+        alive: Vec<(Holder, Duration)>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod cluster;
+mod crashes;
 mod heartbeats;
 mod randomized;
 mod scenarios;
