Refuse a request that has crashed three targets

A request that ends the targets which execute it comes again at any entry VM, and each time ends up to two more.

Change: an attempt whose target closed the connection while it had the request is evidence. Before a request is sent, also after it waited or was rejected, three crashed incarnations refuse it at once (Quarantined, or Unknown if it may have run), with the crashed targets in the decision. With two, it is not retried or hedged once it may have run. A response below 500 clears it; a target may respond with a failure before it has executed the request. Changes are reported to the leader in the same step, and all that is known on each new stream. After a control VM has closed the stream on a report (an older version), reports pause for 1 to 16 seconds.

Ruled out: taking the response of a target as proof that an earlier close was no crash, because a target may start again under its id; cancelling attempts in flight when the quarantine arrives, because their completion would clear the request.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,5 +1,6 @@
 //! Events and effects of an entry VM, and the lifecycle of a request.
 
+mod crashes;
 mod request;
 mod retry;
 mod view;
@@ -31,6 +32,7 @@
 };
 
 use self::{
+    crashes::CrashReports,
     request::ActiveRequest,
     view::KeySample,
     waiting::UnroutedRequest, //
@@ -375,6 +377,7 @@
     shutting_down: bool,
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
+    crashes: CrashReports,
     random: StdRng,
 }
 
@@ -422,6 +425,7 @@
             shutting_down: false,
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
+            crashes: CrashReports::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -442,10 +446,12 @@
             } => self.on_attempt_ended(attempt, (result, length), now, &mut out),
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
             Event::StreamClosed => {
+                self.crashes.on_stream_closed(now);
                 self.control_stream.on_closed(now);
                 self.report_stream_state(&mut out);
             }
         }
+        self.report_crashes(now, &mut out);
         out
     }
 
@@ -508,6 +514,7 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.maintain_control_stream(now, out);
+        self.crashes.expire(now);
         while let Some((at, request)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -6,6 +6,8 @@
 };
 
 use camphordale_fleet::{
+    Fingerprint,
+    Holder,
     Key,
     RetryPolicy,
     Route,
@@ -50,6 +52,7 @@
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
     pub(super) key: Option<Key>,
+    pub(super) fingerprint: Fingerprint,
     pub(super) arrived_at: Duration,
     pub(super) deadline: Duration,
     /// When the first attempt was sent.
@@ -63,7 +66,7 @@
     /// Whether the caller is retrying.
     pub(super) is_retry: bool,
     /// Attempts in flight.
-    pub(super) in_flight: Vec<(AttemptId, TargetId)>,
+    pub(super) in_flight: Vec<(AttemptId, Holder)>,
     /// Whether an ended attempt may have executed the request.
     pub(super) may_have_run: bool,
     /// Time until which the request waits, if it does.
@@ -157,6 +160,7 @@
                 route,
                 service,
                 key,
+                fingerprint: incoming.fingerprint,
                 arrived_at,
                 deadline,
                 first_sent: None,
@@ -178,6 +182,9 @@
 
     /// Sends a request to a target, lets it wait for a moment, or refuses it.
     pub(super) fn dispatch(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
+        if self.refuse_quarantined(id, now, out) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else {
             return;
         };
@@ -295,9 +302,14 @@
             Some(request) => self.selection_context(request, now).connection_limit(),
             None => return,
         };
-        let Some(address) = self.targets.get(&target).map(|tracked| tracked.address) else {
+        let Some(tracked) = self.targets.get(&target) else {
             return;
         };
+        let address = tracked.address;
+        let holder = Holder {
+            id: target.clone(),
+            incarnation: tracked.incarnation,
+        };
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -306,7 +318,7 @@
         request.parked_until = None;
         request.first_sent.get_or_insert(now);
         request.attempts_sent += 1;
-        request.in_flight.push((attempt, target.clone()));
+        request.in_flight.push((attempt, holder));
         if !request.tried_targets.contains(&target) {
             request.tried_targets.push(target.clone());
         }
@@ -370,6 +382,7 @@
         let refusal = match reason {
             Reason::TimedOut => Refusal::TimedOut,
             _ if request.may_have_run || !request.in_flight.is_empty() => Refusal::Unknown,
+            Reason::Quarantined => Refusal::Quarantined,
             _ => Refusal::NotRun(retry_after),
         };
         let decision = self.decision(id, reason, now);
@@ -412,7 +425,7 @@
             remaining: request.deadline.saturating_sub(now),
             key: request.key,
             view_index: self.view.index,
-            crashed: Vec::new(),
+            crashed: self.crashes.crashed(request.fingerprint),
         })
     }
 
@@ -428,10 +441,10 @@
         };
         self.parked.remove(&id);
         self.timers.remove(&(request.deadline, id));
-        for (attempt, target) in request.in_flight {
+        for (attempt, holder) in request.in_flight {
             self.attempts.remove(&attempt);
             if Some(attempt) != forwarded {
-                self.targets.attempt_cancelled(&target, attempt);
+                self.targets.attempt_cancelled(&holder.id, attempt);
                 out.push(Effect::Cancel(attempt));
             }
         }
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -57,7 +57,9 @@
         else {
             return;
         };
-        let (_, target) = request.in_flight.remove(at);
+        let (_, holder) = request.in_flight.remove(at);
+        let target = &holder.id;
+        let fingerprint = request.fingerprint;
         let service = request.service.clone();
         let route_name = request.route_name.clone();
         let is_long = self.link.expected(&route_name).is_some();
@@ -69,27 +71,37 @@
                 let failed = status >= MIN_FAILURE_STATUS;
                 request.may_have_run |= failed;
                 self.targets
-                    .attempt_completed(&target, attempt, failed, load, now);
-                self.on_response(id, (attempt, target), failed, now, out);
+                    .attempt_completed(target, attempt, failed, load, now);
+                // A target may respond with a failure before it has executed the request.
+                if !failed {
+                    self.crashes.record_completion(fingerprint, now);
+                }
+                self.on_response(id, (attempt, holder.id), failed, now, out);
             }
             AttemptResult::NotExecuted { status, load } => {
                 let misdirected = status == MISDIRECTED_STATUS && request.key.is_some();
                 match misdirected {
-                    true => self
-                        .targets
-                        .attempt_misdirected(&target, attempt, load, now),
+                    true => self.targets.attempt_misdirected(target, attempt, load, now),
                     false => self
                         .targets
-                        .attempt_completed(&target, attempt, true, load, now),
+                        .attempt_completed(target, attempt, true, load, now),
                 }
                 out.push(Effect::Discard(attempt));
                 self.on_not_executed(id, misdirected, now, out);
             }
-            AttemptResult::Failed { sent, received, .. } => {
+            AttemptResult::Failed {
+                sent,
+                received,
+                closed,
+            } => {
                 request.may_have_run |= sent;
                 // An established connection shows that the target is reachable.
                 self.targets
-                    .attempt_failed(&target, attempt, sent || received, now);
+                    .attempt_failed(target, attempt, sent || received, now);
+                if sent && closed {
+                    self.crashes.record_crash(fingerprint, &holder, now);
+                    self.refuse_waiting(fingerprint, now, out);
+                }
                 self.on_attempt_failed(id, sent, now, out);
             }
         }
@@ -147,9 +159,15 @@
         if !request.in_flight.is_empty() {
             return;
         }
+        if self.refuse_quarantined(id, now, out) {
+            return;
+        }
         if misdirected {
             return self.await_holder(id, now, out);
         }
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
         let last = request
             .tried_targets
             .last()
@@ -207,6 +225,9 @@
 
     /// Sends the request to another target. Nothing was sent, so this does not count as a retry.
     fn retry_unsent(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
+        if self.refuse_quarantined(id, now, out) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else {
             return;
         };
@@ -237,6 +258,10 @@
         if request.caller_disconnected || request.attempts_sent >= request.route.max_attempts {
             return false;
         }
+        let may_have_run = request.may_have_run || !request.in_flight.is_empty();
+        if may_have_run && self.crashes.is_suspect(request.fingerprint) {
+            return false;
+        }
         let remaining = request.deadline.saturating_sub(now);
         let service = request.service.clone();
         let target = match request.key {
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -102,7 +102,11 @@
                 self.handovers.end(&service, (from, to));
                 self.retry_range(&service, (from, to), now, out);
             }
-            PeerMessage::Pong { entries, .. } => {
+            PeerMessage::CrashEvidence { records, alive } if is_established => {
+                self.on_crash_evidence(&records, &alive, now, out);
+            }
+            PeerMessage::Pong { entries, sent } => {
+                self.crashes.confirm(sent);
                 for budget in self.budgets.values_mut() {
                     budget.set_vm_count(entries.all);
                 }
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -180,6 +180,7 @@
             && request.is_idempotent()
             && request.attempts_sent < request.route.max_attempts
             && !self.shutting_down
+            && !self.crashes.is_suspect(request.fingerprint)
             && self.handovers.is_overdue(&request.service, key, now);
         let Some(until) = until.filter(|_| overdue) else {
             return false;
@@ -188,9 +189,9 @@
         if !budget.is_some_and(RetryBudget::take) {
             return false;
         }
-        for (attempt, target) in std::mem::take(&mut request.in_flight) {
+        for (attempt, holder) in std::mem::take(&mut request.in_flight) {
             self.attempts.remove(&attempt);
-            self.targets.attempt_cancelled(&target, attempt);
+            self.targets.attempt_cancelled(&holder.id, attempt);
             out.push(Effect::Cancel(attempt));
         }
         request.may_have_run = true;
--- /dev/null
+++ b/crates/entry/tests/entry/crashes.rs
@@ -0,0 +1,239 @@
+//! What one entry VM does about requests that crash their targets.
+
+use std::time::Duration;
+
+use camphordale_entry::{
+    Event,
+    Reason,
+    Refusal, //
+};
+use camphordale_fleet::{
+    CrashRecord,
+    Fingerprint,
+    Holder,
+    PeerMessage,
+    View, //
+};
+
+use crate::harness::{
+    Harness,
+    KEYED,
+    ORDERS,
+    READS,
+    StepOutput,
+    closed,
+    complete,
+    ms,
+    not_executed, //
+};
+
+const DEADLY: Fingerprint = 1 << 100;
+
+/// A message of the leader on crashes of this many other targets.
+fn evidence(crashes: u64) -> PeerMessage {
+    let holders = (0..crashes).map(|number| Holder {
+        id: format!("other-{number}").into(),
+        incarnation: 1,
+    });
+    let record = CrashRecord {
+        fingerprint: DEADLY,
+        crashes: holders.map(|holder| (holder, ms(100))).collect(),
+        completed: None,
+        idle: ms(100),
+    };
+    PeerMessage::CrashEvidence {
+        records: vec![record],
+        alive: Vec::new(),
+    }
+}
+
+fn deadly(harness: &mut Harness, service: &str) -> (u64, StepOutput) {
+    harness.request_like(service, DEADLY, ms(1500))
+}
+
+/// The records that a step reports.
+fn reported(output: &StepOutput) -> Vec<&CrashRecord> {
+    let messages = output.messages.iter();
+    let records = messages.filter_map(|message| match message {
+        PeerMessage::CrashEvidence { records, .. } => Some(records),
+        _ => None,
+    });
+    records.flatten().collect()
+}
+
+fn is_evidence(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::CrashEvidence { .. })
+}
+
+/// Guards against a refusal without the evidence in the log.
+#[test]
+fn a_quarantined_request_is_refused_at_once_with_the_evidence() {
+    let mut harness = Harness::new();
+    harness.receive(evidence(3));
+    for service in [READS, ORDERS, KEYED] {
+        let (request, output) = deadly(&mut harness, service);
+        assert!(output.sent.is_empty());
+        if service != KEYED {
+            assert_eq!(output.refused, [(request, Refusal::Quarantined)]);
+            let decision = &output.decisions[0];
+            assert_eq!(decision.reason, Reason::Quarantined);
+            assert_eq!(decision.service.as_deref(), Some(service));
+            let crashed: Vec<&str> = decision.crashed.iter().map(|id| &**id).collect();
+            assert_eq!(crashed, ["other-0", "other-1", "other-2"]);
+        }
+    }
+    // Other requests are served.
+    let (_, output) = harness.request(READS);
+    assert_eq!(output.sent.len(), 1);
+}
+
+/// Guards against retries and hedges that crash a second target for one attempt of the caller.
+#[test]
+fn a_suspect_runs_once_per_request() {
+    let mut harness = Harness::new();
+    harness.receive(evidence(2));
+    let (request, output) = deadly(&mut harness, READS);
+    let attempt = output.sent[0].0;
+    // After the time at which a slow request is also sent to another target.
+    let output = harness.advance(ms(500));
+    assert!(output.sent.is_empty());
+    let output = harness.end_attempt(attempt, closed());
+    assert!(output.sent.is_empty());
+    assert_eq!(output.refused, [(request, Refusal::Unknown)]);
+    // A target that has not executed it is no reason to give up.
+    let mut harness = Harness::new();
+    harness.receive(evidence(2));
+    let (_, output) = deadly(&mut harness, READS);
+    let output = harness.end_attempt(output.sent[0].0, not_executed(503));
+    assert_eq!(output.sent.len(), 1);
+}
+
+/// Guards against a retry after the third crash is known, and against a promise that a request has
+/// not run which was under way.
+#[test]
+fn requests_under_way_when_the_quarantine_arrives_are_not_sent_again() {
+    let mut harness = Harness::new();
+    let (ran, first) = deadly(&mut harness, READS);
+    let (shed, second) = deadly(&mut harness, ORDERS);
+    harness.receive(evidence(3));
+    let output = harness.end_attempt(first.sent[0].0, closed());
+    assert!(output.sent.is_empty());
+    assert_eq!(output.refused, [(ran, Refusal::Unknown)]);
+    let output = harness.end_attempt(second.sent[0].0, not_executed(503));
+    assert!(output.sent.is_empty());
+    assert_eq!(output.refused, [(shed, Refusal::Quarantined)]);
+}
+
+/// Guards against requests that wait for a free slot or a holder and are sent after the quarantine
+/// arrived.
+#[test]
+fn waiting_requests_are_refused_when_the_quarantine_arrives() {
+    let mut harness = Harness::new();
+    harness.receive(PeerMessage::Handover {
+        service: KEYED.into(),
+        from: 0,
+        to: u16::MAX,
+        done: false,
+    });
+    let (waiting, output) = deadly(&mut harness, KEYED);
+    assert!(output.sent.is_empty() && output.refused.is_empty());
+    let (other, _) = harness.request(KEYED);
+    let output = harness.receive(evidence(3));
+    assert_eq!(output.refused, [(waiting, Refusal::Quarantined)]);
+    let output = harness.receive(PeerMessage::Handover {
+        service: KEYED.into(),
+        from: 0,
+        to: u16::MAX,
+        done: true,
+    });
+    let sent: Vec<u64> = output.sent.iter().map(|(_, request, _)| *request).collect();
+    assert_eq!(sent, [other]);
+}
+
+/// Guards against evidence that waits for the next ping, and against responses that clear a request
+/// although they say nothing about it.
+#[test]
+fn crashes_and_completions_are_reported_in_the_same_step() {
+    let mut harness = Harness::new();
+    let (_, output) = deadly(&mut harness, READS);
+    let (first, _, target) = output.sent[0].clone();
+    let output = harness.end_attempt(first, closed());
+    let records = reported(&output);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].fingerprint, DEADLY);
+    let crashed = Holder {
+        id: target,
+        incarnation: 1,
+    };
+    assert_eq!(records[0].crashes, [(crashed, ms(0))]);
+    let retried = output.sent[0].0;
+    harness.now += ms(40);
+    let output = harness.end_attempt(retried, complete(200));
+    let records = reported(&output);
+    assert_eq!(records[0].completed, Some(ms(0)));
+    assert!(records[0].crashes.is_empty());
+    // Neither a failure of the target nor a request without evidence is reported.
+    let (_, output) = deadly(&mut harness, ORDERS);
+    let output = harness.end_attempt(output.sent[0].0, closed());
+    assert_eq!(reported(&output).len(), 1);
+    let (_, output) = deadly(&mut harness, ORDERS);
+    let output = harness.end_attempt(output.sent[0].0, complete(500));
+    assert!(reported(&output).is_empty());
+    let (_, output) = harness.request(ORDERS);
+    let output = harness.end_attempt(output.sent[0].0, complete(200));
+    assert!(reported(&output).is_empty());
+}
+
+/// A VM without a leader sends what it saw when it has one again.
+#[test]
+fn a_new_leader_is_told_everything() {
+    let mut harness = Harness::new();
+    harness.receive(evidence(2));
+    harness.step(Event::StreamClosed);
+    let (_, output) = deadly(&mut harness, ORDERS);
+    let output = harness.end_attempt(output.sent[0].0, closed());
+    assert!(output.messages.is_empty());
+    harness.now += Duration::from_secs(5);
+    let output = harness.receive(PeerMessage::Resume { index: 10 });
+    let records = reported(&output);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].crashes.len(), 3);
+    // Three crashes of which two were learnt from the leader are enough.
+    let (_, output) = deadly(&mut harness, ORDERS);
+    assert_eq!(output.refused[0].1, Refusal::Quarantined);
+}
+
+/// Guards against an entry VM that loses its stream all the time, because a control VM of an older
+/// version closes it on a message that it does not know.
+#[test]
+fn reports_pause_when_the_control_vm_closes_the_stream_on_them() {
+    let mut harness = Harness::without_view();
+    let mut reports = 0;
+    let snapshot = || {
+        PeerMessage::Snapshot(Box::new(View {
+            index: 1,
+            ..Harness::view()
+        }))
+    };
+    for _ in 0..600 {
+        harness.now += ms(100);
+        let output = harness.receive(snapshot());
+        if output.messages.iter().any(is_evidence) {
+            reports += 1;
+            harness.step(Event::StreamClosed);
+        }
+    }
+    // Within a minute, after 1, 2, 4, 8, 16, 16 seconds.
+    assert!((5..=7).contains(&reports), "{reports}");
+    // A control VM that replies to a later ping takes reports.
+    let mut harness = Harness::new();
+    let first = harness.now;
+    harness.now += ms(300);
+    harness.receive(PeerMessage::Pong {
+        sent: first + ms(1),
+        entries: camphordale_fleet::EntryCounts { all: 1, domain: 1 },
+    });
+    harness.step(Event::StreamClosed);
+    let output = harness.receive(PeerMessage::Resume { index: 10 });
+    assert!(output.messages.iter().any(is_evidence));
+}
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -9,6 +9,7 @@
     AttemptId,
     AttemptResult,
     Config,
+    ControlStreamEffect,
     Decision,
     Effect,
     Entry,
@@ -22,6 +23,7 @@
 use camphordale_fleet::{
     ConfigResource,
     EntryCounts,
+    Fingerprint,
     Holder,
     KeyDelivery,
     KeyRange,
@@ -119,6 +121,8 @@
     pub(crate) refused: Vec<(RequestHandle, Refusal)>,
     /// Logged decisions about refusals and retries.
     pub(crate) decisions: Vec<Decision>,
+    /// Messages to the control leader.
+    pub(crate) messages: Vec<PeerMessage>,
 }
 
 impl Harness {
@@ -200,6 +204,9 @@
                 Effect::Log(LogEvent::Refused(decision) | LogEvent::Retried(decision)) => {
                     output.decisions.push(decision);
                 }
+                Effect::ControlStream(ControlStreamEffect::Send(message)) => {
+                    output.messages.push(message);
+                }
                 Effect::Discard(_) | Effect::ControlStream(_) | Effect::Log(_) => {}
             }
         }
@@ -218,6 +225,16 @@
         &mut self,
         service: &str,
         caller_timeout: Duration,
+    ) -> (RequestHandle, StepOutput) {
+        let fingerprint = u128::from(self.next + 1);
+        self.request_like(service, fingerprint, caller_timeout)
+    }
+
+    pub(crate) fn request_like(
+        &mut self,
+        service: &str,
+        fingerprint: Fingerprint,
+        caller_timeout: Duration,
     ) -> (RequestHandle, StepOutput) {
         self.next += 1;
         let handle = self.next;
@@ -227,7 +244,7 @@
             path: format!("/{service}/x").into(),
             caller_timeout: Some(caller_timeout),
             key: (service == KEYED).then_some(handle as u16),
-            fingerprint: handle.into(),
+            fingerprint,
         }));
         (handle, output)
     }
@@ -280,3 +297,12 @@
         closed: false,
     }
 }
+
+/// The target closed the connection while it had the request.
+pub(crate) fn closed() -> AttemptResult {
+    AttemptResult::Failed {
+        sent: true,
+        received: false,
+        closed: true,
+    }
+}
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod control_stream;
+mod crashes;
 mod decisions;
 mod harness;
 mod load;
