Refuse finally only when it is certain that targets ended

Cause: targets that are full reset connections.

Change: a quarantine becomes certain 2 s after its third crash (CONFIRM_AFTER); a live target announces itself before, which refutes it. Until then the request is refused as not run, with the time that is left as Retry-After, reason `suspected`; it reaches no target either way. The lines of a request that may have run and has crashed two targets have this reason too.

Ruled out: to wait with the quarantine itself, which lets more targets crash; to try a connection to the address, which costs a connection per crash and says nothing behind a cut.

--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -157,6 +157,10 @@
         "unreached" => "no connection to a target could be opened",
         "timed-out" => "the target did not respond before the deadline",
         "expired" => "the deadline passed before the request could be sent",
+        "suspected" => {
+            "targets closed the connection while they had this request; whether they ended was not \
+             certain yet"
+        }
         "quarantined" => {
             "targets crashed while they ran this request: see the lines with its fingerprint"
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -197,6 +197,9 @@
     Failure,
     /// The target was slow, so the request was also sent to another one.
     Slow,
+    /// Several targets closed the connection while they had requests with this fingerprint. It is
+    /// not certain yet that they ended.
+    Suspected,
     /// Several targets ended while they executed requests with this fingerprint.
     Quarantined,
     /// The target responded successfully.
@@ -228,6 +231,7 @@
             Reason::Expired => "expired",
             Reason::Failure => "failure",
             Reason::Slow => "slow",
+            Reason::Suspected => "suspected",
             Reason::Quarantined => "quarantined",
             Reason::Success => "success",
         }
--- a/crates/entry/src/entry/crashes.rs
+++ b/crates/entry/src/entry/crashes.rs
@@ -182,6 +182,9 @@
 
     /// Refuses a request that has crashed too many targets, or that may have run once and is under
     /// suspicion. Returns whether it did.
+    ///
+    /// A target that is full may reset connections. Until it is certain that the targets ended, the
+    /// caller is therefore told to retry.
     pub(super) fn refuse_quarantined(
         &mut self,
         id: RequestHandle,
@@ -192,15 +195,22 @@
             return false;
         };
         let fingerprint = request.fingerprint;
-        let refuses = match self.crashes.evidence.verdict(fingerprint) {
-            Verdict::Clear => false,
-            Verdict::Suspect => request.may_have_run,
-            Verdict::Quarantined => true,
+        let may_have_run = request.may_have_run;
+        let evidence = &self.crashes.evidence;
+        let (reason, retry_after) = match evidence.verdict(fingerprint) {
+            Verdict::Clear => return false,
+            Verdict::Suspect if !may_have_run => return false,
+            Verdict::Suspect => (Reason::Suspected, Duration::ZERO),
+            Verdict::Quarantined => {
+                let certain_at = evidence.certain_at(fingerprint).unwrap_or_default();
+                match certain_at.saturating_sub(now) {
+                    Duration::ZERO => (Reason::Quarantined, Duration::ZERO),
+                    uncertain => (Reason::Suspected, uncertain),
+                }
+            }
         };
-        if refuses {
-            self.crashes.record_refusal(fingerprint, now);
-            self.refuse(id, Reason::Quarantined, Duration::ZERO, now, out);
-        }
-        refuses
+        self.crashes.record_refusal(fingerprint, now);
+        self.refuse(id, reason, retry_after, now, out);
+        true
     }
 }
--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -33,6 +33,8 @@
 /// A target whose announcement is received this much later than the report of its crash has not
 /// ended: announcements may have been under way at the time of the crash.
 pub const REFUTE_AFTER: Duration = Duration::from_millis(500);
+/// Silence of a target after which its crash is certain: a live one announces itself within it.
+pub const CONFIRM_AFTER: Duration = Duration::from_millis(2000);
 /// Evidence below a quarantine is dropped after this time without a further crash.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(120);
 /// A quarantine ends after this time in which the request was not received anywhere.
@@ -292,6 +294,28 @@
         }
     }
 
+    /// When the quarantine of a request becomes certain, unless crashes are refuted until then.
+    /// `None` if it is not quarantined.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_fleet::{Holder, crash_evidence::{CONFIRM_AFTER, CrashEvidence}};
+    ///
+    /// let mut evidence = CrashEvidence::default();
+    /// for (id, second) in [("a", 1), ("b", 2), ("c", 9), ("d", 20)] {
+    ///     let holder = Holder { id: id.into(), incarnation: 1 };
+    ///     evidence.record_crash(7, &holder, Duration::from_secs(second));
+    /// }
+    /// assert_eq!(evidence.certain_at(7), Some(Duration::from_secs(9) + CONFIRM_AFTER));
+    /// ```
+    pub fn certain_at(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        let record = self.records.get(&fingerprint)?;
+        let mut times: Vec<Duration> = record.crashes.values().copied().collect();
+        times.sort_unstable();
+        let third = times.get(QUARANTINE_CRASHES - 1)?;
+        Some(*third + CONFIRM_AFTER)
+    }
+
     /// The incarnations that ended while they had the request.
     pub fn crashed(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Holder> {
         let record = self.records.get(&fingerprint);
