--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -39,8 +39,8 @@
 pub const QUARANTINE_LIFETIME: Duration = Duration::from_secs(600);
 /// Interval at which the other VMs are told that a quarantined request is still received.
 pub const REFRESH_INTERVAL: Duration = Duration::from_secs(60);
-/// Requests with evidence that one VM keeps, about 1 MB.
-pub const MAX_RECORDS: usize = 2048;
+/// Requests with evidence that one VM keeps, in at most 1.5 MB.
+pub const MAX_RECORDS: usize = 1024;
 /// Crashes kept per request; more would not change the verdict.
 pub const MAX_CRASHES: usize = 8;
 
@@ -78,8 +78,13 @@
 }
 
 impl Record {
+    /// Number of crashes as far as it matters. Records of the lowest rank are dropped first.
+    fn rank(&self) -> usize {
+        self.crashes.len().min(QUARANTINE_CRASHES)
+    }
+
     fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= QUARANTINE_CRASHES
+        self.rank() == QUARANTINE_CRASHES
     }
 
     /// Returns whether the crash was not known.
@@ -108,14 +113,14 @@
     }
 }
 
-/// The evidence on all requests that one VM knows of. It takes a bounded amount of memory: the
-/// oldest evidence is dropped first, quarantines last.
+/// The evidence on all requests that one VM knows of. It takes a bounded amount of memory: requests
+/// with the fewest crashes are dropped first, the oldest of them.
 #[derive(Clone, Debug)]
 pub struct CrashEvidence {
     capacity: usize,
     records: BTreeMap<Fingerprint, Record>,
-    /// Records by whether they are quarantined, and time.
-    by_age: BTreeSet<(bool, Duration, Fingerprint)>,
+    /// Records by rank and time.
+    by_age: BTreeSet<(usize, Duration, Fingerprint)>,
     by_holder: BTreeMap<Holder, BTreeSet<Fingerprint>>,
 }
 
@@ -313,7 +318,7 @@
         })
     }
 
-    /// The newest `limit` requests with evidence, quarantined ones first.
+    /// The `limit` requests with most crashes, the newest first.
     pub fn newest(&self, limit: usize) -> Vec<Fingerprint> {
         let newest = self.by_age.iter().rev().take(limit);
         newest.map(|(_, _, fingerprint)| *fingerprint).collect()
@@ -321,13 +326,17 @@
 
     /// Drops evidence whose time has passed.
     pub fn expire(&mut self, now: Duration) {
-        for (quarantined, lifetime) in [(false, SUSPECT_LIFETIME), (true, QUARANTINE_LIFETIME)] {
-            let from = (quarantined, Duration::ZERO, 0);
-            while let Some((kind, touched, fingerprint)) = self.by_age.range(from..).next().copied()
+        for rank in 0..=QUARANTINE_CRASHES {
+            let lifetime = match rank {
+                QUARANTINE_CRASHES => QUARANTINE_LIFETIME,
+                _ => SUSPECT_LIFETIME,
+            };
+            let from = (rank, Duration::ZERO, 0);
+            while let Some((found, touched, fingerprint)) =
+                self.by_age.range(from..).next().copied()
+                && found == rank
+                && touched + lifetime <= now
             {
-                if kind != quarantined || touched + lifetime > now {
-                    break;
-                }
                 self.take(fingerprint);
             }
         }
@@ -349,7 +358,7 @@
     fn take(&mut self, fingerprint: Fingerprint) -> Option<Record> {
         let record = self.records.remove(&fingerprint)?;
         self.by_age
-            .remove(&(record.is_quarantined(), record.touched_at, fingerprint));
+            .remove(&(record.rank(), record.touched_at, fingerprint));
         for holder in record.crashes.keys() {
             if let Some(named) = self.by_holder.get_mut(holder) {
                 named.remove(&fingerprint);
@@ -370,7 +379,7 @@
             named.insert(fingerprint);
         }
         self.by_age
-            .insert((record.is_quarantined(), record.touched_at, fingerprint));
+            .insert((record.rank(), record.touched_at, fingerprint));
         self.records.insert(fingerprint, record);
         if self.records.len() > self.capacity
             && let Some((_, _, oldest)) = self.by_age.first().copied()
--- a/crates/fleet/tests/crash_evidence/naive.rs
+++ b/crates/fleet/tests/crash_evidence/naive.rs
@@ -6,12 +6,15 @@
 };
 
 use camphordale_fleet::{
-    CrashRecord, Fingerprint, Holder, Verdict,
+    CrashRecord,
+    Fingerprint,
+    Holder,
+    Verdict,
     crash_evidence::{
         QUARANTINE_CRASHES,
         REFUTE_AFTER,
         SUSPECT_CRASHES, //
-    },
+    }, //
 };
 
 enum Fact {
--- a/crates/fleet/tests/crash_evidence/store.rs
+++ b/crates/fleet/tests/crash_evidence/store.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use camphordale_fleet::{
-    CrashEvidence, Holder, Verdict,
+    CrashEvidence,
+    CrashRecord,
+    Holder,
+    PeerMessage,
+    Verdict,
     crash_evidence::{
         MAX_CRASHES,
         QUARANTINE_LIFETIME,
         REFRESH_INTERVAL,
         REFUTE_AFTER,
         SUSPECT_LIFETIME, //
-    },
+    }, //
 };
 
 pub(crate) fn ms(count: u64) -> Duration {
@@ -136,9 +140,45 @@
     }
     assert_eq!(evidence.verdict(0), Verdict::Quarantined);
     assert!(evidence.contains(4999) && !evidence.contains(4000));
+    // Completed requests make room for those that are not.
+    for number in 4900..4999 {
+        evidence.record_completion(number, ms(5000));
+    }
+    evidence.record_crash(6000, &holder(1), ms(5001));
+    evidence.record_crash(6001, &holder(1), ms(5001));
+    assert!(evidence.contains(4999) && evidence.contains(6000));
+    assert!(!evidence.contains(4901));
     for number in 0..100 {
         evidence.record_crash(0, &holder(number), ms(number));
     }
     assert_eq!(evidence.crashed(0).count(), MAX_CRASHES);
     assert_eq!(evidence.newest(1), [0]);
 }
+
+/// Guards against messages that are larger than `docs/platform.md` says.
+#[test]
+fn a_record_takes_little_room_in_a_message() {
+    let size = |crashes: u64, records: u128| {
+        let record = |fingerprint| CrashRecord {
+            fingerprint: u128::MAX - fingerprint,
+            crashes: (0..crashes)
+                .map(|number| {
+                    let id = format!("i-7f3a91c{number}").into();
+                    let incarnation = 1_765_000_000_000 + number;
+                    (Holder { id, incarnation }, ms(99_999))
+                })
+                .collect(),
+            completed: Some(ms(99_999)),
+            idle: ms(99_999),
+        };
+        let message = PeerMessage::CrashEvidence {
+            records: (0..records).map(record).collect(),
+            alive: Vec::new(),
+        };
+        message.encode().unwrap().len()
+    };
+    assert!(size(1, 1) <= 70, "{}", size(1, 1));
+    assert!(size(3, 1) <= 120, "{}", size(3, 1));
+    assert!(size(3, 16) <= 1900, "{}", size(3, 16));
+    assert!(size(3, 256) <= 30_000, "{}", size(3, 256));
+}
