--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,5 +1,6 @@
 //! Events and effects of an entry VM, and the lifecycle of a request.
 
+mod crashes;
 mod request;
 mod retry;
 mod view;
@@ -18,6 +19,7 @@
 use camphordale_fleet::{
     Address,
     Domain,
+    Fingerprint,
     Key,
     PeerMessage,
     ServiceName,
@@ -30,6 +32,7 @@
 };
 
 use self::{
+    crashes::CrashReports,
     request::ActiveRequest,
     view::KeySample,
     waiting::UnroutedRequest, //
@@ -99,6 +102,8 @@
     pub caller_timeout: Option<Duration>,
     /// The key, if the request has one.
     pub key: Option<Key>,
+    /// Equal for requests that targets execute in the same way.
+    pub fingerprint: Fingerprint,
 }
 
 /// How an attempt ended.
@@ -124,6 +129,10 @@
         sent: bool,
         /// Whether any byte of a response was received, which shows that the target is alive.
         received: bool,
+        /// Whether the target closed or reset the connection while it had the request. This alone
+        /// does not show that the target ended: it may also reject a connection in this way, or
+        /// close an idle one at the moment at which the request is sent.
+        closed: bool,
     },
 }
 
@@ -188,6 +197,11 @@
     Failure,
     /// The target was slow, so the request was also sent to another one.
     Slow,
+    /// Several targets closed the connection while they had requests with this fingerprint. It is
+    /// not certain yet that they ended.
+    Suspected,
+    /// Several targets ended while they executed requests with this fingerprint.
+    Quarantined,
     /// The target responded successfully.
     Success,
 }
@@ -217,6 +231,8 @@
             Reason::Expired => "expired",
             Reason::Failure => "failure",
             Reason::Slow => "slow",
+            Reason::Suspected => "suspected",
+            Reason::Quarantined => "quarantined",
             Reason::Success => "success",
         }
     }
@@ -235,6 +251,9 @@
     Unknown,
     /// The request may have been executed, and its deadline has passed.
     TimedOut,
+    /// Several targets ended while they executed requests with this fingerprint. A repetition is
+    /// refused as well.
+    Quarantined,
 }
 
 /// A decision about a request with its inputs, for logs and metrics.
@@ -262,6 +281,8 @@
     pub view_index: u64,
     /// Statistics of the target at the time of the decision.
     pub target_stats: Option<TargetStats>,
+    /// Targets that ended while they executed requests with this fingerprint.
+    pub crashed: Vec<TargetId>,
 }
 
 /// A change of state or a decision for the process to log and count.
@@ -362,6 +383,7 @@
     shutting_down: bool,
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
+    crashes: CrashReports,
     random: StdRng,
 }
 
@@ -409,6 +431,7 @@
             shutting_down: false,
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
+            crashes: CrashReports::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -429,10 +452,12 @@
             } => self.on_attempt_ended(attempt, (result, length), now, &mut out),
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
             Event::StreamClosed => {
+                self.crashes.on_stream_closed(now);
                 self.control_stream.on_closed(now);
                 self.report_stream_state(&mut out);
             }
         }
+        self.report_crashes(now, &mut out);
         out
     }
 
@@ -495,6 +520,7 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.maintain_control_stream(now, out);
+        self.crashes.expire(now);
         while let Some((at, request)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -21,6 +21,7 @@
 mod control_process;
 mod entry_process;
 mod event_loop;
+mod fingerprint;
 mod head_end;
 mod log;
 mod metrics;
@@ -52,9 +53,11 @@
     Exchange,
     ExchangeError,
     ExchangeId,
+    FailureCause,
     IoEvent,
     ListenerKind, //
 };
+pub use fingerprint::fingerprint;
 pub use log::{
     LogRateLimiter,
     LogSink, //
