Refuse finally only once crashes can hardly be refuted

Cause: full targets reset connections. A request that met three of them was refused with a final status for about a second, until announcements refuted the crashes (platform test a_request_that_live_targets_reset_is_not_quarantined: 134 requests).

Change: with three crashes a request is refused at once as before, but in the first 2.5 s as not run, with a time to come back. A target that resets another connection has not settled either.

Ruled out: sending the request on until the crashes have settled: about eight attempts a second would each end a target.

Measured: tests of fleet and entry and the four of platform/tests/path pass; there 4 targets crash, none late, 234 of 234 ordinary requests are served after the bound, and 0 of 386 requests that are reset are refused finally.

--- a/crates/entry/src/entry/crashes.rs
+++ b/crates/entry/src/entry/crashes.rs
@@ -33,6 +33,8 @@
 const MIN_PAUSE: Duration = Duration::from_secs(1);
 /// Longest time without reports.
 const MAX_PAUSE: Duration = Duration::from_secs(16);
+/// Suggested retry delay of a quarantined request while its crashes may still be refuted.
+const UNSETTLED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The evidence of this VM, and what the leader has to be told.
 #[derive(Default)]
@@ -181,7 +183,8 @@
     }
 
     /// Refuses a request that has crashed too many targets, or that may have run once and is under
-    /// suspicion. Returns whether it did.
+    /// suspicion. Returns whether it did. While the targets may still turn out to live, because they
+    /// were full and reset connections, the caller may come back.
     pub(super) fn refuse_quarantined(
         &mut self,
         id: RequestHandle,
@@ -199,7 +202,11 @@
         };
         if refuses {
             self.crashes.record_refusal(fingerprint, now);
-            self.refuse(id, Reason::Quarantined, Duration::ZERO, now, out);
+            let retry_after = match self.crashes.evidence.is_settled(fingerprint, now) {
+                true => Duration::ZERO,
+                false => UNSETTLED_RETRY_AFTER,
+            };
+            self.refuse(id, Reason::Quarantined, retry_after, now, out);
         }
         refuses
     }
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -382,7 +382,7 @@
         let refusal = match reason {
             Reason::TimedOut => Refusal::TimedOut,
             _ if request.may_have_run || !request.in_flight.is_empty() => Refusal::Unknown,
-            Reason::Quarantined => Refusal::Quarantined,
+            Reason::Quarantined if retry_after.is_zero() => Refusal::Quarantined,
             _ => Refusal::NotRun(retry_after),
         };
         let decision = self.decision(id, reason, now);
--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -33,6 +33,9 @@
 /// A target whose announcement is received this much later than the report of its crash has not
 /// ended: announcements may have been under way at the time of the crash.
 pub const REFUTE_AFTER: Duration = Duration::from_millis(500);
+/// A crash that has not been refuted after this time has happened: a target that lives announces
+/// itself about every second, and the leader tells the entry VMs.
+pub const SETTLE_AFTER: Duration = Duration::from_millis(2500);
 /// Evidence below a quarantine is dropped after this time without a further crash.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(120);
 /// A quarantine ends after this time in which the request was not received anywhere.
@@ -297,6 +300,27 @@
         }
     }
 
+    /// Whether the crashes that quarantine a request can hardly be refuted any more.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_fleet::{Holder, crash_evidence::CrashEvidence};
+    ///
+    /// let mut evidence = CrashEvidence::default();
+    /// for id in ["a", "b", "c"] {
+    ///     let holder = Holder { id: id.into(), incarnation: 1 };
+    ///     evidence.record_crash(7, &holder, Duration::from_secs(1));
+    /// }
+    /// assert!(!evidence.is_settled(7, Duration::from_secs(2)));
+    /// assert!(evidence.is_settled(7, Duration::from_secs(4)));
+    /// ```
+    pub fn is_settled(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        self.records.get(&fingerprint).is_some_and(|record| {
+            let settled = |crashed: &&Duration| **crashed + SETTLE_AFTER <= now;
+            record.crashes.values().filter(settled).count() >= QUARANTINE_CRASHES
+        })
+    }
+
     /// The incarnations that ended while they had the request.
     pub fn crashed(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Holder> {
         let record = self.records.get(&fingerprint);
