Check requests that crash targets over random histories

Cause: the scenarios show one trouble at a time.

Change: random histories of five entry VMs and a leader with leader changes, restarts and cuts of entry VMs, resets by live targets and unrelated crashes beside the deadly request. They check that VMs in touch send it at most three times later than 3 s after the third crash, and that in calm a popular request is served and the deadly one ends no target.

Ruled out: repeating all evidence on a stream, because a connection delivers what is sent on it or ends.

--- a/crates/entry/tests/crashes/main.rs
+++ b/crates/entry/tests/crashes/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod histories;
 mod load;
 mod scenarios;
 mod world;
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -182,6 +182,8 @@
     pub(crate) deadly_sends: Vec<(Duration, usize)>,
     /// Times of the crashes.
     pub(crate) crashes: Vec<Duration>,
+    /// Times of those that the deadly request caused.
+    pub(crate) deadly_crashes: Vec<Duration>,
     /// Messages with evidence that entry VMs sent and received.
     pub(crate) reports: usize,
     pub(crate) updates: usize,
@@ -205,6 +207,7 @@
             outcomes: Vec::new(),
             deadly_sends: Vec::new(),
             crashes: Vec::new(),
+            deadly_crashes: Vec::new(),
             reports: 0,
             updates: 0,
         };
@@ -494,6 +497,7 @@
             let at = running.target;
             self.end_attempt(&running, closed());
             if self.targets[at].up {
+                self.deadly_crashes.push(self.now);
                 self.crash(at);
             }
         } else if target.resets {
@@ -518,6 +522,8 @@
                 continue;
             };
             if self.cut.contains(&vm) {
+                // A connection delivers all or, after a loss, nothing any more.
+                self.vms[vm].conn = None;
                 continue;
             }
             if to_control {
