Keep a leave that comes while the registration is being committed

Cause: the leader judged a leave by the committed state only. An announcement is answered before its commit, so the next call of the target can be a leave that comes before it: the target was unknown, the leave was answered at once and forgotten, and the target was registered as ready after it. With an earlier incarnation under the same id, the leave was applied to that one.

Change: the leader keeps the newest proposed record of each target until it is committed, and judges announcements and leaves by it. The leave is proposed behind the registration and acknowledged when it is committed and the entry VMs have it. This replaces the list of leaving incarnations, which did the same for one order of calls, and which a tick could clear before the commit.

Ruled out: answering announcements only after their commit; it would delay each first announcement and leave the order of two calls in flight open.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -59,7 +59,7 @@
         PeerMessage, //
     },
     registry::{
-        Incarnation,
+        Target,
         TargetId, //
     },
     state::{
@@ -79,8 +79,9 @@
     announcements: BTreeMap<TargetId, LastAnnouncement>,
     load_stats: LoadStats,
     delayed_answers: Vec<DelayedAnswer>,
-    /// Incarnations whose leave was received, also while it is not committed yet.
-    leaving: BTreeMap<TargetId, Incarnation>,
+    /// Newest proposed record of each target, until it is committed. What a target calls for next is
+    /// judged by it.
+    proposed_targets: BTreeMap<TargetId, Target>,
 }
 
 /// One control VM.
@@ -316,6 +317,11 @@
     ) {
         let outcome = self.state.apply(index, &command);
         let pending = id.and_then(|id| self.pending.remove(&id));
+        if let (Command::Announce { id, target }, Some(leader)) = (&command, &mut self.leader_state)
+            && leader.proposed_targets.get(id) == Some(target)
+        {
+            leader.proposed_targets.remove(id);
+        }
         if outcome == Outcome::Done {
             self.on_command_applied(&command, out);
             self.stream_update(index, &command, out);
@@ -418,7 +424,7 @@
             announcements: BTreeMap::new(),
             load_stats: LoadStats::default(),
             delayed_answers: Vec::new(),
-            leaving: BTreeMap::new(),
+            proposed_targets: BTreeMap::new(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -17,6 +17,7 @@
     registry::{
         Announcement,
         Incarnation,
+        Target,
         TargetId,
         TargetState, //
     },
@@ -160,14 +161,12 @@
             },
         );
         let mut target = announcement.target();
-        if let Some(known) = known.filter(|known| known.incarnation == target.incarnation) {
-            // A target that has left does not return within the same incarnation.
-            if known.state == TargetState::Left {
-                target.state = TargetState::Left;
-            }
-        }
-        // Its leave may not be committed yet.
-        if leader.leaving.get(&announcement.id) == Some(&target.incarnation) {
+        // A target that has left does not return within the same incarnation.
+        let newest = leader.proposed_targets.get(&announcement.id).or(known);
+        let has_left = newest.is_some_and(|newest| {
+            newest.incarnation == target.incarnation && newest.state == TargetState::Left
+        });
+        if has_left {
             target.state = TargetState::Left;
         }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
@@ -175,10 +174,6 @@
             let request = LeaseRequest::new(announcement);
             return self.answer_announcement(token, &request, now, out);
         }
-        let command = Command::Announce {
-            id: announcement.id.clone(),
-            target,
-        };
         // Only a reply to a draining target must wait until the state is durable, because it
         // promises that no more requests will be sent. A target whose registration is lost
         // announces itself again.
@@ -191,6 +186,25 @@
             out.push(Effect::Reply { token, reply });
             Pending::NoReply
         };
+        self.propose_target(&announcement.id, target, then, now, out);
+    }
+
+    /// Proposes a new record of a target.
+    fn propose_target(
+        &mut self,
+        id: &TargetId,
+        target: Target,
+        then: Pending,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(leader) = &mut self.leader_state {
+            leader.proposed_targets.insert(id.clone(), target.clone());
+        }
+        let command = Command::Announce {
+            id: id.clone(),
+            target,
+        };
         self.propose(&command, then, now, out);
     }
 
@@ -203,23 +217,26 @@
         out: &mut Vec<Effect>,
     ) {
         let known = self.state.view.targets.get(id);
-        let target = known
-            .filter(|known| incarnation.is_none_or(|incarnation| incarnation == known.incarnation));
-        let Some(target) = target.filter(|target| target.state != TargetState::Left) else {
+        // The registration of the target may not be committed yet.
+        let proposed = self
+            .leader_state
+            .as_ref()
+            .and_then(|leader| leader.proposed_targets.get(id));
+        let is_durable = proposed.is_none();
+        let target = proposed
+            .or(known)
+            .filter(|newest| {
+                incarnation.is_none_or(|incarnation| incarnation == newest.incarnation)
+            })
+            .filter(|newest| !is_durable || newest.state != TargetState::Left);
+        let Some(target) = target else {
             let reply = Reply::Done { is_leader: true };
             out.push(Effect::Reply { token, reply });
             return;
         };
         let mut target = target.clone();
         target.state = TargetState::Left;
-        if let Some(leader) = &mut self.leader_state {
-            leader.leaving.insert(id.clone(), target.incarnation);
-        }
-        let command = Command::Announce {
-            id: id.clone(),
-            target,
-        };
-        self.propose(&command, Pending::Announce(token), now, out);
+        self.propose_target(id, target, Pending::Announce(token), now, out);
     }
 
     /// Removes targets from the registry that have not announced themselves for too long.
@@ -247,7 +264,6 @@
                 silent.push((id.clone(), target.incarnation));
             }
         }
-        leader.leaving.retain(|id, _| targets.contains_key(id));
         for (id, incarnation) in silent {
             // Restarting the silence keeps a single removal in flight.
             if let Some(leader) = &mut self.leader_state {
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -424,3 +424,54 @@
     assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
     assert_eq!(cluster.entry.1.targets["t1"].state, TargetState::Left);
 }
+
+/// Guards against a leave that is acknowledged and lost, because it comes while the registration of
+/// the target is being committed.
+#[test]
+fn a_leave_counts_while_the_registration_is_not_committed() {
+    let mut cluster = TestCluster::new(18);
+    cluster.run(ms(1500));
+    let leader = cluster.leader().unwrap();
+    cluster.call(leader, announce(1, 100, false));
+    let leave = Call::Leave {
+        id: "t1".into(),
+        incarnation: None,
+    };
+    let token = cluster.call(leader, leave);
+    assert_eq!(cluster.reply(token), None, "before the leave is committed");
+    // A further announcement before any commit does not undo it either.
+    let mut late = announcement(2, 100, false);
+    late.slots += 1;
+    cluster.call(leader, Call::Announce(Box::new(late)));
+    cluster.run(ms(1000));
+    assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+    assert_eq!(cluster.entry.1.targets["t1"].state, TargetState::Left);
+}
+
+/// Guards against a leave that is applied to the earlier incarnation under an id, while the
+/// registration of the next one is being committed.
+#[test]
+fn a_leave_counts_for_the_incarnation_that_is_being_registered() {
+    let mut cluster = TestCluster::new(19);
+    cluster.ask(announce(1, 100, false));
+    let leader = cluster.leader().unwrap();
+    let leave = |incarnation| Call::Leave {
+        id: "t1".into(),
+        incarnation,
+    };
+    cluster.call(leader, announce(1, 200, false));
+    // A late leave of the earlier one changes nothing.
+    cluster.call(leader, leave(Some(100)));
+    cluster.run(ms(1000));
+    let target = &cluster.entry.1.targets["t1"];
+    assert_eq!(
+        (target.incarnation, target.state),
+        (200, TargetState::Ready)
+    );
+    cluster.call(leader, announce(1, 300, false));
+    let token = cluster.call(leader, leave(None));
+    cluster.run(ms(1000));
+    assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+    let target = &cluster.entry.1.targets["t1"];
+    assert_eq!((target.incarnation, target.state), (300, TargetState::Left));
+}
