Keep a target that restarts from being removed as silent

Cause: silence was counted from the last announcement of the incarnation in the committed state. While the registration of the next incarnation under the same id was being committed, there was none, so silence was counted from the election. A tick in that time, later than the limit after the election (10 s for a target that left, 20 s for others), removed the earlier incarnation and replaced the record of the newer announcement by it; the next tick removed the newer one.

Change: an announcement of the next incarnation counts as a sign of life. A removal keeps the record of the latest announcement and only restarts its time. Found by a test that tries a leave at any moment around the commit of a registration, which is added too.

Ruled out: the change to proposed records (the removal is of a committed record, and older).

All tests of the crate pass.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -251,10 +251,9 @@
         });
         let mut silent = Vec::new();
         for (id, target) in targets {
-            let latest = leader
-                .announcements
-                .get(id)
-                .filter(|latest| latest.incarnation == target.incarnation);
+            // An announcement of the next incarnation counts too, as its registration may not be
+            // committed yet.
+            let latest = leader.announcements.get(id);
             let at = latest.map_or(leader.elected_at, |latest| latest.received_at);
             let limit = match target.state {
                 TargetState::Left => self.config.target_timeout / LEFT_TIMEOUT_DIVISOR,
@@ -267,16 +266,15 @@
         for (id, incarnation) in silent {
             // Restarting the silence keeps a single removal in flight.
             if let Some(leader) = &mut self.leader_state {
-                let sequence = leader
+                let latest = leader
                     .announcements
-                    .get(&id)
-                    .map_or(0, |latest| latest.sequence);
-                let latest = LastAnnouncement {
-                    incarnation,
-                    sequence,
-                    received_at: now,
-                };
-                leader.announcements.insert(id.clone(), latest);
+                    .entry(id.clone())
+                    .or_insert(LastAnnouncement {
+                        incarnation,
+                        sequence: 0,
+                        received_at: now,
+                    });
+                latest.received_at = now;
             }
             self.propose(
                 &Command::Remove { id, incarnation },
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -475,3 +475,44 @@
     let target = &cluster.entry.1.targets["t1"];
     assert_eq!((target.incarnation, target.state), (300, TargetState::Left));
 }
+
+/// Guards against a leave that is lost because it comes at some other moment of the commit of the
+/// registration.
+#[test]
+fn a_leave_counts_at_any_time_after_the_registration() {
+    let mut cluster = TestCluster::new(20);
+    cluster.run(ms(1500));
+    let leader = cluster.leader().unwrap();
+    for gap in (0..100).step_by(5) {
+        let incarnation = 100 + gap;
+        cluster.call(leader, announce(1, incarnation, false));
+        cluster.run(ms(gap));
+        let leave = Call::Leave {
+            id: "t1".into(),
+            incarnation: None,
+        };
+        let token = cluster.call(leader, leave);
+        cluster.run(ms(1000));
+        assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+        let target = &cluster.entry.1.targets["t1"];
+        let found = (target.incarnation, target.state);
+        assert_eq!(found, (incarnation, TargetState::Left), "after {gap} ms");
+    }
+}
+
+/// Guards against a target that restarts under its id and is removed as silent, because a tick comes
+/// while its registration is being committed.
+#[test]
+fn a_target_that_restarts_is_not_taken_for_silent() {
+    let mut cluster = TestCluster::new(21);
+    cluster.run(ms(21_000));
+    cluster.ask(announce(1, 100, false));
+    let leader = cluster.leader().unwrap();
+    cluster.call(leader, announce(1, 200, false));
+    cluster.step(leader, Event::Tick);
+    cluster.run(ms(1000));
+    assert_eq!(cluster.entry.1.targets["t1"].incarnation, 200);
+    // One that is silent is still removed.
+    cluster.run(ms(21_000));
+    assert!(cluster.entry.1.targets.is_empty());
+}
