Number orders by the term

What callers would see: two targets with the same keys (OWNER); shown in tests only, found by a reviewer who had not seen the work.

Cause: order numbers start at one in each lease table, and the process finds the order of an answer by the number. If a control VM leads again while an order of its former term is under way (a release lasts up to 2.5 s), the answer is credited to the order with the same number in the new term: another target's range counts as released. Same class as OWNER: an answer is credited by a name that does not tell who is meant.

Change: numbers start at the term's part of the fencing tokens.

Measured: terms/an_answer_to_the_former_term_frees_no_range fails before and passes.

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -223,7 +223,8 @@
             times,
             term,
             fence_counter: 0,
-            last_order: 0,
+            // An answer to an order of a former term may still arrive.
+            last_order: term << FENCE_COUNTER_BITS,
             leases: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             // Numbers of a former term may still be in use by the process.
