Draw a fencing token only for a new holder, connection or fence

Cause: each answer to an order drew a token, also where none was used. A term has 2^20 of them; at 200 answers a second (an assumed rate) they last 87 minutes, then a leader would use tokens of the next term.

Change: a token is drawn when it is used.

Measured: terms/tokens_stay_below_those_of_the_next_term, 600,000 rounds of answers in one term, fails before and passes.

--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -255,7 +255,7 @@
     ) -> Option<AnsweredOrder> {
         let order = self.in_flight.remove(&order_id)?;
         let mut confirmed_ranges = Vec::new();
-        let new_fence = self.next_fence();
+        let new_fence = (*answer == Answer::Fenced).then(|| self.next_fence());
         let is_broken = matches!(
             answer,
             Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. }
@@ -310,7 +310,7 @@
                     }
                 }
                 Answer::Fenced => {
-                    lease.fence = new_fence;
+                    lease.fence = new_fence.unwrap_or(lease.fence);
                     lease.next_renewal = now + RETRY_DELAY;
                 }
                 Answer::Lost { sent: true } if !order.lease_duration.is_zero() => {
--- a/crates/fleet/tests/terms.rs
+++ b/crates/fleet/tests/terms.rs
@@ -98,3 +98,39 @@
     let (former, later) = (first(1), first(2));
     assert_ne!(former[0].connection, later[0].connection);
 }
+
+/// However long a leader leads, its tokens stay below those of the next one.
+#[test]
+fn tokens_stay_below_those_of_the_next_term() {
+    let view = view();
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    let mut now = ms(0);
+    let mut highest = 0;
+    for _ in 0..600_000 {
+        now += ms(500);
+        for dispatch in table.due_orders(&view, now) {
+            if let Order::Grant { fence, .. } = dispatch.order {
+                highest = highest.max(fence);
+            }
+            table.record_answer(dispatch.id, &Answer::Granted, now);
+        }
+    }
+    let range = KeyRange {
+        from: 0,
+        to: 9,
+        holder: Some(holder(1)),
+        handover: None,
+    };
+    table.record_assignment(&SERVICE.into(), &range, &view);
+    for dispatch in table.due_orders(&view, now + ms(1)) {
+        if let Order::Grant { fence, .. } = dispatch.order {
+            highest = highest.max(fence);
+        }
+    }
+    let mut next = LeaseTable::new(TIMES, 2, &view, now);
+    for dispatch in next.due_orders(&view, now) {
+        if let Order::Grant { fence, .. } = dispatch.order {
+            assert!(fence > highest, "{fence} is not above {highest}");
+        }
+    }
+}
