--- a/crates/entry/tests/crashes/main.rs
+++ b/crates/entry/tests/crashes/main.rs
@@ -6,4 +6,5 @@
 mod histories;
 mod load;
 mod scenarios;
+mod setup;
 mod world;
