Let a leader resign

Cause: a leader leads as long as a quorum answers it. State that is limited per term, such as the fencing tokens of key leases, may run out before.

Change: the event `Resign` makes a leader a follower in its term, as if no quorum had answered. It stands for election one election timeout later than usual, so that another voter, which has its log, leads first. A sole voter has no other to wait for.

Ruled out: a message that tells a follower to stand at once. It would change the encoding of messages, and save at most two election timeouts on a rare occasion.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -17,6 +17,10 @@
 /// Number of election timeouts that a non-voter waits longer than a voter before it starts an
 /// election, so that a voter that can win is elected first.
 const NON_VOTER_EXTRA_TIMEOUTS: u32 = 2;
+/// Number of election timeouts that a leader that has resigned waits longer than other voters. With
+/// one, its election deadline is at least two timeouts away, and those of the others, which heard
+/// from it, at most two.
+const RESIGNED_EXTRA_TIMEOUTS: u32 = 1;
 
 impl Raft {
     /// Starts an election with a pre-vote, or without one if this is the only voter.
@@ -218,6 +222,17 @@
         }
     }
 
+    /// Follows in the current term, unless this member does not lead.
+    pub(crate) fn resign(&mut self, out: &mut Vec<Effect>) {
+        if self.leader_state.is_none() {
+            return;
+        }
+        self.become_follower(self.hard_state.term, None, out);
+        if !self.is_sole_voter() {
+            self.election_deadline += self.config.election_timeout * RESIGNED_EXTRA_TIMEOUTS;
+        }
+    }
+
     fn persist_hard_state(&self, out: &mut Vec<Effect>) {
         out.push(Effect::Persist(DurableWrite {
             hard_state: Some(self.hard_state),
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -158,6 +158,7 @@
             Event::Read { id } => self.read(id, &mut out),
             Event::ChangeMembers { id, change } => self.propose_change(id, change, &mut out),
             Event::Compact { index, data } => self.compact(index, data, &mut out),
+            Event::Resign => self.resign(&mut out),
             Event::StorageFailed => {
                 self.become_follower(self.hard_state.term, None, &mut out);
                 self.failed = true;
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -142,6 +142,8 @@
         /// Encoded state of the state machine.
         data: Vec<u8>,
     },
+    /// A leader becomes a follower and lets another voter stand for election first.
+    Resign,
     /// The durable storage failed. The member stops taking part until the process restarts.
     StorageFailed,
 }
--- a/crates/raft/tests/raft/histories.rs
+++ b/crates/raft/tests/raft/histories.rs
@@ -32,14 +32,17 @@
 /// lost acknowledged commands, applied commands that were reported as dropped, stale reads and
 /// overlapping leases. At the end of each history the group must make progress again.
 #[rstest]
-#[case::three_on_disk(3, false, 1_000_000)]
-#[case::five_on_disk(5, false, 2_000_000)]
-#[case::seven_on_disk(7, false, 3_000_000)]
-#[case::three_in_memory(3, true, 4_000_000)]
-#[case::five_in_memory(5, true, 5_000_000)]
+#[case::three_on_disk(3, false, 0, 1_000_000)]
+#[case::five_on_disk(5, false, 0, 2_000_000)]
+#[case::seven_on_disk(7, false, 0, 3_000_000)]
+#[case::three_in_memory(3, true, 0, 4_000_000)]
+#[case::five_in_memory(5, true, 0, 5_000_000)]
+#[case::three_with_resignations(3, false, 100, 6_000_000)]
+#[case::five_with_resignations(5, true, 100, 7_000_000)]
 fn random_histories_keep_the_invariants(
     #[case] voters: u64,
     #[case] volatile: bool,
+    #[case] resignations: u64,
     #[case] first_seed: u64,
 ) {
     let count = env::var("CAMPHORDALE_HISTORIES").ok();
@@ -49,7 +52,7 @@
     let started = Instant::now();
     let (mut acked, mut restored) = (0, 0);
     for seed in first_seed..first_seed + count {
-        let sim = run_history(seed, voters, volatile);
+        let sim = run_history(seed, voters, volatile, resignations);
         acked += sim.acked_index;
         restored += sim.restored_snapshots;
     }
@@ -68,10 +71,11 @@
 #[case(3, false, 1_000_409)]
 #[case(5, true, 5_000_354)]
 fn regression_seeds_pass(#[case] voters: u64, #[case] volatile: bool, #[case] seed: u64) {
-    run_history(seed, voters, volatile);
+    run_history(seed, voters, volatile, 0);
 }
 
-fn run_history(seed: u64, voters: u64, volatile: bool) -> Sim {
+/// `resignations` is the rate of actions before which the leader resigns, per 1,000.
+fn run_history(seed: u64, voters: u64, volatile: bool, resignations: u64) -> Sim {
     let mut sim = Sim::new(seed, voters);
     let mut repair = None;
     sim.loss_rate = sim.draw(200);
@@ -80,6 +84,12 @@
     for _ in 0..ACTIONS {
         let pause = sim.draw(25);
         sim.run(ms(pause));
+        if resignations > 0
+            && sim.draw(1_000) < resignations
+            && let Some(leader) = sim.leader()
+        {
+            sim.step(leader, Event::Resign);
+        }
         random_action(&mut sim, volatile, &mut repair);
     }
     sim.blocked_links.clear();
--- a/crates/raft/tests/raft/scenarios.rs
+++ b/crates/raft/tests/raft/scenarios.rs
@@ -510,3 +510,45 @@
     assert!(!granted(&receive(&mut voter, 1, pre.clone(), before)));
     assert!(granted(&receive(&mut voter, 1, pre, before + 2)));
 }
+
+/// Guards against a leader that resigns and leads again, and against a resignation that leaves the
+/// group without a leader for longer than an election takes.
+#[test]
+fn another_voter_leads_after_a_leader_has_resigned() {
+    for seed in 0..40 {
+        let mut sim = Sim::new(seed, 3);
+        let former = sim.wait_for_leader();
+        let term = sim.raft(former).term();
+        sim.step(former, Event::Resign);
+        let resigned = sim.raft(former);
+        assert_eq!((resigned.role(), resigned.term()), (Role::Follower, term));
+        assert_eq!(resigned.lease_expiry(), None);
+        sim.run(ELECTION * 2 + ms(60));
+        let next = sim.leader().expect("a leader");
+        assert_ne!(next, former, "seed {seed}");
+        assert!(sim.raft(next).term() > term);
+        sim.heal_and_verify();
+    }
+}
+
+/// Guards against a resignation of a follower, which would let it miss an election, and against a
+/// group of one that has no leader after its resignation.
+#[test]
+fn a_follower_does_not_resign_and_a_sole_voter_leads_again() {
+    let mut follower = restarted_member(2, 5, &[1, 5]);
+    let deadline = |raft: &Raft| {
+        let mut raft = raft.clone();
+        (1..2_000).find(|at| !raft.step(Event::Tick, ms(*at)).is_empty())
+    };
+    let before = deadline(&follower);
+    assert!(follower.step(Event::Resign, ms(0)).is_empty());
+    assert_eq!(deadline(&follower), before);
+
+    let mut sim = Sim::new(42, 1);
+    sim.wait_for_leader();
+    let term = sim.raft(1).term();
+    sim.step(1, Event::Resign);
+    assert_eq!(sim.leader(), None);
+    sim.run(ELECTION * 2 + ms(20));
+    assert_eq!((sim.leader(), sim.raft(1).term()), (Some(1), term + 1));
+}
