Resign before the fencing tokens of a term are used up

Cause: the lower 20 bits of a fencing token count within a term. Nothing ended a term whose million tokens were used up; further ones were those of the next term, so its holders could be fenced or share a token.

Change: at each tick, a leader with fewer than 2^18 tokens left resigns. The next one has a later term.

Ruled out: more bits for the counter, which would change the tokens that targets get; a lower reserve, because a range may draw several tokens between two ticks and there may be as many ranges as keys.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -225,6 +225,10 @@
 
     fn on_tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.step_raft(raft::Event::Tick, now, out);
+        let needs_new_term = |leader: &LeaderState| leader.lease_table.needs_new_term();
+        if self.leader_state.as_ref().is_some_and(needs_new_term) {
+            self.step_raft(raft::Event::Resign, now, out);
+        }
         self.request_membership(now, out);
         if self.leader_state.is_some() {
             self.maintain_members(now, out);
--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -65,6 +65,10 @@
 /// Number of low bits of a fencing token that count the grants of one leader, about a million; the
 /// term is in the bits above.
 const FENCE_COUNTER_BITS: u32 = 20;
+/// Number of fencing tokens that are left when the leader resigns. It checks at each tick. Between
+/// two ticks a range may get a new holder, lose its connection and be fenced; this is enough for all
+/// of these with as many ranges as there are keys.
+const FENCE_RESERVE: u64 = 1 << 18;
 /// Time limit for a grant. The connection is reset when it passes, so that the order cannot arrive
 /// later.
 pub const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -284,6 +288,12 @@
         }
     }
 
+    /// Whether the fencing tokens of this term are used up but for a reserve. Further ones would be
+    /// those of the next term, which may have other holders.
+    pub fn needs_new_term(&self) -> bool {
+        self.fence_counter >= (1 << FENCE_COUNTER_BITS) - FENCE_RESERVE
+    }
+
     /// Leases of a service in key order.
     pub fn leases(&self, service: &str) -> &[Lease] {
         self.leases.get(service).map_or(&[], Vec::as_slice)
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -7,3 +7,4 @@
 mod heartbeats;
 mod randomized;
 mod scenarios;
+mod tokens;
