Give the numbers of orders and connections 40 bits within a term

Cause: these numbers start from the term in the bits above 20, as fencing tokens do. A busy leader sends a million orders in less than an hour, after which its orders have the numbers of later terms, and a late answer could again count for another order of the same VM.

Change: they count in 40 bits.

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -65,6 +65,10 @@
 /// Number of low bits of a fencing token that count the grants of one leader, about a million; the
 /// term is in the bits above.
 const FENCE_COUNTER_BITS: u32 = 20;
+/// Number of low bits of the numbers of orders and of connections that count those of one leader;
+/// the term is in the bits above. They aren't stored, and a busy leader sends a million orders in
+/// less than an hour, so they have more bits than fencing tokens: years of orders.
+const ORDER_COUNTER_BITS: u32 = 40;
 /// Number of fencing tokens that are left when the leader resigns. It checks at each tick. Between
 /// two ticks a range may get a new holder, lose its connection and be fenced; this is enough for all
 /// of these with as many ranges as there are keys.
@@ -228,11 +232,11 @@
             term,
             fence_counter: 0,
             // An answer to an order of a former term may still arrive.
-            last_order: term << FENCE_COUNTER_BITS,
+            last_order: term << ORDER_COUNTER_BITS,
             leases: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             // Numbers of a former term may still be in use by the process.
-            last_session: term << FENCE_COUNTER_BITS,
+            last_session: term << ORDER_COUNTER_BITS,
             sessions: BTreeMap::new(),
         };
         for (service, map) in &view.keys {
--- a/crates/fleet/tests/terms.rs
+++ b/crates/fleet/tests/terms.rs
@@ -99,6 +99,25 @@
     assert_ne!(former[0].connection, later[0].connection);
 }
 
+/// A leader sends far more orders than it draws tokens. Their numbers must not reach those of a later
+/// term either.
+#[test]
+fn orders_stay_below_those_of_the_next_term() {
+    let view = view();
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    let mut now = ms(0);
+    let mut highest = 0;
+    for _ in 0..600_000 {
+        now += ms(500);
+        for dispatch in table.due_orders(&view, now) {
+            highest = dispatch.id;
+            table.record_answer(dispatch.id, &Answer::Granted, now);
+        }
+    }
+    let later = LeaseTable::new(TIMES, 2, &view, now).due_orders(&view, now);
+    assert!(later[0].id > highest, "{} and {highest}", later[0].id);
+}
+
 /// However long a leader leads, its tokens stay below those of the next one.
 #[test]
 fn tokens_stay_below_those_of_the_next_term() {
