--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -1,5 +1,7 @@
 //! The process of a control VM, which serves operators, targets, entry VMs and other control VMs.
 
+mod log;
+
 use std::{
     collections::HashMap,
     time::Duration, //
@@ -15,9 +17,7 @@
     Effect,
     Event,
     LeaseTimes,
-    LogEvent,
     Member,
-    Order,
     OrderConnection,
     OrderId,
     PeerMessage,
@@ -39,11 +39,15 @@
     Store, //
 };
 use slog::{
-    Logger,
     info,
     warn, //
 };
 
+use self::log::{
+    log_event,
+    log_long_turn,
+    log_order, //
+};
 use crate::{
     adapter::{
         CallKind,
@@ -74,8 +78,6 @@
 const AUDIT_PATH: &str = "/changes";
 /// Interval between ticks of the reducer; elections and renewals need no finer one.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// A turn of the loop that takes longer is logged: a leader must send heartbeats in between.
-const LONG_TURN: Duration = Duration::from_millis(40);
 /// Delay before the storage is opened again after a failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// File that stores the control VMs that this one knows.
@@ -559,98 +561,3 @@
         }
     )
 }
-
-/// Logs a turn of the loop after which followers may take the leader for lost.
-fn log_long_turn(
-    events: usize,
-    started: Duration,
-    decided: Duration,
-    context: &mut ProcessContext,
-) {
-    let ended = context.clock.now();
-    if ended - started < LONG_TURN {
-        return;
-    }
-    context.metrics.count_event("long-turn");
-    if context.may_log("long turn") {
-        info!(context.logger, "long turn"; "events" => events,
-            "decide_ms" => (decided - started).as_millis() as u64,
-            "carry_out_ms" => (ended - decided).as_millis() as u64);
-    }
-}
-
-/// Logs the first order on a connection to a target, with its answer.
-fn log_order(dispatch: &Dispatch, answer: &Answer, logger: &Logger) {
-    let (kind, from, to, fence) = match dispatch.order {
-        Order::Grant {
-            from, to, fence, ..
-        } => ("grant", from, to, fence),
-        Order::Release { from, to, fence } => ("release", from, to, fence),
-    };
-    info!(logger, "order over a new connection"; "kind" => kind, "from" => from, "to" => to,
-        "fence" => fence, "target" => &*dispatch.holder.id, "born" => dispatch.holder.incarnation,
-        "address" => dispatch.address.to_string(), "answer" => format!("{answer:?}"));
-}
-
-fn log_event(event: &LogEvent, context: &mut ProcessContext) {
-    let kind = match event {
-        LogEvent::Role { .. } => "role",
-        LogEvent::Change { .. } => "change",
-        LogEvent::Target { .. } => "target",
-        LogEvent::Assigned { .. } => "assigned",
-        LogEvent::Moving { .. } => "moving",
-        LogEvent::Withheld { .. } => "withheld",
-        LogEvent::Order { .. } => "order",
-        LogEvent::Members { .. } => "members",
-        LogEvent::Entries(_) => "entries",
-        LogEvent::Codec(_) => "codec",
-    };
-    context.metrics.count_event(kind);
-    if !context.may_log(kind) {
-        return;
-    }
-    let logger = &context.logger;
-    match event {
-        LogEvent::Role {
-            leads,
-            term,
-            leader,
-        } => info!(logger, "role"; "leads" => leads, "term" => term, "leader" => leader),
-        LogEvent::Change {
-            base,
-            version,
-            outcome,
-        } => info!(logger, "change decided"; "base" => base, "version" => version,
-            "outcome" => format!("{outcome:?}")),
-        LogEvent::Target {
-            id,
-            incarnation,
-            change,
-        } => {
-            info!(logger, "target"; "target" => &**id, "born" => incarnation, "state" => change);
-        }
-        LogEvent::Assigned { service, range } => info!(logger, "keys assigned";
-            "service" => &**service, "from" => range.from, "to" => range.to,
-            "target" => range.holder.as_ref().map_or("-", |holder| &*holder.id),
-            "handover" => range.handover.is_some()),
-        LogEvent::Moving {
-            service,
-            range,
-            next,
-        } => info!(logger, "keys begin to move"; "service" => &**service,
-            "from" => range.0, "to" => range.1, "target" => &*next.id),
-        LogEvent::Withheld {
-            service,
-            range,
-            holder,
-            next,
-        } => info!(logger, "keys left out of an answer"; "service" => &**service,
-            "from" => range.0, "to" => range.1, "target" => &*holder.id, "next" => &*next.id),
-        LogEvent::Order { holder, answer } => info!(logger, "order not carried out";
-            "target" => &*holder.id, "answer" => format!("{answer:?}")),
-        LogEvent::Members { voters, learners } => info!(logger, "members";
-            "voters" => format!("{voters:?}"), "learners" => format!("{learners:?}")),
-        LogEvent::Entries(count) => info!(logger, "entry VMs"; "count" => count),
-        LogEvent::Codec(what) => warn!(logger, "encoding or decoding failed"; "what" => what),
-    }
-}
