Refuse what a stopping entry VM may not finish

What callers saw: requests that were accepted late in a planned stop were cut off without an answer (LOST).

Cause: while fewer than half of a domain's VMs are ready, callers are sent to all of them. A stopping VM then never runs out of callers, served each request until its grace period was over, and ended with some under way.

Change: once callers have had time to notice the stop, a request whose deadline is after the end of the process is refused as not run.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -202,6 +202,8 @@
     Suspected,
     /// Several targets ended while they executed requests with this fingerprint.
     Quarantined,
+    /// This VM may end before the request's deadline.
+    Stopping,
     /// The target responded successfully.
     Success,
 }
@@ -233,6 +235,7 @@
             Reason::Slow => "slow",
             Reason::Suspected => "suspected",
             Reason::Quarantined => "quarantined",
+            Reason::Stopping => "stopping",
             Reason::Success => "success",
         }
     }
@@ -361,6 +364,15 @@
     Log(LogEvent),
 }
 
+/// When a VM that is stopped serves what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shutdown {
+    /// Until when new requests are served as before: callers have not noticed yet.
+    pub notice_ends: Duration,
+    /// When the process ends at the latest. It breaks off what is still in progress.
+    pub ends_at: Duration,
+}
+
 /// One entry VM.
 pub struct Entry {
     config: Config,
@@ -380,7 +392,7 @@
     control_stream: ControlStream,
     was_established: bool,
     was_ready: bool,
-    shutting_down: bool,
+    shutdown: Option<Shutdown>,
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
     crashes: CrashReports,
@@ -428,7 +440,7 @@
             ),
             was_established: false,
             was_ready: false,
-            shutting_down: false,
+            shutdown: None,
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
@@ -509,8 +521,8 @@
     }
 
     /// Begins the shutdown: requests in progress are finished and no attempts are cancelled.
-    pub fn begin_shutdown(&mut self) {
-        self.shutting_down = true;
+    pub fn begin_shutdown(&mut self, shutdown: Shutdown) {
+        self.shutdown = Some(shutdown);
     }
 
     /// Replaces the addresses of control VMs from the settings.
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -25,7 +25,8 @@
     LogEvent,
     Reason,
     Refusal,
-    RequestHandle, //
+    RequestHandle,
+    Shutdown, //
 };
 use crate::selection::{
     SelectionContext,
@@ -43,6 +44,8 @@
 const NO_ROUTING_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Suggested retry delay if a service has no target or a key has no holder.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Suggested retry delay while this VM stops: another one can serve the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Bounds of the suggested retry delay when targets are full.
 const FULL_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -153,6 +156,12 @@
         let caller_timeout = incoming.caller_timeout.unwrap_or(route.timeout);
         let is_retry = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
         let deadline = arrived_at + caller_timeout.min(route.timeout);
+        let may_be_cut =
+            |shutdown: Shutdown| arrived_at >= shutdown.notice_ends && deadline > shutdown.ends_at;
+        if self.shutdown.is_some_and(may_be_cut) {
+            let refusal = Refusal::NotRun(STOPPING_RETRY_AFTER);
+            return refuse(refusal, Reason::Stopping, index, out);
+        }
         self.timers.insert((deadline, request));
         self.requests.insert(
             request,
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -179,7 +179,7 @@
             && !request.in_flight.is_empty()
             && request.is_idempotent()
             && request.attempts_sent < request.route.max_attempts
-            && !self.shutting_down
+            && self.shutdown.is_none()
             && !self.crashes.is_suspect(request.fingerprint)
             && self.handovers.is_overdue(&request.service, key, now);
         let Some(until) = until.filter(|_| overdue) else {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -42,7 +42,8 @@
     LogEvent,
     Reason,
     Refusal,
-    RequestHandle, //
+    RequestHandle,
+    Shutdown, //
 };
 pub use handovers::Handovers;
 pub use link::LinkShare;
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -15,7 +15,8 @@
 };
 use camphordale_entry::{
     Event,
-    Refusal, //
+    Refusal,
+    Shutdown, //
 };
 use camphordale_fleet::{
     Command,
@@ -427,12 +428,43 @@
     );
 }
 
+/// Guards against requests that are accepted shortly before a stopping VM ends and are then cut off:
+/// while few VMs of a domain are ready, callers are sent to those that are stopping as well.
+#[test]
+fn a_stopping_vm_refuses_what_it_may_not_finish() {
+    let mut harness = Harness::new();
+    let notice = ms(2600);
+    harness.entry.begin_shutdown(Shutdown {
+        notice_ends: harness.now + notice,
+        ends_at: harness.now + ms(5700),
+    });
+    // Callers have not noticed yet.
+    let (_, output) = harness.request_within(READS, ms(9000));
+    assert_eq!(output.sent.len(), 1);
+    harness.advance(notice);
+    let (_, output) = harness.request_within(READS, ms(1500));
+    assert_eq!(output.sent.len(), 1);
+    harness.advance(ms(2000));
+    let (_, output) = harness.request_within(READS, ms(900));
+    assert_eq!(output.sent.len(), 1);
+    let (request, output) = harness.request_within(READS, ms(1500));
+    assert!(output.sent.is_empty());
+    let [(refused, Refusal::NotRun(retry_after))] = output.refused[..] else {
+        panic!("{:?}", output.refused);
+    };
+    assert_eq!(refused, request);
+    assert!(retry_after <= ms(100));
+}
+
 /// A VM that shuts down finishes the requests in progress.
 #[test]
 fn a_shutdown_cancels_no_attempts() {
     let mut harness = Harness::new();
     harness.request(KEYED);
-    harness.entry.begin_shutdown();
+    harness.entry.begin_shutdown(Shutdown {
+        notice_ends: harness.now + ms(2600),
+        ends_at: harness.now + ms(5700),
+    });
     harness.receive(handover(false));
     assert!(harness.advance(ms(300)).cancelled.is_empty());
 }
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -17,7 +17,8 @@
     IncomingRequest,
     LogEvent,
     Reason,
-    RequestHandle, //
+    RequestHandle,
+    Shutdown, //
 };
 use camphordale_fleet::Fingerprint;
 use camphordale_http::{
@@ -194,7 +195,10 @@
         let since = *self.stopping_since.get_or_insert_with(|| {
             info!(context.logger, "stopping"; "requests" => self.requests.len());
             context.event_loop.set_close_after_response(true);
-            self.entry.begin_shutdown();
+            self.entry.begin_shutdown(Shutdown {
+                notice_ends: now + SHUTDOWN_NOTICE,
+                ends_at: now + self.grace_period.saturating_sub(SHUTDOWN_RESERVE),
+            });
             now
         });
         if now < since + SHUTDOWN_NOTICE {
