Log the long turns of a loop by kind of work, on entry VMs too

The logs could not tell whether a busy leader spends its time on answers of targets, calls, streams or its timer, and entry VMs logged no long turns. A turn of 40 ms or more is now counted by the kind of work that took most of it, and logged with all kinds. An order that is not sent because leadership is not confirmed is counted apart (order-unconfirmed).

No logic changes.

--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -45,7 +45,6 @@
 
 use self::log::{
     log_event,
-    log_long_turn,
     log_order, //
 };
 use crate::{
@@ -72,6 +71,10 @@
         Settings,
         SettingsError, //
     },
+    turn::{
+        TurnTimes,
+        Work, //
+    },
 };
 
 /// Path of the audit trail at the metrics address.
@@ -104,6 +107,7 @@
     orders: HashMap<OrderId, Dispatch>,
     next_token: CallToken,
     next_tick: Duration,
+    turn: TurnTimes,
 }
 
 /// Id of a member that bootstraps the group. It follows from the address, so that all bootstrapping
@@ -235,6 +239,7 @@
             orders: HashMap::new(),
             next_token: 0,
             next_tick: Duration::ZERO,
+            turn: TurnTimes::default(),
         })
     }
 
@@ -251,8 +256,6 @@
                 .event_loop
                 .wait(self.next_tick)
                 .map_err(system_error("wait"))?;
-            let started = context.clock.now();
-            let count = events.len();
             // Work on behalf of targets and entry VMs must not delay the heartbeats of the group.
             let (consensus, other): (Vec<IoEvent>, Vec<IoEvent>) =
                 events.into_iter().partition(is_consensus);
@@ -268,7 +271,9 @@
             }
             let decided = context.clock.now();
             self.carry_out(context);
-            log_long_turn(count, started, decided, context);
+            let took = context.clock.now() - decided;
+            self.turn.record(Work::Effects, took);
+            self.turn.end(context);
             self.reload(now, context, &reload);
         }
         Ok(())
@@ -391,8 +396,17 @@
 
     /// Passes an event to the reducer. Its effects are carried out by [`Self::carry_out`].
     fn step(&mut self, event: Event, context: &ProcessContext) {
-        let effects = self.control.step(event, context.clock.now());
+        let work = match &event {
+            Event::Tick => Work::Timer,
+            Event::Peer(_) => Work::Consensus,
+            Event::Stream { .. } | Event::StreamClosed(_) => Work::Stream,
+            Event::Call { .. } => Work::Call,
+            Event::OrderAnswered { .. } => Work::Answer,
+        };
+        let now = context.clock.now();
+        let effects = self.control.step(event, now);
         self.effects.extend(effects);
+        self.turn.record(work, context.clock.now() - now);
     }
 
     /// Carries out the effects of all steps since the last call. What must be durable is written
@@ -474,6 +488,7 @@
         let answer = Answer::Lost { sent: false };
         if context.clock.now() >= send_before {
             // Another leader may exist by now, so the order must not be sent.
+            context.metrics.count_event("order-unconfirmed");
             return self.step(Event::OrderAnswered { id, answer }, context);
         }
         let request = self
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -1,7 +1,5 @@
 //! Log lines of a control VM.
 
-use std::time::Duration;
-
 use camphordale_fleet::{
     Answer,
     Dispatch,
@@ -16,28 +14,6 @@
 
 use crate::process::ProcessContext;
 
-/// A turn of the loop that takes longer is logged: a leader must send heartbeats in between.
-const LONG_TURN: Duration = Duration::from_millis(40);
-
-/// Logs a turn of the loop after which followers may take the leader for lost.
-pub(super) fn log_long_turn(
-    events: usize,
-    started: Duration,
-    decided: Duration,
-    context: &mut ProcessContext,
-) {
-    let ended = context.clock.now();
-    if ended - started < LONG_TURN {
-        return;
-    }
-    context.metrics.count_event("long-turn");
-    if context.may_log("long turn") {
-        info!(context.logger, "long turn"; "events" => events,
-            "decide_ms" => (decided - started).as_millis() as u64,
-            "carry_out_ms" => (ended - decided).as_millis() as u64);
-    }
-}
-
 /// Logs the first order on a connection to a target, with its answer.
 pub(super) fn log_order(dispatch: &Dispatch, answer: &Answer, logger: &Logger) {
     let (kind, from, to, fence) = match dispatch.order {
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -59,6 +59,10 @@
         Settings,
         SettingsError, //
     },
+    turn::{
+        TurnTimes,
+        Work, //
+    },
 };
 
 /// Interval between ticks of the reducer while no request has an earlier deadline.
@@ -93,6 +97,7 @@
     stopping_since: Option<Duration>,
     grace_period: Duration,
     routing_version: u64,
+    turn: TurnTimes,
 }
 
 impl<Adapter> EntryProcess<Adapter>
@@ -138,6 +143,7 @@
             stopping_since: None,
             grace_period: role_settings.grace_period,
             routing_version: 0,
+            turn: TurnTimes::default(),
         })
     }
 
@@ -169,6 +175,7 @@
                 context.event_loop.set_close_after_response(closing);
                 context.flush_logs(now);
             }
+            self.turn.end(context);
             self.reload(now, context, &reload);
             if self.is_shut_down(now, context) {
                 return Ok(());
@@ -333,6 +340,19 @@
     }
 
     fn step(&mut self, event: Event, now: Duration, context: &mut ProcessContext) {
+        let work = match &event {
+            Event::Tick => Work::Timer,
+            Event::Request(_) | Event::CallerDisconnected(_) => Work::Request,
+            Event::AttemptEnded { .. } => Work::Answer,
+            Event::Stream(_) | Event::StreamClosed => Work::Stream,
+        };
+        let started = context.clock.now();
+        self.carry_out(event, now, context);
+        self.turn.record(work, context.clock.now() - started);
+    }
+
+    /// Passes an event to the reducer and carries out its effects.
+    fn carry_out(&mut self, event: Event, now: Duration, context: &mut ProcessContext) {
         let mut encode_failures = Vec::new();
         for effect in self.entry.step(event, now) {
             match effect {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `adapter` | interface to the protocol of a deployment |
 //! | `settings` | validated settings |
 //! | `log`, `metrics` | structured logs and Prometheus metrics |
+//! | `turn` | time that the turns of a loop take, by kind of work |
 
 mod adapter;
 mod client_connection;
@@ -29,6 +30,7 @@
 mod process;
 mod server_connection;
 mod settings;
+mod turn;
 
 pub use adapter::{
     CallKind,
--- a/crates/reactor/src/metrics.rs
+++ b/crates/reactor/src/metrics.rs
@@ -35,6 +35,7 @@
     served: Histogram<f64>,
     duration: Histogram<f64>,
     events: Counter<u64>,
+    long_turns: Counter<u64>,
     gauges: Gauge<u64>,
 }
 
@@ -110,6 +111,10 @@
                 "Time from the end of a request to its answer, by service",
             ),
             events: counter("camphordale.events", "Changes of state, by kind"),
+            long_turns: counter(
+                "camphordale.long_turns",
+                "Turns of the event loop of 40 ms or more, by the work that took most of it",
+            ),
             gauges: meter
                 .u64_gauge("camphordale.level")
                 .with_description("Present numbers, by kind")
@@ -155,6 +160,11 @@
         self.events.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a long turn of the event loop.
+    pub fn count_long_turn(&self, work: &'static str) {
+        self.long_turns.add(1, &[KeyValue::new("work", work)]);
+    }
+
     /// Sets the current value of a gauge.
     pub fn set_gauge(&self, kind: &'static str, value: u64) {
         self.gauges.record(value, &[KeyValue::new("kind", kind)]);
