Apply a change of one target without work for all others

Callers saw requests go to targets that had left, and added routes that were not in force, seconds after control had said so, while many targets came and went.

Cause: for each announcement or removal of a target, an entry VM compared its records of all targets with the registry, cloned their names and sorted them again. At 900 targets this is work in the square of the fleet, on 0.1 core, and the routing waits behind it on the stream. Class: work for the whole fleet on an event of one member.

The tracker now changes the one record, and its indexes by service and address. Ruled out: the view's own search by address, which is one comparison for each target and allocates nothing.

--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -6,6 +6,7 @@
     Command,
     Key,
     KeyLoad,
+    Outcome,
     PeerMessage,
     TargetLatency,
     TargetState,
@@ -152,7 +153,9 @@
             return;
         }
         let old = self.routing_version();
-        self.view.apply(index, command);
+        if self.view.apply(index, command) == Outcome::Outdated {
+            return;
+        }
         match command {
             Command::Change(_) => {
                 self.routing_changed(old, now, out);
@@ -164,11 +167,11 @@
                 } else {
                     self.draining_since.entry(id.clone()).or_insert(now);
                 }
-                self.targets.sync(&self.view);
+                self.targets.update(id, target);
             }
             Command::Remove { id, .. } => {
                 self.draining_since.remove(id);
-                self.targets.sync(&self.view);
+                self.targets.remove(id);
             }
             Command::Assign { service, range, .. } => {
                 let range = (range.from, range.to);
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// Whether the record describes this incarnation, at the same place.
+    fn is_of(&self, target: &Target) -> bool {
+        self.incarnation == target.incarnation
+            && self.address == target.address
+            && self.service == target.service
+    }
+
     /// Number of attempts of this VM in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len()
@@ -230,49 +237,82 @@
 }
 
 /// All registered targets by id.
+///
+/// The indexes change with the target that changes, so that an update of one target costs the same
+/// in a fleet of any size.
 #[derive(Debug, Default)]
 pub struct TargetTracker {
     by_id: HashMap<TargetId, TrackedTarget>,
+    /// Ids in order.
     by_service: HashMap<ServiceName, Vec<TargetId>>,
+    by_address: HashMap<Address, TargetId>,
 }
 
 impl TargetTracker {
     /// Adopts the target registry. Statistics of known incarnations are kept.
     pub fn sync(&mut self, view: &View) {
-        self.by_id.retain(|id, tracked| {
-            let target = view.targets.get(id);
-            target.is_some_and(|target| target.incarnation == tracked.incarnation)
-        });
+        let is_gone = |id: &&TargetId| !view.targets.contains_key(*id);
+        let gone: Vec<TargetId> = self.by_id.keys().filter(is_gone).cloned().collect();
+        for id in gone {
+            self.remove(&id);
+        }
         for (id, target) in &view.targets {
             self.update(id, target);
         }
-        self.rebuild_index();
     }
 
-    /// Adopts the registry record of one target.
+    /// Adopts the registry record of one target. As in the registry, another target that was at its
+    /// address has ended.
     pub fn update(&mut self, id: &TargetId, target: &Target) {
-        let tracked = self.by_id.get_mut(id);
-        match tracked.filter(|tracked| tracked.incarnation == target.incarnation) {
-            Some(tracked) => {
-                tracked.service = target.service.clone();
-                tracked.address = target.address;
+        if let Some(other) = self.by_address.get(&target.address).filter(|o| *o != id) {
+            let other = other.clone();
+            self.remove(&other);
+        }
+        match self.by_id.get_mut(id) {
+            Some(tracked) if tracked.is_of(target) => {
                 tracked.slots = target.slots.max(1);
                 tracked.accepts_requests = target.state == TargetState::Ready;
             }
-            None => {
-                self.by_id.insert(id.clone(), TrackedTarget::new(target));
+            Some(tracked) if tracked.incarnation == target.incarnation => {
+                let moved = TrackedTarget {
+                    service: target.service.clone(),
+                    address: target.address,
+                    slots: target.slots.max(1),
+                    accepts_requests: target.state == TargetState::Ready,
+                    ..tracked.clone()
+                };
+                self.replace(id, moved);
             }
+            Some(_) | None => self.replace(id, TrackedTarget::new(target)),
+        }
+    }
+
+    fn replace(&mut self, id: &TargetId, tracked: TrackedTarget) {
+        self.remove(id);
+        self.by_address.insert(tracked.address, id.clone());
+        let ids = match self.by_service.get_mut(&tracked.service) {
+            Some(ids) => ids,
+            None => self.by_service.entry(tracked.service.clone()).or_default(),
+        };
+        if let Err(at) = ids.binary_search(id) {
+            ids.insert(at, id.clone());
         }
+        self.by_id.insert(id.clone(), tracked);
     }
 
-    /// Rebuilds the index by service after updates.
-    pub fn rebuild_index(&mut self) {
-        self.by_service.clear();
-        let mut ids: Vec<&TargetId> = self.by_id.keys().collect();
-        ids.sort();
-        for id in ids {
-            let service = self.by_id[id].service.clone();
-            self.by_service.entry(service).or_default().push(id.clone());
+    /// Forgets a target.
+    pub fn remove(&mut self, id: &str) {
+        let Some(tracked) = self.by_id.remove(id) else {
+            return;
+        };
+        self.by_address.remove(&tracked.address);
+        if let Some(ids) = self.by_service.get_mut(&tracked.service) {
+            if let Ok(at) = ids.binary_search_by(|other| (**other).cmp(id)) {
+                ids.remove(at);
+            }
+            if ids.is_empty() {
+                self.by_service.remove(&tracked.service);
+            }
         }
     }
 
