Plan key moves in time that rises with the targets, not their square

Callers saw refusals while the leader was late: its reducer was busy for 50 to 260 ms at a time, beyond the 150 ms for which it may send orders and near the 250 ms after which it is replaced.

Cause: the balancer kept loads in maps by target name and looked through all ranges for the ranges of each target; a plan compared all pairs of targets, and an evacuation all triples. For each of the ranges that became free together, the load of all targets was summed up again. Class: work for the whole fleet on an event of one member.

The load model now numbers its targets and keeps the ranges of each. Placement sums the load up once and places free ranges one after the other.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -81,16 +81,32 @@
     pub next: Holder,
 }
 
-struct LoadModel {
-    /// The ranges after the moves of this plan.
-    ranges: Vec<KeyRange>,
+/// Position of a receiver in [`LoadModel::receivers`].
+type ReceiverIndex = usize;
+
+/// Load of the receivers, which are the candidates that accept keys.
+struct LoadModel<'a> {
+    receivers: Vec<&'a Candidate>,
+    indexes: BTreeMap<&'a Holder, ReceiverIndex>,
+    /// First and last keys of the ranges of each receiver after the moves of this plan, in key
+    /// order.
+    held: Vec<Vec<(Key, Key)>>,
     sample: Vec<Key>,
     sample_weight: f64,
     even_weight: f64,
     /// Total request rate as a fraction of the capacity of all receivers.
     total_utilization: f64,
-    load: BTreeMap<Holder, f64>,
-    fair_share: BTreeMap<Holder, f64>,
+    /// Fraction of all requests that each receiver gets.
+    load: Vec<f64>,
+    /// Fraction of all requests that corresponds to the capacity of each receiver.
+    fair_share: Vec<f64>,
+}
+
+/// Picks holders for free ranges, one after the other. Each choice counts as load for the next ones.
+pub struct Placement<'a> {
+    model: LoadModel<'a>,
+    /// Receivers by load ratio. The order of the bits is that of the ratios, as none is negative.
+    by_ratio: BTreeSet<(u64, ReceiverIndex)>,
 }
 
 /// Divides all keys among the candidates in proportion to their capacity.
@@ -146,12 +162,13 @@
 /// ```
 pub fn plan(ranges: &[KeyRange], candidates: &[Candidate], demand: &Demand<'_>) -> Vec<Move> {
     let mut model = LoadModel::new(ranges, candidates, demand);
-    let mut out = model.evacuate(candidates);
+    let mut out = model.evacuate(ranges, candidates);
     for _ in out.len()..MAX_MOVES {
-        match model.next_move(candidates, demand.sample.len() >= MIN_SAMPLE) {
-            Some((donor, planned)) => {
-                model.apply_move(&donor, &planned);
-                out.push(planned);
+        match model.next_move(demand.sample.len() >= MIN_SAMPLE) {
+            Some((donor, receiver, (from, to))) => {
+                model.move_keys(Some(donor), receiver, from, to);
+                let next = model.receivers[receiver].holder.clone();
+                out.push(Move { from, to, next });
             }
             None => break,
         }
@@ -166,12 +183,8 @@
     demand: &Demand<'_>,
 ) -> BTreeSet<Holder> {
     let model = LoadModel::new(ranges, candidates, demand);
-    let holders = candidates
-        .iter()
-        .filter(|c| c.accepts_keys)
-        .map(|c| &c.holder);
-    let hot = holders.filter(|holder| model.hot_key(holder).is_some());
-    hot.cloned().collect()
+    let hot = (0..model.receivers.len()).filter(|at| model.hot_key(*at).is_some());
+    hot.map(|at| model.receivers[at].holder.clone()).collect()
 }
 
 /// The candidate with the lowest load relative to its capacity.
@@ -181,215 +194,241 @@
     sample: &[Key],
 ) -> Option<Holder> {
     let demand = Demand { sample, rate: 0.0 };
-    LoadModel::new(ranges, candidates, &demand).least_loaded(candidates)
+    let model = LoadModel::new(ranges, candidates, &demand);
+    let at = model.least_loaded(None)?;
+    Some(model.receivers[at].holder.clone())
+}
+
+/// The range that contains a key, if any. `ranges` are in key order.
+pub(crate) fn range_at(ranges: &[KeyRange], key: Key) -> Option<&KeyRange> {
+    let at = ranges.partition_point(|range| range.to < key);
+    ranges.get(at).filter(|range| range.from <= key)
 }
 
-impl LoadModel {
-    fn new(ranges: &[KeyRange], candidates: &[Candidate], demand: &Demand<'_>) -> LoadModel {
-        let sample = demand.sample;
-        let mut sorted = sample.to_vec();
-        sorted.sort_unstable();
-        let sampled = if sample.is_empty() {
-            0.0
-        } else {
-            (1.0 - EVEN_FRACTION) / sample.len() as f64
+impl<'a> Placement<'a> {
+    /// Starts from the present ranges of a service and a sample of the requested keys.
+    ///
+    /// ```
+    /// use camphordale_fleet::{Holder, KeyRange, balance::{Candidate, Placement}};
+    ///
+    /// let candidate = |id: &str| Candidate {
+    ///     holder: Holder { id: id.into(), incarnation: 1 },
+    ///     capacity: 30.0,
+    ///     accepts_keys: true,
+    /// };
+    /// let range = |from, to| KeyRange { from, to, holder: None, handover: None };
+    /// let ranges = [range(0, 32767), range(32768, u16::MAX)];
+    /// let candidates = [candidate("a"), candidate("b")];
+    /// let mut placement = Placement::new(&ranges, &candidates, &[]);
+    /// assert_eq!(placement.place(&ranges[0]).map(|next| next.id), Some("a".into()));
+    /// assert_eq!(placement.place(&ranges[1]).map(|next| next.id), Some("b".into()));
+    /// ```
+    pub fn new(ranges: &[KeyRange], candidates: &'a [Candidate], sample: &[Key]) -> Placement<'a> {
+        let model = LoadModel::new(ranges, candidates, &Demand { sample, rate: 0.0 });
+        let mut placement = Placement {
+            model,
+            by_ratio: BTreeSet::new(),
         };
-        let even = if sample.is_empty() {
-            1.0
-        } else {
-            EVEN_FRACTION
+        for at in 0..placement.model.receivers.len() {
+            placement.by_ratio.insert(placement.entry(at));
+        }
+        placement
+    }
+
+    /// Picks the next holder of a range, or `None` if no candidate accepts keys.
+    pub fn place(&mut self, range: &KeyRange) -> Option<Holder> {
+        let (_, next) = *self.by_ratio.first()?;
+        let previous = range.holder.as_ref();
+        let previous = previous.and_then(|holder| self.model.indexes.get(holder).copied());
+        let changed = previous.into_iter().filter(|previous| *previous != next);
+        let changed: Vec<ReceiverIndex> = changed.chain([next]).collect();
+        for at in &changed {
+            self.by_ratio.remove(&self.entry(*at));
+        }
+        self.model.move_keys(previous, next, range.from, range.to);
+        for at in &changed {
+            self.by_ratio.insert(self.entry(*at));
+        }
+        Some(self.model.receivers[next].holder.clone())
+    }
+
+    fn entry(&self, at: ReceiverIndex) -> (u64, ReceiverIndex) {
+        (self.model.load_ratio(at).max(0.0).to_bits(), at)
+    }
+}
+
+impl<'a> LoadModel<'a> {
+    fn new(ranges: &[KeyRange], candidates: &'a [Candidate], demand: &Demand<'_>) -> LoadModel<'a> {
+        let mut sample = demand.sample.to_vec();
+        sample.sort_unstable();
+        let (sample_weight, even) = match sample.len() {
+            0 => (0.0, 1.0),
+            count => ((1.0 - EVEN_FRACTION) / count as f64, EVEN_FRACTION),
         };
+        let receivers: Vec<&Candidate> = candidates.iter().filter(|c| c.accepts_keys).collect();
+        let sum: f64 = receivers.iter().map(|c| c.capacity).sum();
+        let indexes = receivers.iter().enumerate();
+        let indexes: BTreeMap<&Holder, ReceiverIndex> = indexes
+            .map(|(at, receiver)| (&receiver.holder, at))
+            .collect();
         let mut model = LoadModel {
-            ranges: ranges.to_vec(),
-            sample: sorted,
-            sample_weight: sampled,
+            indexes,
+            held: vec![Vec::new(); receivers.len()],
+            sample,
+            sample_weight,
             even_weight: even / KEY_COUNT,
-            total_utilization: 0.0,
-            load: BTreeMap::new(),
-            fair_share: BTreeMap::new(),
+            total_utilization: demand.rate / sum.max(f64::MIN_POSITIVE),
+            load: vec![0.0; receivers.len()],
+            fair_share: receivers.iter().map(|c| c.capacity / sum).collect(),
+            receivers,
         };
-        let receivers = candidates.iter().filter(|c| c.accepts_keys);
-        let sum: f64 = receivers.clone().map(|c| c.capacity).sum();
-        model.total_utilization = demand.rate / sum.max(f64::MIN_POSITIVE);
-        for candidate in receivers {
-            let fair = candidate.capacity / sum;
-            model.fair_share.insert(candidate.holder.clone(), fair);
-            model.load.insert(candidate.holder.clone(), 0.0);
-        }
         for range in ranges {
-            if let Some(holder) = &range.holder {
-                *model.load.entry(holder.clone()).or_default() +=
-                    model.load_of(range.from, range.to);
+            let holder = range.holder.as_ref();
+            if let Some(at) = holder.and_then(|holder| model.indexes.get(holder).copied()) {
+                model.load[at] += model.load_of(range.from, range.to);
+                model.held[at].push((range.from, range.to));
             }
         }
         model
     }
 
-    fn sample_count(&self, from: Key, to: Key) -> usize {
+    fn sample_in(&self, from: Key, to: Key) -> &[Key] {
         let start = self.sample.partition_point(|key| *key < from);
         let end = self.sample.partition_point(|key| *key <= to);
-        end - start
+        &self.sample[start..end]
     }
 
     fn load_of(&self, from: Key, to: Key) -> f64 {
         let width = f64::from(to) - f64::from(from) + 1.0;
-        self.sample_count(from, to) as f64 * self.sample_weight + width * self.even_weight
+        self.sample_in(from, to).len() as f64 * self.sample_weight + width * self.even_weight
     }
 
-    fn load_ratio(&self, holder: &Holder) -> f64 {
-        let fair = self
-            .fair_share
-            .get(holder)
-            .copied()
-            .unwrap_or(f64::MIN_POSITIVE);
-        self.load.get(holder).copied().unwrap_or(0.0) / fair
+    fn load_ratio(&self, at: ReceiverIndex) -> f64 {
+        self.load[at] / self.fair_share[at]
     }
 
-    /// Utilization of a holder by `load`, which is a fraction of all requests.
-    fn utilization(&self, holder: &Holder, load: f64) -> f64 {
-        let fair = self
-            .fair_share
-            .get(holder)
-            .copied()
-            .unwrap_or(f64::MIN_POSITIVE);
-        load / fair * self.total_utilization
+    /// Utilization of a receiver by `load`, which is a fraction of all requests.
+    fn utilization(&self, at: ReceiverIndex, load: f64) -> f64 {
+        load / self.fair_share[at] * self.total_utilization
     }
 
-    fn least_loaded(&self, candidates: &[Candidate]) -> Option<Holder> {
-        let receivers = candidates.iter().filter(|c| c.accepts_keys);
-        let least_loaded = receivers.min_by(|a, b| {
-            self.load_ratio(&a.holder)
-                .total_cmp(&self.load_ratio(&b.holder))
-        });
-        least_loaded.map(|candidate| candidate.holder.clone())
+    fn least_loaded(&self, except: Option<ReceiverIndex>) -> Option<ReceiverIndex> {
+        let receivers = (0..self.receivers.len()).filter(|at| Some(*at) != except);
+        receivers.min_by(|a, b| self.load_ratio(*a).total_cmp(&self.load_ratio(*b)))
     }
 
     /// Moves of all ranges away from holders that may not keep them.
-    fn evacuate(&mut self, candidates: &[Candidate]) -> Vec<Move> {
+    fn evacuate(&mut self, ranges: &[KeyRange], candidates: &[Candidate]) -> Vec<Move> {
+        let leaving = candidates.iter().filter(|c| !c.accepts_keys);
+        let leaving: BTreeSet<&Holder> = leaving.map(|c| &c.holder).collect();
         let mut out = Vec::new();
-        for range in self.ranges.clone() {
-            let Some(holder) = &range.holder else {
-                continue;
-            };
-            let must_leave = candidates
-                .iter()
-                .any(|c| c.holder == *holder && !c.accepts_keys);
-            if !must_leave {
+        for range in ranges {
+            if range.holder.as_ref().is_none_or(|h| !leaving.contains(h)) {
                 continue;
             }
-            let Some(next) = self.least_loaded(candidates) else {
+            let Some(next) = self.least_loaded(None) else {
                 break;
             };
-            let planned = Move {
+            self.move_keys(None, next, range.from, range.to);
+            out.push(Move {
                 from: range.from,
                 to: range.to,
-                next,
-            };
-            self.apply_move(holder, &planned);
-            out.push(planned);
+                next: self.receivers[next].holder.clone(),
+            });
         }
         out
     }
 
-    fn apply_move(&mut self, donor: &Holder, planned: &Move) {
-        let weight = self.load_of(planned.from, planned.to);
-        *self.load.entry(donor.clone()).or_default() -= weight;
-        *self.load.entry(planned.next.clone()).or_default() += weight;
-        let mut next = Vec::with_capacity(self.ranges.len() + 2);
-        for range in self.ranges.drain(..) {
-            // Splits the range into the parts before, within and after the moved range.
-            let (from, to) = (range.from.max(planned.from), range.to.min(planned.to));
-            if from > to {
-                next.push(range);
-                continue;
-            }
-            if range.from < from {
-                next.push(KeyRange {
-                    to: from - 1,
-                    ..range.clone()
-                });
-            }
-            next.push(KeyRange {
-                from,
-                to,
-                holder: Some(planned.next.clone()),
-                handover: None,
+    /// Moves keys to another receiver. `donor` holds all of them, or is not a receiver.
+    fn move_keys(&mut self, donor: Option<ReceiverIndex>, next: ReceiverIndex, from: Key, to: Key) {
+        let weight = self.load_of(from, to);
+        if let Some(donor) = donor {
+            self.load[donor] -= weight;
+            let rest = self.held[donor].drain(..).flat_map(|(first, last)| {
+                let overlaps = first <= to && last >= from;
+                let below = (overlaps && first < from).then(|| (first, from.saturating_sub(1)));
+                let above = (overlaps && last > to).then(|| (to.saturating_add(1), last));
+                let whole = (!overlaps).then_some((first, last));
+                [whole, below, above].into_iter().flatten()
             });
-            if range.to > to {
-                next.push(KeyRange {
-                    from: to + 1,
-                    ..range
-                });
-            }
+            let rest: Vec<(Key, Key)> = rest.collect();
+            self.held[donor] = rest;
         }
-        self.ranges = next;
+        self.load[next] += weight;
+        let at = self.held[next].partition_point(|(first, _)| *first < from);
+        self.held[next].insert(at, (from, to));
     }
 
-    /// The move that relieves the holder with the highest load that can be relieved. A candidate
-    /// without keys always receives some.
-    fn next_move(&self, candidates: &[Candidate], sampled: bool) -> Option<(Holder, Move)> {
-        let receiver = self.least_loaded(candidates)?;
-        let is_new = self.load_ratio(&receiver) == 0.0;
-        if !is_new && (!sampled || self.load_ratio(&receiver) > UNDERLOAD_RATIO) {
+    /// The move that relieves the holder with the highest load that can be relieved, as donor,
+    /// receiver and keys. A candidate without keys always receives some.
+    fn next_move(&self, sampled: bool) -> Option<(ReceiverIndex, ReceiverIndex, (Key, Key))> {
+        let receiver = self.least_loaded(None)?;
+        let is_new = self.load_ratio(receiver) == 0.0;
+        if !is_new && (!sampled || self.load_ratio(receiver) > UNDERLOAD_RATIO) {
             return None;
         }
-        let donors = candidates
-            .iter()
-            .filter(|c| c.accepts_keys && c.holder != receiver);
-        let mut donors: Vec<&Holder> = donors.map(|c| &c.holder).collect();
-        donors.sort_by(|a, b| self.load_ratio(b).total_cmp(&self.load_ratio(a)));
+        let donors = (0..self.receivers.len()).filter(|at| *at != receiver);
+        let mut donors: Vec<ReceiverIndex> = donors.collect();
+        donors.sort_by(|a, b| self.load_ratio(*b).total_cmp(&self.load_ratio(*a)));
         donors.into_iter().find_map(|donor| {
             let planned = match is_new {
-                true => self.fill_empty(donor, &receiver, sampled),
-                false => self.relieve(donor, &receiver, candidates),
+                true => self
+                    .fill_empty(donor, receiver, sampled)
+                    .map(|keys| (receiver, keys)),
+                false => self.relieve(donor, receiver),
             };
-            planned.map(|planned| (donor.clone(), planned))
+            planned.map(|(next, keys)| (donor, next, keys))
         })
     }
 
     /// Part of a donor's keys for a target without keys. A hot key stays at its holder.
-    fn fill_empty(&self, donor: &Holder, receiver: &Holder, sampled: bool) -> Option<Move> {
+    fn fill_empty(
+        &self,
+        donor: ReceiverIndex,
+        receiver: ReceiverIndex,
+        sampled: bool,
+    ) -> Option<(Key, Key)> {
         if self.hot_key(donor).is_some() {
             return None;
         }
-        let half = self.load.get(donor)? / 2.0;
-        let wanted = self.fair_share.get(receiver)?.min(half);
+        let half = self.load[donor] / 2.0;
+        let wanted = self.fair_share[receiver].min(half);
         let planned = match sampled {
             true => self.narrowest_edge(donor, wanted, None),
             false => None,
         };
-        let (from, to) = planned.or_else(|| self.cut_widest_range(donor, wanted))?;
-        let next = receiver.clone();
-        Some(Move { from, to, next })
+        planned.or_else(|| self.cut_widest_range(donor, wanted))
     }
 
-    /// Part of an overloaded donor's keys for the target with the lowest load.
-    fn relieve(&self, donor: &Holder, receiver: &Holder, candidates: &[Candidate]) -> Option<Move> {
+    /// Part of an overloaded donor's keys, for the target with the lowest load unless a hot key
+    /// needs another one.
+    fn relieve(
+        &self,
+        donor: ReceiverIndex,
+        receiver: ReceiverIndex,
+    ) -> Option<(ReceiverIndex, (Key, Key))> {
         let high = self.load_ratio(donor);
         if !self.is_overloaded(donor, high) {
             return None;
         }
         if let Some(key) = self.hot_key(donor) {
-            return self.isolate_hot_key(donor, key, candidates);
+            return self.isolate_hot_key(donor, key);
         }
-        let over = (high - 1.0) * self.fair_share.get(donor)?;
-        let under = (1.0 - self.load_ratio(receiver)) * self.fair_share.get(receiver)?;
+        let over = (high - 1.0) * self.fair_share[donor];
+        let under = (1.0 - self.load_ratio(receiver)) * self.fair_share[receiver];
         // Where one key is most of the load there is no such range, and a cut by width could move
         // that key along by chance.
         let (load, key) = self.hottest_key(donor);
-        let excluded = (load > WARM_KEY_FRACTION * self.fair_share.get(donor)?).then_some(key);
-        let (from, to) = self.narrowest_edge(donor, over.min(under), excluded)?;
-        let next = receiver.clone();
-        Some(Move { from, to, next })
+        let excluded = (load > WARM_KEY_FRACTION * self.fair_share[donor]).then_some(key);
+        let keys = self.narrowest_edge(donor, over.min(under), excluded)?;
+        Some((receiver, keys))
     }
 
     /// The hottest key of a holder with its fraction of all requests.
-    fn hottest_key(&self, holder: &Holder) -> (f64, Key) {
+    fn hottest_key(&self, at: ReceiverIndex) -> (f64, Key) {
         let mut best = (0, 0);
-        for range in self.ranges_of(holder) {
-            let start = self.sample.partition_point(|key| *key < range.from);
-            let end = self.sample.partition_point(|key| *key <= range.to);
-            for run in self.sample[start..end].chunk_by(|a, b| a == b) {
+        for (from, to) in &self.held[at] {
+            for run in self.sample_in(*from, *to).chunk_by(|a, b| a == b) {
                 best = best.max((run.len(), run[0]));
             }
         }
@@ -399,91 +438,73 @@
 
     /// The key that alone makes up most of its holder's fair share and keeps the holder busy, if
     /// any.
-    fn hot_key(&self, holder: &Holder) -> Option<Key> {
-        let fair = self.fair_share.get(holder)?;
-        let (load, key) = self.hottest_key(holder);
-        (load > HOT_KEY_FRACTION * fair && self.utilization(holder, load) > MIN_UTILIZATION)
-            .then_some(key)
+    fn hot_key(&self, at: ReceiverIndex) -> Option<Key> {
+        let (load, key) = self.hottest_key(at);
+        let dominates = load > HOT_KEY_FRACTION * self.fair_share[at];
+        (dominates && self.utilization(at, load) > MIN_UTILIZATION).then_some(key)
     }
 
     /// A target that can serve the holder's hot key much better than the holder, if any.
-    fn stronger_target(&self, holder: &Holder, candidates: &[Candidate]) -> Option<Holder> {
+    fn stronger_target(&self, holder: ReceiverIndex) -> Option<ReceiverIndex> {
         let (load, _) = self.hottest_key(holder);
         if self.utilization(holder, load) < HOT_KEY_MIN_UTILIZATION {
             return None;
         }
-        let own = candidates.iter().find(|c| c.holder == *holder)?;
+        let capacity = |at: ReceiverIndex| self.receivers[at].capacity;
         // Two hot keys on one target would displace each other.
-        let others = candidates
-            .iter()
-            .filter(|c| c.accepts_keys && c.holder != *holder && self.hot_key(&c.holder).is_none());
-        let strongest = others.max_by(|a, b| a.capacity.total_cmp(&b.capacity))?;
-        (strongest.capacity > own.capacity * STRONGER_RATIO).then(|| strongest.holder.clone())
+        let others =
+            (0..self.receivers.len()).filter(|at| *at != holder && self.hot_key(*at).is_none());
+        let strongest = others.max_by(|a, b| capacity(*a).total_cmp(&capacity(*b)))?;
+        (capacity(strongest) > capacity(holder) * STRONGER_RATIO).then_some(strongest)
     }
 
     /// Handles a key that is too much for its holder and cannot be divided: it moves to a much
     /// stronger target if there is one. Otherwise the holder's other keys move away.
-    fn isolate_hot_key(&self, holder: &Holder, key: Key, candidates: &[Candidate]) -> Option<Move> {
-        if let Some(next) = self.stronger_target(holder, candidates) {
-            return Some(Move {
-                from: key,
-                to: key,
-                next,
-            });
+    fn isolate_hot_key(
+        &self,
+        holder: ReceiverIndex,
+        key: Key,
+    ) -> Option<(ReceiverIndex, (Key, Key))> {
+        if let Some(next) = self.stronger_target(holder) {
+            return Some((next, (key, key)));
         }
-        let rest = self.ranges_of(holder).flat_map(|range| {
-            let below =
-                (range.from < key).then(|| (range.from, range.to.min(key.saturating_sub(1))));
-            let above = (range.to > key).then(|| (range.from.max(key.saturating_add(1)), range.to));
+        let rest = self.held[holder].iter().flat_map(|(first, last)| {
+            let below = (*first < key).then(|| (*first, (*last).min(key.saturating_sub(1))));
+            let above = (*last > key).then(|| ((*first).max(key.saturating_add(1)), *last));
             below
                 .into_iter()
                 .chain(above)
                 .filter(|(from, to)| from <= to)
         });
         // Moving a range with another hot key would only bring its load to the next holder.
-        let max_load = self.fair_share.get(holder)? * HOT_KEY_FRACTION;
+        let max_load = self.fair_share[holder] * HOT_KEY_FRACTION;
         let (from, to) = rest
             .filter(|(from, to)| self.load_of(*from, *to) < max_load)
             .max_by(|a, b| self.load_of(a.0, a.1).total_cmp(&self.load_of(b.0, b.1)))?;
-        let others: Vec<Candidate> = candidates
-            .iter()
-            .filter(|c| c.holder != *holder)
-            .cloned()
-            .collect();
-        let next = self.least_loaded(&others)?;
+        let next = self.least_loaded(Some(holder))?;
         // A range that would overload its next holder moves in parts.
-        let spare_share = self.fair_share.get(&next)? * MAX_FILL_RATIO - self.load.get(&next)?;
+        let spare_share = self.fair_share[next] * MAX_FILL_RATIO - self.load[next];
         if spare_share <= 0.0 {
             return None;
         }
         let part = (spare_share / self.load_of(from, to)).clamp(MIN_MOVE_FRACTION, 1.0);
         let keys = (f64::from(to - from) * part) as Key;
-        Some(Move {
-            from,
-            to: from + keys,
-            next,
-        })
+        Some((next, (from, from + keys)))
     }
 
     /// Whether a holder is overloaded beyond the noise of the sample.
-    fn is_overloaded(&self, holder: &Holder, ratio: f64) -> bool {
-        let fair = self.fair_share.get(holder).copied().unwrap_or(0.0) * self.sample.len() as f64;
+    fn is_overloaded(&self, at: ReceiverIndex, ratio: f64) -> bool {
+        let fair = self.fair_share[at] * self.sample.len() as f64;
         let busy = ratio * self.total_utilization > MIN_UTILIZATION;
         busy && ratio > OVERLOAD_RATIO && (ratio - 1.0) * fair > MIN_DEVIATIONS * fair.sqrt()
     }
 
-    fn ranges_of(&self, holder: &Holder) -> impl Iterator<Item = &KeyRange> {
-        self.ranges
-            .iter()
-            .filter(move |range| range.holder.as_ref() == Some(holder))
-    }
-
     /// The narrowest part at an edge of one of the donor's ranges that has about the wanted load in
     /// the sample and does not contain the excluded key. The densest part anywhere in the range
     /// would be dense mostly by chance, and carry much less load than it seems to.
     fn narrowest_edge(
         &self,
-        donor: &Holder,
+        donor: ReceiverIndex,
         wanted: f64,
         excluded: Option<Key>,
     ) -> Option<(Key, Key)> {
@@ -492,16 +513,14 @@
             return None;
         }
         let mut best: Option<(Key, Key)> = None;
-        for range in self.ranges_of(donor) {
-            let start = self.sample.partition_point(|key| *key < range.from);
-            let end = self.sample.partition_point(|key| *key <= range.to);
-            let sample = &self.sample[start..end];
+        for (first, last) in &self.held[donor] {
+            let sample = self.sample_in(*first, *last);
             if sample.len() < need {
                 continue;
             }
             let edges = [
-                (range.from, sample[need - 1]),
-                (sample[sample.len() - need], range.to),
+                (*first, sample[need - 1]),
+                (sample[sample.len() - need], *last),
             ];
             for (from, to) in edges {
                 // Further samples of the last key belong to the part too; one key may be all of the
@@ -518,15 +537,16 @@
     }
 
     /// The upper part of the donor's widest range, cut by width.
-    fn cut_widest_range(&self, donor: &Holder, wanted: f64) -> Option<(Key, Key)> {
-        let widest = self.ranges_of(donor).max_by_key(|range| range.width())?;
-        let weight = self.load_of(widest.from, widest.to);
-        if weight <= 0.0 || widest.width() < 2 {
+    fn cut_widest_range(&self, donor: ReceiverIndex, wanted: f64) -> Option<(Key, Key)> {
+        let width = |(from, to): &(Key, Key)| u32::from(*to) - u32::from(*from) + 1;
+        let widest = self.held[donor].iter().max_by_key(|range| width(range))?;
+        let weight = self.load_of(widest.0, widest.1);
+        if weight <= 0.0 || width(widest) < 2 {
             return None;
         }
         let part = (wanted / weight).clamp(0.0, 0.5);
-        let keys = (f64::from(widest.width()) * part) as u32;
-        let from = u32::from(widest.to) + 1 - keys.max(1);
-        Some((from as Key, widest.to))
+        let keys = (f64::from(width(widest)) * part) as u32;
+        let from = u32::from(widest.1) + 1 - keys.max(1);
+        Some((from as Key, widest.1))
     }
 }
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -22,7 +22,8 @@
         self,
         Candidate,
         Demand,
-        Move, //
+        Move,
+        Placement, //
     },
     key_leases::Lease,
     keys::{
@@ -193,9 +194,8 @@
         let mut moves = balance::plan(ranges, candidates, &Demand { sample, rate });
         // In the longer window, a range can look busy because a single key was hot for a moment.
         moves.retain(|planned| {
-            let mut held = ranges.iter();
-            let holder = held.find(|range| range.from <= planned.from && planned.from <= range.to);
-            let previous = holder.and_then(|range| range.holder.as_ref());
+            let range = balance::range_at(ranges, planned.from);
+            let previous = range.and_then(|range| range.holder.as_ref());
             !hot.contains(&planned.next) && previous.is_none_or(|previous| !hot.contains(previous))
         });
         match moves.is_empty() {
@@ -377,7 +377,7 @@
         if services.is_empty() {
             return;
         }
-        let mut candidates_by_service = BTreeMap::new();
+        let mut inputs_by_service = BTreeMap::new();
         for service in services {
             let mut candidates = self.candidates(&service, now);
             let Some(leader) = &self.leader_state else {
@@ -400,7 +400,11 @@
                 .iter()
                 .map(Lease::range)
                 .collect();
-            candidates_by_service.insert(service, (ranges, candidates, sample));
+            inputs_by_service.insert(service, (ranges, candidates, sample));
+        }
+        let mut placements = BTreeMap::new();
+        for (service, (ranges, candidates, sample)) in &inputs_by_service {
+            placements.insert(service, Placement::new(ranges, candidates, sample));
         }
         let Some(leader) = &mut self.leader_state else {
             return;
@@ -409,14 +413,7 @@
             leader
                 .lease_table
                 .due_holder_changes(&self.state.view, now, |service, range| {
-                    let (ranges, candidates, sample) = candidates_by_service.get_mut(service)?;
-                    let next = balance::least_loaded(ranges, candidates, sample)?;
-                    // Counts the range for its next holder, so that the choice for the following
-                    // range sees that load.
-                    for known in ranges.iter_mut().filter(|known| known.from == range.from) {
-                        known.holder = Some(next.clone());
-                    }
-                    Some(next)
+                    placements.get_mut(service)?.place(range)
                 });
         for change in holder_changes {
             self.assign(&change.service, change.previous, change.range, now, out);
@@ -446,16 +443,12 @@
             let ranges: Vec<KeyRange> = leases.iter().map(Lease::next_range).collect();
             let mut started = Vec::new();
             let moves = leader.load_stats.moves(&service, &ranges, &candidates, now);
+            let leaving = candidates.iter().filter(|c| !c.accepts_keys);
+            let leaving: BTreeSet<&Holder> = leaving.map(|c| &c.holder).collect();
             for planned in moves {
-                let must_leave = candidates.iter().any(|candidate| {
-                    let held =
-                        |range: &&KeyRange| range.from <= planned.from && range.to >= planned.from;
-                    let holder = ranges
-                        .iter()
-                        .find(held)
-                        .and_then(|range| range.holder.as_ref());
-                    !candidate.accepts_keys && holder == Some(&candidate.holder)
-                });
+                let range = balance::range_at(&ranges, planned.from);
+                let holder = range.and_then(|range| range.holder.as_ref());
+                let must_leave = holder.is_some_and(|holder| leaving.contains(holder));
                 if !must_leave
                     && !leader
                         .load_stats
