Do not count orders that were not sent as failures of their targets

Cause: a leader that was busy for longer than its lease did not send its orders, rightly, but recorded them as lost. The first order over a connection made its target a failing one; a range that had just been assigned has no lease that it must wait for, so it went to another target at once, with more orders for the busy leader. Class: one's own delay taken for another's failure.

Such an order is now NotSent: it is due again, and neither the target nor an open connection suffers.

Test: key_leases an_order_that_was_not_sent_says_nothing_about_its_holder. With the answer that the process recorded before (Lost { sent: false }) it fails: the range changes its holder at once.

--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -80,6 +80,9 @@
     OtherTarget,
     /// The target refused the order with this status.
     Refused(u16),
+    /// The leader did not send the order, because it was no longer certain to lead. This says nothing
+    /// about the target.
+    NotSent,
     /// No answer was received. If part of the order was sent, the target may still carry it out.
     Lost {
         /// Whether a byte of the order may have arrived.
@@ -254,10 +257,12 @@
         let order = self.in_flight.remove(&order_id)?;
         let mut confirmed_ranges = Vec::new();
         let new_fence = (*answer == Answer::Fenced).then(|| self.next_fence());
-        let is_broken = matches!(
-            answer,
-            Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. }
-        );
+        let is_broken = match answer {
+            Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. } => true,
+            // A connection that was open before stays so.
+            Answer::NotSent => matches!(order.connection, OrderConnection::Open(_)),
+            Answer::Granted | Answer::Fenced | Answer::Released(_) => false,
+        };
         if is_broken && self.sessions.get(&order.holder).copied() == order.connection.session() {
             self.sessions.remove(&order.holder);
         }
@@ -267,9 +272,10 @@
                 lease.has_ended = true;
             }
         }
-        // The order waits for another connection.
-        let unsent = matches!(order.connection, OrderConnection::Kept(_))
+        // The order is still due: over another connection, or when the leader is certain to lead.
+        let lost_connection = matches!(order.connection, OrderConnection::Kept(_))
             && *answer == Answer::Lost { sent: false };
+        let unsent = lost_connection || *answer == Answer::NotSent;
         let lease_duration = self.times.call;
         let leases = self.leases.get_mut(&order.service);
         // If the range was split after the order was sent, the answer applies to all parts.
@@ -279,7 +285,9 @@
             }
             lease.in_flight = None;
             if unsent {
-                lease.expiry = order.previous_expiry;
+                if !order.lease_duration.is_zero() {
+                    lease.expiry = order.previous_expiry;
+                }
                 lease.next_renewal = now;
                 continue;
             }
@@ -318,7 +326,10 @@
                         .max(now + worst_case_duration(order.lease_duration));
                     lease.next_renewal = now + RETRY_DELAY;
                 }
-                Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. } => {
+                Answer::NotSent
+                | Answer::OtherTarget
+                | Answer::Refused(_)
+                | Answer::Lost { .. } => {
                     if !order.lease_duration.is_zero() {
                         lease.expiry = order.previous_expiry;
                     }
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -153,6 +153,37 @@
     assert!(lost_at < ms(1000) + LEASE.mul_f64(1.9), "{lost_at:?}");
 }
 
+/// Guards against ranges that wander from target to target while the leader is overloaded: orders
+/// that it did not send itself counted as failures of their targets.
+#[test]
+fn an_order_that_was_not_sent_says_nothing_about_its_holder() {
+    let view = view(2);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    let range = KeyRange {
+        from: 0,
+        to: 99,
+        holder: Some(holder(1)),
+        handover: None,
+    };
+    table.record_assignment(&SERVICE.into(), &range, &view);
+    for step in 0..300 {
+        let now = ms(step * 20);
+        // The leader is busy for 60 ms of each 100 ms, and its lease ends meanwhile.
+        let certain = step % 5 >= 3;
+        for order in table.due_orders(&view, now) {
+            let answer = match certain {
+                true => Answer::Granted,
+                false => Answer::NotSent,
+            };
+            table.record_answer(order.id, &answer, now);
+        }
+        let changes = table.due_holder_changes(&view, now, |_, _| Some(holder(0)));
+        assert_eq!(changes, [], "at {now:?}");
+    }
+    let leases = table.leases(SERVICE).iter();
+    assert!(leases.clone().all(|lease| lease.expiry() > ms(6000)));
+}
+
 /// Guards against the ranges of a silent holder being reassigned one after the other.
 #[test]
 fn a_silent_holder_loses_all_ranges_together() {
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -489,6 +489,7 @@
         if context.clock.now() >= send_before {
             // Another leader may exist by now, so the order must not be sent.
             context.metrics.count_event("order-unconfirmed");
+            let answer = Answer::NotSent;
             return self.step(Event::OrderAnswered { id, answer }, context);
         }
         let request = self
