Store the known control VMs once a tick

Three control VMs of the large fleet were busy for 102 to 119 ms with one event while the others joined, more than a leader's lease lasts.

Cause: each member that became known was stored with a write, a rename and two syncs of its own; ten joined together. The list is now stored at the next tick. It only names where to look for the group, which the log knows too.

Test: control members_that_become_known_together_are_stored_once, which fails before (10 writes).

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -232,6 +232,9 @@
             self.step_raft(raft::Event::Resign, now, out);
         }
         self.request_membership(now, out);
+        if let Some(members) = self.member_table.take_unsaved() {
+            out.push(Effect::StoreMembers(members));
+        }
         if self.leader_state.is_some() {
             self.maintain_members(now, out);
             self.forget_silent_targets(now, out);
@@ -355,9 +358,7 @@
     fn on_command_applied(&mut self, command: &Command, out: &mut Vec<Effect>) {
         match command {
             Command::Member(_) | Command::Forget(_) => {
-                if self.member_table.sync(&self.state.view) {
-                    out.push(Effect::StoreMembers(self.member_table.to_vec()));
-                }
+                self.member_table.sync(&self.state.view);
             }
             Command::Assign { service, range, .. } => {
                 if let Some(leader) = &mut self.leader_state {
@@ -394,9 +395,7 @@
                 self.state = state;
                 self.applied = snapshot.index;
                 self.recent_updates = RecentUpdates::new(snapshot.index);
-                if self.member_table.sync(&self.state.view) {
-                    out.push(Effect::StoreMembers(self.member_table.to_vec()));
-                }
+                self.member_table.sync(&self.state.view);
             }
             Err(_) => out.push(Effect::Log(LogEvent::Codec("snapshot cannot be decoded"))),
         }
--- a/crates/fleet/src/control/members.rs
+++ b/crates/fleet/src/control/members.rs
@@ -42,6 +42,8 @@
 /// Control VMs known to this one.
 pub(super) struct MemberTable {
     known: BTreeMap<MemberId, Member>,
+    /// Whether the stored list differs.
+    unsaved: bool,
     last_heard: BTreeMap<MemberId, Duration>,
     join_requests: BTreeMap<MemberId, (Member, Duration)>,
     next_join: Duration,
@@ -55,6 +57,7 @@
         known.extend(view.members.clone());
         MemberTable {
             known,
+            unsaved: false,
             last_heard: BTreeMap::new(),
             join_requests: BTreeMap::new(),
             next_join: Duration::ZERO,
@@ -71,13 +74,19 @@
         self.known.values().cloned().collect()
     }
 
-    /// Replaces the known members by those of the view. Returns whether they differed.
-    pub(super) fn sync(&mut self, view: &View) -> bool {
-        if self.known == view.members {
-            return false;
+    /// Replaces the known members by those of the view.
+    pub(super) fn sync(&mut self, view: &View) {
+        if self.known != view.members {
+            self.known.clone_from(&view.members);
+            self.unsaved = true;
         }
-        self.known.clone_from(&view.members);
-        true
+    }
+
+    /// The members to store, if they changed since the last call. Members that join together cost
+    /// one write, during which a leader sends no heartbeats.
+    pub(super) fn take_unsaved(&mut self) -> Option<Vec<Member>> {
+        let unsaved = std::mem::take(&mut self.unsaved);
+        unsaved.then(|| self.to_vec())
     }
 
     pub(super) fn become_leader(&mut self, now: Duration) {
@@ -111,9 +120,7 @@
                 for member in members {
                     self.member_table.known.entry(member.id).or_insert(member);
                 }
-                if self.member_table.known.len() != before {
-                    out.push(Effect::StoreMembers(self.member_table.to_vec()));
-                }
+                self.member_table.unsaved |= self.member_table.known.len() != before;
             }
             PeerMessage::Join(member) => self.join(member, now, out),
             _ => {}
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -5,6 +5,8 @@
 use camphordale_fleet::{
     Call,
     ConfigResource,
+    Control,
+    Effect,
     Event,
     KeyDelivery,
     KeyLoad,
@@ -24,6 +26,7 @@
     announce,
     announcement,
     change,
+    config,
     marker_of,
     member,
     ms, //
@@ -516,3 +519,26 @@
     cluster.run(ms(21_000));
     assert!(cluster.entry.1.targets.is_empty());
 }
+
+/// Guards against control VMs that are busy for a tenth of a second when others join: each of them
+/// was stored with writes of its own.
+#[test]
+fn members_that_become_known_together_are_stored_once() {
+    let own = member(1, 1);
+    let disk = Control::bootstrap_state(vec![own.clone()]).unwrap();
+    let mut control = Control::new(config(own, 1), disk, Vec::new()).unwrap();
+    control.step(Event::Tick, ms(0));
+    let mut stored = Vec::new();
+    for number in 2..12 {
+        let book = vec![member(number, u64::from(number))];
+        let effects = control.step(Event::Peer(PeerMessage::MemberList(book)), ms(10));
+        stored.extend(effects);
+    }
+    stored.extend(control.step(Event::Tick, ms(20)));
+    stored.extend(control.step(Event::Tick, ms(40)));
+    stored.retain(|effect| matches!(effect, Effect::StoreMembers(_)));
+    match stored.as_slice() {
+        [Effect::StoreMembers(members)] => assert_eq!(members.len(), 11),
+        other => panic!("{other:?}"),
+    }
+}
