Share one copy of the view among entry VMs that subscribe together

After the machines had returned, service did not come back in time: all entry VMs of a large fleet need the whole view at once.

Cause: for each subscription the leader copied the view (900 targets, 366 ranges) and encoded the copy, while it had to send heartbeats. Subscriptions that need the view now wait for the tick, share one copy that is encoded once, and are limited to 32 a tick; a few single ones are served at once. An entry VM that waits for the view counts in the acknowledgement of a change, as one with a stream does.

Test: control entry_vms_that_subscribe_together_share_one_view, which fails before (100 copies for 100 subscriptions).

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -12,8 +12,11 @@
 mod streams;
 
 use std::{
-    collections::BTreeMap,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration,
 };
 
 use camphordale_raft::{
@@ -47,6 +50,7 @@
     streams::{
         EntryStream,
         RecentUpdates,
+        Subscription,
         WaitingSubscription, //
     },
 };
@@ -102,6 +106,10 @@
     next_id: u64,
     streams: BTreeMap<u64, EntryStream>,
     waiting: Vec<WaitingSubscription>,
+    /// Subscriptions that this leader accepted and that need the whole view, oldest first.
+    awaiting_view: VecDeque<Subscription>,
+    /// Entry VMs that were sent a view of their own since the last tick.
+    single_views: u32,
     recent_updates: RecentUpdates,
     member_table: MemberTable,
 }
@@ -180,6 +188,8 @@
             next_id: 0,
             streams: BTreeMap::new(),
             waiting: Vec::new(),
+            awaiting_view: VecDeque::new(),
+            single_views: 0,
             recent_updates: RecentUpdates::new(applied),
             member_table,
         })
@@ -242,6 +252,7 @@
             self.send_delayed_answers(now, out);
             self.share_crash_evidence(now, out);
             self.close_silent_streams(now, out);
+            self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
         }
         if self.raft.log_len() > COMPACT_AFTER_ENTRIES && self.applied > 0 {
@@ -458,7 +469,12 @@
             });
         }
         let leader = self.leader_member().map(|member| member.peer);
-        for conn in std::mem::take(&mut self.streams).into_keys() {
+        let awaiting = std::mem::take(&mut self.awaiting_view).into_iter();
+        let awaiting = awaiting.map(|subscription| subscription.conn);
+        for conn in std::mem::take(&mut self.streams)
+            .into_keys()
+            .chain(awaiting)
+        {
             let message = PeerMessage::NotLeader { leader };
             out.push(Effect::Stream { conn, message });
             out.push(Effect::CloseStream(conn));
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -402,8 +402,11 @@
         if self.pending_acks.is_empty() {
             return;
         }
-        let oldest_index = self.streams.values().map(|stream| stream.index).min();
-        let oldest_index = oldest_index.unwrap_or(u64::MAX);
+        // An entry VM that waits for the view may act on the one it has.
+        let awaiting = self.awaiting_view.iter().map(|other| other.index);
+        let awaiting = awaiting.filter(|index| *index > 0);
+        let indexes = self.streams.values().map(|stream| stream.index);
+        let oldest_index = indexes.chain(awaiting).min().unwrap_or(u64::MAX);
         let due: Vec<PendingAck> = self
             .pending_acks
             .extract_if(.., |ack| ack.index <= oldest_index || now >= ack.deadline)
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -31,6 +31,12 @@
 /// told to ask another control VM.
 const LEADER_WAIT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Entry VMs that are sent the whole view at once between two ticks. Further ones wait for the tick.
+const MAX_SINGLE_VIEWS: u32 = 4;
+
+/// Entry VMs that are sent the whole view in one tick.
+const MAX_VIEWS_PER_TICK: usize = 32;
+
 /// Updates that are kept for entry VMs that subscribe again: more than a fleet makes while a leader
 /// is replaced.
 const MAX_RECENT_UPDATES: usize = 1024;
@@ -71,12 +77,12 @@
 }
 
 /// A subscription of an entry VM.
-struct Subscription {
-    conn: u64,
+pub(super) struct Subscription {
+    pub(super) conn: u64,
     entry_id: u64,
     domain: Domain,
     /// Index of the entry VM's view.
-    index: u64,
+    pub(super) index: u64,
     /// Whether the entry VM can go on from its view.
     resumes: bool,
 }
@@ -186,33 +192,67 @@
         }
         let entry_id = subscription.entry_id;
         self.streams.retain(|_, stream| stream.entry_id != entry_id);
+        self.awaiting_view
+            .retain(|other| other.entry_id != entry_id);
         let updates = match subscription.resumes {
             true => self.recent_updates.since(index),
             false => None,
         };
-        match updates {
-            Some(updates) => {
-                let message = PeerMessage::Resume { index };
-                out.push(Effect::Stream { conn, message });
-                out.extend(updates.map(|(index, command)| {
-                    let command = Box::new(command.clone());
-                    let message = PeerMessage::Update { index, command };
-                    Effect::Stream { conn, message }
-                }));
+        let updates: Option<Vec<Effect>> = updates.map(|updates| {
+            let update = |(index, command): (u64, &Command)| {
+                let command = Box::new(command.clone());
+                let message = PeerMessage::Update { index, command };
+                Effect::Stream { conn, message }
+            };
+            updates.map(update).collect()
+        });
+        let Some(updates) = updates else {
+            self.awaiting_view.push_back(subscription);
+            if self.single_views < MAX_SINGLE_VIEWS {
+                self.single_views += 1;
+                self.send_views(1, now, out);
             }
-            None => {
-                let message = PeerMessage::Snapshot(Box::new(self.state.view.clone()));
-                out.push(Effect::Stream { conn, message });
-            }
-        }
+            return;
+        };
+        let message = PeerMessage::Resume { index };
+        out.push(Effect::Stream { conn, message });
+        out.extend(updates);
+        self.open_stream(subscription, now);
+        out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
+    }
+
+    fn open_stream(&mut self, subscription: Subscription, now: Duration) {
         let stream = EntryStream {
-            entry_id,
+            entry_id: subscription.entry_id,
             domain: subscription.domain,
-            index,
+            index: subscription.index,
             last_heard: now,
             takes_evidence: false,
         };
-        self.streams.insert(conn, stream);
+        self.streams.insert(subscription.conn, stream);
+    }
+
+    /// Sends the whole view to entry VMs that need it. Those that subscribe together, as after a
+    /// restart of the fleet, share one copy, which is encoded once. Their number is limited, so that
+    /// the leader's heartbeats are not late.
+    pub(super) fn send_waiting_views(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.single_views = 0;
+        let count = self.awaiting_view.len().min(MAX_VIEWS_PER_TICK);
+        if count > 0 {
+            self.send_views(count, now, out);
+        }
+    }
+
+    fn send_views(&mut self, count: usize, now: Duration, out: &mut Vec<Effect>) {
+        let subscriptions: Vec<Subscription> = self.awaiting_view.drain(..count).collect();
+        let conns = subscriptions.iter().map(|subscription| subscription.conn);
+        out.push(Effect::Broadcast {
+            conns: conns.collect(),
+            message: PeerMessage::Snapshot(Box::new(self.state.view.clone())),
+        });
+        for subscription in subscriptions {
+            self.open_stream(subscription, now);
+        }
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
 
@@ -243,6 +283,7 @@
     pub(super) fn on_stream_closed(&mut self, conn: u64, out: &mut Vec<Effect>) {
         self.waiting
             .retain(|waiting| waiting.subscription.conn != conn);
+        self.awaiting_view.retain(|other| other.conn != conn);
         if self.streams.remove(&conn).is_some() {
             out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
         }
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -542,3 +542,58 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Guards against a leader that is busy for seconds after a restart of the fleet: it copied and
+/// encoded the whole view for each entry VM.
+#[test]
+fn entry_vms_that_subscribe_together_share_one_view() {
+    let own = member(1, 1);
+    let disk = Control::bootstrap_state(vec![own.clone()]).unwrap();
+    let mut control = Control::new(config(own, 1), disk, Vec::new()).unwrap();
+    control.step(Event::Tick, ms(0));
+    let mut effects = Vec::new();
+    for conn in 1..=100 {
+        let message = PeerMessage::Subscribe {
+            entry_id: conn,
+            domain: "a".into(),
+            index: 0,
+        };
+        effects.extend(control.step(Event::Stream { conn, message }, ms(10)));
+    }
+    let call = Call::Change(Box::new(change(0, 2, 7)));
+    effects.extend(control.step(Event::Call { token: 1, call }, ms(11)));
+    for tick in 1..=10 {
+        effects.extend(control.step(Event::Tick, ms(20 * tick)));
+    }
+    let mut views = 0;
+    let mut served = Vec::new();
+    let mut changed = Vec::new();
+    for effect in effects {
+        let (conns, message) = match effect {
+            Effect::Broadcast { conns, message } => (conns, message),
+            Effect::Stream { conn, message } => ([conn].into(), message),
+            _ => continue,
+        };
+        match message {
+            PeerMessage::Snapshot(view) => {
+                views += 1;
+                if view.routing.is_some() {
+                    changed.extend(&conns);
+                }
+                served.extend(conns);
+            }
+            PeerMessage::Update { .. } => {
+                assert!(conns.iter().all(|conn| served.contains(conn)));
+                changed.extend(conns);
+            }
+            _ => {}
+        }
+    }
+    let all: Vec<u64> = (1..=100).collect();
+    served.sort_unstable();
+    assert_eq!(served, all);
+    // Each has the change by the view or by an update, and once only.
+    changed.sort_unstable();
+    assert_eq!(changed, all);
+    assert!(views < 10, "{views} copies of the view");
+}
