Hand out rights to send to targets that limit their requests

A target that named how many requests a second it takes from all VMs together got up to 1.8 times what the rule allows (216 requests in 4 s where 184 are allowed, 184 where 106 are).

Cause: nothing read the statement, and one VM sees only its own requests. Class: a bound on a sum that each part tries to keep alone.

The entry VM decodes the header (a number that is negative, huge, not finite or repeated is counted and ignored), bound to the target's incarnation, and tells the leader. The leader tells all VMs and hands out rights from a token bucket for each target; a VM asks for as many as its requests took or lacked. Each attempt takes a right: first ones, repeats, hedges and those that waited. A right ends one second after it was asked for, by the clock of the VM that asked, and a new leader starts with empty buckets; so a target with limit L gets at most 5.5 L + 1 requests in 4 s, where 6 L + 5 are allowed (proof in request_limits). While the leader is silent, all VMs together keep below half of the limit, each in turns of its own. What does not fit goes to other targets, waits a quarter of the objective at most, or is refused as not run.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! Events and effects of an entry VM, and the lifecycle of a request.
 
 mod crashes;
+mod limits;
 mod request;
 mod retry;
 mod view;
@@ -22,6 +23,7 @@
     Fingerprint,
     Key,
     PeerMessage,
+    RequestRate,
     ServiceName,
     TargetId,
     View, //
@@ -33,6 +35,7 @@
 
 use self::{
     crashes::CrashReports,
+    limits::LimitReports,
     request::ActiveRequest,
     view::KeySample,
     waiting::UnroutedRequest, //
@@ -136,6 +139,13 @@
     },
 }
 
+/// What a target states about itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetStatement {
+    /// Limit on the requests of all entry VMs together.
+    pub limit: Option<RequestRate>,
+}
+
 /// Input of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -154,6 +164,14 @@
         /// Length of the response body in bytes.
         length: usize,
     },
+    /// The response that ends an attempt states this about its target. It comes just before
+    /// [`Event::AttemptEnded`].
+    TargetStated {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The statement.
+        statement: TargetStatement,
+    },
     /// A message on the control stream.
     Stream(PeerMessage),
     /// The control stream was closed.
@@ -189,6 +207,8 @@
     Lost,
     /// The connection to the target could not be opened.
     Unreached,
+    /// The target limits the requests of all VMs, and this one has no right to send another.
+    Limited,
     /// The deadline passed before the target responded.
     TimedOut,
     /// The deadline passed before the request was sent.
@@ -229,6 +249,7 @@
             Reason::Shed => "shed",
             Reason::Lost => "lost",
             Reason::Unreached => "unreached",
+            Reason::Limited => "limited",
             Reason::TimedOut => "timed-out",
             Reason::Expired => "expired",
             Reason::Failure => "failure",
@@ -309,6 +330,15 @@
         /// Time since the last message from the leader.
         silence: Duration,
     },
+    /// The limit of a target is another one than before.
+    Limit {
+        /// The target.
+        target: TargetId,
+        /// Requests per second from all VMs, if it has a limit.
+        limit: Option<RequestRate>,
+        /// Whether the leader told it, not an answer to this VM.
+        told: bool,
+    },
     /// A new routing is in force.
     Routing {
         /// Its version.
@@ -396,6 +426,7 @@
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
     crashes: CrashReports,
+    limit_reports: LimitReports,
     random: StdRng,
 }
 
@@ -444,6 +475,7 @@
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
+            limit_reports: LimitReports::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -462,14 +494,19 @@
                 result,
                 length,
             } => self.on_attempt_ended(attempt, (result, length), now, &mut out),
+            Event::TargetStated { attempt, statement } => {
+                self.on_target_stated(attempt, statement, now, &mut out);
+            }
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
             Event::StreamClosed => {
                 self.crashes.on_stream_closed(now);
+                self.limit_reports.on_stream_closed(now);
                 self.control_stream.on_closed(now);
                 self.report_stream_state(&mut out);
             }
         }
         self.report_crashes(now, &mut out);
+        self.report_limits(now, &mut out);
         out
     }
 
--- /dev/null
+++ b/crates/entry/src/entry/limits.rs
@@ -0,0 +1,227 @@
+//! Limits that targets state: what this VM hears of them, and the exchange with the control leader.
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use camphordale_fleet::{
+    Holder,
+    PeerMessage,
+    StatedLimit,
+    TargetId, //
+};
+use rand::Rng;
+
+use super::{
+    AttemptId,
+    Effect,
+    Entry,
+    LogEvent,
+    Reason,
+    TargetStatement, //
+};
+use crate::{
+    control_stream::ControlStreamEffect,
+    limits::LimitSource, //
+};
+
+/// Silence of the leader after which this VM keeps to a share of its own. All rights that the leader
+/// granted have ended by then.
+const LEADER_SILENCE: Duration = Duration::from_millis(1300);
+/// Shortest time between two messages that ask for rights.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(40);
+/// Time between two such messages, for each entry VM of the fleet: the leader gets at most a thousand
+/// a second.
+const ASK_INTERVAL_PER_VM: Duration = Duration::from_millis(1);
+/// Time without reports after the control VM closed the stream on one: a control VM of an older
+/// version closes the stream on a message that it does not know.
+const UNKNOWN_MESSAGE_PAUSE: Duration = Duration::from_secs(16);
+/// Targets in one message.
+const MAX_REPORTED: usize = 256;
+
+/// What the leader has to be told.
+#[derive(Default)]
+pub(super) struct LimitReports {
+    /// Targets whose statement has changed since it was reported.
+    changed: BTreeSet<TargetId>,
+    /// Whether the leader of this stream has been told all.
+    reported_all: bool,
+    next_ask: Duration,
+    /// When the first report on this stream was sent, until the leader has replied to a later ping.
+    unconfirmed_since: Option<Duration>,
+    paused_until: Duration,
+}
+
+impl LimitReports {
+    /// Handles the reply to a ping: the leader has read what was sent before it.
+    pub(super) fn confirm(&mut self, sent: Duration) {
+        if self.unconfirmed_since.is_some_and(|since| sent > since) {
+            self.unconfirmed_since = None;
+        }
+    }
+
+    /// Handles the end of a stream that the control VM closed.
+    pub(super) fn on_stream_closed(&mut self, now: Duration) {
+        if self.unconfirmed_since.take().is_some() {
+            self.paused_until = now + UNKNOWN_MESSAGE_PAUSE;
+        }
+    }
+}
+
+impl Entry {
+    pub(super) fn limit_source(&self, now: Duration) -> LimitSource {
+        match self.control_stream.silence(now) < LEADER_SILENCE {
+            true => LimitSource::Leader,
+            false => LimitSource::Own {
+                vms: self.control_stream.entries.all,
+                entry_id: self.config.entry_id,
+            },
+        }
+    }
+
+    /// Handles what a target states in a response.
+    pub(super) fn on_target_stated(
+        &mut self,
+        attempt: AttemptId,
+        statement: TargetStatement,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let id = self.attempts.get(&attempt);
+        let request = id.and_then(|id| self.requests.get(id));
+        let Some(request) = request else {
+            return;
+        };
+        let Some((_, holder)) = request
+            .in_flight
+            .iter()
+            .find(|(other, _)| *other == attempt)
+        else {
+            return;
+        };
+        let tracked = self.targets.get_mut(&holder.id);
+        let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
+            return;
+        };
+        let Some(sent_at) = tracked.sent_at(attempt) else {
+            return;
+        };
+        if tracked.limit.answered(statement.limit, sent_at, now) {
+            self.limit_reports.changed.insert(holder.id.clone());
+            out.push(Effect::Log(LogEvent::Limit {
+                target: holder.id.clone(),
+                limit: statement.limit,
+                told: false,
+            }));
+        }
+    }
+
+    /// Handles limits and rights from the leader.
+    pub(super) fn on_target_limits(
+        &mut self,
+        sent: Duration,
+        stated: &[StatedLimit],
+        rights: &[(Holder, u16)],
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        for StatedLimit { holder, limit, age } in stated {
+            let tracked = self.targets.get_mut(&holder.id);
+            let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
+                continue;
+            };
+            if tracked.limit.told(*limit, now.saturating_sub(*age), now) {
+                out.push(Effect::Log(LogEvent::Limit {
+                    target: holder.id.clone(),
+                    limit: *limit,
+                    told: true,
+                }));
+            }
+        }
+        for (holder, count) in rights {
+            let tracked = self.targets.get_mut(&holder.id);
+            if let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) {
+                tracked.limit.granted(*count, sent);
+            }
+        }
+        if !rights.is_empty() || stated.iter().any(|stated| stated.limit.is_none()) {
+            self.retry_parked(None, now, out);
+        }
+    }
+
+    /// Records that a request would go to a target if this VM had a right.
+    pub(super) fn want_right(&mut self, target: &str) {
+        if let Some(tracked) = self.targets.get_mut(target) {
+            tracked.limit.want();
+        }
+    }
+
+    /// The refusal of a request for which this VM has no right: another one is free after the
+    /// reciprocal of the limit. Callers are spread, so that they do not come back together.
+    pub(super) fn limited(&mut self, target: &str) -> (Reason, Duration) {
+        self.want_right(target);
+        let limit = self.targets.get(target).and_then(|t| t.limit.limit());
+        let rate = limit.map_or(0.0, f64::from);
+        let wait = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX);
+        let wait = wait.min(Duration::from_secs(1));
+        (
+            Reason::Limited,
+            wait.mul_f64(1.0 + self.random.random::<f64>()),
+        )
+    }
+
+    /// Tells the leader of limits that changed, and asks for rights.
+    pub(super) fn report_limits(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let reports = &mut self.limit_reports;
+        if !self.control_stream.is_established() || now < reports.paused_until {
+            reports.reported_all = false;
+            reports.changed.clear();
+            return;
+        }
+        let is_first = !std::mem::replace(&mut reports.reported_all, true);
+        let asks = now >= reports.next_ask;
+        if !is_first && reports.changed.is_empty() && !asks {
+            return;
+        }
+        let mut stated = Vec::new();
+        let mut rights = Vec::new();
+        for (id, tracked) in self.targets.iter_mut() {
+            let holder = || Holder {
+                id: id.clone(),
+                incarnation: tracked.incarnation,
+            };
+            let has_limit = tracked.limit.limit().is_some();
+            let is_due = is_first && has_limit || reports.changed.contains(id);
+            if is_due && stated.len() < MAX_REPORTED {
+                reports.changed.remove(id);
+                stated.push(StatedLimit {
+                    holder: holder(),
+                    limit: tracked.limit.limit(),
+                    age: now.saturating_sub(tracked.limit.stated_at()),
+                });
+            }
+            if asks && tracked.limit.is_wanted() && rights.len() < MAX_REPORTED {
+                let holder = holder();
+                let wanted = tracked.limit.take_wanted(now);
+                if wanted > 0 {
+                    rights.push((holder, wanted));
+                }
+            }
+        }
+        if asks {
+            let interval = ASK_INTERVAL_PER_VM * self.control_stream.entries.all;
+            reports.next_ask = now + interval.max(MIN_ASK_INTERVAL);
+        }
+        if !is_first && stated.is_empty() && rights.is_empty() {
+            return;
+        }
+        reports.unconfirmed_since.get_or_insert(now);
+        let message = PeerMessage::TargetLimits {
+            sent: now,
+            stated,
+            rights,
+        };
+        out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
+    }
+}
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -35,6 +35,9 @@
 
 /// A request may wait for a free slot or a holder for the latency objective divided by this.
 const PARK_DIVISOR: u32 = 10;
+/// A request may wait for a right to send to a target with a limit for the latency objective divided
+/// by this: the answer of the leader takes a moment longer than the next free slot.
+const RIGHT_WAIT_DIVISOR: u32 = 4;
 /// Fraction of the latency objective after which an idempotent request is also sent to another
 /// target.
 const HEDGE_FRACTION: f64 = 0.6;
@@ -205,7 +208,7 @@
             .and_then(|key| self.handovers.wait_until(&request.service, key, now));
         let choice = match (request.key, moving) {
             (_, Some(until)) => return self.await_handover(id, until, now, out),
-            (Some(key), None) => self.select_holder(request, key, now),
+            (Some(key), None) => self.select_holder(id, key, now),
             (None, None) => self.select_target(id, now),
         };
         match choice {
@@ -239,6 +242,7 @@
             remaining: request.deadline.saturating_sub(now),
             is_retry: request.is_retry,
             tried_targets: &request.tried_targets,
+            limit_source: self.limit_source(now),
             now,
         }
     }
@@ -257,7 +261,13 @@
         let pick = context.pick(&self.targets, &request.service, &mut random);
         self.random = random;
         match pick {
-            Ok(pick) => Ok(pick.id),
+            Ok(pick) => {
+                if let Some(denied) = pick.denied {
+                    self.want_right(&denied);
+                }
+                Ok(pick.id)
+            }
+            Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
             Err(SelectionError::NoTarget) => Err((Reason::NoTarget, NO_TARGET_RETRY_AFTER)),
             Err(SelectionError::Full(expected)) => Err((Reason::Full, expected)),
         }
@@ -272,11 +282,14 @@
 
     /// Selects the holder of a key.
     fn select_holder(
-        &self,
-        request: &ActiveRequest,
+        &mut self,
+        id: RequestHandle,
         key: Key,
         now: Duration,
     ) -> Result<TargetId, (Reason, Duration)> {
+        let Some(request) = self.requests.get(&id) else {
+            return Err((Reason::Expired, Duration::ZERO));
+        };
         let none = (Reason::NoHolder, NO_TARGET_RETRY_AFTER);
         let map = self.view.keys.get(&request.service).ok_or(none)?;
         let holder = map.find(key).holder.as_ref().ok_or(none)?;
@@ -292,8 +305,12 @@
         if tracked.is_backing_off(now) || tracked.is_stalled(now) {
             return Err((Reason::HolderLost, NO_TARGET_RETRY_AFTER));
         }
-        match self.selection_context(request, now).admits(tracked) {
+        match self
+            .selection_context(request, now)
+            .admits(&holder.id, tracked)
+        {
             Ok(()) => Ok(holder.id.clone()),
+            Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
             Err(SelectionError::Full(expected)) => Err((Reason::HolderFull, expected)),
             Err(SelectionError::NoTarget) => Err(none),
         }
@@ -311,9 +328,11 @@
             Some(request) => self.selection_context(request, now).connection_limit(),
             None => return,
         };
-        let Some(tracked) = self.targets.get(&target) else {
+        let source = self.limit_source(now);
+        let Some(tracked) = self.targets.get_mut(&target) else {
             return;
         };
+        tracked.limit.take(source, now);
         let address = tracked.address;
         let holder = Holder {
             id: target.clone(),
@@ -360,7 +379,10 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let until = request.wait_deadline(PARK_DIVISOR);
+        let until = request.wait_deadline(match reason {
+            Reason::Limited => RIGHT_WAIT_DIVISOR,
+            _ => PARK_DIVISOR,
+        });
         let may_change =
             request.cancelled || !matches!(reason, Reason::NoTarget | Reason::HolderLost);
         if may_change && now < until {
@@ -368,7 +390,7 @@
             return self.park(id, until);
         }
         let retry_after = match reason {
-            Reason::Full | Reason::HolderFull | Reason::LinkFull => {
+            Reason::Full | Reason::HolderFull | Reason::LinkFull | Reason::Limited => {
                 retry_after.clamp(FULL_RETRY_AFTER.0, FULL_RETRY_AFTER.1)
             }
             _ => retry_after,
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -272,10 +272,13 @@
         let Some(target) = target else {
             return false;
         };
-        let mean = self
-            .targets
-            .get(&target)
-            .map_or(0.0, TrackedTarget::mean_latency);
+        let source = self.limit_source(now);
+        let tracked = self.targets.get(&target);
+        if tracked.is_some_and(|tracked| !tracked.limit.allows(source, now)) {
+            self.want_right(&target);
+            return false;
+        }
+        let mean = tracked.map_or(0.0, TrackedTarget::mean_latency);
         if remaining.as_secs_f64() < mean * MIN_REMAINING_FRACTION {
             return false;
         }
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -106,8 +106,14 @@
             PeerMessage::CrashEvidence { records, alive } if is_established => {
                 self.on_crash_evidence(&records, &alive, now, out);
             }
+            PeerMessage::TargetLimits {
+                sent,
+                stated,
+                rights,
+            } if is_established => self.on_target_limits(sent, &stated, &rights, now, out),
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
+                self.limit_reports.confirm(sent);
                 for budget in self.budgets.values_mut() {
                     budget.set_vm_count(entries.all);
                 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,11 +15,13 @@
 //! | `link` | share of the VM's link for long responses |
 //! | `handovers` | key ranges that are moving between two holders |
 //! | `retry_budget` | limit on retries |
+//! | `limits` | limits that targets set on the requests of all entry VMs |
 //! | `control_stream` | the stream from the control leader |
 
 mod control_stream;
 mod entry;
 mod handovers;
+mod limits;
 mod link;
 mod retry_budget;
 mod routes;
@@ -43,9 +45,14 @@
     Reason,
     Refusal,
     RequestHandle,
-    Shutdown, //
+    Shutdown,
+    TargetStatement, //
 };
 pub use handovers::Handovers;
+pub use limits::{
+    LimitSource,
+    TargetLimit, //
+};
 pub use link::LinkShare;
 pub use retry_budget::RetryBudget;
 pub use routes::RouteTable;
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -9,9 +9,12 @@
 };
 use rand::Rng;
 
-use crate::targets::{
-    TargetTracker,
-    TrackedTarget, //
+use crate::{
+    limits::LimitSource,
+    targets::{
+        TargetTracker,
+        TrackedTarget, //
+    },
 };
 
 /// Requests, running or queued, per slot of a target at which it counts as full.
@@ -50,15 +53,19 @@
     pub id: TargetId,
     /// Expected latency of its response.
     pub expected: Duration,
+    /// The target that would have been selected if this VM had a right to send to it.
+    pub denied: Option<TargetId>,
 }
 
 /// Why no target can be selected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SelectionError {
     /// No target of the service accepts requests.
     NoTarget,
     /// All targets that accept requests are full, for about this time.
     Full(Duration),
+    /// This VM has no right to send to any target that is not full. The best one would be this.
+    Limited(TargetId),
 }
 
 /// Inputs of the selection besides the targets.
@@ -77,6 +84,8 @@
     pub is_retry: bool,
     /// Targets that this request was already sent to.
     pub tried_targets: &'a [TargetId],
+    /// What decides on requests to targets with a limit.
+    pub limit_source: LimitSource,
     /// Current time.
     pub now: Duration,
 }
@@ -129,6 +138,7 @@
         Random: Rng,
     {
         let mut best: Option<(f64, f64, &TargetId)> = None;
+        let mut denied: Option<(f64, f64, &TargetId)> = None;
         let mut soonest: Option<f64> = None;
         let mut fallback: Option<(f64, &TargetId)> = None;
         for (id, tracked) in targets.of_service(service) {
@@ -165,29 +175,38 @@
                 1.0
             };
             let score = expected * distance * failure_penalty * jitter * fresh;
-            if best.is_none_or(|(other, ..)| score < other) {
-                best = Some((score, expected, id));
+            let allowed = tracked.limit.allows(self.limit_source, self.now);
+            let found = if allowed { &mut best } else { &mut denied };
+            if found.is_none_or(|(other, ..)| score < other) {
+                *found = Some((score, expected, id));
             }
         }
         let limit = self.limit();
+        let denied = denied.filter(|(_, expected, _)| *expected <= limit);
+        let better = denied.filter(|(score, ..)| best.is_none_or(|(other, ..)| *score < other));
         let pick = |expected: f64, id: &TargetId| Selection {
             id: id.clone(),
             expected: Duration::from_secs_f64(expected),
+            denied: better.map(|(.., id)| id.clone()),
         };
-        match (best, soonest, fallback) {
+        match (best, denied, soonest, fallback) {
             (Some((_, expected, id)), ..) if expected <= limit => Ok(pick(expected, id)),
-            (_, Some(soonest), _) => Err(SelectionError::Full(Duration::from_secs_f64(soonest))),
-            (_, None, Some((expected, id))) => Ok(pick(expected, id)),
-            (_, None, None) => Err(SelectionError::NoTarget),
+            (_, Some((.., id)), ..) => Err(SelectionError::Limited(id.clone())),
+            (_, _, Some(soonest), _) => Err(SelectionError::Full(Duration::from_secs_f64(soonest))),
+            (_, _, None, Some((expected, id))) => Ok(pick(expected, id)),
+            (_, _, None, None) => Err(SelectionError::NoTarget),
         }
     }
 
     /// Checks whether the holder of a key can accept a request now.
-    pub fn admits(&self, tracked: &TrackedTarget) -> Result<(), SelectionError> {
+    pub fn admits(&self, id: &TargetId, tracked: &TrackedTarget) -> Result<(), SelectionError> {
         let expected = tracked.expected_latency(self.now);
         if self.is_full(tracked, self.entries.all) || expected > self.limit() {
             return Err(SelectionError::Full(Duration::from_secs_f64(expected)));
         }
+        if !tracked.limit.allows(self.limit_source, self.now) {
+            return Err(SelectionError::Limited(id.clone()));
+        }
         Ok(())
     }
 }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -20,6 +20,8 @@
     View, //
 };
 
+use crate::limits::TargetLimit;
+
 /// Assumed latency of a target that has not responded yet.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(150);
 /// Weight of one response in a target's mean latency.
@@ -106,6 +108,8 @@
     backoff: Duration,
     backoff_until: Duration,
     responded_at: Duration,
+    /// Limit that the target sets on the requests of all VMs.
+    pub limit: TargetLimit,
 }
 
 impl TrackedTarget {
@@ -126,6 +130,7 @@
             backoff: Duration::ZERO,
             backoff_until: Duration::ZERO,
             responded_at: Duration::ZERO,
+            limit: TargetLimit::default(),
         }
     }
 
@@ -141,6 +146,11 @@
         self.in_flight.len()
     }
 
+    /// When an attempt in flight was sent.
+    pub fn sent_at(&self, attempt: u64) -> Option<Duration> {
+        self.in_flight.get(&attempt).map(|started| started.sent_at)
+    }
+
     /// Whether the target has neither responded nor been sent a request yet.
     pub fn is_untried(&self) -> bool {
         self.responded_at.is_zero() && self.in_flight.is_empty()
@@ -368,6 +378,16 @@
         out
     }
 
+    /// All targets.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&TargetId, &mut TrackedTarget)> {
+        self.by_id.iter_mut()
+    }
+
+    /// The target with this id, to record what it stated.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut TrackedTarget> {
+        self.by_id.get_mut(id)
+    }
+
     /// Records that an attempt was sent.
     pub fn attempt_started(&mut self, id: &str, attempt: u64, now: Duration) {
         if let Some(tracked) = self.by_id.get_mut(id) {
--- /dev/null
+++ b/crates/entry/tests/limits/main.rs
@@ -0,0 +1,7 @@
+//! Limits that targets set on the requests of all entry VMs together.
+
+#![allow(clippy::unwrap_used, reason = "clippy does not see helpers as tests")]
+
+mod histories;
+mod single;
+mod world;
--- /dev/null
+++ b/crates/entry/tests/limits/world.rs
@@ -0,0 +1,479 @@
+//! Entry VMs, a control leader and targets with limits, in simulated time.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use camphordale_entry::{
+    AttemptId,
+    AttemptResult,
+    Config,
+    ControlStreamEffect,
+    Effect,
+    Entry,
+    Event,
+    IncomingRequest,
+    RequestHandle,
+    TargetStatement, //
+};
+use camphordale_fleet::{
+    Announcement,
+    Call,
+    Change,
+    ConfigResource,
+    Control,
+    KeyDelivery,
+    LeaseReport,
+    LeaseTimes,
+    Member,
+    PeerMessage,
+    RequestRate,
+    RetryPolicy,
+    Route,
+    Service,
+    TargetId,
+    WeightedService, //
+};
+use camphordale_raft::{
+    DurableWrite,
+    RecoveredState, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+const SERVICE: &str = "reads";
+const STEP: Duration = Duration::from_millis(5);
+const LINK_DELAY: Duration = Duration::from_millis(5);
+
+pub(crate) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(crate) fn rate(value: f64) -> RequestRate {
+    RequestRate::try_from(value).unwrap()
+}
+
+/// A target, as it is in truth.
+#[derive(Clone, Debug)]
+pub(crate) struct TrueTarget {
+    incarnation: u64,
+    pub(crate) limit: Option<RequestRate>,
+    /// The limits that it had, and since when.
+    pub(crate) limits: Vec<(Duration, Option<RequestRate>)>,
+    pub(crate) arrivals: Vec<Duration>,
+}
+
+/// Something that happens later.
+enum Later {
+    ToLeader(u64, PeerMessage),
+    ToEntry(u64, Event),
+    Answer(u64, AttemptId, TargetId),
+}
+
+pub(crate) struct World {
+    pub(crate) now: Duration,
+    pub(crate) random: StdRng,
+    pub(crate) targets: BTreeMap<TargetId, TrueTarget>,
+    /// Requests of callers in a second, over all entry VMs.
+    pub(crate) demand: f64,
+    /// Share of the requests that comes to the first entry VM.
+    pub(crate) skew: f64,
+    pub(crate) served: u64,
+    pub(crate) refused: u64,
+    leader: Option<Control>,
+    disk: RecoveredState,
+    /// Entry VMs by the number of their process.
+    entries: BTreeMap<u64, Entry>,
+    later: Vec<(Duration, Later)>,
+    next_entry: u64,
+    next_request: RequestHandle,
+    next_token: u64,
+    sequence: u64,
+}
+
+fn member() -> Member {
+    Member {
+        id: 1,
+        peer: "10.0.0.1:7000".parse().unwrap(),
+        control: "10.0.0.1:8000".parse().unwrap(),
+        domain: "a".into(),
+    }
+}
+
+fn start_control(disk: RecoveredState) -> Control {
+    let config = camphordale_fleet::Config {
+        member: member(),
+        voters: 1,
+        lease_times: LeaseTimes {
+            call: ms(2200),
+            heartbeat: ms(2740),
+            interval: ms(870),
+        },
+        election_timeout: ms(250),
+        leader_lease: ms(150),
+        heartbeat_interval: ms(80),
+        target_timeout: ms(20_000),
+        member_timeout: ms(3500),
+        apply_timeout: ms(500),
+        seed: 1,
+    };
+    Control::new(config, disk, vec![member()]).unwrap()
+}
+
+fn routing() -> Change {
+    let document: Box<str> = "{}".into();
+    let service = Service {
+        health_path: "/health".into(),
+        max_connections: 1000,
+        keys: KeyDelivery::Unkeyed,
+        warm_up: ms(0),
+    };
+    let route = Route {
+        host: "a.example".into(),
+        path_prefix: "/reads/".into(),
+        retry_policy: RetryPolicy::Idempotent,
+        timeout: ms(1500),
+        latency_objective: ms(600),
+        priority: 1,
+        max_attempts: 2,
+        split: vec![WeightedService {
+            service: SERVICE.into(),
+            weight: 1.0,
+        }],
+    };
+    Change {
+        base_version: 0,
+        version: 1,
+        replace_all: true,
+        routes: vec![(
+            SERVICE.into(),
+            ConfigResource {
+                spec: route,
+                document: document.clone(),
+            },
+        )],
+        services: vec![(
+            SERVICE.into(),
+            ConfigResource {
+                spec: service,
+                document,
+            },
+        )],
+        limits: None,
+        removed_routes: Vec::new(),
+        removed_services: Vec::new(),
+        digest: [1; 16],
+        received_ms: 0,
+    }
+}
+
+fn store(disk: &mut RecoveredState, write: DurableWrite) {
+    if let Some(hard_state) = write.hard_state {
+        disk.hard_state = hard_state;
+    }
+    if let Some(snapshot) = write.snapshot {
+        disk.entries.retain(|entry| entry.index > snapshot.index);
+        disk.snapshot = Some(snapshot);
+    }
+    if let Some(first) = write.entries.first() {
+        disk.entries.retain(|entry| entry.index < first.index);
+        disk.entries.extend(write.entries);
+    }
+}
+
+impl World {
+    /// A fleet in which all targets are registered and all entry VMs have the view.
+    pub(crate) fn new(seed: u64, vms: usize, targets: usize, demand: f64) -> World {
+        let disk = Control::bootstrap_state(vec![member()]).unwrap();
+        let target = TrueTarget {
+            incarnation: 1,
+            limit: None,
+            limits: vec![(ms(0), None)],
+            arrivals: Vec::new(),
+        };
+        let mut world = World {
+            now: ms(1000),
+            random: StdRng::seed_from_u64(seed),
+            targets: (0..targets)
+                .map(|number| (format!("t{number}").into(), target.clone()))
+                .collect(),
+            demand: 0.0,
+            skew: 0.0,
+            served: 0,
+            refused: 0,
+            leader: Some(start_control(disk.clone())),
+            disk,
+            entries: BTreeMap::new(),
+            later: Vec::new(),
+            next_entry: 0,
+            next_request: 0,
+            next_token: 0,
+            sequence: 0,
+        };
+        world.step_leader(camphordale_fleet::Event::Tick);
+        world.call(Call::Change(Box::new(routing())));
+        world.announce();
+        for _ in 0..vms {
+            world.start_entry();
+        }
+        world.run(ms(500));
+        world.demand = demand;
+        world
+    }
+
+    fn call(&mut self, call: Call) {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.step_leader(camphordale_fleet::Event::Call { token, call });
+    }
+
+    fn announce(&mut self) {
+        self.sequence += 1;
+        let targets: Vec<(TargetId, u64)> = self
+            .targets
+            .iter()
+            .map(|(id, target)| (id.clone(), target.incarnation))
+            .collect();
+        for (number, (id, incarnation)) in targets.into_iter().enumerate() {
+            let address: SocketAddr = format!("10.0.1.{}:80", number + 1).parse().unwrap();
+            self.call(Call::Announce(Box::new(Announcement {
+                id,
+                incarnation,
+                sequence: self.sequence,
+                service: SERVICE.into(),
+                address,
+                domain: "a".into(),
+                slots: 40,
+                draining: false,
+                warm_up: 0,
+                report: LeaseReport::default(),
+            })));
+        }
+    }
+
+    pub(crate) fn set_limit(&mut self, id: &str, limit: Option<RequestRate>) {
+        let now = self.now;
+        let target = self.targets.get_mut(id).unwrap();
+        target.limit = limit;
+        target.limits.push((now, limit));
+    }
+
+    /// Another process of the target starts. It knows nothing of a limit.
+    pub(crate) fn restart_target(&mut self, id: &str) {
+        self.targets.get_mut(id).unwrap().incarnation += 1;
+        self.set_limit(id, None);
+        self.announce();
+    }
+
+    pub(crate) fn stop_leader(&mut self) {
+        self.leader = None;
+        for entry in self.entries.keys().copied().collect::<Vec<u64>>() {
+            self.at(LINK_DELAY, Later::ToEntry(entry, Event::StreamClosed));
+        }
+    }
+
+    pub(crate) fn start_leader(&mut self) {
+        self.leader = Some(start_control(self.disk.clone()));
+        self.step_leader(camphordale_fleet::Event::Tick);
+        self.announce();
+    }
+
+    /// Stops the oldest entry VM at once.
+    pub(crate) fn stop_entry(&mut self) {
+        if let Some((entry, _)) = self.entries.pop_first() {
+            self.step_leader(camphordale_fleet::Event::StreamClosed(entry));
+        }
+    }
+
+    pub(crate) fn start_entry(&mut self) {
+        self.next_entry += 1;
+        let entry = Entry::new(Config {
+            entry_id: self.random.random(),
+            domain: "a".into(),
+            seeds: vec![member().peer],
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            drain_grace: ms(1000),
+            link_rate: None,
+            seed: self.random.random(),
+        });
+        self.entries.insert(self.next_entry, entry);
+    }
+
+    fn at(&mut self, delay: Duration, later: Later) {
+        self.later.push((self.now + delay, later));
+    }
+
+    fn step_leader(&mut self, event: camphordale_fleet::Event) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        for effect in leader.step(event, self.now) {
+            match effect {
+                camphordale_fleet::Effect::Persist(write) => store(&mut self.disk, write),
+                camphordale_fleet::Effect::Stream { conn, message } => {
+                    self.at(LINK_DELAY, Later::ToEntry(conn, Event::Stream(message)));
+                }
+                camphordale_fleet::Effect::Broadcast { conns, message } => {
+                    for conn in conns {
+                        let event = Event::Stream(message.clone());
+                        self.at(LINK_DELAY, Later::ToEntry(conn, event));
+                    }
+                }
+                camphordale_fleet::Effect::CloseStream(conn) => {
+                    self.at(LINK_DELAY, Later::ToEntry(conn, Event::StreamClosed));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn step_entry(&mut self, number: u64, event: Event) {
+        let Some(entry) = self.entries.get_mut(&number) else {
+            return;
+        };
+        for effect in entry.step(event, self.now) {
+            match effect {
+                Effect::Send {
+                    attempt, target, ..
+                } => {
+                    let known = self.targets.get_mut(&target).unwrap();
+                    known.arrivals.push(self.now);
+                    let delay = ms(self.random.random_range(20..80));
+                    self.at(delay, Later::Answer(number, attempt, target));
+                }
+                Effect::ForwardResponse { .. } => self.served += 1,
+                Effect::Refuse { .. } => self.refused += 1,
+                Effect::ControlStream(ControlStreamEffect::Send(message)) => {
+                    self.at(LINK_DELAY, Later::ToLeader(number, message));
+                }
+                Effect::ControlStream(ControlStreamEffect::Close) => {
+                    self.step_leader(camphordale_fleet::Event::StreamClosed(number));
+                }
+                Effect::ControlStream(ControlStreamEffect::Connect { .. }) => {
+                    if self.leader.is_none() {
+                        self.at(LINK_DELAY, Later::ToEntry(number, Event::StreamClosed));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            let now = self.now;
+            let due: Vec<_> = self.later.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, later) in due {
+                match later {
+                    Later::ToLeader(conn, message) => {
+                        self.step_leader(camphordale_fleet::Event::Stream { conn, message });
+                    }
+                    Later::ToEntry(number, event) => self.step_entry(number, event),
+                    Later::Answer(number, attempt, target) => {
+                        self.answer(number, attempt, &target);
+                    }
+                }
+            }
+            self.send_requests();
+            if now.as_millis().is_multiple_of(20) {
+                self.step_leader(camphordale_fleet::Event::Tick);
+                for number in self.entries.keys().copied().collect::<Vec<u64>>() {
+                    self.step_entry(number, Event::Tick);
+                }
+            }
+            if now.as_millis().is_multiple_of(1000) {
+                self.announce();
+            }
+        }
+    }
+
+    fn answer(&mut self, number: u64, attempt: AttemptId, target: &TargetId) {
+        let limit = self.targets[target].limit;
+        let statement = TargetStatement { limit };
+        self.step_entry(number, Event::TargetStated { attempt, statement });
+        let result = AttemptResult::Complete {
+            status: 200,
+            load: None,
+        };
+        let event = Event::AttemptEnded {
+            attempt,
+            result,
+            length: 0,
+        };
+        self.step_entry(number, event);
+    }
+
+    fn send_requests(&mut self) {
+        let expected = self.demand * STEP.as_secs_f64();
+        let mut count = expected.floor() as u64;
+        count += u64::from(self.random.random_bool(expected.fract()));
+        let numbers: Vec<u64> = self.entries.keys().copied().collect();
+        for _ in 0..count {
+            let at = match self.random.random_bool(self.skew) {
+                true => 0,
+                false => self.random.random_range(0..numbers.len()),
+            };
+            self.next_request += 1;
+            let request = IncomingRequest {
+                handle: self.next_request,
+                host: "a.example".into(),
+                path: "/reads/x".into(),
+                caller_timeout: Some(ms(1500)),
+                key: None,
+                fingerprint: u128::from(self.next_request),
+            };
+            self.step_entry(numbers[at], Event::Request(request));
+        }
+    }
+
+    /// The largest excess of a target over one and a half times its limit and five requests, in any
+    /// four seconds from `settled` on. The naive count over all arrivals.
+    pub(crate) fn worst_excess(&self, settled: Duration) -> f64 {
+        let mut worst = f64::MIN;
+        for target in self.targets.values() {
+            for (at, from) in target.arrivals.iter().enumerate() {
+                if *from < settled {
+                    continue;
+                }
+                let until = *from + ms(4000);
+                let rest = &target.arrivals[at..];
+                let count = rest.iter().take_while(|arrival| **arrival < until).count();
+                let Some(allowed) = target.allowed(*from, until) else {
+                    continue;
+                };
+                worst = worst.max(count as f64 - (1.5 * allowed + 5.0));
+            }
+        }
+        worst
+    }
+}
+
+impl TrueTarget {
+    /// Requests that the limits in force allow between two times, or `None` if the target had no
+    /// limit for a part of it. A lower limit counts from when all VMs can know it, a second later.
+    fn allowed(&self, from: Duration, until: Duration) -> Option<f64> {
+        let mut sum = 0.0;
+        let mut at = from;
+        while at < until {
+            let since = at.saturating_sub(ms(1200));
+            let last = self.limits.iter().rposition(|(begin, _)| *begin <= since);
+            let recent = self.limits[last.unwrap_or(0)..].iter();
+            let in_force = recent.take_while(|(begin, _)| *begin <= at);
+            let mut highest = 0.0f64;
+            for (_, limit) in in_force {
+                highest = highest.max(f64::from((*limit)?));
+            }
+            sum += highest * STEP.as_secs_f64();
+            at += STEP;
+        }
+        Some(sum)
+    }
+}
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod crashes;
 mod heartbeats;
+mod limits;
 mod members;
 mod rebalance;
 mod streams;
@@ -45,6 +46,7 @@
     },
     crashes::CrashNews,
     heartbeats::DelayedAnswer,
+    limits::LimitNews,
     members::MemberTable,
     rebalance::LoadStats,
     streams::{
@@ -86,6 +88,7 @@
     load_stats: LoadStats,
     delayed_answers: Vec<DelayedAnswer>,
     crash_news: CrashNews,
+    limit_news: LimitNews,
     /// Newest proposed record of each target, until it is committed. What a target calls for next is
     /// judged by it.
     proposed_targets: BTreeMap<TargetId, Target>,
@@ -251,6 +254,7 @@
             self.maintain_key_leases(now, out);
             self.send_delayed_answers(now, out);
             self.share_crash_evidence(now, out);
+            self.share_limits(now, out);
             self.close_silent_streams(now, out);
             self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
@@ -449,6 +453,7 @@
             proposed_targets: BTreeMap::new(),
             next_lease_pass: now,
             crash_news: CrashNews::default(),
+            limit_news: LimitNews::default(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -102,6 +102,8 @@
     last_heard: Duration,
     /// Whether the entry VM takes evidence on requests that crash their targets.
     pub(super) takes_evidence: bool,
+    /// Whether the entry VM takes limits of targets and rights to send.
+    pub(super) takes_limits: bool,
 }
 
 impl Control {
@@ -167,6 +169,11 @@
             PeerMessage::CrashEvidence { records, .. } => {
                 self.on_crash_evidence(conn, &records, now, out);
             }
+            PeerMessage::TargetLimits {
+                sent,
+                stated,
+                rights,
+            } => self.on_target_limits(conn, sent, (&stated, &rights), now, out),
             // Other messages are for control VMs; a peer may send them on any connection.
             other => self.on_peer_message(other, now, out),
         }
@@ -228,6 +235,7 @@
             index: subscription.index,
             last_heard: now,
             takes_evidence: false,
+            takes_limits: false,
         };
         self.streams.insert(subscription.conn, stream);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `message` | messages between VMs |
 //! | `control` | the reducer of a control VM |
 //! | `crash_evidence` | requests that crash the targets that execute them |
+//! | `request_limits` | limits that targets set on the requests of all entry VMs together |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -26,6 +27,7 @@
 mod keys;
 mod message;
 mod registry;
+mod request_limits;
 mod routing;
 mod state;
 
@@ -82,6 +84,13 @@
     TargetId,
     TargetState, //
 };
+pub use request_limits::{
+    InvalidRate,
+    LimitLedger,
+    RIGHT_LIFETIME,
+    RequestRate,
+    StatedLimit, //
+};
 pub use routing::{
     Change,
     ConfigResource,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -21,6 +21,7 @@
         Holder,
         TargetId, //
     },
+    request_limits::StatedLimit,
     routing::{
         Domain,
         ServiceName, //
@@ -170,6 +171,18 @@
         /// the leader knows them.
         alive: Vec<(Holder, Duration)>,
     },
+    /// Limits on requests that targets state, and rights to send requests to them, between an entry
+    /// VM and the leader. An entry VM sends it when its stream is established, which also says that
+    /// it takes such messages, and when it hears of a limit or needs rights. The leader grants rights
+    /// and tells all entry VMs of changes.
+    TargetLimits {
+        /// Time of sending by the clock of the entry VM. The leader copies it.
+        sent: Duration,
+        /// What targets stated.
+        stated: Vec<StatedLimit>,
+        /// Rights that the entry VM needs, or that the leader grants, by target.
+        rights: Vec<(Holder, u16)>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -15,6 +15,7 @@
     Key,
     Order,
     Reply,
+    RequestRate,
     TargetId, //
 };
 use camphordale_http::{
@@ -33,13 +34,26 @@
     pub key: Option<Key>,
 }
 
-/// Header fields of a target's response.
+/// A header field of a response in which a target states something about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatedField<Value> {
+    /// The response has no such field.
+    Absent,
+    /// The value.
+    Valid(Value),
+    /// The field is repeated, or its value is out of bounds or cannot be read. It states nothing.
+    Malformed,
+}
+
+/// Header fields of a target's response.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetFields {
     /// Whether the target states that it did not execute the request.
     pub not_executed: bool,
     /// Load that the target reports.
     pub load: Option<LoadReport>,
+    /// Limit that the target sets on the requests of all entry VMs together.
+    pub limit: StatedField<RequestRate>,
 }
 
 /// The HTTP request that carries an order to a target.
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -18,7 +18,8 @@
     LogEvent,
     Reason,
     RequestHandle,
-    Shutdown, //
+    Shutdown,
+    TargetStatement, //
 };
 use camphordale_fleet::Fingerprint;
 use camphordale_http::{
@@ -36,7 +37,9 @@
 use crate::{
     adapter::{
         CallerFields,
-        ProtocolAdapter, //
+        ProtocolAdapter,
+        StatedField,
+        TargetFields, //
     },
     client_connection::ExpectedResponse,
     event_loop::{
@@ -309,6 +312,7 @@
             Ok(response) => {
                 let fields = self.adapter.target_fields(&response);
                 let (status, load) = (response.status, fields.load);
+                self.on_target_fields(id, fields, now, context);
                 if fields.not_executed {
                     AttemptResult::NotExecuted { status, load }
                 } else {
@@ -339,11 +343,35 @@
         self.step(event, now, context);
     }
 
+    /// Passes on what a target states about itself.
+    fn on_target_fields(
+        &mut self,
+        attempt: AttemptId,
+        fields: TargetFields,
+        now: Duration,
+        context: &mut ProcessContext,
+    ) {
+        let limit = match fields.limit {
+            StatedField::Absent => None,
+            StatedField::Valid(limit) => Some(limit),
+            StatedField::Malformed => {
+                context.metrics.count_event("malformed-limit");
+                if context.may_log("malformed limit") {
+                    info!(context.logger, "limit of a target ignored as malformed";
+                        "attempt" => attempt);
+                }
+                return;
+            }
+        };
+        let statement = TargetStatement { limit };
+        self.step(Event::TargetStated { attempt, statement }, now, context);
+    }
+
     fn step(&mut self, event: Event, now: Duration, context: &mut ProcessContext) {
         let work = match &event {
             Event::Tick => Work::Timer,
             Event::Request(_) | Event::CallerDisconnected(_) => Work::Request,
-            Event::AttemptEnded { .. } => Work::Answer,
+            Event::AttemptEnded { .. } | Event::TargetStated { .. } => Work::Answer,
             Event::Stream(_) | Event::StreamClosed => Work::Stream,
         };
         let started = context.clock.now();
@@ -498,6 +526,17 @@
                 info!(context.logger, "readiness"; "ready" => ready,
                     "silence_ms" => silence.as_millis() as u64);
             }
+            LogEvent::Limit {
+                target,
+                limit,
+                told,
+            } => {
+                context.metrics.count_event("limit");
+                if context.may_log("limit") {
+                    info!(context.logger, "limit of a target"; "target" => &*target,
+                        "per_s" => limit.map(f64::from), "told" => told);
+                }
+            }
             LogEvent::Routing { version, view } => {
                 context.metrics.count_event("routing");
                 self.routing_version = version;
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -37,6 +37,7 @@
     CallerFields,
     OrderRequest,
     ProtocolAdapter,
+    StatedField,
     TargetFields, //
 };
 pub use camphordale_clock::Clock;
