Let no number of a caller or target overflow

One request could end an entry VM: with a deadline near the largest number that a duration holds, to a path without a route, the log line of the refusal added it to the clock and overflowed (on a machine that is up for 34 minutes or more, by the steps of the header's numbers). A load report with two large numbers overflowed likewise, which wraps in release builds: a full target looked empty.

--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -121,7 +121,8 @@
                 attempts: 0,
                 queued: now.saturating_sub(arrived_at),
                 age: now.saturating_sub(arrived_at),
-                remaining: (arrived_at + incoming.caller_timeout.unwrap_or_default())
+                remaining: arrived_at
+                    .saturating_add(incoming.caller_timeout.unwrap_or_default())
                     .saturating_sub(now),
                 key: incoming.key,
                 view_index,
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -55,6 +55,13 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Running and queued requests. Their sum may be more than either type can hold.
+    fn total(self) -> f64 {
+        f64::from(self.running) + f64::from(self.queued)
+    }
+}
+
 /// Statistics of a target at the time of a decision, for logs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetStats {
@@ -233,7 +240,7 @@
         self.backoff = Duration::ZERO;
         self.backoff_until = Duration::ZERO;
         if let Some(report) = report {
-            let total = f64::from(report.running + report.queued);
+            let total = report.total();
             self.other_load = (total - self.in_flight.len() as f64).max(0.0);
             self.reported_at = now;
             self.slots = report.slots.max(1);
@@ -443,7 +450,7 @@
         if let Some(started) = started.filter(|_| !failed) {
             // The load reported with the response is more recent than what this VM knew when it
             // sent the request.
-            let reported = report.map_or(0.0, |r| f64::from(r.running + r.queued));
+            let reported = report.map_or(0.0, LoadReport::total);
             let slowdown = started.slowdown.max(tracked.slowdown_at(reported));
             let took = now.saturating_sub(started.sent_at).as_secs_f64() / slowdown;
             let mean = tracked.mean_latency();
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -7,4 +7,5 @@
 mod decisions;
 mod harness;
 mod load;
+mod outside_numbers;
 mod requests;
