Reject announcements that no target can have made

An odd entry of another writer with an impossible start time would have barred the target at its address for good, one with four billion slots would have got almost all keys and requests, and one with port 0 would have been assigned keys.

Such an announcement is now rejected as invalid, and costs no other. Test: control an_impossible_announcement_names_no_target_and_costs_no_other, which fails before. Ruled out: a closer bound on the start time; the clock of a control VM may be wrong.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -125,6 +125,11 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        if let Err(error) = announcement.check() {
+            let reply = Reply::Invalid(error.to_string().into());
+            out.push(Effect::Reply { token, reply });
+            return;
+        }
         let view = &self.state.view;
         let routing = view.routing.as_ref();
         if routing.is_some_and(|r| !r.services.contains_key(&announcement.service)) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -80,6 +80,7 @@
     Announcement,
     Holder,
     Incarnation,
+    InvalidAnnouncement,
     Target,
     TargetId,
     TargetState, //
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -23,6 +23,12 @@
 /// Address of a target.
 pub type Address = SocketAddr;
 
+/// Largest number of requests that one target runs concurrently.
+const MAX_SLOTS: u32 = 1 << 16;
+/// Latest start of a target: the beginning of the year 2200. The clock of a control VM may be wrong,
+/// so it sets no closer bound.
+const MAX_INCARNATION: Incarnation = 7_258_118_400_000;
+
 /// State of a target, as it announces it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
@@ -86,7 +92,62 @@
     pub incarnation: Incarnation,
 }
 
+/// Why an announcement names no target that could be used. It may come from another writer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidAnnouncement {
+    /// No target listens at such an address.
+    #[error("{0} is not an address of a target")]
+    Address(Address),
+    /// No target runs so many requests.
+    #[error("{0} is not a number of slots")]
+    Slots(u32),
+    /// No target can have started then. It would stand in the way of all later incarnations at its
+    /// id and address.
+    #[error("{0} is not the time of a start")]
+    Incarnation(Incarnation),
+}
+
 impl Announcement {
+    /// Checks what the types leave open.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidAnnouncement`] names the first field that no target can have.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_fleet::{Announcement, InvalidAnnouncement, LeaseReport};
+    ///
+    /// let announcement = Announcement {
+    ///     id: "t1".into(),
+    ///     incarnation: 1_700_000_000_000,
+    ///     sequence: 1,
+    ///     service: "reads".into(),
+    ///     address: "10.0.0.1:80".parse()?,
+    ///     domain: "a".into(),
+    ///     slots: 0,
+    ///     draining: false,
+    ///     warm_up: 0,
+    ///     report: LeaseReport::default(),
+    /// };
+    /// assert_eq!(announcement.check(), Err(InvalidAnnouncement::Slots(0)));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn check(&self) -> Result<(), InvalidAnnouncement> {
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(InvalidAnnouncement::Address(self.address));
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            return Err(InvalidAnnouncement::Slots(self.slots));
+        }
+        if self.incarnation > MAX_INCARNATION {
+            return Err(InvalidAnnouncement::Incarnation(self.incarnation));
+        }
+        Ok(())
+    }
+
     /// The registry record for the announcement.
     pub fn target(&self) -> Target {
         Target {
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -597,3 +597,33 @@
     assert_eq!(changed, all);
     assert!(views < 10, "{views} copies of the view");
 }
+
+/// Guards against an odd entry of another writer that takes the place of a target: with an impossible
+/// start it would bar the target at its address for good, with an impossible number of slots it
+/// would get almost all requests.
+#[test]
+fn an_impossible_announcement_names_no_target_and_costs_no_other() {
+    let mut cluster = TestCluster::new(21);
+    cluster.ask(Call::Change(Box::new(keyed_change())));
+    assert_eq!(
+        cluster.ask(announce(1, 100, false)),
+        Reply::Done { is_leader: true }
+    );
+    let odd = |edit: fn(&mut camphordale_fleet::Announcement)| {
+        let mut odd = announcement(1, 100, false);
+        odd.id = "odd".into();
+        edit(&mut odd);
+        Call::Announce(Box::new(odd))
+    };
+    for call in [
+        odd(|a| a.incarnation = u64::MAX),
+        odd(|a| a.slots = u32::MAX),
+        odd(|a| a.slots = 0),
+        odd(|a| a.address.set_port(0)),
+        odd(|a| a.address = "0.0.0.0:80".parse().unwrap()),
+    ] {
+        assert!(matches!(cluster.ask(call), Reply::Invalid(_)));
+    }
+    let targets = &cluster.entry.1.targets;
+    assert_eq!(targets.keys().map(|id| &**id).collect::<Vec<_>>(), ["t1"]);
+}
