Send a request to the same target again over a connection of its own

A faulty target that writes an earlier refusal once more could make an entry VM report a request as not run while the target ran it: where the holder of a key is tried again, both attempts carry the same id, and a second copy of the first refusal on the kept connection was taken for the answer to the second attempt.

Such an attempt now has a connection of its own. Attempts at other targets have other connections anyway, and other requests have other ids. Test: entry a_request_that_goes_to_the_same_target_again_has_a_connection_of_its_own (fails before by construction: there was no such connection); that a single exchange is never answered by another is shown by event_loop a_single_exchange_has_a_connection_of_its_own.

--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -348,7 +348,8 @@
         request.first_sent.get_or_insert(now);
         request.attempts_sent += 1;
         request.in_flight.push((attempt, holder));
-        if !request.tried_targets.contains(&target) {
+        let repeated = request.tried_targets.contains(&target);
+        if !repeated {
             request.tried_targets.push(target.clone());
         }
         if request.is_idempotent() && request.key.is_none() && request.hedge_at.is_none() {
@@ -366,6 +367,7 @@
             address,
             deadline: request.deadline,
             connections,
+            repeated,
         });
     }
 
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -116,6 +116,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StepOutput {
     pub(crate) sent: Vec<(AttemptId, RequestHandle, TargetId)>,
+    /// Attempts sent over a connection of their own.
+    pub(crate) repeated: Vec<AttemptId>,
     pub(crate) cancelled: Vec<AttemptId>,
     pub(crate) forwarded: Vec<RequestHandle>,
     pub(crate) refused: Vec<(RequestHandle, Refusal)>,
@@ -196,8 +198,12 @@
                     attempt,
                     request,
                     target,
+                    repeated,
                     ..
-                } => output.sent.push((attempt, request, target)),
+                } => {
+                    output.sent.push((attempt, request, target));
+                    output.repeated.extend(repeated.then_some(attempt));
+                }
                 Effect::Cancel(attempt) => output.cancelled.push(attempt),
                 Effect::ForwardResponse { request, .. } => output.forwarded.push(request),
                 Effect::Refuse { request, refusal } => output.refused.push((request, refusal)),
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -468,3 +468,19 @@
     harness.receive(handover(false));
     assert!(harness.advance(ms(300)).cancelled.is_empty());
 }
+
+/// Guards against an order that is reported as not run while its target runs it: the target wrote an
+/// earlier refusal of the same request once more on the connection, and its id cannot tell the two
+/// attempts apart.
+#[test]
+fn a_request_that_goes_to_the_same_target_again_has_a_connection_of_its_own() {
+    let mut harness = Harness::new();
+    let (_, first) = harness.request(KEYED);
+    let (attempt, target) = only_attempt(&first);
+    assert!(first.repeated.is_empty());
+    harness.end_attempt(attempt, not_executed(421));
+    let second = harness.advance(ms(100));
+    let (attempt, same) = only_attempt(&second);
+    assert_eq!(same, target);
+    assert_eq!(second.repeated, [attempt]);
+}
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -391,6 +391,7 @@
                     address,
                     deadline,
                     connections,
+                    repeated,
                 } => {
                     let Some(active) = self.requests.get(&request) else {
                         continue;
@@ -422,7 +423,10 @@
                             request_id: request_id.map(|id| (request_id_header.into(), id)),
                             is_head: &*active.request.method == "HEAD",
                         },
-                        connection: ConnectionUse::Pooled { limit: connections },
+                        connection: match repeated {
+                            true => ConnectionUse::Single,
+                            false => ConnectionUse::Pooled { limit: connections },
+                        },
                         deadline: deadline + DEADLINE_SLACK,
                     });
                 }
