Take a refusal as evidence only for the request whose id it carries

A faulty target that writes an earlier refusal once more, without a request id, could make an entry VM tell a caller that its request was not run while the target ran it, or send it to a second target.

A response that states that the request was not executed must now carry its id, as a success must already; without it the exchange has failed and the request may have run. A refusal with another id was skipped before and still is. Tests: refusals a_refusal_without_a_request_id_is_no_evidence (Complete before).

--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -95,6 +95,10 @@
     /// Name, in lower case, of the header field by which a response identifies its request.
     fn request_id_header(&self) -> &'static str;
 
+    /// Name, in lower case, of the header field by which a target states that it did not execute a
+    /// request.
+    fn refusal_header(&self) -> &'static str;
+
     /// Parses the header fields of a target's response.
     fn target_fields(&self, response: &Response) -> TargetFields;
 
--- a/crates/reactor/src/client_connection.rs
+++ b/crates/reactor/src/client_connection.rs
@@ -25,6 +25,10 @@
     /// Name, in lower case, and value of the header field that identifies the request. A response
     /// with another value belongs to an earlier request and is skipped.
     pub request_id: Option<(Box<str>, Box<str>)>,
+    /// Name, in lower case, of the header field by which a target states that it did not execute the
+    /// request. Such a response must carry the request id: without it, it may be a copy of an
+    /// earlier one.
+    pub refusal_header: Option<&'static str>,
     /// Whether the request was a `HEAD`.
     pub is_head: bool,
 }
@@ -224,7 +228,9 @@
                 }
                 return self.skip().err().map(Progress::Invalid);
             }
-            if found.is_none() && response.status < 400 {
+            let refuses = self.expected.refusal_header;
+            let refuses = refuses.is_some_and(|name| response.header(name).is_some());
+            if found.is_none() && (response.status < 400 || refuses) {
                 return Some(Progress::Invalid("response carries no request id"));
             }
         }
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -421,6 +421,7 @@
                         bytes,
                         expected: ExpectedResponse {
                             request_id: request_id.map(|id| (request_id_header.into(), id)),
+                            refusal_header: Some(self.adapter.refusal_header()),
                             is_head: &*active.request.method == "HEAD",
                         },
                         connection: match repeated {
--- a/crates/reactor/tests/endless.rs
+++ b/crates/reactor/tests/endless.rs
@@ -117,7 +117,7 @@
             bytes: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
             expected: ExpectedResponse {
                 request_id: Some(("i".into(), "1".into())),
-                is_head: false,
+                ..ExpectedResponse::default()
             },
             connection: ConnectionUse::Pooled { limit: 10 },
             deadline: started + EXCHANGE_LIMIT,
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -91,7 +91,7 @@
             bytes: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
             expected: ExpectedResponse {
                 request_id: Some(("request-id".into(), format!("r{id}").into())),
-                is_head: false,
+                ..ExpectedResponse::default()
             },
             connection,
             deadline: self.clock.now() + WAIT_LIMIT,
--- a/crates/reactor/tests/failure_causes.rs
+++ b/crates/reactor/tests/failure_causes.rs
@@ -120,7 +120,7 @@
             bytes,
             expected: ExpectedResponse {
                 request_id: Some(("request-id".into(), "r1".into())),
-                is_head: false,
+                ..ExpectedResponse::default()
             },
             connection: ConnectionUse::Pooled { limit: 1 },
             deadline: self.clock.now() + limit,
--- /dev/null
+++ b/crates/reactor/tests/refusals.rs
@@ -0,0 +1,81 @@
+//! Responses that do not belong to the request, or end early.
+
+use camphordale_reactor::{
+    ClientConnection,
+    ExpectedResponse,
+    Progress, //
+};
+use rstest::rstest;
+
+fn connection() -> ClientConnection {
+    ClientConnection::new(ExpectedResponse {
+        request_id: Some(("x-id".into(), "2".into())),
+        refusal_header: Some("x-not-run"),
+        is_head: false,
+    })
+}
+
+fn refusal(id: &str) -> Vec<u8> {
+    let text = format!("HTTP/1.1 503 Full\r\n{id}X-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull");
+    text.into_bytes()
+}
+
+#[test]
+fn a_refusal_of_the_request_is_taken() {
+    let progress = connection().advance(&mut refusal("X-Id: 2\r\n"), false);
+    assert!(
+        matches!(&progress, Progress::Complete { response, .. } if response.status == 503),
+        "{progress:?}"
+    );
+}
+
+/// Guards against a caller that is told that its request was not run while the target runs it: the
+/// target wrote an earlier refusal once more on the kept connection.
+#[test]
+fn a_refusal_of_another_request_is_skipped() {
+    let mut connection = connection();
+    let mut input = refusal("X-Id: 1\r\n");
+    assert_eq!(connection.advance(&mut input, false), Progress::Incomplete);
+    input.extend(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok");
+    let progress = connection.advance(&mut input, false);
+    assert!(
+        matches!(&progress, Progress::Complete { response, .. } if response.status == 200),
+        "{progress:?}"
+    );
+}
+
+/// The same where the copy does not say whose it is.
+#[test]
+fn a_refusal_without_a_request_id_is_no_evidence() {
+    let progress = connection().advance(&mut refusal(""), false);
+    assert!(matches!(progress, Progress::Invalid(_)), "{progress:?}");
+}
+
+/// Guards against an empty or short body that is framed as whole: a head that is not complete when
+/// the target closes is no response, wherever it was cut.
+#[rstest]
+#[case(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok")]
+#[case(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok")]
+fn a_response_that_is_cut_anywhere_is_truncated(#[case] whole: &[u8]) {
+    for length in 0..whole.len() {
+        let mut input = whole[..length].to_vec();
+        let progress = connection().advance(&mut input, true);
+        assert!(
+            matches!(progress, Progress::Truncated(_)),
+            "cut after {length} bytes: {progress:?}"
+        );
+    }
+    let progress = connection().advance(&mut whole.to_vec(), true);
+    assert!(
+        matches!(progress, Progress::Complete { .. }),
+        "{progress:?}"
+    );
+}
+
+/// A body without a length ends with the connection, but only a complete head tells so.
+#[test]
+fn a_head_without_a_length_is_no_response_before_it_ends() {
+    let mut input = b"HTTP/1.1 200 OK\r\nX-Id: 2\r\n".to_vec();
+    let progress = connection().advance(&mut input, true);
+    assert!(matches!(progress, Progress::Truncated(_)), "{progress:?}");
+}
