Act on what targets state of themselves: leaving, and wanting nothing

New on the users' pages: a target that leaves says so in all its answers, and one that turns a request away may say for how long it wants nothing. The code read neither, so an entry VM went on to send to a target that control had not yet named as draining, and to one that had just asked for a pause.

Both are decoded at the edge, bounded, counted if malformed, and bound to the target's incarnation, beside its limit. A target that leaves gets no more requests from a VM that has read it, whatever the registry says; a holder of keys serves them for the grace, then they are refused as leaving. Control is told once and registers the target as draining, so that its keys move at once; an announcement that was sent before does not undo that. During a pause nothing goes there; if all targets want nothing, requests are refused at once with the shortest of their times, spread. Afterwards requests return gradually. A pause holds for the VM that was told, and is not passed on.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,9 +1,9 @@
 //! Events and effects of an entry VM, and the lifecycle of a request.
 
 mod crashes;
-mod limits;
 mod request;
 mod retry;
+mod statements;
 mod view;
 mod waiting;
 
@@ -35,8 +35,8 @@
 
 use self::{
     crashes::CrashReports,
-    limits::LimitReports,
     request::ActiveRequest,
+    statements::StatementReports,
     view::KeySample,
     waiting::UnroutedRequest, //
 };
@@ -144,6 +144,12 @@
 pub struct TargetStatement {
     /// Limit on the requests of all entry VMs together.
     pub limit: Option<RequestRate>,
+    /// Whether the response tells if there is a limit; a malformed one says nothing about it.
+    pub limit_known: bool,
+    /// Whether the target leaves.
+    pub leaving: bool,
+    /// Time for which the target wants no requests from this VM.
+    pub pause: Option<Duration>,
 }
 
 /// Input of the reducer.
@@ -209,6 +215,10 @@
     Unreached,
     /// The target limits the requests of all VMs, and this one has no right to send another.
     Limited,
+    /// The target wants no requests from this VM for a time.
+    Paused,
+    /// The holder of the key states that it leaves, and the time in which it still serves is over.
+    Leaving,
     /// The deadline passed before the target responded.
     TimedOut,
     /// The deadline passed before the request was sent.
@@ -250,6 +260,8 @@
             Reason::Lost => "lost",
             Reason::Unreached => "unreached",
             Reason::Limited => "limited",
+            Reason::Paused => "paused",
+            Reason::Leaving => "leaving",
             Reason::TimedOut => "timed-out",
             Reason::Expired => "expired",
             Reason::Failure => "failure",
@@ -339,6 +351,18 @@
         /// Whether the leader told it, not an answer to this VM.
         told: bool,
     },
+    /// A target states that it leaves.
+    Leaving {
+        /// The target.
+        target: TargetId,
+    },
+    /// A target states that it wants no requests from this VM for a time.
+    Paused {
+        /// The target.
+        target: TargetId,
+        /// The time.
+        pause: Duration,
+    },
     /// A new routing is in force.
     Routing {
         /// Its version.
@@ -429,7 +453,7 @@
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
     crashes: CrashReports,
-    limit_reports: LimitReports,
+    statement_reports: StatementReports,
     random: StdRng,
 }
 
@@ -478,7 +502,7 @@
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
-            limit_reports: LimitReports::default(),
+            statement_reports: StatementReports::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -503,13 +527,13 @@
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
             Event::StreamClosed => {
                 self.crashes.on_stream_closed(now);
-                self.limit_reports.on_stream_closed(now);
+                self.statement_reports.on_stream_closed(now);
                 self.control_stream.on_closed(now);
                 self.report_stream_state(&mut out);
             }
         }
         self.report_crashes(now, &mut out);
-        self.report_limits(now, &mut out);
+        self.report_statements(now, &mut out);
         out
     }
 
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -269,6 +269,7 @@
                 Ok(pick.id)
             }
             Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
+            Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::NoTarget) => Err((Reason::NoTarget, NO_TARGET_RETRY_AFTER)),
             Err(SelectionError::Full(expected)) => Err((Reason::Full, expected)),
         }
@@ -303,6 +304,10 @@
         if draining_since.is_some_and(|since| now >= *since + self.config.drain_grace) {
             return Err(none);
         }
+        let leaving_since = tracked.leaving_since();
+        if leaving_since.is_some_and(|since| now >= since + self.config.drain_grace) {
+            return Err((Reason::Leaving, NO_TARGET_RETRY_AFTER));
+        }
         if tracked.is_backing_off(now) || tracked.is_stalled(now) {
             return Err((Reason::HolderLost, NO_TARGET_RETRY_AFTER));
         }
@@ -312,6 +317,7 @@
         {
             Ok(()) => Ok(holder.id.clone()),
             Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
+            Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::Full(expected)) => Err((Reason::HolderFull, expected)),
             Err(SelectionError::NoTarget) => Err(none),
         }
@@ -386,8 +392,11 @@
             Reason::Limited => RIGHT_WAIT_DIVISOR,
             _ => PARK_DIVISOR,
         });
-        let may_change =
-            request.cancelled || !matches!(reason, Reason::NoTarget | Reason::HolderLost);
+        let is_settled = matches!(
+            reason,
+            Reason::NoTarget | Reason::HolderLost | Reason::Leaving | Reason::Paused
+        );
+        let may_change = request.cancelled || !is_settled;
         if may_change && now < until {
             request.retry_at = Duration::ZERO;
             return self.park(id, until);
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -274,6 +274,9 @@
         };
         let source = self.limit_source(now);
         let tracked = self.targets.get(&target);
+        if tracked.is_some_and(|tracked| tracked.paused_for(now).is_some()) {
+            return false;
+        }
         if tracked.is_some_and(|tracked| !tracked.limit.allows(source, now)) {
             self.want_right(&target);
             return false;
--- a/crates/entry/src/entry/limits.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -1,4 +1,4 @@
-//! Limits that targets state: what this VM hears of them, and the exchange with the control leader.
+//! What targets state about themselves in responses, and the exchange of it with the control leader.
 
 use std::{
     collections::BTreeSet,
@@ -37,13 +37,15 @@
 /// Time without reports after the control VM closed the stream on one: a control VM of an older
 /// version closes the stream on a message that it does not know.
 const UNKNOWN_MESSAGE_PAUSE: Duration = Duration::from_secs(16);
+/// Fraction of a pause by which the return of callers is spread.
+const PAUSE_SPREAD: f64 = 0.5;
 /// Targets in one message.
 const MAX_REPORTED: usize = 256;
 
 /// What the leader has to be told.
 #[derive(Default)]
-pub(super) struct LimitReports {
-    /// Targets whose statement has changed since it was reported.
+pub(super) struct StatementReports {
+    /// Targets whose limit has changed, or that leave, since it was reported.
     changed: BTreeSet<TargetId>,
     /// Whether the leader of this stream has been told all.
     reported_all: bool,
@@ -53,7 +55,7 @@
     paused_until: Duration,
 }
 
-impl LimitReports {
+impl StatementReports {
     /// Handles the reply to a ping: the leader has read what was sent before it.
     pub(super) fn confirm(&mut self, sent: Duration) {
         if self.unconfirmed_since.is_some_and(|since| sent > since) {
@@ -107,8 +109,18 @@
         let Some(sent_at) = tracked.sent_at(attempt) else {
             return;
         };
-        if tracked.limit.answered(statement.limit, sent_at, now) {
-            self.limit_reports.changed.insert(holder.id.clone());
+        if statement.leaving && tracked.record_leaving(now) {
+            self.statement_reports.changed.insert(holder.id.clone());
+            let target = holder.id.clone();
+            out.push(Effect::Log(LogEvent::Leaving { target }));
+        }
+        if let Some(pause) = statement.pause {
+            tracked.record_pause(now + pause);
+            let target = holder.id.clone();
+            out.push(Effect::Log(LogEvent::Paused { target, pause }));
+        }
+        if statement.limit_known && tracked.limit.answered(statement.limit, sent_at, now) {
+            self.statement_reports.changed.insert(holder.id.clone());
             out.push(Effect::Log(LogEvent::Limit {
                 target: holder.id.clone(),
                 limit: statement.limit,
@@ -118,7 +130,7 @@
     }
 
     /// Handles limits and rights from the leader.
-    pub(super) fn on_target_limits(
+    pub(super) fn on_target_statements(
         &mut self,
         sent: Duration,
         stated: &[StatedLimit],
@@ -171,9 +183,16 @@
         )
     }
 
-    /// Tells the leader of limits that changed, and asks for rights.
-    pub(super) fn report_limits(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        let reports = &mut self.limit_reports;
+    /// The refusal of a request whose targets want nothing from this VM. Callers are spread, so that
+    /// they do not come back together.
+    pub(super) fn paused(&mut self, rest: Duration) -> (Reason, Duration) {
+        let spread = 1.0 + PAUSE_SPREAD * self.random.random::<f64>();
+        (Reason::Paused, rest.mul_f64(spread))
+    }
+
+    /// Tells the leader what targets stated, and asks for rights.
+    pub(super) fn report_statements(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let reports = &mut self.statement_reports;
         if !self.control_stream.is_established() || now < reports.paused_until {
             reports.reported_all = false;
             reports.changed.clear();
@@ -185,6 +204,7 @@
             return;
         }
         let mut stated = Vec::new();
+        let mut leaving = Vec::new();
         let mut rights = Vec::new();
         for (id, tracked) in self.targets.iter_mut() {
             let holder = || Holder {
@@ -192,7 +212,11 @@
                 incarnation: tracked.incarnation,
             };
             let has_limit = tracked.limit.limit().is_some();
-            let is_due = is_first && has_limit || reports.changed.contains(id);
+            let is_changed = reports.changed.contains(id);
+            let is_due = is_first && has_limit || is_changed;
+            if tracked.leaving_since().is_some() && (is_first || is_changed) {
+                leaving.push(holder());
+            }
             if is_due && stated.len() < MAX_REPORTED {
                 reports.changed.remove(id);
                 stated.push(StatedLimit {
@@ -213,13 +237,18 @@
             let interval = ASK_INTERVAL_PER_VM * self.control_stream.entries.all;
             reports.next_ask = now + interval.max(MIN_ASK_INTERVAL);
         }
-        if !is_first && stated.is_empty() && rights.is_empty() {
+        // What is not registered any more needs no report.
+        if stated.len() < MAX_REPORTED {
+            reports.changed.clear();
+        }
+        if !is_first && stated.is_empty() && leaving.is_empty() && rights.is_empty() {
             return;
         }
         reports.unconfirmed_since.get_or_insert(now);
-        let message = PeerMessage::TargetLimits {
+        let message = PeerMessage::TargetStatements {
             sent: now,
             stated,
+            leaving,
             rights,
         };
         out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -106,14 +106,15 @@
             PeerMessage::CrashEvidence { records, alive } if is_established => {
                 self.on_crash_evidence(&records, &alive, now, out);
             }
-            PeerMessage::TargetLimits {
+            PeerMessage::TargetStatements {
                 sent,
                 stated,
                 rights,
-            } if is_established => self.on_target_limits(sent, &stated, &rights, now, out),
+                ..
+            } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
-                self.limit_reports.confirm(sent);
+                self.statement_reports.confirm(sent);
                 for budget in self.budgets.values_mut() {
                     budget.set_vm_count(entries.all);
                 }
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -64,6 +64,8 @@
     NoTarget,
     /// All targets that accept requests are full, for about this time.
     Full(Duration),
+    /// All targets that are not full want no requests from this VM for at least this time.
+    Paused(Duration),
     /// This VM has no right to send to any target that is not full. The best one would be this.
     Limited(TargetId),
 }
@@ -116,7 +118,8 @@
     fn is_full(&self, tracked: &TrackedTarget, vms: u32) -> bool {
         let places = f64::from(tracked.slots) * MAX_REQUESTS_PER_SLOT;
         let load = tracked.load(self.now);
-        if load >= places || tracked.in_flight() >= self.connection_limit() {
+        let is_busy = tracked.in_flight() >= self.connection_limit();
+        if load >= places || is_busy || tracked.is_resuming(self.now) {
             return true;
         }
         let share = (places / f64::from(vms.max(1))).ceil().max(MIN_SHARE);
@@ -140,9 +143,15 @@
         let mut best: Option<(f64, f64, &TargetId)> = None;
         let mut denied: Option<(f64, f64, &TargetId)> = None;
         let mut soonest: Option<f64> = None;
+        let mut pause: Option<Duration> = None;
         let mut fallback: Option<(f64, &TargetId)> = None;
         for (id, tracked) in targets.of_service(service) {
-            if !tracked.accepts_requests || self.tried_targets.contains(id) {
+            let leaves = tracked.leaving_since().is_some();
+            if !tracked.accepts_requests || leaves || self.tried_targets.contains(id) {
+                continue;
+            }
+            if let Some(rest) = tracked.paused_for(self.now) {
+                pause = Some(pause.map_or(rest, |other: Duration| other.min(rest)));
                 continue;
             }
             let expected = tracked.expected_latency(self.now);
@@ -194,12 +203,17 @@
             (_, Some((.., id)), ..) => Err(SelectionError::Limited(id.clone())),
             (_, _, Some(soonest), _) => Err(SelectionError::Full(Duration::from_secs_f64(soonest))),
             (_, _, None, Some((expected, id))) => Ok(pick(expected, id)),
-            (_, _, None, None) => Err(SelectionError::NoTarget),
+            (_, _, None, None) => {
+                Err(pause.map_or(SelectionError::NoTarget, SelectionError::Paused))
+            }
         }
     }
 
     /// Checks whether the holder of a key can accept a request now.
     pub fn admits(&self, id: &TargetId, tracked: &TrackedTarget) -> Result<(), SelectionError> {
+        if let Some(rest) = tracked.paused_for(self.now) {
+            return Err(SelectionError::Paused(rest));
+        }
         let expected = tracked.expected_latency(self.now);
         if self.is_full(tracked, self.entries.all) || expected > self.limit() {
             return Err(SelectionError::Full(Duration::from_secs_f64(expected)));
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -38,6 +38,8 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 /// Longest back-off.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Time after a pause in which the requests in flight rise to the usual number.
+const RESUME_TIME: Duration = Duration::from_secs(1);
 /// A target counts as stalled when its oldest request has waited for this multiple of its mean
 /// latency.
 const STALL_FACTOR: f64 = 6.0;
@@ -117,6 +119,10 @@
     responded_at: Duration,
     /// Limit that the target sets on the requests of all VMs.
     pub limit: TargetLimit,
+    /// When the target first stated to this VM that it leaves.
+    leaving_since: Option<Duration>,
+    /// Until when the target wants no requests from this VM.
+    paused_until: Duration,
 }
 
 impl TrackedTarget {
@@ -138,6 +144,8 @@
             backoff_until: Duration::ZERO,
             responded_at: Duration::ZERO,
             limit: TargetLimit::default(),
+            leaving_since: None,
+            paused_until: Duration::ZERO,
         }
     }
 
@@ -153,6 +161,47 @@
         self.in_flight.len()
     }
 
+    /// When the target first stated to this VM that it leaves.
+    pub fn leaving_since(&self) -> Option<Duration> {
+        self.leaving_since
+    }
+
+    /// Records that the target states that it leaves. It holds for this incarnation, whatever the
+    /// registry says. Returns whether it is news.
+    pub fn record_leaving(&mut self, now: Duration) -> bool {
+        let is_new = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Records until when the target wants no requests from this VM.
+    pub fn record_pause(&mut self, until: Duration) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Time for which the target still wants no requests from this VM.
+    pub fn paused_for(&self, now: Duration) -> Option<Duration> {
+        let rest = self.paused_until.saturating_sub(now);
+        (!rest.is_zero()).then_some(rest)
+    }
+
+    /// Requests that may be in flight after a pause. The number rises from one to the slots of the
+    /// target.
+    fn resume_limit(&self, now: Duration) -> Option<usize> {
+        if self.paused_until.is_zero() {
+            return None;
+        }
+        let since = now.saturating_sub(self.paused_until);
+        let part = since.as_secs_f64() / RESUME_TIME.as_secs_f64();
+        (part < 1.0).then(|| 1 + (f64::from(self.slots) * part) as usize)
+    }
+
+    /// Whether a pause has just ended, and no further request may be sent yet.
+    pub fn is_resuming(&self, now: Duration) -> bool {
+        self.resume_limit(now)
+            .is_some_and(|most| self.in_flight.len() >= most)
+    }
+
     /// When an attempt in flight was sent.
     pub fn sent_at(&self, attempt: u64) -> Option<Duration> {
         self.in_flight.get(&attempt).map(|started| started.sent_at)
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -9,3 +9,4 @@
 mod load;
 mod outside_numbers;
 mod requests;
+mod statements;
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -355,10 +355,10 @@
                 Effect::ControlStream(ControlStreamEffect::Close) => {
                     self.step_leader(camphordale_fleet::Event::StreamClosed(number));
                 }
-                Effect::ControlStream(ControlStreamEffect::Connect { .. }) => {
-                    if self.leader.is_none() {
-                        self.at(LINK_DELAY, Later::ToEntry(number, Event::StreamClosed));
-                    }
+                Effect::ControlStream(ControlStreamEffect::Connect { .. })
+                    if self.leader.is_none() =>
+                {
+                    self.at(LINK_DELAY, Later::ToEntry(number, Event::StreamClosed));
                 }
                 _ => {}
             }
@@ -397,7 +397,11 @@
 
     fn answer(&mut self, number: u64, attempt: AttemptId, target: &TargetId) {
         let limit = self.targets[target].limit;
-        let statement = TargetStatement { limit };
+        let statement = TargetStatement {
+            limit,
+            limit_known: true,
+            ..TargetStatement::default()
+        };
         self.step_entry(number, Event::TargetStated { attempt, statement });
         let result = AttemptResult::Complete {
             status: 200,
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -7,9 +7,9 @@
 mod calls;
 mod crashes;
 mod heartbeats;
-mod limits;
 mod members;
 mod rebalance;
+mod statements;
 mod streams;
 
 use std::{
@@ -46,9 +46,9 @@
     },
     crashes::CrashNews,
     heartbeats::DelayedAnswer,
-    limits::LimitNews,
     members::MemberTable,
     rebalance::LoadStats,
+    statements::StatementNews,
     streams::{
         EntryStream,
         RecentUpdates,
@@ -88,7 +88,7 @@
     load_stats: LoadStats,
     delayed_answers: Vec<DelayedAnswer>,
     crash_news: CrashNews,
-    limit_news: LimitNews,
+    statement_news: StatementNews,
     /// Newest proposed record of each target, until it is committed. What a target calls for next is
     /// judged by it.
     proposed_targets: BTreeMap<TargetId, Target>,
@@ -453,7 +453,7 @@
             proposed_targets: BTreeMap::new(),
             next_lease_pass: now,
             crash_news: CrashNews::default(),
-            limit_news: LimitNews::default(),
+            statement_news: StatementNews::default(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -181,8 +181,11 @@
         let has_left = newest.is_some_and(|newest| {
             newest.incarnation == target.incarnation && newest.state == TargetState::Left
         });
+        let news = &leader.statement_news;
         if has_left {
             target.state = TargetState::Left;
+        } else if news.is_leaving(&announcement.id, target.incarnation) {
+            target.state = TargetState::Draining;
         }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
@@ -205,7 +208,7 @@
     }
 
     /// Proposes a new record of a target.
-    fn propose_target(
+    pub(super) fn propose_target(
         &mut self,
         id: &TargetId,
         target: Target,
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -9,7 +9,8 @@
 use super::{
     Control,
     Effect,
-    LogEvent, //
+    LogEvent,
+    statements::TargetStatements, //
 };
 use crate::{
     keys::Key,
@@ -102,8 +103,8 @@
     last_heard: Duration,
     /// Whether the entry VM takes evidence on requests that crash their targets.
     pub(super) takes_evidence: bool,
-    /// Whether the entry VM takes limits of targets and rights to send.
-    pub(super) takes_limits: bool,
+    /// Whether the entry VM takes statements of targets and rights to send.
+    pub(super) takes_statements: bool,
 }
 
 impl Control {
@@ -169,11 +170,19 @@
             PeerMessage::CrashEvidence { records, .. } => {
                 self.on_crash_evidence(conn, &records, now, out);
             }
-            PeerMessage::TargetLimits {
+            PeerMessage::TargetStatements {
                 sent,
                 stated,
+                leaving,
                 rights,
-            } => self.on_target_limits(conn, sent, (&stated, &rights), now, out),
+            } => {
+                let statements = TargetStatements {
+                    stated: &stated,
+                    leaving: &leaving,
+                    wanted: &rights,
+                };
+                self.on_target_statements(conn, sent, statements, now, out);
+            }
             // Other messages are for control VMs; a peer may send them on any connection.
             other => self.on_peer_message(other, now, out),
         }
@@ -235,7 +244,7 @@
             index: subscription.index,
             last_heard: now,
             takes_evidence: false,
-            takes_limits: false,
+            takes_statements: false,
         };
         self.streams.insert(subscription.conn, stream);
     }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -171,15 +171,17 @@
         /// the leader knows them.
         alive: Vec<(Holder, Duration)>,
     },
-    /// Limits on requests that targets state, and rights to send requests to them, between an entry
-    /// VM and the leader. An entry VM sends it when its stream is established, which also says that
-    /// it takes such messages, and when it hears of a limit or needs rights. The leader grants rights
-    /// and tells all entry VMs of changes.
-    TargetLimits {
+    /// What targets state about themselves in responses, and rights to send requests to those with a
+    /// limit, between an entry VM and the leader. An entry VM sends it when its stream is
+    /// established, which also says that it takes such messages, and when it hears something new or
+    /// needs rights. The leader grants rights and tells all entry VMs of changes.
+    TargetStatements {
         /// Time of sending by the clock of the entry VM. The leader copies it.
         sent: Duration,
-        /// What targets stated.
+        /// Limits that targets stated.
         stated: Vec<StatedLimit>,
+        /// Targets that stated that they leave. The leader tells entry VMs of these by the registry.
+        leaving: Vec<Holder>,
         /// Rights that the entry VM needs, or that the leader grants, by target.
         rights: Vec<(Holder, u16)>,
     },
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -8,6 +8,7 @@
     Control,
     Effect,
     Event,
+    Holder,
     KeyDelivery,
     KeyLoad,
     KeyRange,
@@ -627,3 +628,31 @@
     let targets = &cluster.entry.1.targets;
     assert_eq!(targets.keys().map(|id| &**id).collect::<Vec<_>>(), ["t1"]);
 }
+
+/// Guards against keys that stay at a target until its announcement comes: it had said before, in an
+/// answer to an entry VM, that it leaves. What it announced before that changes nothing.
+#[test]
+fn a_target_that_leaves_by_its_answers_drains_at_once() {
+    let mut cluster = TestCluster::new(22);
+    cluster.ask(Call::Change(Box::new(keyed_change())));
+    cluster.ask(announce(1, 100, false));
+    let leader = cluster.leader().unwrap();
+    let holder = Holder {
+        id: "t1".into(),
+        incarnation: 100,
+    };
+    let message = PeerMessage::TargetStatements {
+        sent: cluster.now,
+        stated: Vec::new(),
+        leaving: vec![holder],
+        rights: Vec::new(),
+    };
+    cluster.step(leader, Event::Stream { conn: 1, message });
+    cluster.run(ms(200));
+    let state = |cluster: &TestCluster| cluster.entry.1.targets["t1"].state;
+    assert_eq!(state(&cluster), TargetState::Draining);
+    cluster.ask(announce(2, 100, false));
+    assert_eq!(state(&cluster), TargetState::Draining);
+    cluster.ask(announce(1, 101, false));
+    assert_eq!(state(&cluster), TargetState::Ready);
+}
--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -45,6 +45,20 @@
     Malformed,
 }
 
+impl<Value> StatedField<Value> {
+    /// The value, if the response has a valid one.
+    ///
+    /// ```
+    /// assert_eq!(camphordale_reactor::StatedField::Valid(3).valid(), Some(3));
+    /// ```
+    pub fn valid(self) -> Option<Value> {
+        match self {
+            StatedField::Valid(value) => Some(value),
+            StatedField::Absent | StatedField::Malformed => None,
+        }
+    }
+}
+
 /// Header fields of a target's response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetFields {
@@ -54,6 +68,10 @@
     pub load: Option<LoadReport>,
     /// Limit that the target sets on the requests of all entry VMs together.
     pub limit: StatedField<RequestRate>,
+    /// Whether the target states that it leaves.
+    pub leaving: StatedField<()>,
+    /// Time for which the target states that it wants no requests from this VM.
+    pub pause: StatedField<Duration>,
 }
 
 /// The HTTP request that carries an order to a target.
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -351,19 +351,24 @@
         now: Duration,
         context: &mut ProcessContext,
     ) {
-        let limit = match fields.limit {
-            StatedField::Absent => None,
-            StatedField::Valid(limit) => Some(limit),
-            StatedField::Malformed => {
-                context.metrics.count_event("malformed-limit");
-                if context.may_log("malformed limit") {
-                    info!(context.logger, "limit of a target ignored as malformed";
-                        "attempt" => attempt);
-                }
-                return;
+        let malformed = [
+            fields.limit == StatedField::Malformed,
+            fields.leaving == StatedField::Malformed,
+            fields.pause == StatedField::Malformed,
+        ];
+        if malformed.contains(&true) {
+            context.metrics.count_event("malformed-statement");
+            if context.may_log("malformed statement") {
+                info!(context.logger, "statement of a target ignored as malformed";
+                    "attempt" => attempt, "fields" => format!("{fields:?}"));
             }
+        }
+        let statement = TargetStatement {
+            limit: fields.limit.valid(),
+            limit_known: fields.limit != StatedField::Malformed,
+            leaving: fields.leaving.valid().is_some(),
+            pause: fields.pause.valid(),
         };
-        let statement = TargetStatement { limit };
         self.step(Event::TargetStated { attempt, statement }, now, context);
     }
 
@@ -542,6 +547,19 @@
                         "per_s" => limit.map(f64::from), "told" => told);
                 }
             }
+            LogEvent::Leaving { target } => {
+                context.metrics.count_event("leaving");
+                if context.may_log("leaving") {
+                    info!(context.logger, "target leaves by its answer"; "target" => &*target);
+                }
+            }
+            LogEvent::Paused { target, pause } => {
+                context.metrics.count_event("paused");
+                if context.may_log("paused") {
+                    info!(context.logger, "target wants no requests"; "target" => &*target,
+                        "for_ms" => pause.as_millis() as u64);
+                }
+            }
             LogEvent::Routing { version, view } => {
                 context.metrics.count_event("routing");
                 self.routing_version = version;
