Ask for a right also where all targets have stalled

Where all targets of a service have stalled, the best of them gets the request. One with a limit got it without a right. Found when the diff was read; test: entry a_stalled_target_with_a_limit_needs_a_right_too, which fails before. The report of statements is told to a new leader whole, also with more targets than fit in one message.

--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -203,47 +203,41 @@
         if !is_first && reports.changed.is_empty() && !asks {
             return;
         }
+        if is_first {
+            let all = self.targets.iter_mut();
+            let stating =
+                all.filter(|(_, t)| t.limit.limit().is_some() || t.leaving_since().is_some());
+            reports.changed.extend(stating.map(|(id, _)| id.clone()));
+        }
         let mut stated = Vec::new();
         let mut leaving = Vec::new();
-        let mut rights = Vec::new();
-        for (id, tracked) in self.targets.iter_mut() {
-            let holder = || Holder {
-                id: id.clone(),
+        while stated.len() < MAX_REPORTED
+            && let Some(id) = reports.changed.pop_first()
+        {
+            let Some(tracked) = self.targets.get(&id) else {
+                continue;
+            };
+            let holder = Holder {
+                id,
                 incarnation: tracked.incarnation,
             };
-            let has_limit = tracked.limit.limit().is_some();
-            let is_changed = reports.changed.contains(id);
-            let is_due = is_first && has_limit || is_changed;
-            if tracked.leaving_since().is_some() && (is_first || is_changed) {
-                leaving.push(holder());
+            if tracked.leaving_since().is_some() {
+                leaving.push(holder.clone());
             }
-            if is_due && stated.len() < MAX_REPORTED {
-                reports.changed.remove(id);
-                stated.push(StatedLimit {
-                    holder: holder(),
-                    limit: tracked.limit.limit(),
-                    age: now.saturating_sub(tracked.limit.stated_at()),
-                });
-            }
-            if asks && tracked.limit.is_wanted() && rights.len() < MAX_REPORTED {
-                let holder = holder();
-                let wanted = tracked.limit.take_wanted(now);
-                if wanted > 0 {
-                    rights.push((holder, wanted));
-                }
-            }
-        }
-        if asks {
-            let interval = ASK_INTERVAL_PER_VM * self.control_stream.entries.all;
-            reports.next_ask = now + interval.max(MIN_ASK_INTERVAL);
-        }
-        // What is not registered any more needs no report.
-        if stated.len() < MAX_REPORTED {
-            reports.changed.clear();
+            stated.push(StatedLimit {
+                holder,
+                limit: tracked.limit.limit(),
+                age: now.saturating_sub(tracked.limit.stated_at()),
+            });
         }
-        if !is_first && stated.is_empty() && leaving.is_empty() && rights.is_empty() {
+        let rights = match asks {
+            true => self.needed_rights(now),
+            false => Vec::new(),
+        };
+        if !is_first && stated.is_empty() && rights.is_empty() {
             return;
         }
+        let reports = &mut self.statement_reports;
         reports.unconfirmed_since.get_or_insert(now);
         let message = PeerMessage::TargetStatements {
             sent: now,
@@ -253,4 +247,20 @@
         };
         out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
     }
+
+    /// Rights that this VM needs, as a report every so often.
+    fn needed_rights(&mut self, now: Duration) -> Vec<(Holder, u16)> {
+        let interval = ASK_INTERVAL_PER_VM * self.control_stream.entries.all;
+        self.statement_reports.next_ask = now + interval.max(MIN_ASK_INTERVAL);
+        let wanting = self.targets.iter_mut().filter(|(_, t)| t.limit.is_wanted());
+        let needed = wanting.map(|(id, tracked)| {
+            let holder = Holder {
+                id: id.clone(),
+                incarnation: tracked.incarnation,
+            };
+            (holder, tracked.limit.take_wanted(now))
+        });
+        let needed = needed.filter(|(_, count)| *count > 0);
+        needed.take(MAX_REPORTED).collect()
+    }
 }
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -156,8 +156,9 @@
             }
             let expected = tracked.expected_latency(self.now);
             if tracked.is_backing_off(self.now) || tracked.is_stalled(self.now) {
-                let backing_off = tracked.is_backing_off(self.now);
-                if !backing_off && fallback.is_none_or(|(other, _)| expected < other) {
+                let allowed = tracked.limit.allows(self.limit_source, self.now);
+                let usable = allowed && !tracked.is_backing_off(self.now);
+                if usable && fallback.is_none_or(|(other, _)| expected < other) {
                     fallback = Some((expected, id));
                 }
                 continue;
--- a/crates/entry/tests/entry/statements.rs
+++ b/crates/entry/tests/entry/statements.rs
@@ -19,6 +19,7 @@
 use crate::harness::{
     Harness,
     KEYED,
+    ORDERS,
     READS,
     StepOutput,
     complete,
@@ -262,3 +263,23 @@
     let (_, output) = harness.request(KEYED);
     assert_eq!(output.sent.len(), 1, "{output:?}");
 }
+
+/// Guards against a limit that is broken by the way out for services whose targets have all stalled.
+#[test]
+fn a_stalled_target_with_a_limit_needs_a_right_too() {
+    let mut view = Harness::view();
+    view.targets.remove("orders-1");
+    view.targets.remove("orders-2");
+    let mut harness = Harness::with(view);
+    let (_, output) = harness.request(ORDERS);
+    let statement = TargetStatement {
+        limit: camphordale_fleet::RequestRate::try_from(5.0).ok(),
+        leaving: false,
+        ..LEAVING
+    };
+    let attempt = output.sent[0].0;
+    harness.step(Event::TargetStated { attempt, statement });
+    harness.advance(ms(1200));
+    let (_, output) = harness.request(ORDERS);
+    assert!(output.sent.is_empty(), "{output:?}");
+}
--- a/crates/fleet/src/control/statements.rs
+++ b/crates/fleet/src/control/statements.rs
@@ -44,8 +44,8 @@
     /// Whether an incarnation stated that it leaves. What it announces later may have been sent
     /// before.
     pub(super) fn is_leaving(&self, id: &TargetId, incarnation: Incarnation) -> bool {
-        let mut leaving = self.leaving.iter();
-        leaving.any(|holder| holder.id == *id && holder.incarnation == incarnation)
+        let id = id.clone();
+        self.leaving.contains(&Holder { id, incarnation })
     }
 }
 
