--- a/crates/entry/tests/limits/histories.rs
+++ b/crates/entry/tests/limits/histories.rs
@@ -142,3 +142,48 @@
         assert!(excess <= 0.0, "seed {seed}: {excess} too many");
     }
 }
+
+/// Targets leave, turn requests away for a time and restart, while the leader and entry VMs stop and
+/// start. The world checks each arrival against what the target told that entry VM.
+#[test]
+fn random_histories_respect_what_targets_state() {
+    let mut paused = 0;
+    for seed in 0..60 {
+        let mut world = World::new(100 + seed, 5, 4, 150.0);
+        let (mut leads, mut stopped) = (true, 0);
+        for _ in 0..40 {
+            let pause = world.random.random_range(20..600);
+            world.run(ms(pause));
+            let id = format!("t{}", world.random.random_range(0..4));
+            let time = ms(world.random.random_range(100..3000));
+            match world.random.random_range(0..9) {
+                0 if leads => {
+                    world.stop_leader();
+                    leads = false;
+                }
+                1 if !leads => {
+                    world.start_leader();
+                    leads = true;
+                }
+                2 if stopped < 2 => {
+                    world.stop_entry();
+                    stopped += 1;
+                }
+                3 if stopped > 0 => {
+                    world.start_entry();
+                    stopped -= 1;
+                }
+                4 => world.target(&id).leaving = true,
+                5 => {
+                    world.target(&id).pause = Some(time);
+                    paused += 1;
+                }
+                6 => world.target(&id).pause = None,
+                7 if leads => world.restart_target(&id),
+                _ => world.set_limit(&id, Some(rate(50.0))),
+            }
+        }
+        assert!(world.served > 100, "seed {seed}: {} served", world.served);
+    }
+    assert!(paused > 100);
+}
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -1,7 +1,10 @@
 //! Entry VMs, a control leader and targets with limits, in simulated time.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     time::Duration, //
 };
@@ -66,15 +69,23 @@
     /// The limits that it had, and since when.
     pub(crate) limits: Vec<(Duration, Option<RequestRate>)>,
     pub(crate) arrivals: Vec<Duration>,
+    /// Whether all its answers state that it leaves.
+    pub(crate) leaving: bool,
+    /// Time for which it wants nothing, if it turns requests away.
+    pub(crate) pause: Option<Duration>,
 }
 
 /// Something that happens later.
 enum Later {
     ToLeader(u64, PeerMessage),
     ToEntry(u64, Event),
-    Answer(u64, AttemptId, TargetId),
+    /// An answer of a target, with the incarnation that the request reached.
+    Answer(u64, AttemptId, TargetId, u64),
 }
 
+/// An entry VM and the incarnation of a target that told it something.
+type Told = (u64, TargetId, u64);
+
 pub(crate) struct World {
     pub(crate) now: Duration,
     pub(crate) random: StdRng,
@@ -85,6 +96,11 @@
     pub(crate) skew: f64,
     pub(crate) served: u64,
     pub(crate) refused: u64,
+    /// Entry VMs that were told that a target leaves.
+    told_leaving: BTreeSet<Told>,
+    /// Until when a target wants nothing from an entry VM, as it told it.
+    told_pause: BTreeMap<Told, Duration>,
+    cancelled: BTreeSet<(u64, AttemptId)>,
     leader: Option<Control>,
     disk: RecoveredState,
     /// Entry VMs by the number of their process.
@@ -195,6 +211,8 @@
             limit: None,
             limits: vec![(ms(0), None)],
             arrivals: Vec::new(),
+            leaving: false,
+            pause: None,
         };
         let mut world = World {
             now: ms(1000),
@@ -206,6 +224,9 @@
             skew: 0.0,
             served: 0,
             refused: 0,
+            told_leaving: BTreeSet::new(),
+            told_pause: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
             leader: Some(start_control(disk.clone())),
             disk,
             entries: BTreeMap::new(),
@@ -256,6 +277,10 @@
         }
     }
 
+    pub(crate) fn target(&mut self, id: &str) -> &mut TrueTarget {
+        self.targets.get_mut(id).unwrap()
+    }
+
     pub(crate) fn set_limit(&mut self, id: &str, limit: Option<RequestRate>) {
         let now = self.now;
         let target = self.targets.get_mut(id).unwrap();
@@ -263,9 +288,12 @@
         target.limits.push((now, limit));
     }
 
-    /// Another process of the target starts. It knows nothing of a limit.
+    /// Another process of the target starts. It knows nothing of what the former one stated.
     pub(crate) fn restart_target(&mut self, id: &str) {
-        self.targets.get_mut(id).unwrap().incarnation += 1;
+        let target = self.targets.get_mut(id).unwrap();
+        target.incarnation += 1;
+        target.leaving = false;
+        target.pause = None;
         self.set_limit(id, None);
         self.announce();
     }
@@ -344,8 +372,13 @@
                 } => {
                     let known = self.targets.get_mut(&target).unwrap();
                     known.arrivals.push(self.now);
+                    let incarnation = known.incarnation;
+                    self.check_arrival(&(number, target.clone(), incarnation));
                     let delay = ms(self.random.random_range(20..80));
-                    self.at(delay, Later::Answer(number, attempt, target));
+                    self.at(delay, Later::Answer(number, attempt, target, incarnation));
+                }
+                Effect::Cancel(attempt) => {
+                    self.cancelled.insert((number, attempt));
                 }
                 Effect::ForwardResponse { .. } => self.served += 1,
                 Effect::Refuse { .. } => self.refused += 1,
@@ -377,8 +410,8 @@
                         self.step_leader(camphordale_fleet::Event::Stream { conn, message });
                     }
                     Later::ToEntry(number, event) => self.step_entry(number, event),
-                    Later::Answer(number, attempt, target) => {
-                        self.answer(number, attempt, &target);
+                    Later::Answer(number, attempt, target, incarnation) => {
+                        self.answer(number, attempt, &target, incarnation);
                     }
                 }
             }
@@ -395,17 +428,49 @@
         }
     }
 
-    fn answer(&mut self, number: u64, attempt: AttemptId, target: &TargetId) {
-        let limit = self.targets[target].limit;
+    /// No request reaches a target from an entry VM that it told otherwise.
+    fn check_arrival(&self, told: &Told) {
+        assert!(!self.told_leaving.contains(told), "{told:?} leaves");
+        let pause = self.told_pause.get(told);
+        assert!(
+            pause.is_none_or(|until| self.now >= *until),
+            "{told:?} wants nothing until {pause:?}, it is {:?}",
+            self.now
+        );
+    }
+
+    fn answer(&mut self, number: u64, attempt: AttemptId, target: &TargetId, incarnation: u64) {
+        // A cancelled exchange is closed, so its response is never read.
+        if self.cancelled.remove(&(number, attempt)) {
+            return;
+        }
+        let known = &self.targets[target];
         let statement = TargetStatement {
-            limit,
+            limit: known.limit,
             limit_known: true,
-            ..TargetStatement::default()
+            leaving: known.leaving,
+            pause: known.pause,
         };
-        self.step_entry(number, Event::TargetStated { attempt, statement });
-        let result = AttemptResult::Complete {
-            status: 200,
-            load: None,
+        let has_ended = known.incarnation != incarnation;
+        if !has_ended {
+            let told = (number, target.clone(), incarnation);
+            if statement.leaving {
+                self.told_leaving.insert(told.clone());
+            }
+            if let Some(pause) = statement.pause {
+                self.told_pause.insert(told, self.now + pause);
+            }
+            self.step_entry(number, Event::TargetStated { attempt, statement });
+        }
+        let load = None;
+        let result = match statement.pause {
+            _ if has_ended => AttemptResult::Failed {
+                sent: true,
+                received: false,
+                closed: true,
+            },
+            Some(_) => AttemptResult::NotExecuted { status: 503, load },
+            None => AttemptResult::Complete { status: 200, load },
         };
         let event = Event::AttemptEnded {
             attempt,
