--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,4 +1,4 @@
-//! The cases. Each returns whether the rule was broken.
+//! The cases of the folders `review/N`. Each returns whether the rule was broken.
 
 use std::{
     collections::BTreeSet,
@@ -14,12 +14,13 @@
 use crate::{
     client::{Client, Load, Outcome, summarize},
     fleet::{Event, Fleet, HEARTBEAT_MS, end, resident_bytes, slow_link},
+    further,
     record::Record,
     upstream::Spec,
 };
 
-const DRAIN_MS: u64 = 2000;
-const CONTACT_MS: u64 = 3000;
+pub const DRAIN_MS: u64 = 2000;
+pub const CONTACT_MS: u64 = 3000;
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// Memory of a front machine, `memory_mb` of its settings.
 const MEMORY_BYTES: u64 = 260 << 20;
@@ -31,7 +32,7 @@
 /// Routes that `big_config` adds at most, by the site file.
 const BIG_CONFIG: usize = 367;
 
-static ABANDONED: AtomicBool = AtomicBool::new(false);
+pub static ABANDONED: AtomicBool = AtomicBool::new(false);
 
 /// Makes the loops of the running case end, so that it ends what it has started.
 pub fn give_up() {
@@ -42,10 +43,10 @@
 /// The parts of the disruption that are on: all of them, none with `TROUBLE=0`, or those that
 /// `TROUBLE` names.
 #[derive(Clone, Copy)]
-struct Trouble<'a>(&'a str);
+pub struct Trouble<'a>(&'a str);
 
 impl Trouble<'_> {
-    fn has(self, part: &str) -> bool {
+    pub fn has(self, part: &str) -> bool {
         match self.0 {
             "" | "1" => true,
             "0" => false,
@@ -59,14 +60,12 @@
     record.write(&format!("case {case}, TROUBLE={trouble}"));
     let trouble = Trouble(trouble);
     let result = match case {
-        "foreign" => foreign(record.clone(), trouble),
+        "changes" => changes(record.clone(), trouble),
         "owner" => owner(record.clone(), trouble),
-        "drain" => drain(record.clone(), trouble),
+        "foreign" => foreign(record.clone(), trouble),
         "uploads" => uploads(record.clone(), trouble),
-        "changes" => changes(record.clone(), trouble),
-        "same" => same(record.clone(), trouble),
-        "deadly" => deadly(record.clone(), trouble),
-        _ => Err(io::Error::other("no such case")),
+        "drain" => drain(record.clone(), trouble),
+        _ => further::run(case, record.clone(), trouble),
     };
     match &result {
         Ok(true) => record.write("the rule was broken"),
@@ -76,7 +75,7 @@
     result
 }
 
-fn sleep(ms: u64) {
+pub fn sleep(ms: u64) {
     let until = Instant::now() + Duration::from_millis(ms);
     while Instant::now() < until && !ABANDONED.load(Ordering::SeqCst) {
         let left = until.saturating_duration_since(Instant::now());
@@ -85,9 +84,9 @@
 }
 
 /// A route of the configuration: name, path prefix, kind, timeout, objective, service.
-type RouteSpec<'a> = (&'a str, &'a str, &'a str, u64, u64, &'a str);
+pub type RouteSpec<'a> = (&'a str, &'a str, &'a str, u64, u64, &'a str);
 
-fn configuration(routes: &[RouteSpec], services: &[(&str, bool)]) -> String {
+pub fn configuration(routes: &[RouteSpec], services: &[(&str, bool)]) -> String {
     let mut resources = Vec::new();
     for (name, prefix, kind, timeout, objective, service) in routes {
         resources.push(format!(
@@ -119,7 +118,7 @@
 }
 
 /// Starts the system and sends the first configuration.
-fn start(record: Record, fronts: u8, configuration: &str) -> io::Result<Fleet> {
+pub fn start(record: Record, fronts: u8, configuration: &str) -> io::Result<Fleet> {
     let mut fleet = Fleet::new(record)?;
     fleet.start_all(fronts)?;
     let answer = fleet.operator("POST /Config.Put HTTP/1.1", Some("00000000"), configuration)?;
@@ -132,7 +131,7 @@
     }
 }
 
-fn spec(fleet: &Fleet, id: &str, service: &str) -> io::Result<Spec> {
+pub fn spec(fleet: &Fleet, id: &str, service: &str) -> io::Result<Spec> {
     Ok(Spec {
         id: id.to_owned(),
         service: service.to_owned(),
@@ -144,6 +143,8 @@
         heartbeat_ms: HEARTBEAT_MS,
         controls: (1..=3).map(|n| fleet.control(n).to_string()).collect(),
         via: Vec::new(),
+        retry_after: String::new(),
+        once: false,
     })
 }
 
@@ -461,146 +462,6 @@
     Ok(lost.len() > 3)
 }
 
-/// A request crashes each upstream that runs it and comes again every three seconds. Heartbeats of
-/// upstreams are three seconds late.
-fn deadly(record: Record, trouble: Trouble) -> io::Result<bool> {
-    let routes = [("r-1", "/lepu/", "safe", 1000, 400, "browse")];
-    let body = configuration(&routes, &[("browse", false)]);
-    let mut fleet = start(record.clone(), 2, &body)?;
-    let mut via = Vec::new();
-    if trouble.has("late") {
-        for number in 1..=3 {
-            let proxy = fleet.free_address()?;
-            slow_link(proxy, fleet.control(number), Duration::from_millis(3000))?;
-            via.push(format!("{}={proxy}", fleet.control(number)));
-        }
-    }
-    let mut specs = Vec::new();
-    for number in 1..=8 {
-        let spec = Spec {
-            work_ms: 50,
-            via: via.clone(),
-            ..spec(&fleet, &format!("i-{number}-0"), "browse")?
-        };
-        fleet.start_upstream(&spec)?;
-        specs.push(spec);
-    }
-    let fronts = [fleet.front(1), fleet.front(2)];
-    let pause = Duration::from_millis(60);
-    let load = Load::start(&fronts, 3, "GET /lepu/", false, pause, &record);
-    sleep(9000);
-    let begun = Instant::now();
-    let mut back: Vec<(Instant, Spec)> = Vec::new();
-    let mut starts = 0;
-    let mut clients = fronts.map(|front| Client::new(front, record.clone()));
-    let mut next_deadly = Instant::now();
-    let mut deadly_sent = 0;
-    while begun.elapsed() < Duration::from_secs(70) && !ABANDONED.load(Ordering::SeqCst) {
-        if Instant::now() >= next_deadly {
-            next_deadly = Instant::now() + Duration::from_millis(3000);
-            deadly_sent += 1;
-            let outcome = clients[deadly_sent % 2].send("GET /lepu/deadly", None, 1000, b"");
-            record.write(&format!(
-                "deadly request {}: {} {}",
-                outcome.id, outcome.status, outcome.reason
-            ));
-        }
-        for id in fleet.take_ended_upstreams() {
-            if let Some(spec) = specs.iter_mut().find(|spec| spec.id == id) {
-                starts += 1;
-                let base = id.rsplit_once('-').map_or(id.as_str(), |(base, _)| base);
-                spec.id = format!("{base}-{starts}");
-                back.push((Instant::now() + Duration::from_millis(3000), spec.clone()));
-            }
-        }
-        let due = |(at, _): &mut (Instant, Spec)| Instant::now() >= *at;
-        for (_, spec) in back.extract_if(.., due).collect::<Vec<_>>() {
-            fleet.start_upstream(&spec)?;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    let outcomes = load.finish();
-    summarize(&record, "clients", &outcomes);
-    let mut events = fleet.seen();
-    events.sort_by_key(|event| event.at);
-    let crashes = events.iter().filter(|e| e.text.starts_with("crash "));
-    let third = crashes.clone().nth(2).map(|event| event.at);
-    let runs = events.iter().filter(|e| e.text.ends_with("/deadly"));
-    let limit = third.map_or(u64::MAX, |third| third + CONTACT_MS);
-    let late = runs.clone().filter(|run| run.at > limit).count();
-    record.write(&format!(
-        "the request was sent {deadly_sent} times and ran {} times; it crashed {} upstreams, the \
-         third at {:?} ms; it ran {late} times later than {CONTACT_MS} ms after that",
-        runs.count(),
-        crashes.count(),
-        third
-    ));
-    Ok(late > 3)
-}
-
-/// The upstreams of one zone crash together while they run the same order of several clients.
-fn same(record: Record, trouble: Trouble) -> io::Result<bool> {
-    let routes = [("r-1", "/lepu/", "unsafe", 1000, 400, "orders")];
-    let body = configuration(&routes, &[("orders", false)]);
-    let mut fleet = start(record.clone(), 2, &body)?;
-    let mut specs = Vec::new();
-    for number in 1..=6 {
-        let spec = Spec {
-            work_ms: 120,
-            zone: if number <= 3 { "a" } else { "b" }.to_owned(),
-            ..spec(&fleet, &format!("i-{number}-0"), "orders")?
-        };
-        fleet.start_upstream(&spec)?;
-        specs.push(spec);
-    }
-    let fronts = [fleet.front(1), fleet.front(2)];
-    let stop: Arc<AtomicBool> = Arc::default();
-    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
-    let mut threads = Vec::new();
-    for number in 0..16 {
-        let mut client = Client::new(fronts[number % 2], record.clone());
-        let (stop, outcomes) = (stop.clone(), outcomes.clone());
-        threads.push(thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                let outcome = client.send("POST /lepu/nightly", None, 1000, b"{}");
-                if let Ok(mut all) = outcomes.lock() {
-                    all.push(outcome);
-                }
-                thread::sleep(Duration::from_millis(100));
-            }
-        }));
-    }
-    sleep(6000);
-    let crashed_at = record.now();
-    if trouble.has("crash") {
-        for number in 1..=3 {
-            fleet.end_upstream(&format!("i-{number}-0"));
-        }
-        sleep(4500);
-        for spec in &mut specs[..3] {
-            spec.id = spec.id.replace("-0", "-1");
-            fleet.start_upstream(spec)?;
-        }
-    }
-    sleep(20_000);
-    stop.store(true, Ordering::SeqCst);
-    for thread in threads {
-        let _ = thread.join();
-    }
-    let all = outcomes.lock().map(|all| all.clone()).unwrap_or_default();
-    summarize(&record, "clients", &all);
-    let denied = all.iter().filter(|o| o.status == 400);
-    let late = denied
-        .clone()
-        .filter(|o| o.sent_at > crashed_at + CONTACT_MS);
-    record.write(&format!(
-        "400: {}, of these later than contact_ms {}",
-        denied.count(),
-        late.clone().count()
-    ));
-    Ok(late.count() > 5 + all.len() / 500)
-}
-
 /// The platform's watch over the memory of the core: kills a process that uses more than its memory,
 /// and starts it again after half a second.
 struct CoreWatch {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod client;
 mod fleet;
+mod further;
 mod http;
 mod record;
 mod upstream;
--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -19,6 +19,8 @@
 };
 
 const KEYS: usize = 1 << 16;
+/// Length in bytes of an answer to a path that begins with `/long/`.
+pub const LONG_ANSWER: usize = 24 << 20;
 /// Time after which an unanswered grant is carried out in `late` trouble.
 const LATE: Duration = Duration::from_millis(2000);
 
@@ -43,6 +45,10 @@
     pub controls: Vec<String>,
     /// Addresses through which others are reached: `address=proxy`.
     pub via: Vec<String>,
+    /// Seconds for which it wants nothing: it turns each request away. Empty if it runs requests.
+    pub retry_after: String,
+    /// Whether it sends one heartbeat only.
+    pub once: bool,
 }
 
 impl Spec {
@@ -58,6 +64,8 @@
             self.heartbeat_ms.to_string(),
             self.controls.join(","),
             self.via.join(","),
+            self.retry_after.clone(),
+            self.once.to_string(),
         ]
     }
 
@@ -77,6 +85,8 @@
             beat,
             controls,
             via,
+            retry_after,
+            once,
         ] = args
         else {
             return None;
@@ -92,6 +102,8 @@
             heartbeat_ms: beat.parse().ok()?,
             controls: list(controls),
             via: list(via),
+            retry_after: retry_after.clone(),
+            once: once == "true",
         })
     }
 }
@@ -164,6 +176,7 @@
                 upstream.unanswered.store(true, Ordering::SeqCst);
                 upstream.beat_now.store(true, Ordering::SeqCst);
             }
+            "leave" => upstream.leave(),
             "extra" => upstream.extra.store(true, Ordering::SeqCst),
             "late" => upstream.late.store(true, Ordering::SeqCst),
             "end" => break,
@@ -250,6 +263,33 @@
         None
     }
 
+    /// Says that it leaves, to the nodes in turn.
+    fn leave(&self) {
+        for node in &self.spec.controls {
+            let mut to = node.clone();
+            for _ in 0..3 {
+                let start = format!("POST /Instances.Leave/{} HTTP/1.1", self.spec.id);
+                let headers = [("Host", to.as_str()), ("Connection", "close")];
+                let body = format!("{{\"born\":{}}}", self.born);
+                let request = http::encode(&start, &headers, body.as_bytes());
+                let Ok(address) = to.parse() else { break };
+                let Ok(answer) = http::call(address, &request, Duration::from_secs(1)) else {
+                    break;
+                };
+                let location = answer.header("location").unwrap_or_default();
+                let rest = location.strip_prefix("http://").unwrap_or_default();
+                match answer.status() {
+                    200..=299 => {
+                        say(&format!("leave acknowledged by {to}"));
+                        return;
+                    }
+                    307 => to = rest.split('/').next().unwrap_or_default().to_owned(),
+                    _ => break,
+                }
+            }
+        }
+    }
+
     /// Calls the nodes that are reached through a slow link, one after the other.
     fn call_next_nodes(&self) {
         say("no answer to the latest heartbeat; the next nodes are called");
@@ -283,6 +323,9 @@
                 }
                 thread::sleep(Duration::from_millis(20));
             }
+            if self.spec.once {
+                return;
+            }
             while begun.elapsed() < interval && !self.beat_now.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(5));
             }
@@ -417,6 +460,15 @@
                 return self.refusal(id, 421);
             }
         }
+        if !self.spec.retry_after.is_empty() {
+            say(&format!("turned away {id}"));
+            let headers = [
+                ("Camphordale-Request-Id", id),
+                ("Camphordale-Not-Executed", "1"),
+                ("Retry-After", self.spec.retry_after.as_str()),
+            ];
+            return http::encode(&status_line(503), &headers, b"");
+        }
         if self.waiting.load(Ordering::SeqCst) >= self.spec.slots + self.spec.queue {
             return self.refusal(id, 503);
         }
@@ -465,7 +517,11 @@
             ("Camphordale-Upstream-Signature", signature.as_str()),
         ];
         let count = if self.is_foreign() { 2 } else { 3 };
-        http::encode("HTTP/1.1 200 OK", &headers[..count], b"done")
+        let body = match request.path().starts_with("/long/") {
+            true => vec![b'x'; LONG_ANSWER],
+            false => b"done".to_vec(),
+        };
+        http::encode("HTTP/1.1 200 OK", &headers[..count], &body)
     }
 }
 
