--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -37,7 +37,8 @@
 /// Makes the loops of the running case end, so that it ends what it has started.
 pub fn give_up() {
     ABANDONED.store(true, Ordering::SeqCst);
-    thread::sleep(Duration::from_secs(3));
+    thread::sleep(Duration::from_secs(2));
+    crate::fleet::end_all();
 }
 
 /// The parts of the disruption that are on: all of them, none with `TROUBLE=0`, or those that
@@ -347,9 +348,9 @@
     let body = configuration(&routes, &[("store", false), ("browse", false)]);
     let mut fleet = start(record.clone(), 2, &body)?;
     for (id, service, work) in [
-        ("i-1", "store", 3000),
-        ("i-2", "store", 3000),
-        ("i-3", "store", 3000),
+        ("i-1", "store", 5000),
+        ("i-2", "store", 5000),
+        ("i-3", "store", 5000),
         ("i-4", "browse", 100),
         ("i-5", "browse", 100),
     ] {
@@ -408,7 +409,7 @@
         threads.push(thread::spawn(move || {
             // A short request first, so that the connection is a kept one.
             let first = client.send("GET /lepu/1", None, 1000, b"");
-            thread::sleep(Duration::from_millis(500 + 150 * number as u64));
+            thread::sleep(Duration::from_millis(500 + 450 * number as u64));
             let outcome = client.send(&format!("POST /put/{number}"), None, 15_000, &upload);
             record.write(&format!(
                 "upload {number} of {} bytes, {}: {} {} after {} ms",
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// All processes of the system that were started, or `None` once no more may be.
+static STARTED: Mutex<Option<Vec<Process>>> = Mutex::new(Some(Vec::new()));
+
+/// Ends all processes of the system, when a case is given up. Upstreams end with their input.
+pub fn end_all() {
+    let started = STARTED.lock().ok().and_then(|mut started| started.take());
+    started.iter().flatten().for_each(end);
+}
+
 pub struct Fleet {
     pub record: Record,
     dir: PathBuf,
@@ -174,8 +183,12 @@
             .stderr(log)
             .spawn()?;
         self.record.write(&format!("{name} is started"));
-        self.processes
-            .push((name.to_owned(), Arc::new(Mutex::new(child))));
+        let process = Arc::new(Mutex::new(child));
+        match STARTED.lock().as_deref_mut() {
+            Ok(Some(started)) => started.push(process.clone()),
+            _ => end(&process),
+        }
+        self.processes.push((name.to_owned(), process));
         Ok(())
     }
 
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -3,9 +3,14 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
+    thread,
     time::Duration,
 };
 
+/// Long requests are sent in parts, with less than half of the rate of a link of 1,000 Mbit/s.
+const PART: usize = 1 << 20;
+const PART_TIME: Duration = Duration::from_millis(20);
+
 #[derive(Clone, Debug, Default)]
 pub struct Message {
     /// Request line or status line.
@@ -98,7 +103,12 @@
 
     pub fn exchange(&mut self, request: &[u8], timeout: Duration) -> io::Result<Message> {
         self.reader.get_ref().set_read_timeout(Some(timeout))?;
-        self.reader.get_mut().write_all(request)?;
+        for (number, part) in request.chunks(PART).enumerate() {
+            if number > 0 {
+                thread::sleep(PART_TIME);
+            }
+            self.reader.get_mut().write_all(part)?;
+        }
         read(&mut self.reader)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     }
 }
