--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -96,6 +96,17 @@
     next_lease_pass: Duration,
 }
 
+/// Bytes that a control VM keeps, by purpose, in their encoded form.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetainedBytes {
+    /// Entries of the Raft log in memory.
+    pub log: usize,
+    /// State in the snapshot of the log.
+    pub snapshot: usize,
+    /// Updates for entry VMs that subscribe again.
+    pub updates: usize,
+}
+
 /// One control VM.
 pub struct Control {
     config: Config,
@@ -226,6 +237,15 @@
         &self.state
     }
 
+    /// Bytes that this member keeps for other VMs and for its next start.
+    pub fn retained_bytes(&self) -> RetainedBytes {
+        RetainedBytes {
+            log: self.raft.log_bytes(),
+            snapshot: self.raft.snapshot_bytes(),
+            updates: self.recent_updates.bytes(),
+        }
+    }
+
     /// Whether this VM is the leader and has applied the state of its term.
     pub fn is_leader(&self) -> bool {
         self.leader_state.is_some()
@@ -321,7 +341,7 @@
                 learners: members.learners.iter().copied().collect(),
             })),
             Payload::Data(data) => match postcard::from_bytes::<Command>(data) {
-                Ok(command) => self.apply_command(index, id, command, now, out),
+                Ok(command) => self.apply_command(index, id, (command, data.len()), now, out),
                 Err(_) => out.push(Effect::Log(LogEvent::Codec("command cannot be decoded"))),
             },
         }
@@ -339,7 +359,7 @@
         &mut self,
         index: u64,
         id: Option<u64>,
-        command: Command,
+        (command, bytes): (Command, usize),
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -350,13 +370,6 @@
         {
             leader.proposed_targets.remove(id);
         }
-        if outcome == Outcome::Done {
-            self.on_command_applied(&command, out);
-            self.stream_update(index, &command, out);
-            if matches!(command, Command::Assign { .. }) {
-                self.send_delayed_answers(now, out);
-            }
-        }
         if let Command::Change(change) = &command {
             out.push(Effect::Log(LogEvent::Change {
                 base: change.base_version,
@@ -364,6 +377,14 @@
                 outcome: outcome.clone(),
             }));
         }
+        if outcome == Outcome::Done {
+            self.on_command_applied(&command, out);
+            let is_assignment = matches!(command, Command::Assign { .. });
+            self.stream_update(index, command, bytes, out);
+            if is_assignment {
+                self.send_delayed_answers(now, out);
+            }
+        }
         if let Some(pending) = pending {
             self.on_command_outcome(pending, index, outcome, now, out);
         }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -47,7 +47,16 @@
 pub(super) struct RecentUpdates {
     /// The updates after this index are kept.
     from: u64,
-    updates: VecDeque<(u64, Command)>,
+    updates: VecDeque<RecentUpdate>,
+    /// Encoded bytes of these updates.
+    bytes: usize,
+}
+
+struct RecentUpdate {
+    index: u64,
+    command: Command,
+    /// Encoded bytes of the command.
+    bytes: usize,
 }
 
 impl RecentUpdates {
@@ -56,24 +65,38 @@
         RecentUpdates {
             from: index,
             updates: VecDeque::new(),
+            bytes: 0,
         }
     }
 
-    pub(super) fn push(&mut self, index: u64, command: Command) {
-        self.updates.push_back((index, command));
+    /// Encoded bytes of the updates that are kept.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds the command at `index`, which is encoded in `bytes` bytes.
+    fn push(&mut self, index: u64, command: Command, bytes: usize) {
+        self.bytes += bytes;
+        self.updates.push_back(RecentUpdate {
+            index,
+            command,
+            bytes,
+        });
         if self.updates.len() > MAX_RECENT_UPDATES
-            && let Some((dropped, _)) = self.updates.pop_front()
+            && let Some(dropped) = self.updates.pop_front()
         {
-            self.from = dropped;
+            self.bytes -= dropped.bytes;
+            self.from = dropped.index;
         }
     }
 
     /// The updates after `index`, or `None` if they are not all kept. A view without any state has
     /// index 0.
     fn since(&self, index: u64) -> Option<impl Iterator<Item = (u64, &Command)>> {
-        let first = self.updates.partition_point(|(at, _)| *at <= index);
+        let first = self.updates.partition_point(|update| update.index <= index);
         let rest = self.updates.range(first..);
-        (index > 0 && index >= self.from).then(|| rest.map(|(at, command)| (*at, command)))
+        (index > 0 && index >= self.from)
+            .then(|| rest.map(|update| (update.index, &update.command)))
     }
 }
 
@@ -306,9 +329,16 @@
         }
     }
 
-    pub(super) fn stream_update(&mut self, index: u64, command: &Command, out: &mut Vec<Effect>) {
-        self.recent_updates.push(index, command.clone());
-        let command = Box::new(command.clone());
+    /// Streams the command at `index`, which is encoded in `bytes` bytes.
+    pub(super) fn stream_update(
+        &mut self,
+        index: u64,
+        command: Command,
+        bytes: usize,
+        out: &mut Vec<Effect>,
+    ) {
+        self.recent_updates.push(index, command.clone(), bytes);
+        let command = Box::new(command);
         self.broadcast(PeerMessage::Update { index, command }, out);
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,7 +39,8 @@
     Effect,
     Event,
     LogEvent,
-    Reply, //
+    Reply,
+    RetainedBytes, //
 };
 pub use crash_evidence::{
     CrashEvidence,
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -20,6 +20,8 @@
     /// Index and term before the first entry in memory.
     base: (u64, u64),
     entries: Vec<Entry>,
+    /// Bytes of these entries.
+    bytes: usize,
     /// Memberships with the index of their entry, in order. The first one is the snapshot's.
     memberships: Vec<(u64, Members)>,
 }
@@ -39,6 +41,7 @@
             snapshot,
             base: (index, term),
             entries: Vec::with_capacity(entries.len()),
+            bytes: 0,
             memberships: vec![(index, members)],
         };
         for entry in entries {
@@ -53,6 +56,7 @@
             snapshot: None,
             base: (0, 0),
             entries: Vec::new(),
+            bytes: 0,
             memberships: Vec::new(),
         }
     }
@@ -83,6 +87,11 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
+    /// Bytes of the entries in memory.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Term of the entry at `index`, if it is known.
     pub(crate) fn term(&self, index: u64) -> Option<u64> {
         if index == self.base.0 {
@@ -108,14 +117,17 @@
         if let Payload::Members(members) = &entry.payload {
             self.memberships.push((entry.index, members.clone()));
         }
+        self.bytes += entry.size();
         self.entries.push(entry);
     }
 
     /// Removes the entries from `index` on, and their memberships.
     pub(crate) fn truncate(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.0 + 1);
-        self.entries
-            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        let keep = usize::try_from(keep).unwrap_or(usize::MAX);
+        let dropped = self.entries.iter().skip(keep);
+        self.bytes -= dropped.map(Entry::size).sum::<usize>();
+        self.entries.truncate(keep);
         self.memberships.retain(|(at, _)| *at < index);
     }
 
@@ -169,7 +181,7 @@
             && let Some(base_term) = self.term(base)
         {
             let drop = usize::try_from(base - self.base.0).unwrap_or(usize::MAX);
-            self.entries.drain(..drop.min(self.entries.len()));
+            self.drop_oldest(drop);
             self.base = (base, base_term);
         }
         Some(self.snapshot.insert(Snapshot {
@@ -187,10 +199,10 @@
             self.snapshot.is_some() && self.term(snapshot.index) == Some(snapshot.term);
         if has_last_entry {
             let drop = usize::try_from(snapshot.index - self.base.0).unwrap_or(usize::MAX);
-            self.entries.drain(..drop.min(self.entries.len()));
+            self.drop_oldest(drop);
             self.memberships.retain(|(at, _)| *at > snapshot.index);
         } else {
-            self.entries.clear();
+            self.drop_oldest(self.entries.len());
             self.memberships.clear();
         }
         self.memberships
@@ -199,6 +211,11 @@
         self.snapshot = Some(snapshot);
         !has_last_entry
     }
+
+    fn drop_oldest(&mut self, count: usize) {
+        let dropped = self.entries.drain(..count.min(self.entries.len()));
+        self.bytes -= dropped.map(|entry| entry.size()).sum::<usize>();
+    }
 }
 
 /// Returns whether `entries` follow the entry at `index` and `term` without gaps, with terms that
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -224,6 +224,19 @@
         self.log.last_index() - self.log.snapshot_index()
     }
 
+    /// Returns the bytes of the entries in memory, with those before the snapshot that are kept for
+    /// followers that lag.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// Returns the bytes of the encoded state in the snapshot.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.log
+            .snapshot()
+            .map_or(0, |snapshot| snapshot.data.len())
+    }
+
     /// Returns whether the member has stopped taking part because its storage failed or its durable
     /// state has gaps.
     pub fn failed(&self) -> bool {
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -57,6 +57,17 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Returns the bytes that the entry takes in memory.
+    pub(crate) fn size(&self) -> usize {
+        let data = match &self.payload {
+            Payload::Data(data) => data.len(),
+            Payload::Noop | Payload::Members(_) => 0,
+        };
+        size_of::<Entry>() + data
+    }
+}
+
 /// Term and vote, which a member must persist before it replies.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -306,7 +306,10 @@
             IoEvent::Request { conn, request, .. } => {
                 let response = match &*request.path {
                     AUDIT_PATH => self.audit_trail(context),
-                    _ => context.metrics_response(&request),
+                    _ => {
+                        self.measure_retained(context);
+                        context.metrics_response(&request)
+                    }
                 };
                 context.event_loop.respond(conn, &response);
             }
@@ -324,6 +327,20 @@
         }
     }
 
+    fn measure_retained(&self, context: &ProcessContext) {
+        let retained = self.control.retained_bytes();
+        let file = self.store.as_ref().map_or(0, Store::size);
+        for (kind, bytes) in [
+            ("log-bytes", retained.log as u64),
+            ("snapshot-bytes", retained.snapshot as u64),
+            ("recent-update-bytes", retained.updates as u64),
+            ("log-file-bytes", file),
+            ("peer-output-bytes", context.event_loop.peer_output() as u64),
+        ] {
+            context.metrics.set_gauge(kind, bytes);
+        }
+    }
+
     /// The accepted changes that this member knows, as JSON, oldest first.
     fn audit_trail(&self, context: &ProcessContext) -> Response {
         match serde_json::to_vec(&self.control.state().history) {
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -153,6 +153,15 @@
         }
     }
 
+    /// Number of bytes that are queued for other VMs.
+    pub fn peer_output(&self) -> usize {
+        let peers = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| matches!(conn.kind, ConnKind::Peer { .. }));
+        peers.map(|(_, conn)| conn.output_length()).sum()
+    }
+
     /// Writes what was queued for other VMs.
     pub(super) fn flush_peers(&mut self, now: Duration) {
         for (key, id) in std::mem::take(&mut self.unflushed) {
