Send long entries in bounded messages, and only to members that read

The output for a member that doesn't read grew to 48 MiB within a second, heartbeats waited behind it on the link, and 64 changes of 1,300 routes would be longer than the longest message (32 MiB), so such a member would never catch up.

Cause: a batch was bounded by its number of entries, and what was in flight was sent again whether or not the member replied.

Change: a batch ends at 256 KiB, unless its first entry is longer. What takes more than a sixteenth of that is sent again only after a reply to a later round, which shows that it was lost, as messages to a member arrive in order. Payloads are shared between the copies of an entry.

Ruled out: resending by time alone, which has no bound while a member is stopped.

Evidence: tests/raft/long_entries.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -520,6 +520,7 @@
             lease: settings.control.election,
             heartbeat_interval: settings.control.heartbeat,
             max_batch: 256,
+            max_batch_bytes: 1 << 20,
             seed: rand::random(),
         },
         planner: PlannerConfig {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -79,6 +79,11 @@
 
 /// Length of the Raft log at which it is compacted.
 const COMPACT_AFTER_ENTRIES: u64 = 512;
+/// Entries in one message to a member.
+const MAX_BATCH_ENTRIES: usize = 64;
+/// Bytes in one message to a member, unless a single entry is longer. Heartbeats wait behind it on
+/// the link.
+const MAX_BATCH_BYTES: usize = 256 << 10;
 
 /// State that only the leader has.
 struct LeaderState {
@@ -184,7 +189,8 @@
                 election_timeout: config.election_timeout,
                 lease: config.leader_lease,
                 heartbeat_interval: config.heartbeat_interval,
-                max_batch: 64,
+                max_batch: MAX_BATCH_ENTRIES,
+                max_batch_bytes: MAX_BATCH_BYTES,
                 seed: config.seed,
             },
             recovered,
--- a/crates/node/src/entry/group.rs
+++ b/crates/node/src/entry/group.rs
@@ -108,6 +108,7 @@
             lease: self.config.election_timeout,
             heartbeat_interval: self.config.heartbeat_interval,
             max_batch: 256,
+            max_batch_bytes: 1 << 20,
             seed: self.config.seed ^ group.term,
         };
         let lease = self.config.lease_config.clone();
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -328,6 +328,7 @@
             lease: ms(400),
             heartbeat_interval: ms(100),
             max_batch: 64,
+            max_batch_bytes: 1 << 20,
             seed: 1,
         },
         planner: camphordale_control::PlannerConfig::default(),
--- a/crates/node/tests/sim/mod.rs
+++ b/crates/node/tests/sim/mod.rs
@@ -317,6 +317,7 @@
                     lease: ms(400),
                     heartbeat_interval: ms(100),
                     max_batch: 64,
+                    max_batch_bytes: 1 << 20,
                     seed,
                 },
                 planner: PlannerConfig::default(),
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -100,16 +100,29 @@
         self.get(index).map(|entry| entry.term)
     }
 
-    /// Returns up to `count` entries, starting at `index`.
-    pub(crate) fn entries_from(&self, index: u64, count: usize) -> Vec<Entry> {
+    /// Bytes of the entries after `after`, up to and including `last`.
+    pub(crate) fn bytes_between(&self, after: u64, last: u64) -> usize {
+        let entries = self.iter_from(after + 1);
+        let entries = entries.take_while(|entry| entry.index <= last);
+        entries.map(Entry::size).sum()
+    }
+
+    /// Returns up to `count` entries, starting at `index`. After the first one, those that would
+    /// take more than `bytes` together are left out.
+    pub(crate) fn entries_from(&self, index: u64, count: usize, bytes: usize) -> Vec<Entry> {
+        let mut total = 0;
+        let fits = |entry: &&Entry| {
+            total += entry.size();
+            total == entry.size() || total <= bytes
+        };
+        let entries = self.iter_from(index).take(count);
+        entries.take_while(fits).cloned().collect()
+    }
+
+    fn iter_from(&self, index: u64) -> impl Iterator<Item = &Entry> {
         let skip = index.saturating_sub(self.base.0 + 1);
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-        self.entries
-            .iter()
-            .skip(skip)
-            .take(count)
-            .cloned()
-            .collect()
+        self.entries.iter().skip(skip)
     }
 
     /// Appends an entry that follows the last one.
@@ -166,9 +179,14 @@
         contains(last) || (last.is_some_and(|(at, _)| *at > commit) && contains(memberships.next()))
     }
 
-    /// Replaces the snapshot by `data` at `index` and keeps at most `keep` entries before it.
-    /// Returns `None` if `index` is not an entry after the current snapshot.
-    pub(crate) fn compact(&mut self, index: u64, data: Vec<u8>, keep: usize) -> Option<&Snapshot> {
+    /// Replaces the snapshot by `data` at `index`. Before it, the number of entries and of bytes in
+    /// `keep` are kept at most. Returns `None` if `index` is not an entry after the current snapshot.
+    pub(crate) fn compact(
+        &mut self,
+        index: u64,
+        data: Vec<u8>,
+        (keep, keep_bytes): (usize, usize),
+    ) -> Option<&Snapshot> {
         if index <= self.snapshot_index() {
             return None;
         }
@@ -176,7 +194,14 @@
         let at = self.memberships.iter().rposition(|(at, _)| *at <= index)?;
         let members = self.memberships.get(at)?.1.clone();
         self.memberships.drain(..at);
-        let base = index.saturating_sub(keep as u64);
+        let mut base = index.saturating_sub(keep as u64).max(self.base.0);
+        let mut kept_bytes = self.bytes_between(base, index);
+        while kept_bytes > keep_bytes
+            && let Some(oldest) = self.get(base + 1)
+        {
+            kept_bytes -= oldest.size();
+            base += 1;
+        }
         if base > self.base.0
             && let Some(base_term) = self.term(base)
         {
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -81,6 +81,7 @@
     ///     lease: Duration::from_millis(150),
     ///     heartbeat_interval: Duration::from_millis(40),
     ///     max_batch: 64,
+    ///     max_batch_bytes: 1 << 20,
     ///     seed: 7,
     /// };
     /// let members = Members { voters: [1].into(), ..Members::default() };
@@ -132,6 +133,7 @@
     ///     lease: Duration::from_millis(150),
     ///     heartbeat_interval: Duration::from_millis(40),
     ///     max_batch: 64,
+    ///     max_batch_bytes: 1 << 20,
     ///     seed: 7,
     /// };
     /// let members = Members { voters: [1].into(), ..Members::default() };
@@ -230,6 +232,19 @@
         self.log.bytes()
     }
 
+    /// Returns the bytes of the entries after the snapshot that are applied, which
+    /// [`Event::Compact`] replaces by a new snapshot.
+    pub fn compactable_bytes(&self) -> usize {
+        self.log
+            .bytes_between(self.log.snapshot_index(), self.applied_index)
+    }
+
+    /// Returns the bytes of the entries that are not known to be committed.
+    pub fn uncommitted_bytes(&self) -> usize {
+        self.log
+            .bytes_between(self.commit_index, self.log.last_index())
+    }
+
     /// Returns the bytes of the encoded state in the snapshot.
     pub fn snapshot_bytes(&self) -> usize {
         self.log
@@ -331,7 +346,8 @@
         if index > self.applied_index {
             return;
         }
-        if let Some(snapshot) = self.log.compact(index, data, self.config.max_batch) {
+        let keep = (self.config.max_batch, self.config.max_batch_bytes);
+        if let Some(snapshot) = self.log.compact(index, data, keep) {
             out.push(Effect::Persist(DurableWrite {
                 snapshot: Some(snapshot.clone()),
                 ..DurableWrite::default()
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -41,6 +41,20 @@
     pub(crate) pending_reads: VecDeque<(u64, u64)>,
 }
 
+/// Entries that take at most [`Config::max_batch_bytes`] divided by this are sent again with each
+/// heartbeat until they are acknowledged.
+///
+/// [`Config::max_batch_bytes`]: crate::Config::max_batch_bytes
+const RESENT_DIVISOR: usize = 16;
+
+/// Entries that were sent and are not acknowledged yet.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    /// Heartbeat round in which they were sent.
+    round: u64,
+    bytes: usize,
+}
+
 /// Replication progress of a follower.
 #[derive(Clone, Debug)]
 pub(crate) struct Progress {
@@ -48,8 +62,8 @@
     pub(crate) match_index: u64,
     /// Next index to send; 0 if the follower has no log and needs the snapshot.
     pub(crate) next_index: u64,
-    /// Whether entries were sent and are not acknowledged yet.
-    in_flight: bool,
+    /// Entries that were sent and are not acknowledged yet.
+    in_flight: Option<InFlight>,
     /// Time at which the snapshot was last sent.
     snapshot_at: Option<Duration>,
     /// Latest heartbeat round that the follower acknowledged.
@@ -94,7 +108,7 @@
             self.drop_request(id, out);
             return;
         }
-        self.append_request(id, Payload::Data(data), out);
+        self.append_request(id, Payload::Data(data.into()), out);
     }
 
     /// Appends an entry for a request and replicates it.
@@ -136,7 +150,7 @@
                 leader.progress.entry(id).or_insert(Progress {
                     match_index: 0,
                     next_index: leader.first_index,
-                    in_flight: false,
+                    in_flight: None,
                     snapshot_at: None,
                     acked_round: 0,
                     replied_at: self.now,
@@ -157,7 +171,9 @@
     }
 
     /// Sends the next entries or the snapshot to a follower with nothing in flight. With
-    /// `heartbeat`, entries in flight are sent again, and a message is sent even without entries.
+    /// `heartbeat`, a message is sent even without entries, and few bytes in flight are sent again.
+    /// Many bytes may take longer to transfer than a heartbeat interval, and a follower that does
+    /// not read them must not be sent more: they are sent again after a reply to a later round.
     pub(crate) fn replicate_to(&mut self, to: MemberId, heartbeat: bool, out: &mut Vec<Effect>) {
         let Some(leader) = &mut self.leader_state else {
             return;
@@ -173,8 +189,11 @@
         let (prev_index, entries) = match (prev, self.log.snapshot()) {
             (None, Some(snapshot)) => {
                 // A snapshot may take longer to transfer than a heartbeat interval, so it is sent
-                // again only after an election timeout.
-                let due = |sent| self.now.saturating_sub(sent) >= self.config.election_timeout;
+                // again only after an election timeout, and to a follower that replies.
+                let due = |sent| {
+                    self.now.saturating_sub(sent) >= self.config.election_timeout
+                        && progress.replied_at > sent
+                };
                 if progress.snapshot_at.is_none_or(due) {
                     progress.snapshot_at = Some(self.now);
                     let snapshot = snapshot.clone();
@@ -192,13 +211,22 @@
             }
             (Some(prev), _) => {
                 progress.snapshot_at = None;
-                if progress.in_flight && !heartbeat {
-                    return;
+                let sends_entries = match progress.in_flight {
+                    Some(in_flight) => {
+                        let max_bytes = self.config.max_batch_bytes / RESENT_DIVISOR;
+                        heartbeat && in_flight.bytes <= max_bytes
+                    }
+                    None => true,
+                };
+                let (count, bytes) = (self.config.max_batch.max(1), self.config.max_batch_bytes);
+                let entries = match sends_entries {
+                    true => self.log.entries_from(prev + 1, count, bytes),
+                    false => Vec::new(),
+                };
+                if !entries.is_empty() {
+                    let bytes = entries.iter().map(Entry::size).sum();
+                    progress.in_flight = Some(InFlight { round, bytes });
                 }
-                let entries = self
-                    .log
-                    .entries_from(prev + 1, self.config.max_batch.max(1));
-                progress.in_flight = !entries.is_empty();
                 (prev, entries)
             }
             (None, None) => return,
@@ -263,7 +291,12 @@
         }
         if advanced || (!reply.success && next < progress.next_index) {
             progress.next_index = next;
-            progress.in_flight = false;
+            progress.in_flight = None;
+        } else if let Some(in_flight) = progress.in_flight
+            && reply.round > in_flight.round
+        {
+            // Messages to a follower arrive in order, so the entries were lost.
+            progress.in_flight = None;
         }
         if advanced {
             self.advance_commit(out);
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -1,6 +1,10 @@
 //! Public types: configuration, log entries, messages, events and effects.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +26,8 @@
     pub heartbeat_interval: Duration,
     /// Maximum number of entries in one append message.
     pub max_batch: usize,
+    /// Bytes after which no further entry is added to an append message.
+    pub max_batch_bytes: usize,
     /// Seed of the randomized election timeouts.
     pub seed: u64,
 }
@@ -40,8 +46,8 @@
 pub enum Payload {
     /// Empty; a new leader appends it to commit the entries of earlier terms.
     Noop,
-    /// A command for the state machine.
-    Data(Vec<u8>),
+    /// A command for the state machine, shared by all copies of the entry.
+    Data(Arc<[u8]>),
     /// The new members, in effect as soon as the entry is in the log.
     Members(Members),
 }
@@ -59,7 +65,15 @@
 
 impl Entry {
     /// Returns the bytes that the entry takes in memory.
-    pub(crate) fn size(&self) -> usize {
+    ///
+    /// ```
+    /// use camphordale_raft::{Entry, Payload};
+    ///
+    /// let entry = |payload| Entry { index: 1, term: 1, payload };
+    /// let command = entry(Payload::Data([0; 100].into()));
+    /// assert_eq!(command.size(), entry(Payload::Noop).size() + 100);
+    /// ```
+    pub fn size(&self) -> usize {
         let data = match &self.payload {
             Payload::Data(data) => data.len(),
             Payload::Noop | Payload::Members(_) => 0,
--- a/crates/raft/tests/raft/main.rs
+++ b/crates/raft/tests/raft/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod histories;
+mod long_entries;
 mod malformed;
 mod scenarios;
 mod sim;
--- a/crates/raft/tests/raft/scenarios.rs
+++ b/crates/raft/tests/raft/scenarios.rs
@@ -93,7 +93,7 @@
 }
 
 /// Makes a member of the group 1, 2, 3 the leader of its next term, at `at` milliseconds.
-fn make_leader(raft: &mut Raft, at: u64) {
+pub(crate) fn make_leader(raft: &mut Raft, at: u64) {
     let term = raft.term() + 1;
     raft.step(Event::Tick, ms(at));
     for (from, pre_vote) in [(2, true), (3, true), (2, false), (3, false)] {
--- a/crates/raft/tests/raft/sim.rs
+++ b/crates/raft/tests/raft/sim.rs
@@ -45,6 +45,7 @@
         lease: ELECTION,
         heartbeat_interval: ms(40),
         max_batch: 4,
+        max_batch_bytes: 1 << 20,
         seed,
     }
 }
@@ -196,6 +197,8 @@
         // Random histories use a lease shorter than the election timeout.
         let config = Config {
             lease: LEASE,
+            // Some members send few bytes at a time, so that all their entries count as long.
+            max_batch_bytes: if seed.is_multiple_of(2) { 1 << 20 } else { 200 },
             ..config(id, seed)
         };
         node.raft = Some(Raft::new(config, node.disk.clone()));
--- a/crates/store/tests/restart.rs
+++ b/crates/store/tests/restart.rs
@@ -29,7 +29,7 @@
             Effect::Apply {
                 payload: Payload::Data(data),
                 ..
-            } => applied.push(data),
+            } => applied.push(data.to_vec()),
             _ => {}
         }
     }
@@ -64,6 +64,7 @@
         lease: Duration::from_millis(400),
         heartbeat_interval: Duration::from_millis(100),
         max_batch: 64,
+        max_batch_bytes: 1 << 20,
         seed: 1,
     };
     let mut raft = Raft::new(config, recovered);
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -175,7 +175,7 @@
 }
 
 fn entry(index: u64, data: Vec<u8>) -> Entry {
-    let payload = Payload::Data(data);
+    let payload = Payload::Data(data.into());
     Entry {
         index,
         term: 1,
