Read the log one record at a time at a start and a compaction

What was seen: after a kill, a control VM of review/1 had a peak of twice its log within a second: the bytes of the file beside the entries decoded from them. A compaction read the whole log into memory in the same way, to drop most of it.

Change: the store reads and decodes records one by one.

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -9,11 +9,16 @@
     },
     io::{
         self,
+        BufReader,
+        Read,
         Write, //
     },
     path::Path,
 };
 
+/// Bytes that are read from a file at a time.
+const READ_BYTES: usize = 64 << 10;
+
 /// File operations used by the store.
 pub trait Disk: fmt::Debug + Send + Sync {
     /// Returns the content of a file, or `None` if it does not exist.
@@ -23,6 +28,13 @@
     /// Any error of the file system other than a missing file.
     fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>>;
 
+    /// Opens a file for reading from its start. Returns `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the file system other than a missing file.
+    fn open(&self, path: &Path) -> io::Result<Option<Box<dyn Read>>>;
+
     /// Creates an empty file, or truncates an existing one.
     ///
     /// # Errors
@@ -89,6 +101,14 @@
         }
     }
 
+    fn open(&self, path: &Path) -> io::Result<Option<Box<dyn Read>>> {
+        match File::open(path) {
+            Ok(file) => Ok(Some(Box::new(BufReader::with_capacity(READ_BYTES, file)))),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     fn create(&self, path: &Path) -> io::Result<Box<dyn DiskFile>> {
         Ok(Box::new(File::create(path)?))
     }
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -4,8 +4,11 @@
 //! the payload of a torn record is not recognized as a record.
 
 use std::{
-    io,
-    ops::Range, //
+    io::{
+        self,
+        Read, //
+    },
+    ops::Range,
 };
 
 const MAGIC: [u8; 4] = [0xca, 0x3f, 0x0d, 0xa1];
@@ -19,8 +22,6 @@
     pub(crate) payloads: Vec<Range<usize>>,
     /// Offset of the end of the last valid record.
     pub(crate) end: usize,
-    /// Whether a valid record follows the first invalid one.
-    pub(crate) valid_after: bool,
 }
 
 /// Encodes `payload` as the record at `offset`.
@@ -40,31 +41,117 @@
 pub(crate) fn scan(content: &[u8], start: usize) -> Scan {
     let mut payloads = Vec::new();
     let mut end = start;
-    while let Some(payload) = parse(content, end) {
+    while let Some(payload) = parse(content, end, 0) {
         end = payload.end;
         payloads.push(payload);
     }
-    let rest = content.get(end..).unwrap_or_default();
-    let valid_after = rest
+    Scan { payloads, end }
+}
+
+/// Reads records one after the other, so that only one of them is in memory at a time.
+pub(crate) struct RecordReader<Input> {
+    input: Input,
+    /// Offset of the end of the last valid record.
+    end: u64,
+    /// What was read after the last valid record: the begin of an invalid one.
+    rest: Vec<u8>,
+}
+
+impl<Input> RecordReader<Input>
+where
+    Input: Read,
+{
+    /// Reads records from `input`, which begins at `offset` of the file.
+    pub(crate) fn new(input: Input, offset: u64) -> RecordReader<Input> {
+        RecordReader {
+            input,
+            end: offset,
+            rest: Vec::new(),
+        }
+    }
+
+    /// Offset of the end of the last valid record.
+    pub(crate) fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Returns the payload of the next record, or `None` at the first invalid one and at the end of
+    /// the file.
+    pub(crate) fn next(&mut self) -> io::Result<Option<Vec<u8>>> {
+        if !self.rest.is_empty() {
+            return Ok(None);
+        }
+        let mut record = Vec::new();
+        let header_len = HEADER_LEN as u64;
+        self.input
+            .by_ref()
+            .take(header_len)
+            .read_to_end(&mut record)?;
+        if let Some(length) = payload_length(&record) {
+            self.input.by_ref().take(length).read_to_end(&mut record)?;
+        }
+        match parse(&record, 0, self.end) {
+            Some(payload) => {
+                self.end += payload.end as u64;
+                record.drain(..payload.start);
+                Ok(Some(record))
+            }
+            None => {
+                self.rest = record;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Reads to the end of the file and tells what follows the last valid record.
+    pub(crate) fn tail(mut self) -> io::Result<Tail> {
+        self.input.read_to_end(&mut self.rest)?;
+        Ok(match self.rest.is_empty() {
+            true => Tail::Empty,
+            false if contains_record(&self.rest, self.end) => Tail::ValidRecord,
+            false => Tail::Torn,
+        })
+    }
+}
+
+/// What follows the last valid record of a file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Tail {
+    /// Nothing.
+    Empty,
+    /// A record that was not written completely.
+    Torn,
+    /// An invalid record, and a valid one somewhere after it.
+    ValidRecord,
+}
+
+/// Returns the payload length that a complete header states.
+fn payload_length(header: &[u8]) -> Option<u64> {
+    let (_, rest) = header.split_first_chunk::<4>()?;
+    let (length, rest) = rest.split_first_chunk::<4>()?;
+    let is_complete = rest.len() == HEADER_LEN - MAGIC.len() - length.len();
+    is_complete.then(|| u64::from(u32::from_le_bytes(*length)))
+}
+
+/// Whether a valid record begins anywhere in `content`, which begins at `base` of the file.
+fn contains_record(content: &[u8], base: u64) -> bool {
+    content
         .windows(MAGIC.len())
         .enumerate()
-        .any(|(at, window)| window == MAGIC && parse(content, end + at).is_some());
-    Scan {
-        payloads,
-        end,
-        valid_after,
-    }
+        .any(|(at, window)| window == MAGIC && parse(content, at, base).is_some())
 }
 
-/// Returns the payload range of the record at `offset`, if the record is valid.
-fn parse(content: &[u8], offset: usize) -> Option<Range<usize>> {
+/// Returns the payload range of the record at `offset` of `content`, if the record is valid. The
+/// content begins at `base` of the file.
+fn parse(content: &[u8], offset: usize, base: u64) -> Option<Range<usize>> {
     let header = content.get(offset..offset.checked_add(HEADER_LEN)?)?;
     let (magic, rest) = header.split_first_chunk::<4>()?;
     let (len, found) = rest.split_first_chunk::<4>()?;
     let start = offset + HEADER_LEN;
     let end = start.checked_add(usize::try_from(u32::from_le_bytes(*len)).ok()?)?;
     let payload = content.get(start..end)?;
-    let valid = *magic == MAGIC && checksum(offset as u64, *len, payload).to_le_bytes() == found;
+    let file_offset = base + offset as u64;
+    let valid = *magic == MAGIC && checksum(file_offset, *len, payload).to_le_bytes() == found;
     valid.then_some(start..end)
 }
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -11,6 +11,7 @@
         File,
         TryLockError, //
     },
+    io::Read,
     path::{
         Path,
         PathBuf, //
@@ -39,7 +40,11 @@
         StoreError,
         io_error, //
     },
-    record,
+    record::{
+        self,
+        RecordReader,
+        Tail, //
+    },
 };
 
 /// Magic number of the log format and its version.
@@ -106,17 +111,21 @@
         let temporary = temporary_path(&path);
         disk.remove(&temporary)
             .map_err(io_error("remove", &temporary))?;
-        let content = disk.read(&path).map_err(io_error("read", &path))?;
-        let (file, len, recovered) = match content {
+        let input = disk.open(&path).map_err(io_error("open", &path))?;
+        let (file, len, recovered) = match input {
             None => {
                 let payload = encode(&path, &DurableWrite::default())?;
                 let (file, len) = replace_file(disk.as_ref(), &path, &MAGIC, &payload)?;
                 (file, len, RecoveredState::default())
             }
-            Some(content) => {
-                let (recovered, len) = decode(&path, &content)?;
+            Some(input) => {
+                let LogContent {
+                    recovered,
+                    len,
+                    torn,
+                } = read_log(&path, input, 0)?;
                 let mut file = disk.append(&path).map_err(io_error("open", &path))?;
-                if len < content.len() as u64 {
+                if torn {
                     file.set_len(len).map_err(io_error("truncate", &path))?;
                 }
                 // A process that ended between a write and its sync leaves records that are only
@@ -216,11 +225,16 @@
 
     /// Replaces the log by one that starts with the snapshot of `write`.
     fn compact(&mut self, write: &DurableWrite) -> Result<(), StoreError> {
-        let content = self
+        let input = self
             .disk
-            .read(&self.path)
-            .map_err(io_error("read", &self.path))?;
-        let (mut state, len) = decode(&self.path, &content.unwrap_or_default())?;
+            .open(&self.path)
+            .map_err(io_error("open", &self.path))?;
+        let input = input.unwrap_or_else(|| Box::new(std::io::empty()));
+        // Entries that the new snapshot covers are left out as they are read, so that the whole log
+        // is never in memory.
+        let covered = write.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let log = read_log(&self.path, input, covered)?;
+        let (mut state, len) = (log.recovered, log.len);
         if len != self.len {
             return Err(StoreError::Corrupt {
                 path: self.path.clone(),
@@ -258,44 +272,74 @@
     }
 }
 
-/// Returns the state recovered from the records of a log, and the length of its valid part in
-/// bytes.
-fn decode(path: &Path, content: &[u8]) -> Result<(RecoveredState, u64), StoreError> {
-    let corrupt = |offset: usize, reason| StoreError::Corrupt {
+/// What a log file contains.
+struct LogContent {
+    recovered: RecoveredState,
+    /// Length of its valid part in bytes.
+    len: u64,
+    /// Whether a torn record follows the valid part.
+    torn: bool,
+}
+
+/// Reads a log, one record at a time, and recovers the state from it. Entries up to `covered` are
+/// left out.
+fn read_log(path: &Path, mut input: Box<dyn Read>, covered: u64) -> Result<LogContent, StoreError> {
+    let corrupt = |offset: u64, reason| StoreError::Corrupt {
         path: path.to_path_buf(),
-        offset: offset as u64,
+        offset,
         reason,
     };
-    if !content.starts_with(&MAGIC) {
+    let start = MAGIC.len() as u64;
+    let mut magic = Vec::new();
+    input
+        .by_ref()
+        .take(start)
+        .read_to_end(&mut magic)
+        .map_err(io_error("read", path))?;
+    if magic != MAGIC {
         return Err(corrupt(0, "unknown file format"));
     }
-    let scan = record::scan(content, MAGIC.len());
-    if scan.valid_after {
-        return Err(corrupt(
-            scan.end,
-            "an invalid record is followed by a valid one",
-        ));
+    let mut records = RecordReader::new(input, start);
+    let mut recovered = RecoveredState::default();
+    let mut undecodable = None;
+    while let Some(payload) = records.next().map_err(io_error("read", path))? {
+        match postcard::from_bytes(&payload) {
+            Ok(write) => apply(&mut recovered, write),
+            Err(_) => {
+                let payload_start = records.end() - payload.len() as u64;
+                undecodable.get_or_insert(payload_start);
+            }
+        }
+        let first_kept = recovered
+            .entries
+            .partition_point(|entry| entry.index <= covered);
+        recovered.entries.drain(..first_kept);
+    }
+    let len = records.end();
+    let tail = records.tail().map_err(io_error("read", path))?;
+    if tail == Tail::ValidRecord {
+        return Err(corrupt(len, "an invalid record is followed by a valid one"));
     }
     // The first record was synced before the file was renamed to its final name.
-    if scan.payloads.is_empty() {
-        return Err(corrupt(MAGIC.len(), "the first record is invalid"));
+    if len == start {
+        return Err(corrupt(start, "the first record is invalid"));
     }
-    let mut state = RecoveredState::default();
-    for payload in scan.payloads {
-        let start = payload.start;
-        let write: DurableWrite = postcard::from_bytes(&content[payload])
-            .map_err(|_| corrupt(start, "the record cannot be decoded"))?;
-        apply(&mut state, write);
+    if let Some(offset) = undecodable {
+        return Err(corrupt(offset, "the record cannot be decoded"));
     }
-    let (first, _) = log_bounds(&state);
-    let indexes = state.entries.iter().map(|entry| entry.index);
+    let first = log_bounds(&recovered).0.max(covered.saturating_add(1));
+    let indexes = recovered.entries.iter().map(|entry| entry.index);
     if !(first..)
         .zip(indexes)
         .all(|(expected, index)| expected == index)
     {
-        return Err(corrupt(MAGIC.len(), "the entries are not contiguous"));
+        return Err(corrupt(start, "the entries are not contiguous"));
     }
-    Ok((state, scan.end as u64))
+    Ok(LogContent {
+        recovered,
+        len,
+        torn: tail == Tail::Torn,
+    })
 }
 
 fn apply(state: &mut RecoveredState, write: DurableWrite) {
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -7,6 +7,7 @@
     fs,
     io::{
         self,
+        Read,
         Write, //
     },
     path::{
@@ -86,7 +87,7 @@
         }
     }
 
-    fn open(&self, dir: &Path) -> Result<(Store, RecoveredState), StoreError> {
+    fn open_store(&self, dir: &Path) -> Result<(Store, RecoveredState), StoreError> {
         Store::open_with_disk(Arc::new(self.clone()), dir)
     }
 
@@ -142,6 +143,11 @@
             .map(|file| state.files[*file].0.clone()))
     }
 
+    fn open(&self, path: &Path) -> io::Result<Option<Box<dyn Read>>> {
+        let content = self.read(path)?;
+        Ok(content.map(|content| Box::new(io::Cursor::new(content)) as Box<dyn Read>))
+    }
+
     fn create(&self, path: &Path) -> io::Result<Box<dyn DiskFile>> {
         let mut state = self.0.lock().unwrap();
         state.files.push((Vec::new(), 0));
@@ -251,14 +257,14 @@
 /// reached.
 fn run(dir: &Path, steps: &[(u8, u64, bool)], fail_at: usize) -> bool {
     let disk = MemoryDisk::default();
-    let (mut store, mut state) = disk.open(dir).unwrap();
+    let (mut store, mut state) = disk.open_store(dir).unwrap();
     let mut next = state.clone();
     disk.fail(Some(fail_at));
     let mut failed = false;
     for (kind, number, reopen) in steps {
         if *reopen {
             drop(store);
-            match disk.open(dir) {
+            match disk.open_store(dir) {
                 Ok((opened, found)) => {
                     assert_eq!(found, state);
                     store = opened;
@@ -266,7 +272,7 @@
                 Err(error) => {
                     assert!(matches!(error, StoreError::Io { .. }));
                     disk.power_failure();
-                    assert_eq!(disk.open(dir).unwrap().1, state);
+                    assert_eq!(disk.open_store(dir).unwrap().1, state);
                     return true;
                 }
             }
@@ -285,12 +291,12 @@
     if failed && fail_at.is_multiple_of(2) {
         // State that was recovered on a restart is durable, although the earlier sync of it failed.
         disk.fail(None);
-        let (_, found) = disk.open(dir).unwrap();
+        let (_, found) = disk.open_store(dir).unwrap();
         assert!(found == state || found == next);
         (state, next) = (found.clone(), found);
     }
     disk.power_failure();
-    let (_, found) = disk.open(dir).unwrap();
+    let (_, found) = disk.open_store(dir).unwrap();
     assert!(found == state || found == next);
     failed
 }
@@ -318,7 +324,7 @@
 
 /// Writes three records and returns their offsets, with the end of the log.
 fn three_records(disk: &MemoryDisk, dir: &Path) -> [u64; 4] {
-    let (mut store, _) = disk.open(dir).unwrap();
+    let (mut store, _) = disk.open_store(dir).unwrap();
     let mut offsets = [store.size(); 4];
     for (at, write) in [hard_state(5), entries(1, 3), entries(4, 2)]
         .iter()
@@ -340,7 +346,7 @@
     let content = disk.get(&log);
     for len in start..end {
         disk.put(&log, &content[..len as usize]);
-        let (mut store, found) = disk.open(dir.path()).unwrap();
+        let (mut store, found) = disk.open_store(dir.path()).unwrap();
         assert_eq!((found.entries.len(), store.size()), (3, start));
         store.persist(&entries(4, 2)).unwrap();
         assert_eq!(disk.get(&log), content);
@@ -361,7 +367,7 @@
         disk.put(&log, &corrupted);
         let starts = [0, 8, first, second];
         let expected = starts.into_iter().rfind(|start| *start <= at);
-        match disk.open(dir.path()) {
+        match disk.open_store(dir.path()) {
             Err(StoreError::Corrupt { path, offset, .. }) => {
                 assert_eq!((path, Some(offset)), (log.clone(), expected));
             }
@@ -370,7 +376,7 @@
     }
     disk.put(&log, &content[..10]);
     assert!(matches!(
-        disk.open(dir.path()),
+        disk.open_store(dir.path()),
         Err(StoreError::Corrupt { offset: 8, .. })
     ));
 }
@@ -383,7 +389,7 @@
     three_records(&disk, dir.path());
     let log = dir.path().join("log");
     let copy = disk.get(&log);
-    let (mut store, _) = disk.open(dir.path()).unwrap();
+    let (mut store, _) = disk.open_store(dir.path()).unwrap();
     let write = DurableWrite {
         entries: vec![entry(6, copy)],
         ..DurableWrite::default()
@@ -392,7 +398,7 @@
     drop(store);
     let content = disk.get(&log);
     disk.put(&log, &content[..content.len() - 1]);
-    assert_eq!(disk.open(dir.path()).unwrap().1.entries.len(), 5);
+    assert_eq!(disk.open_store(dir.path()).unwrap().1.entries.len(), 5);
 }
 
 /// Guards against two processes that write to the same log.
@@ -410,7 +416,7 @@
 #[test]
 fn snapshots_limit_the_size_of_the_log() {
     let (dir, disk) = (tempdir().unwrap(), MemoryDisk::default());
-    let (mut store, _) = disk.open(dir.path()).unwrap();
+    let (mut store, _) = disk.open_store(dir.path()).unwrap();
     for round in 0..100 {
         store.persist(&entries(1 + round * 20, 20)).unwrap();
         store.persist(&snapshot((round + 1) * 20, false)).unwrap();
@@ -425,7 +431,7 @@
 #[case::older_snapshot(snapshot(1, false))]
 fn gap_is_rejected(#[case] write: DurableWrite) {
     let (dir, disk) = (tempdir().unwrap(), MemoryDisk::default());
-    let (mut store, _) = disk.open(dir.path()).unwrap();
+    let (mut store, _) = disk.open_store(dir.path()).unwrap();
     store.persist(&entries(1, 3)).unwrap();
     store.persist(&snapshot(2, false)).unwrap();
     let size = store.size();
