Bound the log and the recent updates of a control VM by bytes

Cause: the log was compacted after 512 entries, and 1,024 commands were kept, decoded, for entry VMs that subscribe again. Both counts allow any number of bytes, and a start fills both at once.

Those that together take more than the whole view (256 KiB at least) are dropped, as the view is shorter. So an entry VM that comes back is sent a view's bytes at most, where it was sent each missed configuration. - A leader whose uncommitted entries take more than the bound refuses further changes (503).

Why it works: what is kept no longer depends on how many changes there were, nor on how long each is, but on the size of the present state and the VM's memory.

Ruled out: fewer entries and updates (a fixed count is too many for a large configuration and too few for resumption after a change of leader on narrow links).

Evidence: fleet/large_fleet, retention.

--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -208,6 +208,7 @@
             target_timeout: ms(20_000),
             member_timeout: ms(3500),
             apply_timeout: ms(500),
+            log_limit: 16 << 20,
             seed: self.random.random(),
         };
         let control = Control::new(config, self.disk.clone(), vec![control_member()]);
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -136,6 +136,7 @@
         target_timeout: ms(20_000),
         member_timeout: ms(3500),
         apply_timeout: ms(500),
+        log_limit: 16 << 20,
         seed: 1,
     };
     Control::new(config, disk, vec![member()]).unwrap()
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -17,6 +17,7 @@
         BTreeMap,
         VecDeque, //
     },
+    sync::Arc,
     time::Duration,
 };
 
@@ -79,6 +80,11 @@
 
 /// Length of the Raft log at which it is compacted.
 const COMPACT_AFTER_ENTRIES: u64 = 512;
+/// Bytes of the Raft log up to which it is not compacted because of them.
+const MIN_LOG_BYTES: usize = 1 << 20;
+/// Bytes of the log in relation to those of the snapshot, so that no more is written for snapshots
+/// than for entries.
+const LOG_SNAPSHOT_RATIO: usize = 2;
 /// Entries in one message to a member.
 const MAX_BATCH_ENTRIES: usize = 64;
 /// Bytes in one message to a member, unless a single entry is longer. Heartbeats wait behind it on
@@ -196,6 +202,7 @@
             recovered,
         );
         let member_table = MemberTable::new(known_members, &state.view);
+        let recent_updates = RecentUpdates::new(applied, &state.view);
         Ok(Control {
             config,
             raft,
@@ -210,7 +217,7 @@
             waiting: Vec::new(),
             awaiting_view: VecDeque::new(),
             single_views: 0,
-            recent_updates: RecentUpdates::new(applied),
+            recent_updates,
             member_table,
         })
     }
@@ -285,7 +292,7 @@
             self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
         }
-        if self.raft.log_len() > COMPACT_AFTER_ENTRIES && self.applied > 0 {
+        if self.needs_compaction() {
             match postcard::to_stdvec(&self.state) {
                 Ok(data) => {
                     let index = self.applied;
@@ -296,6 +303,21 @@
         }
     }
 
+    /// Whether the log has too many entries, or takes too many bytes of which enough are applied.
+    fn needs_compaction(&self) -> bool {
+        if self.raft.log_len() > COMPACT_AFTER_ENTRIES && self.applied > 0 {
+            return true;
+        }
+        let limit = self.log_limit();
+        self.raft.log_bytes() > limit && self.raft.compactable_bytes() > limit / 2
+    }
+
+    /// Bytes of the log at which it is compacted.
+    fn log_limit(&self) -> usize {
+        let limit = self.raft.snapshot_bytes() * LOG_SNAPSHOT_RATIO;
+        limit.max(MIN_LOG_BYTES).min(self.config.log_limit)
+    }
+
     /// Passes an event to the Raft group and carries out its effects.
     fn step_raft(&mut self, event: raft::Event, now: Duration, out: &mut Vec<Effect>) {
         for effect in self.raft.step(event, now) {
@@ -347,7 +369,7 @@
                 learners: members.learners.iter().copied().collect(),
             })),
             Payload::Data(data) => match postcard::from_bytes::<Command>(data) {
-                Ok(command) => self.apply_command(index, id, (command, data.len()), now, out),
+                Ok(command) => self.apply_command(index, id, (command, data), now, out),
                 Err(_) => out.push(Effect::Log(LogEvent::Codec("command cannot be decoded"))),
             },
         }
@@ -365,7 +387,7 @@
         &mut self,
         index: u64,
         id: Option<u64>,
-        (command, bytes): (Command, usize),
+        (command, encoded): (Command, &Arc<[u8]>),
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -386,7 +408,7 @@
         if outcome == Outcome::Done {
             self.on_command_applied(&command, out);
             let is_assignment = matches!(command, Command::Assign { .. });
-            self.stream_update(index, command, bytes, out);
+            self.stream_update(index, command, encoded.clone(), out);
             if is_assignment {
                 self.send_delayed_answers(now, out);
             }
@@ -436,7 +458,7 @@
             Ok(state) => {
                 self.state = state;
                 self.applied = snapshot.index;
-                self.recent_updates = RecentUpdates::new(snapshot.index);
+                self.recent_updates = RecentUpdates::new(snapshot.index, &self.state.view);
                 self.member_table.sync(&self.state.view);
             }
             Err(_) => out.push(Effect::Log(LogEvent::Codec("snapshot cannot be decoded"))),
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -63,6 +63,9 @@
     pub member_timeout: Duration,
     /// Maximum time for which an accepted change waits for confirmation by the entry VMs.
     pub apply_timeout: Duration,
+    /// Maximum number of bytes of log entries that are kept in memory and on disk, apart from those
+    /// that are not applied yet.
+    pub log_limit: usize,
     /// Seed of the random election timeouts.
     pub seed: u64,
 }
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -114,6 +114,11 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        if self.raft.uncommitted_bytes() > self.config.log_limit {
+            let reply = Reply::Unavailable("too many changes are not committed");
+            out.push(Effect::Reply { token, reply });
+            return;
+        }
         let command = Command::Change(change);
         self.propose(&command, Pending::Change(token), now, out);
     }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -3,9 +3,12 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
+use postcard::ser_flavors::Size;
+
 use super::{
     Control,
     Effect,
@@ -22,7 +25,10 @@
         Domain,
         ServiceName, //
     },
-    state::Command,
+    state::{
+        Command,
+        View, //
+    },
 };
 
 /// Time without a ping after which the stream of an entry VM is closed.
@@ -42,64 +48,81 @@
 /// is replaced.
 const MAX_RECENT_UPDATES: usize = 1024;
 
+/// Bytes of updates that are kept even if the view has fewer.
+const MIN_RECENT_BYTES: usize = 256 << 10;
+
 /// The last updates of the view. Every control VM keeps them, so that a new leader need not send the
 /// whole view to each entry VM.
+///
+/// Commands stay encoded, as the log shares them. Those that take more bytes than the view are
+/// dropped, as the whole view is shorter.
 pub(super) struct RecentUpdates {
     /// The updates after this index are kept.
     from: u64,
-    updates: VecDeque<RecentUpdate>,
-    /// Encoded bytes of these updates.
-    bytes: usize,
-}
-
-struct RecentUpdate {
-    index: u64,
-    command: Command,
-    /// Encoded bytes of the command.
+    /// Indexes and encoded commands.
+    updates: VecDeque<(u64, Arc<[u8]>)>,
+    /// Bytes of these commands.
     bytes: usize,
+    /// Bytes of the view.
+    view_bytes: usize,
 }
 
 impl RecentUpdates {
-    /// Starts with the state at `index`.
-    pub(super) fn new(index: u64) -> RecentUpdates {
+    /// Starts with the view at `index`.
+    pub(super) fn new(index: u64, view: &View) -> RecentUpdates {
         RecentUpdates {
             from: index,
             updates: VecDeque::new(),
             bytes: 0,
+            view_bytes: encoded_length(view),
         }
     }
 
+    /// Takes note of the length of the view after its routing has changed, which is the part that
+    /// takes most bytes.
+    fn measure(&mut self, view: &View) {
+        self.view_bytes = encoded_length(view);
+    }
+
     /// Encoded bytes of the updates that are kept.
     pub(super) fn bytes(&self) -> usize {
         self.bytes
     }
 
-    /// Adds the command at `index`, which is encoded in `bytes` bytes.
-    fn push(&mut self, index: u64, command: Command, bytes: usize) {
-        self.bytes += bytes;
-        self.updates.push_back(RecentUpdate {
-            index,
-            command,
-            bytes,
-        });
-        if self.updates.len() > MAX_RECENT_UPDATES
-            && let Some(dropped) = self.updates.pop_front()
+    /// Adds the encoded command at `index`.
+    fn push(&mut self, index: u64, command: Arc<[u8]>) {
+        self.bytes += command.len();
+        self.updates.push_back((index, command));
+        let max_bytes = self.view_bytes.max(MIN_RECENT_BYTES);
+        while (self.updates.len() > MAX_RECENT_UPDATES || self.bytes > max_bytes)
+            && let Some((dropped, command)) = self.updates.pop_front()
         {
-            self.bytes -= dropped.bytes;
-            self.from = dropped.index;
+            self.bytes -= command.len();
+            self.from = dropped;
         }
     }
 
     /// The updates after `index`, or `None` if they are not all kept. A view without any state has
     /// index 0.
-    fn since(&self, index: u64) -> Option<impl Iterator<Item = (u64, &Command)>> {
-        let first = self.updates.partition_point(|update| update.index <= index);
-        let rest = self.updates.range(first..);
-        (index > 0 && index >= self.from)
-            .then(|| rest.map(|update| (update.index, &update.command)))
+    fn since(&self, index: u64) -> Option<Vec<(u64, Box<Command>)>> {
+        if index == 0 || index < self.from {
+            return None;
+        }
+        let first = self.updates.partition_point(|(at, _)| *at <= index);
+        let updates = self.updates.range(first..);
+        let updates = updates.map(|(at, command)| {
+            let command = postcard::from_bytes(command).ok()?;
+            Some((*at, Box::new(command)))
+        });
+        updates.collect()
     }
 }
 
+/// Bytes of the encoded view.
+fn encoded_length(view: &View) -> usize {
+    postcard::serialize_with_flavor(view, Size::default()).unwrap_or(0)
+}
+
 /// A subscription of an entry VM.
 pub(super) struct Subscription {
     pub(super) conn: u64,
@@ -237,14 +260,6 @@
             true => self.recent_updates.since(index),
             false => None,
         };
-        let updates: Option<Vec<Effect>> = updates.map(|updates| {
-            let update = |(index, command): (u64, &Command)| {
-                let command = Box::new(command.clone());
-                let message = PeerMessage::Update { index, command };
-                Effect::Stream { conn, message }
-            };
-            updates.map(update).collect()
-        });
         let Some(updates) = updates else {
             self.awaiting_view.push_back(subscription);
             if self.single_views < MAX_SINGLE_VIEWS {
@@ -255,7 +270,10 @@
         };
         let message = PeerMessage::Resume { index };
         out.push(Effect::Stream { conn, message });
-        out.extend(updates);
+        out.extend(updates.into_iter().map(|(index, command)| {
+            let message = PeerMessage::Update { index, command };
+            Effect::Stream { conn, message }
+        }));
         self.open_stream(subscription, now);
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
@@ -329,15 +347,18 @@
         }
     }
 
-    /// Streams the command at `index`, which is encoded in `bytes` bytes.
+    /// Streams the command at `index`. `encoded` is its encoding.
     pub(super) fn stream_update(
         &mut self,
         index: u64,
         command: Command,
-        bytes: usize,
+        encoded: Arc<[u8]>,
         out: &mut Vec<Effect>,
     ) {
-        self.recent_updates.push(index, command.clone(), bytes);
+        if matches!(command, Command::Change(_)) {
+            self.recent_updates.measure(&self.state.view);
+        }
+        self.recent_updates.push(index, encoded);
         let command = Box::new(command);
         self.broadcast(PeerMessage::Update { index, command }, out);
     }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -74,6 +74,7 @@
         target_timeout: ms(20_000),
         member_timeout: ms(3500),
         apply_timeout: ms(500),
+        log_limit: 16 << 20,
         seed,
     }
 }
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -116,6 +116,7 @@
         target_timeout: ms(20_000),
         member_timeout: ms(3500),
         apply_timeout: ms(500),
+        log_limit: 16 << 20,
         seed: 1,
     }
 }
--- a/crates/fleet/tests/large_fleet/main.rs
+++ b/crates/fleet/tests/large_fleet/main.rs
@@ -4,4 +4,5 @@
 
 mod allocations;
 mod fleet;
+mod retention;
 mod scenarios;
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -83,6 +83,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before the storage is opened again after a failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
+/// Bytes of log entries that are kept at most if the memory is not limited.
+const DEFAULT_LOG_LIMIT: usize = 16 << 20;
+/// Part of the memory for log entries. The disk holds them up to twice, while the log is compacted.
+const LOG_DIVISOR: usize = 16;
 /// File that stores the control VMs that this one knows.
 const MEMBERS_FILE: &str = "members";
 
@@ -191,6 +195,9 @@
         target_timeout: tuning.target_timeout,
         member_timeout: tuning.member_timeout,
         apply_timeout: tuning.apply_timeout,
+        log_limit: settings
+            .memory
+            .map_or(DEFAULT_LOG_LIMIT, |memory| memory / LOG_DIVISOR),
         seed: rand::random(),
     };
     let control = Control::new(config, recovered, known_members)
