Propose what a complete routing changes, and refuse at once what cannot be accepted

Submissions without any effect were logged too: one that was repeated, one on an older version and an invalid one took 828,641 bytes together.

Cause: the proposer put the operator's request into the log as it was, and left its verdict to the commit.

Change: the leader compares a valid change with the routing that it is based on, and proposes the difference. A change that was accepted before is proposed by its digest only, so that its acknowledgement is still confirmed by a quorum. One on an older version, or that is invalid on the present one, is refused at once.

Why this is right: versions only increase, and a version stands for one routing, so a difference to the version that it is based on has the result of the complete routing wherever it applies, and a refusal that holds in the leader's committed state holds in every later one. What was accepted on the same base is in that state, with its digest.

Not reduced: a routing without limits on one that has them (the format of the log has no word for it, and processes of the version before could not read a new one), and a change whose base is still being committed. The audit trail says `whole` for these only, and names the routes that differ in all others.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -9,6 +9,7 @@
     CallToken,
     Control,
     Effect,
+    LogEvent,
     Reply,
     heartbeats::LeaseRequest, //
 };
@@ -114,12 +115,26 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        let (base, version) = (change.base_version, change.version);
+        let change = match self.state.review(*change) {
+            Ok(change) => change,
+            Err(outcome) => {
+                out.push(Effect::Log(LogEvent::Change {
+                    base,
+                    version,
+                    outcome: outcome.clone(),
+                }));
+                let reply = change_refusal(outcome);
+                out.push(Effect::Reply { token, reply });
+                return;
+            }
+        };
         if self.raft.uncommitted_bytes() > self.config.log_limit {
             let reply = Reply::Unavailable("too many changes are not committed");
             out.push(Effect::Reply { token, reply });
             return;
         }
-        let command = Command::Change(change);
+        let command = Command::Change(Box::new(change));
         self.propose(&command, Pending::Change(token), now, out);
     }
 
@@ -383,9 +398,7 @@
                 self.acknowledge_changes(now, out);
                 return;
             }
-            Outcome::Stale { current } => Reply::Stale(current),
-            Outcome::Invalid(error) => Reply::Invalid(error.to_string().into()),
-            Outcome::Outdated => Reply::Unavailable("not a change"),
+            outcome => change_refusal(outcome),
         };
         out.push(Effect::Reply { token, reply });
     }
@@ -435,3 +448,12 @@
         }
     }
 }
+
+/// The reply to an operator whose change was not accepted.
+fn change_refusal(outcome: Outcome) -> Reply {
+    match outcome {
+        Outcome::Stale { current } => Reply::Stale(current),
+        Outcome::Invalid(error) => Reply::Invalid(error.to_string().into()),
+        Outcome::Done | Outcome::Repeated | Outcome::Outdated => Reply::Unavailable("not a change"),
+    }
+}
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -163,7 +163,7 @@
     pub base_version: Version,
     /// Version after the change.
     pub version: Version,
-    /// Whether routes and services that the change does not name are removed.
+    /// Whether routes, services and limits that the change does not name are removed.
     pub replace_all: bool,
     /// Routes to add or replace.
     pub routes: Vec<(RouteName, ConfigResource<Route>)>,
@@ -181,6 +181,87 @@
     pub received_ms: u64,
 }
 
+impl Change {
+    /// Returns the change without what `routing` has already. Applied to `routing`, both have the
+    /// same result, so the cost of a complete routing follows what it changes.
+    ///
+    /// A change that is based on another version stays as it is, and so does a complete routing that
+    /// removes the limits, which a difference cannot express.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_fleet::{Change, Routing};
+    ///
+    /// let change = Change {
+    ///     base_version: 3,
+    ///     version: 4,
+    ///     replace_all: true,
+    ///     routes: Vec::new(),
+    ///     services: Vec::new(),
+    ///     limits: None,
+    ///     removed_routes: Vec::new(),
+    ///     removed_services: Vec::new(),
+    ///     digest: [0; 16],
+    ///     received_ms: 0,
+    /// };
+    /// let routing = Routing { version: 3, ..Routing::default() };
+    /// let difference = change.clone().relative_to(&routing);
+    /// assert!(!difference.replace_all);
+    /// assert_eq!(routing.with_change(&difference), routing.with_change(&change));
+    /// ```
+    pub fn relative_to(mut self, routing: &Routing) -> Change {
+        let removes_limits = self.replace_all && self.limits.is_none() && routing.limits.is_some();
+        if self.base_version != routing.version || removes_limits {
+            return self;
+        }
+        if self.replace_all {
+            self.replace_all = false;
+            self.removed_routes = missing_names(&routing.routes, &self.routes);
+            self.removed_services = missing_names(&routing.services, &self.services);
+        }
+        let removed = &self.removed_routes;
+        self.routes.retain(|(name, item)| {
+            routing.routes.get(name) != Some(item) || removed.contains(name)
+        });
+        let removed = &self.removed_services;
+        self.services.retain(|(name, item)| {
+            routing.services.get(name) != Some(item) || removed.contains(name)
+        });
+        if self.limits == routing.limits {
+            self.limits = None;
+        }
+        self
+    }
+
+    /// Returns the change without its content. Once the change is accepted, it is recognized as the
+    /// same by its digest.
+    pub(crate) fn without_content(self) -> Change {
+        Change {
+            replace_all: false,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: None,
+            removed_routes: Vec::new(),
+            removed_services: Vec::new(),
+            ..self
+        }
+    }
+}
+
+/// Names in `known` that are not in `kept`.
+fn missing_names<Item>(
+    known: &BTreeMap<Box<str>, Item>,
+    kept: &[(Box<str>, Item)],
+) -> Vec<Box<str>> {
+    let kept: BTreeSet<&str> = kept.iter().map(|(name, _)| &**name).collect();
+    let names = known.keys();
+    names
+        .filter(|name| !kept.contains(&***name))
+        .cloned()
+        .collect()
+}
+
 /// Why a routing is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Invalid {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -236,7 +236,7 @@
     pub base: Version,
     /// Version after the change.
     pub version: Version,
-    /// Whether it replaced the complete routing.
+    /// Whether it is recorded as a complete routing. Most are recorded by what they change.
     pub whole: bool,
     /// Names of the routes that it added or replaced.
     pub routes: Vec<RouteName>,
@@ -279,6 +279,34 @@
 }
 
 impl State {
+    /// Returns a change as it is proposed: without what the routing has already, and without any
+    /// content if it was accepted before.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of a change that cannot be accepted any more, whatever was proposed
+    /// before it. Versions only increase, and a version stands for one routing, so a later state
+    /// has the same verdict.
+    pub(crate) fn review(&self, change: Change) -> Result<Change, Outcome> {
+        if self.accepted_digests.contains(&change.digest) {
+            return Ok(change.without_content());
+        }
+        let empty = Arc::default();
+        let routing = self.view.routing.as_ref().unwrap_or(&empty);
+        if change.base_version < routing.version {
+            return Err(Outcome::Stale {
+                current: routing.version,
+            });
+        }
+        if change.base_version > routing.version {
+            return Ok(change);
+        }
+        match routing.with_change(&change) {
+            Ok(_) => Ok(change.relative_to(routing)),
+            Err(error) => Err(Outcome::Invalid(error)),
+        }
+    }
+
     /// Applies the command at `index`.
     ///
     /// # Examples
--- a/crates/fleet/tests/large_fleet/retention.rs
+++ b/crates/fleet/tests/large_fleet/retention.rs
@@ -172,11 +172,11 @@
         }
     }
 
-    fn replace_routing(&mut self, timeout: Duration) {
+    /// Submits a change to the next version, which must be accepted.
+    fn submit(&mut self, change: Change) {
         self.version += 1;
-        let change = Box::new(complete_routing(self.version, timeout));
         let token = self.version;
-        let call = Call::Change(change);
+        let call = Call::Change(Box::new(change));
         let effects = self.step(Event::Call { token, call });
         let reply = Reply::Done { is_leader: true };
         assert!(effects.contains(&Effect::Reply { token, reply }));
@@ -186,7 +186,8 @@
     /// Replaces the whole routing by one in which every route differs, `count` times.
     fn replace_all_routes(&mut self, count: u64) {
         for _ in 0..count {
-            self.replace_routing(timeout_of(self.version + 1));
+            let next = self.version + 1;
+            self.submit(complete_routing(next, timeout_of(next)));
         }
     }
 
@@ -304,13 +305,12 @@
     let mut view: View = vm.control.state().view.clone();
     let index = view.index;
     for number in 0..40 {
-        vm.version += 1;
-        let mut change = complete_routing(vm.version, timeout_of(vm.version));
+        let next = vm.version + 1;
+        let mut change = complete_routing(next, timeout_of(next));
         change.replace_all = false;
         change.services.clear();
         change.routes = vec![change.routes.swap_remove(number)];
-        let (token, call) = (vm.version, Call::Change(Box::new(change)));
-        vm.step(Event::Call { token, call });
+        vm.submit(change);
     }
     vm.run(ms(40));
     let (messages, bytes) = vm.subscribe_again(index);
@@ -322,3 +322,65 @@
     }
     assert_eq!(view, vm.control.state().view);
 }
+
+/// Guards against a log that grows by the complete routing when an operator changes one route of it
+/// and submits all: it grows by what the same change takes by name.
+#[test]
+fn a_complete_routing_costs_what_it_changes() {
+    let mut vm = ControlVm::new();
+    vm.replace_all_routes(1);
+    let base = vm.version;
+    let one_route = |version: u64| {
+        let mut change = complete_routing(version, timeout_of(base));
+        change.routes[7] = complete_routing(version, timeout_of(version))
+            .routes
+            .swap_remove(7);
+        change
+    };
+    let before = vm.control.retained_bytes().log;
+    vm.submit(one_route(base + 1));
+    let complete = vm.control.retained_bytes().log - before;
+
+    let mut by_name = one_route(base + 2);
+    by_name.replace_all = false;
+    by_name.services.clear();
+    by_name.routes = vec![by_name.routes.swap_remove(7)];
+    let before = vm.control.retained_bytes().log;
+    vm.submit(by_name);
+    let by_name = vm.control.retained_bytes().log - before;
+    assert_eq!(complete, by_name);
+}
+
+/// Guards against a log that grows by changes that have no effect: those that are submitted again,
+/// based on an older version, or invalid.
+#[test]
+fn a_change_without_effect_is_not_kept() {
+    let mut vm = ControlVm::new();
+    vm.replace_all_routes(2);
+    let version = vm.version;
+    let mut invalid = complete_routing(version + 1, timeout_of(version + 1));
+    invalid.services.clear();
+    let mut stale = complete_routing(version + 1, timeout_of(version + 1));
+    stale.base_version = version - 1;
+    let repeated = complete_routing(version, timeout_of(version));
+    let before = vm.control.retained_bytes().log;
+    let replies = [invalid, stale, repeated].map(|change| {
+        vm.step(Event::Call {
+            token: 1000,
+            call: Call::Change(Box::new(change)),
+        })
+    });
+    let reply_of = |effects: &Vec<Effect>| {
+        let reply = effects.iter().find_map(|effect| match effect {
+            Effect::Reply { token: 1000, reply } => Some(reply.clone()),
+            _ => None,
+        });
+        reply.unwrap()
+    };
+    let [invalid, stale, repeated] = replies.each_ref().map(reply_of);
+    assert!(matches!(invalid, Reply::Invalid(_)), "{invalid:?}");
+    assert_eq!(stale, Reply::Stale(version));
+    assert_eq!(repeated, Reply::Done { is_leader: true });
+    let kept = vm.control.retained_bytes().log - before;
+    assert!(kept < 512, "{kept} bytes");
+}
