Limit views and output for other VMs in sum

On links of 2 Mbit/s a view of 380 KB takes 1.5 s, so after a restart of the fleet a leader would hold one copy for each entry VM: 108 MB at 285, and over its memory of 256 MB at 5,000 routes.

Change: views that an entry VM has not confirmed take a quarter of the memory together at most; the others wait, and a confirmed view or a closed stream makes room. Output for all VMs is half of the memory at most; beyond it the connections with the longest queues are closed, whose VMs subscribe again. What was written is dropped from a buffer that a slow reader never empties; before, it counted until the connection ended.

Ruled out: a smaller bound for each connection, which stops a single long view on a narrow link.

--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -209,6 +209,7 @@
             member_timeout: ms(3500),
             apply_timeout: ms(500),
             log_limit: 16 << 20,
+            view_limit: 64 << 20,
             seed: self.random.random(),
         };
         let control = Control::new(config, self.disk.clone(), vec![control_member()]);
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -137,6 +137,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        view_limit: 64 << 20,
         seed: 1,
     };
     Control::new(config, disk, vec![member()]).unwrap()
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -66,6 +66,8 @@
     /// Maximum number of bytes of log entries that are kept in memory and on disk, apart from those
     /// that are not applied yet.
     pub log_limit: usize,
+    /// Maximum number of bytes of views that are sent to entry VMs and not confirmed by them.
+    pub view_limit: usize,
     /// Seed of the random election timeouts.
     pub seed: u64,
 }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -44,6 +44,9 @@
 /// Entry VMs that are sent the whole view in one tick.
 const MAX_VIEWS_PER_TICK: usize = 32;
 
+/// Views that may be under way to entry VMs however long they are.
+const MIN_VIEWS_UNDER_WAY: usize = 2;
+
 /// Updates that are kept for entry VMs that subscribe again: more than a fleet makes while a leader
 /// is replaced.
 const MAX_RECENT_UPDATES: usize = 1024;
@@ -146,6 +149,8 @@
     domain: Domain,
     /// Index of the entry VM's view.
     pub(super) index: u64,
+    /// Index of the whole view that was sent and that the entry VM has not confirmed.
+    awaits: Option<u64>,
     last_heard: Duration,
     /// Whether the entry VM takes evidence on requests that crash their targets.
     pub(super) takes_evidence: bool,
@@ -201,6 +206,7 @@
                 };
                 stream.last_heard = now;
                 stream.index = index;
+                stream.awaits = stream.awaits.filter(|awaited| index < *awaited);
                 let domain = stream.domain.clone();
                 let message = PeerMessage::Pong {
                     sent,
@@ -274,15 +280,16 @@
             let message = PeerMessage::Update { index, command };
             Effect::Stream { conn, message }
         }));
-        self.open_stream(subscription, now);
+        self.open_stream(subscription, None, now);
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
 
-    fn open_stream(&mut self, subscription: Subscription, now: Duration) {
+    fn open_stream(&mut self, subscription: Subscription, awaits: Option<u64>, now: Duration) {
         let stream = EntryStream {
             entry_id: subscription.entry_id,
             domain: subscription.domain,
             index: subscription.index,
+            awaits,
             last_heard: now,
             takes_evidence: false,
             takes_statements: false,
@@ -295,13 +302,26 @@
     /// the leader's heartbeats are not late.
     pub(super) fn send_waiting_views(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.single_views = 0;
-        let count = self.awaiting_view.len().min(MAX_VIEWS_PER_TICK);
-        if count > 0 {
-            self.send_views(count, now, out);
+        if !self.awaiting_view.is_empty() {
+            self.send_views(MAX_VIEWS_PER_TICK, now, out);
         }
     }
 
-    fn send_views(&mut self, count: usize, now: Duration, out: &mut Vec<Effect>) {
+    /// Number of views that may be sent in addition to those under way. Each takes its length in
+    /// the output for an entry VM until it is read.
+    fn free_views(&self) -> usize {
+        let max_views = self.config.view_limit / self.recent_updates.view_bytes.max(1);
+        let under_way = self.streams.values().filter(|s| s.awaits.is_some()).count();
+        max_views.max(MIN_VIEWS_UNDER_WAY).saturating_sub(under_way)
+    }
+
+    fn send_views(&mut self, max_count: usize, now: Duration, out: &mut Vec<Effect>) {
+        let waiting = self.awaiting_view.len();
+        let count = waiting.min(max_count).min(self.free_views());
+        if count == 0 {
+            return;
+        }
+        let index = self.state.view.index;
         let subscriptions: Vec<Subscription> = self.awaiting_view.drain(..count).collect();
         let conns = subscriptions.iter().map(|subscription| subscription.conn);
         out.push(Effect::Broadcast {
@@ -309,7 +329,7 @@
             message: PeerMessage::Snapshot(Box::new(self.state.view.clone())),
         });
         for subscription in subscriptions {
-            self.open_stream(subscription, now);
+            self.open_stream(subscription, Some(index), now);
         }
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -75,6 +75,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        view_limit: 64 << 20,
         seed,
     }
 }
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -117,6 +117,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        view_limit: 64 << 20,
         seed: 1,
     }
 }
--- a/crates/fleet/tests/large_fleet/retention.rs
+++ b/crates/fleet/tests/large_fleet/retention.rs
@@ -65,6 +65,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        view_limit: 8 << 20,
         seed: 1,
     }
 }
@@ -384,3 +385,64 @@
     let kept = vm.control.retained_bytes().log - before;
     assert!(kept < 512, "{kept} bytes");
 }
+
+/// Guards against a leader that runs out of memory after a restart of the fleet, because it queues a
+/// long view for each entry VM at once.
+#[test]
+fn views_under_way_are_limited_in_bytes() {
+    let mut vm = ControlVm::new();
+    vm.replace_all_routes(1);
+    let view = PeerMessage::Snapshot(Box::new(vm.control.state().view.clone()));
+    let (limit, length) = (config().view_limit, view.encode().unwrap().len());
+    let expected = limit / length;
+    let entries = 2 * expected as u64;
+    let mut sent = Vec::new();
+    for conn in 1..=entries {
+        let message = PeerMessage::Subscribe {
+            entry_id: conn,
+            domain: "a".into(),
+            index: 0,
+        };
+        sent.extend(views_in(vm.step(Event::Stream { conn, message })));
+    }
+    for _ in 0..40 {
+        vm.now += ms(20);
+        sent.extend(views_in(vm.step(Event::Tick)));
+    }
+    assert!(sent.len() * length <= limit, "{} views", sent.len());
+    assert!(sent.len() + 1 >= expected, "{} views", sent.len());
+
+    // Each view that is confirmed makes room for another one, and so does a stream that is silent.
+    let index = vm.control.state().view.index;
+    let confirmed: Vec<u64> = sent.drain(..expected / 2).collect();
+    for conn in confirmed {
+        let message = PeerMessage::Ping {
+            sent: vm.now,
+            index,
+            load: Vec::new(),
+            latencies: Vec::new(),
+        };
+        vm.step(Event::Stream { conn, message });
+    }
+    vm.now += ms(20);
+    let next = views_in(vm.step(Event::Tick));
+    assert!(!next.is_empty());
+    let mut all = next.len() + expected / 2 + sent.len();
+    for _ in 0..200 {
+        vm.now += ms(20);
+        all += views_in(vm.step(Event::Tick)).len();
+    }
+    assert_eq!(all as u64, entries);
+}
+
+/// The connections to which effects send the whole view.
+fn views_in(effects: Vec<Effect>) -> Vec<u64> {
+    let conns = effects.into_iter().flat_map(|effect| match effect {
+        Effect::Broadcast {
+            conns,
+            message: PeerMessage::Snapshot(_),
+        } => conns.into_vec(),
+        _ => Vec::new(),
+    });
+    conns.collect()
+}
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -87,6 +87,10 @@
 const DEFAULT_LOG_LIMIT: usize = 16 << 20;
 /// Part of the memory for log entries. The disk holds them up to twice, while the log is compacted.
 const LOG_DIVISOR: usize = 16;
+/// Bytes of views under way to entry VMs if the memory is not limited.
+const DEFAULT_VIEW_LIMIT: usize = 64 << 20;
+/// Part of the memory for views under way to entry VMs.
+const VIEW_DIVISOR: usize = 4;
 /// File that stores the control VMs that this one knows.
 const MEMBERS_FILE: &str = "members";
 
@@ -198,6 +202,9 @@
         log_limit: settings
             .memory
             .map_or(DEFAULT_LOG_LIMIT, |memory| memory / LOG_DIVISOR),
+        view_limit: settings
+            .memory
+            .map_or(DEFAULT_VIEW_LIMIT, |memory| memory / VIEW_DIVISOR),
         seed: rand::random(),
     };
     let control = Control::new(config, recovered, known_members)
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -73,6 +73,9 @@
 /// Received bytes that the loop holds at most if no limit is set.
 const DEFAULT_BUFFER_LIMIT: usize = 64 << 20;
 
+/// Bytes that are queued for other VMs at most if no limit is set.
+const DEFAULT_PEER_OUTPUT_LIMIT: usize = 128 << 20;
+
 /// Identifier of a connection; it is never reused.
 pub type ConnId = u64;
 
@@ -167,6 +170,9 @@
     deferred: Deferred,
     /// Connections to other VMs with queued messages.
     unflushed: Vec<(usize, ConnId)>,
+    /// Output for other VMs that was added since its sum was last checked.
+    unchecked_output: usize,
+    peer_output_limit: usize,
     buffered: usize,
     buffer_limit: usize,
     stats: EventLoopStats,
@@ -202,6 +208,8 @@
             link_out: Pacer::default(),
             deferred: Deferred::default(),
             unflushed: Vec::new(),
+            unchecked_output: 0,
+            peer_output_limit: DEFAULT_PEER_OUTPUT_LIMIT,
             buffered: 0,
             buffer_limit: DEFAULT_BUFFER_LIMIT,
             stats: EventLoopStats::default(),
@@ -253,6 +261,12 @@
         self.buffer_limit = bytes;
     }
 
+    /// Sets the number of bytes that are queued for all other VMs together at most. If it is exceeded,
+    /// the connections with the longest queues are closed.
+    pub fn set_peer_output_limit(&mut self, bytes: usize) {
+        self.peer_output_limit = bytes;
+    }
+
     /// Number of received bytes that the loop holds for incomplete requests and responses.
     pub fn buffered_bytes(&self) -> usize {
         self.buffered
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -173,6 +173,14 @@
         self.output.len() - self.written
     }
 
+    /// Number of bytes that are queued for another VM; none on a connection of another kind.
+    pub(super) fn peer_output(&self) -> usize {
+        match &self.kind {
+            ConnKind::Peer { protocol, .. } => self.output_length() + protocol.queued_bytes(),
+            ConnKind::HttpServer { .. } | ConnKind::Target { .. } => 0,
+        }
+    }
+
     /// Number of received bytes that the connection holds for an incomplete message.
     pub(super) fn buffered(&self) -> usize {
         let body = match &self.kind {
@@ -213,6 +221,10 @@
             self.output.clear();
             self.output.shrink_to(MAX_IDLE_BUFFER_BYTES);
             self.written = 0;
+        } else if self.written > MAX_IDLE_BUFFER_BYTES.max(self.output_length()) {
+            // A slow reader may never empty the buffer.
+            self.output.drain(..self.written);
+            self.written = 0;
         }
         Ok(count)
     }
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -30,6 +30,8 @@
 /// Maximum number of bytes of output buffered for another VM. If it is exceeded, the VM is assumed
 /// to have stopped reading, and the connection is closed.
 const MAX_OUTPUT_BYTES: usize = 48 << 20;
+/// The output for all VMs is checked after this part of its limit was added.
+const OUTPUT_CHECK_DIVISOR: usize = 16;
 
 impl EventLoop {
     pub(super) fn accept_peer(&mut self, socket: TcpStream, now: Duration) {
@@ -139,7 +141,7 @@
             return;
         };
         let result = protocol.send(payload, &mut conn.output);
-        if result.is_err() || conn.output.len() > MAX_OUTPUT_BYTES {
+        if result.is_err() || conn.output_length() > MAX_OUTPUT_BYTES {
             self.stats.socket_errors += 1;
             return self.close_connection(
                 key,
@@ -151,15 +153,33 @@
         if was_empty {
             self.unflushed.push((key, conn.id));
         }
+        self.unchecked_output += payload.len();
+        if self.unchecked_output > self.peer_output_limit / OUTPUT_CHECK_DIVISOR {
+            self.limit_peer_output(now);
+        }
+    }
+
+    /// Closes the connections with the most output while all have too much together. Their VMs read
+    /// more slowly than others, and subscribe again.
+    fn limit_peer_output(&mut self, now: Duration) {
+        self.unchecked_output = 0;
+        let mut total = self.peer_output();
+        while total > self.peer_output_limit {
+            let peers = self.conns.iter();
+            let longest = peers.max_by_key(|(_, conn)| conn.peer_output());
+            let Some((key, length)) = longest.map(|(key, conn)| (key, conn.peer_output())) else {
+                return;
+            };
+            total = total.saturating_sub(length.max(1));
+            self.stats.socket_errors += 1;
+            let reason = "too much output is buffered for all VMs";
+            self.close_connection(key, FailureCause::Local, reason, now);
+        }
     }
 
     /// Number of bytes that are queued for other VMs.
     pub fn peer_output(&self) -> usize {
-        let peers = self
-            .conns
-            .iter()
-            .filter(|(_, conn)| matches!(conn.kind, ConnKind::Peer { .. }));
-        peers.map(|(_, conn)| conn.output_length()).sum()
+        self.conns.iter().map(|(_, conn)| conn.peer_output()).sum()
     }
 
     /// Writes what was queued for other VMs.
--- a/crates/reactor/src/peer_connection.rs
+++ b/crates/reactor/src/peer_connection.rs
@@ -53,6 +53,11 @@
         self.ready
     }
 
+    /// Number of bytes that wait until the handshake is complete.
+    pub fn queued_bytes(&self) -> usize {
+        self.queue.iter().map(Vec::len).sum()
+    }
+
     /// Seals an encoded message into `output`, or queues it until the handshake is complete.
     ///
     /// # Errors
--- a/crates/reactor/src/process.rs
+++ b/crates/reactor/src/process.rs
@@ -48,6 +48,9 @@
 /// copied once before it is sent on, so it takes up to twice its length.
 const BUFFER_DIVISOR: usize = 4;
 
+/// Part of the memory for messages to other VMs that these have not read.
+const PEER_OUTPUT_DIVISOR: usize = 2;
+
 /// An error that ends a process.
 #[derive(Debug, thiserror::Error)]
 pub enum ProcessError {
@@ -217,6 +220,7 @@
     event_loop.set_link_rate(settings.link_rate);
     if let Some(memory) = settings.memory {
         event_loop.set_buffer_limit(memory / BUFFER_DIVISOR);
+        event_loop.set_peer_output_limit(memory / PEER_OUTPUT_DIVISOR);
     }
     let mut context = ProcessContext {
         clock,
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -16,6 +16,13 @@
 };
 
 use camphordale_clock::Clock;
+use camphordale_fleet::{
+    Change,
+    Command,
+    ConfigResource,
+    Limits,
+    PeerMessage, //
+};
 use camphordale_http::Response;
 use camphordale_reactor::{
     ConnectionUse,
@@ -372,3 +379,83 @@
         assert_eq!(fixture.event_loop.stats().opened, id);
     }
 }
+
+/// A message of about `bytes` bytes.
+fn long_message(bytes: usize) -> PeerMessage {
+    let document = "d".repeat(bytes).into();
+    let spec = Limits::default();
+    let change = Change {
+        base_version: 1,
+        version: 2,
+        replace_all: false,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: Some(ConfigResource { spec, document }),
+        removed_routes: Vec::new(),
+        removed_services: Vec::new(),
+        digest: [0; 16],
+        received_ms: 0,
+    };
+    let command = Box::new(Command::Change(Box::new(change)));
+    PeerMessage::Update { index: 1, command }
+}
+
+/// Opens a connection from `client` to `server` and returns its ids at both ends.
+fn connect(server: &mut Fixture, client: &mut Fixture, address: SocketAddr) -> (u64, u64) {
+    let local = client.event_loop.connect_peer(address, ms(5000)).unwrap();
+    let hello = PeerMessage::MemberList(Vec::new());
+    client.event_loop.send(local, &hello);
+    let end = server.clock.now() + WAIT_LIMIT;
+    while server.clock.now() < end {
+        let next = client.clock.now() + ms(5);
+        client.event_loop.wait(next).unwrap();
+        let next = server.clock.now() + ms(5);
+        for event in server.event_loop.wait(next).unwrap() {
+            if let IoEvent::PeerMessage { conn, .. } = event {
+                return (conn, local);
+            }
+        }
+    }
+    panic!("no connection within {WAIT_LIMIT:?}");
+}
+
+/// Guards against a VM that runs out of memory because several others read nothing, each of them
+/// within the limit for one connection. The one that reads is served.
+#[test]
+fn output_for_all_peers_together_is_limited() {
+    const LIMIT: usize = 8 << 20;
+    const MESSAGE: usize = 512 << 10;
+    let mut server = Fixture::new();
+    server.event_loop.set_peer_output_limit(LIMIT);
+    let any = "127.0.0.1:0".parse().unwrap();
+    let address = server.event_loop.listen(any, ListenerKind::Peers).unwrap();
+    let mut clients: Vec<Fixture> = (0..6).map(|_| Fixture::new()).collect();
+    let conns: Vec<u64> = clients
+        .iter_mut()
+        .map(|client| connect(&mut server, client, address).0)
+        .collect();
+    let reader = clients.first_mut().unwrap();
+    let message = long_message(MESSAGE);
+    let (mut received, mut closed) = (0, 0);
+    let end = server.clock.now() + WAIT_LIMIT;
+    for sent in 1..=40 {
+        server.event_loop.send_all(&conns, &message);
+        let output = server.event_loop.peer_output();
+        assert!(output <= LIMIT * 5 / 4 + MESSAGE, "{output} bytes");
+        while received < sent {
+            assert!(server.clock.now() < end, "{received} of {sent} messages");
+            let next = server.clock.now() + ms(2);
+            for event in server.event_loop.wait(next).unwrap() {
+                if let IoEvent::PeerClosed(conn) = event {
+                    assert_ne!(conn, conns[0], "the reader was closed");
+                    closed += 1;
+                }
+            }
+            let next = reader.clock.now() + ms(2);
+            for event in reader.event_loop.wait(next).unwrap() {
+                received += usize::from(matches!(event, IoEvent::PeerMessage { .. }));
+            }
+        }
+    }
+    assert!(closed > 0, "the others fill the output");
+}
