Give up the answers without end, not the sound ones beside them

Seen here: the bytes received for all connections are bounded (a quarter of the memory), so the process doesn't end; but the connection that happened to read when the bound was passed was closed. Beside targets that send without end that is often one with a sound answer: its request had been passed on and ended without an answer.

Cause: the bound on the sum didn't ask which connection takes the room. Besides, the body of an answer that belongs to another request, or that does not say whose it is, was kept to its end and dropped then.

Change: beyond the bound, connections are closed in the order of what they may come to hold (the stated length of the message, or the longest one without it), and of those in the order of what they hold. An answer that cannot be taken ends its exchange with its head; one that belongs to another request and is skipped keeps no body.

Ruled out: closing the one that holds the most, as a sound answer may hold more than each of many faulty ones at a time.

--- a/crates/reactor/src/client_connection.rs
+++ b/crates/reactor/src/client_connection.rs
@@ -59,6 +59,10 @@
         head: Box<ResponseHead>,
         chunked: Option<ChunkedDecoder>,
         body: Vec<u8>,
+        /// Number of bytes of the body received.
+        received: u64,
+        /// Whether the response belongs to another request. Its body is not kept.
+        foreign: bool,
     },
 }
 
@@ -99,6 +103,18 @@
         }
     }
 
+    /// Number of bytes that the response may hold before it is complete: its stated length, or the
+    /// largest one without it. 0 while no body is being received.
+    pub fn claimed_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Head | Phase::Body { foreign: true, .. } => 0,
+            Phase::Body { head, .. } => match head.framing {
+                Framing::Length(length) => length as usize,
+                _ => MAX_BODY_BYTES,
+            },
+        }
+    }
+
     /// Consumes bytes from `input`. `eof` tells that the target has closed its side in order.
     pub fn advance(&mut self, input: &mut Vec<u8>, eof: bool) -> Progress {
         loop {
@@ -118,11 +134,14 @@
                 head,
                 chunked,
                 body,
+                received,
+                foreign,
             } = &mut self.phase
             else {
                 // An interim response was skipped.
                 continue;
             };
+            let held = body.len();
             let is_complete = match (head.framing, chunked) {
                 _ if self.expected.is_head || matches!(head.status, 204 | 304) => true,
                 (_, Some(chunked)) => match chunked.decode(input, body) {
@@ -133,17 +152,21 @@
                     Err(_) => return Progress::Invalid("response body has a malformed chunk"),
                 },
                 (Framing::Length(length), None) => {
-                    let missing = (length as usize).saturating_sub(body.len());
+                    let missing = length.saturating_sub(*received) as usize;
                     let consumed = missing.min(input.len());
                     body.extend(input.drain(..consumed));
-                    body.len() as u64 == length
+                    consumed == missing
                 }
                 _ => {
                     body.append(input);
                     eof
                 }
             };
-            if body.len() > MAX_BODY_BYTES {
+            *received += (body.len() - held) as u64;
+            if *foreign {
+                body.clear();
+            }
+            if *received > MAX_BODY_BYTES as u64 {
                 return Progress::Invalid("response body exceeds 64 MiB");
             }
             if !is_complete {
@@ -181,6 +204,7 @@
                 _ => break head,
             }
         };
+        let foreign = self.is_foreign(&head)?;
         let chunked = match head.framing {
             Framing::Length(length) if length > MAX_BODY_BYTES as u64 => {
                 return Err("response body exceeds 64 MiB");
@@ -192,10 +216,37 @@
             head: Box::new(head),
             chunked,
             body: Vec::new(),
+            received: 0,
+            foreign,
         };
         Ok(true)
     }
 
+    /// Whether the response that begins with `head` belongs to another request. It is an error if
+    /// that cannot be told, or if the end of such a response cannot be.
+    fn is_foreign(&self, head: &ResponseHead) -> Result<bool, &'static str> {
+        let Some((name, value)) = &self.expected.request_id else {
+            return Ok(false);
+        };
+        let field = |name: &str| {
+            let mut headers = head.headers.iter();
+            headers.find(|(known, _)| &**known == name)
+        };
+        let found = field(name).map(|(_, found)| found);
+        if found.is_some_and(|found| *found != *value) {
+            return match is_delimited(head) {
+                true => Ok(true),
+                false => Err("response carries the id of another request and has no length"),
+            };
+        }
+        let refuses = self.expected.refusal_header;
+        let refuses = refuses.is_some_and(|name| field(name).is_some());
+        match found.is_none() && (head.status < 400 || refuses) {
+            true => Err("response carries no request id"),
+            false => Ok(false),
+        }
+    }
+
     /// Counts a skipped response.
     fn skip(&mut self) -> Result<(), &'static str> {
         self.skipped += 1;
@@ -207,33 +258,25 @@
 
     /// Returns a complete response, or `None` if it belongs to another request and is skipped.
     fn finish(&mut self, input: &[u8]) -> Option<Progress> {
-        let Phase::Body { head, body, .. } = std::mem::replace(&mut self.phase, Phase::Head) else {
+        let Phase::Body {
+            head,
+            body,
+            foreign,
+            ..
+        } = std::mem::replace(&mut self.phase, Phase::Head)
+        else {
             return None;
         };
-        let delimited = head.framing != Framing::Unspecified || matches!(head.status, 204 | 304);
+        if foreign {
+            return self.skip().err().map(Progress::Invalid);
+        }
         let keep_alive = keep_alive_timeout(&head);
-        let reusable = head.keep_alive && delimited && input.is_empty();
+        let reusable = head.keep_alive && is_delimited(&head) && input.is_empty();
         let response = Response {
             status: head.status,
             headers: head.headers,
             body,
         };
-        if let Some((name, value)) = &self.expected.request_id {
-            let found = response.header(name);
-            if found.is_some_and(|found| *found != **value) {
-                if !delimited {
-                    return Some(Progress::Invalid(
-                        "response carries the id of another request and has no length",
-                    ));
-                }
-                return self.skip().err().map(Progress::Invalid);
-            }
-            let refuses = self.expected.refusal_header;
-            let refuses = refuses.is_some_and(|name| response.header(name).is_some());
-            if found.is_none() && (response.status < 400 || refuses) {
-                return Some(Progress::Invalid("response carries no request id"));
-            }
-        }
         Some(Progress::Complete {
             response,
             reusable,
@@ -242,6 +285,11 @@
     }
 }
 
+/// Whether the end of a response can be told without the end of its connection.
+fn is_delimited(head: &ResponseHead) -> bool {
+    head.framing != Framing::Unspecified || matches!(head.status, 204 | 304)
+}
+
 /// The idle timeout in whole seconds that the `Keep-Alive` field of a response states.
 fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
     let (_, value) = head
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -256,7 +256,7 @@
     }
 
     /// Sets the number of received bytes that the loop holds at most for all connections together.
-    /// A connection that would exceed it is closed.
+    /// Beyond it, connections are closed, first those without a stated length.
     pub fn set_buffer_limit(&mut self, bytes: usize) {
         self.buffer_limit = bytes;
     }
@@ -478,7 +478,9 @@
         self.account(key, now);
     }
 
-    /// Counts what a connection holds, and closes it if the loop holds too much.
+    /// Counts what a connection holds. If the loop holds too much, closes the connections that may
+    /// come to hold the most, and of these the ones that hold the most. So messages of a stated
+    /// length are received while others send without end.
     fn account(&mut self, key: usize, now: Duration) {
         let Some(conn) = self.conns.get_mut(key) else {
             return;
@@ -486,8 +488,16 @@
         let held = conn.buffered();
         let before = std::mem::replace(&mut conn.accounted, held);
         self.buffered = self.buffered - before + held;
-        if held > before && self.buffered > self.buffer_limit {
-            self.close_connection(key, FailureCause::Local, "too many bytes are held", now);
+        if held <= before {
+            return;
+        }
+        while self.buffered > self.buffer_limit {
+            let holders = self.conns.iter().filter(|(_, conn)| conn.accounted > 0);
+            let largest = holders.max_by_key(|(_, conn)| (conn.claimed(), conn.accounted));
+            let Some((largest, _)) = largest else {
+                return;
+            };
+            self.close_connection(largest, FailureCause::Local, "too many bytes are held", now);
         }
     }
 
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -193,6 +193,17 @@
         self.input.len() + body
     }
 
+    /// Number of received bytes that the connection may hold before its message is complete.
+    pub(super) fn claimed(&self) -> usize {
+        match &self.kind {
+            ConnKind::HttpServer { protocol, .. } => protocol.claimed_bytes(),
+            ConnKind::Target { active, .. } => active
+                .as_ref()
+                .map_or(0, |active| active.protocol.claimed_bytes()),
+            ConnKind::Peer { .. } => 0,
+        }
+    }
+
     /// Writes at most `allowance` bytes, until the socket would block. Returns the number of bytes
     /// written.
     pub(super) fn flush(&mut self, allowance: usize) -> io::Result<usize> {
--- a/crates/reactor/src/server_connection.rs
+++ b/crates/reactor/src/server_connection.rs
@@ -38,6 +38,8 @@
         head: Box<RequestHead>,
         chunked: Option<ChunkedDecoder>,
         body: Vec<u8>,
+        /// Largest number of bytes that the body may have.
+        claimed: usize,
     },
     /// A complete request awaits its response.
     AwaitingResponse,
@@ -82,6 +84,15 @@
         }
     }
 
+    /// Number of bytes that the request may hold before it is complete: the stated length of its body,
+    /// or the limit without it. 0 while no body is being received.
+    pub fn claimed_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Body { claimed, .. } => *claimed,
+            Phase::Head | Phase::AwaitingResponse => 0,
+        }
+    }
+
     /// Whether a request awaits its response.
     pub fn is_awaiting_response(&self) -> bool {
         matches!(self.phase, Phase::AwaitingResponse)
@@ -122,6 +133,7 @@
             head,
             chunked,
             body,
+            ..
         } = &mut self.phase
         else {
             return Ok(None);
@@ -189,6 +201,11 @@
             Framing::Chunked => Some(ChunkedDecoder::new(limits.max_body)),
             _ => None,
         };
+        let claimed = match head.framing {
+            Framing::Length(length) => length as usize,
+            Framing::Chunked => limits.max_body,
+            Framing::Unspecified => 0,
+        };
         input.drain(..length);
         self.head_end = HeadEnd::default();
         if head.expects_continue && input.is_empty() {
@@ -198,6 +215,7 @@
             head: Box::new(head),
             chunked,
             body: Vec::new(),
+            claimed,
         };
         Ok(())
     }
--- a/crates/reactor/tests/endless.rs
+++ b/crates/reactor/tests/endless.rs
@@ -240,3 +240,90 @@
     let spent = clock.now() - started;
     assert!(spent < Duration::from_secs(1), "{spent:?}");
 }
+
+/// Length of a sound answer, which comes in portions.
+const SOUND_BYTES: usize = 256 << 10;
+
+/// A target that answers each connection with `SOUND_BYTES`, over 200 ms.
+fn sound_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nI: 1\r\nContent-Length: {SOUND_BYTES}\r\n\r\n");
+                let mut result = stream.read(&mut [0; 256]).map(drop);
+                result = result.and_then(|()| stream.write_all(head.as_bytes()));
+                for _ in 0..16 {
+                    thread::sleep(Duration::from_millis(12));
+                    result = result.and_then(|()| stream.write_all(&[b's'; SOUND_BYTES / 16]));
+                }
+                // The loop may have closed the connection, which the test sees as a failed exchange.
+                result.ok();
+            });
+        }
+    });
+    address
+}
+
+/// Guards against sound answers that are given up because faulty targets fill the memory for what is
+/// received: those that hold the most make room.
+#[rstest]
+#[case::body_without_length(b"HTTP/1.1 200 OK\r\nI: 1\r\n\r\n", b"b")]
+#[case::chunks(
+    b"HTTP/1.1 200 OK\r\nI: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"40\r\nbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\r\n"
+)]
+fn answers_without_end_leave_room_for_sound_ones(
+    #[case] head: &'static [u8],
+    #[case] filler: &'static [u8],
+) {
+    const SOUND: u64 = 12;
+    const ENDLESS: u64 = 40;
+    let (mut event_loop, clock) = event_loop();
+    let (endless, _) = endless_target(head, filler);
+    let sound = sound_target();
+    let started = clock.now();
+    let exchange = |id, address, deadline| Exchange {
+        id,
+        address,
+        bytes: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
+        expected: ExpectedResponse {
+            request_id: Some(("i".into(), "1".into())),
+            ..ExpectedResponse::default()
+        },
+        connection: ConnectionUse::Single,
+        deadline,
+    };
+    for id in 1..=SOUND {
+        event_loop.start_exchange(exchange(id, sound, started + SLACK * 5));
+    }
+    let (mut next, mut done) = (SOUND + 1, 0);
+    for _ in 0..ENDLESS {
+        event_loop.start_exchange(exchange(next, endless, started + SLACK * 5));
+        next += 1;
+    }
+    let mut given_up = 0;
+    while done < SOUND {
+        let now = clock.now();
+        assert!(now < started + SLACK * 5, "{done} sound answers");
+        for event in event_loop.wait(now + Duration::from_millis(20)).unwrap() {
+            let IoEvent::ExchangeEnded { id, result, .. } = event else {
+                continue;
+            };
+            if id <= SOUND {
+                let response = result.unwrap();
+                assert_eq!(response.body.len(), SOUND_BYTES);
+                done += 1;
+            } else {
+                // Another request goes to the faulty target at once.
+                given_up += 1;
+                event_loop.start_exchange(exchange(next, endless, started + SLACK * 5));
+                next += 1;
+            }
+        }
+        assert!(event_loop.buffered_bytes() <= BUFFER_LIMIT + (1 << 20));
+    }
+    assert!(given_up > 0, "the faulty target fills the memory");
+}
--- a/crates/reactor/tests/refusals.rs
+++ b/crates/reactor/tests/refusals.rs
@@ -79,3 +79,37 @@
     let progress = connection().advance(&mut input, true);
     assert!(matches!(progress, Progress::Truncated(_)), "{progress:?}");
 }
+
+/// Guards against memory that is filled by an answer to another request, which is skipped in the end.
+#[rstest]
+#[case(
+    b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 60000000\r\n\r\n",
+    b"b"
+)]
+#[case(
+    b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"1\r\nb\r\n"
+)]
+fn the_body_of_a_response_to_another_request_is_not_kept(
+    #[case] head: &[u8],
+    #[case] filler: &[u8],
+) {
+    let mut connection = connection();
+    let mut input = head.to_vec();
+    for _ in 0..200 {
+        input.extend(filler.repeat(1000));
+        assert_eq!(connection.advance(&mut input, false), Progress::Incomplete);
+        assert!(input.len() < 100 && connection.buffered_bytes() == 0);
+    }
+}
+
+/// Guards against memory that is filled by an answer without end that could never be taken: one that
+/// does not say whose it is, or that belongs to another request and has no length.
+#[rstest]
+#[case(b"HTTP/1.1 200 OK\r\n\r\nbody")]
+#[case(b"HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\nbody")]
+#[case(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nbody")]
+fn an_answer_that_cannot_be_taken_ends_the_exchange_with_its_head(#[case] begin: &[u8]) {
+    let progress = connection().advance(&mut begin.to_vec(), false);
+    assert!(matches!(progress, Progress::Invalid(_)), "{progress:?}");
+}
