Show that changes are accepted after disks were full in turn

Report of another operator: disks were full for some seconds each, one after another; long after the last had room again, changes were refused or unanswered, while all processes ran.

Looked for here, not shown. The simulated group now has disks that refuse every write; a control VM whose write fails drops what relies on it and starts its reducer again from the disk after 500 ms, as the process does. In each history eight disks are full for 0.3 to 6 s, some again soon after, the leader's more often, with an operator that submits changes all the time, with three voters and with two learners besides, and with a log that is compacted every 3,000 bytes.

--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -46,6 +46,9 @@
 
 pub(crate) const TICK: Duration = Duration::from_millis(30);
 
+/// Delay before the storage is opened again after a failure.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
+
 pub(crate) fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -126,6 +129,23 @@
     pub(crate) member: Member,
     pub(crate) disk: RecoveredState,
     pub(crate) control: Option<Control>,
+    /// Whether the disk refuses every write.
+    pub(crate) disk_full: bool,
+    /// When the reducer is started again from the disk after a write failed.
+    reopen_at: Option<Duration>,
+}
+
+impl TestVm {
+    /// A VM with an empty disk that is not started.
+    pub(crate) fn blank(member: Member) -> TestVm {
+        TestVm {
+            member,
+            disk: RecoveredState::default(),
+            control: None,
+            disk_full: false,
+            reopen_at: None,
+        }
+    }
 }
 
 pub(crate) struct TestCluster {
@@ -135,6 +155,8 @@
     /// Pairs of addresses between which messages are blocked.
     pub(crate) blocked: BTreeSet<(SocketAddr, SocketAddr)>,
     pub(crate) loss: f64,
+    /// Bytes of log entries after which VMs that are started compact their log.
+    pub(crate) log_limit: usize,
     /// Maximum delay of a message in milliseconds.
     pub(crate) delay: u64,
     /// Ranges whose assignment to a holder the entry VM received.
@@ -159,6 +181,7 @@
             vms: BTreeMap::new(),
             blocked: BTreeSet::new(),
             loss: 0.0,
+            log_limit: 16 << 20,
             delay: 20,
             assigned: Vec::new(),
             moving: Vec::new(),
@@ -174,6 +197,8 @@
                 member: member.clone(),
                 disk,
                 control: None,
+                disk_full: false,
+                reopen_at: None,
             };
             cluster.vms.insert(member.peer, vm);
             cluster.start(member.peer);
@@ -185,7 +210,11 @@
         let seed = self.random.random();
         let known_members: Vec<Member> = self.vms.values().map(|vm| vm.member.clone()).collect();
         let vm = self.vms.get_mut(&at).unwrap();
-        let config = config(vm.member.clone(), seed);
+        let config = Config {
+            log_limit: self.log_limit,
+            ..config(vm.member.clone(), seed)
+        };
+        vm.reopen_at = None;
         vm.control = Some(Control::new(config, vm.disk.clone(), known_members).unwrap());
     }
 
@@ -200,6 +229,7 @@
     pub(crate) fn wipe(&mut self, at: SocketAddr, id: MemberId) {
         self.stop(at);
         let vm = self.vms.get_mut(&at).unwrap();
+        vm.disk_full = false;
         vm.member.id = id;
         vm.disk = RecoveredState::default();
         self.start(at);
@@ -213,7 +243,15 @@
         let Some(control) = &mut vm.control else {
             return;
         };
-        let effects = control.step(event, now);
+        let mut effects = control.step(event, now);
+        let writes = effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Persist(_)));
+        if writes && vm.disk_full {
+            // As the process does, carries out nothing that relies on the write.
+            effects = control.storage_failed(now);
+            vm.reopen_at = Some(now + REOPEN_INTERVAL);
+        }
         for effect in effects {
             match effect {
                 Effect::Persist(persist) => {
@@ -291,6 +329,10 @@
             if now.as_millis().is_multiple_of(TICK.as_millis()) {
                 let all: Vec<SocketAddr> = self.vms.keys().copied().collect();
                 for at in all {
+                    if self.vms[&at].reopen_at.is_some_and(|reopen| now >= reopen) {
+                        self.stop(at);
+                        self.start(at);
+                    }
                     self.step(at, Event::Tick);
                 }
                 self.step_entry();
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod crashes;
+mod full_disks;
 mod heartbeats;
 mod randomized;
 mod scenarios;
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -19,7 +19,6 @@
     TargetState,
     View, //
 };
-use camphordale_raft::RecoveredState;
 
 use crate::cluster::{
     TestCluster,
@@ -113,11 +112,7 @@
     let all: Vec<SocketAddr> = cluster.vms.keys().copied().collect();
     cluster.stop(all[2]);
     let fresh = member(9, 1 << 63 | 9);
-    let vm = TestVm {
-        member: fresh.clone(),
-        disk: RecoveredState::default(),
-        control: None,
-    };
+    let vm = TestVm::blank(fresh.clone());
     cluster.vms.insert(fresh.peer, vm);
     cluster.start(fresh.peer);
     cluster.run(ms(12_000));
