Write the list of known control VMs again after a failed write

What could happen (found while looking for the report on full disks): a control VM stores the list of control VMs that it knows when it changes. If the disk was full at that moment, the list was not written and never tried again until the next change. A restart after that begins with the seeds and the older list, which may name nobody who is left.

Cause: the reducer hands the list out once, and the process only logged the error.

Change: RetriedFile keeps a value that could not be written and tries again every 500 ms.

Evidence: store, a_value_that_could_not_be_written_is_written_when_the_disk_has_room. It cannot run on the code before, which has no such call; no run has shown the fault with processes.

--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -36,7 +36,9 @@
 use camphordale_store::{
     AtomicFile,
     Identity,
-    Store, //
+    RetriedFile,
+    Store,
+    StoreError, //
 };
 use slog::{
     info,
@@ -109,6 +111,8 @@
     control: Control,
     store: Option<Store>,
     storage_failure: Option<Duration>,
+    /// The control VMs that this one knows.
+    members_file: RetriedFile<Vec<Member>>,
     /// Effects that are not carried out yet.
     effects: Vec<Effect>,
     calls: HashMap<CallToken, PendingCall>,
@@ -138,6 +142,10 @@
     }
 }
 
+fn members_file(role_settings: &ControlSettings) -> AtomicFile<Vec<Member>> {
+    AtomicFile::new(role_settings.data_dir.join(MEMBERS_FILE))
+}
+
 struct OpenedState {
     control: Control,
     store: Store,
@@ -176,9 +184,8 @@
             ..DurableWrite::default()
         })?;
     }
-    let file = AtomicFile::<Vec<Member>>::new(role_settings.data_dir.join(MEMBERS_FILE));
     let mut known_members = seeds;
-    known_members.extend(file.read()?.unwrap_or_default());
+    known_members.extend(members_file(role_settings).read()?.unwrap_or_default());
     let tuning = &settings.tuning;
     let config = Config {
         member: Member {
@@ -243,6 +250,7 @@
             "bytes" => opened.store.size());
         Ok(ControlProcess {
             settings: settings.clone(),
+            members_file: RetriedFile::new(members_file(&role_settings)),
             role_settings,
             adapter,
             control: opened.control,
@@ -280,6 +288,7 @@
             if now >= self.next_tick {
                 self.next_tick = now + TICK_INTERVAL;
                 self.reopen(now, context);
+                report_members_file(self.members_file.retry(now), context);
                 self.step(Event::Tick, context);
                 context.flush_logs(now);
             }
@@ -491,13 +500,9 @@
                 send_before,
             } => self.send_order(dispatch, send_before, context),
             Effect::StoreMembers(members) => {
-                let file = AtomicFile::new(self.role_settings.data_dir.join(MEMBERS_FILE));
-                if let Err(error) = file.write(&members)
-                    && context.may_log("book")
-                {
-                    warn!(context.logger, "cannot store the known control VMs";
-                        "error" => error.to_string());
-                }
+                let now = context.clock.now();
+                let written = self.members_file.write(members, now);
+                report_members_file(written, context);
             }
             Effect::Log(event) => log_event(&event, context),
         }
@@ -599,6 +604,15 @@
     }
 }
 
+fn report_members_file(written: Result<(), StoreError>, context: &mut ProcessContext) {
+    if let Err(error) = written
+        && context.may_log("book")
+    {
+        warn!(context.logger, "cannot store the known control VMs";
+            "error" => error.to_string());
+    }
+}
+
 fn is_consensus(event: &IoEvent) -> bool {
     matches!(
         event,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,10 +12,12 @@
 mod error;
 mod identity;
 mod record;
+mod retried;
 mod store;
 
 pub use atomic::AtomicFile;
 pub use disk::{Disk, DiskFile, OsDisk};
 pub use error::StoreError;
 pub use identity::Identity;
+pub use retried::RetriedFile;
 pub use store::Store;
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -34,6 +34,7 @@
     Disk,
     DiskFile,
     Identity,
+    RetriedFile,
     Store,
     StoreError, //
 };
@@ -485,3 +486,27 @@
     let other = tempdir().unwrap();
     assert_eq!(Identity::open(other.path(), 8).unwrap().member, 8);
 }
+
+/// Guards against a control VM that finds no other one after a restart, because the list of those that
+/// it knew could not be written while its disk was full, and never was again.
+#[test]
+fn a_value_that_could_not_be_written_is_written_when_the_disk_has_room() {
+    let (disk, path) = (MemoryDisk::default(), Path::new("/d/members"));
+    let file = || AtomicFile::<u64>::with_disk(Arc::new(disk.clone()), path);
+    let mut retried = RetriedFile::new(file());
+    let ms = std::time::Duration::from_millis;
+    retried.write(1, ms(0)).unwrap();
+    disk.fail(Some(1));
+    assert!(retried.write(2, ms(1000)).is_err());
+    assert!(retried.write(3, ms(1100)).is_err());
+    assert!(retried.retry(ms(1650)).is_err());
+    disk.fail(None);
+    // It is not tried with each tick.
+    retried.retry(ms(1700)).unwrap();
+    assert_eq!(file().read().unwrap(), Some(1));
+    retried.retry(ms(2200)).unwrap();
+    assert_eq!(file().read().unwrap(), Some(3));
+    // Nothing is left to write.
+    disk.fail(Some(1));
+    retried.retry(ms(9000)).unwrap();
+}
