Take no success from a process that is no target

Cause: an answer was judged by its request id alone.

Change: a success without the field that every success of a target has ends the exchange as invalid, with its head.

--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -117,6 +117,9 @@
     /// request.
     fn refusal_header(&self) -> &'static str;
 
+    /// Name, in lower case, of the header field that every success of a target has.
+    fn success_header(&self) -> &'static str;
+
     /// Parses the header fields of a target's response.
     fn target_fields(&self, response: &Response) -> TargetFields;
 
--- a/crates/reactor/src/client_connection.rs
+++ b/crates/reactor/src/client_connection.rs
@@ -29,6 +29,9 @@
     /// request. Such a response must carry the request id: without it, it may be a copy of an
     /// earlier one.
     pub refusal_header: Option<&'static str>,
+    /// Name, in lower case, of the header field that every success of a target has. One without it
+    /// comes from a process that is no target.
+    pub success_header: Option<&'static str>,
     /// Whether the request was a `HEAD`.
     pub is_head: bool,
 }
@@ -223,15 +226,23 @@
     }
 
     /// Whether the response that begins with `head` belongs to another request. It is an error if
-    /// that cannot be told, or if the end of such a response cannot be.
+    /// that cannot be told, if the end of such a response cannot be, or if the response to this
+    /// request is a success of no target.
     fn is_foreign(&self, head: &ResponseHead) -> Result<bool, &'static str> {
-        let Some((name, value)) = &self.expected.request_id else {
-            return Ok(false);
-        };
         let field = |name: &str| {
             let mut headers = head.headers.iter();
             headers.find(|(known, _)| &**known == name)
         };
+        let is_success = (200..300).contains(&head.status);
+        let success_header = self.expected.success_header.filter(|_| is_success);
+        let lacks_proof = success_header.is_some_and(|name| field(name).is_none());
+        let unproved = "success without the field that targets add to it";
+        let Some((name, value)) = &self.expected.request_id else {
+            return match lacks_proof {
+                true => Err(unproved),
+                false => Ok(false),
+            };
+        };
         let found = field(name).map(|(_, found)| found);
         if found.is_some_and(|found| *found != *value) {
             return match is_delimited(head) {
@@ -243,6 +254,7 @@
         let refuses = refuses.is_some_and(|name| field(name).is_some());
         match found.is_none() && (head.status < 400 || refuses) {
             true => Err("response carries no request id"),
+            false if lacks_proof => Err(unproved),
             false => Ok(false),
         }
     }
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -427,6 +427,7 @@
                         expected: ExpectedResponse {
                             request_id: request_id.map(|id| (request_id_header.into(), id)),
                             refusal_header: Some(self.adapter.refusal_header()),
+                            success_header: Some(self.adapter.success_header()),
                             is_head: &*active.request.method == "HEAD",
                         },
                         connection: match repeated {
--- a/crates/reactor/tests/refusals.rs
+++ b/crates/reactor/tests/refusals.rs
@@ -11,6 +11,7 @@
     ClientConnection::new(ExpectedResponse {
         request_id: Some(("x-id".into(), "2".into())),
         refusal_header: Some("x-not-run"),
+        success_header: Some("x-signed"),
         is_head: false,
     })
 }
@@ -36,7 +37,7 @@
     let mut connection = connection();
     let mut input = refusal("X-Id: 1\r\n");
     assert_eq!(connection.advance(&mut input, false), Progress::Incomplete);
-    input.extend(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok");
+    input.extend(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nok");
     let progress = connection.advance(&mut input, false);
     assert!(
         matches!(&progress, Progress::Complete { response, .. } if response.status == 200),
@@ -54,8 +55,8 @@
 /// Guards against an empty or short body that is framed as whole: a head that is not complete when
 /// the target closes is no response, wherever it was cut.
 #[rstest]
-#[case(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok")]
-#[case(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok")]
+#[case(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nok")]
+#[case(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nok")]
 fn a_response_that_is_cut_anywhere_is_truncated(#[case] whole: &[u8]) {
     for length in 0..whole.len() {
         let mut input = whole[..length].to_vec();
@@ -113,3 +114,25 @@
     let progress = connection().advance(&mut begin.to_vec(), false);
     assert!(matches!(progress, Progress::Invalid(_)), "{progress:?}");
 }
+
+/// Guards against orders that get a success from a process that is no target: it listens at the
+/// address of another writer's announcement, or of a target that has ended.
+#[rstest]
+#[case(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok")]
+#[case(b"HTTP/1.1 204 No Content\r\nX-Id: 2\r\n\r\n")]
+#[case(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")]
+fn a_success_without_the_field_of_targets_is_not_taken(#[case] whole: &[u8]) {
+    let progress = connection().advance(&mut whole.to_vec(), false);
+    assert!(matches!(progress, Progress::Invalid(_)), "{progress:?}");
+}
+
+/// Failures of targets need no such field.
+#[test]
+fn a_failure_without_the_field_of_targets_is_taken() {
+    let mut input = b"HTTP/1.1 500 Failed\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n".to_vec();
+    let progress = connection().advance(&mut input, false);
+    assert!(
+        matches!(progress, Progress::Complete { .. }),
+        "{progress:?}"
+    );
+}
