Keep a target draining under the next leader

Cause: the sequence of a target's last announcement is in the memory of a leader only, so the next one takes any announcement of the same incarnation for news. The state `left` was kept from going back, `draining` was not. The same held for a target that had stated in its answers that it leaves.

Change: a registered target that drains becomes ready again only by an announcement that follows one in which it told this same leader that it drains, or by its next incarnation.

Ruled out: the sequence in the replicated record, which would make every heartbeat a write to the log, or change the format that older processes read.

Cost: a target that takes back its draining while the leader changes must say it once more.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -75,6 +75,8 @@
     pub(super) received_at: Duration,
     /// When it was received.
     pub(super) heard_at: Option<Duration>,
+    /// Whether this incarnation announced to this leader that it drains.
+    drained: bool,
 }
 
 impl Control {
@@ -181,6 +183,11 @@
             out.push(Effect::Reply { token, reply });
             return;
         }
+        // What was announced to former leaders may still arrive, and its sequence is not known any
+        // more. So a draining target is ready again only if it said so after it said to this leader
+        // that it drains.
+        let drained = latest
+            .is_some_and(|latest| latest.incarnation == announcement.incarnation && latest.drained);
         leader.announcements.insert(
             announcement.id.clone(),
             LastAnnouncement {
@@ -188,6 +195,7 @@
                 sequence: announcement.sequence,
                 received_at: now,
                 heard_at: Some(now),
+                drained: drained || announcement.draining,
             },
         );
         let holder = Holder {
@@ -198,13 +206,17 @@
         let mut target = announcement.target();
         // A target that has left does not return within the same incarnation.
         let newest = leader.proposed_targets.get(&announcement.id).or(known);
-        let has_left = newest.is_some_and(|newest| {
-            newest.incarnation == target.incarnation && newest.state == TargetState::Left
-        });
+        let was = |state| {
+            newest.is_some_and(|newest| {
+                newest.incarnation == target.incarnation && newest.state == state
+            })
+        };
+        let has_left = was(TargetState::Left);
+        let still_drains = was(TargetState::Draining) && !drained;
         let news = &leader.statement_news;
         if has_left {
             target.state = TargetState::Left;
-        } else if news.is_leaving(&announcement.id, target.incarnation) {
+        } else if still_drains || news.is_leaving(&announcement.id, target.incarnation) {
             target.state = TargetState::Draining;
         }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
@@ -312,6 +324,7 @@
                         sequence: 0,
                         received_at: now,
                         heard_at: None,
+                        drained: false,
                     });
                 latest.received_at = now;
             }
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -651,3 +651,37 @@
     cluster.ask(announce(1, 101, false));
     assert_eq!(state(&cluster), TargetState::Ready);
 }
+
+/// Guards against requests to a target that drains: an announcement from before, which is late, made
+/// it ready again under another leader.
+#[test]
+fn a_draining_target_stays_so_under_the_next_leader() {
+    let mut cluster = TestCluster::new(31);
+    cluster.ask(announce(4, 100, false));
+    cluster.ask(announce(8, 100, true));
+    let state = |cluster: &TestCluster| {
+        let leader = cluster.leader().unwrap();
+        let control = cluster.vms[&leader].control.as_ref().unwrap();
+        control.state().view.targets["t1"].state
+    };
+    assert_eq!(state(&cluster), TargetState::Draining);
+    let former = cluster.leader().unwrap();
+    cluster.stop(former);
+    cluster.run(ms(2500));
+    cluster.start(former);
+    assert_ne!(cluster.leader(), Some(former));
+    for sequence in [5, 6, 7] {
+        cluster.ask(announce(sequence, 100, false));
+        assert_eq!(state(&cluster), TargetState::Draining);
+    }
+    // Its own next announcement, and a late one after it, change nothing either.
+    cluster.ask(announce(9, 100, true));
+    cluster.ask(announce(8, 100, false));
+    assert_eq!(state(&cluster), TargetState::Draining);
+    // A later announcement under the same leader, or of the next incarnation, is news.
+    cluster.ask(announce(10, 100, false));
+    assert_eq!(state(&cluster), TargetState::Ready);
+    cluster.ask(announce(11, 100, true));
+    cluster.ask(announce(1, 200, false));
+    assert_eq!(state(&cluster), TargetState::Ready);
+}
