Keep a target's pause however long it is

Cause: a pause above 600 s counted as malformed. The users' page sets no bound: an upstream that adds Retry-After to a 503 "wants nothing from that machine for so long".

The entry VM cuts it to ten years, so that sums of times do not overflow, which would end the process.

Evidence: entry/statements, a_long_pause_is_kept.

--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -26,6 +26,8 @@
     limits::LimitSource, //
 };
 
+/// Pauses are cut to ten years, so that sums of times do not overflow.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10 * 365 * 24 * 60 * 60);
 /// Silence of the leader after which this VM keeps to a share of its own. All rights that the leader
 /// granted have ended by then.
 const LEADER_SILENCE: Duration = Duration::from_millis(1300);
@@ -115,6 +117,7 @@
             out.push(Effect::Log(LogEvent::Leaving { target }));
         }
         if let Some(pause) = statement.pause {
+            let pause = pause.min(LONGEST_PAUSE);
             tracked.record_pause(now + pause);
             let target = holder.id.clone();
             out.push(Effect::Log(LogEvent::Paused { target, pause }));
--- a/crates/entry/tests/entry/statements.rs
+++ b/crates/entry/tests/entry/statements.rs
@@ -16,6 +16,8 @@
     TargetState, //
 };
 
+use rstest::rstest;
+
 use crate::harness::{
     Harness,
     KEYED,
@@ -283,3 +285,24 @@
     let (_, output) = harness.request(ORDERS);
     assert!(output.sent.is_empty(), "{output:?}");
 }
+
+/// Guards against requests to a target that wants none for very long, and against a process that ends
+/// because of the longest time there is.
+#[rstest]
+#[case(Duration::from_secs(900))]
+#[case(Duration::MAX)]
+fn a_long_pause_is_kept(#[case] time: Duration) {
+    let mut harness = Harness::new();
+    let (_, output) = harness.request(KEYED);
+    answer(
+        &mut harness,
+        output.sent[0].0,
+        pause(time),
+        not_executed(503),
+    );
+    for _ in 0..3 {
+        harness.advance(ms(250_000));
+        let (_, output) = harness.request(KEYED);
+        assert!(output.sent.is_empty());
+    }
+}
