Keep a leave that comes before the announcements of its target

The leave was acknowledged and forgotten, the late heartbeat registered the upstream, and it got 190 requests later than drain_ms after the acknowledgement.

Cause: a leave changed the record of a registered target only.

Change: the leader remembers the incarnation that left under an id that has no such record, for as long as a silent target is kept, and registers no announcement of it.

Ruled out: any incarnation up to the one that left, as a leave of another writer with a late start would shut a sound target out.

Not covered: a change of leader between the leave and the late announcement; the next leader does not know of the leave, for which the log has no command without a record of the target.

Evidence: fleet/control, a_leave_counts_for_an_announcement_that_comes_after_it.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -42,6 +42,7 @@
 };
 use self::{
     calls::{
+        Departures,
         LastAnnouncement,
         Pending, //
     },
@@ -96,6 +97,7 @@
     elected_at: Duration,
     lease_table: LeaseTable,
     announcements: BTreeMap<TargetId, LastAnnouncement>,
+    departures: Departures,
     load_stats: LoadStats,
     delayed_answers: Vec<DelayedAnswer>,
     crash_news: CrashNews,
@@ -497,6 +499,7 @@
             elected_at: now,
             lease_table: LeaseTable::new(self.config.lease_times, term, &self.state.view, now),
             announcements: BTreeMap::new(),
+            departures: Departures::default(),
             load_stats: LoadStats::default(),
             delayed_answers: Vec::new(),
             proposed_targets: BTreeMap::new(),
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -1,6 +1,9 @@
 //! Calls of operators and targets.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use camphordale_raft as raft;
 
@@ -67,6 +70,33 @@
     leases: Option<Box<LeaseRequest>>,
 }
 
+/// Targets that left before any of their announcements was registered. These may still arrive.
+#[derive(Default)]
+pub(super) struct Departures {
+    /// Incarnation that left last, and when. It says nothing about others under the same id, so a
+    /// leave of another writer shuts none of them out.
+    targets: BTreeMap<TargetId, (Incarnation, Duration)>,
+}
+
+impl Departures {
+    fn record(&mut self, id: &TargetId, incarnation: Incarnation, now: Duration) {
+        if self.targets.len() >= MAX_TARGETS {
+            return;
+        }
+        self.targets.insert(id.clone(), (incarnation, now));
+    }
+
+    fn contains(&self, id: &TargetId, incarnation: Incarnation) -> bool {
+        let departed = self.targets.get(id);
+        departed.is_some_and(|(departed, _)| incarnation == *departed)
+    }
+
+    fn expire(&mut self, now: Duration, lifetime: Duration) {
+        self.targets
+            .retain(|_, (_, at)| now.saturating_sub(*at) < lifetime);
+    }
+}
+
 /// The latest announcement of a target that the leader has received.
 pub(super) struct LastAnnouncement {
     pub(super) incarnation: Incarnation,
@@ -172,7 +202,11 @@
         };
         let known = view.targets.get(&announcement.id);
         let latest = leader.announcements.get(&announcement.id);
-        let outdated = known.is_some_and(|known| known.incarnation > announcement.incarnation)
+        let departed = leader
+            .departures
+            .contains(&announcement.id, announcement.incarnation);
+        let outdated = departed
+            || known.is_some_and(|known| known.incarnation > announcement.incarnation)
             || latest.is_some_and(|latest| {
                 (latest.incarnation, latest.sequence)
                     >= (announcement.incarnation, announcement.sequence)
@@ -280,6 +314,9 @@
             })
             .filter(|newest| !is_durable || newest.state != TargetState::Left);
         let Some(target) = target else {
+            if let (Some(leader), Some(incarnation)) = (&mut self.leader_state, incarnation) {
+                leader.departures.record(id, incarnation, now);
+            }
             let reply = Reply::Done { is_leader: true };
             out.push(Effect::Reply { token, reply });
             return;
@@ -294,6 +331,7 @@
         let Some(leader) = &mut self.leader_state else {
             return;
         };
+        leader.departures.expire(now, self.config.target_timeout);
         let targets = &self.state.view.targets;
         leader.announcements.retain(|id, latest| {
             now.saturating_sub(latest.received_at) < self.config.target_timeout
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -685,3 +685,36 @@
     cluster.ask(announce(1, 200, false));
     assert_eq!(state(&cluster), TargetState::Ready);
 }
+
+/// Guards against requests to a target that has left: its leave came before its first announcement,
+/// was acknowledged and forgotten, and the late announcement registered it.
+#[test]
+fn a_leave_counts_for_an_announcement_that_comes_after_it() {
+    let mut cluster = TestCluster::new(32);
+    cluster.run(ms(1500));
+    let leave = |incarnation| Call::Leave {
+        id: "t1".into(),
+        incarnation: Some(incarnation),
+    };
+    let is_ready = |cluster: &TestCluster| {
+        let leader = cluster.leader().unwrap();
+        let control = cluster.vms[&leader].control.as_ref().unwrap();
+        let target = control.state().view.targets.get("t1");
+        target.is_some_and(|target| target.state == TargetState::Ready)
+    };
+    assert!(matches!(cluster.ask(leave(100)), Reply::Done { .. }));
+    for sequence in [1, 2] {
+        cluster.ask(announce(sequence, 100, false));
+        assert!(!is_ready(&cluster));
+    }
+    // The next incarnation is another target.
+    cluster.ask(announce(1, 200, false));
+    assert!(is_ready(&cluster));
+    // A late leave of the former one, or one that no target sent, does not concern it.
+    cluster.ask(leave(100));
+    cluster.ask(leave(u64::MAX));
+    cluster.ask(announce(2, 200, false));
+    assert!(is_ready(&cluster));
+    cluster.ask(announce(3, 200, true));
+    assert!(!is_ready(&cluster));
+}
