--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -92,7 +92,7 @@
     next_token: u64,
 }
 
-fn member() -> Member {
+pub(crate) fn member() -> Member {
     Member {
         id: 1,
         peer: "10.0.0.1:7000".parse().unwrap(),
@@ -101,7 +101,7 @@
     }
 }
 
-fn config() -> Config {
+pub(crate) fn config() -> Config {
     Config {
         member: member(),
         voters: 1,
--- a/crates/fleet/tests/large_fleet/retention.rs
+++ b/crates/fleet/tests/large_fleet/retention.rs
@@ -11,8 +11,6 @@
     Effect,
     Event,
     KeyDelivery,
-    LeaseTimes,
-    Member,
     PeerMessage,
     Reply,
     RetryPolicy,
@@ -31,7 +29,11 @@
         live_bytes,
         take_peak_bytes, //
     },
-    fleet::ms,
+    fleet::{
+        self,
+        member,
+        ms, //
+    },
 };
 
 /// Routes of a configuration that has grown twice.
@@ -49,33 +51,13 @@
     version: u64,
 }
 
+/// Bytes of views that may be under way.
+const VIEW_LIMIT: usize = 8 << 20;
+
 fn config() -> Config {
     Config {
-        member: member(),
-        voters: 1,
-        lease_times: LeaseTimes {
-            call: ms(2200),
-            heartbeat: ms(2740),
-            interval: ms(870),
-        },
-        election_timeout: ms(250),
-        leader_lease: ms(150),
-        heartbeat_interval: ms(80),
-        target_timeout: ms(20_000),
-        member_timeout: ms(3500),
-        apply_timeout: ms(500),
-        log_limit: 16 << 20,
-        view_limit: 8 << 20,
-        seed: 1,
-    }
-}
-
-fn member() -> Member {
-    Member {
-        id: 1,
-        peer: "10.0.0.1:7000".parse().unwrap(),
-        control: "10.0.0.1:8000".parse().unwrap(),
-        domain: "a".into(),
+        view_limit: VIEW_LIMIT,
+        ..fleet::config()
     }
 }
 
@@ -393,7 +375,7 @@
     let mut vm = ControlVm::new();
     vm.replace_all_routes(1);
     let view = PeerMessage::Snapshot(Box::new(vm.control.state().view.clone()));
-    let (limit, length) = (config().view_limit, view.encode().unwrap().len());
+    let (limit, length) = (VIEW_LIMIT, view.encode().unwrap().len());
     let expected = limit / length;
     let entries = 2 * expected as u64;
     let mut sent = Vec::new();
