--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -121,7 +121,8 @@
     }
 }
 
-/// Bytes of the encoded view.
+/// Bytes of the encoded view. Counting fails only for a view that cannot be encoded, which is never
+/// sent; the event loop reports that.
 fn encoded_length(view: &View) -> usize {
     postcard::serialize_with_flavor(view, Size::default()).unwrap_or(0)
 }
