Log what shows that a request was not run

The logs could not tell a promise of our own from a status that a target sent, nor what our own rests on: a status below 500 that is passed on was not logged at all.

`refused` lines have the evidence (nothing sent, or stated by each target that got it); each answer of a target with a status that promises gets a line and a counter with its status and whether it states so. No decision changes. Test: entry a_refusal_is_reported_with_its_evidence.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -45,6 +45,7 @@
         ControlStream,
         ControlStreamEffect, //
     },
+    evidence::Evidence,
     handovers::Handovers,
     link::LinkShare,
     retry_budget::RetryBudget,
@@ -319,6 +320,8 @@
     pub target_stats: Option<TargetStats>,
     /// Targets that ended while they executed requests with this fingerprint.
     pub crashed: Vec<TargetId>,
+    /// What shows that the request was not executed. None if it may have been.
+    pub evidence: Option<Evidence>,
 }
 
 /// A change of state or a decision for the process to log and count.
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -28,9 +28,12 @@
     RequestHandle,
     Shutdown, //
 };
-use crate::selection::{
-    SelectionContext,
-    SelectionError, //
+use crate::{
+    evidence::Evidence,
+    selection::{
+        SelectionContext,
+        SelectionError, //
+    },
 };
 
 /// A request may wait for a free slot or a holder for the latency objective divided by this.
@@ -75,6 +78,8 @@
     pub(super) in_flight: Vec<(AttemptId, Holder)>,
     /// Whether an ended attempt may have executed the request.
     pub(super) may_have_run: bool,
+    /// Whether a target stated that it did not execute the request.
+    pub(super) denied: bool,
     /// Time until which the request waits, if it does.
     pub(super) parked_until: Option<Duration>,
     /// When the holder of the key is tried again, after it reported that it does not hold the key
@@ -94,6 +99,15 @@
         self.route.retry_policy == RetryPolicy::Idempotent
     }
 
+    /// What shows that the request was not executed.
+    pub(super) fn evidence(&self) -> Option<Evidence> {
+        match self.may_have_run || !self.in_flight.is_empty() {
+            true => None,
+            false if self.denied => Some(Evidence::Stated),
+            false => Some(Evidence::Unsent),
+        }
+    }
+
     /// Time until which the request may wait: the latency objective divided by `divisor`.
     pub(super) fn wait_deadline(&self, divisor: u32) -> Duration {
         match self.cancelled {
@@ -128,6 +142,7 @@
                 view_index,
                 target_stats: None,
                 crashed: Vec::new(),
+                evidence: Some(Evidence::Unsent),
             })));
             out.push(Effect::Refuse { request, refusal });
         };
@@ -183,6 +198,7 @@
                 is_retry,
                 in_flight: Vec::new(),
                 may_have_run: false,
+                denied: false,
                 parked_until: None,
                 retry_at: Duration::ZERO,
                 hedge_at: None,
@@ -469,6 +485,7 @@
             key: request.key,
             view_index: self.view.index,
             crashed: self.crashes.crashed(request.fingerprint),
+            evidence: request.evidence(),
         })
     }
 
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -79,6 +79,7 @@
                 self.on_response(id, (attempt, holder.id), failed, now, out);
             }
             AttemptResult::NotExecuted { status, load } => {
+                request.denied = true;
                 let misdirected = status == MISDIRECTED_STATUS && request.key.is_some();
                 match misdirected {
                     true => self.targets.attempt_misdirected(target, attempt, load, now),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `routes` | matching of host and path to a service |
 //! | `targets` | latency, load and failures of each target as seen by this VM |
 //! | `selection` | target selection and admission |
+//! | `evidence` | what shows that a request was not executed |
 //! | `link` | share of the VM's link for long responses |
 //! | `handovers` | key ranges that are moving between two holders |
 //! | `retry_budget` | limit on retries |
@@ -20,6 +21,7 @@
 
 mod control_stream;
 mod entry;
+mod evidence;
 mod handovers;
 mod limits;
 mod link;
@@ -48,6 +50,7 @@
     Shutdown,
     TargetStatement, //
 };
+pub use evidence::Evidence;
 pub use handovers::Handovers;
 pub use limits::{
     LimitSource,
--- a/crates/entry/tests/entry/decisions.rs
+++ b/crates/entry/tests/entry/decisions.rs
@@ -1,11 +1,14 @@
 //! Logged decisions: each reason comes with the inputs of the decision.
 
 use camphordale_entry::{
+    AttemptResult,
     Decision,
     Event,
+    Evidence,
     Reason, //
 };
 use camphordale_fleet::PeerMessage;
+use rstest::rstest;
 
 use crate::harness::{
     Harness,
@@ -93,6 +96,26 @@
     assert_eq!(found.attempts, 2);
 }
 
+/// A refusal is logged with what shows that the request was not run.
+#[rstest]
+#[case(&[not_executed(503), not_executed(429)], Reason::Shed, Some(Evidence::Stated))]
+#[case(&[failed(false), not_executed(503)], Reason::Shed, Some(Evidence::Stated))]
+#[case(&[failed(false); 3], Reason::Unreached, Some(Evidence::Unsent))]
+#[case(&[not_executed(503), failed(true)], Reason::Lost, None)]
+fn a_refusal_is_reported_with_its_evidence(
+    #[case] results: &[AttemptResult],
+    #[case] reason: Reason,
+    #[case] evidence: Option<Evidence>,
+) {
+    let mut harness = Harness::new();
+    let (_, mut output) = harness.request(ORDERS);
+    for result in results {
+        output = harness.end_attempt(output.sent[0].0, *result);
+    }
+    let found = output.decisions.last().unwrap();
+    assert_eq!((found.reason, found.evidence), (reason, evidence));
+}
+
 #[test]
 fn unroutable_requests_are_reported_with_what_is_missing() {
     let mut harness = Harness::new();
--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -120,6 +120,10 @@
     /// Name, in lower case, of the header field that every success of a target has.
     fn success_header(&self) -> &'static str;
 
+    /// Whether callers take the status as a promise that their request was not executed and will
+    /// not be.
+    fn promises_not_executed(&self, status: u16) -> bool;
+
     /// Parses the header fields of a target's response.
     fn target_fields(&self, response: &Response) -> TargetFields;
 
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -14,6 +14,7 @@
     Effect,
     Entry,
     Event,
+    Evidence,
     IncomingRequest,
     LogEvent,
     Reason,
@@ -248,7 +249,10 @@
                     self.step(Event::CallerDisconnected(handle), now, context);
                 }
             }
-            IoEvent::ExchangeEnded { id, result, .. } => {
+            IoEvent::ExchangeEnded { id, result, reused } => {
+                if let Ok(response) = &result {
+                    self.log_refusal(id, response, reused, context);
+                }
                 self.on_exchange_ended(id, result, now, context)
             }
             IoEvent::PeerMessage { conn, message } if self.control_stream == Some(conn) => {
@@ -343,6 +347,28 @@
         self.step(event, now, context);
     }
 
+    /// Logs and counts a response with a status that tells callers that their request was not
+    /// executed: its form shows whether the target states this of this request.
+    fn log_refusal(
+        &self,
+        attempt: AttemptId,
+        response: &Response,
+        reused: bool,
+        context: &mut ProcessContext,
+    ) {
+        let status = response.status;
+        if !self.adapter.promises_not_executed(status) {
+            return;
+        }
+        let stated = self.adapter.target_fields(response).not_executed;
+        context.metrics.count_target_refusal(status, stated);
+        if context.may_log("target refused") {
+            let id = response.header(self.adapter.request_id_header());
+            info!(context.logger, "target refused"; "attempt" => attempt, "status" => status,
+                "stated" => stated, "request" => id.unwrap_or("-"), "reused" => reused);
+        }
+    }
+
     /// Passes on what a target states about itself.
     fn on_target_fields(
         &mut self,
@@ -593,6 +619,7 @@
         let crashed = (!decision.crashed.is_empty()).then(|| decision.crashed.join(","));
         info!(logger, "{}", message;
             "crashed" => crashed,
+            "evidence" => decision.evidence.map(Evidence::name),
             "fingerprint" => active.map(|active| format!("{:032x}", active.fingerprint)),
             "report_age_ms" => stats.and_then(|stats| stats.report_age)
                 .map(|age| age.as_millis() as u64),
--- a/crates/reactor/src/metrics.rs
+++ b/crates/reactor/src/metrics.rs
@@ -30,6 +30,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    target_refusals: Counter<u64>,
     failures: Counter<u64>,
     queued: Histogram<f64>,
     served: Histogram<f64>,
@@ -102,6 +103,10 @@
                 "camphordale.repeats",
                 "Requests sent to another target, by reason",
             ),
+            target_refusals: counter(
+                "camphordale.target.refusals",
+                "Responses of targets whose status promises that the request was not executed, by status and whether they state it",
+            ),
             failures: counter(
                 "camphordale.exchange.failures",
                 "Exchanges with targets that ended without a response, by cause",
@@ -145,6 +150,16 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a response of a target whose status promises that the request was not executed.
+    /// `stated` tells whether the response states this.
+    pub fn count_target_refusal(&self, status: u16, stated: bool) {
+        let labels = [
+            KeyValue::new("status", i64::from(status)),
+            KeyValue::new("stated", stated),
+        ];
+        self.target_refusals.add(1, &labels);
+    }
+
     /// Counts a retry on another target.
     pub fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
