Promise that a request was not run from evidence only

What callers saw: a target ran a request that may run once, and its caller got 503, 429, 408 or 421, which promise that it was not run (REFUSED).

Cause: the status of a target was passed on whatever it was, though only a response with the field for it states that the request was not run; a failure without a request id was taken for the request's own, and many servers send one to nobody before they close an idle connection; the field was believed under any status, with any value, beside a signature.

Change: a refusal that promises is a type without a public constructor, made from the evidence of the request (nothing sent, or stated by each target that got it). A response is passed on as another type, which none with a promising status becomes: such a request counts as one that may have run, so it goes to another target if it may be repeated, and gets 502 otherwise. A response without exactly one request id belongs to no request. A request without an id has a connection of its own.

--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -152,6 +152,7 @@
         "holder-lost" => {
             "the holder of the key did not respond to this VM; its key lease has to expire"
         }
+        "unproved" => "the target answered with a status that means not run, but did not state it",
         "shed" => "the target refused the request, and no retry was allowed",
         "lost" => "the connection failed after the request was sent; it may have run",
         "unreached" => "no connection to a target could be opened",
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -45,7 +45,10 @@
         ControlStream,
         ControlStreamEffect, //
     },
-    evidence::Evidence,
+    evidence::{
+        Evidence,
+        NotRun, //
+    },
     handovers::Handovers,
     link::LinkShare,
     retry_budget::RetryBudget,
@@ -113,13 +116,19 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
-    /// The target sent a complete response.
+    /// The target sent a complete response that may be passed on: its status promises nothing.
     Complete {
         /// Status.
         status: u16,
         /// Load reported by the target.
         load: Option<LoadReport>,
     },
+    /// The target sent a complete response whose status would tell the caller that the request was not
+    /// executed, but which does not state this, or contradicts itself.
+    Unproved {
+        /// Load reported by the target.
+        load: Option<LoadReport>,
+    },
     /// The target reported that it did not execute the request.
     NotExecuted {
         /// Status.
@@ -210,6 +219,8 @@
     HolderLost,
     /// The target did not execute the request, and no other could be tried.
     Shed,
+    /// The target responded with a status that promises more than the response states.
+    Unproved,
     /// The connection failed after the request had been sent.
     Lost,
     /// The connection to the target could not be opened.
@@ -258,6 +269,7 @@
             Reason::HolderFull => "holder-full",
             Reason::HolderLost => "holder-lost",
             Reason::Shed => "shed",
+            Reason::Unproved => "unproved",
             Reason::Lost => "lost",
             Reason::Unreached => "unreached",
             Reason::Limited => "limited",
@@ -282,8 +294,8 @@
     NotFound,
     /// The request lacks a key.
     Malformed,
-    /// The request was not executed and will not be. The caller may retry after this time.
-    NotRun(Duration),
+    /// The request was not executed and will not be.
+    NotRun(NotRun),
     /// The request may have been executed.
     Unknown,
     /// The request may have been executed, and its deadline has passed.
--- a/crates/entry/src/entry/crashes.rs
+++ b/crates/entry/src/entry/crashes.rs
@@ -194,7 +194,8 @@
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        let (fingerprint, may_have_run) = (request.fingerprint, request.may_have_run);
+        let fingerprint = request.fingerprint;
+        let may_have_run = request.execution.evidence().is_none();
         let evidence = &self.crashes.evidence;
         let reason = match evidence.verdict(fingerprint) {
             Verdict::Clear => return false,
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -29,7 +29,11 @@
     Shutdown, //
 };
 use crate::{
-    evidence::Evidence,
+    evidence::{
+        Evidence,
+        Execution,
+        NotRun, //
+    },
     selection::{
         SelectionContext,
         SelectionError, //
@@ -76,10 +80,8 @@
     pub(super) is_retry: bool,
     /// Attempts in flight.
     pub(super) in_flight: Vec<(AttemptId, Holder)>,
-    /// Whether an ended attempt may have executed the request.
-    pub(super) may_have_run: bool,
-    /// Whether a target stated that it did not execute the request.
-    pub(super) denied: bool,
+    /// What the ended attempts show about the execution of the request.
+    pub(super) execution: Execution,
     /// Time until which the request waits, if it does.
     pub(super) parked_until: Option<Duration>,
     /// When the holder of the key is tried again, after it reported that it does not hold the key
@@ -101,11 +103,14 @@
 
     /// What shows that the request was not executed.
     pub(super) fn evidence(&self) -> Option<Evidence> {
-        match self.may_have_run || !self.in_flight.is_empty() {
-            true => None,
-            false if self.denied => Some(Evidence::Stated),
-            false => Some(Evidence::Unsent),
-        }
+        self.execution
+            .evidence()
+            .filter(|_| self.in_flight.is_empty())
+    }
+
+    /// Whether a target may have executed the request or may do so yet.
+    pub(super) fn may_run(&self) -> bool {
+        self.evidence().is_none()
     }
 
     /// Time until which the request may wait: the latency objective divided by `divisor`.
@@ -148,7 +153,7 @@
         };
         let index = self.view.index;
         if self.view.routing.is_none() {
-            let refusal = Refusal::NotRun(NO_ROUTING_RETRY_AFTER);
+            let refusal = Refusal::NotRun(NotRun::before_dispatch(NO_ROUTING_RETRY_AFTER));
             return refuse(refusal, Reason::NoRouting, index, out);
         }
         let found = self.routes.find(&incoming.host, &incoming.path);
@@ -178,7 +183,7 @@
         let may_be_cut =
             |shutdown: Shutdown| arrived_at >= shutdown.notice_ends && deadline > shutdown.ends_at;
         if self.shutdown.is_some_and(may_be_cut) {
-            let refusal = Refusal::NotRun(STOPPING_RETRY_AFTER);
+            let refusal = Refusal::NotRun(NotRun::before_dispatch(STOPPING_RETRY_AFTER));
             return refuse(refusal, Reason::Stopping, index, out);
         }
         self.timers.insert((deadline, request));
@@ -197,8 +202,7 @@
                 attempts_sent: 0,
                 is_retry,
                 in_flight: Vec::new(),
-                may_have_run: false,
-                denied: false,
+                execution: Execution::NONE,
                 parked_until: None,
                 retry_at: Duration::ZERO,
                 hedge_at: None,
@@ -438,11 +442,13 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let refusal = match reason {
-            Reason::TimedOut => Refusal::TimedOut,
-            _ if request.may_have_run || !request.in_flight.is_empty() => Refusal::Unknown,
-            Reason::Quarantined => Refusal::Quarantined,
-            _ => Refusal::NotRun(retry_after),
+        let in_flight = !request.in_flight.is_empty();
+        let promise = request.execution.promise(in_flight, retry_after);
+        let refusal = match (reason, promise) {
+            (Reason::TimedOut, _) => Refusal::TimedOut,
+            (_, None) => Refusal::Unknown,
+            (Reason::Quarantined, Some(_)) => Refusal::Quarantined,
+            (_, Some(promise)) => Refusal::NotRun(promise),
         };
         let decision = self.decision(id, reason, now);
         self.finish_request(id, None, out);
@@ -521,8 +527,7 @@
             return self.on_routing_timeout(id, now, out);
         };
         if now >= request.deadline {
-            let sent = request.may_have_run || !request.in_flight.is_empty();
-            let reason = if sent {
+            let reason = if request.may_run() {
                 Reason::TimedOut
             } else {
                 Reason::Expired
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -12,7 +12,8 @@
     Entry,
     LogEvent,
     Reason,
-    RequestHandle, //
+    RequestHandle,
+    request::ActiveRequest, //
 };
 use crate::targets::TrackedTarget;
 
@@ -69,7 +70,9 @@
                     self.link.record(&route_name, length);
                 }
                 let failed = status >= MIN_FAILURE_STATUS;
-                request.may_have_run |= failed;
+                if failed {
+                    request.execution.record_possible();
+                }
                 self.targets
                     .attempt_completed(target, attempt, failed, load, now);
                 // A target may respond with a failure before it has executed the request.
@@ -79,7 +82,7 @@
                 self.on_response(id, (attempt, holder.id), failed, now, out);
             }
             AttemptResult::NotExecuted { status, load } => {
-                request.denied = true;
+                request.execution.record_statement();
                 let misdirected = status == MISDIRECTED_STATUS && request.key.is_some();
                 match misdirected {
                     true => self.targets.attempt_misdirected(target, attempt, load, now),
@@ -90,12 +93,20 @@
                 out.push(Effect::Discard(attempt));
                 self.on_not_executed(id, misdirected, now, out);
             }
+            AttemptResult::Unproved { load } => {
+                request.execution.record_possible();
+                self.targets
+                    .attempt_completed(target, attempt, true, load, now);
+                self.on_attempt_lost(id, Reason::Unproved, now, out);
+            }
             AttemptResult::Failed {
                 sent,
                 received,
                 closed,
             } => {
-                request.may_have_run |= sent;
+                if sent {
+                    request.execution.record_possible();
+                }
                 // An established connection shows that the target is reachable.
                 self.targets
                     .attempt_failed(target, attempt, sent || received, now);
@@ -103,7 +114,10 @@
                     self.crashes.record_crash(fingerprint, &holder, now);
                     self.refuse_waiting(fingerprint, now, out);
                 }
-                self.on_attempt_failed(id, sent, now, out);
+                match sent {
+                    true => self.on_attempt_lost(id, Reason::Lost, now, out),
+                    false => self.on_attempt_unsent(id, now, out),
+                }
             }
         }
         // Room on the link is for requests of any service.
@@ -202,10 +216,11 @@
         self.park(id, until);
     }
 
-    fn on_attempt_failed(
+    /// Handles the end of an attempt that brought no usable response and may have been executed.
+    fn on_attempt_lost(
         &mut self,
         id: RequestHandle,
-        sent: bool,
+        reason: Reason,
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -215,18 +230,18 @@
         if !request.in_flight.is_empty() {
             return;
         }
-        if !sent {
-            return self.retry_unsent(id, now, out);
-        }
-        let retried = request.is_idempotent() && self.retry(id, Reason::Lost, now, out);
+        let retried = request.is_idempotent() && self.retry(id, reason, now, out);
         if !retried {
-            self.refuse(id, Reason::Lost, SHED_RETRY_AFTER, now, out);
+            self.refuse(id, reason, SHED_RETRY_AFTER, now, out);
         }
     }
 
     /// Sends the request to another target. Nothing was sent, so this does not count as a retry.
-    fn retry_unsent(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
-        if self.refuse_quarantined(id, now, out) {
+    fn on_attempt_unsent(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
+        let waits_for_others = |request: &ActiveRequest| !request.in_flight.is_empty();
+        if self.requests.get(&id).is_some_and(waits_for_others)
+            || self.refuse_quarantined(id, now, out)
+        {
             return;
         }
         let Some(request) = self.requests.get(&id) else {
@@ -259,8 +274,7 @@
         if request.caller_disconnected || request.attempts_sent >= request.route.max_attempts {
             return false;
         }
-        let may_have_run = request.may_have_run || !request.in_flight.is_empty();
-        if may_have_run && self.crashes.is_suspect(request.fingerprint) {
+        if request.may_run() && self.crashes.is_suspect(request.fingerprint) {
             return false;
         }
         let remaining = request.deadline.saturating_sub(now);
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -194,7 +194,7 @@
             self.targets.attempt_cancelled(&holder.id, attempt);
             out.push(Effect::Cancel(attempt));
         }
-        request.may_have_run = true;
+        request.execution.record_possible();
         request.cancelled = true;
         let decision = self.decision(id, Reason::Moving, now);
         out.extend(decision.map(|decision| Effect::Log(LogEvent::Retried(decision))));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,7 +12,7 @@
 //! | `routes` | matching of host and path to a service |
 //! | `targets` | latency, load and failures of each target as seen by this VM |
 //! | `selection` | target selection and admission |
-//! | `evidence` | what shows that a request was not executed |
+//! | `evidence` | what shows that a request was not executed, and the promise that rests on it |
 //! | `link` | share of the VM's link for long responses |
 //! | `handovers` | key ranges that are moving between two holders |
 //! | `retry_budget` | limit on retries |
@@ -50,7 +50,10 @@
     Shutdown,
     TargetStatement, //
 };
-pub use evidence::Evidence;
+pub use evidence::{
+    Evidence,
+    NotRun, //
+};
 pub use handovers::Handovers;
 pub use limits::{
     LimitSource,
--- a/crates/entry/tests/entry/crashes.rs
+++ b/crates/entry/tests/entry/crashes.rs
@@ -25,7 +25,8 @@
     closed,
     complete,
     ms,
-    not_executed, //
+    not_executed,
+    promised, //
 };
 
 const DEADLY: Fingerprint = 1 << 100;
@@ -107,12 +108,12 @@
     harness.receive(evidence_of_age(3, ms(100)));
     let (request, output) = deadly(&mut harness, READS);
     assert!(output.sent.is_empty());
-    assert_eq!(output.refused, [(request, Refusal::NotRun(ms(500)))]);
+    assert_eq!(promised(&output), [(request, ms(500))]);
     assert_eq!(output.decisions[0].reason, Reason::Suspected);
     assert_eq!(output.decisions[0].crashed.len(), 3);
     harness.advance(SETTLE_AFTER - ms(101));
     let (request, output) = deadly(&mut harness, READS);
-    assert_eq!(output.refused, [(request, Refusal::NotRun(ms(500)))]);
+    assert_eq!(promised(&output), [(request, ms(500))]);
     harness.advance(ms(1));
     let (request, output) = deadly(&mut harness, READS);
     assert_eq!(output.refused, [(request, Refusal::Quarantined)]);
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -296,6 +296,21 @@
     AttemptResult::NotExecuted { status, load: None }
 }
 
+/// A status that promises more than the response states.
+pub(crate) fn unproved() -> AttemptResult {
+    AttemptResult::Unproved { load: None }
+}
+
+/// The refused requests, all as not run, and after what time their callers may come back.
+pub(crate) fn promised(output: &StepOutput) -> Vec<(RequestHandle, Duration)> {
+    let refused = output.refused.iter();
+    let promised = refused.map(|(request, refusal)| match refusal {
+        Refusal::NotRun(promise) => (*request, promise.retry_after()),
+        other => panic!("no promise: {other:?}"),
+    });
+    promised.collect()
+}
+
 pub(crate) fn failed(sent: bool) -> AttemptResult {
     AttemptResult::Failed {
         sent,
--- a/crates/entry/tests/entry/load.rs
+++ b/crates/entry/tests/entry/load.rs
@@ -39,7 +39,7 @@
     // objective.
     let output = harness.advance(ms(61));
     for (_, refusal) in output.refused {
-        assert!(matches!(refusal, Refusal::NotRun(pause) if pause >= ms(100)));
+        assert!(matches!(refusal, Refusal::NotRun(promise) if promise.retry_after() >= ms(100)));
         refused += 1;
     }
     assert!(sent_to.values().all(|count| *count <= 10), "{sent_to:?}");
@@ -247,9 +247,10 @@
     };
     let second = harness.end_attempt(first, not_executed).sent[0].0;
     let refused = harness.end_attempt(second, not_executed).refused;
-    let Refusal::NotRun(pause) = refused[0].1 else {
+    let Refusal::NotRun(promise) = refused[0].1 else {
         panic!("{refused:?}");
     };
+    let pause = promise.retry_after();
     assert!(
         pause <= ms(max_pause_ms) && pause >= ms(max_pause_ms / 5),
         "{pause:?}"
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -11,9 +11,11 @@
     ms,
     not_executed,
     routing,
-    target, //
+    target,
+    unproved, //
 };
 use camphordale_entry::{
+    AttemptResult,
     Event,
     Refusal,
     Shutdown, //
@@ -110,6 +112,36 @@
     assert_eq!(output.refused, [(request, Refusal::Unknown)]);
 }
 
+/// Guards against a caller that is told that its request was not run because a target answered with a
+/// status that means so, while it or another target runs the request.
+#[rstest]
+#[case(&[unproved()])]
+#[case(&[not_executed(503), unproved()])]
+#[case(&[failed(false), unproved()])]
+fn an_unproved_status_promises_nothing(#[case] results: &[AttemptResult]) {
+    let mut harness = Harness::new();
+    let (request, mut output) = harness.request(ORDERS);
+    for result in results {
+        let (attempt, _) = only_attempt(&output);
+        output = harness.end_attempt(attempt, *result);
+    }
+    assert_eq!(output.refused, [(request, Refusal::Unknown)]);
+    assert!(output.sent.is_empty() && output.forwarded.is_empty());
+    assert_eq!(output.decisions.last().unwrap().evidence, None);
+}
+
+/// A request that may run more than once goes to another target instead.
+#[test]
+fn an_idempotent_request_goes_to_another_target_after_an_unproved_status() {
+    let mut harness = Harness::new();
+    let (request, output) = harness.request(READS);
+    let (attempt, first) = only_attempt(&output);
+    let (attempt, second) = only_attempt(&harness.end_attempt(attempt, unproved()));
+    assert_ne!(first, second);
+    let output = harness.end_attempt(attempt, not_executed(503));
+    assert_eq!(output.refused, [(request, Refusal::Unknown)]);
+}
+
 #[test]
 fn a_request_ends_at_its_deadline() {
     let mut harness = Harness::new();
@@ -449,11 +481,11 @@
     assert_eq!(output.sent.len(), 1);
     let (request, output) = harness.request_within(READS, ms(1500));
     assert!(output.sent.is_empty());
-    let [(refused, Refusal::NotRun(retry_after))] = output.refused[..] else {
+    let [(refused, Refusal::NotRun(promise))] = output.refused[..] else {
         panic!("{:?}", output.refused);
     };
     assert_eq!(refused, request);
-    assert!(retry_after <= ms(100));
+    assert!(promise.retry_after() <= ms(100));
 }
 
 /// A VM that shuts down finishes the requests in progress.
--- a/crates/entry/tests/entry/statements.rs
+++ b/crates/entry/tests/entry/statements.rs
@@ -175,11 +175,11 @@
     for _ in 0..20 {
         let (_, output) = harness.request(READS);
         assert!(output.sent.is_empty());
-        let [(_, Refusal::NotRun(wait))] = output.refused[..] else {
+        let [(_, Refusal::NotRun(promise))] = output.refused[..] else {
             panic!("{output:?}");
         };
         assert_eq!(output.decisions[0].reason, Reason::Paused);
-        waits.push(wait);
+        waits.push(promise.retry_after());
     }
     let (least, most) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
     assert!(*least >= ms(1900), "{least:?}");
--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -59,11 +59,25 @@
     }
 }
 
+/// What a response says about the execution of the request that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExecutionClaim {
+    /// Nothing.
+    None,
+    /// The target executed the request.
+    Executed,
+    /// The target did not execute the request and will not.
+    NotExecuted,
+    /// The response says that the target did not execute the request, but not in the form that the
+    /// protocol gives such a response, or it also says the opposite.
+    Contradictory,
+}
+
 /// Header fields of a target's response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetFields {
-    /// Whether the target states that it did not execute the request.
-    pub not_executed: bool,
+    /// What the response says about the execution of the request.
+    pub execution: ExecutionClaim,
     /// Load that the target reports.
     pub load: Option<LoadReport>,
     /// Limit that the target sets on the requests of all entry VMs together.
@@ -113,10 +127,6 @@
     /// Name, in lower case, of the header field by which a response identifies its request.
     fn request_id_header(&self) -> &'static str;
 
-    /// Name, in lower case, of the header field by which a target states that it did not execute a
-    /// request.
-    fn refusal_header(&self) -> &'static str;
-
     /// Name, in lower case, of the header field that every success of a target has.
     fn success_header(&self) -> &'static str;
 
--- a/crates/reactor/src/client_connection.rs
+++ b/crates/reactor/src/client_connection.rs
@@ -23,12 +23,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct ExpectedResponse {
     /// Name, in lower case, and value of the header field that identifies the request. A response
-    /// with another value belongs to an earlier request and is skipped.
+    /// with another value belongs to an earlier request and is skipped. One without it, or with
+    /// several, belongs to none.
     pub request_id: Option<(Box<str>, Box<str>)>,
-    /// Name, in lower case, of the header field by which a target states that it did not execute the
-    /// request. Such a response must carry the request id: without it, it may be a copy of an
-    /// earlier one.
-    pub refusal_header: Option<&'static str>,
     /// Name, in lower case, of the header field that every success of a target has. One without it
     /// comes from a process that is no target.
     pub success_header: Option<&'static str>,
@@ -229,13 +226,14 @@
     /// that cannot be told, if the end of such a response cannot be, or if the response to this
     /// request is a success of no target.
     fn is_foreign(&self, head: &ResponseHead) -> Result<bool, &'static str> {
-        let field = |name: &str| {
-            let mut headers = head.headers.iter();
-            headers.find(|(known, _)| &**known == name)
+        let fields = |name: &str| {
+            let name: Box<str> = name.into();
+            let headers = head.headers.iter();
+            headers.filter(move |(known, _)| *known == name)
         };
         let is_success = (200..300).contains(&head.status);
         let success_header = self.expected.success_header.filter(|_| is_success);
-        let lacks_proof = success_header.is_some_and(|name| field(name).is_none());
+        let lacks_proof = success_header.is_some_and(|name| fields(name).next().is_none());
         let unproved = "success without the field that targets add to it";
         let Some((name, value)) = &self.expected.request_id else {
             return match lacks_proof {
@@ -243,19 +241,16 @@
                 false => Ok(false),
             };
         };
-        let found = field(name).map(|(_, found)| found);
-        if found.is_some_and(|found| *found != *value) {
-            return match is_delimited(head) {
+        let mut found = fields(name);
+        match (found.next(), found.next()) {
+            (None, _) => Err("response carries no request id"),
+            (_, Some(_)) => Err("response carries several request ids"),
+            (Some((_, other)), None) if *other != *value => match is_delimited(head) {
                 true => Ok(true),
                 false => Err("response carries the id of another request and has no length"),
-            };
-        }
-        let refuses = self.expected.refusal_header;
-        let refuses = refuses.is_some_and(|name| field(name).is_some());
-        match found.is_none() && (head.status < 400 || refuses) {
-            true => Err("response carries no request id"),
-            false if lacks_proof => Err(unproved),
-            false => Ok(false),
+            },
+            _ if lacks_proof => Err(unproved),
+            _ => Ok(false),
         }
     }
 
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -38,6 +38,7 @@
 use crate::{
     adapter::{
         CallerFields,
+        ExecutionClaim,
         ProtocolAdapter,
         StatedField,
         TargetFields, //
@@ -63,6 +64,10 @@
         Settings,
         SettingsError, //
     },
+    target_answer::{
+        RelayableResponse,
+        TargetAnswer, //
+    },
     turn::{
         TurnTimes,
         Work, //
@@ -94,7 +99,7 @@
     adapter: Adapter,
     requests: HashMap<RequestHandle, ActiveRequest>,
     by_conn: HashMap<ConnId, RequestHandle>,
-    responses: HashMap<AttemptId, Response>,
+    responses: HashMap<AttemptId, RelayableResponse>,
     control_stream: Option<ConnId>,
     next_handle: RequestHandle,
     next_tick: Duration,
@@ -317,11 +322,13 @@
                 let fields = self.adapter.target_fields(&response);
                 let (status, load) = (response.status, fields.load);
                 self.on_target_fields(id, fields, now, context);
-                if fields.not_executed {
-                    AttemptResult::NotExecuted { status, load }
-                } else {
-                    self.responses.insert(id, response);
-                    AttemptResult::Complete { status, load }
+                match TargetAnswer::new(response, fields.execution, &self.adapter) {
+                    TargetAnswer::NotExecuted => AttemptResult::NotExecuted { status, load },
+                    TargetAnswer::Unproved => AttemptResult::Unproved { load },
+                    TargetAnswer::Relayable(response) => {
+                        self.responses.insert(id, response);
+                        AttemptResult::Complete { status, load }
+                    }
                 }
             }
             Err(error) => {
@@ -347,8 +354,8 @@
         self.step(event, now, context);
     }
 
-    /// Logs and counts a response with a status that tells callers that their request was not
-    /// executed: its form shows whether the target states this of this request.
+    /// Logs and counts a response that says, by its status or its fields, that the request was not
+    /// executed. Its form shows whether the target states this of this request.
     fn log_refusal(
         &self,
         attempt: AttemptId,
@@ -357,10 +364,12 @@
         context: &mut ProcessContext,
     ) {
         let status = response.status;
-        if !self.adapter.promises_not_executed(status) {
+        let claim = self.adapter.target_fields(response).execution;
+        let is_doubtful = claim == ExecutionClaim::Contradictory;
+        if !is_doubtful && !self.adapter.promises_not_executed(status) {
             return;
         }
-        let stated = self.adapter.target_fields(response).not_executed;
+        let stated = claim == ExecutionClaim::NotExecuted;
         context.metrics.count_target_refusal(status, stated);
         if context.may_log("target refused") {
             let id = response.header(self.adapter.request_id_header());
@@ -445,6 +454,7 @@
                         continue;
                     }
                     let request_id = active.fields.id.clone();
+                    let has_id = request_id.is_some();
                     let request_id_header = self.adapter.request_id_header();
                     context.event_loop.start_exchange(Exchange {
                         id: attempt,
@@ -452,11 +462,12 @@
                         bytes,
                         expected: ExpectedResponse {
                             request_id: request_id.map(|id| (request_id_header.into(), id)),
-                            refusal_header: Some(self.adapter.refusal_header()),
                             success_header: Some(self.adapter.success_header()),
                             is_head: &*active.request.method == "HEAD",
                         },
-                        connection: match repeated {
+                        // A request without an id needs a connection of its own too: nothing else
+                        // tells the response to it from others.
+                        connection: match repeated || !has_id {
                             true => ConnectionUse::Single,
                             false => ConnectionUse::Pooled { limit: connections },
                         },
@@ -479,6 +490,7 @@
                     else {
                         continue;
                     };
+                    let response = response.response();
                     self.by_conn.remove(&active.conn);
                     let elapsed = now.saturating_sub(active.arrived_at);
                     let service = decision.service.as_deref().unwrap_or("-");
@@ -486,7 +498,7 @@
                     context
                         .metrics
                         .record_response(service, response.status, queued, elapsed);
-                    context.event_loop.respond(active.conn, &response);
+                    context.event_loop.respond(active.conn, response);
                 }
                 Effect::Refuse { request, refusal } => {
                     if let Some(active) = self.requests.remove(&request) {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `head_end` | the end of an HTTP head in input that comes in parts |
 //! | `peer_connection` | state machine between VMs, without I/O |
 //! | `entry_process`, `control_process` | events to the reducers, effects from them |
+//! | `target_answer` | what a target's response says about the execution of its request |
 //! | `adapter` | interface to the protocol of a deployment |
 //! | `settings` | validated settings |
 //! | `log`, `metrics` | structured logs and Prometheus metrics |
@@ -30,11 +31,13 @@
 mod process;
 mod server_connection;
 mod settings;
+mod target_answer;
 mod turn;
 
 pub use adapter::{
     CallKind,
     CallerFields,
+    ExecutionClaim,
     OrderRequest,
     ProtocolAdapter,
     StatedField,
--- a/crates/reactor/tests/refusals.rs
+++ b/crates/reactor/tests/refusals.rs
@@ -10,7 +10,6 @@
 fn connection() -> ClientConnection {
     ClientConnection::new(ExpectedResponse {
         request_id: Some(("x-id".into(), "2".into())),
-        refusal_header: Some("x-not-run"),
         success_header: Some("x-signed"),
         is_head: false,
     })
@@ -45,10 +44,17 @@
     );
 }
 
-/// The same where the copy does not say whose it is.
-#[test]
-fn a_refusal_without_a_request_id_is_no_evidence() {
-    let progress = connection().advance(&mut refusal(""), false);
+/// The same where the copy does not say whose it is, or says two things. Servers also send a failure
+/// to nobody before they close an idle connection.
+#[rstest]
+#[case(refusal(""))]
+#[case(refusal("X-Id: 2\r\nX-Id: 1\r\n"))]
+#[case(refusal("X-Id: 2\r\nX-Id: 2\r\n"))]
+#[case(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n".to_vec())]
+#[case(b"HTTP/1.1 408 Timeout\r\nConnection: close\r\n\r\n".to_vec())]
+#[case(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n".to_vec())]
+fn a_response_without_one_request_id_belongs_to_no_request(#[case] mut response: Vec<u8>) {
+    let progress = connection().advance(&mut response, false);
     assert!(matches!(progress, Progress::Invalid(_)), "{progress:?}");
 }
 
