Clear a request of its crashes only by an execution

Found by the class of REFUSED: a status was believed to show more than it does. Any complete response below 500 counted as proof that the request does no harm, also a 413 or 400 by which a target rejects it unread. Such a target cleared the evidence of a request that crashes others, and it could go on to more than three (BUDGET).

A response now clears it only with the field that targets add to what they executed. Test: entry a_response_that_shows_no_execution_clears_no_crash fails without the condition (run).

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -122,6 +122,8 @@
         status: u16,
         /// Load reported by the target.
         load: Option<LoadReport>,
+        /// Whether the response shows that the target executed the request.
+        executed: bool,
     },
     /// The target sent a complete response whose status would tell the caller that the request was not
     /// executed, but which does not state this, or contradicts itself.
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -65,7 +65,11 @@
         let route_name = request.route_name.clone();
         let is_long = self.link.expected(&route_name).is_some();
         match result {
-            AttemptResult::Complete { status, load } => {
+            AttemptResult::Complete {
+                status,
+                load,
+                executed,
+            } => {
                 if status < MIN_FAILURE_STATUS {
                     self.link.record(&route_name, length);
                 }
@@ -75,8 +79,8 @@
                 }
                 self.targets
                     .attempt_completed(target, attempt, failed, load, now);
-                // A target may respond with a failure before it has executed the request.
-                if !failed {
+                // A target may respond before it has executed the request.
+                if executed && !failed {
                     self.crashes.record_completion(fingerprint, now);
                 }
                 self.on_response(id, (attempt, holder.id), failed, now, out);
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -444,6 +444,7 @@
             let result = AttemptResult::Complete {
                 status: 200,
                 load: None,
+                executed: true,
             };
             self.end_attempt(&running, result);
         }
--- a/crates/entry/tests/entry/crashes.rs
+++ b/crates/entry/tests/entry/crashes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use camphordale_entry::{
+    AttemptResult,
     Event,
     Reason,
     Refusal, //
@@ -182,6 +183,23 @@
     assert_eq!(sent, [other]);
 }
 
+/// Guards against more crashes by a request that a target rejected before it began to execute it, such
+/// as one with a body that is too long for it.
+#[test]
+fn a_response_that_shows_no_execution_clears_no_crash() {
+    let mut harness = Harness::new();
+    let (request, output) = deadly(&mut harness, READS);
+    let output = harness.end_attempt(output.sent[0].0, closed());
+    let rejected = AttemptResult::Complete {
+        status: 413,
+        load: None,
+        executed: false,
+    };
+    let output = harness.end_attempt(output.sent[0].0, rejected);
+    assert_eq!(output.forwarded, [request]);
+    assert!(reported(&output).is_empty(), "{:?}", output.messages);
+}
+
 /// Guards against evidence that waits for the next ping, and against responses that clear a request
 /// although they say nothing about it.
 #[test]
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -280,7 +280,11 @@
 }
 
 pub(crate) fn complete(status: u16) -> AttemptResult {
-    AttemptResult::Complete { status, load: None }
+    AttemptResult::Complete {
+        status,
+        load: None,
+        executed: true,
+    }
 }
 
 pub(crate) fn complete_with(running: u32, queued: u32) -> AttemptResult {
@@ -289,7 +293,11 @@
         queued,
         slots: 4,
     });
-    AttemptResult::Complete { status: 200, load }
+    AttemptResult::Complete {
+        status: 200,
+        load,
+        executed: true,
+    }
 }
 
 pub(crate) fn not_executed(status: u16) -> AttemptResult {
--- a/crates/entry/tests/entry/outside_numbers.rs
+++ b/crates/entry/tests/entry/outside_numbers.rs
@@ -47,7 +47,11 @@
         queued: u32::MAX,
         slots: u32::MAX,
     });
-    let result = AttemptResult::Complete { status: 200, load };
+    let result = AttemptResult::Complete {
+        status: 200,
+        load,
+        executed: true,
+    };
     let (attempt, _, target) = output.sent[0].clone();
     harness.end_attempt(attempt, result);
     // A full target gets no more requests than it has room for.
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -472,7 +472,11 @@
                 closed: true,
             },
             Some(_) => AttemptResult::NotExecuted { status: 503, load },
-            None => AttemptResult::Complete { status: 200, load },
+            None => AttemptResult::Complete {
+                status: 200,
+                load,
+                executed: true,
+            },
         };
         let event = Event::AttemptEnded {
             attempt,
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -327,7 +327,11 @@
                     TargetAnswer::Unproved => AttemptResult::Unproved { load },
                     TargetAnswer::Relayable(response) => {
                         self.responses.insert(id, response);
-                        AttemptResult::Complete { status, load }
+                        AttemptResult::Complete {
+                            status,
+                            load,
+                            executed: fields.execution == ExecutionClaim::Executed,
+                        }
                     }
                 }
             }
