Take no status of a target as proof that an order was not carried out

A grant that was answered with any status but 200 and 409 counted as not carried out, and its lease as no longer than before; a 421 as proof that the target had ended, so its ranges moved at once. Servers send 408, 421 or 503 unasked on a kept connection, and the grant that crosses it is carried out: two targets then hold the range (OWNER).

Such an order now counts as unanswered, unless the answer states that it was not carried out. A 421 proves the end of the target only over a connection that carried no order before: a process that took orders as the target is the target.

--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -76,10 +76,13 @@
     /// The keys are released, with the handover data for the next holder.
     Released(Option<HandoverData>),
     /// Another target listens at the address. It did not carry the order out, and the one that was
-    /// meant has ended, because two processes cannot listen there.
+    /// meant has ended, because two processes cannot listen there. Over a connection that carried
+    /// orders to the target before, this shows nothing: one process has accepted them all.
     OtherTarget,
-    /// The target refused the order with this status.
+    /// The target stated, with this status, that it did not carry the order out.
     Refused(u16),
+    /// The target answered with this status, which doesn't show whether it carried the order out.
+    Unproved(u16),
     /// The leader did not send the order, because it was no longer certain to lead. This says nothing
     /// about the target.
     NotSent,
@@ -255,10 +258,19 @@
         now: Duration,
     ) -> Option<AnsweredOrder> {
         let order = self.in_flight.remove(&order_id)?;
+        let answer = match answer {
+            Answer::OtherTarget if matches!(order.connection, OrderConnection::Kept(_)) => {
+                &Answer::Lost { sent: true }
+            }
+            answer => answer,
+        };
         let mut confirmed_ranges = Vec::new();
         let new_fence = (*answer == Answer::Fenced).then(|| self.next_fence());
         let is_broken = match answer {
-            Answer::OtherTarget | Answer::Refused(_) | Answer::Lost { .. } => true,
+            Answer::OtherTarget
+            | Answer::Refused(_)
+            | Answer::Unproved(_)
+            | Answer::Lost { .. } => true,
             // A connection that was open before stays so.
             Answer::NotSent => matches!(order.connection, OrderConnection::Open(_)),
             Answer::Granted | Answer::Fenced | Answer::Released(_) => false,
@@ -319,7 +331,9 @@
                     lease.fence = new_fence.unwrap_or(lease.fence);
                     lease.next_renewal = now + RETRY_DELAY;
                 }
-                Answer::Lost { sent: true } if !order.lease_duration.is_zero() => {
+                Answer::Lost { sent: true } | Answer::Unproved(_)
+                    if !order.lease_duration.is_zero() =>
+                {
                     lease.unanswered = true;
                     lease.unanswered_expiry = lease
                         .unanswered_expiry
@@ -329,6 +343,7 @@
                 Answer::NotSent
                 | Answer::OtherTarget
                 | Answer::Refused(_)
+                | Answer::Unproved(_)
                 | Answer::Lost { .. } => {
                     if !order.lease_duration.is_zero() {
                         lease.expiry = order.previous_expiry;
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -16,7 +16,8 @@
     TargetState, View,
     key_leases::{
         Dispatch,
-        LeaseTable, //
+        LeaseTable,
+        OrderConnection, //
     },
 };
 use rand::{
@@ -25,6 +26,7 @@
     rngs::StdRng,
     seq::IndexedRandom, //
 };
+use rstest::rstest;
 
 const SERVICE: &str = "s";
 const LEASE: Duration = Duration::from_millis(2000);
@@ -326,18 +328,85 @@
     for order in table.due_orders(&view, ms(0)) {
         table.record_answer(order.id, &Answer::Granted, ms(5));
     }
-    let renewals = table.due_orders(&view, ms(600));
-    let renewal = renewals.iter().find(|order| order.holder == holder(0));
-    let renewal = renewal.expect("a renewal is due");
+    let renewal = |table: &mut LeaseTable, now| {
+        let orders = table.due_orders(&view, now).into_iter();
+        let mut renewals = orders.filter(|order| order.holder == holder(0));
+        renewals.next().expect("a renewal is due")
+    };
     let changes = |table: &mut LeaseTable| {
         let changes = table.due_holder_changes(&view, ms(610), |_, _| Some(holder(1)));
         changes.len()
     };
+    // The connection ended with the former target.
+    let order = renewal(&mut table, ms(600));
+    table.record_answer(order.id, &Answer::Lost { sent: false }, ms(601));
+    let order = renewal(&mut table, ms(605));
+    assert!(matches!(order.connection, OrderConnection::Open(_)));
     assert_eq!(changes(&mut table), 0);
-    table.record_answer(renewal.id, &Answer::OtherTarget, ms(610));
+    table.record_answer(order.id, &Answer::OtherTarget, ms(610));
     assert_eq!(changes(&mut table), 1);
 }
 
+/// Guards against a range that moves while its holder has it, because an answer to a renewal that the
+/// holder carried out was taken for a proof that it did not. What accepted a connection as the target
+/// is that target until the connection ends.
+#[rstest]
+#[case::unavailable(Answer::Unproved(503))]
+#[case::timed_out(Answer::Unproved(408))]
+#[case::misdirected(Answer::OtherTarget)]
+fn an_answer_without_proof_leaves_a_range_to_its_holder(#[case] answer: Answer) {
+    let view = view(2);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+    }
+    let carried_out = ms(600);
+    for order in table.due_orders(&view, carried_out) {
+        assert!(matches!(order.connection, OrderConnection::Kept(_)));
+        let answer = match order.holder == holder(0) {
+            true => answer.clone(),
+            false => Answer::Granted,
+        };
+        table.record_answer(order.id, &answer, ms(610));
+    }
+    let mut moved_at = None;
+    for step in 61..600 {
+        let now = ms(step * 10);
+        for order in table.due_orders(&view, now) {
+            let answer = match order.holder == holder(0) {
+                true => Answer::Lost { sent: false },
+                false => Answer::Granted,
+            };
+            table.record_answer(order.id, &answer, now);
+        }
+        let changes = table.due_holder_changes(&view, now, |_, _| Some(holder(1)));
+        if !changes.is_empty() {
+            moved_at = moved_at.or(Some(now));
+        }
+    }
+    let moved_at = moved_at.expect("the range moves in the end");
+    assert!(
+        moved_at >= carried_out + LEASE.mul_f64(1.02),
+        "{moved_at:?}"
+    );
+}
+
+/// A target that states that it did not carry out a renewal keeps what it had before, and no more.
+#[test]
+fn a_refused_renewal_does_not_extend_a_lease() {
+    let view = view(1);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+    }
+    let expiry = |table: &LeaseTable| table.leases(SERVICE)[0].expiry();
+    let before = expiry(&table);
+    for order in table.due_orders(&view, ms(600)) {
+        table.record_answer(order.id, &Answer::Refused(503), ms(610));
+    }
+    assert_eq!(expiry(&table), before);
+}
+
 /// A newer incarnation proves that the previous one holds nothing.
 #[test]
 fn a_newer_incarnation_frees_the_range_at_once() {
