Close a connection on which a target refused a request

Found by the class of REFUSED, in the daemon: a request that may be repeated and was refused goes to a target again under the same id, often over the same connection. A second copy of the refusal that arrives late then answers the new attempt, so a request that runs is reported as not run.

The connection of a refused request is closed now. Cost: a refusal costs a connection. Test: daemon a_copy_of_a_refusal_answers_no_later_attempt fails without the change (its 14th request runs and is refused), and passed 3 of 3 with it. Requests that may run once were never written twice here, so none of them was affected.

--- a/crates/daemon/src/data_plane.rs
+++ b/crates/daemon/src/data_plane.rs
@@ -486,10 +486,12 @@
         if !http_messages::has_request_id(&response, inbound.id) {
             return Err(AttemptResult::Unknown(Unknown::BadAnswer));
         }
-        self.pool.release(conn);
+        // The next attempt of the request has the same id, so a second copy of this refusal must not
+        // meet it: the connection is closed.
         if http_messages::is_not_run(&response) {
             return Err(AttemptResult::NotRun(NotRun::Shed));
         }
+        self.pool.release(conn);
         Ok(StoredResponse {
             status: response.status,
             headers: http_messages::response_headers(response.headers),
