Give attempts at one address connections of their own

Found by the class of REFUSED: a repeated attempt had a connection of its own if it went to the same target, but connections are kept by address. Where another target had announced itself at the address meanwhile, a second copy of the refusal of the first attempt could answer the second one, and a request that runs was reported as not run.

Attempts are compared by address. Test: entry a_request_that_goes_to_the_same_address_ again_has_a_connection_of_its_own fails with the comparison by target (run).

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -406,7 +406,7 @@
         deadline: Duration,
         /// Maximum number of connections to the target.
         connections: usize,
-        /// Whether the request was sent to this target before. A second copy of the earlier response
+        /// Whether the request was sent to this address before. A second copy of the earlier response
         /// carries the same request id, so this attempt needs a connection of its own.
         repeated: bool,
     },
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -6,6 +6,7 @@
 };
 
 use camphordale_fleet::{
+    Address,
     Fingerprint,
     Holder,
     Key,
@@ -72,6 +73,8 @@
     pub(super) first_sent: Option<Duration>,
     /// Targets that the request was sent to.
     pub(super) tried_targets: Vec<TargetId>,
+    /// Addresses that the request was sent to.
+    pub(super) tried_addresses: Vec<Address>,
     /// Name of the route.
     pub(super) route_name: RouteName,
     /// Number of attempts sent.
@@ -198,6 +201,7 @@
                 deadline,
                 first_sent: None,
                 tried_targets: Vec::new(),
+                tried_addresses: Vec::new(),
                 route_name: name,
                 attempts_sent: 0,
                 is_retry,
@@ -374,10 +378,14 @@
         request.first_sent.get_or_insert(now);
         request.attempts_sent += 1;
         request.in_flight.push((attempt, holder));
-        let repeated = request.tried_targets.contains(&target);
-        if !repeated {
+        if !request.tried_targets.contains(&target) {
             request.tried_targets.push(target.clone());
         }
+        // Connections are kept by address, and two targets may have announced the same one.
+        let repeated = request.tried_addresses.contains(&address);
+        if !repeated {
+            request.tried_addresses.push(address);
+        }
         if request.is_idempotent() && request.key.is_none() && request.hedge_at.is_none() {
             let hedge =
                 request.arrived_at + request.route.latency_objective.mul_f64(HEDGE_FRACTION);
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -516,3 +516,23 @@
     assert_eq!(same, target);
     assert_eq!(second.repeated, [attempt]);
 }
+
+/// The same where the next target listens at the address of the one that refused: connections are kept
+/// by address.
+#[test]
+fn a_request_that_goes_to_the_same_address_again_has_a_connection_of_its_own() {
+    let mut view = Harness::view();
+    view.targets.retain(|id, _| &**id == "orders-0");
+    let mut harness = Harness::with(view);
+    let (_, first) = harness.request(ORDERS);
+    let (attempt, _) = only_attempt(&first);
+    let command = Box::new(Command::Announce {
+        id: "orders-9".into(),
+        target: target(ORDERS, 11, "a"),
+    });
+    harness.receive(PeerMessage::Update { index: 11, command });
+    let second = harness.end_attempt(attempt, not_executed(421));
+    let (attempt, other) = only_attempt(&second);
+    assert_eq!(&*other, "orders-9");
+    assert_eq!(second.repeated, [attempt]);
+}
