Begin a move of keys with a grant whose answer is its own

The keys move, and the former holder carries the renewal out and takes them back with a lower token (OWNER).

Cause: an answer on the kept connection is credited to the latest order, and the release of a range rested on such answers.

Change: a move begins with a grant under a new token over a connection of its own; the release follows its answer. From then on the holder rejects earlier grants, also those that nobody knows to be unanswered. Renewals stay on the kept connection. Ruled out: a connection for each renewal, waiting for a whole lease at each move, an id on orders (targets don't return it).

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -123,6 +123,10 @@
     unconfirmed: bool,
     /// Whether a grant with this fencing token was acknowledged.
     acknowledged: bool,
+    /// Whether the answer to the last grant is certainly its own, because nothing was sent over its
+    /// connection before. On a kept connection a second copy of an earlier answer may take the place
+    /// of the answer to a grant that the target carries out later.
+    proved: bool,
     /// When the last acknowledged grant was sent.
     acknowledged_at: Option<Duration>,
     /// Latest time at which the holder may act on any grant.
@@ -277,10 +281,11 @@
             phase: Phase::Renewing,
             unconfirmed: false,
             acknowledged: false,
+            proved: false,
             acknowledged_at: None,
             expiry,
-            // A release follows an acknowledged grant, whose fencing token is above those of
-            // previous leaders.
+            // A release follows a proved grant, whose fencing token is above those of previous
+            // leaders.
             unanswered_expiry: Duration::ZERO,
             unanswered: false,
             has_ended: false,
--- a/crates/fleet/src/key_leases/lease.rs
+++ b/crates/fleet/src/key_leases/lease.rs
@@ -113,9 +113,9 @@
         let fence = self.fence;
         match &self.phase {
             Phase::Withheld { .. } | Phase::Released { .. } | Phase::Proposed { .. } => None,
-            // A release before this leader's first acknowledged grant would leave orders of the
-            // previous leader in flight that the fencing token does not cover.
-            Phase::Releasing { .. } if self.acknowledged => {
+            // A release before a grant that certainly arrived would leave earlier grants in flight,
+            // of this leader or the previous one, that its fencing token does not cover.
+            Phase::Releasing { .. } if self.acknowledged && self.proved => {
                 Some((Order::Release { from, to, fence }, RELEASE_TIMEOUT))
             }
             Phase::Renewing | Phase::Releasing { .. } => {
@@ -164,6 +164,7 @@
             kept.range.handover = None;
             // Both fencing tokens are above those of all other holders.
             kept.fence = kept.fence.max(next.fence);
+            kept.proved &= next.proved;
             kept.acknowledged_at = kept.acknowledged_at.min(next.acknowledged_at);
             kept.expiry = kept.expiry.max(next.expiry);
             kept.unanswered_expiry = kept.unanswered_expiry.max(next.unanswered_expiry);
--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -208,13 +208,16 @@
                         .expiry
                         .max(now + timeout + worst_case_duration(lease_duration));
                     let open = self.sessions.get(&holder).copied();
-                    if lease.session.is_some() && lease.session != open {
+                    let is_moving = matches!(lease.phase, Phase::Releasing { .. });
+                    if is_moving || (lease.session.is_some() && lease.session != open) {
                         self.fence_counter += 1;
                         lease.fence = (self.term << FENCE_COUNTER_BITS) + self.fence_counter;
                         lease.acknowledged = false;
                         *fence = lease.fence;
                     }
                     connection = match open {
+                        // Its answer is the proof that the release of a moving range needs.
+                        _ if is_moving => OrderConnection::Single,
                         Some(session) => OrderConnection::Kept(session),
                         None => {
                             self.last_session += 1;
@@ -222,7 +225,11 @@
                             OrderConnection::Open(self.last_session)
                         }
                     };
-                    lease.session = connection.session();
+                    lease.proved = false;
+                    lease.session = connection.session().or_else(|| {
+                        self.last_session += 1;
+                        Some(self.last_session)
+                    });
                 }
                 self.last_order += 1;
                 lease.in_flight = Some(self.last_order);
@@ -313,11 +320,15 @@
                         confirmed_ranges.push((lease.range.from, lease.range.to));
                     }
                     lease.acknowledged = true;
+                    lease.proved = !matches!(order.connection, OrderConnection::Kept(_));
                     lease.range.handover = None;
                     lease.unanswered = false;
                     lease.failures = 0;
                     lease.acknowledged_at = Some(order.sent_at);
-                    lease.next_renewal = order.sent_at + lease_duration / RENEWALS_PER_LEASE;
+                    lease.next_renewal = match lease.phase {
+                        Phase::Releasing { .. } => now,
+                        _ => order.sent_at + lease_duration / RENEWALS_PER_LEASE,
+                    };
                 }
                 Answer::Released(handover) => {
                     if let Phase::Releasing { next } = &lease.phase {
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -17,7 +17,8 @@
     key_leases::{
         Dispatch,
         LeaseTable,
-        OrderConnection, //
+        OrderConnection,
+        SessionId, //
     },
 };
 use rand::{
@@ -261,6 +262,46 @@
     assert_eq!(changes[0].range.handover, handover);
 }
 
+/// Guards against a former holder that takes keys of the next one: a second copy of an answer hid that
+/// a grant got none, and the target carried it out after the keys had moved.
+#[test]
+fn a_release_follows_a_grant_whose_answer_is_its_own() {
+    let view = view(2);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    let mut target = TargetLeases::default();
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+        if order.holder == holder(0) {
+            target.carry_out(&order.order, ms(0));
+        }
+    }
+    let mut held_up = None;
+    for order in table.due_orders(&view, ms(600)) {
+        table.record_answer(order.id, &Answer::Granted, ms(601));
+        if order.holder == holder(0) {
+            held_up = Some(order.order);
+        }
+    }
+    table.begin_move(SERVICE, 0, 32767, &holder(1));
+    let mut moved_at = None;
+    for step in 0..100 {
+        let now = ms(610 + step * 10);
+        for order in table.due_orders(&view, now) {
+            let answer = match order.holder == holder(0) {
+                true => target.carry_out(&order.order, now),
+                false => Answer::Granted,
+            };
+            table.record_answer(order.id, &answer, now);
+        }
+        if !table.due_holder_changes(&view, now, |_, _| None).is_empty() {
+            moved_at = moved_at.or(Some(now));
+        }
+    }
+    assert!(moved_at.expect("the range moves") < ms(700), "{moved_at:?}");
+    let late = target.carry_out(&held_up.unwrap(), ms(600));
+    assert_eq!(late, Answer::Fenced);
+}
+
 #[test]
 fn a_move_waits_for_an_unanswered_grant() {
     let view = view(2);
@@ -488,8 +529,8 @@
     deadline: Duration,
 }
 
-/// Random histories with orders that are lost, carried out late or answered late, restarting
-/// targets and changes of leader. No two targets may hold a key at the same time.
+/// Random histories with orders that are lost, carried out late or answered late, answers that come
+/// twice, restarting targets and changes of leader. No two targets may hold a key at the same time.
 #[test]
 fn random_histories_never_give_a_key_two_holders() {
     for seed in 0..400 {
@@ -508,6 +549,8 @@
     let mut table = LeaseTable::new(TIMES, term, &view, ms(0));
     let mut pending: Vec<PendingOrder> = Vec::new();
     let mut faulty: BTreeSet<usize> = BTreeSet::new();
+    // Connections on which a second copy of an answer is taken for the answer to the next order.
+    let mut copies: BTreeSet<SessionId> = BTreeSet::new();
     for step in 0..1500u64 {
         let now = ms(step * 10);
         if random.random_bool(0.01) {
@@ -544,6 +587,15 @@
         for dispatch in table.due_orders(&view, now) {
             let number: usize = dispatch.holder.id[1..].parse().unwrap();
             let is_faulty = faulty.contains(&number);
+            let session = match dispatch.connection {
+                OrderConnection::Open(session) | OrderConnection::Kept(session) => Some(session),
+                OrderConnection::Single => None,
+            };
+            let is_kept = matches!(dispatch.connection, OrderConnection::Kept(_));
+            if is_kept && session.is_some_and(|session| copies.remove(&session)) {
+                table.record_answer(dispatch.id, &Answer::Granted, now);
+            }
+            copies.extend(session.filter(|_| is_faulty && random.random_bool(0.2)));
             let arrives = !(is_faulty && random.random_bool(0.3));
             let late = is_faulty && random.random_bool(0.4);
             let delay = if late {
