Reserve memory for the body of a request before it is read

Cause: only incomplete messages counted against the memory. A complete request was kept until its answer, with a copy in the output to the target.

Change: memory is reserved with the head of a request, for the time until no attempt needs its body; one without room is refused with 503 before its body is read. A body is kept once. Responses that callers take slowly count too.

Not done: weighing priorities; a play of 1,000 callers that read slowly.

--- a/crates/http/src/codec/mod.rs
+++ b/crates/http/src/codec/mod.rs
@@ -6,6 +6,7 @@
 mod response;
 
 pub use crate::encode::{
+    begin_request,
     write_request,
     write_response, //
 };
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -1,7 +1,8 @@
 //! Encoders of requests and responses.
 //!
 //! Blocking connections use [`request`] and [`response`], which leave long bodies out of the
-//! buffer. Event loops use [`write_request`] and [`write_response`].
+//! buffer. Event loops use [`write_request`], [`begin_request`] and
+//! [`write_response`].
 
 use std::{
     io::Write,
@@ -197,6 +198,33 @@
     Ok(())
 }
 
+/// Appends a request to `out`, but no long body. Returns the part of the body that was not appended.
+///
+/// # Errors
+///
+/// The name of the part of the request that is invalid. `out` may then hold an incomplete
+/// request.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_http::{OutgoingRequest, codec::begin_request};
+///
+/// let body = vec![0; 1 << 20];
+/// let request = OutgoingRequest { method: "PUT", path: "/a", headers: &[], body: &body };
+/// let mut out = Vec::new();
+/// let rest = begin_request(&mut out, &request, "10.0.0.1:80".parse().unwrap())?;
+/// assert!(out.ends_with(b"\r\n\r\n") && rest.len() == body.len());
+/// # Ok::<(), &str>(())
+/// ```
+pub fn begin_request<'a>(
+    out: &mut Vec<u8>,
+    request: &OutgoingRequest<'a>,
+    peer: SocketAddr,
+) -> Result<&'a [u8], &'static str> {
+    self::request(out, request, peer)
+}
+
 /// Appends a response to `out`. Returns false if the status or a header field is invalid; `out`
 /// may then hold an incomplete response.
 ///
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -551,6 +551,7 @@
             id,
             address: dispatch.address,
             bytes,
+            body: None,
             expected: ExpectedResponse::default(),
             connection,
             deadline: dispatch.deadline,
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -27,7 +28,7 @@
     OutgoingRequest,
     Request,
     Response,
-    codec::write_request, //
+    codec::begin_request, //
 };
 use slog::{
     Logger,
@@ -54,6 +55,7 @@
         ListenerKind, //
     },
     fingerprint::fingerprint,
+    held_body::HeldBody,
     process::{
         ProcessContext,
         ProcessError,
@@ -87,7 +89,9 @@
 /// A request of a caller that has no response yet.
 struct ActiveRequest {
     conn: ConnId,
+    /// The request without its body.
     request: Request,
+    body: Arc<HeldBody>,
     fields: CallerFields,
     fingerprint: Fingerprint,
     arrived_at: Duration,
@@ -274,7 +278,7 @@
     fn on_request(
         &mut self,
         conn: ConnId,
-        request: Request,
+        mut request: Request,
         now: Duration,
         context: &mut ProcessContext,
     ) {
@@ -285,6 +289,8 @@
             return;
         };
         let fingerprint = fingerprint(&request, fields.key);
+        let body = std::mem::take(&mut request.body);
+        let body = context.event_loop.hold_body(conn, body);
         self.next_handle += 1;
         let handle = self.next_handle;
         let incoming = IncomingRequest {
@@ -301,6 +307,7 @@
             ActiveRequest {
                 conn,
                 request,
+                body,
                 fields,
                 fingerprint,
                 arrived_at: now,
@@ -448,15 +455,18 @@
                         method: &active.request.method,
                         path: &active.request.path,
                         headers: &headers,
-                        body: &active.request.body,
+                        body: &active.body,
                     };
                     let mut bytes = Vec::new();
-                    if let Err(part) = write_request(&mut bytes, &request, address) {
-                        warn!(context.logger, "cannot encode the request to a target";
-                            "part" => part);
-                        encode_failures.push((attempt, part));
-                        continue;
-                    }
+                    let body = match begin_request(&mut bytes, &request, address) {
+                        Ok(rest) => (!rest.is_empty()).then(|| active.body.clone()),
+                        Err(part) => {
+                            warn!(context.logger, "cannot encode the request to a target";
+                                "part" => part);
+                            encode_failures.push((attempt, part));
+                            continue;
+                        }
+                    };
                     let request_id = active.fields.id.clone();
                     let has_id = request_id.is_some();
                     let request_id_header = self.adapter.request_id_header();
@@ -464,6 +474,7 @@
                         id: attempt,
                         address,
                         bytes,
+                        body,
                         expected: ExpectedResponse {
                             request_id: request_id.map(|id| (request_id_header.into(), id)),
                             success_header: Some(self.adapter.success_header()),
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -5,6 +5,7 @@
 
 mod conn;
 mod exchange;
+mod memory;
 mod pacing;
 mod peers;
 mod server;
@@ -59,7 +60,10 @@
     },
     targets::Pool, //
 };
-use crate::Clock;
+use crate::{
+    Clock,
+    held_body::HeldBytes, //
+};
 
 /// Readiness events fetched per poll.
 const EVENT_CAPACITY: usize = 256;
@@ -73,6 +77,9 @@
 /// Received bytes that the loop holds at most if no limit is set.
 const DEFAULT_BUFFER_LIMIT: usize = 64 << 20;
 
+/// Bytes that bodies of requests take at most if no limit is set.
+const DEFAULT_BODY_LIMIT: usize = 256 << 20;
+
 /// Bytes that are queued for other VMs at most if no limit is set.
 const DEFAULT_PEER_OUTPUT_LIMIT: usize = 128 << 20;
 
@@ -137,6 +144,8 @@
     pub refused: u64,
     /// Requests rejected as malformed or over a limit.
     pub malformed: u64,
+    /// Requests rejected because there was no memory for their bodies.
+    pub without_memory: u64,
     /// Connections opened to targets.
     pub opened: u64,
     /// Failed connections between VMs and failed socket calls.
@@ -175,6 +184,10 @@
     peer_output_limit: usize,
     buffered: usize,
     buffer_limit: usize,
+    /// Bytes reserved for bodies of requests that are received or not held by the process yet.
+    reserved: usize,
+    held_bytes: HeldBytes,
+    body_limit: usize,
     stats: EventLoopStats,
 }
 
@@ -212,6 +225,9 @@
             peer_output_limit: DEFAULT_PEER_OUTPUT_LIMIT,
             buffered: 0,
             buffer_limit: DEFAULT_BUFFER_LIMIT,
+            reserved: 0,
+            held_bytes: HeldBytes::default(),
+            body_limit: DEFAULT_BODY_LIMIT,
             stats: EventLoopStats::default(),
         })
     }
@@ -255,23 +271,12 @@
         self.close_after = enabled;
     }
 
-    /// Sets the number of received bytes that the loop holds at most for all connections together.
-    /// Beyond it, connections are closed, first those without a stated length.
-    pub fn set_buffer_limit(&mut self, bytes: usize) {
-        self.buffer_limit = bytes;
-    }
-
     /// Sets the number of bytes that are queued for all other VMs together at most. If it is exceeded,
     /// the connections with the longest queues are closed.
     pub fn set_peer_output_limit(&mut self, bytes: usize) {
         self.peer_output_limit = bytes;
     }
 
-    /// Number of received bytes that the loop holds for incomplete requests and responses.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffered
-    }
-
     /// Returns the counters since the start of the process.
     pub fn stats(&self) -> EventLoopStats {
         self.stats
@@ -478,29 +483,6 @@
         self.account(key, now);
     }
 
-    /// Counts what a connection holds. If the loop holds too much, closes the connections that may
-    /// come to hold the most, and of these the ones that hold the most. So messages of a stated
-    /// length are received while others send without end.
-    fn account(&mut self, key: usize, now: Duration) {
-        let Some(conn) = self.conns.get_mut(key) else {
-            return;
-        };
-        let held = conn.buffered();
-        let before = std::mem::replace(&mut conn.accounted, held);
-        self.buffered = self.buffered - before + held;
-        if held <= before {
-            return;
-        }
-        while self.buffered > self.buffer_limit {
-            let holders = self.conns.iter().filter(|(_, conn)| conn.accounted > 0);
-            let largest = holders.max_by_key(|(_, conn)| (conn.claimed(), conn.accounted));
-            let Some((largest, _)) = largest else {
-                return;
-            };
-            self.close_connection(largest, FailureCause::Local, "too many bytes are held", now);
-        }
-    }
-
     /// Closes a connection and queues the event that reports it.
     fn close_connection(&mut self, key: usize, cause: FailureCause, reason: &str, now: Duration) {
         let Some(mut conn) = self.conns.try_remove(key) else {
@@ -510,6 +492,7 @@
             self.timers.remove(&(deadline, key, conn.id));
         }
         self.buffered -= conn.accounted;
+        self.reserved -= conn.reserved;
         if self.poll.registry().deregister(&mut conn.socket).is_err() {
             // Not fatal: the socket is closed when it is dropped.
             self.stats.socket_errors += 1;
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -8,6 +8,7 @@
         Write, //
     },
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -22,6 +23,7 @@
 };
 use crate::{
     client_connection::ClientConnection,
+    held_body::HeldBody,
     peer_connection::PeerConnection,
     server_connection::ServerConnection, //
 };
@@ -101,6 +103,8 @@
     pub(super) write_closed: bool,
     pub(super) input: Vec<u8>,
     pub(super) output: Vec<u8>,
+    /// What follows `output`, and how much of it is written.
+    output_body: Option<(Arc<HeldBody>, usize)>,
     /// Number of bytes at the start of `output` that are already written.
     written: usize,
     /// When the connection times out, if it can.
@@ -109,8 +113,10 @@
     pub(super) read_deferred: bool,
     /// Whether writing goes on later, in turn.
     pub(super) write_deferred: bool,
-    /// Number of received bytes that the event loop has counted for this connection.
+    /// Number of bytes that the event loop has counted for this connection.
     pub(super) accounted: usize,
+    /// Number of bytes reserved for the body of the request that is received or in progress.
+    pub(super) reserved: usize,
 }
 
 /// Result of reading from a socket.
@@ -134,11 +140,13 @@
             write_closed: false,
             input: Vec::new(),
             output: Vec::new(),
+            output_body: None,
             written: 0,
             deadline: None,
             read_deferred: false,
             write_deferred: false,
             accounted: 0,
+            reserved: 0,
         }
     }
 
@@ -165,12 +173,20 @@
     }
 
     pub(super) fn output_is_empty(&self) -> bool {
-        self.written == self.output.len()
+        self.output_length() == 0
+    }
+
+    /// Appends a request to the output.
+    pub(super) fn push_request(&mut self, bytes: &[u8], body: Option<Arc<HeldBody>>) {
+        self.output.extend_from_slice(bytes);
+        self.output_body = body.map(|body| (body, 0));
     }
 
     /// Number of bytes that are to be written.
     pub(super) fn output_length(&self) -> usize {
-        self.output.len() - self.written
+        let body = self.output_body.as_ref();
+        let body = body.map_or(0, |(body, written)| body.len() - written);
+        self.output.len() - self.written + body
     }
 
     /// Number of bytes that are queued for another VM; none on a connection of another kind.
@@ -181,10 +197,14 @@
         }
     }
 
-    /// Number of received bytes that the connection holds for an incomplete message.
+    /// Number of bytes that the connection holds for an incomplete message and for a caller that takes
+    /// its response slowly. A body for which memory is reserved is not among them.
     pub(super) fn buffered(&self) -> usize {
         let body = match &self.kind {
-            ConnKind::HttpServer { protocol, .. } => protocol.buffered_bytes(),
+            ConnKind::HttpServer { protocol, .. } if self.reserved == 0 => {
+                protocol.buffered_bytes() + self.output_length()
+            }
+            ConnKind::HttpServer { .. } => self.output_length(),
             ConnKind::Target { active, .. } => active
                 .as_ref()
                 .map_or(0, |active| active.protocol.buffered_bytes()),
@@ -193,10 +213,13 @@
         self.input.len() + body
     }
 
-    /// Number of received bytes that the connection may hold before its message is complete.
+    /// Number of bytes that the connection may hold before its message is complete.
     pub(super) fn claimed(&self) -> usize {
         match &self.kind {
-            ConnKind::HttpServer { protocol, .. } => protocol.claimed_bytes(),
+            ConnKind::HttpServer { protocol, .. } if self.reserved == 0 => {
+                protocol.claimed_bytes() + self.output_length()
+            }
+            ConnKind::HttpServer { .. } => self.output_length(),
             ConnKind::Target { active, .. } => active
                 .as_ref()
                 .map_or(0, |active| active.protocol.claimed_bytes()),
@@ -207,13 +230,19 @@
     /// Writes at most `allowance` bytes, until the socket would block. Returns the number of bytes
     /// written.
     pub(super) fn flush(&mut self, allowance: usize) -> io::Result<usize> {
-        let start = self.written;
-        let end = self.output.len().min(start.saturating_add(allowance));
-        while self.written < end {
-            match self.socket.write(&self.output[self.written..end]) {
+        let length = self.output_length();
+        let end = length - length.min(allowance);
+        while self.output_length() > end {
+            let allowed = self.output_length() - end;
+            let (bytes, written) = match &mut self.output_body {
+                Some((body, written)) if self.written == self.output.len() => (&body[..], written),
+                _ => (&self.output[..], &mut self.written),
+            };
+            let part = &bytes[*written..];
+            match self.socket.write(&part[..part.len().min(allowed)]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => {
-                    self.written += count;
+                    *written += count;
                     if let ConnKind::Target {
                         active: Some(active),
                         ..
@@ -227,12 +256,13 @@
                 Err(error) => return Err(error),
             }
         }
-        let count = self.written - start;
+        let count = length - self.output_length();
         if self.output_is_empty() {
+            self.output_body = None;
             self.output.clear();
             self.output.shrink_to(MAX_IDLE_BUFFER_BYTES);
             self.written = 0;
-        } else if self.written > MAX_IDLE_BUFFER_BYTES.max(self.output_length()) {
+        } else if self.written > MAX_IDLE_BUFFER_BYTES.max(self.output.len() - self.written) {
             // A slow reader may never empty the buffer.
             self.output.drain(..self.written);
             self.written = 0;
--- a/crates/reactor/src/event_loop/exchange.rs
+++ b/crates/reactor/src/event_loop/exchange.rs
@@ -3,9 +3,12 @@
 use std::{
     io,
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
+use crate::held_body::HeldBody;
+
 /// Identifier of an exchange with a target.
 pub type ExchangeId = u64;
 
@@ -32,8 +35,10 @@
     pub id: ExchangeId,
     /// Address of the target.
     pub address: SocketAddr,
-    /// The encoded request.
+    /// The encoded request, without a long body.
     pub bytes: Vec<u8>,
+    /// The body that follows `bytes`, if it is long.
+    pub body: Option<Arc<HeldBody>>,
     /// How the response is recognized.
     pub expected: crate::ExpectedResponse,
     /// The connection that carries it.
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -14,6 +14,7 @@
         Conn,
         ConnKind, //
     },
+    memory::NO_MEMORY_STATUS,
     pacing::CONNECTION_OVERHEAD_BYTES,
 };
 use crate::server_connection::{
@@ -26,6 +27,9 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time from the first byte of a request within which its body must be complete.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Seconds after which a request that was rejected for want of memory may be sent again. Bodies in
+/// progress are passed on within about this time.
+const NO_MEMORY_RETRY_AFTER_S: &str = "1";
 /// How much longer an idle connection is kept than the idle timeout that clients are told.
 const IDLE_SLACK: Duration = Duration::from_millis(500);
 
@@ -122,6 +126,9 @@
                 });
             }
             Ok(None) => {
+                if let Err(error) = self.reserve_body(key) {
+                    return self.reject_request(key, error, now);
+                }
                 if let Some(started) = started {
                     let in_body = self.is_reading_body(key);
                     let limit = match in_body {
@@ -145,10 +152,14 @@
         self.stats.malformed += 1;
         let conn = &mut self.conns[key];
         if let ConnKind::HttpServer { protocol, .. } = &mut conn.kind {
-            let response = Response::text(error.status, error.reason);
+            let mut response = Response::text(error.status, error.reason);
+            if error.status == NO_MEMORY_STATUS {
+                response = response.with_header("Retry-After", NO_MEMORY_RETRY_AFTER_S);
+            }
             protocol.respond(&response, true, &mut conn.output);
         }
         conn.closing = true;
+        self.release_reservation(key);
         self.flush(key, now);
     }
 
@@ -186,7 +197,9 @@
         conn.closing = protocol.respond(response, close, &mut conn.output);
         let idle = now + self.limits.idle_timeout + IDLE_SLACK;
         self.set_deadline(key, Some(idle));
+        self.release_reservation(key);
         self.flush(key, now);
+        self.account(key, now);
         let Some(conn) = self.conns.get(key) else {
             return;
         };
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -156,7 +156,7 @@
         self.set_deadline(key, Some(exchange.deadline));
         self.exchanges.insert(exchange.id, key);
         let conn = &mut self.conns[key];
-        conn.output.extend_from_slice(&exchange.bytes);
+        conn.push_request(&exchange.bytes, exchange.body);
         if let ConnKind::Target { active, used, .. } = &mut conn.kind {
             *active = Some(ActiveExchange {
                 id: exchange.id,
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `event_loop` | sockets, timers and connection pools |
 //! | `server_connection`, `client_connection` | HTTP state machines, without I/O |
 //! | `head_end` | the end of an HTTP head in input that comes in parts |
+//! | `held_body` | complete bodies of requests, counted and shared |
 //! | `peer_connection` | state machine between VMs, without I/O |
 //! | `entry_process`, `control_process` | events to the reducers, effects from them |
 //! | `target_answer` | what a target's response says about the execution of its request |
@@ -25,6 +26,7 @@
 mod event_loop;
 mod fingerprint;
 mod head_end;
+mod held_body;
 mod log;
 mod metrics;
 mod peer_connection;
@@ -64,6 +66,7 @@
     ListenerKind, //
 };
 pub use fingerprint::fingerprint;
+pub use held_body::HeldBody;
 pub use log::{
     LogRateLimiter,
     LogSink, //
--- a/crates/reactor/src/process.rs
+++ b/crates/reactor/src/process.rs
@@ -44,10 +44,16 @@
     },
 };
 
-/// Part of the memory for requests and responses that are being received. A complete message is
-/// copied once before it is sent on, so it takes up to twice its length.
+/// Part of the memory for messages that are being received and responses that callers take slowly. A
+/// complete response is copied once before it is sent on, so it takes up to twice its length.
 const BUFFER_DIVISOR: usize = 4;
 
+/// Parts of the memory of which [`BODY_SHARE`] are for the bodies of requests.
+const BODY_PARTS: usize = 16;
+
+/// Share of the memory for the bodies of requests. A body of 64 MiB fits on a VM with 160 MB.
+const BODY_SHARE: usize = 7;
+
 /// Part of the memory for messages to other VMs that these have not read.
 const PEER_OUTPUT_DIVISOR: usize = 2;
 
@@ -179,6 +185,12 @@
         self.metrics.set_gauge("accepted", stats.accepted);
         self.metrics.set_gauge("connections-refused", stats.refused);
         self.metrics.set_gauge("malformed", stats.malformed);
+        self.metrics
+            .set_gauge("bodies-without-memory", stats.without_memory);
+        self.metrics
+            .set_gauge("body-bytes", self.event_loop.body_bytes() as u64);
+        self.metrics
+            .set_gauge("buffered-bytes", self.event_loop.buffered_bytes() as u64);
         self.metrics
             .set_gauge("target-connections-opened", stats.opened);
         self.metrics.set_gauge("socket-errors", stats.socket_errors);
@@ -220,6 +232,7 @@
     event_loop.set_link_rate(settings.link_rate);
     if let Some(memory) = settings.memory {
         event_loop.set_buffer_limit(memory / BUFFER_DIVISOR);
+        event_loop.set_body_limit(memory / BODY_PARTS * BODY_SHARE);
         event_loop.set_peer_output_limit(memory / PEER_OUTPUT_DIVISOR);
     }
     let mut context = ProcessContext {
--- a/crates/reactor/src/server_connection.rs
+++ b/crates/reactor/src/server_connection.rs
@@ -84,6 +84,20 @@
         }
     }
 
+    /// Number of bytes for which memory is needed for the body that is being received: its stated
+    /// length, or what has been received of one without it.
+    pub fn needed_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Body {
+                chunked: None,
+                claimed,
+                ..
+            } => *claimed,
+            Phase::Body { body, .. } => body.len(),
+            Phase::Head | Phase::AwaitingResponse => 0,
+        }
+    }
+
     /// Number of bytes that the request may hold before it is complete: the stated length of its body,
     /// or the limit without it. 0 while no body is being received.
     pub fn claimed_bytes(&self) -> usize {
--- a/crates/reactor/tests/endless.rs
+++ b/crates/reactor/tests/endless.rs
@@ -115,6 +115,7 @@
             id,
             address: target,
             bytes: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
+            body: None,
             expected: ExpectedResponse {
                 request_id: Some(("i".into(), "1".into())),
                 ..ExpectedResponse::default()
@@ -289,6 +290,7 @@
         id,
         address,
         bytes: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
+        body: None,
         expected: ExpectedResponse {
             request_id: Some(("i".into(), "1".into())),
             ..ExpectedResponse::default()
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -96,6 +96,7 @@
             id,
             address,
             bytes: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
+            body: None,
             expected: ExpectedResponse {
                 request_id: Some(("request-id".into(), format!("r{id}").into())),
                 ..ExpectedResponse::default()
--- a/crates/reactor/tests/failure_causes.rs
+++ b/crates/reactor/tests/failure_causes.rs
@@ -118,6 +118,7 @@
             id: 1,
             address,
             bytes,
+            body: None,
             expected: ExpectedResponse {
                 request_id: Some(("request-id".into(), "r1".into())),
                 ..ExpectedResponse::default()
