Let callers take long responses slowly

Cause: the time in which a connection may be idle ran from the end of the request's service, whether output was left or not.

Change: it runs from the last byte that could be written.

--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -438,6 +438,9 @@
             }
         };
         self.link_out.spend(written, now);
+        if written > 0 {
+            self.conns[key].written_at = now;
+        }
         if paced {
             let conn = &self.conns[key];
             if written == allowance && !conn.output_is_empty() {
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -107,6 +107,8 @@
     output_body: Option<(Arc<HeldBody>, usize)>,
     /// Number of bytes at the start of `output` that are already written.
     written: usize,
+    /// When output was last written.
+    pub(super) written_at: Duration,
     /// When the connection times out, if it can.
     pub(super) deadline: Option<Duration>,
     /// Whether reading goes on later, in turn.
@@ -142,6 +144,7 @@
             output: Vec::new(),
             output_body: None,
             written: 0,
+            written_at: Duration::ZERO,
             deadline: None,
             read_deferred: false,
             write_deferred: false,
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -176,6 +176,11 @@
             };
             return self.reject_request(key, error, now);
         }
+        // A client that takes its response slowly is not idle.
+        let idle_at = conn.written_at + self.limits.idle_timeout + IDLE_SLACK;
+        if now < idle_at {
+            return self.set_deadline(key, Some(idle_at));
+        }
         self.close_connection(key, FailureCause::TimedOut, "idle", now);
     }
 
--- a/crates/reactor/tests/memory.rs
+++ b/crates/reactor/tests/memory.rs
@@ -15,6 +15,7 @@
     time::Duration,
 };
 
+use camphordale_fleet::Limits;
 use camphordale_http::Response;
 use camphordale_reactor::{
     Clock,
@@ -209,6 +210,49 @@
     assert_eq!(fixture.event_loop.body_bytes(), 0);
 }
 
+/// Guards against responses that are cut off although their callers go on reading them: the time in
+/// which a connection may be idle ran while the response was being taken.
+#[rstest]
+#[case::reads_on(None)]
+#[case::stops(Some(1 << 20))]
+fn a_response_is_cut_off_only_if_nobody_takes_it(#[case] stops_after: Option<usize>) {
+    const LENGTH: usize = 24 << 20;
+    let mut fixture = Fixture::new();
+    fixture.event_loop.set_buffer_limit(2 * LENGTH);
+    fixture.event_loop.set_limits(Limits {
+        idle_timeout: Duration::from_millis(100),
+        ..Limits::default()
+    });
+    let mut stream = fixture.connect();
+    stream.write_all(&head(0)).unwrap();
+    fixture.turn_until("a request", |f| !f.requests.is_empty());
+    let (conn, _) = fixture.requests.remove(0);
+    let response = Response::new(200, vec![b'x'; LENGTH]);
+    fixture.event_loop.respond(conn, &response);
+    let started = fixture.clock.now();
+    let (mut taken, mut buffer) = (0, vec![0; 1 << 17]);
+    let goes_on = |f: &Fixture| f.event_loop.open_connections() > 0 || stops_after.is_none();
+    while goes_on(&fixture) && taken < LENGTH {
+        fixture.turn();
+        assert!(fixture.clock.now() < started + WAIT_LIMIT);
+        if stops_after.is_none_or(|stop| taken < stop) {
+            let count = stream.read(&mut buffer);
+            assert!(!matches!(count, Ok(0)), "{taken} bytes taken");
+            taken += count.unwrap_or(0);
+            // Longer in all than a connection may be idle.
+            fixture.turn_until("time to read on", |f| {
+                f.clock.now()
+                    >= started + Duration::from_secs(2).mul_f64(taken as f64 / LENGTH as f64)
+            });
+        }
+    }
+    assert_eq!(
+        taken >= LENGTH,
+        stops_after.is_none(),
+        "{taken} bytes taken"
+    );
+}
+
 /// Guards against memory that callers fill by taking their responses slowly.
 #[test]
 fn responses_that_are_not_taken_are_bounded() {
