Give the first grant on a connection a short lease and time to be read

A grant over a new connection timed out after 300 ms and was reset; the target read it about a second later and held the keys from then, after they had moved (OWNER).

Cause: an order that is given up counted as one that can't be carried out any more. A reset doesn't recall what has arrived.

Change: the first grant on a connection has a shorter lease, by two thirds of the usual one, and as much more time to be answered; the full lease follows its answer. The end of what it may hold is counted as before. A release waits for the whole of that time. Ruled out by the trace: the queue of the leader's link, another leader.

The log lines of an entry VM are in a file of their own now.

--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -73,9 +73,12 @@
 /// two ticks a range may get a new holder, lose its connection and be fenced; this is enough for all
 /// of these with as many ranges as there are keys.
 const FENCE_RESERVE: u64 = 1 << 18;
-/// Time limit for a grant. The connection is reset when it passes, so that the order cannot arrive
-/// later.
+/// Time limit for a grant on a connection on which the target has answered before. The connection is
+/// reset when it passes.
 pub const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Part of a lease for which the first order on a connection may wait before a loaded target reads it.
+/// Resetting the connection does not recall such an order.
+const FIRST_ORDER_WAIT: f64 = 2.0 / 3.0;
 /// Time limit for a release, which lasts as long as the requests that are running on the keys.
 pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Announcement intervals in which the holder of a newly assigned range is expected to announce
--- a/crates/fleet/src/key_leases/lease.rs
+++ b/crates/fleet/src/key_leases/lease.rs
@@ -103,10 +103,12 @@
         self.range.holder.as_ref().zip(next).is_some_and(earlier)
     }
 
-    /// Returns the next order to the holder and its time limit.
+    /// Returns the next order to the holder and its time limit. `wait` is the time for which a grant may
+    /// wait before the holder reads it.
     pub(super) fn next_order(
         &self,
         lease_duration: Duration,
+        wait: Duration,
         now: Duration,
     ) -> Option<(Order, Duration)> {
         let KeyRange { from, to, .. } = self.range;
@@ -123,10 +125,10 @@
                     from,
                     to,
                     fence,
-                    lease: self.next_duration(lease_duration, now)?,
+                    lease: self.next_duration(lease_duration, wait, now)?,
                     handover: self.range.handover.clone(),
                 };
-                Some((order, GRANT_TIMEOUT))
+                Some((order, GRANT_TIMEOUT + wait))
             }
         }
     }
@@ -134,14 +136,21 @@
     /// Lease duration to request. While the holder does not answer, requested leases get shorter,
     /// so that the time at which the keys are certainly free does not move further away with each
     /// attempt.
-    fn next_duration(&self, lease_duration: Duration, now: Duration) -> Option<Duration> {
+    fn next_duration(
+        &self,
+        lease_duration: Duration,
+        wait: Duration,
+        now: Duration,
+    ) -> Option<Duration> {
+        // By the end of the lease, a grant that waits is like one that is read at once.
+        let longest = lease_duration.saturating_sub(wait.div_f64(1.0 + MAX_CLOCK_DRIFT));
         if !self.unanswered || now >= self.expiry {
-            return Some(lease_duration);
+            return Some(longest);
         }
         let left = self
             .expiry
-            .saturating_sub(now + GRANT_TIMEOUT + EXPIRY_MARGIN);
-        let short = left.div_f64(1.0 + MAX_CLOCK_DRIFT).min(lease_duration);
+            .saturating_sub(now + GRANT_TIMEOUT + wait + EXPIRY_MARGIN);
+        let short = left.div_f64(1.0 + MAX_CLOCK_DRIFT).min(longest);
         (short >= MIN_LEASE).then_some(short)
     }
 }
--- a/crates/fleet/src/key_leases/orders.rs
+++ b/crates/fleet/src/key_leases/orders.rs
@@ -4,6 +4,7 @@
 
 use super::{
     FENCE_COUNTER_BITS,
+    FIRST_ORDER_WAIT,
     LeaseTable,
     Phase,
     lease::{
@@ -98,6 +99,8 @@
     service: ServiceName,
     holder: Holder,
     sent_at: Duration,
+    /// When the exchange is aborted. Until then the target may read the order.
+    deadline: Duration,
     /// Requested lease duration; zero for a release.
     lease_duration: Duration,
     connection: OrderConnection,
@@ -185,7 +188,15 @@
                 let Some(target) = target.filter(|t| t.incarnation == holder.incarnation) else {
                     continue;
                 };
-                let Some((mut order, timeout)) = lease.next_order(self.times.call, now) else {
+                let open = self.sessions.get(&holder).copied();
+                let is_moving = matches!(lease.phase, Phase::Releasing { .. });
+                let is_first = is_moving || open.is_none();
+                let wait = match is_first {
+                    true => self.times.call.mul_f64(FIRST_ORDER_WAIT),
+                    false => Duration::ZERO,
+                };
+                let next_order = lease.next_order(self.times.call, wait, now);
+                let Some((mut order, timeout)) = next_order else {
                     continue;
                 };
                 let previous_expiry = lease.expiry;
@@ -207,8 +218,6 @@
                     lease.expiry = lease
                         .expiry
                         .max(now + timeout + worst_case_duration(lease_duration));
-                    let open = self.sessions.get(&holder).copied();
-                    let is_moving = matches!(lease.phase, Phase::Releasing { .. });
                     if is_moving || (lease.session.is_some() && lease.session != open) {
                         self.fence_counter += 1;
                         lease.fence = (self.term << FENCE_COUNTER_BITS) + self.fence_counter;
@@ -239,6 +248,7 @@
                         service: service.clone(),
                         holder: holder.clone(),
                         sent_at: now,
+                        deadline: now + timeout,
                         lease_duration,
                         connection,
                         previous_expiry,
@@ -325,7 +335,10 @@
                     lease.unanswered = false;
                     lease.failures = 0;
                     lease.acknowledged_at = Some(order.sent_at);
+                    let is_first = !matches!(order.connection, OrderConnection::Kept(_));
                     lease.next_renewal = match lease.phase {
+                        // The first lease on a connection is short.
+                        _ if is_first => now,
                         Phase::Releasing { .. } => now,
                         _ => order.sent_at + lease_duration / RENEWALS_PER_LEASE,
                     };
@@ -348,7 +361,7 @@
                     lease.unanswered = true;
                     lease.unanswered_expiry = lease
                         .unanswered_expiry
-                        .max(now + worst_case_duration(order.lease_duration));
+                        .max(now.max(order.deadline) + worst_case_duration(order.lease_duration));
                     lease.next_renewal = now + RETRY_DELAY;
                 }
                 Answer::NotSent
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -520,7 +520,8 @@
     number: usize,
     id: OrderId,
     order: Order,
-    sent_at: Duration,
+    /// From when the target counts the lease.
+    counts_from: Duration,
     /// When the target carries the order out, if it arrives.
     arrives_at: Option<Duration>,
     /// Whether the answer reaches the leader.
@@ -529,8 +530,8 @@
     deadline: Duration,
 }
 
-/// Random histories with orders that are lost, carried out late or answered late, answers that come
-/// twice, restarting targets and changes of leader. No two targets may hold a key at the same time.
+/// Random histories with orders that are lost, read late, carried out late or answered late, answers
+/// that come twice, restarting targets and changes of leader. No two targets may hold a key at the same time.
 #[test]
 fn random_histories_never_give_a_key_two_holders() {
     for seed in 0..400 {
@@ -598,7 +599,11 @@
             copies.extend(session.filter(|_| is_faulty && random.random_bool(0.2)));
             let arrives = !(is_faulty && random.random_bool(0.3));
             let late = is_faulty && random.random_bool(0.4);
-            let delay = if late {
+            // The first order on a connection may wait before the target reads it.
+            let waits = is_faulty && !is_kept && random.random_bool(0.3);
+            let delay = if waits {
+                random.random_range(0..1450)
+            } else if late {
                 random.random_range(400..6000)
             } else {
                 random.random_range(0..60)
@@ -607,7 +612,7 @@
                 number,
                 id: dispatch.id,
                 order: dispatch.order,
-                sent_at: now,
+                counts_from: if waits { now + ms(delay) } else { now },
                 arrives_at: arrives.then_some(now + ms(delay)),
                 answer_arrives: arrives && !late && !(is_faulty && random.random_bool(0.3)),
                 deadline: dispatch.deadline,
@@ -619,7 +624,7 @@
             let due = order.arrives_at.is_some_and(|arrives_at| now >= arrives_at);
             if due {
                 let order = pending.remove(index);
-                let answer = target_leases[order.number].carry_out(&order.order, order.sent_at);
+                let answer = target_leases[order.number].carry_out(&order.order, order.counts_from);
                 if let (
                     Order::Grant {
                         from,
@@ -630,7 +635,7 @@
                     },
                     Answer::Granted,
                 ) = (&order.order, &answer)
-                    && order.sent_at + lease.mul_f64(1.02) > now
+                    && order.counts_from + lease.mul_f64(1.02) > now
                 {
                     check_fencing(&mut highest_fences, *from, *to, *fence, order.number, seed);
                 }
--- /dev/null
+++ b/crates/reactor/src/entry_process/log.rs
@@ -0,0 +1,158 @@
+//! Log lines and counters of an entry VM.
+
+use camphordale_entry::{
+    AttemptId,
+    Decision,
+    Evidence,
+    LogEvent,
+    Reason, //
+};
+use camphordale_http::Response;
+use slog::{
+    Logger,
+    info, //
+};
+
+use super::EntryProcess;
+use crate::{
+    adapter::{
+        ExecutionClaim,
+        ProtocolAdapter, //
+    },
+    process::ProcessContext,
+};
+
+impl<Adapter> EntryProcess<Adapter>
+where
+    Adapter: ProtocolAdapter,
+{
+    /// Logs and counts a response that says, by its status or its fields, that the request was not
+    /// executed. Its form shows whether the target states this of this request.
+    pub(super) fn log_refusal(
+        &self,
+        attempt: AttemptId,
+        response: &Response,
+        reused: bool,
+        context: &mut ProcessContext,
+    ) {
+        let status = response.status;
+        let claim = self.adapter.target_fields(response).execution;
+        let is_doubtful = claim == ExecutionClaim::Contradictory;
+        if !is_doubtful && !self.adapter.promises_not_executed(status) {
+            return;
+        }
+        let stated = claim == ExecutionClaim::NotExecuted;
+        context.metrics.count_target_refusal(status, stated);
+        if context.may_log("target refused") {
+            let id = response.header(self.adapter.request_id_header());
+            info!(context.logger, "target refused"; "attempt" => attempt, "status" => status,
+                "stated" => stated, "request" => id.unwrap_or("-"), "reused" => reused);
+        }
+    }
+
+    pub(super) fn log_event(&mut self, event: LogEvent, context: &mut ProcessContext) {
+        match event {
+            LogEvent::Refused(decision) => {
+                context.metrics.count_refusal(decision.reason.name());
+                if context.may_log("refused") {
+                    self.log_decision(&context.logger, "refused", &decision);
+                }
+            }
+            LogEvent::Retried(decision) => {
+                context.metrics.count_retry(decision.reason.name());
+                if context.may_log("repeated") {
+                    self.log_decision(&context.logger, "repeated", &decision);
+                }
+            }
+            LogEvent::Control { live, view } => {
+                context.metrics.count_event("control");
+                info!(context.logger, "stream from control"; "live" => live, "view" => view);
+            }
+            LogEvent::Ready { ready, silence } => {
+                context.metrics.count_event("ready");
+                info!(context.logger, "readiness"; "ready" => ready,
+                    "silence_ms" => silence.as_millis() as u64);
+            }
+            LogEvent::Limit {
+                target,
+                limit,
+                told,
+            } => {
+                context.metrics.count_event("limit");
+                if context.may_log("limit") {
+                    info!(context.logger, "limit of a target"; "target" => &*target,
+                        "per_s" => limit.map(f64::from), "told" => told);
+                }
+            }
+            LogEvent::Leaving { target } => {
+                context.metrics.count_event("leaving");
+                if context.may_log("leaving") {
+                    info!(context.logger, "target leaves by its answer"; "target" => &*target);
+                }
+            }
+            LogEvent::Paused { target, pause } => {
+                context.metrics.count_event("paused");
+                if context.may_log("paused") {
+                    info!(context.logger, "target wants no requests"; "target" => &*target,
+                        "for_ms" => pause.as_millis() as u64);
+                }
+            }
+            LogEvent::Routing { version, view } => {
+                context.metrics.count_event("routing");
+                self.routing_version = version;
+                if let Some(routing) = &self.entry.view().routing {
+                    context.event_loop.set_limits(routing.limits());
+                }
+                info!(context.logger, "routing in force"; "version" => version, "view" => view);
+            }
+        }
+    }
+
+    /// Logs a target's failure or a late response. Other responses are only counted.
+    pub(super) fn log_outcome(
+        &self,
+        decision: &Decision,
+        late: bool,
+        context: &mut ProcessContext,
+    ) {
+        let message = match decision.reason {
+            Reason::Failure => "target failed",
+            _ if late => "late",
+            _ => return,
+        };
+        if context.may_log(message) {
+            self.log_decision(&context.logger, message, decision);
+        }
+    }
+
+    fn log_decision(&self, logger: &Logger, message: &'static str, decision: &Decision) {
+        let active = self.requests.get(&decision.request);
+        let id = active
+            .and_then(|active| active.fields.id.as_deref())
+            .unwrap_or("-");
+        let stats = decision.target_stats.as_ref();
+        let crashed = (!decision.crashed.is_empty()).then(|| decision.crashed.join(","));
+        info!(logger, "{}", message;
+            "crashed" => crashed,
+            "evidence" => decision.evidence.map(Evidence::name),
+            "fingerprint" => active.map(|active| format!("{:032x}", active.fingerprint)),
+            "report_age_ms" => stats.and_then(|stats| stats.report_age)
+                .map(|age| age.as_millis() as u64),
+            "silent" => stats.map(|stats| stats.unresponsive),
+            "failing" => stats.map(|stats| stats.failure_rate as f32),
+            "expected_ms" => stats.map(|stats| stats.expected_latency.as_millis() as u64),
+            "load" => stats.map(|stats| stats.load as f32),
+            "open" => stats.map(|stats| stats.in_flight),
+            "request" => id,
+            "reason" => decision.reason.name(),
+            "service" => decision.service.as_deref().unwrap_or("-"),
+            "target" => decision.target.as_deref().unwrap_or("-"),
+            "attempts" => decision.attempts,
+            "queued_ms" => decision.queued.as_millis() as u64,
+            "age_ms" => decision.age.as_millis() as u64,
+            "left_ms" => decision.remaining.as_millis() as u64,
+            "key" => decision.key,
+            "view" => decision.view_index,
+            "version" => self.routing_version);
+    }
+}
