Read warm-up rates and large bodies from the configuration

Cause: what is new under load must only act where the configuration calls for it, and nothing kept these two facts. Priorities and latency objectives cannot be the switch: earlier deployments have routes without traffic that differ.

Change: Service::cold and Route::large_bodies, with the earlier encoding where they are not used, and Routing::is_contended().

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -386,6 +386,8 @@
         version: u64,
         /// Index of the view.
         view: u64,
+        /// Whether a badly chosen target costs much, so that entry VMs share what they know.
+        contended: bool,
     },
 }
 
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -218,6 +218,7 @@
         out.push(Effect::Log(LogEvent::Routing {
             version: routing.version,
             view: self.view.index,
+            contended: self.routes.is_contended(),
         }));
         self.resume_unrouted(now, out);
     }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -17,6 +17,7 @@
 pub struct RouteTable {
     hosts: HashMap<Box<str>, Vec<RouteEntry>>,
     split_credits: HashMap<RouteName, Vec<f64>>,
+    is_contended: bool,
 }
 
 #[derive(Debug)]
@@ -29,6 +30,7 @@
 impl RouteTable {
     /// Adopts a new routing. Splits of unchanged routes keep their state.
     pub fn sync(&mut self, routing: &Routing) {
+        self.is_contended = routing.is_contended();
         self.hosts.clear();
         for (name, item) in &routing.routes {
             let host = item.spec.host.to_ascii_lowercase().into_boxed_str();
@@ -47,6 +49,15 @@
         });
     }
 
+    /// Whether a badly chosen target costs much in this routing ([`Routing::is_contended`]).
+    ///
+    /// ```
+    /// assert!(!camphordale_entry::RouteTable::default().is_contended());
+    /// ```
+    pub fn is_contended(&self) -> bool {
+        self.is_contended
+    }
+
     /// Finds the route of a request. `host` may include a port, `path` a query.
     ///
     /// ```
--- a/crates/entry/tests/crashes/setup.rs
+++ b/crates/entry/tests/crashes/setup.rs
@@ -36,6 +36,7 @@
             max_connections: 100,
             keys: KeyDelivery::Unkeyed,
             warm_up: ms(0),
+            cold: None,
         };
         (name.into(), resource(service))
     });
@@ -44,6 +45,7 @@
             host: "a.example".into(),
             path_prefix: format!("/{name}/").into(),
             retry_policy,
+            large_bodies: false,
             timeout: ms(1500),
             latency_objective: ms(600),
             priority: 1,
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -59,6 +59,7 @@
         host: "a.example".into(),
         path_prefix: format!("/{service}/").into(),
         retry_policy,
+        large_bodies: false,
         timeout: ms(1500),
         latency_objective: ms(600),
         priority: 1,
@@ -86,6 +87,7 @@
             max_connections: 100,
             keys,
             warm_up: ms(2000),
+            cold: None,
         };
         routing.services.insert(name.into(), item(service));
         routing
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -150,11 +150,13 @@
         max_connections: 1000,
         keys: KeyDelivery::Unkeyed,
         warm_up: ms(0),
+        cold: None,
     };
     let route = Route {
         host: "a.example".into(),
         path_prefix: "/reads/".into(),
         retry_policy: RetryPolicy::Idempotent,
+        large_bodies: false,
         timeout: ms(1500),
         latency_objective: ms(600),
         priority: 1,
--- a/crates/entry/tests/registry_updates.rs
+++ b/crates/entry/tests/registry_updates.rs
@@ -93,6 +93,7 @@
             max_connections: 100,
             keys,
             warm_up: Duration::ZERO,
+            cold: None,
         };
         let document = "{}".into();
         routing
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -72,6 +72,7 @@
         Target,
         TargetId, //
     },
+    routing::Version,
     state::{
         Command,
         Outcome,
@@ -139,6 +140,8 @@
     single_views: u32,
     recent_updates: RecentUpdates,
     member_table: MemberTable,
+    /// Version of the routing in force, and whether it is contended.
+    contended: (Version, bool),
 }
 
 impl Control {
@@ -221,6 +224,7 @@
             single_views: 0,
             recent_updates,
             member_table,
+            contended: (0, false),
         })
     }
 
@@ -252,6 +256,18 @@
         &self.state
     }
 
+    /// Whether the routing in force is contended
+    /// ([`Routing::is_contended`](crate::Routing::is_contended)). The routes are searched once for
+    /// each version.
+    pub fn is_contended(&mut self) -> bool {
+        if let Some(routing) = &self.state.view.routing
+            && routing.version != self.contended.0
+        {
+            self.contended = (routing.version, routing.is_contended());
+        }
+        self.contended.1
+    }
+
     /// Bytes that this member keeps for other VMs and for its next start.
     pub fn retained_bytes(&self) -> RetainedBytes {
         RetainedBytes {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -108,6 +108,7 @@
     Service,
     ServiceName,
     Version,
+    WarmUp,
     WeightedService, //
 };
 pub use state::{
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -13,6 +13,8 @@
     Serialize, //
 };
 
+use crate::request_limits::RequestRate;
+
 /// Name of a route.
 pub type RouteName = Box<str>;
 /// Name of a service.
@@ -47,6 +49,7 @@
 
 /// Routing of the requests for one host and path prefix.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredRoute", into = "StoredRoute")]
 pub struct Route {
     /// Host name, without port.
     pub host: Box<str>,
@@ -54,6 +57,8 @@
     pub path_prefix: Box<str>,
     /// How often a request may be executed.
     pub retry_policy: RetryPolicy,
+    /// Whether requests have large bodies.
+    pub large_bodies: bool,
     /// Time limit for the final response.
     pub timeout: Duration,
     /// Latency up to which a response has its full value.
@@ -66,6 +71,69 @@
     pub split: Vec<WeightedService>,
 }
 
+/// Encoding of a [`Route`]. That of a route without large bodies is the one of versions that did not
+/// know of any.
+#[derive(Serialize, Deserialize)]
+struct StoredRoute {
+    host: Box<str>,
+    path_prefix: Box<str>,
+    requests: StoredRequests,
+    timeout: Duration,
+    latency_objective: Duration,
+    priority: u32,
+    max_attempts: u32,
+    split: Vec<WeightedService>,
+}
+
+/// [`RetryPolicy`], and whether bodies are large.
+#[derive(Serialize, Deserialize)]
+enum StoredRequests {
+    Idempotent,
+    AtMostOnce,
+    Large(RetryPolicy),
+}
+
+impl From<Route> for StoredRoute {
+    fn from(route: Route) -> StoredRoute {
+        let requests = match (route.large_bodies, route.retry_policy) {
+            (true, policy) => StoredRequests::Large(policy),
+            (false, RetryPolicy::Idempotent) => StoredRequests::Idempotent,
+            (false, RetryPolicy::AtMostOnce) => StoredRequests::AtMostOnce,
+        };
+        StoredRoute {
+            host: route.host,
+            path_prefix: route.path_prefix,
+            requests,
+            timeout: route.timeout,
+            latency_objective: route.latency_objective,
+            priority: route.priority,
+            max_attempts: route.max_attempts,
+            split: route.split,
+        }
+    }
+}
+
+impl From<StoredRoute> for Route {
+    fn from(stored: StoredRoute) -> Route {
+        let (large_bodies, retry_policy) = match stored.requests {
+            StoredRequests::Idempotent => (false, RetryPolicy::Idempotent),
+            StoredRequests::AtMostOnce => (false, RetryPolicy::AtMostOnce),
+            StoredRequests::Large(policy) => (true, policy),
+        };
+        Route {
+            host: stored.host,
+            path_prefix: stored.path_prefix,
+            retry_policy,
+            large_bodies,
+            timeout: stored.timeout,
+            latency_objective: stored.latency_objective,
+            priority: stored.priority,
+            max_attempts: stored.max_attempts,
+            split: stored.split,
+        }
+    }
+}
+
 /// How the targets of a service get the leases of the keys that they hold.
 ///
 /// The first two variants have the `postcard` encodings of `false` and `true`, which older versions
@@ -95,8 +163,19 @@
     }
 }
 
+/// What the targets of a service bear while they are cold, after a start during traffic or after a
+/// time without requests.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// How long a target stays cold.
+    pub time: Duration,
+    /// Requests per second that a cold target takes from all entry VMs together.
+    pub rate: RequestRate,
+}
+
 /// A service whose targets register themselves.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredService", into = "StoredService")]
 pub struct Service {
     /// Path of the health check.
     pub health_path: Box<str>,
@@ -107,6 +186,62 @@
     pub keys: KeyDelivery,
     /// How long keys are slow at a holder that received them without handover data.
     pub warm_up: Duration,
+    /// What cold targets bear, if the service states it.
+    pub cold: Option<WarmUp>,
+}
+
+/// Encoding of a [`Service`]. That of a service without a warm-up rate is the one of versions that
+/// did not know of any.
+#[derive(Serialize, Deserialize)]
+struct StoredService {
+    health_path: Box<str>,
+    max_connections: u32,
+    keys: StoredKeys,
+    warm_up: Duration,
+}
+
+/// [`KeyDelivery`], and the warm-up rate if there is one.
+#[derive(Serialize, Deserialize)]
+enum StoredKeys {
+    Unkeyed,
+    Call,
+    Heartbeat,
+    Cold(KeyDelivery, WarmUp),
+}
+
+impl From<Service> for StoredService {
+    fn from(service: Service) -> StoredService {
+        let keys = match (service.cold, service.keys) {
+            (Some(cold), keys) => StoredKeys::Cold(keys, cold),
+            (None, KeyDelivery::Unkeyed) => StoredKeys::Unkeyed,
+            (None, KeyDelivery::Call) => StoredKeys::Call,
+            (None, KeyDelivery::Heartbeat) => StoredKeys::Heartbeat,
+        };
+        StoredService {
+            health_path: service.health_path,
+            max_connections: service.max_connections,
+            keys,
+            warm_up: service.warm_up,
+        }
+    }
+}
+
+impl From<StoredService> for Service {
+    fn from(stored: StoredService) -> Service {
+        let (keys, cold) = match stored.keys {
+            StoredKeys::Unkeyed => (KeyDelivery::Unkeyed, None),
+            StoredKeys::Call => (KeyDelivery::Call, None),
+            StoredKeys::Heartbeat => (KeyDelivery::Heartbeat, None),
+            StoredKeys::Cold(keys, cold) => (keys, Some(cold)),
+        };
+        Service {
+            health_path: stored.health_path,
+            max_connections: stored.max_connections,
+            keys,
+            warm_up: stored.warm_up,
+            cold,
+        }
+    }
 }
 
 /// Limits for callers.
@@ -334,6 +469,18 @@
         }
     }
 
+    /// Whether a badly chosen target costs much: some targets bear only a limited rate while they are
+    /// cold, or some requests have large bodies. Entry VMs then share what they know of the load of
+    /// targets, and urgent requests go first. Other deployments are spared the exchange.
+    ///
+    /// ```
+    /// assert!(!camphordale_fleet::Routing::default().is_contended());
+    /// ```
+    pub fn is_contended(&self) -> bool {
+        let has_cold = self.services.values().any(|s| s.spec.cold.is_some());
+        has_cold || self.routes.values().any(|r| r.spec.large_bodies)
+    }
+
     /// Returns the routing after `change`, which must be based on this version.
     ///
     /// # Errors
--- a/crates/fleet/tests/changes.rs
+++ b/crates/fleet/tests/changes.rs
@@ -36,6 +36,7 @@
         host: "h".into(),
         path_prefix: format!("/p{place}/").into(),
         retry_policy: RetryPolicy::Idempotent,
+        large_bodies: false,
         timeout: Duration::from_millis(random.random_range(1..4)),
         latency_objective: Duration::from_millis(1),
         priority: 0,
@@ -58,6 +59,7 @@
         max_connections: random.random_range(1..3),
         keys: KeyDelivery::Unkeyed,
         warm_up: Duration::ZERO,
+        cold: None,
     };
     let document = "{}".into();
     (
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -173,6 +173,7 @@
         max_connections: 10,
         keys: KeyDelivery::Call,
         warm_up: ms(0),
+        cold: None,
     };
     let document = "{}".into();
     first
--- a/crates/fleet/tests/heartbeat/steps.rs
+++ b/crates/fleet/tests/heartbeat/steps.rs
@@ -34,6 +34,7 @@
         max_connections: 10,
         keys: KeyDelivery::Heartbeat,
         warm_up: ms(2000),
+        cold: None,
     };
     let document = "{}".into();
     let item = ConfigResource {
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -128,6 +128,7 @@
         max_connections: 1800,
         keys: KeyDelivery::Call,
         warm_up: ms(3000),
+        cold: None,
     };
     let document = "{}".into();
     Change {
--- a/crates/fleet/tests/large_fleet/retention.rs
+++ b/crates/fleet/tests/large_fleet/retention.rs
@@ -69,6 +69,7 @@
             max_connections: 110,
             keys: KeyDelivery::Unkeyed,
             warm_up: ms(0),
+            cold: None,
         };
         let document = r#"{"health_path":"/health","max_connections":110}"#.into();
         (name.into(), ConfigResource { spec, document })
@@ -82,6 +83,7 @@
             host: "jepu9.example".into(),
             path_prefix: format!("/lepu{number:03}/").into(),
             retry_policy: RetryPolicy::Idempotent,
+            large_bodies: false,
             timeout,
             latency_objective: ms(400),
             priority: 2,
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -97,13 +97,18 @@
                         "for_ms" => pause.as_millis() as u64);
                 }
             }
-            LogEvent::Routing { version, view } => {
+            LogEvent::Routing {
+                version,
+                view,
+                contended,
+            } => {
                 context.metrics.count_event("routing");
                 self.routing_version = version;
                 if let Some(routing) = &self.entry.view().routing {
                     context.event_loop.set_limits(routing.limits());
                 }
-                info!(context.logger, "routing in force"; "version" => version, "view" => view);
+                info!(context.logger, "routing in force";
+                    "version" => version, "view" => view, "contended" => contended);
             }
         }
     }
