Pace large bodies of requests on the VM's link

Cause: only responses were sent and read in portions below the rate of the link.

Change: bodies of requests are read from callers and written to targets in portions, as long responses are. Messages up to 16 KiB and connections between VMs are as before.

Measured: the two new tests fail without the change.

--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -418,14 +418,15 @@
         self.flush(key, now);
     }
 
-    /// Writes buffered output until the socket would block. A long response is written in portions.
+    /// Writes buffered output until the socket would block. A long response or request is written in
+    /// portions.
     fn flush(&mut self, key: usize, now: Duration) {
         let conn = &mut self.conns[key];
         if !conn.connected {
             return;
         }
-        let paced = matches!(conn.kind, ConnKind::HttpServer { .. })
-            && conn.output_length() > UNPACED_BYTES;
+        let is_peer = matches!(conn.kind, ConnKind::Peer { .. });
+        let paced = !is_peer && conn.output_length() > UNPACED_BYTES;
         let allowance = match paced {
             true => self.link_out.allowance(now),
             false => usize::MAX,
@@ -458,7 +459,7 @@
         if !conn.connected || conn.read_deferred {
             return;
         }
-        let paced = matches!(conn.kind, ConnKind::Target { .. }) && conn.buffered() > UNPACED_BYTES;
+        let paced = conn.incoming_bytes() > UNPACED_BYTES;
         let allowance = match paced {
             true => self.link_in.allowance(now).min(READ_TURN_BYTES),
             false => READ_TURN_BYTES,
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -216,6 +216,18 @@
         self.input.len() + body
     }
 
+    /// Number of bytes that have been read of an incomplete message of a caller or a target.
+    pub(super) fn incoming_bytes(&self) -> usize {
+        let body = match &self.kind {
+            ConnKind::HttpServer { protocol, .. } => protocol.buffered_bytes(),
+            ConnKind::Target { active, .. } => active
+                .as_ref()
+                .map_or(0, |active| active.protocol.buffered_bytes()),
+            ConnKind::Peer { .. } => return 0,
+        };
+        self.input.len() + body
+    }
+
     /// Number of bytes that the connection may hold before its message is complete.
     pub(super) fn claimed(&self) -> usize {
         match &self.kind {
--- a/crates/reactor/src/event_loop/pacing.rs
+++ b/crates/reactor/src/event_loop/pacing.rs
@@ -1,9 +1,9 @@
 //! Limits on how much is transferred at once: fairness between connections, and pacing of long
-//! responses.
+//! messages.
 //!
-//! A long response would fill the queue of the VM's link, so that connects, requests and short
-//! responses wait behind it. Beyond its first bytes it is therefore transferred in portions, below
-//! the rate of the link. A connection that has more to transfer than it may is deferred, and
+//! A long request or response would fill the queue of the VM's link, so that connects, requests and
+//! short responses wait behind it: a body of 60 kB takes 0.2 s on a link of 2.2 Mbit/s. Beyond its
+//! first bytes it is therefore transferred in portions, below the rate of the link. A connection that has more to transfer than it may is deferred, and
 //! resumed in turn.
 
 use std::{
@@ -16,18 +16,18 @@
     EventLoop, //
 };
 
-/// Bytes of a response that are transferred without pacing. Most responses are shorter.
+/// Bytes of a message that are transferred without pacing. Most messages are shorter.
 pub(super) const UNPACED_BYTES: usize = 16 << 10;
 /// Bytes that one connection reads before the others get their turn.
 pub(super) const READ_TURN_BYTES: usize = 256 << 10;
 /// Fraction of the link's rate that is used, in each direction. What short messages leave of it is
-/// for long responses.
+/// for long ones.
 const LINK_FRACTION: f64 = 0.9;
 /// Bytes that a transfer adds on the link: packet headers and acknowledgements.
 const TRANSFER_OVERHEAD_BYTES: usize = 120;
 /// Bytes that opening and closing a connection adds on the link.
 pub(super) const CONNECTION_OVERHEAD_BYTES: usize = 300;
-/// Time for which short messages at most hold long responses back.
+/// Time for which short messages at most hold long ones back.
 const MAX_DEBT: Duration = Duration::from_millis(500);
 /// Time in which a portion passes the link, which is how long short messages wait behind it.
 const PORTION_TIME: Duration = Duration::from_millis(20);
@@ -40,7 +40,7 @@
 }
 
 /// Token bucket for one direction of the link. Short messages take their tokens without a wait, so
-/// that long responses get what is left.
+/// that long ones get what is left.
 #[derive(Debug, Default)]
 pub(super) struct Pacer {
     /// Bytes per second; zero for no limit.
@@ -50,7 +50,7 @@
 }
 
 impl Pacer {
-    /// Limits long responses on a link with `rate` bytes per second.
+    /// Limits long messages on a link with `rate` bytes per second.
     pub(super) fn new(rate: f64) -> Pacer {
         Pacer {
             rate: rate * LINK_FRACTION,
@@ -120,7 +120,7 @@
 }
 
 impl EventLoop {
-    /// Paces long responses on a link with `rate` bytes per second in each direction. Without a
+    /// Paces long messages on a link with `rate` bytes per second in each direction. Without a
     /// rate they are not paced.
     pub fn set_link_rate(&mut self, rate: Option<f64>) {
         self.link_in = Pacer::new(rate.unwrap_or_default());
--- a/crates/reactor/tests/pacing.rs
+++ b/crates/reactor/tests/pacing.rs
@@ -1,4 +1,4 @@
-//! Long responses on a narrow link: short ones are not held up behind them.
+//! Long messages on a narrow link: short ones are not held up behind them.
 
 #![allow(clippy::unwrap_used, reason = "clippy does not see helpers as tests")]
 
@@ -7,7 +7,11 @@
         Read,
         Write, //
     },
-    net::TcpStream,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::Arc,
     thread,
     time::Duration, //
 };
@@ -16,7 +20,11 @@
 use camphordale_http::Response;
 use camphordale_reactor::{
     ConnId,
+    ConnectionUse,
     EventLoop,
+    Exchange,
+    ExpectedResponse,
+    HeldBody,
     IoEvent,
     ListenerKind, //
 };
@@ -75,6 +83,40 @@
         }
     }
 
+    /// Runs the loop until `select` returns a value for an event.
+    fn wait_for<Select, Selected>(&mut self, mut select: Select) -> Selected
+    where
+        Select: FnMut(IoEvent) -> Option<Selected>,
+    {
+        loop {
+            let next = self.clock.now() + Duration::from_millis(5);
+            let events = self.event_loop.wait(next).unwrap();
+            if let Some(selected) = events.into_iter().find_map(&mut select) {
+                return selected;
+            }
+        }
+    }
+
+    fn start_exchange(
+        &mut self,
+        id: u64,
+        address: std::net::SocketAddr,
+        method: &str,
+        body: Option<Arc<HeldBody>>,
+    ) {
+        let length = body.as_ref().map_or(0, |body| body.len());
+        let head = format!("{method} / HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n");
+        self.event_loop.start_exchange(Exchange {
+            id,
+            address,
+            bytes: head.into_bytes(),
+            body,
+            expected: ExpectedResponse::default(),
+            connection: ConnectionUse::Single,
+            deadline: self.clock.now() + Duration::from_secs(10),
+        });
+    }
+
     fn run_until_finished(&mut self, caller: thread::JoinHandle<Vec<u8>>) -> Vec<u8> {
         while !caller.is_finished() {
             let next = self.clock.now() + Duration::from_millis(5);
@@ -148,3 +190,76 @@
         "{alone:?} alone, {beside:?} beside others"
     );
 }
+
+/// Number of no connection: the body comes from no caller.
+const NO_CALLER: ConnId = ConnId::MAX;
+/// Length of an upload. It takes half a second on the link.
+const UPLOAD_BYTES: usize = 200_000;
+
+/// Guards against uploads that fill the queue of the VM's link, so that everything else waits behind
+/// them: the body is read from its caller no faster than the link carries it.
+#[test]
+fn an_upload_is_read_at_the_rate_of_the_link() {
+    let mut fixture = Fixture::new();
+    let address = fixture.address;
+    let started = fixture.clock.now();
+    let caller = thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        let head = format!("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&vec![7; UPLOAD_BYTES]).unwrap();
+        stream
+    });
+    let body = fixture.wait_for(|event| match event {
+        IoEvent::Request { request, .. } => Some(request.body.len()),
+        _ => None,
+    });
+    let took = fixture.clock.now() - started;
+    assert_eq!(body, UPLOAD_BYTES);
+    // All but the first portion at the rate of the link.
+    assert!(took >= Duration::from_millis(350), "{took:?}");
+    caller.join().unwrap();
+}
+
+/// The same towards the target, where a short request that is sent meanwhile arrives first.
+#[test]
+fn an_upload_is_sent_at_the_rate_of_the_link() {
+    let mut fixture = Fixture::new();
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = target.local_addr().unwrap();
+    let arrivals = thread::spawn(move || {
+        let serving: Vec<_> = (0..2)
+            .map(|_| target.accept().unwrap().0)
+            .map(|mut stream| {
+                thread::spawn(move || {
+                    let (mut received, mut buffer) = (0, [0; 65536]);
+                    while !buffer.starts_with(b"GET") && received < UPLOAD_BYTES {
+                        received += stream.read(&mut buffer).unwrap();
+                    }
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(answer).unwrap();
+                })
+            })
+            .collect();
+        for thread in serving {
+            thread.join().unwrap();
+        }
+    });
+    let started = fixture.clock.now();
+    let body = fixture
+        .event_loop
+        .hold_body(NO_CALLER, vec![7; UPLOAD_BYTES]);
+    fixture.start_exchange(1, address, "POST", Some(body));
+    fixture.start_exchange(2, address, "GET", None);
+    let mut ended = Vec::new();
+    while ended.len() < 2 {
+        ended.push(fixture.wait_for(|event| match event {
+            IoEvent::ExchangeEnded { id, result, .. } => Some((id, result.is_ok())),
+            _ => None,
+        }));
+    }
+    let took = fixture.clock.now() - started;
+    assert_eq!(ended, [(2, true), (1, true)]);
+    assert!(took >= Duration::from_millis(350), "{took:?}");
+    arrivals.join().unwrap();
+}
