Evacuate failure domains on the operator's order

Cause: operators could not empty a failure domain; both calls got 404.

Change: Call::Evacuate proposes Command::Evacuate, and every control VM and entry VM keeps the orders in its view. The state and the view have them at the end of their encodings, and only if there are any. An order is acknowledged when all entry VMs with a stream have it, at most after the time for changes of the routing. The leader takes targets of an evacuated domain as ones that accept no keys, and moves their keys away without the cool-down. Entry VMs exclude them from selection at once; the holder of a key there serves until evacuate_ms less a second after the VM learnt of the order, and not at all if the VM starts with a view that has it. An order about an unknown domain gets 400, an end of what never began 409.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! Events and effects of an entry VM, and the lifecycle of a request.
 
 mod crashes;
+mod evacuation;
 mod request;
 mod retry;
 mod statements;
@@ -20,6 +21,7 @@
 use camphordale_fleet::{
     Address,
     Domain,
+    EvacuationOrder,
     Fingerprint,
     Key,
     PeerMessage,
@@ -35,6 +37,7 @@
 
 use self::{
     crashes::CrashReports,
+    evacuation::EvacuationDeadlines,
     request::ActiveRequest,
     statements::StatementReports,
     view::KeySample,
@@ -90,6 +93,9 @@
     pub retry_extra: f64,
     /// How long keyed requests may still be sent to a draining target.
     pub drain_grace: Duration,
+    /// How long keyed requests may still be sent to the targets of a domain after this VM learnt of
+    /// its evacuation.
+    pub evacuation_grace: Duration,
     /// Rate of the VM's link in bytes per second, if it is known.
     pub link_rate: Option<f64>,
     /// Seed for random choices.
@@ -233,6 +239,9 @@
     Paused,
     /// The holder of the key states that it leaves, and the time in which it still serves is over.
     Leaving,
+    /// The failure domain of the target is evacuated, and the time in which holders of keys there
+    /// still serve is over.
+    Evacuated,
     /// The deadline passed before the target responded.
     TimedOut,
     /// The deadline passed before the request was sent.
@@ -277,6 +286,7 @@
             Reason::Limited => "limited",
             Reason::Paused => "paused",
             Reason::Leaving => "leaving",
+            Reason::Evacuated => "evacuated",
             Reason::TimedOut => "timed-out",
             Reason::Expired => "expired",
             Reason::Failure => "failure",
@@ -380,6 +390,15 @@
         /// The time.
         pause: Duration,
     },
+    /// An order about the evacuation of a failure domain is in force.
+    Evacuation {
+        /// The domain.
+        domain: Domain,
+        /// The order.
+        order: EvacuationOrder,
+        /// Time for which keyed requests may still be sent to its targets.
+        keyed_for: Duration,
+    },
     /// A new routing is in force.
     Routing {
         /// Its version.
@@ -456,6 +475,7 @@
     routes: RouteTable,
     targets: TargetTracker,
     draining_since: BTreeMap<TargetId, Duration>,
+    evacuations: EvacuationDeadlines,
     link: LinkShare,
     handovers: Handovers,
     budgets: HashMap<ServiceName, RetryBudget>,
@@ -490,6 +510,7 @@
     ///     retry_ratio: 0.1,
     ///     retry_extra: 10.0,
     ///     drain_grace: Duration::from_secs(1),
+    ///     evacuation_grace: Duration::from_secs(4),
     ///     link_rate: None,
     ///     seed: 7,
     /// });
@@ -501,6 +522,7 @@
             routes: RouteTable::default(),
             targets: TargetTracker::default(),
             draining_since: BTreeMap::new(),
+            evacuations: EvacuationDeadlines::default(),
             link: LinkShare::new(config.link_rate),
             handovers: Handovers::default(),
             budgets: HashMap::new(),
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -267,6 +267,7 @@
             remaining: request.deadline.saturating_sub(now),
             is_retry: request.is_retry,
             tried_targets: &request.tried_targets,
+            evacuations: &self.view.evacuations,
             limit_source: self.limit_source(now),
             now,
         }
@@ -295,6 +296,7 @@
             Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
             Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::NoTarget) => Err((Reason::NoTarget, NO_TARGET_RETRY_AFTER)),
+            Err(SelectionError::Evacuated) => Err((Reason::Evacuated, NO_TARGET_RETRY_AFTER)),
             Err(SelectionError::Full(expected)) => Err((Reason::Full, expected)),
         }
     }
@@ -332,6 +334,9 @@
         if leaving_since.is_some_and(|since| now >= since + self.config.drain_grace) {
             return Err((Reason::Leaving, NO_TARGET_RETRY_AFTER));
         }
+        if self.evacuations.has_passed(&tracked.domain, now) {
+            return Err((Reason::Evacuated, NO_TARGET_RETRY_AFTER));
+        }
         if tracked.is_backing_off(now) || tracked.is_stalled(now) {
             return Err((Reason::HolderLost, NO_TARGET_RETRY_AFTER));
         }
@@ -343,7 +348,7 @@
             Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
             Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::Full(expected)) => Err((Reason::HolderFull, expected)),
-            Err(SelectionError::NoTarget) => Err(none),
+            Err(SelectionError::NoTarget | SelectionError::Evacuated) => Err(none),
         }
     }
 
@@ -422,7 +427,11 @@
         });
         let is_settled = matches!(
             reason,
-            Reason::NoTarget | Reason::HolderLost | Reason::Leaving | Reason::Paused
+            Reason::NoTarget
+                | Reason::HolderLost
+                | Reason::Leaving
+                | Reason::Evacuated
+                | Reason::Paused
         );
         let may_change = request.cancelled || !is_settled;
         if may_change && now < until {
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -293,6 +293,9 @@
         };
         let source = self.limit_source(now);
         let tracked = self.targets.get(&target);
+        if tracked.is_some_and(|tracked| self.evacuations.has_passed(&tracked.domain, now)) {
+            return false;
+        }
         if tracked.is_some_and(|tracked| tracked.paused_for(now).is_some()) {
             return false;
         }
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -75,13 +75,17 @@
         out: &mut Vec<Effect>,
     ) {
         let mut effects = Vec::new();
+        let last_heard = now.saturating_sub(self.control_stream.silence(now));
         let is_established = self.control_stream.on_message(&message, now, &mut effects);
         out.extend(effects.into_iter().map(Effect::ControlStream));
         match message {
-            PeerMessage::Snapshot(view) if is_established => self.replace_view(*view, now, out),
+            PeerMessage::Snapshot(view) if is_established => {
+                self.replace_view(*view, last_heard, now, out);
+            }
             PeerMessage::Resume { .. } if is_established => {
                 // Notices of moves may have been missed.
                 self.handovers.clear();
+                self.evacuations.on_resumed(last_heard);
                 self.confirm_view(now, out);
                 self.retry_where(now, out, |_| true);
             }
@@ -113,6 +117,7 @@
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
             PeerMessage::Pong { entries, sent } => {
+                self.evacuations.on_confirmed();
                 self.crashes.confirm(sent);
                 self.statement_reports.confirm(sent);
                 for budget in self.budgets.values_mut() {
@@ -124,7 +129,13 @@
         self.report_stream_state(out);
     }
 
-    fn replace_view(&mut self, view: View, now: Duration, out: &mut Vec<Effect>) {
+    fn replace_view(
+        &mut self,
+        view: View,
+        last_heard: Duration,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
         // An older leader may still reply; this VM never returns to an older view.
         if view.index < self.view.index {
             out.push(Effect::ControlStream(ControlStreamEffect::Close));
@@ -132,6 +143,7 @@
             return;
         }
         let old = self.routing_version();
+        let last_heard = (self.view.index > 0).then_some(last_heard);
         self.view = view;
         self.targets.sync(&self.view);
         for (id, target) in &self.view.targets {
@@ -141,6 +153,7 @@
                     .or_insert(Duration::ZERO);
             }
         }
+        self.sync_evacuations(last_heard, now, out);
         self.routing_changed(old, now, out);
         self.targets.requeue_latencies();
         self.next_latency = now;
@@ -186,6 +199,10 @@
                 self.handovers.assigned(service, range, delivery, now);
                 return self.retry_range(service, range, now, out);
             }
+            Command::Evacuate { domain, order } => {
+                self.on_evacuation_order(domain, *order, now, out);
+                self.confirm_view(now, out);
+            }
             Command::Member(_) | Command::Forget(_) => return,
         }
         self.retry_parked(None, now, out);
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -5,6 +5,7 @@
 use camphordale_fleet::{
     Domain,
     EntryCounts,
+    Evacuations,
     TargetId, //
 };
 use rand::Rng;
@@ -62,6 +63,8 @@
 pub enum SelectionError {
     /// No target of the service accepts requests.
     NoTarget,
+    /// All targets that accept requests are in evacuated failure domains.
+    Evacuated,
     /// All targets that accept requests are full, for about this time.
     Full(Duration),
     /// All targets that are not full want no requests from this VM for at least this time.
@@ -86,6 +89,8 @@
     pub is_retry: bool,
     /// Targets that this request was already sent to.
     pub tried_targets: &'a [TargetId],
+    /// Failure domains to whose targets nothing is sent.
+    pub evacuations: &'a Evacuations,
     /// What decides on requests to targets with a limit.
     pub limit_source: LimitSource,
     /// Current time.
@@ -145,11 +150,16 @@
         let mut soonest: Option<f64> = None;
         let mut pause: Option<Duration> = None;
         let mut fallback: Option<(f64, &TargetId)> = None;
+        let mut none = SelectionError::NoTarget;
         for (id, tracked) in targets.of_service(service) {
             let leaves = tracked.leaving_since().is_some();
             if !tracked.accepts_requests || leaves || self.tried_targets.contains(id) {
                 continue;
             }
+            if self.evacuations.contains(&tracked.domain) {
+                none = SelectionError::Evacuated;
+                continue;
+            }
             if let Some(rest) = tracked.paused_for(self.now) {
                 pause = Some(pause.map_or(rest, |other: Duration| other.min(rest)));
                 continue;
@@ -204,9 +214,7 @@
             (_, Some((.., id)), ..) => Err(SelectionError::Limited(id.clone())),
             (_, _, Some(soonest), _) => Err(SelectionError::Full(Duration::from_secs_f64(soonest))),
             (_, _, None, Some((expected, id))) => Ok(pick(expected, id)),
-            (_, _, None, None) => {
-                Err(pause.map_or(SelectionError::NoTarget, SelectionError::Paused))
-            }
+            (_, _, None, None) => Err(pause.map_or(none, SelectionError::Paused)),
         }
     }
 
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -188,6 +188,7 @@
             retry_ratio: 0.2,
             retry_extra: 500.0,
             drain_grace: ms(1000),
+            evacuation_grace: ms(4000),
             link_rate: None,
             seed: seed + number,
         })
@@ -209,6 +210,7 @@
             member_timeout: ms(3500),
             apply_timeout: ms(500),
             log_limit: 16 << 20,
+            domains: Vec::new(),
             view_limit: 64 << 20,
             seed: self.random.random(),
         };
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -43,7 +43,7 @@
 pub(crate) const ORDERS: &str = "orders";
 pub(crate) const KEYED: &str = "keyed";
 
-pub(crate) fn ms(count: u64) -> Duration {
+pub(crate) const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
@@ -182,6 +182,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             drain_grace: ms(1000),
+            evacuation_grace: ms(4000),
             link_rate: Some(200_000.0),
             seed: 7,
         });
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod control_stream;
 mod crashes;
 mod decisions;
+mod evacuation;
 mod harness;
 mod load;
 mod outside_numbers;
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -137,6 +137,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        domains: Vec::new(),
         view_limit: 64 << 20,
         seed: 1,
     };
@@ -331,6 +332,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             drain_grace: ms(1000),
+            evacuation_grace: ms(4000),
             link_rate: None,
             seed: self.random.random(),
         });
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -423,6 +423,17 @@
                 outcome: outcome.clone(),
             }));
         }
+        if let Command::Evacuate { domain, order } = &command {
+            out.push(Effect::Log(LogEvent::Evacuation {
+                domain: domain.clone(),
+                order: *order,
+                outcome: outcome.clone(),
+            }));
+            // Keys of targets there begin to move with the next tick.
+            if let Some(leader) = &mut self.leader_state {
+                leader.load_stats.plan_now(now);
+            }
+        }
         if outcome == Outcome::Done {
             self.on_command_applied(&command, out);
             let is_assignment = matches!(command, Command::Assign { .. });
@@ -467,7 +478,7 @@
                 incarnation: *incarnation,
                 change: "forgotten",
             })),
-            Command::Change(_) => {}
+            Command::Change(_) | Command::Evacuate { .. } => {}
         }
     }
 
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    evacuation::EvacuationOrder,
     key_leases::{
         Answer,
         Dispatch,
@@ -32,6 +33,7 @@
     },
     routing::{
         Change,
+        Domain,
         Routing,
         Version, //
     },
@@ -63,6 +65,9 @@
     pub member_timeout: Duration,
     /// Maximum time for which an accepted change waits for confirmation by the entry VMs.
     pub apply_timeout: Duration,
+    /// Failure domains of the deployment, as far as the settings name them. Operators may order
+    /// evacuations of these and of all domains that have members, entry VMs or targets.
+    pub domains: Vec<Domain>,
     /// Maximum number of bytes of log entries that are kept in memory and on disk, apart from those
     /// that are not applied yet.
     pub log_limit: usize,
@@ -88,6 +93,13 @@
         /// Its incarnation, if it was sent.
         incarnation: Option<Incarnation>,
     },
+    /// Start or end the evacuation of a failure domain.
+    Evacuate {
+        /// The domain.
+        domain: Domain,
+        /// The order.
+        order: EvacuationOrder,
+    },
 }
 
 /// The reply to a [`Call`].
@@ -114,6 +126,8 @@
     Stale(Version),
     /// The call is invalid, with the reason.
     Invalid(Box<str>),
+    /// The call contradicts the present state, with the reason.
+    Conflict(Box<str>),
     /// No reply is possible now, with the reason. The call may have taken effect.
     Unavailable(&'static str),
 }
@@ -171,6 +185,15 @@
         /// Its result.
         outcome: Outcome,
     },
+    /// The result of an order about an evacuation is known.
+    Evacuation {
+        /// The domain.
+        domain: Domain,
+        /// The order.
+        order: EvacuationOrder,
+        /// Its result.
+        outcome: Outcome,
+    },
     /// A target was registered, changed its state or was removed.
     Target {
         /// Its id.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -17,6 +17,7 @@
     heartbeats::LeaseRequest, //
 };
 use crate::{
+    evacuation::EvacuationOrder,
     keys::KeyRange,
     registry::{
         Announcement,
@@ -28,6 +29,7 @@
     },
     routing::{
         Change,
+        Domain,
         KeyDelivery,
         ServiceName, //
     },
@@ -55,13 +57,15 @@
     Announce(CallToken),
     /// Reply to the target whose state changed, with its key leases.
     Leases(CallToken, Box<LeaseRequest>),
+    /// Reply to the operator that ordered or ended the evacuation of a domain.
+    Evacuate(CallToken, Domain),
     /// Retry the assignment of a key range if it fails.
     Assign(ServiceName, KeyRange),
     /// Nothing; no call waits for it.
     NoReply,
 }
 
-/// An accepted change or leave that is acknowledged once the entry VMs have it.
+/// An accepted change, leave or order of an operator that is acknowledged once the entry VMs have it.
 pub(super) struct PendingAck {
     pub(super) token: CallToken,
     index: u64,
@@ -137,9 +141,43 @@
             }
             Call::Announce(announcement) => self.announce(token, &announcement, now, out),
             Call::Leave { id, incarnation } => self.leave(token, &id, incarnation, now, out),
+            Call::Evacuate { domain, order } => self.evacuate(token, domain, order, now, out),
         }
     }
 
+    /// Proposes an order about an evacuation. A repeated one is proposed as well: only the log tells
+    /// whether another leader has accepted the opposite order in between.
+    fn evacuate(
+        &mut self,
+        token: CallToken,
+        domain: Domain,
+        order: EvacuationOrder,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.knows_domain(&domain) {
+            let reply = Reply::Invalid("unknown failure domain".into());
+            out.push(Effect::Reply { token, reply });
+            return;
+        }
+        let command = Command::Evacuate {
+            domain: domain.clone(),
+            order,
+        };
+        self.propose(&command, Pending::Evacuate(token, domain), now, out);
+    }
+
+    /// Whether a failure domain is named in the settings, or has a member, an entry VM with a stream
+    /// or a target. The end of an evacuation can be ordered even if none of these is left.
+    fn knows_domain(&self, domain: &Domain) -> bool {
+        let view = &self.state.view;
+        self.config.domains.contains(domain)
+            || view.evacuations.knows(domain)
+            || view.members.values().any(|m| m.domain == *domain)
+            || self.has_entry_in(domain)
+            || view.targets.values().any(|t| t.domain == *domain)
+    }
+
     fn propose_change(
         &mut self,
         token: CallToken,
@@ -156,7 +194,7 @@
                     version,
                     outcome: outcome.clone(),
                 }));
-                let reply = change_refusal(outcome);
+                let reply = refusal(outcome);
                 out.push(Effect::Reply { token, reply });
                 return;
             }
@@ -392,6 +430,7 @@
                 Pending::Change(token)
                 | Pending::Read(token)
                 | Pending::Announce(token)
+                | Pending::Evacuate(token, _)
                 | Pending::Leases(token, _),
             ) => {
                 let reply = Reply::Unavailable("leadership was lost");
@@ -416,8 +455,13 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        let token = match pending {
-            Pending::Change(token) => token,
+        let (token, index) = match pending {
+            Pending::Change(token) => (token, index),
+            // A repeated order took effect at an earlier index, which the entry VMs may have.
+            Pending::Evacuate(token, domain) => {
+                let changed_at = self.state.view.evacuations.changed_at(&domain);
+                (token, changed_at.unwrap_or(index))
+            }
             Pending::Announce(token) => {
                 return self.acknowledge_leave(token, index, None, now, out);
             }
@@ -449,7 +493,7 @@
                 self.acknowledge_changes(now, out);
                 return;
             }
-            outcome => change_refusal(outcome),
+            outcome => refusal(outcome),
         };
         out.push(Effect::Reply { token, reply });
     }
@@ -473,7 +517,7 @@
         self.acknowledge_changes(now, out);
     }
 
-    /// Acknowledges changes and leaves that all entry VMs with a live stream have, or whose wait has
+    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream have, or whose wait has
     /// timed out.
     pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.pending_acks.is_empty() {
@@ -500,11 +544,14 @@
     }
 }
 
-/// The reply to an operator whose change was not accepted.
-fn change_refusal(outcome: Outcome) -> Reply {
+/// The reply to an operator whose change or order was not accepted.
+fn refusal(outcome: Outcome) -> Reply {
     match outcome {
         Outcome::Stale { current } => Reply::Stale(current),
         Outcome::Invalid(error) => Reply::Invalid(error.to_string().into()),
+        Outcome::NotEvacuated => {
+            Reply::Conflict("no evacuation of this failure domain was ordered".into())
+        }
         Outcome::Done | Outcome::Repeated | Outcome::Outdated => Reply::Unavailable("not a change"),
     }
 }
--- a/crates/fleet/src/control/heartbeats.rs
+++ b/crates/fleet/src/control/heartbeats.rs
@@ -134,7 +134,7 @@
             return;
         };
         let service = target.service.clone();
-        let leaves = target.state != TargetState::Ready;
+        let leaves = target.state != TargetState::Ready || view.is_evacuated(&target.domain);
         leader.lease_table.record_report(&service, holder, report);
         // The target has given up on its earlier announcements.
         let superseded = leader
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -181,6 +181,7 @@
         service: &str,
         ranges: &[KeyRange],
         candidates: &[Candidate],
+        evacuated: &BTreeSet<Holder>,
         now: Duration,
     ) -> Vec<Move> {
         let (recent_sample, recent_rate) = self.demand(service, RECENT_WINDOW, now);
@@ -193,10 +194,14 @@
         let sample = &sample;
         let mut moves = balance::plan(ranges, candidates, &Demand { sample, rate });
         // In the longer window, a range can look busy because a single key was hot for a moment.
+        // Keys leave an evacuated domain whatever the load of the others.
         moves.retain(|planned| {
             let range = balance::range_at(ranges, planned.from);
             let previous = range.and_then(|range| range.holder.as_ref());
-            !hot.contains(&planned.next) && previous.is_none_or(|previous| !hot.contains(previous))
+            let must_leave = previous.is_some_and(|previous| evacuated.contains(previous));
+            must_leave
+                || !hot.contains(&planned.next)
+                    && previous.is_none_or(|previous| !hot.contains(previous))
         });
         match moves.is_empty() {
             true => balance::plan(ranges, candidates, &recent),
@@ -289,7 +294,8 @@
                 id: id.clone(),
                 incarnation: target.incarnation,
             };
-            let ready = target.state == TargetState::Ready;
+            let evacuated = self.state.view.is_evacuated(&target.domain);
+            let ready = target.state == TargetState::Ready && !evacuated;
             let latest = leader
                 .announcements
                 .get(id)
@@ -442,7 +448,13 @@
             }
             let ranges: Vec<KeyRange> = leases.iter().map(Lease::next_range).collect();
             let mut started = Vec::new();
-            let moves = leader.load_stats.moves(&service, &ranges, &candidates, now);
+            let view = &self.state.view;
+            let holders = candidates.iter().map(|candidate| &candidate.holder);
+            let evacuated = holders.filter(|holder| view.is_in_evacuated_domain(&holder.id));
+            let evacuated: BTreeSet<Holder> = evacuated.cloned().collect();
+            let moves = leader
+                .load_stats
+                .moves(&service, &ranges, &candidates, &evacuated, now);
             let leaving = candidates.iter().filter(|c| !c.accepts_keys);
             let leaving: BTreeSet<&Holder> = leaving.map(|c| &c.holder).collect();
             for planned in moves {
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -426,6 +426,11 @@
         }
     }
 
+    /// Whether an entry VM of a failure domain has a stream.
+    pub(super) fn has_entry_in(&self, domain: &Domain) -> bool {
+        self.streams.values().any(|stream| stream.domain == *domain)
+    }
+
     fn entry_counts(&self, domain: &Domain) -> EntryCounts {
         let same = self.streams.values().filter(|s| s.domain == *domain);
         EntryCounts {
--- a/crates/fleet/src/key_leases.rs
+++ b/crates/fleet/src/key_leases.rs
@@ -384,7 +384,13 @@
                 let Some(free) = lease.free_range(&failing, service, view, self.times, now) else {
                     continue;
                 };
-                let next = free.next.filter(|next| view.is_current(next));
+                // Only a later incarnation of the holder can have the range at once, wherever it is.
+                let is_usable = |next: &Holder| {
+                    view.is_current(next)
+                        && (!view.is_in_evacuated_domain(&next.id)
+                            || lease.is_of_earlier_incarnation(Some(next)))
+                };
+                let next = free.next.filter(is_usable);
                 let Some(next) = next.or_else(|| pick_holder(service, &lease.range)) else {
                     continue;
                 };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `state` | the replicated state machine |
 //! | `message` | messages between VMs |
 //! | `control` | the reducer of a control VM |
+//! | `evacuation` | failure domains to whose targets nothing is sent |
 //! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
@@ -23,6 +24,7 @@
 pub mod balance;
 mod control;
 pub mod crash_evidence;
+mod evacuation;
 pub mod key_leases;
 mod keys;
 mod message;
@@ -48,6 +50,10 @@
     Fingerprint,
     Verdict, //
 };
+pub use evacuation::{
+    EvacuationOrder,
+    Evacuations, //
+};
 pub use key_leases::{
     Answer,
     Dispatch,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     crash_evidence::CrashRecord,
+    evacuation,
     keys::Key,
     registry::{
         Holder,
@@ -108,7 +109,7 @@
         leader: Option<SocketAddr>,
     },
     /// The complete view.
-    Snapshot(Box<View>),
+    Snapshot(#[serde(with = "evacuation::sent_view")] Box<View>),
     /// One command of the state machine.
     Update {
         /// Index of the command.
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -12,10 +12,17 @@
 use camphordale_raft::MemberId;
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    Serializer, //
 };
 
 use crate::{
+    evacuation::{
+        self,
+        EvacuationOrder,
+        Evacuations, //
+    },
     keys::{
         KeyMap,
         KeyRange, //
@@ -30,6 +37,7 @@
     routing::{
         Change,
         Digest,
+        Domain,
         Invalid,
         KeyDelivery,
         RouteName,
@@ -76,6 +84,13 @@
         /// The range and its new holder.
         range: KeyRange,
     },
+    /// Starts or ends the evacuation of a failure domain.
+    Evacuate {
+        /// The domain.
+        domain: Domain,
+        /// The operator's order.
+        order: EvacuationOrder,
+    },
 }
 
 /// Result of a command.
@@ -83,7 +98,7 @@
 pub enum Outcome {
     /// The command was applied.
     Done,
-    /// The same change was accepted earlier.
+    /// The same change was accepted earlier, or the order has taken effect already.
     Repeated,
     /// The change is based on a version that is not the current one.
     Stale {
@@ -94,6 +109,8 @@
     Invalid(Invalid),
     /// The command is outdated: a newer incarnation or holder is known. Nothing changed.
     Outdated,
+    /// The order ends an evacuation that never began. Nothing changed.
+    NotEvacuated,
 }
 
 /// The part of the state that is streamed to entry VMs.
@@ -109,6 +126,10 @@
     pub keys: BTreeMap<ServiceName, KeyMap>,
     /// Control VMs.
     pub members: BTreeMap<MemberId, Member>,
+    /// Evacuated failure domains. [`State`] and [`crate::PeerMessage::Snapshot`] encode them at
+    /// their ends.
+    #[serde(skip)]
+    pub evacuations: Evacuations,
 }
 
 impl View {
@@ -181,6 +202,7 @@
                 map.assign(range.clone());
                 Outcome::Done
             }
+            Command::Evacuate { domain, order } => self.evacuations.apply(index, domain, *order),
         }
     }
 
@@ -268,7 +290,7 @@
 }
 
 /// The complete replicated state.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
     /// The part that is streamed to entry VMs.
     pub view: View,
@@ -278,6 +300,32 @@
     accepted_digests: BTreeSet<Digest>,
 }
 
+impl Serialize for State {
+    fn serialize<Sink>(&self, serializer: Sink) -> Result<Sink::Ok, Sink::Error>
+    where
+        Sink: Serializer,
+    {
+        let body = (&self.view, &self.history, &self.accepted_digests);
+        evacuation::serialize_after(&body, &self.view.evacuations, serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for State {
+    fn deserialize<Source>(deserializer: Source) -> Result<State, Source::Error>
+    where
+        Source: Deserializer<'de>,
+    {
+        let (body, evacuations) = evacuation::deserialize_after(deserializer)?;
+        let (mut view, history, accepted_digests): (View, _, _) = body;
+        view.evacuations = evacuations;
+        Ok(State {
+            view,
+            history,
+            accepted_digests,
+        })
+    }
+}
+
 impl State {
     /// Returns a change as it is proposed: without what the routing has already, and without any
     /// content if it was accepted before.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -78,6 +78,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        domains: vec!["a".into(), "b".into()],
         view_limit: 64 << 20,
         seed,
     }
--- a/crates/fleet/tests/control/heartbeats.rs
+++ b/crates/fleet/tests/control/heartbeats.rs
@@ -26,23 +26,25 @@
 };
 
 /// A cluster with targets that announce themselves every 870 ms.
-struct Fleet {
-    cluster: TestCluster,
-    targets: Vec<FleetTarget>,
+pub(crate) struct Fleet {
+    pub(crate) cluster: TestCluster,
+    pub(crate) targets: Vec<FleetTarget>,
 }
 
-struct FleetTarget {
-    id: TargetId,
+pub(crate) struct FleetTarget {
+    pub(crate) id: TargetId,
+    /// Failure domain.
+    pub(crate) domain: Box<str>,
     sequence: u64,
-    next: u64,
-    draining: bool,
-    report: LeaseReport,
+    pub(crate) next: u64,
+    pub(crate) draining: bool,
+    pub(crate) report: LeaseReport,
     token: Option<CallToken>,
 }
 
 impl Fleet {
     /// Targets whose announcements come `phases` milliseconds after each other's.
-    fn new(seed: u64, phases: &[u64]) -> Fleet {
+    pub(crate) fn new(seed: u64, phases: &[u64]) -> Fleet {
         let mut cluster = TestCluster::new(seed);
         let mut first = keyed_change();
         first.services[0].1.spec.keys = KeyDelivery::Heartbeat;
@@ -53,6 +55,7 @@
             .enumerate()
             .map(|(number, phase)| FleetTarget {
                 id: format!("t{number}").into(),
+                domain: "a".into(),
                 sequence: 0,
                 next: start + phase,
                 draining: false,
@@ -71,12 +74,13 @@
         let mut sent = announcement(target.sequence, 100, target.draining);
         sent.id = target.id.clone();
         sent.address = format!("10.1.0.{}:80", number + 1).parse().unwrap();
+        sent.domain = target.domain.clone();
         sent.report = target.report.clone();
         self.cluster.call(at, Call::Announce(Box::new(sent)))
     }
 
     /// Runs for a time in which targets announce themselves to the leader and follow its answers.
-    fn run(&mut self, millis: u64) {
+    pub(crate) fn run(&mut self, millis: u64) {
         for _ in 0..millis / 5 {
             self.cluster.run(ms(5));
             let now = self.cluster.now.as_millis() as u64;
@@ -134,12 +138,12 @@
         }
     }
 
-    fn width(&self, number: usize) -> u32 {
+    pub(crate) fn width(&self, number: usize) -> u32 {
         let held = self.targets[number].report.held.iter();
         held.map(|held| u32::from(held.to - held.from) + 1).sum()
     }
 
-    fn widths(&self) -> Vec<u32> {
+    pub(crate) fn widths(&self) -> Vec<u32> {
         (0..self.targets.len())
             .map(|number| self.width(number))
             .collect()
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod crashes;
+mod evacuation;
 mod full_disks;
 mod heartbeats;
 mod randomized;
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -117,6 +117,7 @@
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
+        domains: Vec::new(),
         view_limit: 64 << 20,
         seed: 1,
     }
--- a/crates/fleet/tests/large_fleet/retention.rs
+++ b/crates/fleet/tests/large_fleet/retention.rs
@@ -56,6 +56,7 @@
 
 fn config() -> Config {
     Config {
+        domains: Vec::new(),
         view_limit: VIEW_LIMIT,
         ..fleet::config()
     }
--- a/crates/reactor/src/adapter.rs
+++ b/crates/reactor/src/adapter.rs
@@ -104,7 +104,7 @@
 /// Kind of the call that a reply answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
-    /// A change or a read of the routing.
+    /// A change or a read of the routing, or another order of an operator.
     Routing,
     /// An announcement or a leave of a target.
     Target,
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -206,6 +206,7 @@
         target_timeout: tuning.target_timeout,
         member_timeout: tuning.member_timeout,
         apply_timeout: tuning.apply_timeout,
+        domains: role_settings.domains.clone(),
         log_limit: settings
             .memory
             .map_or(DEFAULT_LOG_LIMIT, |memory| memory / LOG_DIVISOR),
@@ -392,7 +393,7 @@
             change.received_ms = camphordale_clock::unix_ms();
         }
         let kind = match &call {
-            Call::Change(_) | Call::Read => CallKind::Routing,
+            Call::Change(_) | Call::Read | Call::Evacuate { .. } => CallKind::Routing,
             Call::Announce(_) | Call::Leave { .. } => CallKind::Target,
         };
         self.next_token += 1;
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -32,6 +32,7 @@
     let kind = match event {
         LogEvent::Role { .. } => "role",
         LogEvent::Change { .. } => "change",
+        LogEvent::Evacuation { .. } => "evacuation",
         LogEvent::Target { .. } => "target",
         LogEvent::Assigned { .. } => "assigned",
         LogEvent::Moving { .. } => "moving",
@@ -58,6 +59,12 @@
             outcome,
         } => info!(logger, "change decided"; "base" => base, "version" => version,
             "outcome" => format!("{outcome:?}")),
+        LogEvent::Evacuation {
+            domain,
+            order,
+            outcome,
+        } => info!(logger, "evacuation decided"; "domain" => &**domain,
+            "order" => format!("{order:?}"), "outcome" => format!("{outcome:?}")),
         LogEvent::Target {
             id,
             incarnation,
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -75,6 +75,9 @@
 
 /// Interval between ticks of the reducer while no request has an earlier deadline.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of the evacuation time in which no request is sent any more to the holder of its key: the
+/// update may take as long to reach this VM as a request to reach the target.
+const EVACUATION_MARGIN: Duration = Duration::from_secs(1);
 /// Time after a termination signal for which the VM still serves new connections: until callers
 /// have noticed that it is not ready and no longer connect to it.
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(2600);
@@ -138,6 +141,9 @@
             retry_ratio: role_settings.retry_ratio,
             retry_extra: role_settings.retry_extra,
             drain_grace: role_settings.drain_timeout / 2,
+            evacuation_grace: role_settings
+                .evacuation_timeout
+                .saturating_sub(EVACUATION_MARGIN),
             link_rate: settings.link_rate,
             seed: rand::random(),
         };
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -97,6 +97,16 @@
                         "for_ms" => pause.as_millis() as u64);
                 }
             }
+            LogEvent::Evacuation {
+                domain,
+                order,
+                keyed_for,
+            } => {
+                context.metrics.count_event("evacuation");
+                info!(context.logger, "evacuation in force"; "domain" => &*domain,
+                    "order" => format!("{order:?}"),
+                    "keyed_for_ms" => keyed_for.as_millis() as u64);
+            }
             LogEvent::Routing {
                 version,
                 view,
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -83,6 +83,9 @@
     pub drain_timeout: Duration,
     /// Time from the termination signal until the process is killed.
     pub grace_period: Duration,
+    /// Time after the acknowledgement of an evacuation within which the last request may reach a
+    /// target of the domain.
+    pub evacuation_timeout: Duration,
 }
 
 /// Settings of a control VM.
@@ -100,6 +103,8 @@
     pub max_lease: Duration,
     /// Time between two announcements of a target.
     pub announcement_interval: Duration,
+    /// Failure domains of the deployment that the settings name.
+    pub domains: Vec<Domain>,
 }
 
 impl ControlSettings {
@@ -119,6 +124,7 @@
     ///     tolerated_failures: 1,
     ///     max_lease: Duration::from_secs(10),
     ///     announcement_interval: Duration::from_millis(900),
+    ///     domains: Vec::new(),
     /// };
     /// assert_eq!(settings.announced_lease(), Duration::from_millis(2800));
     /// # Ok::<(), std::net::AddrParseError>(())
