Share the load of targets among entry VMs

An entry VM sees each of 77 to 205 keyed targets once in 5 to 17 s, so its estimate of their load is nearly always stale.

For contended routings, an entry VM now reports with each ping the newest load that each target stated since the last one (TargetLoads). The leader merges the reports by recency and sends all entry VMs that report one summary every 200 ms (LoadSummary), encoded once. It holds at most 135 targets, those first whose load changed most or was stated least recently. An entry VM adopts loads that are newer than its own; its attempts in flight that were sent before are part of them.

Targets are named by a hash of 32 bits of id and incarnation. A rank in the registry would be shorter, but the view of a reporting VM may be older than that of the leader.

Uncontended routings and older peers get no new messages (tests).

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! Events and effects of an entry VM, and the lifecycle of a request.
 
 mod crashes;
+mod loads;
 mod request;
 mod retry;
 mod statements;
@@ -35,6 +36,7 @@
 
 use self::{
     crashes::CrashReports,
+    loads::LoadReports,
     request::ActiveRequest,
     statements::StatementReports,
     view::KeySample,
@@ -473,6 +475,7 @@
     next_latency: Duration,
     crashes: CrashReports,
     statement_reports: StatementReports,
+    load_reports: LoadReports,
     random: StdRng,
 }
 
@@ -522,6 +525,7 @@
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
             statement_reports: StatementReports::default(),
+            load_reports: LoadReports::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -547,6 +551,7 @@
             Event::StreamClosed => {
                 self.crashes.on_stream_closed(now);
                 self.statement_reports.on_stream_closed(now);
+                self.load_reports.on_stream_closed(now);
                 self.control_stream.on_closed(now);
                 self.report_stream_state(&mut out);
             }
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -44,7 +44,11 @@
     pub(super) fn maintain_control_stream(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
         self.control_stream.tick(&self.view, now, &mut effects);
+        if !self.control_stream.is_established() {
+            self.load_reports.on_stream_left();
+        }
         if self.control_stream.ping_due(now) {
+            self.report_loads(now, out);
             let load = self.take_reports(now);
             self.control_stream
                 .ping(self.view.index, load, now, &mut effects);
@@ -112,9 +116,13 @@
                 rights,
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
+            PeerMessage::LoadSummary { loads } if is_established => {
+                self.on_load_summary(&loads, now);
+            }
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
                 self.statement_reports.confirm(sent);
+                self.load_reports.confirm(sent);
                 for budget in self.budgets.values_mut() {
                     budget.set_vm_count(entries.all);
                 }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -17,7 +17,13 @@
     TargetId,
     TargetLatency,
     TargetState,
-    View, //
+    View,
+    load_summary::{
+        LoadAge,
+        TargetLoad,
+        TargetTag,
+        target_tag, //
+    }, //
 };
 
 use crate::limits::TargetLimit;
@@ -114,6 +120,10 @@
     unreported: (u32, f64),
     other_load: f64,
     reported_at: Duration,
+    /// Name of the incarnation in load summaries.
+    tag: TargetTag,
+    /// Load that the target stated to this VM since the last report to the leader, and when.
+    unshared_load: Option<(u16, Duration)>,
     backoff: Duration,
     backoff_until: Duration,
     responded_at: Duration,
@@ -126,7 +136,7 @@
 }
 
 impl TrackedTarget {
-    fn new(target: &Target) -> TrackedTarget {
+    fn new(id: &str, target: &Target) -> TrackedTarget {
         TrackedTarget {
             incarnation: target.incarnation,
             service: target.service.clone(),
@@ -140,6 +150,8 @@
             unreported: (0, 0.0),
             other_load: 0.0,
             reported_at: Duration::ZERO,
+            tag: target_tag(id, target.incarnation),
+            unshared_load: None,
             backoff: Duration::ZERO,
             backoff_until: Duration::ZERO,
             responded_at: Duration::ZERO,
@@ -292,10 +304,24 @@
             let total = report.total();
             self.other_load = (total - self.in_flight.len() as f64).max(0.0);
             self.reported_at = now;
+            let requests = u16::try_from(report.running.saturating_add(report.queued));
+            self.unshared_load = Some((requests.unwrap_or(u16::MAX), now));
             self.slots = report.slots.max(1);
         }
     }
 
+    /// Records a load that the target stated to another VM at `seen_at`. Of this VM's attempts, those
+    /// sent before are part of it.
+    pub fn record_shared_load(&mut self, requests: u16, seen_at: Duration) {
+        if seen_at <= self.reported_at {
+            return;
+        }
+        let attempts = self.in_flight.values();
+        let own = attempts.filter(|attempt| attempt.sent_at <= seen_at);
+        self.other_load = (f64::from(requests) - own.count() as f64).max(0.0);
+        self.reported_at = seen_at;
+    }
+
     fn back_off(&mut self, now: Duration) {
         self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
         self.backoff_until = now + self.backoff;
@@ -349,7 +375,7 @@
                 };
                 self.replace(id, moved);
             }
-            Some(_) | None => self.replace(id, TrackedTarget::new(target)),
+            Some(_) | None => self.replace(id, TrackedTarget::new(id, target)),
         }
     }
 
@@ -434,6 +460,37 @@
         out
     }
 
+    /// Takes the loads that targets stated to this VM since the last report, at most `limit` of
+    /// them.
+    pub fn take_loads(&mut self, limit: usize, now: Duration) -> Vec<TargetLoad> {
+        let all = self.by_id.values_mut();
+        let loads = all.filter_map(|tracked| {
+            let (requests, stated_at) = tracked.unshared_load?;
+            let age = LoadAge::new(now.saturating_sub(stated_at));
+            tracked.unshared_load = None;
+            Some(TargetLoad {
+                tag: tracked.tag,
+                requests,
+                age: age?,
+            })
+        });
+        let mut loads: Vec<TargetLoad> = loads.collect();
+        loads.sort_by_key(|load| load.tag);
+        loads.truncate(limit);
+        loads
+    }
+
+    /// Records the loads that targets stated to other VMs. Loads of unknown targets are ignored.
+    pub fn record_shared_loads(&mut self, loads: &[TargetLoad], now: Duration) {
+        let by_tag: HashMap<TargetTag, &TargetLoad> =
+            loads.iter().map(|load| (load.tag, load)).collect();
+        for tracked in self.by_id.values_mut() {
+            if let Some(load) = by_tag.get(&tracked.tag) {
+                tracked.record_shared_load(load.requests, now.saturating_sub(load.age.time()));
+            }
+        }
+    }
+
     /// All targets.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (&TargetId, &mut TrackedTarget)> {
         self.by_id.iter_mut()
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod harness;
 mod load;
+mod loads;
 mod outside_numbers;
 mod requests;
 mod statements;
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod crashes;
 mod heartbeats;
+mod loads;
 mod members;
 mod rebalance;
 mod statements;
@@ -48,6 +49,7 @@
     },
     crashes::CrashNews,
     heartbeats::DelayedAnswer,
+    loads::LoadNews,
     members::MemberTable,
     rebalance::LoadStats,
     statements::StatementNews,
@@ -103,6 +105,7 @@
     delayed_answers: Vec<DelayedAnswer>,
     crash_news: CrashNews,
     statement_news: StatementNews,
+    load_news: LoadNews,
     /// Newest proposed record of each target, until it is committed. What a target calls for next is
     /// judged by it.
     proposed_targets: BTreeMap<TargetId, Target>,
@@ -306,6 +309,7 @@
             self.send_delayed_answers(now, out);
             self.share_crash_evidence(now, out);
             self.share_limits(now, out);
+            self.share_loads(now, out);
             self.close_silent_streams(now, out);
             self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
@@ -522,6 +526,7 @@
             next_lease_pass: now,
             crash_news: CrashNews::default(),
             statement_news: StatementNews::default(),
+            load_news: LoadNews::default(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -157,6 +157,8 @@
     pub(super) takes_evidence: bool,
     /// Whether the entry VM takes statements of targets and rights to send.
     pub(super) takes_statements: bool,
+    /// Whether the entry VM takes summaries of the load of targets.
+    pub(super) takes_summaries: bool,
 }
 
 impl Control {
@@ -236,6 +238,7 @@
                 };
                 self.on_target_statements(conn, sent, statements, now, out);
             }
+            PeerMessage::TargetLoads { loads } => self.on_target_loads(conn, &loads, now),
             // Other messages are for control VMs; a peer may send them on any connection.
             other => self.on_peer_message(other, now, out),
         }
@@ -294,6 +297,7 @@
             last_heard: now,
             takes_evidence: false,
             takes_statements: false,
+            takes_summaries: false,
         };
         self.streams.insert(subscription.conn, stream);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `control` | the reducer of a control VM |
 //! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
+//! | `load_summary` | load of targets by the reports of all entry VMs |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -25,6 +26,7 @@
 pub mod crash_evidence;
 pub mod key_leases;
 mod keys;
+pub mod load_summary;
 mod message;
 mod registry;
 mod request_limits;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -17,6 +17,7 @@
 use crate::{
     crash_evidence::CrashRecord,
     keys::Key,
+    load_summary::TargetLoad,
     registry::{
         Holder,
         TargetId, //
@@ -185,6 +186,18 @@
         /// Rights that the entry VM needs, or that the leader grants, by target.
         rights: Vec<(Holder, u16)>,
     },
+    /// Loads that targets stated in responses to an entry VM. It is sent with each ping if the routing
+    /// is contended, also without any load, and says that the entry VM takes summaries.
+    TargetLoads {
+        /// The newest load of each target that responded since the last report.
+        loads: Vec<TargetLoad>,
+    },
+    /// Loads of targets that changed, by the reports of all entry VMs, from the leader to each of
+    /// them.
+    LoadSummary {
+        /// The loads.
+        loads: Vec<TargetLoad>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod full_disks;
 mod heartbeats;
+mod loads;
 mod randomized;
 mod scenarios;
 mod tokens;
