--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod evacuation;
+mod loads;
 mod request;
 mod retry;
 mod statements;
@@ -38,6 +39,7 @@
 use self::{
     crashes::CrashReports,
     evacuation::EvacuationDeadlines,
+    loads::LoadReports,
     request::ActiveRequest,
     statements::StatementReports,
     view::KeySample,
@@ -493,6 +495,7 @@
     next_latency: Duration,
     crashes: CrashReports,
     statement_reports: StatementReports,
+    load_reports: LoadReports,
     random: StdRng,
 }
 
@@ -544,6 +547,7 @@
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
             statement_reports: StatementReports::default(),
+            load_reports: LoadReports::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -569,6 +573,7 @@
             Event::StreamClosed => {
                 self.crashes.on_stream_closed(now);
                 self.statement_reports.on_stream_closed(now);
+                self.load_reports.on_stream_closed(now);
                 self.control_stream.on_closed(now);
                 self.report_stream_state(&mut out);
             }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod harness;
 mod load;
+mod loads;
 mod outside_numbers;
 mod requests;
 mod statements;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `evacuation` | failure domains to whose targets nothing is sent |
 //! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
+//! | `load_summary` | load of targets by the reports of all entry VMs |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -27,6 +28,7 @@
 mod evacuation;
 pub mod key_leases;
 mod keys;
+pub mod load_summary;
 mod message;
 mod registry;
 mod request_limits;
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod full_disks;
 mod heartbeats;
+mod loads;
 mod randomized;
 mod scenarios;
 mod tokens;
