--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -26,7 +26,8 @@
     RequestRate,
     ServiceName,
     TargetId,
-    View, //
+    View,
+    WarmUpBounds, //
 };
 use rand::{
     SeedableRng,
@@ -90,6 +91,8 @@
     pub retry_extra: f64,
     /// How long keyed requests may still be sent to a draining target.
     pub drain_grace: Duration,
+    /// Bounds on the requests to a cold target.
+    pub warm_up: WarmUpBounds,
     /// Rate of the VM's link in bytes per second, if it is known.
     pub link_rate: Option<f64>,
     /// Seed for random choices.
@@ -338,6 +341,32 @@
     pub evidence: Option<Evidence>,
 }
 
+/// What shows that a target is cold or warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdSource {
+    /// Its record in the registry.
+    Registry,
+    /// A connection from this VM that could not be opened.
+    Connection,
+    /// The leader, about connections of other VMs that could not be opened.
+    Leader,
+}
+
+impl ColdSource {
+    /// Name in logs.
+    ///
+    /// ```
+    /// assert_eq!(camphordale_entry::ColdSource::Leader.name(), "leader");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            ColdSource::Registry => "registry",
+            ColdSource::Connection => "connection",
+            ColdSource::Leader => "leader",
+        }
+    }
+}
+
 /// A change of state or a decision for the process to log and count.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -368,6 +397,15 @@
         /// Whether the leader told it, not an answer to this VM.
         told: bool,
     },
+    /// A target turned cold or warm, to the knowledge of this VM.
+    Cold {
+        /// The target.
+        target: TargetId,
+        /// Requests per second from all VMs, if it is cold.
+        limit: Option<RequestRate>,
+        /// What shows it.
+        source: ColdSource,
+    },
     /// A target states that it leaves.
     Leaving {
         /// The target.
@@ -482,6 +520,7 @@
     /// ```
     /// use std::time::Duration;
     /// use camphordale_entry::{Config, Entry};
+    /// use camphordale_fleet::WarmUpBounds;
     ///
     /// let entry = Entry::new(Config {
     ///     entry_id: 1,
@@ -490,6 +529,7 @@
     ///     retry_ratio: 0.1,
     ///     retry_extra: 10.0,
     ///     drain_grace: Duration::from_secs(1),
+    ///     warm_up: WarmUpBounds::default(),
     ///     link_rate: None,
     ///     seed: 7,
     /// });
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -45,7 +45,7 @@
 const PARK_DIVISOR: u32 = 10;
 /// A request may wait for a right to send to a target with a limit for the latency objective divided
 /// by this: the answer of the leader takes a moment longer than the next free slot.
-const RIGHT_WAIT_DIVISOR: u32 = 4;
+pub(super) const RIGHT_WAIT_DIVISOR: u32 = 4;
 /// Fraction of the latency objective after which an idempotent request is also sent to another
 /// target.
 const HEDGE_FRACTION: f64 = 0.6;
@@ -292,7 +292,7 @@
                 }
                 Ok(pick.id)
             }
-            Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
+            Err(SelectionError::Limited(denied)) => Err(self.limited(id, &denied, now)),
             Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::NoTarget) => Err((Reason::NoTarget, NO_TARGET_RETRY_AFTER)),
             Err(SelectionError::Full(expected)) => Err((Reason::Full, expected)),
@@ -340,7 +340,7 @@
             .admits(&holder.id, tracked)
         {
             Ok(()) => Ok(holder.id.clone()),
-            Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
+            Err(SelectionError::Limited(denied)) => Err(self.limited(id, &denied, now)),
             Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::Full(expected)) => Err((Reason::HolderFull, expected)),
             Err(SelectionError::NoTarget) => Err(none),
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -114,6 +114,9 @@
                 // An established connection shows that the target is reachable.
                 self.targets
                     .attempt_failed(target, attempt, sent || received, now);
+                if !sent && !received {
+                    self.on_connection_failed(&holder, now, out);
+                }
                 if sent && closed {
                     self.crashes.record_crash(fingerprint, &holder, now);
                     self.refuse_waiting(fingerprint, now, out);
--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -1,29 +1,41 @@
 //! What targets state about themselves in responses, and the exchange of it with the control leader.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     time::Duration, //
 };
 
 use camphordale_fleet::{
     Holder,
     PeerMessage,
+    RequestRate,
+    ServiceName,
     StatedLimit,
-    TargetId, //
+    TargetId,
+    TargetState, //
 };
 use rand::Rng;
 
 use super::{
     AttemptId,
+    ColdSource,
     Effect,
     Entry,
     LogEvent,
     Reason,
-    TargetStatement, //
+    RequestHandle,
+    TargetStatement,
+    request::RIGHT_WAIT_DIVISOR, //
 };
 use crate::{
     control_stream::ControlStreamEffect,
-    limits::LimitSource, //
+    limits::{
+        LimitSource,
+        TargetLimit, //
+    },
 };
 
 /// Pauses are cut to ten years, so that sums of times do not overflow.
@@ -52,9 +64,17 @@
     /// Whether the leader of this stream has been told all.
     reported_all: bool,
     next_ask: Duration,
+    /// When rights were last asked for.
+    asked_at: Duration,
+    /// Cold targets for which a request lacks a right.
+    cold_wanted: BTreeSet<TargetId>,
     /// When the first report on this stream was sent, until the leader has replied to a later ping.
     unconfirmed_since: Option<Duration>,
     paused_until: Duration,
+    /// Limits of the cold targets of services with a warm-up rate.
+    cold_limits: HashMap<ServiceName, RequestRate>,
+    /// Targets to which a connection has failed since it was reported.
+    failed: BTreeSet<TargetId>,
 }
 
 impl StatementReports {
@@ -169,15 +189,29 @@
     pub(super) fn want_right(&mut self, target: &str) {
         if let Some(tracked) = self.targets.get_mut(target) {
             tracked.limit.want();
+            if tracked.limit.is_cold() {
+                self.statement_reports.cold_wanted.insert(target.into());
+            }
         }
     }
 
     /// The refusal of a request for which this VM has no right: another one is free after the
     /// reciprocal of the limit. Callers are spread, so that they do not come back together.
-    pub(super) fn limited(&mut self, target: &str) -> (Reason, Duration) {
-        self.want_right(target);
-        let limit = self.targets.get(target).and_then(|t| t.limit.limit());
-        let rate = limit.map_or(0.0, f64::from);
+    pub(super) fn limited(
+        &mut self,
+        id: RequestHandle,
+        target: &str,
+        now: Duration,
+    ) -> (Reason, Duration) {
+        let limit = self.targets.get(target).map(|tracked| &tracked.limit);
+        let rate = limit.and_then(TargetLimit::limit).map_or(0.0, f64::from);
+        let is_cold = limit.is_some_and(TargetLimit::is_cold);
+        let request = self.requests.get(&id);
+        let waits = request.is_some_and(|r| now < r.wait_deadline(RIGHT_WAIT_DIVISOR));
+        // A right for a request that waits no longer is lost, and rights for cold targets are few.
+        if waits || !is_cold {
+            self.want_right(target);
+        }
         let wait = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX);
         let wait = wait.min(Duration::from_secs(1));
         (
@@ -199,19 +233,31 @@
         if !self.control_stream.is_established() || now < reports.paused_until {
             reports.reported_all = false;
             reports.changed.clear();
+            reports.failed.clear();
+            reports.cold_wanted.clear();
             return;
         }
         let is_first = !std::mem::replace(&mut reports.reported_all, true);
         let asks = now >= reports.next_ask;
-        if !is_first && reports.changed.is_empty() && !asks {
+        let has_news = !reports.changed.is_empty() || !reports.failed.is_empty();
+        // The requests wait for a moment only, so this does not wait for its turn.
+        let asks_for_cold = !reports.cold_wanted.is_empty()
+            && now >= reports.asked_at + ask_interval(self.control_stream.entries.all);
+        if !is_first && !has_news && !asks && !asks_for_cold {
             return;
         }
         if is_first {
             let all = self.targets.iter_mut();
             let stating =
-                all.filter(|(_, t)| t.limit.limit().is_some() || t.leaving_since().is_some());
+                all.filter(|(_, t)| t.limit.stated().is_some() || t.leaving_since().is_some());
             reports.changed.extend(stating.map(|(id, _)| id.clone()));
+            let all = self.targets.iter_mut();
+            let failed = all.filter(|(_, t)| t.limit.failed_at().is_some());
+            reports.failed.extend(failed.map(|(id, _)| id.clone()));
         }
+        // The leader must know of these before it grants rights to send to them.
+        self.report_failures(now, out);
+        let reports = &mut self.statement_reports;
         let mut stated = Vec::new();
         let mut leaving = Vec::new();
         while stated.len() < MAX_REPORTED
@@ -229,12 +275,13 @@
             }
             stated.push(StatedLimit {
                 holder,
-                limit: tracked.limit.limit(),
+                limit: tracked.limit.stated(),
                 age: now.saturating_sub(tracked.limit.stated_at()),
             });
         }
         let rights = match asks {
             true => self.needed_rights(now),
+            false if asks_for_cold => self.needed_cold_rights(now),
             false => Vec::new(),
         };
         if !is_first && stated.is_empty() && rights.is_empty() {
@@ -242,6 +289,9 @@
         }
         let reports = &mut self.statement_reports;
         reports.unconfirmed_since.get_or_insert(now);
+        if !rights.is_empty() {
+            reports.asked_at = now;
+        }
         let message = PeerMessage::TargetStatements {
             sent: now,
             stated,
@@ -251,10 +301,126 @@
         out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
     }
 
+    /// Tells the leader of targets to which a connection could not be opened.
+    fn report_failures(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let reports = &mut self.statement_reports;
+        let mut suspected = Vec::new();
+        while suspected.len() < MAX_REPORTED
+            && let Some(id) = reports.failed.pop_first()
+        {
+            let tracked = self.targets.get(&id);
+            let failed_at = tracked.and_then(|t| t.limit.failed_at());
+            if let (Some(tracked), Some(failed_at)) = (tracked, failed_at) {
+                let incarnation = tracked.incarnation;
+                let holder = Holder { id, incarnation };
+                suspected.push((holder, now.saturating_sub(failed_at)));
+            }
+        }
+        if !suspected.is_empty() {
+            let message = PeerMessage::ColdTargets {
+                suspected,
+                cleared: Vec::new(),
+            };
+            out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
+        }
+    }
+
+    /// Handles a connection to a target that could not be opened. It may have restarted under its id
+    /// without being announced.
+    pub(super) fn on_connection_failed(
+        &mut self,
+        holder: &Holder,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let tracked = self.targets.get_mut(&holder.id);
+        let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
+            return;
+        };
+        if tracked.limit.connection_failed(now, now) {
+            log_warmth(&holder.id, &tracked.limit, ColdSource::Connection, out);
+        }
+        if tracked.limit.failed_at().is_some() {
+            self.statement_reports.failed.insert(holder.id.clone());
+        }
+    }
+
+    /// Handles what the leader says of targets to which connections could not be opened.
+    pub(super) fn on_cold_targets(
+        &mut self,
+        suspected: &[(Holder, Duration)],
+        cleared: &[(Holder, Duration)],
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let suspected = suspected.iter().map(|(holder, age)| (holder, age, true));
+        let cleared = cleared.iter().map(|(holder, age)| (holder, age, false));
+        let mut turned_warm = false;
+        for (holder, age, is_suspected) in suspected.chain(cleared) {
+            let tracked = self.targets.get_mut(&holder.id);
+            let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
+                continue;
+            };
+            let at = now.saturating_sub(*age);
+            let changed = match is_suspected {
+                true => tracked.limit.connection_failed(at, now),
+                false => tracked.limit.cleared(at, now),
+            };
+            if changed {
+                log_warmth(&holder.id, &tracked.limit, ColdSource::Leader, out);
+                turned_warm |= !tracked.limit.is_cold();
+            }
+        }
+        if turned_warm {
+            self.retry_parked(None, now, out);
+        }
+    }
+
+    /// Adopts the warm-up rates of a new routing.
+    pub(super) fn adopt_warm_up_rates(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let bounds = self.config.warm_up;
+        let services = self.view.routing.iter().flat_map(|r| &r.services);
+        let limits = services.filter_map(|(name, item)| {
+            let cold = item.spec.cold?;
+            Some((name.clone(), bounds.limit(cold.rate)))
+        });
+        let limits: HashMap<_, _> = limits.collect();
+        let before = std::mem::replace(&mut self.statement_reports.cold_limits, limits);
+        if before != self.statement_reports.cold_limits {
+            self.adopt_all_warmth(now, out);
+        }
+    }
+
+    /// Adopts from the registry which targets are cold.
+    pub(super) fn adopt_all_warmth(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        for (id, tracked) in self.targets.iter_mut() {
+            let limit = self.statement_reports.cold_limits.get(&tracked.service);
+            let record = self.view.targets.get(id);
+            let is_cold = record.is_some_and(|target| target.state == TargetState::Cold);
+            if tracked.limit.set_recorded(limit.copied(), is_cold, now) {
+                log_warmth(id, &tracked.limit, ColdSource::Registry, out);
+            }
+        }
+    }
+
+    /// Adopts from the registry whether one target is cold.
+    pub(super) fn adopt_warmth(&mut self, id: &str, now: Duration, out: &mut Vec<Effect>) {
+        let Some(tracked) = self.targets.get_mut(id) else {
+            return;
+        };
+        let limit = self.statement_reports.cold_limits.get(&tracked.service);
+        let record = self.view.targets.get(id);
+        let is_cold = record.is_some_and(|target| target.state == TargetState::Cold);
+        if tracked.limit.set_recorded(limit.copied(), is_cold, now) {
+            log_warmth(id, &tracked.limit, ColdSource::Registry, out);
+        }
+    }
+
     /// Rights that this VM needs, as a report every so often.
     fn needed_rights(&mut self, now: Duration) -> Vec<(Holder, u16)> {
-        let interval = ASK_INTERVAL_PER_VM * self.control_stream.entries.all;
-        self.statement_reports.next_ask = now + interval.max(MIN_ASK_INTERVAL);
+        let interval = ask_interval(self.control_stream.entries.all);
+        self.statement_reports.next_ask = now + interval;
+        self.statement_reports.cold_wanted.clear();
         let wanting = self.targets.iter_mut().filter(|(_, t)| t.limit.is_wanted());
         let needed = wanting.map(|(id, tracked)| {
             let holder = Holder {
@@ -266,4 +432,35 @@
         let needed = needed.filter(|(_, count)| *count > 0);
         needed.take(MAX_REPORTED).collect()
     }
+
+    /// Rights that requests to cold targets lack.
+    fn needed_cold_rights(&mut self, now: Duration) -> Vec<(Holder, u16)> {
+        let mut needed = Vec::new();
+        while needed.len() < MAX_REPORTED
+            && let Some(id) = self.statement_reports.cold_wanted.pop_first()
+        {
+            let Some(tracked) = self.targets.get_mut(&id) else {
+                continue;
+            };
+            let count = tracked.limit.take_wanted(now);
+            let incarnation = tracked.incarnation;
+            if count > 0 {
+                needed.push((Holder { id, incarnation }, count));
+            }
+        }
+        needed
+    }
+}
+
+/// Time between two messages that ask for rights.
+fn ask_interval(vms: u32) -> Duration {
+    (ASK_INTERVAL_PER_VM * vms).max(MIN_ASK_INTERVAL)
+}
+
+fn log_warmth(id: &str, limit: &TargetLimit, source: ColdSource, out: &mut Vec<Effect>) {
+    out.push(Effect::Log(LogEvent::Cold {
+        target: id.into(),
+        limit: limit.limit().filter(|_| limit.is_cold()),
+        source,
+    }));
 }
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -9,7 +9,6 @@
     Outcome,
     PeerMessage,
     TargetLatency,
-    TargetState,
     View, //
 };
 use rand::Rng;
@@ -112,6 +111,9 @@
                 rights,
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
+            PeerMessage::ColdTargets { suspected, cleared } if is_established => {
+                self.on_cold_targets(&suspected, &cleared, now, out);
+            }
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
                 self.statement_reports.confirm(sent);
@@ -135,12 +137,13 @@
         self.view = view;
         self.targets.sync(&self.view);
         for (id, target) in &self.view.targets {
-            if target.state != TargetState::Ready {
+            if !target.state.accepts_requests() {
                 self.draining_since
                     .entry(id.clone())
                     .or_insert(Duration::ZERO);
             }
         }
+        self.adopt_all_warmth(now, out);
         self.routing_changed(old, now, out);
         self.targets.requeue_latencies();
         self.next_latency = now;
@@ -169,12 +172,13 @@
                 self.confirm_view(now, out);
             }
             Command::Announce { id, target } => {
-                if target.state == TargetState::Ready {
+                if target.state.accepts_requests() {
                     self.draining_since.remove(id);
                 } else {
                     self.draining_since.entry(id.clone()).or_insert(now);
                 }
                 self.targets.update(id, target);
+                self.adopt_warmth(id, now, out);
             }
             Command::Remove { id, .. } => {
                 self.draining_since.remove(id);
@@ -203,6 +207,10 @@
             return;
         }
         self.routes.sync(routing);
+        self.adopt_warm_up_rates(now, out);
+        let Some(routing) = &self.view.routing else {
+            return;
+        };
         let (ratio, burst) = (self.config.retry_ratio, self.config.retry_extra);
         self.budgets
             .retain(|name, _| routing.services.contains_key(name));
--- a/crates/entry/src/evidence.rs
+++ b/crates/entry/src/evidence.rs
@@ -86,6 +86,7 @@
 ///     retry_ratio: 0.1,
 ///     retry_extra: 10.0,
 ///     drain_grace: Duration::from_secs(1),
+///     warm_up: camphordale_fleet::WarmUpBounds::default(),
 ///     link_rate: None,
 ///     seed: 7,
 /// });
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,6 +37,7 @@
 pub use entry::{
     AttemptId,
     AttemptResult,
+    ColdSource,
     Config,
     Decision,
     Effect,
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -4,6 +4,8 @@
 //! (`camphordale_fleet::LimitLedger`). While the leader is silent, this VM falls back to a share of
 //! its own: all entry VMs together stay below half of the limit, so that what the leader granted
 //! before does not add up to more than the target takes.
+//!
+//! A cold target has a limit too (`camphordale_fleet::WarmUpBounds`). Its rights end sooner.
 
 use std::{
     collections::VecDeque,
@@ -16,8 +18,12 @@
 };
 
 use camphordale_fleet::{
+    COLD_FALLBACK_FRACTION,
+    COLD_RIGHT_LIFETIME,
     RIGHT_LIFETIME,
-    RequestRate, //
+    RequestRate,
+    lower_limit,
+    warm_up, //
 };
 
 /// Fraction of the limit that all entry VMs use together while the leader is silent.
@@ -49,10 +55,29 @@
 /// Rights of one grant.
 #[derive(Clone, Copy, Debug)]
 struct Grant {
-    until: Duration,
+    asked_at: Duration,
     count: u16,
 }
 
+/// Whether a target is cold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Warmth {
+    /// Limit of the cold targets of its service, if there is one.
+    limit: Option<RequestRate>,
+    /// Whether the registry says that it is cold.
+    recorded: bool,
+    /// When a connection last failed, until the target is known to be warm.
+    failed_at: Option<Duration>,
+    /// When it last turned cold, to the knowledge of this VM.
+    cold_since: Duration,
+}
+
+impl Warmth {
+    fn is_cold(&self) -> bool {
+        self.limit.is_some() && (self.recorded || self.failed_at.is_some())
+    }
+}
+
 /// Limit of one incarnation of a target, and what this VM may send to it.
 #[derive(Clone, Debug, Default)]
 pub struct TargetLimit {
@@ -67,14 +92,94 @@
     wanted: u16,
     /// The last fallback period in which a request was sent.
     used_period: Option<u64>,
+    warmth: Warmth,
 }
 
 impl TargetLimit {
-    /// The limit, if the target has one.
+    /// The limit, if the target has one: the lower one of what it stated and what cold targets get.
     pub fn limit(&self) -> Option<RequestRate> {
+        let cold = self.warmth.limit.filter(|_| self.warmth.is_cold());
+        lower_limit(self.limit, cold)
+    }
+
+    /// The limit that the target stated.
+    pub fn stated(&self) -> Option<RequestRate> {
         self.limit
     }
 
+    /// Whether the target counts as cold.
+    pub fn is_cold(&self) -> bool {
+        self.warmth.is_cold()
+    }
+
+    /// When a connection to the target last failed, if it is not known to be warm since then.
+    pub fn failed_at(&self) -> Option<Duration> {
+        self.warmth.failed_at
+    }
+
+    /// Sets the limit of cold targets of this service, and whether the registry says that this one is
+    /// cold. Returns whether the target turned cold or warm.
+    pub fn set_recorded(&mut self, limit: Option<RequestRate>, cold: bool, now: Duration) -> bool {
+        self.change_warmth(now, |warmth| {
+            warmth.limit = limit;
+            warmth.recorded = cold;
+            warmth.failed_at = warmth.failed_at.filter(|_| limit.is_some());
+        })
+    }
+
+    /// Records that a connection to the target could not be opened. Returns whether it turned cold.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_entry::TargetLimit;
+    ///
+    /// // Without a warm-up rate of the service, this has no effect.
+    /// let mut limit = TargetLimit::default();
+    /// assert!(!limit.connection_failed(Duration::ZERO, Duration::ZERO));
+    /// ```
+    pub fn connection_failed(&mut self, failed_at: Duration, now: Duration) -> bool {
+        self.change_warmth(now, |warmth| {
+            if warmth.limit.is_some() {
+                warmth.failed_at = warmth.failed_at.max(Some(failed_at));
+            }
+        })
+    }
+
+    /// Records that the leader heard at `warm_at` that the target is warm. Returns whether it turned
+    /// warm.
+    pub fn cleared(&mut self, warm_at: Duration, now: Duration) -> bool {
+        self.change_warmth(now, |warmth| {
+            let since = warmth.failed_at;
+            warmth.failed_at = since.filter(|failed_at| !warm_up::refutes(*failed_at, warm_at));
+        })
+    }
+
+    fn change_warmth<Change>(&mut self, now: Duration, change: Change) -> bool
+    where
+        Change: FnOnce(&mut Warmth),
+    {
+        let was_cold = self.warmth.is_cold();
+        change(&mut self.warmth);
+        let is_cold = self.warmth.is_cold();
+        if is_cold && !was_cold {
+            // What was granted before may be more than a cold target bears.
+            self.warmth.cold_since = now;
+            self.grants.clear();
+        }
+        if self.limit().is_none() {
+            self.grants.clear();
+            self.wanted = 0;
+        }
+        is_cold != was_cold
+    }
+
+    fn right_lifetime(&self) -> Duration {
+        match self.warmth.is_cold() {
+            true => COLD_RIGHT_LIFETIME,
+            false => RIGHT_LIFETIME,
+        }
+    }
+
     /// When the target stated its limit.
     pub fn stated_at(&self) -> Duration {
         self.stated_at
@@ -112,7 +217,7 @@
         self.stated_at = stated_at;
         let changed = self.limit != limit;
         self.limit = limit;
-        if limit.is_none() {
+        if self.limit().is_none() {
             self.grants.clear();
             self.wanted = 0;
         }
@@ -121,21 +226,23 @@
 
     /// Adds rights that this VM asked for at `asked_at`.
     pub fn granted(&mut self, count: u16, asked_at: Duration) {
-        if self.limit.is_some() {
-            let until = asked_at + RIGHT_LIFETIME;
-            self.grants.push_back(Grant { until, count });
+        let is_old = self.warmth.is_cold() && asked_at < self.warmth.cold_since;
+        if self.limit().is_some() && !is_old {
+            self.grants.push_back(Grant { asked_at, count });
         }
     }
 
     /// Rights that can be used now.
     pub fn rights(&self, now: Duration) -> u16 {
-        let usable = self.grants.iter().filter(|grant| now < grant.until);
+        let lifetime = self.right_lifetime();
+        let usable = self.grants.iter();
+        let usable = usable.filter(|grant| now < grant.asked_at + lifetime);
         usable.fold(0, |sum, grant| sum.saturating_add(grant.count))
     }
 
     /// Whether a request may be sent now.
     pub fn allows(&self, source: LimitSource, now: Duration) -> bool {
-        let Some(limit) = self.limit else {
+        let Some(limit) = self.limit() else {
             return true;
         };
         if self.rights(now) > 0 {
@@ -144,7 +251,7 @@
         match source {
             LimitSource::Leader => false,
             LimitSource::Own { vms, entry_id } => {
-                let period = FallbackPeriod::new(limit, vms, entry_id);
+                let period = FallbackPeriod::new(self.fallback_rate(limit), vms, entry_id);
                 let open = period.and_then(|period| period.open_at(now));
                 open.is_some_and(|number| self.used_period != Some(number))
             }
@@ -153,32 +260,46 @@
 
     /// Takes the right for a request that is sent now.
     pub fn take(&mut self, source: LimitSource, now: Duration) {
-        let Some(limit) = self.limit else {
+        let Some(limit) = self.limit() else {
             return;
         };
-        self.want();
+        // A right that is kept for the next request would mostly end unused at a cold target, whose
+        // rights are few and short.
+        if !self.warmth.is_cold() {
+            self.want();
+        }
+        let lifetime = self.right_lifetime();
         while self
             .grants
             .front()
-            .is_some_and(|g| now >= g.until || g.count == 0)
+            .is_some_and(|g| now >= g.asked_at + lifetime || g.count == 0)
         {
             self.grants.pop_front();
         }
         if let Some(grant) = self.grants.front_mut() {
             grant.count -= 1;
         } else if let LimitSource::Own { vms, entry_id } = source {
-            let period = FallbackPeriod::new(limit, vms, entry_id);
+            let period = FallbackPeriod::new(self.fallback_rate(limit), vms, entry_id);
             self.used_period = period.and_then(|period| period.open_at(now));
         }
     }
 
     /// Records that a request lacks a right.
     pub fn want(&mut self) {
-        if self.limit.is_some() {
+        if self.limit().is_some() {
             self.wanted = self.wanted.saturating_add(1);
         }
     }
 
+    /// What all entry VMs send together while the leader is silent.
+    fn fallback_rate(&self, limit: RequestRate) -> f64 {
+        let fraction = match self.warmth.is_cold() {
+            true => COLD_FALLBACK_FRACTION,
+            false => FALLBACK_FRACTION,
+        };
+        f64::from(limit) * fraction
+    }
+
     /// Whether rights are to be asked for.
     pub fn is_wanted(&self) -> bool {
         self.wanted > 0
@@ -199,8 +320,8 @@
 }
 
 impl FallbackPeriod {
-    fn new(limit: RequestRate, vms: u32, entry_id: u64) -> Option<FallbackPeriod> {
-        let rate = f64::from(limit) * FALLBACK_FRACTION / f64::from(vms.max(1));
+    fn new(all_rate: f64, vms: u32, entry_id: u64) -> Option<FallbackPeriod> {
+        let rate = all_rate / f64::from(vms.max(1));
         let length = Duration::try_from_secs_f64(1.0 / rate).ok()?;
         if length > MAX_FALLBACK_PERIOD {
             return None;
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -16,7 +16,6 @@
     Target,
     TargetId,
     TargetLatency,
-    TargetState,
     View, //
 };
 
@@ -133,7 +132,7 @@
             address: target.address,
             domain: target.domain.clone(),
             slots: target.slots.max(1),
-            accepts_requests: target.state == TargetState::Ready,
+            accepts_requests: target.state.accepts_requests(),
             mean_latency: 0.0,
             failure_rate: 0.0,
             in_flight: BTreeMap::new(),
@@ -337,14 +336,14 @@
         match self.by_id.get_mut(id) {
             Some(tracked) if tracked.is_of(target) => {
                 tracked.slots = target.slots.max(1);
-                tracked.accepts_requests = target.state == TargetState::Ready;
+                tracked.accepts_requests = target.state.accepts_requests();
             }
             Some(tracked) if tracked.incarnation == target.incarnation => {
                 let moved = TrackedTarget {
                     service: target.service.clone(),
                     address: target.address,
                     slots: target.slots.max(1),
-                    accepts_requests: target.state == TargetState::Ready,
+                    accepts_requests: target.state.accepts_requests(),
                     ..tracked.clone()
                 };
                 self.replace(id, moved);
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -188,6 +188,7 @@
             retry_ratio: 0.2,
             retry_extra: 500.0,
             drain_grace: ms(1000),
+            warm_up: camphordale_fleet::WarmUpBounds::default(),
             link_rate: None,
             seed: seed + number,
         })
@@ -206,6 +207,7 @@
             leader_lease: ms(250),
             heartbeat_interval: ms(100),
             target_timeout: ms(20_000),
+            warm_up: camphordale_fleet::WarmUpBounds::default(),
             member_timeout: ms(3500),
             apply_timeout: ms(500),
             log_limit: 16 << 20,
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -182,6 +182,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             drain_grace: ms(1000),
+            warm_up: camphordale_fleet::WarmUpBounds::default(),
             link_rate: Some(200_000.0),
             seed: 7,
         });
--- a/crates/entry/tests/limits/histories.rs
+++ b/crates/entry/tests/limits/histories.rs
@@ -10,7 +10,7 @@
 
 /// Processes that are stopped in a history.
 #[derive(Default)]
-struct Processes {
+pub(crate) struct Processes {
     leader_stopped: bool,
     entries_stopped: usize,
 }
@@ -20,8 +20,14 @@
         !self.leader_stopped
     }
 
+    pub(crate) fn start_leader(&mut self, world: &mut World) {
+        if self.leader_stopped {
+            self.change(world, 1);
+        }
+    }
+
     /// Stops or starts the leader or an entry VM, where that is possible.
-    fn change(&mut self, world: &mut World, choice: u32) {
+    pub(crate) fn change(&mut self, world: &mut World, choice: u32) {
         match choice {
             0 if !self.leader_stopped => {
                 world.stop_leader();
--- a/crates/entry/tests/limits/main.rs
+++ b/crates/entry/tests/limits/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "clippy does not see helpers as tests")]
 
+mod cold;
 mod histories;
 mod single;
 mod world;
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -37,6 +37,8 @@
     Route,
     Service,
     TargetId,
+    WarmUp,
+    WarmUpBounds,
     WeightedService, //
 };
 use camphordale_raft::{
@@ -73,6 +75,10 @@
     pub(crate) leaving: bool,
     /// Time for which it wants nothing, if it turns requests away.
     pub(crate) pause: Option<Duration>,
+    /// Whether connections to it can be opened.
+    up: bool,
+    /// Until when it is cold.
+    pub(crate) cold_until: Duration,
 }
 
 /// Something that happens later.
@@ -81,6 +87,8 @@
     ToEntry(u64, Event),
     /// An answer of a target, with the incarnation that the request reached.
     Answer(u64, AttemptId, TargetId, u64),
+    /// A connection that could not be opened.
+    Unreached(u64, AttemptId),
 }
 
 /// An entry VM and the incarnation of a target that told it something.
@@ -94,8 +102,12 @@
     pub(crate) demand: f64,
     /// Share of the requests that comes to the first entry VM.
     pub(crate) skew: f64,
+    /// What cold targets bear, if the service states it.
+    warm_up: Option<WarmUp>,
     pub(crate) served: u64,
     pub(crate) refused: u64,
+    /// Messages about cold targets, in both directions.
+    pub(crate) cold_messages: u64,
     /// Entry VMs that were told that a target leaves.
     told_leaving: BTreeSet<Told>,
     /// Until when a target wants nothing from an entry VM, as it told it.
@@ -121,6 +133,12 @@
     }
 }
 
+/// Bounds of the deployments with a warm-up rate.
+pub(crate) const BOUNDS: WarmUpBounds = WarmUpBounds {
+    overshoot: 1.5,
+    slack: 8.0,
+};
+
 fn start_control(disk: RecoveredState) -> Control {
     let config = camphordale_fleet::Config {
         member: member(),
@@ -134,6 +152,7 @@
         leader_lease: ms(150),
         heartbeat_interval: ms(80),
         target_timeout: ms(20_000),
+        warm_up: BOUNDS,
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
@@ -143,14 +162,14 @@
     Control::new(config, disk, vec![member()]).unwrap()
 }
 
-fn routing() -> Change {
+fn routing(cold: Option<WarmUp>) -> Change {
     let document: Box<str> = "{}".into();
     let service = Service {
         health_path: "/health".into(),
         max_connections: 1000,
         keys: KeyDelivery::Unkeyed,
         warm_up: ms(0),
-        cold: None,
+        cold,
     };
     let route = Route {
         host: "a.example".into(),
@@ -209,6 +228,16 @@
 impl World {
     /// A fleet in which all targets are registered and all entry VMs have the view.
     pub(crate) fn new(seed: u64, vms: usize, targets: usize, demand: f64) -> World {
+        World::with_warm_up(seed, (vms, targets), demand, None)
+    }
+
+    /// The same, of a service that may have a warm-up rate.
+    pub(crate) fn with_warm_up(
+        seed: u64,
+        (vms, targets): (usize, usize),
+        demand: f64,
+        warm_up: Option<WarmUp>,
+    ) -> World {
         let disk = Control::bootstrap_state(vec![member()]).unwrap();
         let target = TrueTarget {
             incarnation: 1,
@@ -217,6 +246,8 @@
             arrivals: Vec::new(),
             leaving: false,
             pause: None,
+            up: true,
+            cold_until: ms(0),
         };
         let mut world = World {
             now: ms(1000),
@@ -226,8 +257,10 @@
                 .collect(),
             demand: 0.0,
             skew: 0.0,
+            warm_up,
             served: 0,
             refused: 0,
+            cold_messages: 0,
             told_leaving: BTreeSet::new(),
             told_pause: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -241,7 +274,7 @@
             sequence: 0,
         };
         world.step_leader(camphordale_fleet::Event::Tick);
-        world.call(Call::Change(Box::new(routing())));
+        world.call(Call::Change(Box::new(routing(warm_up))));
         world.announce();
         for _ in 0..vms {
             world.start_entry();
@@ -257,14 +290,20 @@
         self.step_leader(camphordale_fleet::Event::Call { token, call });
     }
 
-    fn announce(&mut self) {
+    pub(crate) fn announce(&mut self) {
         self.sequence += 1;
-        let targets: Vec<(TargetId, u64)> = self
+        let now = self.now;
+        let targets: Vec<_> = self
             .targets
             .iter()
-            .map(|(id, target)| (id.clone(), target.incarnation))
+            .enumerate()
+            .filter(|(_, (_, target))| target.up)
+            .map(|(number, (id, target))| {
+                let warm_up = target.cold_until.saturating_sub(now);
+                (number, id.clone(), target.incarnation, warm_up)
+            })
             .collect();
-        for (number, (id, incarnation)) in targets.into_iter().enumerate() {
+        for (number, id, incarnation, warm_up) in targets {
             let address: SocketAddr = format!("10.0.1.{}:80", number + 1).parse().unwrap();
             self.call(Call::Announce(Box::new(Announcement {
                 id,
@@ -275,7 +314,7 @@
                 domain: "a".into(),
                 slots: 40,
                 draining: false,
-                warm_up: 0,
+                warm_up: warm_up.as_millis() as u64,
                 report: LeaseReport::default(),
             })));
         }
@@ -302,6 +341,48 @@
         self.announce();
     }
 
+    /// The process of the target ends; connections to it cannot be opened.
+    pub(crate) fn crash_target(&mut self, id: &str) {
+        self.target(id).up = false;
+    }
+
+    /// The next process of the target starts cold. It announces itself in the next round.
+    pub(crate) fn come_back_cold(&mut self, id: &str) {
+        let cold_until = self.now + self.warm_up.unwrap().time;
+        let target = self.target(id);
+        target.incarnation += 1;
+        target.up = true;
+        target.cold_until = cold_until;
+    }
+
+    /// The target turns cold, in the same process.
+    pub(crate) fn turn_cold(&mut self, id: &str) {
+        let cold_until = self.now + self.warm_up.unwrap().time;
+        self.target(id).cold_until = cold_until;
+    }
+
+    /// The most requests that reached a target in any second between two times.
+    pub(crate) fn most_in_a_second(&self, id: &str, from: Duration, until: Duration) -> usize {
+        let arrivals = &self.targets[id].arrivals;
+        let inside: Vec<_> = arrivals
+            .iter()
+            .filter(|at| (from..until).contains(at))
+            .collect();
+        let starts = inside.iter().enumerate();
+        let counts = starts.map(|(index, start)| {
+            let rest = inside[index..].iter();
+            rest.take_while(|at| ***at < **start + ms(1000)).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    /// Requests that reached a target in each second between two times.
+    pub(crate) fn rate_between(&self, id: &str, from: Duration, until: Duration) -> f64 {
+        let arrivals = self.targets[id].arrivals.iter();
+        let count = arrivals.filter(|at| (from..until).contains(at)).count();
+        count as f64 / (until - from).as_secs_f64()
+    }
+
     pub(crate) fn stop_leader(&mut self) {
         self.leader = None;
         for entry in self.entries.keys().copied().collect::<Vec<u64>>() {
@@ -331,6 +412,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             drain_grace: ms(1000),
+            warm_up: BOUNDS,
             link_rate: None,
             seed: self.random.random(),
         });
@@ -341,6 +423,15 @@
         self.later.push((self.now + delay, later));
     }
 
+    fn count_message(&mut self, message: &PeerMessage) {
+        self.cold_messages += u64::from(matches!(message, PeerMessage::ColdTargets { .. }));
+    }
+
+    /// Entries of the leader's log so far.
+    pub(crate) fn log_index(&self) -> u64 {
+        self.disk.entries.last().map_or(0, |entry| entry.index)
+    }
+
     fn step_leader(&mut self, event: camphordale_fleet::Event) {
         let Some(leader) = &mut self.leader else {
             return;
@@ -352,6 +443,7 @@
                     self.at(LINK_DELAY, Later::ToEntry(conn, Event::Stream(message)));
                 }
                 camphordale_fleet::Effect::Broadcast { conns, message } => {
+                    self.count_message(&message);
                     for conn in conns {
                         let event = Event::Stream(message.clone());
                         self.at(LINK_DELAY, Later::ToEntry(conn, event));
@@ -375,10 +467,18 @@
                     attempt, target, ..
                 } => {
                     let known = self.targets.get_mut(&target).unwrap();
+                    if !known.up {
+                        self.at(STEP, Later::Unreached(number, attempt));
+                        continue;
+                    }
                     known.arrivals.push(self.now);
                     let incarnation = known.incarnation;
                     self.check_arrival(&(number, target.clone(), incarnation));
-                    let delay = ms(self.random.random_range(20..80));
+                    let slowdown = match self.targets[&target].cold_until > self.now {
+                        true => 2,
+                        false => 1,
+                    };
+                    let delay = ms(slowdown * self.random.random_range(20..80));
                     self.at(delay, Later::Answer(number, attempt, target, incarnation));
                 }
                 Effect::Cancel(attempt) => {
@@ -387,6 +487,7 @@
                 Effect::ForwardResponse { .. } => self.served += 1,
                 Effect::Refuse { .. } => self.refused += 1,
                 Effect::ControlStream(ControlStreamEffect::Send(message)) => {
+                    self.count_message(&message);
                     self.at(LINK_DELAY, Later::ToLeader(number, message));
                 }
                 Effect::ControlStream(ControlStreamEffect::Close) => {
@@ -417,6 +518,20 @@
                     Later::Answer(number, attempt, target, incarnation) => {
                         self.answer(number, attempt, &target, incarnation);
                     }
+                    Later::Unreached(number, attempt) => {
+                        let result = AttemptResult::Failed {
+                            sent: false,
+                            received: false,
+                            closed: false,
+                        };
+                        let length = 0;
+                        let event = Event::AttemptEnded {
+                            attempt,
+                            result,
+                            length,
+                        };
+                        self.step_entry(number, event);
+                    }
                 }
             }
             self.send_requests();
--- a/crates/entry/tests/registry_updates.rs
+++ b/crates/entry/tests/registry_updates.rs
@@ -124,6 +124,7 @@
         retry_ratio: 0.2,
         retry_extra: 60.0,
         drain_grace: Duration::from_millis(1000),
+        warm_up: camphordale_fleet::WarmUpBounds::default(),
         link_rate: None,
         seed: 1,
     });
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -460,6 +460,7 @@
                     crate::TargetState::Ready => "ready",
                     crate::TargetState::Draining => "draining",
                     crate::TargetState::Left => "left",
+                    crate::TargetState::Cold => "cold",
                 },
             })),
             Command::Remove { id, incarnation } => out.push(Effect::Log(LogEvent::Target {
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -36,6 +36,7 @@
         Version, //
     },
     state::Outcome,
+    warm_up::WarmUpBounds,
 };
 
 /// Identifies a call of an operator or target that awaits its reply.
@@ -59,6 +60,8 @@
     pub heartbeat_interval: Duration,
     /// Time without announcements after which a target is removed from the registry.
     pub target_timeout: Duration,
+    /// Bounds on the requests to a cold target.
+    pub warm_up: WarmUpBounds,
     /// Silence after which a voter is replaced by a member that is up to date.
     pub member_timeout: Duration,
     /// Maximum time for which an accepted change waits for confirmation by the entry VMs.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -240,6 +240,8 @@
         let mut target = announcement.target();
         // A target that has left does not return within the same incarnation.
         let newest = leader.proposed_targets.get(&announcement.id).or(known);
+        let recorded = newest.filter(|newest| newest.incarnation == target.incarnation);
+        let recorded = recorded.map(|newest| newest.state);
         let was = |state| {
             newest.is_some_and(|newest| {
                 newest.incarnation == target.incarnation && newest.state == state
@@ -253,6 +255,11 @@
         } else if still_drains || news.is_leaving(&announcement.id, target.incarnation) {
             target.state = TargetState::Draining;
         }
+        if target.state.accepts_requests() && view.cold_service(&target.service).is_some() {
+            let is_warm = announcement.warm_up == 0;
+            let news = &mut leader.statement_news;
+            target.state = news.record_warmth(&holder, is_warm, recorded, now);
+        }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
             let request = LeaseRequest::new(announcement);
@@ -345,7 +352,9 @@
             let at = latest.map_or(leader.elected_at, |latest| latest.received_at);
             let limit = match target.state {
                 TargetState::Left => self.config.target_timeout / LEFT_TIMEOUT_DIVISOR,
-                TargetState::Ready | TargetState::Draining => self.config.target_timeout,
+                TargetState::Ready | TargetState::Draining | TargetState::Cold => {
+                    self.config.target_timeout
+                }
             };
             if now.saturating_sub(at) >= limit {
                 silent.push((id.clone(), target.incarnation));
@@ -423,7 +432,7 @@
             }
             Pending::Leases(token, request) => {
                 let target = self.state.view.targets.get(&request.holder.id);
-                return match target.is_some_and(|target| target.state != TargetState::Ready) {
+                return match target.is_some_and(|target| !target.state.accepts_requests()) {
                     true => self.acknowledge_leave(token, index, Some(request), now, out),
                     false => self.answer_announcement(token, &request, now, out),
                 };
--- a/crates/fleet/src/control/heartbeats.rs
+++ b/crates/fleet/src/control/heartbeats.rs
@@ -29,8 +29,7 @@
     },
     registry::{
         Announcement,
-        Holder,
-        TargetState, //
+        Holder, //
     },
     routing::{
         KeyDelivery,
@@ -134,7 +133,7 @@
             return;
         };
         let service = target.service.clone();
-        let leaves = target.state != TargetState::Ready;
+        let leaves = !target.state.accepts_requests();
         leader.lease_table.record_report(&service, holder, report);
         // The target has given up on its earlier announcements.
         let superseded = leader
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -284,12 +284,15 @@
             KeyDelivery::Heartbeat => self.config.lease_times.interval * SILENT_INTERVALS,
             KeyDelivery::Call | KeyDelivery::Unkeyed => ANNOUNCEMENT_TIMEOUT,
         };
+        let cold = self.state.view.cold_service(service);
+        let cold_limit = cold.map(|cold| self.config.warm_up.limit(cold.rate));
+        let cold_capacity = cold_limit.map_or(f64::INFINITY, f64::from);
         for (id, target) in own {
             let holder = Holder {
                 id: id.clone(),
                 incarnation: target.incarnation,
             };
-            let ready = target.state == TargetState::Ready;
+            let ready = target.state.accepts_requests();
             let latest = leader
                 .announcements
                 .get(id)
@@ -299,9 +302,13 @@
             if ready && (now.saturating_sub(at) > timeout || unresponsive) {
                 continue;
             }
+            let capacity = leader.load_stats.capacity(id, target.slots, median);
             out.push(Candidate {
                 holder,
-                capacity: leader.load_stats.capacity(id, target.slots, median),
+                capacity: match target.state {
+                    TargetState::Cold => capacity.min(cold_capacity),
+                    _ => capacity,
+                },
                 accepts_keys: ready,
             });
         }
--- a/crates/fleet/src/control/statements.rs
+++ b/crates/fleet/src/control/statements.rs
@@ -3,7 +3,10 @@
 //! The state is not replicated: entry VMs send what they know to a new leader.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -23,8 +26,16 @@
     },
     request_limits::{
         LimitLedger,
+        RequestRate,
+        RightRequest,
         StatedLimit, //
     },
+    state::View,
+    warm_up::{
+        ColdTargets,
+        Suspicion,
+        WarmUpBounds, //
+    },
 };
 
 /// Shortest time between two messages with limits to all entry VMs.
@@ -38,6 +49,10 @@
     next_broadcast: Duration,
     /// Incarnations that stated that they leave.
     leaving: BTreeSet<Holder>,
+    cold: ColdTargets,
+    /// Targets that are suspected, or no longer, since the entry VMs were last told, and when this
+    /// changed.
+    cold_changed: BTreeMap<Holder, Duration>,
 }
 
 impl StatementNews {
@@ -47,6 +62,39 @@
         let id = id.clone();
         self.leaving.contains(&Holder { id, incarnation })
     }
+
+    /// Handles what a target of a service with a warm-up rate announces. Returns the state to
+    /// register.
+    pub(super) fn record_warmth(
+        &mut self,
+        holder: &Holder,
+        is_warm: bool,
+        recorded: Option<TargetState>,
+        now: Duration,
+    ) -> TargetState {
+        if is_warm && self.cold.refute(holder, now) {
+            self.cold_changed.insert(holder.clone(), now);
+        }
+        self.cold.announced(holder, is_warm, recorded, now)
+    }
+
+    /// Limit of a target because it is cold. `proposed` is its record that is not committed yet.
+    pub(super) fn cold_limit(
+        &self,
+        view: &View,
+        holder: &Holder,
+        proposed: Option<&Target>,
+        bounds: WarmUpBounds,
+    ) -> Option<RequestRate> {
+        let target = view.targets.get(&holder.id)?;
+        let service = view.cold_service(&target.service)?;
+        let is_cold = |target: &Target| {
+            target.incarnation == holder.incarnation && target.state == TargetState::Cold
+        };
+        let is_recorded = is_cold(target) || proposed.is_some_and(is_cold);
+        let counts_as_cold = is_recorded || self.cold.is_suspected(holder);
+        counts_as_cold.then(|| bounds.limit(service.rate))
+    }
 }
 
 /// What an entry VM heard of targets, and the rights that it needs.
@@ -86,10 +134,20 @@
         }
         let mut rights = Vec::new();
         for (holder, wanted) in wanted {
-            let granted = match is_certain {
-                true => news.ledger.grant(holder, *wanted, now),
-                false => 0,
+            // The entry VMs that know the next incarnation get rights for that one.
+            if !is_certain || !self.state.view.is_current(holder) {
+                continue;
+            }
+            let proposed = leader.proposed_targets.get(&holder.id);
+            let bounds = self.config.warm_up;
+            let cold = news.cold_limit(&self.state.view, holder, proposed, bounds);
+            news.ledger.set_cold(holder, cold, now);
+            let request = RightRequest {
+                conn,
+                sent,
+                wanted: *wanted,
             };
+            let granted = news.ledger.grant_or_wait(holder, request, now);
             if granted > 0 {
                 rights.push((holder.clone(), granted));
             }
@@ -109,6 +167,17 @@
             };
             out.push(Effect::Stream { conn, message });
         }
+        let suspected = match is_first {
+            true => news.cold.suspected(now),
+            false => Vec::new(),
+        };
+        if !suspected.is_empty() {
+            let message = PeerMessage::ColdTargets {
+                suspected,
+                cleared: Vec::new(),
+            };
+            out.push(Effect::Stream { conn, message });
+        }
         for holder in leaving {
             self.record_leaving(holder, now, out);
         }
@@ -128,7 +197,7 @@
         let proposed = leader.proposed_targets.get(&holder.id);
         let newest = proposed.or_else(|| self.state.view.targets.get(&holder.id));
         let is_ready = |target: &&Target| {
-            target.incarnation == holder.incarnation && target.state == TargetState::Ready
+            target.incarnation == holder.incarnation && target.state.accepts_requests()
         };
         let Some(target) = newest.filter(is_ready) else {
             return;
@@ -140,9 +209,104 @@
         self.propose_target(&holder.id, target, Pending::NoReply, now, out);
     }
 
+    /// Handles the report of an entry VM that connections could not be opened.
+    pub(super) fn on_cold_targets(
+        &mut self,
+        conn: u64,
+        suspected: &[(Holder, Duration)],
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(leader) = &mut self.leader_state else {
+            return;
+        };
+        let view = &self.state.view;
+        let news = &mut leader.statement_news;
+        let mut cleared = Vec::new();
+        for (holder, age) in suspected {
+            let target = view.targets.get(&holder.id);
+            let target = target.filter(|target| target.incarnation == holder.incarnation);
+            if target.is_none_or(|target| view.cold_service(&target.service).is_none()) {
+                continue;
+            }
+            match news.cold.suspect(holder, now.saturating_sub(*age), now) {
+                Suspicion::New => {
+                    news.cold_changed.insert(holder.clone(), now);
+                }
+                Suspicion::Known => {}
+                Suspicion::Refuted(age) => cleared.push((holder.clone(), age)),
+            }
+        }
+        if !cleared.is_empty() {
+            let message = PeerMessage::ColdTargets {
+                suspected: Vec::new(),
+                cleared,
+            };
+            out.push(Effect::Stream { conn, message });
+        }
+    }
+
+    /// Requires two successive announcements from now on before these targets count as warm, as at
+    /// the end of an evacuation. The records of the targets must say that they are cold
+    /// ([`View::mark_domain_cold`]).
+    pub fn require_warm_proof(&mut self, holders: &[Holder]) {
+        if let Some(leader) = &mut self.leader_state {
+            for holder in holders {
+                leader.statement_news.cold.require_proof(holder);
+            }
+        }
+    }
+
+    /// Grants rights that entry VMs wait for, and tells them which targets are suspected, or no
+    /// longer. This is not delayed like limits: until they know, each may send to a target that comes
+    /// back.
+    fn share_cold_targets(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let is_certain = self.raft.lease_expiry().is_some_and(|expiry| expiry > now);
+        let Some(leader) = &mut self.leader_state else {
+            return;
+        };
+        let news = &mut leader.statement_news;
+        if is_certain {
+            for (holder, granted) in news.ledger.serve_waiting(now) {
+                let is_open = self.streams.contains_key(&granted.conn);
+                if is_open && self.state.view.is_current(&holder) {
+                    let message = PeerMessage::TargetStatements {
+                        sent: granted.sent,
+                        stated: Vec::new(),
+                        leaving: Vec::new(),
+                        rights: vec![(holder, granted.wanted)],
+                    };
+                    let conn = granted.conn;
+                    out.push(Effect::Stream { conn, message });
+                }
+            }
+        }
+        let interval = self.config.lease_times.interval;
+        let ended = news.cold.expire(&self.state.view, interval, now);
+        let ended = ended.into_iter().map(|holder| (holder, now));
+        news.cold_changed.extend(ended);
+        if news.cold_changed.is_empty() {
+            return;
+        }
+        let changed = std::mem::take(&mut news.cold_changed);
+        let mut suspected = news.cold.suspected(now);
+        suspected.retain(|(holder, _)| changed.contains_key(holder));
+        let cleared = changed.into_iter();
+        let cleared = cleared.filter(|(holder, _)| !news.cold.is_suspected(holder));
+        let cleared = cleared.map(|(holder, at)| (holder, now.saturating_sub(at)));
+        let cleared = cleared.collect();
+        let message = PeerMessage::ColdTargets { suspected, cleared };
+        let taking = self.streams.iter().filter(|(_, s)| s.takes_statements);
+        let conns: Box<[u64]> = taking.map(|(conn, _)| *conn).collect();
+        if !conns.is_empty() {
+            out.push(Effect::Broadcast { conns, message });
+        }
+    }
+
     /// Tells the entry VMs which limits have changed: one that has no answers of a target must know
     /// too.
     pub(super) fn share_limits(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.share_cold_targets(now, out);
         let Some(leader) = &mut self.leader_state else {
             return;
         };
@@ -152,6 +316,7 @@
         }
         news.next_broadcast = now + BROADCAST_INTERVAL;
         news.ledger.retain_current(&self.state.view);
+        news.cold.retain_registered(&self.state.view);
         news.leaving
             .retain(|holder| self.state.view.is_current(holder));
         if news.changed.is_empty() {
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -236,6 +236,9 @@
                 };
                 self.on_target_statements(conn, sent, statements, now, out);
             }
+            PeerMessage::ColdTargets { suspected, .. } => {
+                self.on_cold_targets(conn, &suspected, now, out);
+            }
             // Other messages are for control VMs; a peer may send them on any connection.
             other => self.on_peer_message(other, now, out),
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `control` | the reducer of a control VM |
 //! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
+//! | `warm_up` | which targets are cold, and the limit on requests to one |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -30,6 +31,7 @@
 mod request_limits;
 mod routing;
 mod state;
+pub mod warm_up;
 
 pub use control::{
     Call,
@@ -91,7 +93,9 @@
     LimitLedger,
     RIGHT_LIFETIME,
     RequestRate,
-    StatedLimit, //
+    RightRequest,
+    StatedLimit,
+    lower_limit, //
 };
 pub use routing::{
     Change,
@@ -118,3 +122,8 @@
     State,
     View, //
 };
+pub use warm_up::{
+    COLD_FALLBACK_FRACTION,
+    COLD_RIGHT_LIFETIME,
+    WarmUpBounds, //
+};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -185,6 +185,16 @@
         /// Rights that the entry VM needs, or that the leader grants, by target.
         rights: Vec<(Holder, u16)>,
     },
+    /// Targets to which a connection could not be opened, between an entry VM and the leader, for
+    /// services with a warm-up rate only. An entry VM sends those that it saw itself; the leader sends
+    /// the changes to all entry VMs.
+    ColdTargets {
+        /// Targets that count as cold, and the time since a connection last failed.
+        suspected: Vec<(Holder, Duration)>,
+        /// Targets that do not any more, and the time since they announced that they are warm. Only
+        /// the leader knows them.
+        cleared: Vec<(Holder, Duration)>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -29,7 +29,8 @@
 /// so it sets no closer bound.
 const MAX_INCARNATION: Incarnation = 7_258_118_400_000;
 
-/// State of a target, as it announces it.
+/// State of a target, as it announces it. A target is registered as [`TargetState::Cold`] only if
+/// its service has a warm-up rate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
     /// Accepts requests.
@@ -38,6 +39,25 @@
     Draining,
     /// Has announced that it leaves. It may still finish requests.
     Left,
+    /// Accepts requests at the warm-up rate of its service.
+    Cold,
+}
+
+impl TargetState {
+    /// Whether new requests may be sent to the target.
+    ///
+    /// ```
+    /// use camphordale_fleet::TargetState;
+    ///
+    /// assert!(TargetState::Cold.accepts_requests());
+    /// assert!(!TargetState::Draining.accepts_requests());
+    /// ```
+    pub fn accepts_requests(self) -> bool {
+        match self {
+            TargetState::Ready | TargetState::Cold => true,
+            TargetState::Draining | TargetState::Left => false,
+        }
+    }
 }
 
 /// An announcement of a target.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -75,6 +75,7 @@
         leader_lease: ms(250),
         heartbeat_interval: ms(100),
         target_timeout: ms(20_000),
+        warm_up: camphordale_fleet::WarmUpBounds::default(),
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -114,6 +114,7 @@
         leader_lease: ms(150),
         heartbeat_interval: ms(80),
         target_timeout: ms(20_000),
+        warm_up: camphordale_fleet::WarmUpBounds::default(),
         member_timeout: ms(3500),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -204,6 +204,7 @@
         leader_lease: tuning.leader_lease,
         heartbeat_interval: tuning.heartbeat_interval,
         target_timeout: tuning.target_timeout,
+        warm_up: settings.warm_up,
         member_timeout: tuning.member_timeout,
         apply_timeout: tuning.apply_timeout,
         log_limit: settings
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -138,6 +138,7 @@
             retry_ratio: role_settings.retry_ratio,
             retry_extra: role_settings.retry_extra,
             drain_grace: role_settings.drain_timeout / 2,
+            warm_up: settings.warm_up,
             link_rate: settings.link_rate,
             seed: rand::random(),
         };
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -84,6 +84,18 @@
                         "per_s" => limit.map(f64::from), "told" => told);
                 }
             }
+            LogEvent::Cold {
+                target,
+                limit,
+                source,
+            } => {
+                context.metrics.count_event("cold");
+                if context.may_log("cold") {
+                    info!(context.logger, "cold target"; "target" => &*target,
+                        "cold" => limit.is_some(), "per_s" => limit.map(f64::from),
+                        "source" => source.name());
+                }
+            }
             LogEvent::Leaving { target } => {
                 context.metrics.count_event("leaving");
                 if context.may_log("leaving") {
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use camphordale_fleet::Domain;
+use camphordale_fleet::{
+    Domain,
+    WarmUpBounds, //
+};
 use camphordale_wire::{
     ClusterKey,
     KeyError,
@@ -53,6 +56,8 @@
     pub link_rate: Option<f64>,
     /// Memory of the process in bytes, if it is limited.
     pub memory: Option<usize>,
+    /// Bounds on the requests to a cold target.
+    pub warm_up: WarmUpBounds,
     /// Settings that operators may change.
     pub tuning: Tuning,
     /// Role of the process, with its settings.
