--- a/crates/entry/src/entry/evacuation.rs
+++ b/crates/entry/src/entry/evacuation.rs
@@ -64,7 +64,10 @@
         let deadline = since + self.config.evacuation_grace;
         match order {
             EvacuationOrder::Start => self.start_evacuation(domain, deadline, now, out),
-            EvacuationOrder::End => self.end_evacuation(domain, out),
+            EvacuationOrder::End => {
+                self.end_evacuation(domain, out);
+                self.adopt_all_warmth(now, out);
+            }
         }
     }
 
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -189,6 +189,7 @@
             retry_extra: 500.0,
             drain_grace: ms(1000),
             evacuation_grace: ms(4000),
+            warm_up: camphordale_fleet::WarmUpBounds::default(),
             link_rate: None,
             seed: seed + number,
         })
@@ -207,6 +208,7 @@
             leader_lease: ms(250),
             heartbeat_interval: ms(100),
             target_timeout: ms(20_000),
+            warm_up: camphordale_fleet::WarmUpBounds::default(),
             member_timeout: ms(3500),
             apply_timeout: ms(500),
             log_limit: 16 << 20,
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -183,6 +183,7 @@
             retry_extra: 50.0,
             drain_grace: ms(1000),
             evacuation_grace: ms(4000),
+            warm_up: camphordale_fleet::WarmUpBounds::default(),
             link_rate: Some(200_000.0),
             seed: 7,
         });
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -61,6 +61,7 @@
     },
 };
 use crate::{
+    evacuation::EvacuationOrder,
     key_leases::{
         Answer,
         LeaseTable,
@@ -433,6 +434,9 @@
                 order: *order,
                 outcome: outcome.clone(),
             }));
+            if outcome == Outcome::Done && *order == EvacuationOrder::End {
+                self.require_warm_proof(domain);
+            }
             // Keys of targets there begin to move with the next tick.
             if let Some(leader) = &mut self.leader_state {
                 leader.load_stats.plan_now(now);
@@ -475,6 +479,7 @@
                     crate::TargetState::Ready => "ready",
                     crate::TargetState::Draining => "draining",
                     crate::TargetState::Left => "left",
+                    crate::TargetState::Cold => "cold",
                 },
             })),
             Command::Remove { id, incarnation } => out.push(Effect::Log(LogEvent::Target {
--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -26,7 +26,6 @@
 };
 
 use crate::{
-    registry::TargetId,
     routing::Domain,
     state::{
         Outcome,
@@ -139,25 +138,6 @@
         let target = self.targets.get(id);
         target.is_some_and(|target| self.is_evacuated(&target.domain))
     }
-
-    /// The targets that count as cold when the evacuation of `domain` ends, because all of them may
-    /// have become cold while nothing was sent to them: those whose service has a warm-up rate.
-    /// [`View::apply`] knows of the end when [`Evacuations::apply`] returns [`Outcome::Done`] for
-    /// [`EvacuationOrder::End`].
-    pub fn targets_cold_after_evacuation(&self, domain: &str) -> Vec<TargetId> {
-        let Some(routing) = &self.routing else {
-            return Vec::new();
-        };
-        let has_warm_up = |service: &str| {
-            let service = routing.services.get(service);
-            service.is_some_and(|item| item.spec.cold.is_some())
-        };
-        let targets = self.targets.iter();
-        targets
-            .filter(|(_, target)| &*target.domain == domain && has_warm_up(&target.service))
-            .map(|(id, _)| id.clone())
-            .collect()
-    }
 }
 
 /// Encodes `body`, and the record after it if it is not empty.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
 //! | `load_summary` | load of targets by the reports of all entry VMs |
+//! | `warm_up` | which targets are cold, and the limit on requests to one |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -34,6 +35,7 @@
 mod request_limits;
 mod routing;
 mod state;
+pub mod warm_up;
 
 pub use control::{
     Call,
@@ -99,7 +101,9 @@
     LimitLedger,
     RIGHT_LIFETIME,
     RequestRate,
-    StatedLimit, //
+    RightRequest,
+    StatedLimit,
+    lower_limit, //
 };
 pub use routing::{
     Change,
@@ -126,3 +130,8 @@
     State,
     View, //
 };
+pub use warm_up::{
+    COLD_FALLBACK_FRACTION,
+    COLD_RIGHT_LIFETIME,
+    WarmUpBounds, //
+};
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -202,7 +202,13 @@
                 map.assign(range.clone());
                 Outcome::Done
             }
-            Command::Evacuate { domain, order } => self.evacuations.apply(index, domain, *order),
+            Command::Evacuate { domain, order } => {
+                let outcome = self.evacuations.apply(index, domain, *order);
+                if outcome == Outcome::Done && *order == EvacuationOrder::End {
+                    self.mark_domain_cold(domain);
+                }
+                outcome
+            }
         }
     }
 
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -18,6 +18,7 @@
     ConfigResource,
     Digest,
     Domain,
+    EvacuationOrder,
     EvacuationOrder::{
         End,
         Start, //
@@ -251,5 +252,14 @@
     view.routing = Some(Arc::new(routing));
     view.targets.insert("t2".into(), target("slow", "a"));
     view.targets.insert("t3".into(), target("slow", "b"));
-    assert_eq!(view.targets_cold_after_evacuation("a"), ["t2".into()]);
+    for order in [EvacuationOrder::Start, EvacuationOrder::End] {
+        let domain = "a".into();
+        view.apply(7, &Command::Evacuate { domain, order });
+    }
+    let is_cold = |target: &&str| view.targets[*target].state == TargetState::Cold;
+    let cold: Vec<&str> = ["t1", "t2", "t3"]
+        .into_iter()
+        .filter(|t| is_cold(t))
+        .collect();
+    assert_eq!(cold, ["t2"]);
 }
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -144,6 +144,7 @@
             evacuation_grace: role_settings
                 .evacuation_timeout
                 .saturating_sub(EVACUATION_MARGIN),
+            warm_up: settings.warm_up,
             link_rate: settings.link_rate,
             seed: rand::random(),
         };
