Withdraw attempts that wait for a connection to an evacuated domain

Cause: an attempt may be queued in the event loop while all connections to its target are in use, and would be sent long after the order.

Change: Effect::Withdraw ends such an attempt as failed with nothing sent, so that the request goes to another target; for requests with a key when the time of their holder has passed. The gauge evacuated-domains. Tests of a range that is on its way to a domain that is evacuated, and of a later incarnation there.

Measured: tests of fleet, entry, reactor and platform pass.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -444,6 +444,9 @@
         /// Whether the response exceeds the route's latency objective.
         late: bool,
     },
+    /// End an attempt that waits for a connection as failed, with nothing sent. One that has a
+    /// connection goes on.
+    Withdraw(AttemptId),
     /// Drop the response of an attempt.
     Discard(AttemptId),
     /// Respond to the caller without a target's response.
@@ -638,6 +641,7 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.maintain_control_stream(now, out);
         self.crashes.expire(now);
+        self.withdraw_keyed_attempts(now, out);
         while let Some((at, request)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/entry/src/entry/evacuation.rs
+++ b/crates/entry/src/entry/evacuation.rs
@@ -7,14 +7,18 @@
 //! other VMs serve these keys, or they have moved already.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
 use camphordale_fleet::{
     Domain,
     EvacuationOrder,
-    Evacuations, //
+    Evacuations,
+    TargetId, //
 };
 
 use super::{
@@ -28,6 +32,8 @@
 pub(super) struct EvacuationDeadlines {
     /// Time from which nothing is sent there, by domain.
     by_domain: BTreeMap<Domain, Duration>,
+    /// Domains whose time has not passed yet.
+    running: BTreeSet<Domain>,
     /// When the leader was last heard from before the stream was resumed, until a reply shows that
     /// all updates that were missed have arrived.
     missed_since: Option<Duration>,
@@ -97,8 +103,10 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        let deadlines = &mut self.evacuations.by_domain;
-        deadlines.entry(domain.clone()).or_insert(deadline);
+        let deadlines = &mut self.evacuations;
+        deadlines.by_domain.insert(domain.clone(), deadline);
+        deadlines.running.insert(domain.clone());
+        self.withdraw_attempts(domain, false, out);
         out.push(Effect::Log(LogEvent::Evacuation {
             domain: domain.clone(),
             order: EvacuationOrder::Start,
@@ -106,8 +114,36 @@
         }));
     }
 
+    /// Withdraws requests with a key when the time of their holders has passed.
+    pub(super) fn withdraw_keyed_attempts(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let evacuations = &mut self.evacuations;
+        let by_domain = &evacuations.by_domain;
+        let has_passed = |domain: &Domain| by_domain.get(domain).is_none_or(|at| now >= *at);
+        let passed = evacuations.running.extract_if(.., has_passed);
+        let passed: Vec<Domain> = passed.collect();
+        for domain in passed {
+            self.withdraw_attempts(&domain, true, out);
+        }
+    }
+
+    /// Withdraws the attempts at targets of a domain that wait for a connection. They could be sent
+    /// long after the order.
+    fn withdraw_attempts(&self, domain: &Domain, keyed: bool, out: &mut Vec<Effect>) {
+        let requests = self.requests.values();
+        let attempts = requests
+            .filter(|request| request.key.is_some() == keyed)
+            .flat_map(|request| &request.in_flight);
+        let is_inside = |id: &TargetId| {
+            let target = self.targets.get(id);
+            target.is_some_and(|target| target.domain == *domain)
+        };
+        let withdrawn = attempts.filter(|(_, holder)| is_inside(&holder.id));
+        out.extend(withdrawn.map(|(attempt, _)| Effect::Withdraw(*attempt)));
+    }
+
     fn end_evacuation(&mut self, domain: &Domain, out: &mut Vec<Effect>) {
         self.evacuations.by_domain.remove(domain);
+        self.evacuations.running.remove(domain);
         out.push(Effect::Log(LogEvent::Evacuation {
             domain: domain.clone(),
             order: EvacuationOrder::End,
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -330,7 +330,7 @@
                     }
                 }
                 Effect::ControlStream(ControlStreamEffect::Close) => self.vms[at].conn = None,
-                Effect::Discard(_) | Effect::Log(_) => {}
+                Effect::Withdraw(_) | Effect::Discard(_) | Effect::Log(_) => {}
             }
         }
     }
--- a/crates/entry/tests/entry/evacuation.rs
+++ b/crates/entry/tests/entry/evacuation.rs
@@ -192,6 +192,33 @@
     assert_eq!(keyed(&mut harness), None);
 }
 
+/// Guards against requests that wait for a connection to a target when the order comes, and are sent
+/// when it is in force.
+#[test]
+fn requests_that_wait_for_a_connection_are_withdrawn() {
+    let mut harness = Harness::new();
+    let started = [READS, ORDERS, KEYED].map(|service| {
+        let (_, output) = harness.request(service);
+        output.sent[0].clone()
+    });
+    let [(plain, ..), (once, request, _), _] = started;
+    assert_eq!(order(&mut harness, "b", Start).withdrawn, []);
+    order(&mut harness, "b", End);
+    let mut withdrawn = order(&mut harness, "a", Start).withdrawn;
+    withdrawn.sort_unstable();
+    assert_eq!(withdrawn, [plain, once]);
+    // Nothing was sent, so another target may get the request.
+    let output = harness.end_attempt(once, failed(false));
+    assert_eq!(output.sent[0].1, request);
+    assert_eq!(&*output.sent[0].2, "orders-2");
+    // Requests for keys are withdrawn when the time of their holder has passed.
+    pass(&mut harness, GRACE - ms(100));
+    let (_, output) = harness.request(KEYED);
+    assert_eq!(harness.advance(ms(99)).withdrawn, []);
+    assert_eq!(harness.advance(ms(1)).withdrawn, [output.sent[0].0]);
+    assert_eq!(harness.advance(ms(1)).withdrawn, []);
+}
+
 /// Guards against a fresh grace with each restart: a VM that has just started cannot know when the
 /// order was given.
 #[test]
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -121,6 +121,7 @@
     /// Attempts sent over a connection of their own.
     pub(crate) repeated: Vec<AttemptId>,
     pub(crate) cancelled: Vec<AttemptId>,
+    pub(crate) withdrawn: Vec<AttemptId>,
     pub(crate) forwarded: Vec<RequestHandle>,
     pub(crate) refused: Vec<(RequestHandle, Refusal)>,
     /// Logged decisions about refusals and retries.
@@ -208,6 +209,7 @@
                     output.repeated.extend(repeated.then_some(attempt));
                 }
                 Effect::Cancel(attempt) => output.cancelled.push(attempt),
+                Effect::Withdraw(attempt) => output.withdrawn.push(attempt),
                 Effect::ForwardResponse { request, .. } => output.forwarded.push(request),
                 Effect::Refuse { request, refusal } => output.refused.push((request, refusal)),
                 Effect::Log(LogEvent::Refused(decision) | LogEvent::Retried(decision)) => {
--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -77,11 +77,6 @@
         matches!(self.0.get(domain), Some(Evacuation::Started { .. }))
     }
 
-    /// Whether any domain is evacuated.
-    pub fn any(&self) -> bool {
-        self.evacuated().next().is_some()
-    }
-
     /// The evacuated domains.
     pub fn evacuated(&self) -> impl Iterator<Item = &Domain> {
         let started = |(_, last): &(&Domain, &Evacuation)| {
@@ -135,7 +130,10 @@
     }
 
     /// Whether the target with this id is in an evacuated domain.
-    pub fn is_in_evacuated_domain(&self, id: &str) -> bool {
+    pub(crate) fn is_in_evacuated_domain(&self, id: &str) -> bool {
+        if self.evacuations.0.is_empty() {
+            return false;
+        }
         let target = self.targets.get(id);
         target.is_some_and(|target| self.is_evacuated(&target.domain))
     }
@@ -144,6 +142,10 @@
     /// have become cold while nothing was sent to them: those whose service has a warm-up rate.
     /// [`View::apply`] knows of the end when [`Evacuations::apply`] returns [`Outcome::Done`] for
     /// [`EvacuationOrder::End`].
+    ///
+    /// ```
+    /// assert!(camphordale_fleet::View::default().targets_cold_after_evacuation("a").is_empty());
+    /// ```
     pub fn targets_cold_after_evacuation(&self, domain: &str) -> Vec<TargetId> {
         let Some(routing) = &self.routing else {
             return Vec::new();
--- a/crates/fleet/tests/key_leases.rs
+++ b/crates/fleet/tests/key_leases.rs
@@ -12,8 +12,8 @@
 };
 
 use camphordale_fleet::{
-    Answer, FencingToken, Holder, Key, KeyMap, KeyRange, LeaseTimes, Order, OrderId, Target,
-    TargetState, View,
+    Answer, EvacuationOrder, FencingToken, Holder, Key, KeyMap, KeyRange, LeaseTimes, Order,
+    OrderId, Target, TargetState, View,
     key_leases::{
         Dispatch,
         LeaseTable,
@@ -461,6 +461,50 @@
     assert_eq!(changes.len(), 1);
 }
 
+/// Guards against a range that is given to a target whose domain was evacuated during the move. The
+/// range waits where no other target accepts it.
+#[test]
+fn a_released_range_does_not_go_to_an_evacuated_domain() {
+    let mut view = view(3);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+    }
+    table.begin_move(SERVICE, 100, 199, &holder(1));
+    let orders = table.due_orders(&view, ms(10));
+    let is_release = |order: &&Dispatch| matches!(order.order, Order::Release { .. });
+    let release = orders.iter().find(is_release).unwrap();
+    view.targets.get_mut("t1").unwrap().domain = "b".into();
+    view.evacuations
+        .apply(1, &"b".into(), EvacuationOrder::Start);
+    table.record_answer(release.id, &Answer::Released(Some("h".into())), ms(30));
+    assert_eq!(table.due_holder_changes(&view, ms(30), |_, _| None), []);
+    let changes = table.due_holder_changes(&view, ms(31), |_, _| Some(holder(2)));
+    let range = &changes[0].range;
+    assert_eq!(
+        (&range.holder, &range.handover),
+        (&Some(holder(2)), &Some("h".into()))
+    );
+}
+
+/// Guards against a second holder: a grant may have reached the later incarnation of a holder in an
+/// evacuated domain, so the range has to go there first.
+#[test]
+fn a_later_incarnation_in_an_evacuated_domain_gets_the_range_before_it_moves() {
+    let mut view = view(2);
+    let mut table = LeaseTable::new(TIMES, 1, &view, ms(0));
+    for order in table.due_orders(&view, ms(0)) {
+        table.record_answer(order.id, &Answer::Granted, ms(5));
+    }
+    let target = view.targets.get_mut("t0").unwrap();
+    (target.incarnation, target.domain) = (2, "b".into());
+    view.evacuations
+        .apply(1, &"b".into(), EvacuationOrder::Start);
+    let changes = table.due_holder_changes(&view, ms(10), |_, _| Some(holder(1)));
+    let next = changes[0].range.holder.as_ref().unwrap();
+    assert_eq!((&*next.id, next.incarnation), ("t0", 2));
+}
+
 /// A target that carries out orders according to the platform's protocol.
 #[derive(Default)]
 struct TargetLeases {
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -354,6 +354,7 @@
     fn measure_retained(&self, context: &ProcessContext) {
         let retained = self.control.retained_bytes();
         let file = self.store.as_ref().map_or(0, Store::size);
+        let evacuations = &self.control.state().view.evacuations;
         for (kind, bytes) in [
             ("log-bytes", retained.log as u64),
             ("snapshot-bytes", retained.snapshot as u64),
@@ -363,6 +364,8 @@
         ] {
             context.metrics.set_gauge(kind, bytes);
         }
+        let evacuated = evacuations.evacuated().count() as u64;
+        context.metrics.set_gauge("evacuated-domains", evacuated);
     }
 
     /// The accepted changes that this member knows, as JSON, oldest first.
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -245,7 +245,12 @@
                 request,
             } => {
                 let response = match listener_kind {
-                    ListenerKind::Metrics => context.metrics_response(&request),
+                    ListenerKind::Metrics => {
+                        let evacuated = self.entry.view().evacuations.evacuated().count();
+                        let metrics = &context.metrics;
+                        metrics.set_gauge("evacuated-domains", evacuated as u64);
+                        context.metrics_response(&request)
+                    }
                     _ if !self.adapter.is_readiness_probe(&request) => {
                         Response::text(404, "not found")
                     }
@@ -469,6 +474,7 @@
                     });
                 }
                 Effect::Cancel(attempt) => context.event_loop.abort_exchange(attempt),
+                Effect::Withdraw(attempt) => context.event_loop.withdraw_exchange(attempt),
                 Effect::Discard(attempt) => {
                     self.responses.remove(&attempt);
                 }
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -348,6 +348,19 @@
         }
     }
 
+    /// Fails an exchange that is queued for a connection, so that nothing of it is sent. One that has
+    /// a connection goes on.
+    pub fn withdraw_exchange(&mut self, id: ExchangeId) {
+        let queued = self.pools.values_mut().find_map(|pool| {
+            let at = pool.queued.iter().position(|exchange| exchange.id == id)?;
+            pool.queued.remove(at)
+        });
+        if let Some(exchange) = queued {
+            let reason = "withdrawn while queued for a connection";
+            self.fail_exchange(&exchange, FailureCause::Local, reason);
+        }
+    }
+
     /// Aborts an exchange and resets its connection. No [`IoEvent::ExchangeEnded`] follows.
     pub fn abort_exchange(&mut self, id: ExchangeId) {
         let now = self.clock.now();
--- a/crates/reactor/tests/failure_causes.rs
+++ b/crates/reactor/tests/failure_causes.rs
@@ -111,11 +111,15 @@
     }
 
     fn start_exchange(&mut self, address: SocketAddr, body: usize, limit: Duration) {
+        self.start_exchange_as(1, address, body, limit);
+    }
+
+    fn start_exchange_as(&mut self, id: u64, address: SocketAddr, body: usize, limit: Duration) {
         let head = format!("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {body}\r\n\r\n");
         let mut bytes = head.into_bytes();
         bytes.resize(bytes.len() + body, b'x');
         self.event_loop.start_exchange(Exchange {
-            id: 1,
+            id,
             address,
             bytes,
             body: None,
@@ -247,3 +251,25 @@
     drop(target.join().unwrap());
     assert_eq!(fixture.run(SHORT_DEADLINE), None);
 }
+
+/// Guards against a request that waits for a connection and is sent after its target must not get any
+/// more, and against one that is broken off although it may have been sent.
+#[test]
+fn a_withdrawn_exchange_is_unsent_and_others_go_on() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = thread::spawn(move || serve(&listener, Behaviour::Send(b"")));
+    let mut fixture = Fixture::new();
+    fixture.start_exchange_as(1, address, 0, WAIT_LIMIT);
+    fixture.start_exchange_as(2, address, 0, WAIT_LIMIT);
+    fixture.event_loop.withdraw_exchange(2);
+    let failure = fixture.run(WAIT_LIMIT).unwrap();
+    assert!(!failure.sent && !failure.closed_by_target(), "{failure:?}");
+    while !target.is_finished() {
+        assert_eq!(fixture.run(Duration::from_millis(20)), None);
+    }
+    fixture.event_loop.withdraw_exchange(1);
+    assert_eq!(fixture.run(SHORT_DEADLINE), None);
+    drop(target.join().unwrap());
+    assert!(fixture.run(WAIT_LIMIT).unwrap().sent);
+}
