--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -76,11 +76,6 @@
         matches!(self.0.get(domain), Some(Evacuation::Started { .. }))
     }
 
-    /// Whether any domain is evacuated.
-    pub fn any(&self) -> bool {
-        self.evacuated().next().is_some()
-    }
-
     /// The evacuated domains.
     pub fn evacuated(&self) -> impl Iterator<Item = &Domain> {
         let started = |(_, last): &(&Domain, &Evacuation)| {
@@ -134,7 +129,10 @@
     }
 
     /// Whether the target with this id is in an evacuated domain.
-    pub fn is_in_evacuated_domain(&self, id: &str) -> bool {
+    pub(crate) fn is_in_evacuated_domain(&self, id: &str) -> bool {
+        if self.evacuations.0.is_empty() {
+            return false;
+        }
         let target = self.targets.get(id);
         target.is_some_and(|target| self.is_evacuated(&target.domain))
     }
