Learn the speed of keyed targets from their first responses

Cause: with 59 entry VMs and 77 targets of a speed of 0.5 to 1.5, a pair of VM and target sees a response in five seconds. Latencies were reported every two seconds, ten responses had to be seen before they counted half, and the rate of requests was averaged over five seconds that were mostly before the start. The slow quarter of the targets stayed saturated for up to nine seconds.

Change, for contended routing only: entry VMs report latencies with each ping; the leader keeps mean logarithms of latencies and weighs the median target like four responses; the planner weighs the sample by what chance does not explain, knows the error of the capacities, moves up to 16 ranges at once, equalizes holders of a busy service, and lets a moved range rest for one second instead of 2.5. Half of the wait in a queue is taken off a latency, because a queue that grows was shorter when the request came. Targets may state the momentary slowdown of their machine as the fourth value of the load header: it is taken off the latency, and counts in the selection of plain targets for 400 ms.

A key with 16 or 40 % of the requests is isolated, and 60 or 200 such keys are divided, within two seconds. The moves of a routing that is not contended have the digest that was recorded with the planner before. Tests of fleet, entry and platform pass; of reactor, pacing.rs: long_responses_give_way_to_short_ones failed once on the busy machine (load 17) and passed when repeated; the reactor is unchanged.

--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -82,6 +82,10 @@
             PeerMessage::Resume { .. } if is_established => {
                 // Notices of moves may have been missed.
                 self.handovers.clear();
+                if self.routes.is_contended() {
+                    // A new leader has no reports of latencies.
+                    self.targets.requeue_latencies();
+                }
                 self.confirm_view(now, out);
                 self.retry_where(now, out, |_| true);
             }
@@ -203,6 +207,7 @@
             return;
         }
         self.routes.sync(routing);
+        self.targets.set_contended(self.routes.is_contended());
         let (ratio, burst) = (self.config.retry_ratio, self.config.retry_extra);
         self.budgets
             .retain(|name, _| routing.services.contains_key(name));
@@ -255,7 +260,11 @@
     fn take_reports(&mut self, now: Duration) -> (Vec<KeyLoad>, Vec<TargetLatency>) {
         let mut latencies = Vec::new();
         // A target with many responses is under load, and its speed may be changing.
-        let least = if now < self.next_latency {
+        let least = if self.routes.is_contended() {
+            // With many VMs, each sees few responses of a target, and the sooner the leader knows of
+            // a slow one the fewer requests wait there.
+            1
+        } else if now < self.next_latency {
             EARLY_REPORT_RESPONSES
         } else {
             self.next_latency = now + LATENCY_REPORT_INTERVAL;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -68,7 +68,9 @@
     SelectionError, //
 };
 pub use targets::{
+    InvalidSlowdown,
     LoadReport,
+    Slowdown,
     TargetStats,
     TargetTracker,
     TrackedTarget, //
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -154,7 +154,8 @@
                 pause = Some(pause.map_or(rest, |other: Duration| other.min(rest)));
                 continue;
             }
-            let expected = tracked.expected_latency(self.now);
+            let expected =
+                tracked.expected_latency(self.now) * tracked.momentary_slowdown(self.now);
             if tracked.is_backing_off(self.now) || tracked.is_stalled(self.now) {
                 let allowed = tracked.limit.allows(self.limit_source, self.now);
                 let usable = allowed && !tracked.is_backing_off(self.now);
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -46,6 +46,74 @@
 /// Minimum wait before a target counts as stalled.
 const MIN_STALL_TIME: Duration = Duration::from_millis(1000);
 
+/// Time after a report in which the momentary slowdown of a machine counts. Neighbours of a target
+/// slow it down for about this time at once.
+const SLOWDOWN_FADE_TIME: Duration = Duration::from_millis(400);
+/// Weight of what is known beforehand about a target's latency, as a number of its responses. The
+/// work per request is log-normal with a sigma of about 0.8, and the logarithms of the speeds of
+/// targets differ by about 0.4; (0.8 / 0.4)^2 responses tell as much as the usual latency.
+const PRIOR_RESPONSES: u32 = 4;
+/// Part of the expected wait in a target's queue that is taken off a latency if the routing is
+/// contended. The queue is known at the end of a request only; where it grows, it was shorter at the
+/// start, and with the whole wait taken off a saturated target would look fast. What is left makes
+/// the target look slower than it is, so that it loses keys, which shortens its queue.
+const EXPLAINED_WAIT_FRACTION: f64 = 0.5;
+/// Least weight of one response in a target's mean latency if the routing is contended. Latencies are
+/// then free of the momentary slowdown, and what is left of their spread is mostly chance.
+const LEARNED_LATENCY_WEIGHT: f64 = 0.04;
+/// Least weight of one response in the mean latency of a service.
+const SERVICE_LATENCY_WEIGHT: f64 = 0.02;
+
+/// How long work takes on a target's machine at the moment, relative to the usual time.
+///
+/// ```
+/// use camphordale_entry::Slowdown;
+///
+/// assert_eq!(Slowdown::try_from(2.5).map(Slowdown::factor), Ok(2.5));
+/// assert_eq!(Slowdown::default().factor(), 1.0);
+/// assert!(Slowdown::try_from(f64::NAN).is_err());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Slowdown {
+    per_mille: u32,
+}
+
+/// The value is not a number within the bounds of a [`Slowdown`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a number between {} and {}", Slowdown::MIN, Slowdown::MAX)]
+pub struct InvalidSlowdown;
+
+impl Slowdown {
+    /// Smallest factor. One that is far below 1 would make a slow target look fast.
+    pub const MIN: f64 = 0.1;
+    /// Largest factor. The slowest machines take a few times the usual time.
+    pub const MAX: f64 = 100.0;
+
+    /// The factor; 1.0 is usual.
+    pub fn factor(self) -> f64 {
+        f64::from(self.per_mille) / 1000.0
+    }
+}
+
+impl Default for Slowdown {
+    fn default() -> Slowdown {
+        Slowdown { per_mille: 1000 }
+    }
+}
+
+impl TryFrom<f64> for Slowdown {
+    type Error = InvalidSlowdown;
+
+    fn try_from(factor: f64) -> Result<Slowdown, InvalidSlowdown> {
+        match (Slowdown::MIN..=Slowdown::MAX).contains(&factor) {
+            true => Ok(Slowdown {
+                per_mille: (factor * 1000.0).round() as u32,
+            }),
+            false => Err(InvalidSlowdown),
+        }
+    }
+}
+
 /// Load reported by a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -55,6 +123,8 @@
     pub queued: u32,
     /// Requests that the target runs concurrently.
     pub slots: u32,
+    /// Momentary slowdown of the target's machine.
+    pub slowdown: Slowdown,
 }
 
 impl LoadReport {
@@ -104,8 +174,13 @@
     pub slots: u32,
     /// Whether new requests may be sent there.
     pub accepts_requests: bool,
-    /// Mean latency in seconds, without the slowdown explained by the target's load.
+    /// Mean latency in seconds, without the slowdown explained by the target's load and by its
+    /// machine.
     mean_latency: f64,
+    /// Number of responses in the mean latency.
+    responses: u32,
+    /// Momentary slowdown of the target's machine in the last load report.
+    momentary_slowdown: Slowdown,
     /// Fraction of recent attempts that failed.
     failure_rate: f64,
     /// Attempts of this VM in flight.
@@ -135,6 +210,8 @@
             slots: target.slots.max(1),
             accepts_requests: target.state == TargetState::Ready,
             mean_latency: 0.0,
+            responses: 0,
+            momentary_slowdown: Slowdown::default(),
             failure_rate: 0.0,
             in_flight: BTreeMap::new(),
             unreported: (0, 0.0),
@@ -255,10 +332,31 @@
     }
 
     fn slowdown_at(&self, load: f64) -> f64 {
+        self.slowdown_with(load, 1.0)
+    }
+
+    /// The slowdown with this part of the wait in the queue.
+    fn slowdown_with(&self, load: f64, wait_fraction: f64) -> f64 {
         let slots = f64::from(self.slots);
         let wait = ((load + 1.0 - slots) / slots).max(0.0);
         let busy = (load / slots).min(1.0);
-        1.0 + BUSY_SLOWDOWN * busy * busy + wait
+        1.0 + BUSY_SLOWDOWN * busy * busy + wait * wait_fraction
+    }
+
+    /// Factor by which the target's machine slows down the next request. A report loses its weight
+    /// within [`SLOWDOWN_FADE_TIME`].
+    pub fn momentary_slowdown(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        let weight = (1.0 - age / SLOWDOWN_FADE_TIME.as_secs_f64()).max(0.0);
+        1.0 + (self.momentary_slowdown.factor() - 1.0) * weight
+    }
+
+    /// Records the latency of a response in seconds. `weight` is its weight in the mean.
+    fn record_latency(&mut self, took: f64, prior: f64, weight: f64) {
+        self.mean_latency = prior + (took - prior) * weight;
+        self.responses = self.responses.saturating_add(1);
+        self.unreported.0 += 1;
+        self.unreported.1 += took * 1000.0;
     }
 
     /// Expected latency of one more request in seconds.
@@ -293,6 +391,7 @@
             self.other_load = (total - self.in_flight.len() as f64).max(0.0);
             self.reported_at = now;
             self.slots = report.slots.max(1);
+            self.momentary_slowdown = report.slowdown;
         }
     }
 
@@ -302,6 +401,22 @@
     }
 }
 
+/// Latencies of all targets of a service.
+#[derive(Debug, Default)]
+struct ServiceLatency {
+    /// Mean in seconds.
+    mean: f64,
+    responses: u32,
+}
+
+impl ServiceLatency {
+    fn record(&mut self, took: f64) {
+        self.responses = self.responses.saturating_add(1);
+        let weight = (1.0 / f64::from(self.responses)).max(SERVICE_LATENCY_WEIGHT);
+        self.mean += (took - self.mean) * weight;
+    }
+}
+
 /// All registered targets by id.
 ///
 /// The indexes change with the target that changes, so that an update of one target costs the same
@@ -312,9 +427,21 @@
     /// Ids in order.
     by_service: HashMap<ServiceName, Vec<TargetId>>,
     by_address: HashMap<Address, TargetId>,
+    /// Latencies of all targets of a service. Only kept if the routing is contended.
+    service_latencies: HashMap<ServiceName, ServiceLatency>,
+    is_contended: bool,
 }
 
 impl TargetTracker {
+    /// Sets whether the routing is contended. If it is, the latency of a target is learned from its
+    /// first responses, starting from that of the service.
+    pub fn set_contended(&mut self, is_contended: bool) {
+        self.is_contended = is_contended;
+        if !is_contended {
+            self.service_latencies.clear();
+        }
+    }
+
     /// Adopts the target registry. Statistics of known incarnations are kept.
     pub fn sync(&mut self, view: &View) {
         let is_gone = |id: &&TargetId| !view.targets.contains_key(*id);
@@ -405,10 +532,12 @@
             .values_mut()
             .filter(|tracked| tracked.mean_latency > 0.0)
         {
-            tracked.unreported = (
-                SUMMARY_RESPONSES,
-                tracked.mean_latency * 1000.0 * f64::from(SUMMARY_RESPONSES),
-            );
+            let responses = match self.is_contended {
+                true => tracked.responses.min(SUMMARY_RESPONSES),
+                false => SUMMARY_RESPONSES,
+            };
+            let total = tracked.mean_latency * 1000.0 * f64::from(responses);
+            tracked.unreported = (responses, total);
         }
     }
 
@@ -500,12 +629,34 @@
             // The load reported with the response is more recent than what this VM knew when it
             // sent the request.
             let reported = report.map_or(0.0, LoadReport::total);
-            let slowdown = started.slowdown.max(tracked.slowdown_at(reported));
-            let took = now.saturating_sub(started.sent_at).as_secs_f64() / slowdown;
-            let mean = tracked.mean_latency();
-            tracked.mean_latency = mean + (took - mean) * LATENCY_WEIGHT;
-            tracked.unreported.0 += 1;
-            tracked.unreported.1 += took * 1000.0;
+            let elapsed = now.saturating_sub(started.sent_at).as_secs_f64();
+            let momentary = report.map_or(1.0, |report| report.slowdown.factor());
+            if !self.is_contended {
+                let slowdown = started.slowdown.max(tracked.slowdown_at(reported));
+                let took = elapsed / (slowdown * momentary);
+                let mean = tracked.mean_latency();
+                return tracked.record_latency(took, mean, LATENCY_WEIGHT);
+            }
+            let slowdown = match report {
+                Some(_) => tracked.slowdown_with(reported, EXPLAINED_WAIT_FRACTION),
+                None => started.slowdown,
+            };
+            let took = elapsed / (slowdown * momentary);
+            let service = match self.service_latencies.get_mut(&tracked.service) {
+                Some(service) => service,
+                None => {
+                    let name = tracked.service.clone();
+                    self.service_latencies.entry(name).or_default()
+                }
+            };
+            service.record(took);
+            let prior = match tracked.responses {
+                0 => service.mean,
+                _ => tracked.mean_latency,
+            };
+            let known = tracked.responses.saturating_add(PRIOR_RESPONSES + 1);
+            let weight = (1.0 / f64::from(known)).max(LEARNED_LATENCY_WEIGHT);
+            tracked.record_latency(took, prior, weight);
         }
     }
 
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -19,6 +19,7 @@
     LogEvent,
     Refusal,
     RequestHandle, //
+    Slowdown,
 };
 use camphordale_fleet::{
     ConfigResource,
@@ -294,6 +295,7 @@
         running,
         queued,
         slots: 4,
+        slowdown: Slowdown::default(),
     });
     AttemptResult::Complete {
         status: 200,
--- a/crates/entry/tests/entry/load.rs
+++ b/crates/entry/tests/entry/load.rs
@@ -18,6 +18,7 @@
     AttemptResult,
     LoadReport,
     Refusal,
+    Slowdown,
     TargetTracker, //
 };
 use rstest::rstest;
@@ -243,6 +244,7 @@
             running,
             queued,
             slots: 4,
+            slowdown: Slowdown::default(),
         }),
     };
     let second = harness.end_attempt(first, not_executed).sent[0].0;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -10,3 +10,4 @@
 mod outside_numbers;
 mod requests;
 mod statements;
+mod uneven;
--- a/crates/entry/tests/entry/outside_numbers.rs
+++ b/crates/entry/tests/entry/outside_numbers.rs
@@ -8,6 +8,7 @@
     IncomingRequest,
     LoadReport,
     Refusal, //
+    Slowdown,
 };
 use rstest::rstest;
 
@@ -46,6 +47,7 @@
         running: u32::MAX,
         queued: u32::MAX,
         slots: u32::MAX,
+        slowdown: Slowdown::default(),
     });
     let result = AttemptResult::Complete {
         status: 200,
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -47,6 +47,32 @@
 const MIN_MOVE_FRACTION: f64 = 0.2;
 /// Maximum number of moves in one plan.
 const MAX_MOVES: usize = 6;
+/// Maximum number of moves in one plan for contended routing: when traffic starts, a quarter of the
+/// holders may be too slow for equal parts of the keys.
+const CONTENDED_MAX_MOVES: usize = 16;
+/// A holder above this multiple of its fair share gives keys away if the service is busy and the
+/// routing is contended. Chance is allowed for in addition.
+const CONTENDED_OVERLOAD_RATIO: f64 = 1.1;
+/// A target below this multiple of its fair share receives keys if the routing is contended. The gap
+/// to [`CONTENDED_OVERLOAD_RATIO`] keeps keys from moving back.
+const CONTENDED_UNDERLOAD_RATIO: f64 = 0.9;
+/// Utilization of a service above which waiting grows steeply, so that smaller differences between
+/// holders matter.
+const BUSY_UTILIZATION: f64 = 0.6;
+/// Standard deviations by which a load must exceed the fair share if the routing is contended.
+const CONTENDED_DEVIATIONS: f64 = 3.0;
+/// The same for a holder that is expected to be saturated: a needless move costs less than requests
+/// that wait there longer and longer.
+const SATURATED_DEVIATIONS: f64 = 1.0;
+/// A rise in the load is sudden if it exceeds this multiple of the fair share of a holder.
+const SUDDEN_RATIO: f64 = 1.5;
+/// Utilization above which a holder counts as saturated. Its queue hardly gets shorter.
+const SATURATED_UTILIZATION: f64 = 0.95;
+/// Standard deviations by which the samples at one holder must exceed what evenly requested keys
+/// explain for the even model to be dropped. Chance alone reaches this once in 300,000 cases.
+const UNEVEN_DEVIATIONS: f64 = 4.5;
+/// A whole range moves if it has at least this fraction of the wanted load.
+const MIN_EDGE_FRACTION: f64 = 0.5;
 /// Number of keys.
 const KEY_COUNT: f64 = 65536.0;
 
@@ -81,6 +107,30 @@
     pub next: Holder,
 }
 
+/// Which differences between holders count in a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All that chance does not explain.
+    All,
+    /// Only those of a sudden rise of the load, for a short sample.
+    SuddenRises,
+}
+
+/// What the planner knows about the estimates that it is given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Evidence {
+    /// Capacities count as exact, and the sample as the load.
+    Plain,
+    /// For contended routing: the load of a range is estimated from the sample only as far as chance
+    /// does not explain the sample, and smaller differences between busy holders count.
+    Weighed {
+        /// Standard error of the capacities, relative.
+        capacity_error: f64,
+        /// Which differences between holders count.
+        scope: Scope,
+    },
+}
+
 /// Position of a receiver in [`LoadModel::receivers`].
 type ReceiverIndex = usize;
 
@@ -92,8 +142,11 @@
     /// order.
     held: Vec<Vec<(Key, Key)>>,
     sample: Vec<Key>,
+    evidence: Evidence,
     sample_weight: f64,
     even_weight: f64,
+    /// Weight of one sample in the load of a single key.
+    key_weight: f64,
     /// Total request rate as a fraction of the capacity of all receivers.
     total_utilization: f64,
     /// Fraction of all requests that each receiver gets.
@@ -161,9 +214,49 @@
 /// assert_eq!(moves[0].next, holder("b"));
 /// ```
 pub fn plan(ranges: &[KeyRange], candidates: &[Candidate], demand: &Demand<'_>) -> Vec<Move> {
+    plan_with(ranges, candidates, demand, Evidence::Plain)
+}
+
+/// Returns the moves that should start now, like [`plan`].
+///
+/// ```
+/// use camphordale_fleet::{Holder, KeyRange, balance::{Candidate, Demand, Evidence, Scope, plan_with}};
+///
+/// let candidate = |id: &str, capacity| Candidate {
+///     holder: Holder { id: id.into(), incarnation: 1 },
+///     capacity,
+///     accepts_keys: true,
+/// };
+/// let candidates = [candidate("slow", 10.0), candidate("fast", 30.0)];
+/// let half = |from, to, at: usize| KeyRange {
+///     from,
+///     to,
+///     holder: Some(candidates[at].holder.clone()),
+///     handover: None,
+/// };
+/// let ranges = [half(0, 32767, 0), half(32768, u16::MAX, 1)];
+/// let sample: Vec<u16> = (0..60).map(|at| at * 1092).collect();
+/// let demand = Demand { sample: &sample, rate: 30.0 };
+/// let evidence = Evidence::Weighed { capacity_error: 0.1, scope: Scope::All };
+/// let moves = plan_with(&ranges, &candidates, &demand, evidence);
+/// assert_eq!(&*moves[0].next.id, "fast");
+/// ```
+pub fn plan_with(
+    ranges: &[KeyRange],
+    candidates: &[Candidate],
+    demand: &Demand<'_>,
+    evidence: Evidence,
+) -> Vec<Move> {
     let mut model = LoadModel::new(ranges, candidates, demand);
+    let max_moves = match evidence {
+        Evidence::Plain => MAX_MOVES,
+        Evidence::Weighed { .. } => {
+            model.weigh(evidence);
+            CONTENDED_MAX_MOVES
+        }
+    };
     let mut out = model.evacuate(ranges, candidates);
-    for _ in out.len()..MAX_MOVES {
+    for _ in out.len()..max_moves {
         match model.next_move(demand.sample.len() >= MIN_SAMPLE) {
             Some((donor, receiver, (from, to))) => {
                 model.move_keys(Some(donor), receiver, from, to);
@@ -199,6 +292,22 @@
     Some(model.receivers[at].holder.clone())
 }
 
+/// The first key from `first` on for which `is_before` is false, or `last`.
+fn partition_keys<IsBefore>(first: Key, last: Key, is_before: IsBefore) -> Key
+where
+    IsBefore: Fn(Key) -> bool,
+{
+    let (mut low, mut high) = (first, last);
+    while low < high {
+        let middle = low + (high - low) / 2;
+        match is_before(middle) {
+            true => low = middle + 1,
+            false => high = middle,
+        }
+    }
+    low
+}
+
 /// The range that contains a key, if any. `ranges` are in key order.
 pub(crate) fn range_at(ranges: &[KeyRange], key: Key) -> Option<&KeyRange> {
     let at = ranges.partition_point(|range| range.to < key);
@@ -275,8 +384,10 @@
             indexes,
             held: vec![Vec::new(); receivers.len()],
             sample,
+            evidence: Evidence::Plain,
             sample_weight,
             even_weight: even / KEY_COUNT,
+            key_weight: sample_weight,
             total_utilization: demand.rate / sum.max(f64::MIN_POSITIVE),
             load: vec![0.0; receivers.len()],
             fair_share: receivers.iter().map(|c| c.capacity / sum).collect(),
@@ -292,6 +403,43 @@
         model
     }
 
+    /// Adopts `evidence`, and gives the sample the weight that chance leaves it.
+    fn weigh(&mut self, evidence: Evidence) {
+        self.evidence = evidence;
+        let count = self.sample.len();
+        if count < MIN_SAMPLE {
+            return;
+        }
+        let fraction = self.unevenness().min(1.0 - EVEN_FRACTION);
+        self.sample_weight = fraction / count as f64;
+        self.even_weight = (1.0 - fraction) / KEY_COUNT;
+        for at in 0..self.receivers.len() {
+            let held = self.held[at].iter();
+            self.load[at] = held.map(|(from, to)| self.load_of(*from, *to)).sum();
+        }
+    }
+
+    /// The part of the differences between holders that is not explained by chance: 0 if the
+    /// sample is as even as one of evenly requested keys is, up to 1.
+    fn unevenness(&self) -> f64 {
+        let count = self.sample.len() as f64;
+        let (mut sum, mut holders) = (0.0, 0.0);
+        for held in self.held.iter().filter(|held| !held.is_empty()) {
+            let (mut seen, mut expected) = (0.0, 0.0);
+            for (from, to) in held {
+                seen += self.sample_in(*from, *to).len() as f64;
+                expected += count * (f64::from(*to) - f64::from(*from) + 1.0) / KEY_COUNT;
+            }
+            if seen - expected > UNEVEN_DEVIATIONS * expected.max(1.0).sqrt() {
+                return 1.0;
+            }
+            sum += (seen - expected).powi(2) / expected.max(1.0);
+            holders += 1.0;
+        }
+        let dispersion: f64 = sum / f64::max(holders, 1.0);
+        (1.0 - 1.0 / dispersion.max(1.0)).max(0.0)
+    }
+
     fn sample_in(&self, from: Key, to: Key) -> &[Key] {
         let start = self.sample.partition_point(|key| *key < from);
         let end = self.sample.partition_point(|key| *key <= to);
@@ -364,7 +512,11 @@
     fn next_move(&self, sampled: bool) -> Option<(ReceiverIndex, ReceiverIndex, (Key, Key))> {
         let receiver = self.least_loaded(None)?;
         let is_new = self.load_ratio(receiver) == 0.0;
-        if !is_new && (!sampled || self.load_ratio(receiver) > UNDERLOAD_RATIO) {
+        let underload_ratio = match self.evidence {
+            Evidence::Plain => UNDERLOAD_RATIO,
+            Evidence::Weighed { .. } => CONTENDED_UNDERLOAD_RATIO,
+        };
+        if !is_new && (!sampled || self.load_ratio(receiver) > underload_ratio) {
             return None;
         }
         let donors = (0..self.receivers.len()).filter(|at| *at != receiver);
@@ -433,7 +585,7 @@
             }
         }
         let (count, key) = best;
-        (count as f64 * self.sample_weight, key)
+        (count as f64 * self.key_weight, key)
     }
 
     /// The key that alone makes up most of its holder's fair share and keeps the holder busy, if
@@ -496,7 +648,68 @@
     fn is_overloaded(&self, at: ReceiverIndex, ratio: f64) -> bool {
         let fair = self.fair_share[at] * self.sample.len() as f64;
         let busy = ratio * self.total_utilization > MIN_UTILIZATION;
-        busy && ratio > OVERLOAD_RATIO && (ratio - 1.0) * fair > MIN_DEVIATIONS * fair.sqrt()
+        let exceeds = match self.evidence {
+            Evidence::Plain => {
+                ratio > OVERLOAD_RATIO && (ratio - 1.0) * fair > MIN_DEVIATIONS * fair.sqrt()
+            }
+            Evidence::Weighed {
+                scope: Scope::SuddenRises,
+                ..
+            } if ratio < SUDDEN_RATIO => false,
+            Evidence::Weighed { capacity_error, .. } => {
+                let sampled = self.sample_weight * self.sample.len() as f64;
+                let noise = capacity_error.hypot(sampled / fair.max(1.0).sqrt());
+                let ratio_limit = match self.total_utilization > BUSY_UTILIZATION {
+                    true => CONTENDED_OVERLOAD_RATIO,
+                    false => OVERLOAD_RATIO,
+                };
+                let deviations = match ratio * self.total_utilization > SATURATED_UTILIZATION {
+                    true => SATURATED_DEVIATIONS,
+                    false => CONTENDED_DEVIATIONS,
+                };
+                ratio > ratio_limit + deviations * noise
+            }
+        };
+        busy && exceeds
+    }
+
+    /// The narrowest part at an edge of one of the donor's ranges that has about the wanted load and
+    /// does not contain the excluded key; or a whole range with less load.
+    fn narrowest_edge_by_load(
+        &self,
+        donor: ReceiverIndex,
+        wanted: f64,
+        excluded: Option<Key>,
+    ) -> Option<(Key, Key)> {
+        let mut best: Option<(Key, Key)> = None;
+        for (first, last) in &self.held[donor] {
+            let whole = self.load_of(*first, *last);
+            let edges = match whole <= wanted {
+                true if whole < wanted * MIN_EDGE_FRACTION => continue,
+                true => [(*first, *last); 2],
+                false => [
+                    (
+                        *first,
+                        partition_keys(*first, *last, |to| self.load_of(*first, to) < wanted),
+                    ),
+                    (
+                        partition_keys(*first, *last, |from| self.load_of(from, *last) >= wanted)
+                            .saturating_sub(1)
+                            .max(*first),
+                        *last,
+                    ),
+                ],
+            };
+            for (from, to) in edges {
+                let heavy = self.load_of(from, to) > 1.5 * wanted;
+                let narrower = best.is_none_or(|(f, t)| to - from < t - f);
+                let avoids_excluded = excluded.is_none_or(|key| key < from || key > to);
+                if narrower && !heavy && avoids_excluded {
+                    best = Some((from, to));
+                }
+            }
+        }
+        best
     }
 
     /// The narrowest part at an edge of one of the donor's ranges that has about the wanted load in
@@ -508,6 +721,9 @@
         wanted: f64,
         excluded: Option<Key>,
     ) -> Option<(Key, Key)> {
+        if let Evidence::Weighed { .. } = self.evidence {
+            return self.narrowest_edge_by_load(donor, wanted, excluded);
+        }
         let need = (wanted / self.sample_weight.max(f64::MIN_POSITIVE)).round() as usize;
         if need == 0 {
             return None;
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -22,8 +22,10 @@
         self,
         Candidate,
         Demand,
+        Evidence,
         Move,
-        Placement, //
+        Placement,
+        Scope, //
     },
     key_leases::Lease,
     keys::{
@@ -60,6 +62,9 @@
 const RECENT_WINDOW: Duration = Duration::from_millis(600);
 /// Time after a balancing move in which the range is not moved again.
 const MOVE_COOLDOWN: Duration = Duration::from_millis(2500);
+/// The same if the routing is contended. It is longer than a usual move takes, and short enough for a
+/// hot part of the keys to be divided twice within two seconds.
+const CONTENDED_MOVE_COOLDOWN: Duration = Duration::from_millis(1000);
 /// The cool-down does not apply to a part of the range that is narrower by this factor.
 const NARROW_RATIO: u32 = 4;
 /// Weight of one response in a target's mean latency.
@@ -69,6 +74,21 @@
 const PRIOR_RESPONSES: f64 = 10.0;
 /// Bounds of a target's speed relative to the median target.
 const SPEED_BOUNDS: (f64, f64) = (0.4, 2.0);
+/// Number of responses that a target's mean logarithm of the latency covers. The speed of a target
+/// stays; what changes within moments is stated by the target and is not in the reports.
+const MAX_LOG_RESPONSES: f64 = 300.0;
+/// Weight of a response in that mean relative to equal weights. When traffic starts, the first
+/// responses are those of short requests.
+const RECENT_RESPONSE_WEIGHT: f64 = 2.0;
+/// Standard deviation of the logarithm of the work per request.
+const WORK_SIGMA: f64 = 0.8;
+/// Weight of the median target in a target's estimated logarithm of the latency, as a number of
+/// responses. The logarithms of the speeds of targets differ by about 0.4, so that
+/// (0.8 / 0.4)^2 responses tell as much as the median target.
+const PRIOR_LOG_RESPONSES: f64 = 4.0;
+/// Bounds of a target's speed relative to the median target if the routing is contended. The fastest
+/// targets are known to be 2.3 times as fast as the median one.
+const CONTENDED_SPEED_BOUNDS: (f64, f64) = (0.25, 4.0);
 /// Assumed latency in milliseconds while no target of the service has responded.
 const DEFAULT_LATENCY_MS: f64 = 150.0;
 /// Maximum number of sampled keys per service.
@@ -132,6 +152,53 @@
     }
 }
 
+/// Mean logarithm of the latency of the responses of one target, in milliseconds. Unlike the mean of
+/// the latencies, it is not dominated by the few requests with the most work.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogLatency {
+    mean: f64,
+    /// Variance of single responses.
+    variance: f64,
+    responses: f64,
+}
+
+impl LogLatency {
+    /// Adds a mean latency of `count` responses.
+    fn add(&mut self, observed: f64, count: u32) {
+        let count = f64::from(count);
+        // The logarithm of a mean of several responses is higher than the mean of their logarithms.
+        let spread = WORK_SIGMA * WORK_SIGMA;
+        let excess = (spread - (spread.exp_m1() / count).ln_1p()) / 2.0;
+        let observed = observed.max(1.0).ln() - excess;
+        self.responses = (self.responses + count).min(MAX_LOG_RESPONSES);
+        let weight = (count * RECENT_RESPONSE_WEIGHT / self.responses).min(1.0);
+        let former = self.mean;
+        self.mean += (observed - former) * weight;
+        let square = (observed - former) * (observed - self.mean) * count;
+        self.variance += (square - self.variance) * weight;
+    }
+
+    /// The mean, shrunk towards that of the median target while there are few responses.
+    fn estimate(&self, median: f64) -> f64 {
+        let responses = self.responses;
+        (self.mean * responses + median * PRIOR_LOG_RESPONSES) / (responses + PRIOR_LOG_RESPONSES)
+    }
+
+    /// Standard deviation of the estimate due to the different work of requests.
+    fn error(&self) -> f64 {
+        let responses = self.responses.max(PRIOR_LOG_RESPONSES);
+        let sigma = self.variance.sqrt().max(WORK_SIGMA);
+        sigma * responses.sqrt() / (responses + PRIOR_LOG_RESPONSES)
+    }
+}
+
+/// Median of values; `None` if there are none.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 /// Load and latency reports that the leader has received from entry VMs.
 #[derive(Default)]
 pub(super) struct LoadStats {
@@ -139,9 +206,20 @@
     /// Ranges that were moved to balance the load, and when.
     recent_moves: Vec<(ServiceName, Key, Key, Duration)>,
     latencies: BTreeMap<TargetId, MeanLatency>,
+    log_latencies: BTreeMap<TargetId, LogLatency>,
+    is_contended: bool,
     next_plan: Duration,
 }
 
+/// Latencies of a service's median target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MedianLatency {
+    /// Mean in milliseconds.
+    mean: f64,
+    /// Mean logarithm of the milliseconds, if the routing is contended and there are reports.
+    log: Option<f64>,
+}
+
 impl LoadStats {
     /// Records the load report of an entry VM.
     pub(super) fn record(&mut self, load: Vec<KeyLoad>, now: Duration) {
@@ -188,19 +266,59 @@
             sample: &recent_sample,
             rate: recent_rate,
         };
+        let plan = |demand: &Demand<'_>, scope| {
+            let evidence = self.evidence(candidates, scope);
+            balance::plan_with(ranges, candidates, demand, evidence)
+        };
+        let holder = |planned: &Move| {
+            let range = balance::range_at(ranges, planned.from);
+            range.and_then(|range| range.holder.clone())
+        };
         let hot = balance::hot_holders(ranges, candidates, &recent);
-        let (sample, rate) = self.demand(service, SAMPLE_WINDOW, now);
+        let (sample, mut rate) = self.demand(service, SAMPLE_WINDOW, now);
+        if self.is_contended {
+            // When traffic starts, most of the longer window is still empty.
+            rate = rate.max(recent_rate);
+        }
         let sample = &sample;
-        let mut moves = balance::plan(ranges, candidates, &Demand { sample, rate });
+        let mut moves = plan(&Demand { sample, rate }, Scope::All);
         // In the longer window, a range can look busy because a single key was hot for a moment.
         moves.retain(|planned| {
-            let range = balance::range_at(ranges, planned.from);
-            let previous = range.and_then(|range| range.holder.as_ref());
-            !hot.contains(&planned.next) && previous.is_none_or(|previous| !hot.contains(previous))
+            let previous = holder(planned);
+            !hot.contains(&planned.next) && previous.is_none_or(|previous| !hot.contains(&previous))
+        });
+        if !self.is_contended {
+            return match moves.is_empty() {
+                true => plan(&recent, Scope::All),
+                false => moves,
+            };
+        }
+        // Small differences between busy holders are nearly always there, and must not delay the
+        // answer to a sudden rise.
+        let mut sudden = plan(&recent, Scope::SuddenRises);
+        let involved = sudden
+            .iter()
+            .flat_map(|m| [holder(m), Some(m.next.clone())]);
+        let involved: BTreeSet<Option<Holder>> = involved.collect();
+        moves.retain(|m| {
+            !involved.contains(&holder(m)) && !involved.contains(&Some(m.next.clone()))
         });
-        match moves.is_empty() {
-            true => balance::plan(ranges, candidates, &recent),
-            false => moves,
+        sudden.append(&mut moves);
+        sudden
+    }
+
+    /// How exact the capacities of these candidates are.
+    fn evidence(&self, candidates: &[Candidate], scope: Scope) -> Evidence {
+        if !self.is_contended {
+            return Evidence::Plain;
+        }
+        let known = candidates
+            .iter()
+            .filter_map(|c| self.log_latencies.get(&c.holder.id));
+        let error = median(known.map(LogLatency::error));
+        Evidence::Weighed {
+            capacity_error: error.unwrap_or_else(|| LogLatency::default().error()),
+            scope,
         }
     }
 
@@ -216,33 +334,62 @@
                 continue;
             }
             let observed = f64::from(total_ms) / f64::from(count);
+            match self.log_latencies.get_mut(&id) {
+                Some(latency) => latency.add(observed, count),
+                None => {
+                    let latency = self.log_latencies.entry(id.clone()).or_default();
+                    latency.add(observed, count);
+                }
+            }
             self.latencies.entry(id).or_default().add(observed, count);
         }
     }
 
-    /// Capacity of a target in requests per second. `median` is the latency of the service's median
-    /// target in milliseconds.
-    fn capacity(&self, id: &TargetId, slots: u32, median: f64) -> f64 {
-        let latency = self.latencies.get(id).copied().unwrap_or_default();
-        let mean = latency.estimate(median);
-        let speed = (median / mean.max(1.0)).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
-        f64::from(slots.max(1)) * speed * 1000.0 / median
+    /// Capacity of a target in requests per second.
+    fn capacity(&self, id: &TargetId, slots: u32, median: MedianLatency) -> f64 {
+        let speed = match median.log {
+            Some(median) => {
+                let latency = self.log_latencies.get(id).copied().unwrap_or_default();
+                let (min, max) = CONTENDED_SPEED_BOUNDS;
+                (median - latency.estimate(median)).exp().clamp(min, max)
+            }
+            None => {
+                let latency = self.latencies.get(id).copied().unwrap_or_default();
+                let mean = latency.estimate(median.mean);
+                (median.mean / mean.max(1.0)).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+            }
+        };
+        f64::from(slots.max(1)) * speed * 1000.0 / median.mean
     }
 
-    fn median_latency<'a>(&self, ids: impl Iterator<Item = &'a TargetId>) -> f64 {
-        let latencies = ids.filter_map(|id| self.latencies.get(id));
-        let mut latencies: Vec<f64> = latencies.map(|latency| latency.mean).collect();
-        latencies.sort_by(f64::total_cmp);
-        let median = latencies.get(latencies.len() / 2).copied();
-        median.unwrap_or(DEFAULT_LATENCY_MS).max(1.0)
+    fn median_latency<'a, Ids>(&self, ids: Ids) -> MedianLatency
+    where
+        Ids: Iterator<Item = &'a TargetId> + Clone,
+    {
+        let latencies = ids.clone().filter_map(|id| self.latencies.get(id));
+        let mean = median(latencies.map(|latency| latency.mean));
+        let logs = ids.filter_map(|id| self.log_latencies.get(id));
+        let log = match self.is_contended {
+            true => median(logs.map(|latency| latency.mean)),
+            false => None,
+        };
+        // The mean of a log-normal distribution.
+        let mean_of_log = log.map(|log| (log + WORK_SIGMA * WORK_SIGMA / 2.0).exp());
+        let mean = mean_of_log.or(mean).unwrap_or(DEFAULT_LATENCY_MS);
+        MedianLatency {
+            mean: mean.max(1.0),
+            log,
+        }
     }
 }
 
 impl Control {
     /// Assigns free ranges, starts balancing moves and sends due orders.
     pub(super) fn maintain_key_leases(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let is_contended = self.is_contended();
         if let Some(leader) = &mut self.leader_state {
             leader.next_lease_pass = now + LEASE_PASS_INTERVAL;
+            leader.load_stats.is_contended = is_contended;
         }
         self.assign_initial_ranges(now, out);
         self.propose_holder_changes(now, out);
@@ -437,7 +584,9 @@
             };
             let leases = leader.lease_table.leases(&service);
             // The next holder of a proposed range is known only after the commit, a moment later.
-            if leases.iter().any(Lease::is_proposed) {
+            // If the routing is contended, there are changes of holder at most times while the load is
+            // being balanced; a range that is moving or proposed is not moved again.
+            if !leader.load_stats.is_contended && leases.iter().any(Lease::is_proposed) {
                 continue;
             }
             let ranges: Vec<KeyRange> = leases.iter().map(Lease::next_range).collect();
@@ -499,8 +648,12 @@
     /// samples still show the load at the previous holder. A narrow part of the range may move
     /// again, because that is how a hot key is isolated.
     fn may_move(&mut self, service: &ServiceName, from: Key, to: Key, now: Duration) -> bool {
+        let cooldown = match self.is_contended {
+            true => CONTENDED_MOVE_COOLDOWN,
+            false => MOVE_COOLDOWN,
+        };
         self.recent_moves
-            .retain(|(.., at)| now.saturating_sub(*at) < MOVE_COOLDOWN);
+            .retain(|(.., at)| now.saturating_sub(*at) < cooldown);
         let mut recent = self.recent_moves.iter();
         let cools_down = |(name, f, t, _): &(ServiceName, Key, Key, Duration)| {
             let overlaps = name == service && *f <= to && *t >= from;
