--- a/crates/entry/tests/entry/loads.rs
+++ b/crates/entry/tests/entry/loads.rs
@@ -3,6 +3,7 @@
 use camphordale_entry::{
     Event,
     LoadReport,
+    Slowdown,
     TargetTracker, //
 };
 use camphordale_fleet::{
@@ -131,6 +132,7 @@
         running: 1,
         queued: 0,
         slots: 4,
+        slowdown: Slowdown::default(),
     };
     tracker.attempt_started("reads-0", 1, ms(1300));
     tracker.attempt_completed("reads-0", 1, false, Some(report), ms(1450));
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -12,3 +12,4 @@
 mod outside_numbers;
 mod requests;
 mod statements;
+mod uneven;
