Keep warm targets behind broken links from being limited

Cause: a link that is broken between an entry VM and a target made the target count as cold for all entry VMs as long as the link was broken. A cold target that drains lost its limit, although it still serves its keys.

Change: an entry VM whose connections fail while the target announces that it is warm reports no further failures until it reaches it again. Draining targets keep the limit. One log line of the leader for each suspicion.

--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -14,8 +14,7 @@
     RequestRate,
     ServiceName,
     StatedLimit,
-    TargetId,
-    TargetState, //
+    TargetId, //
 };
 use rand::Rng;
 
@@ -56,6 +55,16 @@
 /// Targets in one message.
 const MAX_REPORTED: usize = 256;
 
+/// What the leader says of a target to which connections could not be opened.
+enum ColdNews {
+    /// A connection failed at this time.
+    Suspected(Duration),
+    /// It announced at this time that it is warm.
+    Cleared(Duration),
+    /// Nothing was heard for so long that it may be warm.
+    Expired,
+}
+
 /// What the leader has to be told.
 #[derive(Default)]
 pub(super) struct StatementReports {
@@ -320,6 +329,7 @@
             let message = PeerMessage::ColdTargets {
                 suspected,
                 cleared: Vec::new(),
+                expired: Vec::new(),
             };
             out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
         }
@@ -337,10 +347,10 @@
         let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
             return;
         };
-        if tracked.limit.connection_failed(now, now) {
+        if tracked.limit.connection_failed(now) {
             log_warmth(&holder.id, &tracked.limit, ColdSource::Connection, out);
         }
-        if tracked.limit.failed_at().is_some() {
+        if tracked.limit.failed_at() == Some(now) {
             self.statement_reports.failed.insert(holder.id.clone());
         }
     }
@@ -350,21 +360,28 @@
         &mut self,
         suspected: &[(Holder, Duration)],
         cleared: &[(Holder, Duration)],
+        expired: &[Holder],
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        let suspected = suspected.iter().map(|(holder, age)| (holder, age, true));
-        let cleared = cleared.iter().map(|(holder, age)| (holder, age, false));
+        let at = |age: &Duration| now.saturating_sub(*age);
+        let suspected = suspected
+            .iter()
+            .map(|(holder, age)| (holder, ColdNews::Suspected(at(age))));
+        let cleared = cleared
+            .iter()
+            .map(|(holder, age)| (holder, ColdNews::Cleared(at(age))));
+        let expired = expired.iter().map(|holder| (holder, ColdNews::Expired));
         let mut turned_warm = false;
-        for (holder, age, is_suspected) in suspected.chain(cleared) {
+        for (holder, news) in suspected.chain(cleared).chain(expired) {
             let tracked = self.targets.get_mut(&holder.id);
             let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
                 continue;
             };
-            let at = now.saturating_sub(*age);
-            let changed = match is_suspected {
-                true => tracked.limit.connection_failed(at, now),
-                false => tracked.limit.cleared(at, now),
+            let changed = match news {
+                ColdNews::Suspected(failed_at) => tracked.limit.suspected(failed_at, now),
+                ColdNews::Cleared(warm_at) => tracked.limit.cleared(warm_at, now),
+                ColdNews::Expired => tracked.limit.suspicion_expired(now),
             };
             if changed {
                 log_warmth(&holder.id, &tracked.limit, ColdSource::Leader, out);
@@ -395,9 +412,8 @@
     pub(super) fn adopt_all_warmth(&mut self, now: Duration, out: &mut Vec<Effect>) {
         for (id, tracked) in self.targets.iter_mut() {
             let limit = self.statement_reports.cold_limits.get(&tracked.service);
-            let record = self.view.targets.get(id);
-            let is_cold = record.is_some_and(|target| target.state == TargetState::Cold);
-            if tracked.limit.set_recorded(limit.copied(), is_cold, now) {
+            let state = self.view.targets.get(id).map(|target| target.state);
+            if tracked.limit.set_recorded(limit.copied(), state, now) {
                 log_warmth(id, &tracked.limit, ColdSource::Registry, out);
             }
         }
@@ -409,9 +425,8 @@
             return;
         };
         let limit = self.statement_reports.cold_limits.get(&tracked.service);
-        let record = self.view.targets.get(id);
-        let is_cold = record.is_some_and(|target| target.state == TargetState::Cold);
-        if tracked.limit.set_recorded(limit.copied(), is_cold, now) {
+        let state = self.view.targets.get(id).map(|target| target.state);
+        if tracked.limit.set_recorded(limit.copied(), state, now) {
             log_warmth(id, &tracked.limit, ColdSource::Registry, out);
         }
     }
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -111,8 +111,12 @@
                 rights,
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
-            PeerMessage::ColdTargets { suspected, cleared } if is_established => {
-                self.on_cold_targets(&suspected, &cleared, now, out);
+            PeerMessage::ColdTargets {
+                suspected,
+                cleared,
+                expired,
+            } if is_established => {
+                self.on_cold_targets(&suspected, &cleared, &expired, now, out);
             }
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -22,6 +22,7 @@
     COLD_RIGHT_LIFETIME,
     RIGHT_LIFETIME,
     RequestRate,
+    TargetState,
     lower_limit,
     warm_up, //
 };
@@ -68,6 +69,11 @@
     recorded: bool,
     /// When a connection last failed, until the target is known to be warm.
     failed_at: Option<Duration>,
+    /// Whether a connection from this VM failed since it last reached the target.
+    unreached: bool,
+    /// Whether the target announced that it is warm while this VM did not reach it. Then the cause is
+    /// the link between them.
+    link_fails: bool,
     /// When it last turned cold, to the knowledge of this VM.
     cold_since: Duration,
 }
@@ -117,17 +123,31 @@
         self.warmth.failed_at
     }
 
-    /// Sets the limit of cold targets of this service, and whether the registry says that this one is
-    /// cold. Returns whether the target turned cold or warm.
-    pub fn set_recorded(&mut self, limit: Option<RequestRate>, cold: bool, now: Duration) -> bool {
+    /// Sets the limit of cold targets of this service, and the registered state of this one. A cold
+    /// target that drains stays cold. Returns whether the target turned cold or warm.
+    pub fn set_recorded(
+        &mut self,
+        limit: Option<RequestRate>,
+        state: Option<TargetState>,
+        now: Duration,
+    ) -> bool {
         self.change_warmth(now, |warmth| {
             warmth.limit = limit;
-            warmth.recorded = cold;
+            warmth.recorded = match state {
+                Some(TargetState::Cold) => true,
+                Some(TargetState::Draining | TargetState::Left) => warmth.recorded,
+                Some(TargetState::Ready) | None => false,
+            };
             warmth.failed_at = warmth.failed_at.filter(|_| limit.is_some());
         })
     }
 
-    /// Records that a connection to the target could not be opened. Returns whether it turned cold.
+    /// Records that a connection from this VM to the target could not be opened. Returns whether it
+    /// turned cold.
+    ///
+    /// If the target announces that it is warm and this VM still cannot reach it, further failures
+    /// show nothing: they would hold a target behind a broken link to its limit as long as the link
+    /// is broken.
     ///
     /// ```
     /// use std::time::Duration;
@@ -135,9 +155,19 @@
     ///
     /// // Without a warm-up rate of the service, this has no effect.
     /// let mut limit = TargetLimit::default();
-    /// assert!(!limit.connection_failed(Duration::ZERO, Duration::ZERO));
+    /// assert!(!limit.connection_failed(Duration::ZERO));
     /// ```
-    pub fn connection_failed(&mut self, failed_at: Duration, now: Duration) -> bool {
+    pub fn connection_failed(&mut self, now: Duration) -> bool {
+        if self.warmth.link_fails {
+            return false;
+        }
+        self.warmth.unreached = true;
+        self.suspected(now, now)
+    }
+
+    /// Records that a connection of any VM failed at `failed_at`. Returns whether the target turned
+    /// cold.
+    pub fn suspected(&mut self, failed_at: Duration, now: Duration) -> bool {
         self.change_warmth(now, |warmth| {
             if warmth.limit.is_some() {
                 warmth.failed_at = warmth.failed_at.max(Some(failed_at));
@@ -145,15 +175,31 @@
         })
     }
 
+    /// Records that this VM has reached the target.
+    pub fn reached(&mut self) {
+        self.warmth.unreached = false;
+        self.warmth.link_fails = false;
+    }
+
     /// Records that the leader heard at `warm_at` that the target is warm. Returns whether it turned
     /// warm.
     pub fn cleared(&mut self, warm_at: Duration, now: Duration) -> bool {
         self.change_warmth(now, |warmth| {
-            let since = warmth.failed_at;
-            warmth.failed_at = since.filter(|failed_at| !warm_up::refutes(*failed_at, warm_at));
+            if let Some(failed_at) = warmth.failed_at
+                && warm_up::refutes(failed_at, warm_at)
+            {
+                warmth.failed_at = None;
+                warmth.link_fails = warmth.unreached;
+            }
         })
     }
 
+    /// Records that the leader has heard nothing of the target and of failures for so long that it may
+    /// be warm. Returns whether it turned warm.
+    pub fn suspicion_expired(&mut self, now: Duration) -> bool {
+        self.change_warmth(now, |warmth| warmth.failed_at = None)
+    }
+
     fn change_warmth<Change>(&mut self, now: Duration, change: Change) -> bool
     where
         Change: FnOnce(&mut Warmth),
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -285,6 +285,7 @@
     /// Records that the target sent a response.
     fn response_received(&mut self, report: Option<LoadReport>, now: Duration) {
         self.responded_at = now;
+        self.limit.reached();
         self.backoff = Duration::ZERO;
         self.backoff_until = Duration::ZERO;
         if let Some(report) = report {
@@ -515,8 +516,9 @@
         };
         tracked.in_flight.remove(&attempt);
         tracked.failure_rate += (1.0 - tracked.failure_rate) * FAILURE_WEIGHT;
-        if !reached {
-            tracked.back_off(now);
+        match reached {
+            true => tracked.limit.reached(),
+            false => tracked.back_off(now),
         }
     }
 }
--- a/crates/entry/tests/limits/cold.rs
+++ b/crates/entry/tests/limits/cold.rs
@@ -150,6 +150,42 @@
     }
 }
 
+/// Guards against two sums that each keep the bound: half of the entry VMs get rights from the leader,
+/// and the others, which do not hear it, fall back to shares of their own.
+#[test]
+fn the_bound_holds_while_half_of_the_vms_are_cut_off() {
+    for (seed, vms) in [(41, 59), (42, 134), (43, 59), (44, 134)] {
+        let mut world = world(seed, vms, 1, 400.0);
+        world.run(ms(2000));
+        world.crash_target("t0");
+        world.run(ms(1000));
+        world.cut_off_half();
+        world.run(ms(2000));
+        // The cut VMs never learn of the next incarnation.
+        world.come_back_cold("t0");
+        let from = world.now;
+        world.run(ms(3000));
+        assert_bounded(&world, from, world.now, &format!("seed {seed}"));
+        let used = world.rate_between("t0", from + ms(1000), world.now);
+        assert!(used >= RATE, "seed {seed}: {used} a second");
+    }
+}
+
+/// Guards against a broken link that holds a warm target to the limit of a cold one for all entry VMs
+/// as long as the link is broken.
+#[test]
+fn a_broken_link_makes_no_target_cold_for_long() {
+    let mut world = world(51, 59, 1, 200.0);
+    world.run(ms(2000));
+    world.unlink_half();
+    world.run(ms(6000));
+    let settled = world.now;
+    world.run(ms(10_000));
+    let rate = world.rate_between("t0", settled, world.now);
+    // The other half has a demand of 100 requests a second.
+    assert!(rate > 80.0, "{rate} a second");
+}
+
 /// A deployment without a warm-up rate pays nothing: no messages, no log entries, no limits.
 #[test]
 fn without_a_warm_up_rate_nothing_changes() {
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -106,6 +106,10 @@
     warm_up: Option<WarmUp>,
     pub(crate) served: u64,
     pub(crate) refused: u64,
+    /// Entry VMs without a link to the leader.
+    cut_off: BTreeSet<u64>,
+    /// Entry VMs without a link to the first target.
+    unlinked: BTreeSet<u64>,
     /// Messages about cold targets, in both directions.
     pub(crate) cold_messages: u64,
     /// Entry VMs that were told that a target leaves.
@@ -261,6 +265,8 @@
             served: 0,
             refused: 0,
             cold_messages: 0,
+            cut_off: BTreeSet::new(),
+            unlinked: BTreeSet::new(),
             told_leaving: BTreeSet::new(),
             told_pause: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -396,6 +402,26 @@
         self.announce();
     }
 
+    /// Cuts every second entry VM off from the leader.
+    pub(crate) fn cut_off_half(&mut self) {
+        self.cut_off = self
+            .entries
+            .keys()
+            .copied()
+            .filter(|n| n % 2 == 0)
+            .collect();
+    }
+
+    /// Cuts every second entry VM off from the first target.
+    pub(crate) fn unlink_half(&mut self) {
+        self.unlinked = self
+            .entries
+            .keys()
+            .copied()
+            .filter(|n| n % 2 == 0)
+            .collect();
+    }
+
     /// Stops the oldest entry VM at once.
     pub(crate) fn stop_entry(&mut self) {
         if let Some((entry, _)) = self.entries.pop_first() {
@@ -467,7 +493,8 @@
                     attempt, target, ..
                 } => {
                     let known = self.targets.get_mut(&target).unwrap();
-                    if !known.up {
+                    let is_unlinked = &*target == "t0" && self.unlinked.contains(&number);
+                    if !known.up || is_unlinked {
                         self.at(STEP, Later::Unreached(number, attempt));
                         continue;
                     }
@@ -511,6 +538,8 @@
             let due: Vec<_> = self.later.extract_if(.., |(at, _)| *at <= now).collect();
             for (_, later) in due {
                 match later {
+                    Later::ToLeader(number, _) | Later::ToEntry(number, Event::Stream(_))
+                        if self.cut_off.contains(&number) => {}
                     Later::ToLeader(conn, message) => {
                         self.step_leader(camphordale_fleet::Event::Stream { conn, message });
                     }
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -165,6 +165,13 @@
         /// The leader, if known.
         leader: Option<MemberId>,
     },
+    /// Connections to a target could not be opened, so it counts as cold, or it no longer does.
+    Suspected {
+        /// The target.
+        holder: Holder,
+        /// Whether it counts as cold.
+        suspected: bool,
+    },
     /// The result of a change is known.
     Change {
         /// Version that the change is based on.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -255,10 +255,13 @@
         } else if still_drains || news.is_leaving(&announcement.id, target.incarnation) {
             target.state = TargetState::Draining;
         }
-        if target.state.accepts_requests() && view.cold_service(&target.service).is_some() {
+        if view.cold_service(&target.service).is_some() {
             let is_warm = announcement.warm_up == 0;
             let news = &mut leader.statement_news;
-            target.state = news.record_warmth(&holder, is_warm, recorded, now);
+            let state = news.record_warmth(&holder, is_warm, recorded, now);
+            if target.state.accepts_requests() {
+                target.state = state;
+            }
         }
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
--- a/crates/fleet/src/control/statements.rs
+++ b/crates/fleet/src/control/statements.rs
@@ -13,6 +13,7 @@
 use super::{
     Control,
     Effect,
+    LogEvent,
     calls::Pending, //
 };
 use crate::{
@@ -88,8 +89,14 @@
     ) -> Option<RequestRate> {
         let target = view.targets.get(&holder.id)?;
         let service = view.cold_service(&target.service)?;
+        // A draining target may be cold too. Until its keys have moved, it gets requests.
         let is_cold = |target: &Target| {
-            target.incarnation == holder.incarnation && target.state == TargetState::Cold
+            let is_cold = match target.state {
+                TargetState::Cold => true,
+                TargetState::Ready => false,
+                TargetState::Draining | TargetState::Left => self.cold.is_announced_cold(holder),
+            };
+            target.incarnation == holder.incarnation && is_cold
         };
         let is_recorded = is_cold(target) || proposed.is_some_and(is_cold);
         let counts_as_cold = is_recorded || self.cold.is_suspected(holder);
@@ -175,6 +182,7 @@
             let message = PeerMessage::ColdTargets {
                 suspected,
                 cleared: Vec::new(),
+                expired: Vec::new(),
             };
             out.push(Effect::Stream { conn, message });
         }
@@ -241,6 +249,7 @@
             let message = PeerMessage::ColdTargets {
                 suspected: Vec::new(),
                 cleared,
+                expired: Vec::new(),
             };
             out.push(Effect::Stream { conn, message });
         }
@@ -282,10 +291,10 @@
             }
         }
         let interval = self.config.lease_times.interval;
-        let ended = news.cold.expire(&self.state.view, interval, now);
-        let ended = ended.into_iter().map(|holder| (holder, now));
-        news.cold_changed.extend(ended);
-        if news.cold_changed.is_empty() {
+        let expired = news.cold.expire(&self.state.view, interval, now);
+        news.cold_changed
+            .retain(|holder, _| !expired.contains(holder));
+        if news.cold_changed.is_empty() && expired.is_empty() {
             return;
         }
         let changed = std::mem::take(&mut news.cold_changed);
@@ -294,8 +303,18 @@
         let cleared = changed.into_iter();
         let cleared = cleared.filter(|(holder, _)| !news.cold.is_suspected(holder));
         let cleared = cleared.map(|(holder, at)| (holder, now.saturating_sub(at)));
-        let cleared = cleared.collect();
-        let message = PeerMessage::ColdTargets { suspected, cleared };
+        let cleared: Vec<_> = cleared.collect();
+        let ended = cleared.iter().map(|(holder, _)| holder).chain(&expired);
+        let begun = suspected.iter().map(|(holder, _)| (holder, true));
+        for (holder, suspected) in begun.chain(ended.map(|holder| (holder, false))) {
+            let holder = holder.clone();
+            out.push(Effect::Log(LogEvent::Suspected { holder, suspected }));
+        }
+        let message = PeerMessage::ColdTargets {
+            suspected,
+            cleared,
+            expired,
+        };
         let taking = self.streams.iter().filter(|(_, s)| s.takes_statements);
         let conns: Box<[u64]> = taking.map(|(conn, _)| *conn).collect();
         if !conns.is_empty() {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -194,6 +194,9 @@
         /// Targets that do not any more, and the time since they announced that they are warm. Only
         /// the leader knows them.
         cleared: Vec<(Holder, Duration)>,
+        /// Targets that do not any more, because nothing was heard for long. Only the leader knows
+        /// them.
+        expired: Vec<Holder>,
     },
 }
 
--- a/crates/fleet/src/warm_up.rs
+++ b/crates/fleet/src/warm_up.rs
@@ -46,7 +46,7 @@
 /// Keeps the number of rights below the next whole number despite rounding.
 const ROUNDING_MARGIN: f64 = 0.999;
 /// Time after a failed connection in which an announcement is ignored: it may have been sent before.
-const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(100);
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(30);
 /// Announcement intervals after the warm-up time for which a suspicion lasts if nothing is heard.
 const SILENT_INTERVALS: u32 = 2;
 /// Successive announcements that must say that a target is warm, where one may be out of date.
@@ -182,6 +182,8 @@
     warm_at: Option<Duration>,
     /// Further announcements that must say so before it counts as warm.
     unproved: u32,
+    /// Whether it counts as cold by what it announced.
+    is_cold: bool,
 }
 
 /// What the leader knows of cold targets besides the registry. It is not replicated: entry VMs tell a
@@ -216,23 +218,23 @@
                 incarnation: holder.incarnation,
                 warm_at: None,
                 unproved,
+                is_cold: true,
             };
             self.heard.insert(holder.id.clone(), heard);
         }
         let Some(heard) = self.heard.get_mut(&holder.id) else {
             return TargetState::Cold;
         };
-        if !is_warm {
-            if heard.unproved > 0 {
-                heard.unproved = PROOF_ANNOUNCEMENTS;
-            }
-            return TargetState::Cold;
+        if is_warm {
+            heard.warm_at = Some(now);
+            heard.unproved = heard.unproved.saturating_sub(1);
+        } else if heard.unproved > 0 {
+            heard.unproved = PROOF_ANNOUNCEMENTS;
         }
-        heard.warm_at = Some(now);
-        heard.unproved = heard.unproved.saturating_sub(1);
-        match heard.unproved {
-            0 => TargetState::Ready,
-            _ => TargetState::Cold,
+        heard.is_cold = !is_warm || heard.unproved > 0;
+        match heard.is_cold {
+            true => TargetState::Cold,
+            false => TargetState::Ready,
         }
     }
 
@@ -242,6 +244,7 @@
             incarnation: holder.incarnation,
             warm_at: None,
             unproved: PROOF_ANNOUNCEMENTS,
+            is_cold: true,
         };
         self.heard.insert(holder.id.clone(), heard);
     }
@@ -274,6 +277,13 @@
         is_refuted && self.suspected.remove(holder).is_some()
     }
 
+    /// Whether the last announcement of the target left it cold.
+    pub fn is_announced_cold(&self, holder: &Holder) -> bool {
+        let heard = self.heard.get(&holder.id);
+        let heard = heard.filter(|heard| heard.incarnation == holder.incarnation);
+        heard.is_some_and(|heard| heard.is_cold)
+    }
+
     /// Whether the target is suspected.
     pub fn is_suspected(&self, holder: &Holder) -> bool {
         self.suspected.contains_key(holder)
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod cluster;
+mod cold;
 mod crashes;
 mod full_disks;
 mod heartbeats;
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -33,6 +33,7 @@
         LogEvent::Role { .. } => "role",
         LogEvent::Change { .. } => "change",
         LogEvent::Target { .. } => "target",
+        LogEvent::Suspected { .. } => "suspected",
         LogEvent::Assigned { .. } => "assigned",
         LogEvent::Moving { .. } => "moving",
         LogEvent::Withheld { .. } => "withheld",
@@ -65,6 +66,10 @@
         } => {
             info!(logger, "target"; "target" => &**id, "born" => incarnation, "state" => change);
         }
+        LogEvent::Suspected { holder, suspected } => {
+            info!(logger, "target may be cold"; "target" => &*holder.id,
+                "born" => holder.incarnation, "suspected" => suspected);
+        }
         LogEvent::Assigned { service, range } => info!(logger, "keys assigned";
             "service" => &**service, "from" => range.from, "to" => range.to,
             "target" => range.holder.as_ref().map_or("-", |holder| &*holder.id),
