--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -126,8 +126,12 @@
             PeerMessage::LoadSummary { loads } if is_established => {
                 self.on_load_summary(&loads, now);
             }
-            PeerMessage::ColdTargets { suspected, cleared } if is_established => {
-                self.on_cold_targets(&suspected, &cleared, now, out);
+            PeerMessage::ColdTargets {
+                suspected,
+                cleared,
+                expired,
+            } if is_established => {
+                self.on_cold_targets(&suspected, &cleared, &expired, now, out);
             }
             PeerMessage::Pong { entries, sent } => {
                 self.evacuations.on_confirmed();
