Keep idle connections for as long as targets allow it

Cause: a pair of entry VM and target sees a request in some seconds, and idle connections were closed after four seconds at most. 38,000 connections were opened for 85,000 requests.

Change: if the routing is contended, an idle connection is kept for 0.6 of the time that the target states, at most 60 s, so that the VM still closes it well before the target does. A quarter of the descriptors may be idle, and none of them is kept while three quarters are in use; the least recently used ones go first. Other routings keep four seconds. New gauges: target-connections-reused and target-connections-idle.

Measured: tests of the event loop pass, with the time that a connection is kept for six stated times, and five idle connections of which three fit. The effect on connections in a deployment is not measured yet.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -595,6 +595,11 @@
             || self.unrouted.iter().any(|u| u.incoming.handle == request)
     }
 
+    /// Whether the routing is contended ([`RouteTable::is_contended`]).
+    pub fn is_contended(&self) -> bool {
+        self.routes.is_contended()
+    }
+
     /// Time at which the next tick is due.
     pub fn next_deadline(&self) -> Duration {
         let stream_deadline = self.control_stream.next_deadline();
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -28,6 +28,10 @@
     Response,
     codec::begin_request, //
 };
+use rustix::process::{
+    Resource,
+    getrlimit, //
+};
 use slog::{
     info,
     warn, //
@@ -48,6 +52,7 @@
         Exchange,
         ExchangeError,
         FailureCause,
+        IdleRetention,
         IoEvent,
         ListenerKind, //
     },
@@ -83,6 +88,18 @@
 /// Time after the deadline of an attempt at which its exchange fails too.
 const DEADLINE_SLACK: Duration = Duration::from_millis(200);
 
+/// File descriptors that the process is assumed to have if they are not limited.
+const UNLIMITED_DESCRIPTORS: usize = 4096;
+
+/// File descriptors that the process may have open.
+fn descriptor_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    let limit = limit.and_then(|limit| usize::try_from(limit).ok());
+    limit.map_or(UNLIMITED_DESCRIPTORS, |limit| {
+        limit.min(UNLIMITED_DESCRIPTORS)
+    })
+}
+
 /// A request of a caller that has no response yet.
 struct ActiveRequest {
     conn: ConnId,
@@ -108,6 +125,8 @@
     grace_period: Duration,
     routing_version: u64,
     turn: TurnTimes,
+    /// File descriptors that the process may have open.
+    descriptors: usize,
 }
 
 impl<Adapter> EntryProcess<Adapter>
@@ -154,6 +173,7 @@
             grace_period: role_settings.grace_period,
             routing_version: 0,
             turn: TurnTimes::default(),
+            descriptors: descriptor_limit(),
         })
     }
 
@@ -183,6 +203,13 @@
                 let closing =
                     self.stopping_since.is_some() || self.entry.should_close_connections(now);
                 context.event_loop.set_close_after_response(closing);
+                let retention = match self.entry.is_contended() {
+                    true => IdleRetention::Stated {
+                        descriptors: self.descriptors,
+                    },
+                    false => IdleRetention::Short,
+                };
+                context.event_loop.set_idle_retention(retention);
                 context.flush_logs(now);
             }
             self.turn.end(context);
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -46,6 +46,7 @@
     ExchangeId,
     FailureCause, //
 };
+pub use self::targets::IdleRetention;
 use self::{
     conn::{
         Conn,
@@ -148,6 +149,8 @@
     pub without_memory: u64,
     /// Connections opened to targets.
     pub opened: u64,
+    /// Exchanges with targets over connections that were open already.
+    pub reused: u64,
     /// Failed connections between VMs and failed socket calls.
     pub socket_errors: u64,
 }
@@ -164,6 +167,9 @@
     generation: u64,
     timers: BTreeSet<(Duration, usize, ConnId)>,
     pools: HashMap<SocketAddr, Pool>,
+    /// Idle connections of all pools and since when.
+    idle: BTreeSet<(Duration, ConnId)>,
+    idle_retention: IdleRetention,
     /// Connections that are kept under a number.
     kept: HashMap<u64, ConnId>,
     exchanges: HashMap<ExchangeId, usize>,
@@ -209,6 +215,8 @@
             generation: 0,
             timers: BTreeSet::new(),
             pools: HashMap::new(),
+            idle: BTreeSet::new(),
+            idle_retention: IdleRetention::Short,
             kept: HashMap::new(),
             exchanges: HashMap::new(),
             outbound: HashMap::new(),
@@ -287,6 +295,11 @@
         self.conns.len()
     }
 
+    /// Number of idle connections to targets.
+    pub fn idle_target_connections(&self) -> usize {
+        self.idle.len()
+    }
+
     /// Number of open caller connections.
     pub fn caller_connections(&self) -> usize {
         self.caller_connections
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -37,13 +37,67 @@
 /// Fraction of the keep-alive time stated by a target after which an idle connection is closed, so
 /// that this side closes it first.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
+/// Longest time that an idle connection is kept, whatever the target states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// The descriptors divided by this are the idle connections that are kept at most; the others are for
+/// callers and for requests under way.
+const IDLE_DIVISOR: usize = 4;
+/// Fraction of the descriptors in use from which idle connections are closed.
+const SCARCE_FRACTION: f64 = 0.75;
+
+/// How long idle connections to targets are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleRetention {
+    /// For a few seconds at most.
+    Short,
+    /// For most of the time that the target states. If few of the descriptors of the process are
+    /// free, those that were not used for the longest time are closed first.
+    Stated {
+        /// File descriptors that the process may have open.
+        descriptors: usize,
+    },
+}
+
+impl IdleRetention {
+    /// How long an idle connection is kept to a target that states `keep_alive`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_reactor::IdleRetention;
+    ///
+    /// let stated = Some(Duration::from_secs(10));
+    /// assert_eq!(IdleRetention::Short.timeout(stated), Duration::from_secs(4));
+    /// let retention = IdleRetention::Stated { descriptors: 1000 };
+    /// assert_eq!(retention.timeout(stated), Duration::from_secs(6));
+    /// ```
+    pub fn timeout(self, keep_alive: Option<Duration>) -> Duration {
+        let max_timeout = match self {
+            IdleRetention::Short => IDLE_TIMEOUT,
+            IdleRetention::Stated { .. } => MAX_IDLE_TIMEOUT,
+        };
+        keep_alive.map_or(IDLE_TIMEOUT, |keep_alive| {
+            keep_alive.mul_f64(KEEP_ALIVE_FRACTION).min(max_timeout)
+        })
+    }
+
+    /// Whether a connection is to be closed if `idle` of `open` connections are idle.
+    fn is_exceeded(self, idle: usize, open: usize) -> bool {
+        match self {
+            IdleRetention::Short => false,
+            IdleRetention::Stated { descriptors } => {
+                let scarce = (descriptors as f64 * SCARCE_FRACTION) as usize;
+                idle > descriptors / IDLE_DIVISOR || open > scarce
+            }
+        }
+    }
+}
 
 /// Connection pool of one target.
 #[derive(Default)]
 pub(super) struct Pool {
     open: usize,
-    /// Idle connections, the most recently used last.
-    idle: Vec<ConnId>,
+    /// Idle connections and since when, the most recently used last.
+    idle: Vec<(Duration, ConnId)>,
     queued: VecDeque<Exchange>,
 }
 
@@ -75,11 +129,12 @@
 
     fn start_pooled_exchange(&mut self, exchange: Exchange, limit: usize, now: Duration) {
         let address = exchange.address;
-        while let Some(id) = self
+        while let Some((since, id)) = self
             .pools
             .get_mut(&address)
             .and_then(|pool| pool.idle.pop())
         {
+            self.idle.remove(&(since, id));
             if let Some(key) = self.key_of(id) {
                 return self.start_exchange_on(key, exchange, now);
             }
@@ -158,9 +213,11 @@
         let conn = &mut self.conns[key];
         conn.push_request(&exchange.bytes, exchange.body);
         if let ConnKind::Target { active, used, .. } = &mut conn.kind {
+            let reused = std::mem::replace(used, true);
+            self.stats.reused += u64::from(reused);
             *active = Some(ActiveExchange {
                 id: exchange.id,
-                reused: std::mem::replace(used, true),
+                reused,
                 protocol: ClientConnection::new(exchange.expected),
                 sent: false,
                 received: false,
@@ -256,9 +313,7 @@
             return;
         };
         let (address, connection, keep_alive) = (*address, *connection, *keep_alive);
-        let keep_alive = keep_alive.map_or(IDLE_TIMEOUT, |keep_alive| {
-            keep_alive.mul_f64(KEEP_ALIVE_FRACTION).min(IDLE_TIMEOUT)
-        });
+        let timeout = self.idle_retention.timeout(keep_alive);
         if matches!(connection, ConnectionUse::Pooled { .. })
             && let Some(pool) = self.pools.get_mut(&address)
         {
@@ -267,9 +322,30 @@
                     return self.start_exchange_on(key, next, now);
                 }
             }
-            pool.idle.push(id);
+            pool.idle.push((now, id));
+            self.idle.insert((now, id));
         }
-        self.set_deadline(key, Some(now + keep_alive));
+        self.set_deadline(key, Some(now + timeout));
+        self.limit_idle_connections(now);
+    }
+
+    /// Closes idle connections to targets while there are too many, those that were not used for the
+    /// longest time first.
+    fn limit_idle_connections(&mut self, now: Duration) {
+        while self
+            .idle_retention
+            .is_exceeded(self.idle.len(), self.conns.len())
+            && let Some((_, id)) = self.idle.pop_first()
+        {
+            if let Some(key) = self.key_of(id) {
+                self.close_connection(key, FailureCause::Local, "too many idle connections", now);
+            }
+        }
+    }
+
+    /// Sets how long idle connections to targets are kept.
+    pub fn set_idle_retention(&mut self, retention: IdleRetention) {
+        self.idle_retention = retention;
     }
 
     pub(super) fn on_target_timeout(&mut self, key: usize, now: Duration) {
@@ -330,7 +406,14 @@
             return;
         };
         pool.open -= 1;
-        pool.idle.retain(|id| *id != conn.id);
+        let idle = &mut self.idle;
+        pool.idle.retain(|(since, id)| {
+            let closed = *id == conn.id;
+            if closed {
+                idle.remove(&(*since, *id));
+            }
+            !closed
+        });
         let next = pool.queued.pop_front();
         if pool.open == 0 && next.is_none() {
             self.pools.remove(&address);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -62,6 +62,7 @@
     ExchangeError,
     ExchangeId,
     FailureCause,
+    IdleRetention,
     IoEvent,
     ListenerKind, //
 };
--- a/crates/reactor/src/process.rs
+++ b/crates/reactor/src/process.rs
@@ -193,6 +193,11 @@
             .set_gauge("buffered-bytes", self.event_loop.buffered_bytes() as u64);
         self.metrics
             .set_gauge("target-connections-opened", stats.opened);
+        self.metrics
+            .set_gauge("target-connections-reused", stats.reused);
+        let idle = self.event_loop.idle_target_connections();
+        self.metrics
+            .set_gauge("target-connections-idle", idle as u64);
         self.metrics.set_gauge("socket-errors", stats.socket_errors);
         self.metrics
             .set_gauge("log-lines-dropped", self.log_sink.dropped());
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -30,6 +30,7 @@
     Exchange,
     ExchangeError,
     ExpectedResponse,
+    IdleRetention,
     IoEvent,
     ListenerKind, //
 };
@@ -37,6 +38,7 @@
     ClusterKey,
     Keyring, //
 };
+use rstest::rstest;
 use socket2::{
     Domain,
     Socket,
@@ -381,6 +383,61 @@
     }
 }
 
+/// Guards against a connection that a target closes while a request that may run once is sent over
+/// it: however long a target keeps connections, this side closes them first.
+#[rstest]
+#[case::short(IdleRetention::Short, Some(15_000), 4000)]
+#[case::stated(STATED, Some(15_000), 9000)]
+#[case::stated_short(STATED, Some(2000), 1200)]
+#[case::stated_forever(STATED, Some(u64::MAX), 60_000)]
+#[case::unstated(STATED, None, 4000)]
+#[case::zero(STATED, Some(0), 0)]
+fn idle_connections_close_before_the_target_closes_them(
+    #[case] retention: IdleRetention,
+    #[case] stated_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    assert_eq!(retention.timeout(stated_ms.map(ms)), ms(expected_ms));
+}
+
+const STATED: IdleRetention = IdleRetention::Stated { descriptors: 12 };
+
+/// Guards against idle connections that take the descriptors of callers: a quarter of 12 may be
+/// idle, and the one that was used last stays.
+#[rstest]
+#[case(IdleRetention::Short, 5)]
+#[case(STATED, 3)]
+fn idle_connections_leave_descriptors_for_callers(
+    #[case] retention: IdleRetention,
+    #[case] expected: usize,
+) {
+    let mut fixture = Fixture::new();
+    fixture.event_loop.set_idle_retention(retention);
+    let mut last = None;
+    for id in 1..=5 {
+        let (listener, address) = target_listener();
+        std::thread::spawn(move || {
+            let mut stream = accept(&listener);
+            let mut answers = [id, 6].into_iter();
+            // Keeps the connection open until the other side closes it.
+            while stream.read(&mut [0; 256]).is_ok_and(|length| length > 0) {
+                let answer = answers.next().unwrap();
+                stream.write_all(&response(answer)).unwrap();
+            }
+        });
+        fixture.start_exchange(id, address, 1);
+        assert!(fixture.next_exchange().1.is_ok());
+        last = Some(address);
+    }
+    assert_eq!(fixture.event_loop.idle_target_connections(), expected);
+    assert_eq!(fixture.event_loop.open_connections(), expected);
+    fixture.start_exchange(6, last.unwrap(), 1);
+    assert!(fixture.next_exchange().1.is_ok());
+    let stats = fixture.event_loop.stats();
+    assert_eq!((stats.opened, stats.reused), (5, 1));
+    assert_eq!(fixture.event_loop.idle_target_connections(), expected);
+}
+
 /// A message of about `bytes` bytes.
 fn long_message(bytes: usize) -> PeerMessage {
     let document = "d".repeat(bytes).into();
