Decide together how many requests leave a failure domain

Each VM decided alone, from three constants, whether a request for a plain service leaves its failure domain. No VM knew the room elsewhere, and all VMs of a domain left at the same moment.

For contended routings, entry VMs now report with each ping the requests of their callers by plain service, split by the length of bodies, the work of targets, and targets that they cannot reach. The load summary states the demand of each domain in slots, the speed of its targets and the slots that no VM reaches (crates/fleet/src/service_demand.rs). From it and the registry, each VM computes which fraction of each domain's requests leaves and who receives it (crates/entry/src/domain_overflow.rs). A request draws once. Requests that stay may still go elsewhere if no target of their domain can respond in time, but only to a target with a known free slot.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -34,9 +34,13 @@
     rngs::StdRng, //
 };
 
+pub use self::loads::DepartureCounts;
 use self::{
     crashes::CrashReports,
-    loads::LoadReports,
+    loads::{
+        DomainLoads,
+        LoadReports, //
+    },
     request::ActiveRequest,
     statements::StatementReports,
     view::KeySample,
@@ -47,6 +51,7 @@
         ControlStream,
         ControlStreamEffect, //
     },
+    domain_overflow::Departure,
     evidence::{
         Evidence,
         NotRun, //
@@ -382,6 +387,17 @@
         /// The time.
         pause: Duration,
     },
+    /// Other fractions of the requests for a service than before leave this VM's failure domain.
+    Departure {
+        /// The service.
+        service: ServiceName,
+        /// The fractions.
+        departure: Departure,
+        /// Domains that receive them, with their shares.
+        receivers: Vec<(Domain, f64)>,
+    },
+    /// Requests that this VM sent to another failure domain since the last such event.
+    Departed(DepartureCounts),
     /// A new routing is in force.
     Routing {
         /// Its version.
@@ -476,6 +492,7 @@
     crashes: CrashReports,
     statement_reports: StatementReports,
     load_reports: LoadReports,
+    domain_loads: DomainLoads,
     random: StdRng,
 }
 
@@ -526,6 +543,7 @@
             crashes: CrashReports::default(),
             statement_reports: StatementReports::default(),
             load_reports: LoadReports::default(),
+            domain_loads: DomainLoads::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -620,6 +638,7 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.maintain_control_stream(now, out);
+        self.plan_departures(now, out);
         self.crashes.expire(now);
         while let Some((at, request)) = self.timers.first().copied() {
             if at > now {
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -27,9 +27,11 @@
     Reason,
     Refusal,
     RequestHandle,
-    Shutdown, //
+    Shutdown,
+    loads::bodies, //
 };
 use crate::{
+    domain_overflow::DepartureDraw,
     evidence::{
         Evidence,
         Execution,
@@ -92,6 +94,8 @@
     pub(super) retry_at: Duration,
     /// When the request is also sent to another target.
     pub(super) hedge_at: Option<Duration>,
+    /// The random choice whether it leaves its failure domain, once there is a plan.
+    pub(super) departure_draw: Option<DepartureDraw>,
     /// Whether the caller has disconnected.
     pub(super) caller_disconnected: bool,
     /// Whether an attempt was cancelled to speed up a handover. Such a request is not refused
@@ -174,8 +178,9 @@
         } else {
             None
         };
-        if let Some(key) = key {
-            self.sample_key(&service, key);
+        match key {
+            Some(key) => self.sample_key(&service, key),
+            None => self.record_demand(&service, route.large_bodies),
         }
         if let Some(budget) = self.budgets.get_mut(&service) {
             budget.deposit();
@@ -210,6 +215,7 @@
                 parked_until: None,
                 retry_at: Duration::ZERO,
                 hedge_at: None,
+                departure_draw: None,
                 caller_disconnected: false,
                 cancelled: false,
             },
@@ -268,6 +274,10 @@
             is_retry: request.is_retry,
             tried_targets: &request.tried_targets,
             limit_source: self.limit_source(now),
+            overflow: self
+                .overflow_plan(&request.service, now)
+                .zip(request.departure_draw),
+            bodies: bodies(request.route.large_bodies),
             now,
         }
     }
@@ -278,6 +288,7 @@
         id: RequestHandle,
         now: Duration,
     ) -> Result<TargetId, (Reason, Duration)> {
+        self.draw_departure(id, now);
         let mut random = self.random.clone();
         let Some(request) = self.requests.get(&id) else {
             return Err((Reason::Expired, Duration::ZERO));
@@ -287,6 +298,7 @@
         self.random = random;
         match pick {
             Ok(pick) => {
+                self.record_departure(pick.departure);
                 if let Some(denied) = pick.denied {
                     self.want_right(&denied);
                 }
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -77,8 +77,11 @@
                 if failed {
                     request.execution.record_possible();
                 }
-                self.targets
+                let large = request.route.large_bodies;
+                let took = self
+                    .targets
                     .attempt_completed(target, attempt, failed, load, now);
+                self.record_work(target, large, took);
                 // A target may respond before it has executed the request.
                 if executed && !failed {
                     self.crashes.record_completion(fingerprint, now);
@@ -90,9 +93,10 @@
                 let misdirected = status == MISDIRECTED_STATUS && request.key.is_some();
                 match misdirected {
                     true => self.targets.attempt_misdirected(target, attempt, load, now),
-                    false => self
-                        .targets
-                        .attempt_completed(target, attempt, true, load, now),
+                    false => {
+                        self.targets
+                            .attempt_completed(target, attempt, true, load, now);
+                    }
                 }
                 out.push(Effect::Discard(attempt));
                 self.on_not_executed(id, misdirected, now, out);
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -116,8 +116,8 @@
                 rights,
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
-            PeerMessage::LoadSummary { loads } if is_established => {
-                self.on_load_summary(&loads, now);
+            PeerMessage::LoadSummary { loads, demand } if is_established => {
+                self.on_load_summary(&loads, demand, now, out);
             }
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
@@ -142,6 +142,7 @@
         let old = self.routing_version();
         self.view = view;
         self.targets.sync(&self.view);
+        self.domain_loads.capacity_changed();
         for (id, target) in &self.view.targets {
             if target.state != TargetState::Ready {
                 self.draining_since
@@ -183,10 +184,12 @@
                     self.draining_since.entry(id.clone()).or_insert(now);
                 }
                 self.targets.update(id, target);
+                self.domain_loads.capacity_changed();
             }
             Command::Remove { id, .. } => {
                 self.draining_since.remove(id);
                 self.targets.remove(id);
+                self.domain_loads.capacity_changed();
             }
             Command::Assign { service, range, .. } => {
                 let range = (range.from, range.to);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `routes` | matching of host and path to a service |
 //! | `targets` | latency, load and failures of each target as seen by this VM |
 //! | `selection` | target selection and admission |
+//! | `domain_overflow` | how many requests leave a failure domain, and where they go |
 //! | `evidence` | what shows that a request was not executed, and the promise that rests on it |
 //! | `link` | share of the VM's link for long responses |
 //! | `handovers` | key ranges that are moving between two holders |
@@ -20,6 +21,7 @@
 //! | `control_stream` | the stream from the control leader |
 
 mod control_stream;
+mod domain_overflow;
 mod entry;
 mod evidence;
 mod handovers;
@@ -34,11 +36,19 @@
     ControlStream,
     ControlStreamEffect, //
 };
+pub use domain_overflow::{
+    Departure,
+    DepartureDraw,
+    DomainBalance,
+    OverflowPlan,
+    OverflowPlans, //
+};
 pub use entry::{
     AttemptId,
     AttemptResult,
     Config,
     Decision,
+    DepartureCounts,
     Effect,
     Entry,
     Event,
@@ -63,6 +73,7 @@
 pub use retry_budget::RetryBudget;
 pub use routes::RouteTable;
 pub use selection::{
+    DepartureReason,
     Selection,
     SelectionContext,
     SelectionError, //
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -5,11 +5,16 @@
 use camphordale_fleet::{
     Domain,
     EntryCounts,
-    TargetId, //
+    TargetId,
+    service_demand::Bodies, //
 };
 use rand::Rng;
 
 use crate::{
+    domain_overflow::{
+        DepartureDraw,
+        OverflowPlan, //
+    },
     limits::LimitSource,
     targets::{
         TargetTracker,
@@ -46,6 +51,23 @@
 /// fraction of the latency objective.
 const LOCAL_LATENCY_FRACTION: f64 = 0.5;
 
+/// Maximum age of a load that shows a free slot to a request that leaves its domain although the plan
+/// keeps it there.
+const FREE_SLOT_REPORT_AGE: Duration = Duration::from_millis(1000);
+/// Difference in score between targets that are tried one after the other.
+const RANK_STEP: f64 = 1e6;
+
+/// Why a request is sent to a target in another failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DepartureReason {
+    /// It is among the fraction of requests that leaves.
+    Planned,
+    /// No target of its own domain can respond in time, and one elsewhere has a free slot.
+    NoneInTime,
+    /// There is no recent summary of the load, so that each VM decides by itself.
+    Unplanned,
+}
+
 /// The target selected for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Selection {
@@ -55,6 +77,8 @@
     pub expected: Duration,
     /// The target that would have been selected if this VM had a right to send to it.
     pub denied: Option<TargetId>,
+    /// Why the request leaves its failure domain, if it does.
+    pub departure: Option<DepartureReason>,
 }
 
 /// Why no target can be selected.
@@ -88,6 +112,11 @@
     pub tried_targets: &'a [TargetId],
     /// What decides on requests to targets with a limit.
     pub limit_source: LimitSource,
+    /// Which requests for the service leave their failure domain, if this is known by a recent
+    /// summary of the load, and the random choice of this request.
+    pub overflow: Option<(&'a OverflowPlan, DepartureDraw)>,
+    /// Length of the request's body by its route.
+    pub bodies: Bodies,
     /// Current time.
     pub now: Duration,
 }
@@ -130,6 +159,22 @@
         tracked.in_flight() >= share as usize && !borrows
     }
 
+    /// Order in which targets are tried under a plan, if the request goes to `destination`: targets
+    /// there, then those of its own domain, then those with a free slot.
+    fn rank(&self, tracked: &TrackedTarget, destination: &Domain) -> Option<f64> {
+        if tracked.domain == *destination {
+            return Some(0.0);
+        }
+        if tracked.domain == *self.domain {
+            return Some(1.0);
+        }
+        let fresh = tracked
+            .report_age(self.now)
+            .is_some_and(|age| age <= FREE_SLOT_REPORT_AGE);
+        let has_free_slot = fresh && tracked.load(self.now) + 1.0 <= f64::from(tracked.slots);
+        has_free_slot.then_some(2.0)
+    }
+
     /// Selects the target with the lowest score, which is based on the expected latency.
     pub fn pick<Random>(
         &self,
@@ -145,6 +190,10 @@
         let mut soonest: Option<f64> = None;
         let mut pause: Option<Duration> = None;
         let mut fallback: Option<(f64, &TargetId)> = None;
+        let planned = self
+            .overflow
+            .map(|(plan, draw)| plan.destination(self.domain, self.bodies, draw));
+        let destination = planned.map(|domain| domain.unwrap_or(self.domain));
         for (id, tracked) in targets.of_service(service) {
             let leaves = tracked.leaving_since().is_some();
             if !tracked.accepts_requests || leaves || self.tried_targets.contains(id) {
@@ -167,12 +216,22 @@
             if self.is_full(tracked, self.entries.domain) {
                 continue;
             }
+            let rank = match destination {
+                None => 0.0,
+                // Targets that cannot respond in time leave the choice to those of the next rank.
+                Some(_) if expected > self.limit() => continue,
+                Some(destination) => match self.rank(tracked, destination) {
+                    Some(rank) => rank * RANK_STEP,
+                    None => continue,
+                },
+            };
             let near = expected
                 <= self
                     .latency_objective
                     .mul_f64(LOCAL_LATENCY_FRACTION)
                     .as_secs_f64();
             let distance = match tracked.domain == *self.domain {
+                _ if destination.is_some() => 1.0,
                 true if near => LOCAL_FACTOR,
                 true => 1.0,
                 false => REMOTE_FACTOR,
@@ -184,7 +243,7 @@
             } else {
                 1.0
             };
-            let score = expected * distance * failure_penalty * jitter * fresh;
+            let score = rank + expected * distance * failure_penalty * jitter * fresh;
             let allowed = tracked.limit.allows(self.limit_source, self.now);
             let found = if allowed { &mut best } else { &mut denied };
             if found.is_none_or(|(other, ..)| score < other) {
@@ -198,6 +257,7 @@
             id: id.clone(),
             expected: Duration::from_secs_f64(expected),
             denied: better.map(|(.., id)| id.clone()),
+            departure: self.departure(targets.get(id), planned),
         };
         match (best, denied, soonest, fallback) {
             (Some((_, expected, id)), ..) if expected <= limit => Ok(pick(expected, id)),
@@ -210,6 +270,21 @@
         }
     }
 
+    /// Why a request that goes to this target leaves its domain, if it does. `planned` is the domain
+    /// for which it is drawn to leave, if there is a plan.
+    fn departure(
+        &self,
+        target: Option<&TrackedTarget>,
+        planned: Option<Option<&Domain>>,
+    ) -> Option<DepartureReason> {
+        let target = target.filter(|target| target.domain != *self.domain)?;
+        Some(match planned {
+            None => DepartureReason::Unplanned,
+            Some(Some(domain)) if *domain == target.domain => DepartureReason::Planned,
+            Some(_) => DepartureReason::NoneInTime,
+        })
+    }
+
     /// Checks whether the holder of a key can accept a request now.
     pub fn admits(&self, id: &TargetId, tracked: &TrackedTarget) -> Result<(), SelectionError> {
         if let Some(rest) = tracked.paused_for(self.now) {
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -310,6 +310,22 @@
         }
     }
 
+    /// Name of the incarnation in load summaries.
+    pub fn tag(&self) -> TargetTag {
+        self.tag
+    }
+
+    /// Slots that requests may use, if each keeps one for `work`. Few requests per second use few
+    /// slots of a target with a limit.
+    pub fn usable_slots(&self, work: Duration) -> f64 {
+        if !self.accepts_requests || self.leaving_since.is_some() {
+            return 0.0;
+        }
+        let slots = f64::from(self.slots);
+        let limit = self.limit.limit().map(f64::from);
+        limit.map_or(slots, |rate| slots.min(rate * work.as_secs_f64()))
+    }
+
     /// Records a load that the target stated to another VM at `seen_at`. Of this VM's attempts, those
     /// sent before are part of it.
     pub fn record_shared_load(&mut self, requests: u16, seen_at: Duration) {
@@ -480,6 +496,13 @@
         loads
     }
 
+    /// Targets of a service that this VM cannot reach or that do not respond.
+    pub fn unreachable(&self, service: &str, now: Duration) -> impl Iterator<Item = TargetTag> {
+        let targets = self.of_service(service);
+        let unreachable = targets.filter(move |(_, t)| t.is_backing_off(now) || t.is_stalled(now));
+        unreachable.map(|(_, tracked)| tracked.tag)
+    }
+
     /// Records the loads that targets stated to other VMs. Loads of unknown targets are ignored.
     pub fn record_shared_loads(&mut self, loads: &[TargetLoad], now: Duration) {
         let by_tag: HashMap<TargetTag, &TargetLoad> =
@@ -537,7 +560,8 @@
         }
     }
 
-    /// Records a complete response.
+    /// Records a complete response. Returns its latency without the slowdown explained by the target's
+    /// load, unless the target failed.
     pub fn attempt_completed(
         &mut self,
         id: &str,
@@ -545,15 +569,13 @@
         failed: bool,
         report: Option<LoadReport>,
         now: Duration,
-    ) {
-        let Some(tracked) = self.by_id.get_mut(id) else {
-            return;
-        };
+    ) -> Option<Duration> {
+        let tracked = self.by_id.get_mut(id)?;
         let started = tracked.in_flight.remove(&attempt);
         tracked.response_received(report, now);
         let fail = if failed { 1.0 } else { 0.0 };
         tracked.failure_rate += (fail - tracked.failure_rate) * FAILURE_WEIGHT;
-        if let Some(started) = started.filter(|_| !failed) {
+        started.filter(|_| !failed).map(|started| {
             // The load reported with the response is more recent than what this VM knew when it
             // sent the request.
             let reported = report.map_or(0.0, LoadReport::total);
@@ -563,7 +585,8 @@
             tracked.mean_latency = mean + (took - mean) * LATENCY_WEIGHT;
             tracked.unreported.0 += 1;
             tracked.unreported.1 += took * 1000.0;
-        }
+            Duration::from_secs_f64(took)
+        })
     }
 
     /// Records a failed attempt. `reached` tells whether the target was reached.
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,9 +5,11 @@
 mod control_stream;
 mod crashes;
 mod decisions;
+mod departures;
 mod harness;
 mod load;
 mod loads;
 mod outside_numbers;
 mod requests;
 mod statements;
+mod uncontended;
--- a/crates/fleet/src/control/loads.rs
+++ b/crates/fleet/src/control/loads.rs
@@ -13,21 +13,36 @@
     load_summary::{
         LoadMerger,
         SUMMARY_INTERVAL,
-        TargetLoad, //
+        TargetLoad,
+        TargetTag, //
     },
     message::PeerMessage,
+    service_demand::{
+        DemandMerger,
+        ServiceDemand,
+        TargetWork, //
+    },
 };
 
 /// The loads that the leader knows, and when it tells them next.
 #[derive(Default)]
 pub(super) struct LoadNews {
     merger: LoadMerger,
+    demand: DemandMerger,
     next_summary: Duration,
 }
 
+/// What an entry VM reports.
+pub(super) struct LoadReport<'a> {
+    pub(super) loads: &'a [TargetLoad],
+    pub(super) demand: &'a [ServiceDemand],
+    pub(super) work: &'a [TargetWork],
+    pub(super) unreachable: &'a [TargetTag],
+}
+
 impl Control {
-    /// Handles the loads that an entry VM saw.
-    pub(super) fn on_target_loads(&mut self, conn: u64, loads: &[TargetLoad], now: Duration) {
+    /// Handles the loads and the demand that an entry VM saw.
+    pub(super) fn on_target_loads(&mut self, conn: u64, report: LoadReport<'_>, now: Duration) {
         if !self.is_contended() {
             return;
         }
@@ -36,10 +51,14 @@
             return;
         };
         // Older entry VMs close the stream on a summary, and do not send loads either.
+        let news = &mut leader.load_news;
         if !std::mem::replace(&mut stream.takes_summaries, true) {
-            leader.load_news.merger.resend_all();
+            news.merger.resend_all();
         }
-        leader.load_news.merger.record(loads, now);
+        news.merger.record(report.loads, now);
+        news.merger.record_unreachable(report.unreachable, now);
+        news.demand
+            .record(&stream.domain, report.demand, report.work, now);
     }
 
     /// Tells the entry VMs the loads that changed. An empty summary is sent too: it shows that the
@@ -61,9 +80,9 @@
         if conns.is_empty() {
             return;
         }
-        let message = PeerMessage::LoadSummary {
-            loads: news.merger.take_changes(now),
-        };
+        let loads = news.merger.take_changes(now);
+        let demand = news.demand.summarize(&self.state.view, &news.merger, now);
+        let message = PeerMessage::LoadSummary { loads, demand };
         out.push(Effect::Broadcast { conns, message });
     }
 }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -13,6 +13,7 @@
     Control,
     Effect,
     LogEvent,
+    loads::LoadReport,
     statements::TargetStatements, //
 };
 use crate::{
@@ -147,7 +148,7 @@
 /// The stream of one entry VM.
 pub(super) struct EntryStream {
     entry_id: u64,
-    domain: Domain,
+    pub(super) domain: Domain,
     /// Index of the entry VM's view.
     pub(super) index: u64,
     /// Index of the whole view that was sent and that the entry VM has not confirmed.
@@ -238,7 +239,20 @@
                 };
                 self.on_target_statements(conn, sent, statements, now, out);
             }
-            PeerMessage::TargetLoads { loads } => self.on_target_loads(conn, &loads, now),
+            PeerMessage::TargetLoads {
+                loads,
+                demand,
+                work,
+                unreachable,
+            } => {
+                let report = LoadReport {
+                    loads: &loads,
+                    demand: &demand,
+                    work: &work,
+                    unreachable: &unreachable,
+                };
+                self.on_target_loads(conn, report, now);
+            }
             // Other messages are for control VMs; a peer may send them on any connection.
             other => self.on_peer_message(other, now, out),
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `crash_evidence` | requests that crash the targets that execute them |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
 //! | `load_summary` | load of targets by the reports of all entry VMs |
+//! | `service_demand` | demand for plain services by failure domain |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -31,6 +32,7 @@
 mod registry;
 mod request_limits;
 mod routing;
+pub mod service_demand;
 mod state;
 
 pub use control::{
--- a/crates/fleet/src/load_summary.rs
+++ b/crates/fleet/src/load_summary.rs
@@ -24,8 +24,9 @@
 
 /// Time between two summaries.
 pub const SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
-/// Targets in one summary: with about 6 bytes each and five summaries per second, 4 KB/s.
-pub const MAX_SUMMARY_TARGETS: usize = 135;
+/// Targets in one summary: with about 6 bytes each and five summaries per second, 3.3 KB/s. The demand
+/// takes another 1 KB/s with five plain services in three domains.
+pub const MAX_SUMMARY_TARGETS: usize = 110;
 /// Targets in one report of an entry VM.
 pub const MAX_REPORTED_TARGETS: usize = 256;
 /// Age at which a load says nothing any more: requests take 0.1 to 0.4 s, and the estimate of an entry
@@ -106,6 +107,12 @@
     sent: Option<(u16, Duration)>,
 }
 
+/// Time without a response of a target, before a VM that cannot reach it counts: the link of that VM
+/// alone may be at fault.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(400);
+/// Time for which a report that a target cannot be reached holds: three pings.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(900);
+
 impl KnownLoad {
     /// How much the entry VMs gain by this load: the change in requests, and the time since they
     /// last got one. `None` if they know it.
@@ -138,6 +145,8 @@
 #[derive(Debug, Default)]
 pub struct LoadMerger {
     loads: BTreeMap<TargetTag, KnownLoad>,
+    /// When an entry VM last reported that it cannot reach a target.
+    unreachable: BTreeMap<TargetTag, Duration>,
 }
 
 impl LoadMerger {
@@ -158,10 +167,37 @@
         }
     }
 
+    /// Adopts the report of an entry VM that it cannot reach these targets.
+    pub fn record_unreachable(&mut self, tags: &[TargetTag], now: Duration) {
+        let tags = tags.iter().take(MAX_REPORTED_TARGETS);
+        self.unreachable.extend(tags.map(|tag| (*tag, now)));
+    }
+
+    /// Requests at a target by the newest report; none if there was no recent one.
+    #[must_use]
+    pub fn requests_at(&self, tag: TargetTag, now: Duration) -> u16 {
+        let known = self.loads.get(&tag);
+        let recent = known.filter(|known| now.saturating_sub(known.seen_at) <= MAX_AGE);
+        recent.map_or(0, |known| known.requests)
+    }
+
+    /// Whether an entry VM cannot reach a target, and none has had a response for a moment before.
+    #[must_use]
+    pub fn is_unreachable(&self, tag: TargetTag, now: Duration) -> bool {
+        let Some(at) = self.unreachable.get(&tag) else {
+            return false;
+        };
+        let responded = self.loads.get(&tag).map(|known| known.seen_at);
+        now.saturating_sub(*at) <= UNREACHABLE_TIME
+            && responded.is_none_or(|seen_at| *at >= seen_at + UNREACHABLE_AFTER)
+    }
+
     /// Drops old loads, and takes those that entry VMs gain most by.
     pub fn take_changes(&mut self, now: Duration) -> Vec<TargetLoad> {
         self.loads
             .retain(|_, known| now.saturating_sub(known.seen_at) <= MAX_AGE);
+        self.unreachable
+            .retain(|_, at| now.saturating_sub(*at) <= UNREACHABLE_TIME);
         let known = self.loads.iter();
         let gains = known.filter_map(|(tag, known)| Some((known.gain()?, *tag)));
         let mut gains: Vec<(f64, TargetTag)> =
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -17,7 +17,10 @@
 use crate::{
     crash_evidence::CrashRecord,
     keys::Key,
-    load_summary::TargetLoad,
+    load_summary::{
+        TargetLoad,
+        TargetTag, //
+    },
     registry::{
         Holder,
         TargetId, //
@@ -27,6 +30,11 @@
         Domain,
         ServiceName, //
     },
+    service_demand::{
+        ServiceDemand,
+        ServiceLoad,
+        TargetWork, //
+    },
     state::{
         Command,
         View, //
@@ -186,17 +194,25 @@
         /// Rights that the entry VM needs, or that the leader grants, by target.
         rights: Vec<(Holder, u16)>,
     },
-    /// Loads that targets stated in responses to an entry VM. It is sent with each ping if the routing
-    /// is contended, also without any load, and says that the entry VM takes summaries.
+    /// Loads that targets stated in responses to an entry VM, and the demand of its callers. It is sent
+    /// with each ping if the routing is contended, also without any load, and says that the entry VM
+    /// takes summaries.
     TargetLoads {
         /// The newest load of each target that responded since the last report.
         loads: Vec<TargetLoad>,
-    },
-    /// Loads of targets that changed, by the reports of all entry VMs, from the leader to each of
-    /// them.
+        /// Requests for plain services since the last report.
+        demand: Vec<ServiceDemand>,
+        /// Responses of targets of plain services since the last report.
+        work: Vec<TargetWork>,
+        /// Targets of plain services that the entry VM cannot reach.
+        unreachable: Vec<TargetTag>,
+    },
+    /// Loads of targets, by the reports of all entry VMs, from the leader to each of them.
     LoadSummary {
-        /// The loads.
+        /// The loads that changed.
         loads: Vec<TargetLoad>,
+        /// Demand for all plain services.
+        demand: Vec<ServiceLoad>,
     },
 }
 
--- /dev/null
+++ b/crates/fleet/src/service_demand.rs
@@ -0,0 +1,395 @@
+//! Demand for plain services by failure domain, as the leader knows it from the reports of entry VMs.
+//!
+//! An entry VM decides from this how many requests leave its failure domain. Demand counts where
+//! requests enter the fleet, not where they are served, so that a decision does not change its own
+//! input. It is stated in slots: requests per second times the time that one request keeps a slot of
+//! a target of usual speed.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    load_summary::{
+        LoadMerger,
+        TargetTag,
+        target_tag, //
+    },
+    registry::TargetState,
+    routing::{
+        Domain,
+        ServiceName, //
+    },
+    state::View,
+};
+
+/// Time constant of the demand: short enough to follow a burst within about a second, long enough to
+/// average the pings of a domain's entry VMs (300 ms).
+const DEMAND_TIME: Duration = Duration::from_millis(500);
+/// Time after the first report before the demand is stated: each entry VM has reported twice.
+const MIN_DEMAND_TIME: Duration = Duration::from_millis(600);
+/// Time constant of the work of a request and of the speed of targets. Both change slowly.
+const WORK_TIME: Duration = Duration::from_secs(8);
+/// Work that a target is taken to have done at usual speed before its reports count fully.
+const PRIOR_WORK: f64 = 1.0;
+/// Bounds of a domain's speed relative to the usual.
+const SPEED_BOUNDS: (f64, f64) = (0.25, 4.0);
+/// Bounds of the correction of the work that latencies show. They contain the transfer of bodies, and
+/// under load also waits that an entry VM does not know of.
+const WORK_CORRECTION_BOUNDS: (f64, f64) = (0.3, 1.2);
+/// Demand below which a domain is left out, in slots.
+const MIN_DEMAND: f64 = 0.01;
+/// Services and domains of one summary at most, so that its size is bounded.
+const MAX_DOMAIN_LOADS: usize = 32;
+
+/// Length of the bodies of requests on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Bodies {
+    /// Usual length.
+    Short,
+    /// Large: expensive to send to another failure domain.
+    Large,
+}
+
+/// Requests for a plain service that an entry VM received from callers since its last report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: ServiceName,
+    /// Requests with short bodies.
+    pub short: u16,
+    /// Requests with large bodies.
+    pub large: u16,
+}
+
+/// Responses of a target of a plain service to an entry VM since its last report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetWork {
+    /// The incarnation of the target.
+    pub tag: TargetTag,
+    /// Which requests.
+    pub bodies: Bodies,
+    /// Number of responses.
+    pub answered: u16,
+    /// Sum of their latencies in milliseconds, without the queueing delay explained by the target's
+    /// load.
+    pub took_ms: u32,
+}
+
+/// A number of slots, in hundredths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotCount(u32);
+
+impl From<f64> for SlotCount {
+    fn from(slots: f64) -> SlotCount {
+        // Casts of floating-point numbers saturate.
+        SlotCount((slots * 100.0).round() as u32)
+    }
+}
+
+impl From<SlotCount> for f64 {
+    fn from(count: SlotCount) -> f64 {
+        f64::from(count.0) / 100.0
+    }
+}
+
+/// Demand of the callers of one failure domain, and what is known of the targets there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainLoad {
+    /// The domain.
+    pub domain: Domain,
+    /// Demand for requests with short bodies.
+    pub short: SlotCount,
+    /// Demand for requests with large bodies.
+    pub large: SlotCount,
+    /// Slots of targets there that no entry VM reaches.
+    pub lost_slots: u32,
+    /// Speed of the targets there relative to the usual, in percent.
+    pub speed: u16,
+}
+
+/// Demand for a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: ServiceName,
+    /// Mean time in milliseconds for which a request keeps a slot.
+    pub work_ms: u16,
+    /// Domains with demand or targets.
+    pub domains: Vec<DomainLoad>,
+}
+
+/// A sum that decays exponentially.
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayingSum {
+    sum: f64,
+    at: Duration,
+}
+
+impl DecayingSum {
+    fn at(&self, now: Duration, time: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.sum * (-age / time.as_secs_f64()).exp()
+    }
+
+    fn add(&mut self, amount: f64, now: Duration, time: Duration) {
+        self.sum = self.at(now, time) + amount;
+        self.at = now;
+    }
+}
+
+/// Number and total time of responses.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkSum {
+    answered: DecayingSum,
+    took: DecayingSum,
+}
+
+impl WorkSum {
+    fn add(&mut self, work: &TargetWork, now: Duration) {
+        let took = f64::from(work.took_ms) / 1000.0;
+        self.answered.add(f64::from(work.answered), now, WORK_TIME);
+        self.took.add(took, now, WORK_TIME);
+    }
+
+    fn mean(&self) -> Option<f64> {
+        (self.answered.sum > 0.0).then(|| self.took.sum / self.answered.sum)
+    }
+}
+
+/// Work of one target: what it took, and what the same requests usually take.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetPace {
+    took: DecayingSum,
+    usual: DecayingSum,
+}
+
+/// Slots in use at the targets of a service, and the time that responses say they took, for the
+/// correction of the latter.
+#[derive(Clone, Copy, Debug, Default)]
+struct Correction {
+    busy: DecayingSum,
+    took: DecayingSum,
+}
+
+/// Demand and work by the reports of all entry VMs.
+///
+/// ```
+/// use std::time::Duration;
+/// use camphordale_fleet::{View, load_summary::LoadMerger, service_demand::DemandMerger};
+///
+/// let mut demand = DemandMerger::default();
+/// let loads = LoadMerger::default();
+/// assert!(demand.summarize(&View::default(), &loads, Duration::from_secs(1)).is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct DemandMerger {
+    started_at: Option<Duration>,
+    summarized_at: Option<Duration>,
+    taken: BTreeMap<(ServiceName, Domain, Bodies), DecayingSum>,
+    work: BTreeMap<(ServiceName, Bodies), WorkSum>,
+    corrections: BTreeMap<ServiceName, Correction>,
+    paces: BTreeMap<TargetTag, TargetPace>,
+    /// Services of the targets at the last summary.
+    services: BTreeMap<TargetTag, ServiceName>,
+}
+
+/// Sums over the targets of a service in a domain.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetSums {
+    slots: f64,
+    speed: f64,
+    busy: f64,
+    lost: u32,
+}
+
+impl DemandMerger {
+    /// Adopts the report of an entry VM in `domain`.
+    pub fn record(
+        &mut self,
+        domain: &Domain,
+        demand: &[ServiceDemand],
+        work: &[TargetWork],
+        now: Duration,
+    ) {
+        self.started_at.get_or_insert(now);
+        for ServiceDemand {
+            service,
+            short,
+            large,
+        } in demand
+        {
+            for (bodies, count) in [(Bodies::Short, *short), (Bodies::Large, *large)] {
+                if count > 0 {
+                    let taken = (service.clone(), domain.clone(), bodies);
+                    let taken = self.taken.entry(taken).or_default();
+                    taken.add(f64::from(count), now, DEMAND_TIME);
+                }
+            }
+        }
+        for work in work {
+            let Some(service) = self.services.get(&work.tag) else {
+                continue;
+            };
+            let sum = self.work.entry((service.clone(), work.bodies)).or_default();
+            sum.add(work, now);
+            let took = f64::from(work.took_ms) / 1000.0;
+            let usual = sum.mean().unwrap_or(0.0) * f64::from(work.answered);
+            let pace = self.paces.entry(work.tag).or_default();
+            pace.took.add(took, now, WORK_TIME);
+            pace.usual.add(usual, now, WORK_TIME);
+            let correction = self.corrections.entry(service.clone()).or_default();
+            correction.took.add(took, now, WORK_TIME);
+        }
+    }
+
+    /// Requests per second.
+    fn rate(&self, taken: &DecayingSum, now: Duration) -> f64 {
+        let started_at = self.started_at.unwrap_or(now);
+        let known = now.saturating_sub(started_at).max(MIN_DEMAND_TIME);
+        let known = known.as_secs_f64() / DEMAND_TIME.as_secs_f64();
+        taken.at(now, DEMAND_TIME) / (DEMAND_TIME.as_secs_f64() * (1.0 - (-known).exp()))
+    }
+
+    fn speed(&self, tag: TargetTag, now: Duration) -> f64 {
+        let Some(pace) = self.paces.get(&tag) else {
+            return 1.0;
+        };
+        let usual = pace.usual.at(now, WORK_TIME) + PRIOR_WORK;
+        let took = pace.took.at(now, WORK_TIME) + PRIOR_WORK;
+        (usual / took).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+    }
+
+    /// The demand for each plain service and what is known of its targets. `loads` are the loads that
+    /// entry VMs reported. Services are left out until demand and work are known, so that entry VMs
+    /// decide alone until then.
+    pub fn summarize(
+        &mut self,
+        view: &View,
+        loads: &LoadMerger,
+        now: Duration,
+    ) -> Vec<ServiceLoad> {
+        let mut targets: BTreeMap<&ServiceName, BTreeMap<&Domain, TargetSums>> = BTreeMap::new();
+        let mut services = BTreeMap::new();
+        for (id, target) in &view.targets {
+            if view.is_keyed(&target.service) {
+                continue;
+            }
+            let tag = target_tag(id, target.incarnation);
+            services.insert(tag, target.service.clone());
+            let domains = targets.entry(&target.service).or_default();
+            let sums = domains.entry(&target.domain).or_default();
+            if target.state != TargetState::Ready {
+                continue;
+            }
+            let slots = f64::from(target.slots);
+            sums.slots += slots;
+            sums.speed += slots * self.speed(tag, now);
+            sums.busy += f64::from(loads.requests_at(tag, now)).min(slots);
+            if loads.is_unreachable(tag, now) {
+                sums.lost += target.slots;
+            }
+        }
+        self.services = services;
+        let current = &self.services;
+        self.paces.retain(|tag, _| current.contains_key(tag));
+        let passed = now.saturating_sub(self.summarized_at.replace(now).unwrap_or(now));
+        let passed = passed.as_secs_f64();
+        for (service, domains) in &targets {
+            let busy: f64 = domains.values().map(|sums| sums.busy).sum();
+            let correction = self.corrections.entry((*service).clone()).or_default();
+            correction.busy.add(busy * passed, now, WORK_TIME);
+        }
+        self.corrections
+            .retain(|service, _| targets.contains_key(service));
+        self.work
+            .retain(|(service, _), _| targets.contains_key(service));
+        let mut out = Vec::new();
+        let mut rest = MAX_DOMAIN_LOADS;
+        let started_at = self.started_at.unwrap_or(now);
+        let is_known = now.saturating_sub(started_at) >= MIN_DEMAND_TIME;
+        for (service, of_targets) in targets {
+            let bodies = [Bodies::Short, Bodies::Large];
+            let works = bodies.map(|bodies| self.work.get(&(service.clone(), bodies)));
+            if !is_known || works.iter().all(|work| work.is_none()) {
+                continue;
+            }
+            let load = self.service_load(service, &of_targets, now);
+            if load.domains.len() > rest {
+                break;
+            }
+            rest -= load.domains.len();
+            out.push(load);
+        }
+        self.taken
+            .retain(|_, taken| taken.at(now, DEMAND_TIME) >= MIN_DEMAND);
+        out
+    }
+
+    fn service_load(
+        &self,
+        service: &ServiceName,
+        targets: &BTreeMap<&Domain, TargetSums>,
+        now: Duration,
+    ) -> ServiceLoad {
+        let correction = self.corrections.get(service).copied().unwrap_or_default();
+        let took = correction.took.at(now, WORK_TIME) + PRIOR_WORK;
+        let busy = correction.busy.at(now, WORK_TIME) + PRIOR_WORK;
+        let (least, most) = WORK_CORRECTION_BOUNDS;
+        let correction = (busy / took).clamp(least, most);
+        let work = |bodies: Bodies| {
+            let sum = self.work.get(&(service.clone(), bodies));
+            sum.and_then(WorkSum::mean).unwrap_or(0.0) * correction
+        };
+        let demand = |domain: &Domain, bodies: Bodies| {
+            let taken = self.taken.get(&(service.clone(), domain.clone(), bodies));
+            taken.map_or(0.0, |taken| self.rate(taken, now)) * work(bodies)
+        };
+        let callers = self.taken.keys().filter(|(other, ..)| other == service);
+        let mut domains: BTreeSet<&Domain> = callers.map(|(_, domain, _)| domain).collect();
+        domains.extend(targets.keys().copied());
+        let domains = domains.into_iter().map(|domain| {
+            let sums = targets.get(domain).copied().unwrap_or_default();
+            let speed = if sums.slots > 0.0 {
+                sums.speed / sums.slots
+            } else {
+                1.0
+            };
+            DomainLoad {
+                domain: domain.clone(),
+                short: demand(domain, Bodies::Short).into(),
+                large: demand(domain, Bodies::Large).into(),
+                lost_slots: sums.lost,
+                speed: (speed * 100.0).round() as u16,
+            }
+        });
+        let domains: Vec<DomainLoad> = domains.collect();
+        let mut answered = 0.0;
+        let mut total = 0.0;
+        for bodies in [Bodies::Short, Bodies::Large] {
+            if let Some(sum) = self.work.get(&(service.clone(), bodies)) {
+                answered += sum.answered.at(now, WORK_TIME);
+                total += sum.took.at(now, WORK_TIME);
+            }
+        }
+        let mean: f64 = if answered > 0.0 {
+            total / answered
+        } else {
+            0.0
+        };
+        ServiceLoad {
+            service: service.clone(),
+            work_ms: (mean * correction * 1000.0).round() as u16,
+            domains,
+        }
+    }
+}
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -97,6 +97,35 @@
                         "for_ms" => pause.as_millis() as u64);
                 }
             }
+            LogEvent::Departure {
+                service,
+                departure,
+                receivers,
+            } => {
+                context.metrics.count_event("departure");
+                for (bodies, fraction) in [("short", departure.short), ("large", departure.large)] {
+                    let permille = (fraction * 1000.0).round() as u64;
+                    context.metrics.set_departure(&service, bodies, permille);
+                }
+                if context.may_log("departure") {
+                    let receivers = receivers.iter();
+                    let receivers = receivers.map(|(domain, share)| format!("{domain}:{share:.2}"));
+                    let receivers = receivers.collect::<Vec<_>>().join(",");
+                    info!(context.logger, "requests leave the domain"; "service" => &*service,
+                        "short" => departure.short, "large" => departure.large,
+                        "receivers" => receivers);
+                }
+            }
+            LogEvent::Departed(counts) => {
+                let reasons = [
+                    ("planned", counts.planned),
+                    ("none-in-time", counts.none_in_time),
+                    ("unplanned", counts.unplanned),
+                ];
+                for (reason, count) in reasons {
+                    context.metrics.count_departures(reason, count);
+                }
+            }
             LogEvent::Routing {
                 version,
                 view,
--- a/crates/reactor/src/metrics.rs
+++ b/crates/reactor/src/metrics.rs
@@ -36,6 +36,7 @@
     served: Histogram<f64>,
     duration: Histogram<f64>,
     events: Counter<u64>,
+    departures: Counter<u64>,
     long_turns: Counter<u64>,
     gauges: Gauge<u64>,
 }
@@ -116,6 +117,10 @@
                 "Time from the end of a request to its answer, by service",
             ),
             events: counter("camphordale.events", "Changes of state, by kind"),
+            departures: counter(
+                "camphordale.departures",
+                "Requests for plain services that were sent to another failure domain, by reason",
+            ),
             long_turns: counter(
                 "camphordale.long_turns",
                 "Turns of the event loop of 40 ms or more, by the work that took most of it",
@@ -175,6 +180,25 @@
         self.events.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Sets the fraction of the requests for a service that leaves the failure domain, in thousandths.
+    /// `bodies` tells for which length of bodies.
+    pub fn set_departure(&self, service: &str, bodies: &'static str, permille: u64) {
+        let labels = [
+            KeyValue::new("kind", "leaving-permille"),
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("bodies", bodies),
+        ];
+        self.gauges.record(permille, &labels);
+    }
+
+    /// Counts requests that were sent to another failure domain.
+    pub fn count_departures(&self, reason: &'static str, count: u64) {
+        if count > 0 {
+            self.departures
+                .add(count, &[KeyValue::new("reason", reason)]);
+        }
+    }
+
     /// Counts a long turn of the event loop.
     pub fn count_long_turn(&self, work: &'static str) {
         self.long_turns.add(1, &[KeyValue::new("work", work)]);
