--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -37,10 +37,14 @@
     rngs::StdRng, //
 };
 
+pub use self::loads::DepartureCounts;
 use self::{
     crashes::CrashReports,
     evacuation::EvacuationDeadlines,
-    loads::LoadReports,
+    loads::{
+        DomainLoads,
+        LoadReports, //
+    },
     request::ActiveRequest,
     statements::StatementReports,
     view::KeySample,
@@ -51,6 +55,7 @@
         ControlStream,
         ControlStreamEffect, //
     },
+    domain_overflow::Departure,
     evidence::{
         Evidence,
         NotRun, //
@@ -439,6 +444,17 @@
         /// Time for which keyed requests may still be sent to its targets.
         keyed_for: Duration,
     },
+    /// Other fractions of the requests for a service than before leave this VM's failure domain.
+    Departure {
+        /// The service.
+        service: ServiceName,
+        /// The fractions.
+        departure: Departure,
+        /// Domains that receive them, with their shares.
+        receivers: Vec<(Domain, f64)>,
+    },
+    /// Requests that this VM sent to another failure domain since the last such event.
+    Departed(DepartureCounts),
     /// A new routing is in force.
     Routing {
         /// Its version.
@@ -537,6 +553,7 @@
     crashes: CrashReports,
     statement_reports: StatementReports,
     load_reports: LoadReports,
+    domain_loads: DomainLoads,
     random: StdRng,
 }
 
@@ -591,6 +608,7 @@
             crashes: CrashReports::default(),
             statement_reports: StatementReports::default(),
             load_reports: LoadReports::default(),
+            domain_loads: DomainLoads::default(),
             random: StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -690,6 +708,7 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         self.maintain_control_stream(now, out);
+        self.plan_departures(now, out);
         self.crashes.expire(now);
         self.withdraw_keyed_attempts(now, out);
         while let Some((at, request)) = self.timers.first().copied() {
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -123,8 +123,8 @@
                 rights,
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
-            PeerMessage::LoadSummary { loads } if is_established => {
-                self.on_load_summary(&loads, now);
+            PeerMessage::LoadSummary { loads, demand } if is_established => {
+                self.on_load_summary(&loads, demand, now, out);
             }
             PeerMessage::ColdTargets {
                 suspected,
@@ -164,6 +164,7 @@
         let last_heard = (self.view.index > 0).then_some(last_heard);
         self.view = view;
         self.targets.sync(&self.view);
+        self.domain_loads.capacity_changed();
         for (id, target) in &self.view.targets {
             if !target.state.accepts_requests() {
                 self.draining_since
@@ -208,10 +209,12 @@
                 }
                 self.targets.update(id, target);
                 self.adopt_warmth(id, now, out);
+                self.domain_loads.capacity_changed();
             }
             Command::Remove { id, .. } => {
                 self.draining_since.remove(id);
                 self.targets.remove(id);
+                self.domain_loads.capacity_changed();
             }
             Command::Assign { service, range, .. } => {
                 let range = (range.from, range.to);
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod control_stream;
 mod crashes;
 mod decisions;
+mod departures;
 mod evacuation;
 mod harness;
 mod load;
@@ -12,4 +13,5 @@
 mod outside_numbers;
 mod requests;
 mod statements;
+mod uncontended;
 mod uneven;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
 //! | `load_summary` | load of targets by the reports of all entry VMs |
 //! | `warm_up` | which targets are cold, and the limit on requests to one |
+//! | `service_demand` | demand for plain services by failure domain |
 //! | `key_leases` | the leader's record of the key leases that targets may hold |
 //! | `balance` | which key ranges should move, and to which target |
 
@@ -34,6 +35,7 @@
 mod registry;
 mod request_limits;
 mod routing;
+pub mod service_demand;
 mod state;
 pub mod warm_up;
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -18,7 +18,10 @@
     crash_evidence::CrashRecord,
     evacuation,
     keys::Key,
-    load_summary::TargetLoad,
+    load_summary::{
+        TargetLoad,
+        TargetTag, //
+    },
     registry::{
         Holder,
         TargetId, //
@@ -28,6 +31,11 @@
         Domain,
         ServiceName, //
     },
+    service_demand::{
+        ServiceDemand,
+        ServiceLoad,
+        TargetWork, //
+    },
     state::{
         Command,
         View, //
@@ -187,17 +195,25 @@
         /// Rights that the entry VM needs, or that the leader grants, by target.
         rights: Vec<(Holder, u16)>,
     },
-    /// Loads that targets stated in responses to an entry VM. It is sent with each ping if the routing
-    /// is contended, also without any load, and says that the entry VM takes summaries.
+    /// Loads that targets stated in responses to an entry VM, and the demand of its callers. It is sent
+    /// with each ping if the routing is contended, also without any load, and says that the entry VM
+    /// takes summaries.
     TargetLoads {
         /// The newest load of each target that responded since the last report.
         loads: Vec<TargetLoad>,
+        /// Requests for plain services since the last report.
+        demand: Vec<ServiceDemand>,
+        /// Responses of targets of plain services since the last report.
+        work: Vec<TargetWork>,
+        /// Targets of plain services that the entry VM cannot reach.
+        unreachable: Vec<TargetTag>,
     },
-    /// Loads of targets that changed, by the reports of all entry VMs, from the leader to each of
-    /// them.
+    /// Loads of targets, by the reports of all entry VMs, from the leader to each of them.
     LoadSummary {
-        /// The loads.
+        /// The loads that changed.
         loads: Vec<TargetLoad>,
+        /// Demand for all plain services.
+        demand: Vec<ServiceLoad>,
     },
     /// Targets to which a connection could not be opened, between an entry VM and the leader, for
     /// services with a warm-up rate only. An entry VM sends those that it saw itself; the leader sends
--- a/crates/fleet/tests/warm_up.rs
+++ b/crates/fleet/tests/warm_up.rs
@@ -135,14 +135,13 @@
 #[test]
 fn targets_of_a_domain_are_cold_until_two_announcements_say_otherwise() {
     let mut view = view();
-    let marked = view.mark_domain_cold("a");
-    assert_eq!(marked, [holder("cold-a", 7)]);
+    view.mark_domain_cold("a");
     assert_eq!(view.targets["cold-a"].state, TargetState::Cold);
     for other in ["cold-b", "other-a", "other-b"] {
         assert_eq!(view.targets[other].state, TargetState::Ready);
     }
     let mut cold = ColdTargets::default();
-    let target = &marked[0];
+    let target = &holder("cold-a", 7);
     let state = cold.announced(target, true, Some(TargetState::Ready), ms(500));
     assert_eq!(state, TargetState::Ready);
     cold.require_proof(target);
