Tell starting entry VMs of suspected targets before the view

Cause: entry VMs that restart all at once learnt one round trip after the view which targets may have come back cold, and sent to them in between: 33 requests in a second to a target that came back 20 ms later.

Change: the leader sends its suspicions before the view, and an entry VM applies them before it resumes waiting requests. Tests of this, and of keys that move away from a holder that turned cold under load.

--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -84,6 +84,8 @@
     cold_limits: HashMap<ServiceName, RequestRate>,
     /// Targets to which a connection has failed since it was reported.
     failed: BTreeSet<TargetId>,
+    /// Targets that the leader suspects, as told before the view that names them.
+    early_suspicions: Vec<(Holder, Duration)>,
 }
 
 impl StatementReports {
@@ -393,6 +395,17 @@
         }
     }
 
+    /// Keeps what the leader says of suspected targets before it sends the view.
+    pub(super) fn keep_suspicions(&mut self, suspected: Vec<(Holder, Duration)>) {
+        self.statement_reports.early_suspicions = suspected;
+    }
+
+    /// Handles what the leader said before it sent the view.
+    pub(super) fn adopt_kept_suspicions(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let suspected = std::mem::take(&mut self.statement_reports.early_suspicions);
+        self.on_cold_targets(&suspected, &[], &[], now, out);
+    }
+
     /// Adopts the warm-up rates of a new routing.
     pub(super) fn adopt_warm_up_rates(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let bounds = self.config.warm_up;
@@ -406,6 +419,7 @@
         if before != self.statement_reports.cold_limits {
             self.adopt_all_warmth(now, out);
         }
+        self.adopt_kept_suspicions(now, out);
     }
 
     /// Adopts from the registry which targets are cold.
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -118,6 +118,7 @@
             } if is_established => {
                 self.on_cold_targets(&suspected, &cleared, &expired, now, out);
             }
+            PeerMessage::ColdTargets { suspected, .. } => self.keep_suspicions(suspected),
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
                 self.statement_reports.confirm(sent);
@@ -149,6 +150,7 @@
         }
         self.adopt_all_warmth(now, out);
         self.routing_changed(old, now, out);
+        self.adopt_kept_suspicions(now, out);
         self.targets.requeue_latencies();
         self.next_latency = now;
         self.handovers.clear();
--- a/crates/entry/tests/limits/cold.rs
+++ b/crates/entry/tests/limits/cold.rs
@@ -171,6 +171,29 @@
     }
 }
 
+/// Guards against entry VMs that restart all at once and know nothing of a target that is suspected:
+/// it comes back before it is announced.
+#[test]
+fn the_bound_holds_when_all_entry_vms_restart() {
+    for (seed, vms, gap) in [(61, 59, 20), (62, 59, 60), (63, 134, 40), (64, 134, 150)] {
+        let mut world = world(seed, vms, 1, 400.0);
+        world.run(ms(2000));
+        world.crash_target("t0");
+        world.run(ms(1100));
+        for _ in 0..vms {
+            world.stop_entry();
+        }
+        for _ in 0..vms {
+            world.start_entry();
+        }
+        world.run(ms(gap));
+        world.come_back_cold("t0");
+        let from = world.now;
+        world.run(ms(3000));
+        assert_bounded(&world, from, world.now, &format!("seed {seed}"));
+    }
+}
+
 /// Guards against a broken link that holds a warm target to the limit of a cold one for all entry VMs
 /// as long as the link is broken.
 #[test]
--- a/crates/fleet/src/control/statements.rs
+++ b/crates/fleet/src/control/statements.rs
@@ -174,16 +174,7 @@
             };
             out.push(Effect::Stream { conn, message });
         }
-        let suspected = match is_first {
-            true => news.cold.suspected(now),
-            false => Vec::new(),
-        };
-        if !suspected.is_empty() {
-            let message = PeerMessage::ColdTargets {
-                suspected,
-                cleared: Vec::new(),
-                expired: Vec::new(),
-            };
+        if is_first && let Some(message) = self.suspicions(now) {
             out.push(Effect::Stream { conn, message });
         }
         for holder in leaving {
@@ -217,6 +208,17 @@
         self.propose_target(&holder.id, target, Pending::NoReply, now, out);
     }
 
+    /// The targets that are suspected, if there are any.
+    pub(super) fn suspicions(&self, now: Duration) -> Option<PeerMessage> {
+        let news = &self.leader_state.as_ref()?.statement_news;
+        let suspected = news.cold.suspected(now);
+        (!suspected.is_empty()).then_some(PeerMessage::ColdTargets {
+            suspected,
+            cleared: Vec::new(),
+            expired: Vec::new(),
+        })
+    }
+
     /// Handles the report of an entry VM that connections could not be opened.
     pub(super) fn on_cold_targets(
         &mut self,
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -328,8 +328,14 @@
         let index = self.state.view.index;
         let subscriptions: Vec<Subscription> = self.awaiting_view.drain(..count).collect();
         let conns = subscriptions.iter().map(|subscription| subscription.conn);
+        let conns: Box<[u64]> = conns.collect();
+        // A VM that has just started sends requests as soon as it has a view.
+        if let Some(message) = self.suspicions(now) {
+            let conns = conns.clone();
+            out.push(Effect::Broadcast { conns, message });
+        }
         out.push(Effect::Broadcast {
-            conns: conns.collect(),
+            conns,
             message: PeerMessage::Snapshot(Box::new(self.state.view.clone())),
         });
         for subscription in subscriptions {
--- a/crates/fleet/tests/control/cold.rs
+++ b/crates/fleet/tests/control/cold.rs
@@ -4,6 +4,9 @@
 
 use camphordale_fleet::{
     Call,
+    Event,
+    KeyLoad,
+    PeerMessage,
     RequestRate,
     TargetState,
     WarmUp, //
@@ -106,3 +109,51 @@
         keys("t1")
     );
 }
+
+/// Guards against keys that stay at a holder that turned cold under load, although the others have
+/// room for them.
+#[test]
+fn keys_move_away_from_a_holder_that_turned_cold_under_load() {
+    let mut cluster = cluster(75, true);
+    let leader = cluster.leader().unwrap();
+    let announce_all = |cluster: &mut TestCluster, sequence: u64, warm_up: u64| {
+        for number in 0..4u64 {
+            let mut target = announcement(sequence, 100, false);
+            target.id = format!("t{number}").into();
+            target.address = format!("10.1.0.{}:80", number + 1).parse().unwrap();
+            target.warm_up = if number == 0 { warm_up } else { 0 };
+            cluster.call(leader, Call::Announce(Box::new(target)));
+        }
+    };
+    // 40 requests a second, evenly over all keys; each warm target takes 26.
+    let send_load = |cluster: &mut TestCluster| {
+        for _ in 0..10 {
+            let load = KeyLoad {
+                service: "s".into(),
+                total: 8,
+                sample: (0..48).map(|part| part * 1365).collect(),
+            };
+            let message = PeerMessage::Ping {
+                sent: cluster.now,
+                index: cluster.entry.1.index,
+                load: vec![load],
+                latencies: Vec::new(),
+            };
+            cluster.step(leader, Event::Stream { conn: 1, message });
+            cluster.run(ms(200));
+        }
+    };
+    announce_all(&mut cluster, 1, 0);
+    cluster.run(ms(2200));
+    send_load(&mut cluster);
+    assert!(cluster.moving.is_empty(), "{:?}", cluster.moving);
+    announce_all(&mut cluster, 2, 3000);
+    send_load(&mut cluster);
+    assert!(!cluster.moving.is_empty());
+    let map = &cluster.entry.1.keys["s"];
+    for ((from, _), next) in &cluster.moving {
+        let holder = map.find(*from).holder.as_ref();
+        assert!(holder.is_some_and(|holder| &*holder.id == "t0"));
+        assert_ne!(&**next, "t0");
+    }
+}
