--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -133,6 +133,7 @@
             } if is_established => {
                 self.on_cold_targets(&suspected, &cleared, &expired, now, out);
             }
+            PeerMessage::ColdTargets { suspected, .. } => self.keep_suspicions(suspected),
             PeerMessage::Pong { entries, sent } => {
                 self.evacuations.on_confirmed();
                 self.crashes.confirm(sent);
@@ -175,6 +176,7 @@
         self.sync_evacuations(last_heard, now, out);
         self.adopt_all_warmth(now, out);
         self.routing_changed(old, now, out);
+        self.adopt_kept_suspicions(now, out);
         self.targets.requeue_latencies();
         self.next_latency = now;
         self.handovers.clear();
