Tell entry VMs the latencies of keyed targets

Cause: a VM admits requests to a holder by the latency that it has seen there. With 59 VMs and 77 targets it sees a response of a holder in five seconds, with 134 and 205 in sixteen, so slow holders were sent more than they could answer in time although the leader knew their speed.

Measured, in simulated time: after 2.5 s the told latency of targets of half the usual speed is above 1.4 times the usual one, after 20 s 1.7 to 2.6 times; fewer than 800 latencies are told in 20 s with 77 targets. All tests of fleet, entry, reactor and platform pass. The effect on admission in a deployment is not measured.

--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -116,6 +116,9 @@
                 rights,
                 ..
             } if is_established => self.on_target_statements(sent, &stated, &rights, now, out),
+            PeerMessage::TargetLatencies(latencies) if is_established => {
+                self.targets.adopt_latencies(&latencies);
+            }
             PeerMessage::Pong { entries, sent } => {
                 self.crashes.confirm(sent);
                 self.statement_reports.confirm(sent);
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -181,6 +181,8 @@
     responses: u32,
     /// Assumed latency in seconds before the first response.
     assumed_latency: f64,
+    /// Mean latency in seconds that the control leader knows from the responses to all VMs.
+    told_latency: Option<f64>,
     /// Momentary slowdown of the target's machine in the last load report.
     momentary_slowdown: Slowdown,
     /// Fraction of recent attempts that failed.
@@ -214,6 +216,7 @@
             mean_latency: 0.0,
             responses: 0,
             assumed_latency: DEFAULT_LATENCY.as_secs_f64(),
+            told_latency: None,
             momentary_slowdown: Slowdown::default(),
             failure_rate: 0.0,
             in_flight: BTreeMap::new(),
@@ -294,10 +297,10 @@
 
     /// Mean latency of a request in seconds.
     pub fn mean_latency(&self) -> f64 {
-        if self.mean_latency == 0.0 {
-            self.assumed_latency
-        } else {
-            self.mean_latency
+        match self.told_latency {
+            Some(told) => told,
+            None if self.mean_latency == 0.0 => self.assumed_latency,
+            None => self.mean_latency,
         }
     }
 
@@ -444,6 +447,7 @@
             self.service_latencies.clear();
             for tracked in self.by_id.values_mut() {
                 tracked.assumed_latency = DEFAULT_LATENCY.as_secs_f64();
+                tracked.told_latency = None;
             }
         }
     }
@@ -560,6 +564,19 @@
         }
     }
 
+    /// Adopts mean latencies in milliseconds from the control leader, if the routing is contended.
+    pub fn adopt_latencies(&mut self, latencies: &[(TargetId, u16)]) {
+        if !self.is_contended {
+            return;
+        }
+        for (id, millis) in latencies {
+            if let Some(tracked) = self.by_id.get_mut(id) {
+                let told = Duration::from_millis(u64::from((*millis).max(1)));
+                tracked.told_latency = Some(told.as_secs_f64());
+            }
+        }
+    }
+
     /// Takes the latencies since the last report of those targets of a service that have at least
     /// `least` responses.
     pub fn take_latencies(&mut self, service: &str, least: u32) -> Vec<TargetLatency> {
--- a/crates/entry/tests/entry/uneven.rs
+++ b/crates/entry/tests/entry/uneven.rs
@@ -186,6 +186,23 @@
     assert_eq!(assumed("reads-0"), 150);
 }
 
+/// Guards against requests that a VM admits to a slow holder because it has not heard of it: the
+/// leader knows the latency from all VMs.
+#[rstest]
+#[case(true, 320)]
+#[case(false, 150)]
+fn latencies_from_the_leader_count_if_routing_is_contended(
+    #[case] contended: bool,
+    #[case] expected: u64,
+) {
+    let mut targets = TargetTracker::default();
+    targets.sync(&Harness::view());
+    targets.set_contended(contended);
+    targets.adopt_latencies(&[("keyed-0".into(), 320), ("unknown".into(), 5)]);
+    let mean = targets.get("keyed-0").unwrap().mean_latency();
+    assert_eq!((mean * 1000.0).round() as u64, expected);
+}
+
 /// Guards against a new leader that overestimates what a VM knows about a target.
 #[test]
 fn a_summary_for_a_new_leader_counts_the_responses_that_it_has() {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -306,6 +306,7 @@
             self.send_delayed_answers(now, out);
             self.share_crash_evidence(now, out);
             self.share_limits(now, out);
+            self.share_latencies(now, out);
             self.close_silent_streams(now, out);
             self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -34,6 +34,7 @@
     },
     message::{
         KeyLoad,
+        PeerMessage,
         TargetLatency, //
     },
     registry::{
@@ -91,6 +92,13 @@
 const CONTENDED_SPEED_BOUNDS: (f64, f64) = (0.25, 4.0);
 /// Assumed latency in milliseconds while no target of the service has responded.
 const DEFAULT_LATENCY_MS: f64 = 150.0;
+/// Interval between two messages to entry VMs with latencies that have changed.
+const SHARE_INTERVAL: Duration = Duration::from_millis(500);
+/// A latency is told again if it has changed by this factor, which is little compared with the
+/// differences between the speeds of targets.
+const SHARE_RATIO: f64 = 1.15;
+/// Time after which all latencies are told again, for entry VMs that have come since.
+const SHARE_ALL_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of sampled keys per service.
 const MAX_SAMPLE: usize = 4000;
 /// A free range goes to a target that can be told within this time, if there is one.
@@ -209,6 +217,11 @@
     log_latencies: BTreeMap<TargetId, LogLatency>,
     is_contended: bool,
     next_plan: Duration,
+    /// Latencies in milliseconds that entry VMs were told last.
+    told: BTreeMap<TargetId, u16>,
+    next_share: Duration,
+    /// When all latencies are told again.
+    next_full_share: Duration,
 }
 
 /// Latencies of a service's median target.
@@ -362,6 +375,37 @@
         f64::from(slots.max(1)) * speed * 1000.0 / median.mean
     }
 
+    /// Estimated mean latency of a target in milliseconds, if it has responded and the routing is
+    /// contended.
+    fn estimated_latency(&self, id: &TargetId, median: MedianLatency) -> Option<u16> {
+        let latency = self.log_latencies.get(id)?;
+        let mean = (latency.estimate(median.log?) + WORK_SIGMA * WORK_SIGMA / 2.0).exp();
+        Some(mean.round().clamp(1.0, f64::from(u16::MAX)) as u16)
+    }
+
+    /// Takes the latencies that entry VMs do not know yet out of those of a service.
+    fn take_untold<'a, Ids>(&mut self, ids: Ids) -> Vec<(TargetId, u16)>
+    where
+        Ids: Iterator<Item = &'a TargetId> + Clone,
+    {
+        let median = self.median_latency(ids.clone());
+        let mut untold = Vec::new();
+        for id in ids {
+            let Some(latency) = self.estimated_latency(id, median) else {
+                continue;
+            };
+            let ratio = self.told.get(id).map(|told| {
+                let (told, latency) = (f64::from(*told), f64::from(latency));
+                (told / latency).max(latency / told)
+            });
+            if ratio.is_none_or(|ratio| ratio > SHARE_RATIO) {
+                self.told.insert(id.clone(), latency);
+                untold.push((id.clone(), latency));
+            }
+        }
+        untold
+    }
+
     fn median_latency<'a, Ids>(&self, ids: Ids) -> MedianLatency
     where
         Ids: Iterator<Item = &'a TargetId> + Clone,
@@ -567,6 +611,36 @@
         }
     }
 
+    /// Tells the entry VMs the latencies of targets that have changed. An entry VM itself sees few
+    /// responses of each target, and admits requests to a holder by its latency.
+    pub(super) fn share_latencies(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let services = match self.is_contended() {
+            true => self.keyed_services(),
+            false => return,
+        };
+        let Some(leader) = &mut self.leader_state else {
+            return;
+        };
+        let stats = &mut leader.load_stats;
+        if now < stats.next_share {
+            return;
+        }
+        stats.next_share = now + SHARE_INTERVAL;
+        if now >= stats.next_full_share {
+            stats.next_full_share = now + SHARE_ALL_INTERVAL;
+            stats.told.clear();
+        }
+        let mut latencies = Vec::new();
+        for service in services {
+            let targets = self.state.view.targets.iter();
+            let own = targets.filter(|(_, target)| target.service == service);
+            latencies.extend(stats.take_untold(own.map(|(id, _)| id)));
+        }
+        if !latencies.is_empty() {
+            self.broadcast(PeerMessage::TargetLatencies(latencies), out);
+        }
+    }
+
     /// Starts the moves that balance the load.
     pub(super) fn plan_moves(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let Some(leader) = &mut self.leader_state else {
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -402,7 +402,7 @@
         self.broadcast(message, out);
     }
 
-    fn broadcast(&self, message: PeerMessage, out: &mut Vec<Effect>) {
+    pub(super) fn broadcast(&self, message: PeerMessage, out: &mut Vec<Effect>) {
         if !self.streams.is_empty() {
             out.push(Effect::Broadcast {
                 conns: self.streams.keys().copied().collect(),
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -185,6 +185,10 @@
         /// Rights that the entry VM needs, or that the leader grants, by target.
         rights: Vec<(Holder, u16)>,
     },
+    /// Mean latencies of targets that hold keys in milliseconds, without the wait in their queues and
+    /// the momentary slowdown of their machines. The leader tells all entry VMs if the routing is
+    /// contended, as it knows them from the responses to all VMs.
+    TargetLatencies(Vec<(TargetId, u16)>),
 }
 
 impl PeerMessage {
--- a/crates/fleet/tests/uneven_targets.rs
+++ b/crates/fleet/tests/uneven_targets.rs
@@ -189,6 +189,9 @@
     entries: Vec<TestEntry>,
     answers: Vec<(Duration, OrderId, Answer)>,
     moves: Vec<ObservedMove>,
+    /// Latencies in milliseconds that the leader told, and the number of them.
+    told: BTreeMap<usize, u16>,
+    told_count: usize,
     random: StdRng,
     demand: Demand,
     rate: f64,
@@ -279,6 +282,8 @@
             entries: (0..ENTRIES).map(|_| TestEntry::default()).collect(),
             answers: Vec::new(),
             moves: Vec::new(),
+            told: BTreeMap::new(),
+            told_count: 0,
             random: StdRng::seed_from_u64(seed),
             demand: Demand::Even,
             rate: 0.0,
@@ -324,6 +329,11 @@
                     match message {
                         PeerMessage::Snapshot(view) => self.view = *view,
                         PeerMessage::Update { index, command } => self.apply(index, &command),
+                        PeerMessage::TargetLatencies(latencies) => {
+                            self.told_count += latencies.len();
+                            let told = latencies.iter();
+                            self.told.extend(told.map(|(id, ms)| (number_of(id), *ms)));
+                        }
                         _ => {}
                     }
                 }
@@ -636,6 +646,30 @@
     assert!(returned < MAX_RETURNED_KEYS, "{returned}");
 }
 
+/// Guards against entry VMs that never learn how slow a holder is, since each sees few of its
+/// responses, and against messages that take a narrow link: 5 KB/s with 900 targets are 500 latencies
+/// a second, or 40 with 77 targets.
+#[test]
+fn entry_vms_are_told_the_latencies_of_targets() {
+    let mut simulation = Simulation::new(true, 1);
+    simulation.run(ms(2500));
+    let mean = |simulation: &Simulation, speed: f64| {
+        let targets = simulation.targets.iter().enumerate();
+        let told = targets.filter(|(_, target)| target.speed == speed);
+        let told: Vec<f64> = told
+            .map(|(number, _)| f64::from(simulation.told[&number]))
+            .collect();
+        told.iter().sum::<f64>() / told.len() as f64
+    };
+    let (slow, usual) = (mean(&simulation, 0.5), mean(&simulation, 1.0));
+    assert!(slow > 1.4 * usual, "{slow:.0} {usual:.0}");
+    simulation.run(ms(17_500));
+    let (slow, usual) = (mean(&simulation, 0.5), mean(&simulation, 1.0));
+    assert!((1.7..2.6).contains(&(slow / usual)), "{slow:.0} {usual:.0}");
+    assert!((130.0..220.0).contains(&usual), "{usual:.0}");
+    assert!(simulation.told_count < 40 * 20, "{}", simulation.told_count);
+}
+
 /// Guards against a change for deployments whose routing is not contended: the digest of the moves
 /// was recorded with the planner before it knew contended routing. All requests have the same work,
 /// so that no function with a result that differs between machines is used.
