--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -134,6 +134,9 @@
                 self.on_cold_targets(&suspected, &cleared, &expired, now, out);
             }
             PeerMessage::ColdTargets { suspected, .. } => self.keep_suspicions(suspected),
+            PeerMessage::TargetLatencies(latencies) if is_established => {
+                self.targets.adopt_latencies(&latencies);
+            }
             PeerMessage::Pong { entries, sent } => {
                 self.evacuations.on_confirmed();
                 self.crashes.confirm(sent);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -228,6 +228,10 @@
         /// them.
         expired: Vec<Holder>,
     },
+    /// Mean latencies of targets that hold keys in milliseconds, without the wait in their queues and
+    /// the momentary slowdown of their machines. The leader tells all entry VMs if the routing is
+    /// contended, as it knows them from the responses to all VMs.
+    TargetLatencies(Vec<(TargetId, u16)>),
 }
 
 impl PeerMessage {
