Reject responses with a status above 599

Cause: the parser of response heads accepted any three digits from 100 up, so the complete response of a target in trouble with status 600 or 999 reached the caller as it was. Statuses below 100 and non-numbers were rejected already. All paths that read responses share this parser: attempts and orders of the platform's processes, and the client of the daemon.

Ruled out: interim responses and HTTP/1.0 have no path of their own.

--- a/crates/http/src/codec/response.rs
+++ b/crates/http/src/codec/response.rs
@@ -69,8 +69,9 @@
         let (Some(status), Some(version)) = (parsed.code, parsed.version) else {
             return Err(ResponseError("head has no status"));
         };
-        if status < 100 {
-            return Err(ResponseError("status is below 100"));
+        // No version of HTTP defines other statuses. Callers would take such a response as final.
+        if !(100..600).contains(&status) {
+            return Err(ResponseError("status is not between 100 and 599"));
         }
         let http_10 = version == 0;
         let headers = framing::to_headers(parsed.headers)
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -89,6 +89,18 @@
 )]
 #[case::no_http("Malformed", ScriptedResponse::Keep(b"SSH-2.0-x\r\n"))]
 #[case::switched("Malformed", ScriptedResponse::Keep(b"HTTP/1.1 101 Switching\r\n\r\n"))]
+#[case::status_000(
+    "Malformed",
+    ScriptedResponse::Keep(b"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n")
+)]
+#[case::status_600(
+    "Malformed",
+    ScriptedResponse::Keep(b"HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n")
+)]
+#[case::status_999(
+    "Malformed",
+    ScriptedResponse::Keep(b"HTTP/1.1 999 High\r\nContent-Length: 0\r\n\r\n")
+)]
 #[case::lone_lf(
     "Malformed",
     ScriptedResponse::Keep(b"HTTP/1.1 200 OK\nContent-Length: 0\n\n")
--- a/crates/reactor/tests/refusals.rs
+++ b/crates/reactor/tests/refusals.rs
@@ -79,6 +79,20 @@
     );
 }
 
+/// Guards against an answer that is passed on with a status that no response can have, also after an
+/// interim response and in the older version of the protocol.
+#[rstest]
+fn an_invalid_status_is_no_response(
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] interim: &str,
+    #[values("1.0", "1.1")] version: &str,
+    #[values("000", "001", "099", "600", "999", "2x0", "20", "-20")] status: &str,
+) {
+    let head = format!("HTTP/{version} {status} Status\r\nX-Id: 2\r\nX-Signed: s\r\n");
+    let mut input = format!("{interim}{head}Content-Length: 2\r\n\r\nok").into_bytes();
+    let progress = connection().advance(&mut input, false);
+    assert!(matches!(progress, Progress::Invalid(_)), "{progress:?}");
+}
+
 /// A body without a length ends with the connection, but only a complete head tells so.
 #[test]
 fn a_head_without_a_length_is_no_response_before_it_ends() {
