Admit requests by urgency and by the time left under load

Priorities were not used.

Change: module admission decides on contended routings. A request queues where it is expected to be answered within three quarters of its objective; each less urgent kind, and late requests, find half the queue of the one before, the last ones free slots only, and each level has a guaranteed twentieth of the admissions. Waiting requests are tried in the order of urgency and time left. Retry-After follows from the excess queue, the fraction of refused requests and a random spread. Callers that came back are recognized by the usual timeout of their route: it may be longer than the route's.

Measured: entry tests pass.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -38,9 +38,17 @@
     request::ActiveRequest,
     statements::StatementReports,
     view::KeySample,
-    waiting::UnroutedRequest, //
+    waiting::{
+        ParkKey,
+        UnroutedRequest, //
+    },
 };
 use crate::{
+    admission::{
+        AdmissionCounts,
+        AdmissionShares,
+        UsualTimeouts, //
+    },
     control_stream::{
         ControlStream,
         ControlStreamEffect, //
@@ -463,7 +471,9 @@
     unrouted: Vec<UnroutedRequest>,
     attempts: HashMap<AttemptId, RequestHandle>,
     timers: BTreeSet<(Duration, RequestHandle)>,
-    parked: BTreeSet<RequestHandle>,
+    parked: BTreeSet<ParkKey>,
+    admissions: HashMap<ServiceName, AdmissionShares>,
+    usual_timeouts: UsualTimeouts,
     next_attempt: AttemptId,
     control_stream: ControlStream,
     was_established: bool,
@@ -509,6 +519,8 @@
             attempts: HashMap::new(),
             timers: BTreeSet::new(),
             parked: BTreeSet::new(),
+            admissions: HashMap::new(),
+            usual_timeouts: UsualTimeouts::default(),
             next_attempt: 0,
             control_stream: ControlStream::new(
                 config.entry_id,
@@ -584,6 +596,12 @@
         &self.view
     }
 
+    /// Admissions of admission control so far, of all services.
+    pub fn admission_counts(&self) -> AdmissionCounts {
+        let counts = self.admissions.values().map(AdmissionShares::counts);
+        counts.fold(AdmissionCounts::default(), AdmissionCounts::sum)
+    }
+
     /// Number of requests in progress.
     pub fn active_requests(&self) -> usize {
         self.requests.len() + self.unrouted.len()
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -16,6 +16,7 @@
     ServiceName,
     TargetId, //
 };
+use rand::Rng;
 
 use super::{
     AttemptId,
@@ -27,15 +28,23 @@
     Reason,
     Refusal,
     RequestHandle,
-    Shutdown, //
+    Shutdown,
+    waiting::ParkKey, //
 };
 use crate::{
+    admission::{
+        AdmissionClass,
+        Demand,
+        NO_SHARES,
+        Urgency, //
+    },
     evidence::{
         Evidence,
         Execution,
         NotRun, //
     },
     selection::{
+        AdmissionContext,
         SelectionContext,
         SelectionError, //
     },
@@ -60,6 +69,8 @@
 /// Bounds of the suggested retry delay when targets are full.
 const FULL_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
+/// A request that waits for the queue of a target is tried again after this time at the earliest.
+const MIN_QUEUE_WAIT: Duration = Duration::from_millis(5);
 
 /// A request in progress.
 pub(super) struct ActiveRequest {
@@ -69,6 +80,12 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) arrived_at: Duration,
     pub(super) deadline: Duration,
+    /// When the caller gives up, which may be later than the deadline.
+    pub(super) caller_deadline: Duration,
+    /// Time of the latency objective, counted from the caller's first attempt.
+    pub(super) objective_at: Duration,
+    /// Urgency of the route among the routes of the service.
+    pub(super) urgency: Urgency,
     /// When the first attempt was sent.
     pub(super) first_sent: Option<Duration>,
     /// Targets that the request was sent to.
@@ -87,6 +104,10 @@
     pub(super) execution: Execution,
     /// Time until which the request waits, if it does.
     pub(super) parked_until: Option<Duration>,
+    /// Place among the waiting requests, if it waits.
+    pub(super) park_key: Option<ParkKey>,
+    /// How long the request may wait for a place, by the last decision of admission control.
+    pub(super) queue_wait: Option<Duration>,
     /// When the holder of the key is tried again, after it reported that it does not hold the key
     /// or while the key is moving.
     pub(super) retry_at: Duration,
@@ -116,6 +137,17 @@
         self.evidence().is_none()
     }
 
+    /// The request as admission control sees it.
+    fn demand(&self, now: Duration) -> Demand {
+        Demand {
+            urgency: self.urgency,
+            objective_left: self.objective_at.saturating_sub(now),
+            remaining: self.deadline.saturating_sub(now),
+            is_repeated: self.attempts_sent > 0,
+            may_wait: self.wait_deadline(PARK_DIVISOR).saturating_sub(now),
+        }
+    }
+
     /// Time until which the request may wait: the latency objective divided by `divisor`.
     pub(super) fn wait_deadline(&self, divisor: u32) -> Duration {
         match self.cancelled {
@@ -183,6 +215,11 @@
         let caller_timeout = incoming.caller_timeout.unwrap_or(route.timeout);
         let is_retry = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
         let deadline = arrived_at + caller_timeout.min(route.timeout);
+        let elapsed = match self.routes.is_contended() {
+            true => self.time_since_first_try(&name, &route, caller_timeout),
+            false => Duration::ZERO,
+        };
+        let urgency = self.routes.urgency(&service, &route);
         let may_be_cut =
             |shutdown: Shutdown| arrived_at >= shutdown.notice_ends && deadline > shutdown.ends_at;
         if self.shutdown.is_some_and(may_be_cut) {
@@ -193,6 +230,11 @@
         self.requests.insert(
             request,
             ActiveRequest {
+                objective_at: arrived_at
+                    .saturating_add(route.latency_objective)
+                    .saturating_sub(elapsed),
+                caller_deadline: arrived_at.saturating_add(caller_timeout),
+                urgency,
                 route,
                 service,
                 key,
@@ -208,6 +250,8 @@
                 in_flight: Vec::new(),
                 execution: Execution::NONE,
                 parked_until: None,
+                park_key: None,
+                queue_wait: None,
                 retry_at: Duration::ZERO,
                 hedge_at: None,
                 caller_disconnected: false,
@@ -217,6 +261,22 @@
         self.dispatch(request, now, out);
     }
 
+    /// Time since the first try of a caller, which shows in a timeout shorter than the usual one of
+    /// the route. While that is unknown, it is taken to be the timeout of the route.
+    fn time_since_first_try(
+        &mut self,
+        name: &RouteName,
+        route: &Route,
+        caller_timeout: Duration,
+    ) -> Duration {
+        let elapsed = self.usual_timeouts.record(name, caller_timeout);
+        let is_short = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
+        elapsed.unwrap_or(match is_short {
+            true => route.timeout - caller_timeout,
+            false => Duration::ZERO,
+        })
+    }
+
     /// Sends a request to a target, lets it wait for a moment, or refuses it.
     pub(super) fn dispatch(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
         if self.refuse_quarantined(id, now, out) {
@@ -268,10 +328,51 @@
             is_retry: request.is_retry,
             tried_targets: &request.tried_targets,
             limit_source: self.limit_source(now),
+            admission: self.admission_context(request, now),
             now,
         }
     }
 
+    /// Inputs of admission control, if the routing is contended.
+    fn admission_context<'a>(
+        &'a self,
+        request: &'a ActiveRequest,
+        now: Duration,
+    ) -> Option<AdmissionContext<'a>> {
+        let shares = self.admissions.get(&request.service);
+        self.routes.is_contended().then(|| AdmissionContext {
+            demand: request.demand(now),
+            shares: shares.unwrap_or(&NO_SHARES),
+        })
+    }
+
+    /// Records that admission control admitted a request at a target with this expected latency.
+    fn record_admission(
+        &mut self,
+        id: RequestHandle,
+        (class, expected): (Option<AdmissionClass>, Duration),
+        now: Duration,
+    ) {
+        if let (Some(class), Some(request)) = (class, self.requests.get(&id)) {
+            let shares = self.admissions.entry(request.service.clone()).or_default();
+            shares.record_admission(&request.demand(now), expected.as_secs_f64(), class);
+        }
+    }
+
+    /// Records how long a request may wait that is not admitted because of load.
+    fn overloaded(
+        &mut self,
+        id: RequestHandle,
+        reason: Reason,
+        drain: Duration,
+        wait: Option<Duration>,
+    ) -> (Reason, Duration) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.queue_wait = wait;
+        }
+        (reason, drain)
+    }
+
     /// Selects a target of a service that is not keyed.
     pub(super) fn select_target(
         &mut self,
@@ -287,6 +388,7 @@
         self.random = random;
         match pick {
             Ok(pick) => {
+                self.record_admission(id, (pick.class, pick.expected), now);
                 if let Some(denied) = pick.denied {
                     self.want_right(&denied);
                 }
@@ -296,18 +398,21 @@
             Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::NoTarget) => Err((Reason::NoTarget, NO_TARGET_RETRY_AFTER)),
             Err(SelectionError::Full(expected)) => Err((Reason::Full, expected)),
+            Err(SelectionError::Overloaded { drain, wait }) => {
+                Err(self.overloaded(id, Reason::Full, drain, wait))
+            }
         }
     }
 
     /// The holder of the request's key in the view, whether it is reachable or not.
-    fn holder_of(&self, request: &ActiveRequest) -> Option<TargetId> {
+    pub(super) fn holder_of(&self, request: &ActiveRequest) -> Option<TargetId> {
         let map = self.view.keys.get(&request.service)?;
         let holder = map.find(request.key?).holder.as_ref()?;
         Some(holder.id.clone())
     }
 
     /// Selects the holder of a key.
-    fn select_holder(
+    pub(super) fn select_holder(
         &mut self,
         id: RequestHandle,
         key: Key,
@@ -335,14 +440,22 @@
         if tracked.is_backing_off(now) || tracked.is_stalled(now) {
             return Err((Reason::HolderLost, NO_TARGET_RETRY_AFTER));
         }
+        let holder_id = holder.id.clone();
+        let expected = Duration::from_secs_f64(tracked.expected_latency(now));
         match self
             .selection_context(request, now)
-            .admits(&holder.id, tracked)
+            .admits(&holder_id, tracked)
         {
-            Ok(()) => Ok(holder.id.clone()),
+            Ok(class) => {
+                self.record_admission(id, (class, expected), now);
+                Ok(holder_id)
+            }
             Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
             Err(SelectionError::Paused(rest)) => Err(self.paused(rest)),
             Err(SelectionError::Full(expected)) => Err((Reason::HolderFull, expected)),
+            Err(SelectionError::Overloaded { drain, wait }) => {
+                Err(self.overloaded(id, Reason::HolderFull, drain, wait))
+            }
             Err(SelectionError::NoTarget) => Err(none),
         }
     }
@@ -354,7 +467,7 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        self.parked.remove(&id);
+        self.unpark(id);
         let connections = match self.requests.get(&id) {
             Some(request) => self.selection_context(request, now).connection_limit(),
             None => return,
@@ -413,6 +526,7 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        let is_contended = self.routes.is_contended();
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -420,6 +534,15 @@
             Reason::Limited => RIGHT_WAIT_DIVISOR,
             _ => PARK_DIVISOR,
         });
+        let until = match (reason, request.queue_wait) {
+            (Reason::Full | Reason::HolderFull, wait) if is_contended => match wait {
+                Some(wait) => until.min(now + wait.max(MIN_QUEUE_WAIT)),
+                // Waiting here cannot help.
+                None if !request.cancelled => now,
+                None => until,
+            },
+            _ => until,
+        };
         let is_settled = matches!(
             reason,
             Reason::NoTarget | Reason::HolderLost | Reason::Leaving | Reason::Paused
@@ -427,9 +550,10 @@
         let may_change = request.cancelled || !is_settled;
         if may_change && now < until {
             request.retry_at = Duration::ZERO;
-            return self.park(id, until);
+            return self.park(id, until, now);
         }
         let retry_after = match reason {
+            Reason::Full | Reason::HolderFull if is_contended => retry_after,
             Reason::Full | Reason::HolderFull | Reason::LinkFull | Reason::Limited => {
                 retry_after.clamp(FULL_RETRY_AFTER.0, FULL_RETRY_AFTER.1)
             }
@@ -450,7 +574,18 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        let is_load = matches!(
+            reason,
+            Reason::Full | Reason::HolderFull | Reason::Shed | Reason::NoHolder
+        );
         let in_flight = !request.in_flight.is_empty();
+        let retry_after = match is_load && self.routes.is_contended() {
+            true => self.spread_retry(id, reason, retry_after, now),
+            false => retry_after,
+        };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
         let promise = request.execution.promise(in_flight, retry_after);
         let refusal = match (reason, promise) {
             (Reason::TimedOut, _) => Refusal::TimedOut,
@@ -467,6 +602,33 @@
         });
     }
 
+    /// Retry delay of a request that is refused because of load. Returning callers are spread over
+    /// time, because they come back to other VMs.
+    fn spread_retry(
+        &mut self,
+        id: RequestHandle,
+        reason: Reason,
+        retry_after: Duration,
+        now: Duration,
+    ) -> Duration {
+        let Some(request) = self.requests.get(&id) else {
+            return retry_after;
+        };
+        let remaining = request.caller_deadline.saturating_sub(now);
+        let last = request.tried_targets.last();
+        let drain = match last.and_then(|id| self.targets.get(id)) {
+            Some(target) if reason == Reason::Shed => {
+                self.selection_context(request, now).drain_time(target)
+            }
+            _ => retry_after,
+        };
+        let shares = self.admissions.entry(request.service.clone()).or_default();
+        if reason != Reason::NoHolder {
+            shares.record_refusal();
+        }
+        shares.retry_after(drain, remaining, self.random.random())
+    }
+
     pub(super) fn decision(
         &self,
         id: RequestHandle,
@@ -510,10 +672,10 @@
         forwarded: Option<AttemptId>,
         out: &mut Vec<Effect>,
     ) {
+        self.unpark(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
-        self.parked.remove(&id);
         self.timers.remove(&(request.deadline, id));
         for (attempt, holder) in request.in_flight {
             self.attempts.remove(&attempt);
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -64,6 +64,7 @@
         let service = request.service.clone();
         let route_name = request.route_name.clone();
         let is_long = self.link.expected(&route_name).is_some();
+        let ended_at = holder.id.clone();
         match result {
             AttemptResult::Complete {
                 status,
@@ -124,8 +125,11 @@
                 }
             }
         }
-        // Room on the link is for requests of any service.
-        self.retry_parked((!is_long).then_some(&service), now, out);
+        match is_long {
+            // Room on the link is for requests of any service.
+            true => self.retry_parked(None, now, out),
+            false => self.retry_parked_at(&service, &ended_at, now, out),
+        }
     }
 
     fn on_response(
@@ -217,7 +221,7 @@
             return self.await_handover(id, retry_at, now, out);
         }
         request.retry_at = now + HOLDER_RETRY_DELAY;
-        self.park(id, until);
+        self.park(id, until, now);
     }
 
     /// Handles the end of an attempt that brought no usable response and may have been executed.
@@ -284,6 +288,10 @@
         let remaining = request.deadline.saturating_sub(now);
         let service = request.service.clone();
         let target = match request.key {
+            // A holder that was full rejects the next attempt too, unless it has a place by now.
+            Some(key) if reason == Reason::Shed && self.routes.is_contended() => {
+                self.select_holder(id, key, now).ok()
+            }
             // Only the holder of the key can execute the request, so a retry goes there again.
             Some(_) => request.tried_targets.last().cloned(),
             None => self.select_target(id, now).ok(),
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -203,6 +203,7 @@
             return;
         }
         self.routes.sync(routing);
+        self.usual_timeouts.retain(routing);
         let (ratio, burst) = (self.config.retry_ratio, self.config.retry_extra);
         self.budgets
             .retain(|name, _| routing.services.contains_key(name));
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use camphordale_fleet::Key;
+use camphordale_fleet::{
+    Key,
+    ServiceName, //
+};
 
 use super::{
     Effect,
@@ -29,6 +32,23 @@
 /// A request may wait for the next holder of its key for the latency objective divided by this.
 const HANDOVER_WAIT_DIVISOR: u32 = 2;
 
+/// Waiting requests that may be tried in vain after an attempt has ended. They are tried in the order
+/// of urgency, so the next ones are hardly admitted either; the exceptions are those with more time
+/// left.
+const MAX_VAIN_TRIES: usize = 4;
+
+/// Place of a waiting request in the order in which they are tried: by service, rank, whether its
+/// objective has passed, and time of its objective. Where urgent requests do not go first, only the
+/// number of the request counts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ParkKey {
+    service: ServiceName,
+    rank: u32,
+    is_late: bool,
+    objective_at: Duration,
+    request: RequestHandle,
+}
+
 /// A request that was received before the first routing.
 pub(super) struct UnroutedRequest {
     pub(super) incoming: IncomingRequest,
@@ -100,14 +120,32 @@
             return self.refuse(id, Reason::Moving, MOVING_RETRY_AFTER, now, out);
         }
         request.retry_at = retry_at;
-        self.park(id, until);
+        self.park(id, until, now);
     }
 
     /// Lets a request wait until the given time, or until it is to be tried again.
-    pub(super) fn park(&mut self, id: RequestHandle, until: Duration) {
+    pub(super) fn park(&mut self, id: RequestHandle, until: Duration, now: Duration) {
+        let is_contended = self.routes.is_contended();
         if let Some(request) = self.requests.get_mut(&id) {
             request.parked_until = Some(until);
-            self.parked.insert(id);
+            let key = match is_contended {
+                true => ParkKey {
+                    service: request.service.clone(),
+                    rank: request.urgency.rank,
+                    is_late: now >= request.objective_at,
+                    objective_at: request.objective_at,
+                    request: id,
+                },
+                false => ParkKey {
+                    request: id,
+                    ..ParkKey::default()
+                },
+            };
+            if request.park_key.as_ref() != Some(&key) {
+                let previous = request.park_key.replace(key.clone());
+                previous.map(|previous| self.parked.remove(&previous));
+                self.parked.insert(key);
+            }
             let next = match request.retry_at.is_zero() {
                 true => until,
                 false => until.min(request.retry_at),
@@ -129,6 +167,56 @@
         });
     }
 
+    /// Tries waiting requests after an attempt at a target has ended. Where urgent requests go first,
+    /// it stops when the target admits no more.
+    pub(super) fn retry_parked_at(
+        &mut self,
+        service: &str,
+        target: &str,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.routes.is_contended() {
+            return self.retry_parked(Some(service), now, out);
+        }
+        let is_keyed = self.view.is_keyed(service);
+        let mut next = ParkKey {
+            service: service.into(),
+            ..ParkKey::default()
+        };
+        let mut vain = 0;
+        while vain < MAX_VAIN_TRIES
+            && let Some(key) = self.parked.range(&next..).next().cloned()
+            && *key.service == *service
+        {
+            let id = key.request;
+            next = ParkKey {
+                request: id + 1,
+                ..key
+            };
+            let fits = self.requests.get(&id).is_some_and(|request| {
+                let holder = self.holder_of(request);
+                now >= request.retry_at && (!is_keyed || holder.as_deref() == Some(target))
+            });
+            if !fits {
+                continue;
+            }
+            self.dispatch(id, now, out);
+            let request = self.requests.get(&id);
+            if request.is_some_and(|request| request.park_key.is_some()) {
+                vain += 1;
+            }
+        }
+    }
+
+    /// Removes a request from those that wait.
+    pub(super) fn unpark(&mut self, id: RequestHandle) {
+        let request = self.requests.get_mut(&id);
+        if let Some(key) = request.and_then(|request| request.park_key.take()) {
+            self.parked.remove(&key);
+        }
+    }
+
     /// Tries waiting requests for the keys of a range whose holder has changed.
     pub(super) fn retry_range(
         &mut self,
@@ -207,7 +295,7 @@
     where
         Fits: Fn(&ActiveRequest) -> bool,
     {
-        let waiting: Vec<RequestHandle> = self.parked.iter().copied().collect();
+        let waiting: Vec<RequestHandle> = self.parked.iter().map(|key| key.request).collect();
         for id in waiting {
             if self.requests.get(&id).is_some_and(&fits) {
                 self.dispatch(id, now, out);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `routes` | matching of host and path to a service |
 //! | `targets` | latency, load and failures of each target as seen by this VM |
 //! | `selection` | target selection and admission |
+//! | `admission` | admission control under load, for contended routings |
 //! | `evidence` | what shows that a request was not executed, and the promise that rests on it |
 //! | `link` | share of the VM's link for long responses |
 //! | `handovers` | key ranges that are moving between two holders |
@@ -19,6 +20,7 @@
 //! | `limits` | limits that targets set on the requests of all entry VMs |
 //! | `control_stream` | the stream from the control leader |
 
+mod admission;
 mod control_stream;
 mod entry;
 mod evidence;
@@ -30,6 +32,17 @@
 mod selection;
 mod targets;
 
+pub use admission::{
+    Admission,
+    AdmissionClass,
+    AdmissionCounts,
+    AdmissionShares,
+    Demand,
+    LoadEstimate,
+    Urgency,
+    UrgencyTable,
+    UsualTimeouts, //
+};
 pub use control_stream::{
     ControlStream,
     ControlStreamEffect, //
@@ -63,6 +76,7 @@
 pub use retry_budget::RetryBudget;
 pub use routes::RouteTable;
 pub use selection::{
+    AdmissionContext,
     Selection,
     SelectionContext,
     SelectionError, //
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -12,12 +12,18 @@
     ServiceName, //
 };
 
+use crate::admission::{
+    Urgency,
+    UrgencyTable, //
+};
+
 /// Routes of a routing by host and longest path prefix, with the state of their traffic splits.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<Box<str>, Vec<RouteEntry>>,
     split_credits: HashMap<RouteName, Vec<f64>>,
     is_contended: bool,
+    urgencies: UrgencyTable,
 }
 
 #[derive(Debug)]
@@ -31,6 +37,10 @@
     /// Adopts a new routing. Splits of unchanged routes keep their state.
     pub fn sync(&mut self, routing: &Routing) {
         self.is_contended = routing.is_contended();
+        self.urgencies = match self.is_contended {
+            true => UrgencyTable::new(routing),
+            false => UrgencyTable::default(),
+        };
         self.hosts.clear();
         for (name, item) in &routing.routes {
             let host = item.spec.host.to_ascii_lowercase().into_boxed_str();
@@ -58,6 +68,12 @@
         self.is_contended
     }
 
+    /// Urgency of a route among the routes of a service.
+    pub(crate) fn urgency(&self, service: &str, route: &Route) -> Urgency {
+        self.urgencies
+            .find(service, route.priority, route.latency_objective)
+    }
+
     /// Finds the route of a request. `host` may include a port, `path` a query.
     ///
     /// ```
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -10,6 +10,13 @@
 use rand::Rng;
 
 use crate::{
+    admission::{
+        Admission,
+        AdmissionClass,
+        AdmissionShares,
+        Demand,
+        LoadEstimate, //
+    },
     limits::LimitSource,
     targets::{
         TargetTracker,
@@ -55,6 +62,8 @@
     pub expected: Duration,
     /// The target that would have been selected if this VM had a right to send to it.
     pub denied: Option<TargetId>,
+    /// Why it was admitted, if the routing is contended.
+    pub class: Option<AdmissionClass>,
 }
 
 /// Why no target can be selected.
@@ -64,12 +73,39 @@
     NoTarget,
     /// All targets that accept requests are full, for about this time.
     Full(Duration),
+    /// Admission control admits the request at no target. `drain` is the time in which the shortest
+    /// excess queue drains, `wait` how long the request may wait in this VM, if that can help.
+    Overloaded {
+        /// Time in which the excess queue drains.
+        drain: Duration,
+        /// Time for which the request may wait.
+        wait: Option<Duration>,
+    },
     /// All targets that are not full want no requests from this VM for at least this time.
     Paused(Duration),
     /// This VM has no right to send to any target that is not full. The best one would be this.
     Limited(TargetId),
 }
 
+/// Inputs of admission control, for contended routings.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionContext<'a> {
+    /// The request.
+    pub demand: Demand,
+    /// What this VM admitted and refused of the service.
+    pub shares: &'a AdmissionShares,
+}
+
+/// Whether a target has a place for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Place {
+    /// It has one.
+    Free(Option<AdmissionClass>),
+    /// It has none. Where admission control decides, the time in which the excess queue drains, and
+    /// how long the request may wait.
+    Taken(Option<(Duration, Option<Duration>)>),
+}
+
 /// Inputs of the selection besides the targets.
 pub struct SelectionContext<'a> {
     /// Failure domain of this VM.
@@ -88,6 +124,8 @@
     pub tried_targets: &'a [TargetId],
     /// What decides on requests to targets with a limit.
     pub limit_source: LimitSource,
+    /// Inputs of admission control, if the routing is contended.
+    pub admission: Option<AdmissionContext<'a>>,
     /// Current time.
     pub now: Duration,
 }
@@ -95,9 +133,9 @@
 impl SelectionContext<'_> {
     /// Longest expected latency with which a request is admitted. Beyond the latency objective,
     /// admitting it would make other requests late too. A caller that retries has already waited
-    /// and may use its remaining time.
+    /// and may use its remaining time. Admission control has its own rule for the objective.
     fn limit(&self) -> f64 {
-        let limit = if self.is_retry {
+        let limit = if self.is_retry || self.admission.is_some() {
             self.remaining.mul_f64(REMAINING_FRACTION)
         } else {
             self.latency_objective.min(self.remaining)
@@ -130,6 +168,41 @@
         tracked.in_flight() >= share as usize && !borrows
     }
 
+    /// What admission control knows of a target.
+    fn estimate(&self, tracked: &TrackedTarget, is_full: bool) -> LoadEstimate {
+        LoadEstimate {
+            load: tracked.load(self.now),
+            slots: tracked.slots,
+            expected_latency: tracked.expected_latency(self.now),
+            in_flight: tracked.in_flight(),
+            is_full,
+        }
+    }
+
+    /// Whether a target has a place for the request. `vms` VMs send to it.
+    fn place(&self, tracked: &TrackedTarget, vms: u32) -> Place {
+        let is_full = self.is_full(tracked, vms);
+        let Some(admission) = &self.admission else {
+            return match is_full {
+                true => Place::Taken(None),
+                false => Place::Free(None),
+            };
+        };
+        let target = self.estimate(tracked, is_full);
+        match admission.demand.decide(&target, admission.shares) {
+            Admission::Admit(class) => Place::Free(Some(class)),
+            Admission::Wait(time) => Place::Taken(Some((time, Some(time)))),
+            Admission::Refuse(drain) => Place::Taken(Some((drain, None))),
+        }
+    }
+
+    /// Time in which the excess queue of a target drains, where admission control decides.
+    pub(crate) fn drain_time(&self, tracked: &TrackedTarget) -> Duration {
+        let target = self.estimate(tracked, false);
+        let admission = self.admission.as_ref();
+        admission.map_or(Duration::ZERO, |admission| admission.demand.drain(&target))
+    }
+
     /// Selects the target with the lowest score, which is based on the expected latency.
     pub fn pick<Random>(
         &self,
@@ -142,7 +215,9 @@
     {
         let mut best: Option<(f64, f64, &TargetId)> = None;
         let mut denied: Option<(f64, f64, &TargetId)> = None;
+        let mut guaranteed: Option<(f64, f64, &TargetId)> = None;
         let mut soonest: Option<f64> = None;
+        let mut overload: Option<(Duration, Option<Duration>)> = None;
         let mut pause: Option<Duration> = None;
         let mut fallback: Option<(f64, &TargetId)> = None;
         for (id, tracked) in targets.of_service(service) {
@@ -164,9 +239,16 @@
                 continue;
             }
             soonest = Some(soonest.map_or(expected, |other: f64| other.min(expected)));
-            if self.is_full(tracked, self.entries.domain) {
-                continue;
-            }
+            let class = match self.place(tracked, self.entries.domain) {
+                Place::Free(class) => class,
+                Place::Taken(reason) => {
+                    // A wait of none is less than any.
+                    let (drain, wait) = overload.or(reason).unwrap_or_default();
+                    let (other_drain, other_wait) = reason.unwrap_or_default();
+                    overload = reason.map(|_| (drain.min(other_drain), wait.max(other_wait)));
+                    continue;
+                }
+            };
             let near = expected
                 <= self
                     .latency_objective
@@ -186,22 +268,39 @@
             };
             let score = expected * distance * failure_penalty * jitter * fresh;
             let allowed = tracked.limit.allows(self.limit_source, self.now);
-            let found = if allowed { &mut best } else { &mut denied };
+            let found = match class {
+                Some(AdmissionClass::Guaranteed) if allowed => &mut guaranteed,
+                _ if allowed => &mut best,
+                _ => &mut denied,
+            };
             if found.is_none_or(|(other, ..)| score < other) {
                 *found = Some((score, expected, id));
             }
         }
         let limit = self.limit();
+        let is_guaranteed = best.is_none() && guaranteed.is_some();
+        let best = best.or(guaranteed);
         let denied = denied.filter(|(_, expected, _)| *expected <= limit);
         let better = denied.filter(|(score, ..)| best.is_none_or(|(other, ..)| *score < other));
         let pick = |expected: f64, id: &TargetId| Selection {
             id: id.clone(),
             expected: Duration::from_secs_f64(expected),
             denied: better.map(|(.., id)| id.clone()),
+            class: self.admission.as_ref().map(|admission| {
+                match (is_guaranteed, admission.demand.is_in_time(expected)) {
+                    (true, _) => AdmissionClass::Guaranteed,
+                    (false, true) => AdmissionClass::InTime,
+                    (false, false) => AdmissionClass::Late,
+                }
+            }),
         };
         match (best, denied, soonest, fallback) {
             (Some((_, expected, id)), ..) if expected <= limit => Ok(pick(expected, id)),
             (_, Some((.., id)), ..) => Err(SelectionError::Limited(id.clone())),
+            (_, _, Some(_), _) if overload.is_some() => {
+                let (drain, wait) = overload.unwrap_or_default();
+                Err(SelectionError::Overloaded { drain, wait })
+            }
             (_, _, Some(soonest), _) => Err(SelectionError::Full(Duration::from_secs_f64(soonest))),
             (_, _, None, Some((expected, id))) => Ok(pick(expected, id)),
             (_, _, None, None) => {
@@ -210,18 +309,33 @@
         }
     }
 
-    /// Checks whether the holder of a key can accept a request now.
-    pub fn admits(&self, id: &TargetId, tracked: &TrackedTarget) -> Result<(), SelectionError> {
+    /// Checks whether the holder of a key can accept a request now. Returns why it was admitted, if
+    /// the routing is contended.
+    ///
+    /// # Errors
+    ///
+    /// Why it cannot.
+    pub fn admits(
+        &self,
+        id: &TargetId,
+        tracked: &TrackedTarget,
+    ) -> Result<Option<AdmissionClass>, SelectionError> {
         if let Some(rest) = tracked.paused_for(self.now) {
             return Err(SelectionError::Paused(rest));
         }
         let expected = tracked.expected_latency(self.now);
-        if self.is_full(tracked, self.entries.all) || expected > self.limit() {
-            return Err(SelectionError::Full(Duration::from_secs_f64(expected)));
-        }
+        let class = match self.place(tracked, self.entries.all) {
+            Place::Free(class) if expected <= self.limit() => class,
+            Place::Taken(Some((drain, wait))) => {
+                return Err(SelectionError::Overloaded { drain, wait });
+            }
+            Place::Free(_) | Place::Taken(None) => {
+                return Err(SelectionError::Full(Duration::from_secs_f64(expected)));
+            }
+        };
         if !tracked.limit.allows(self.limit_source, self.now) {
             return Err(SelectionError::Limited(id.clone()));
         }
-        Ok(())
+        Ok(class)
     }
 }
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -28,6 +28,7 @@
     KeyDelivery,
     KeyRange,
     PeerMessage,
+    RequestRate,
     RetryPolicy,
     Route,
     Routing,
@@ -36,6 +37,7 @@
     TargetId,
     TargetState,
     View,
+    WarmUp,
     WeightedService, //
 };
 
@@ -97,6 +99,17 @@
     routing
 }
 
+/// The same routing with a service that states a warm-up rate, so that it is contended.
+pub(crate) fn contended() -> Routing {
+    let mut routing = routing();
+    let cold = WarmUp {
+        time: ms(3000),
+        rate: RequestRate::try_from(5.7).unwrap(),
+    };
+    routing.services.get_mut(READS).unwrap().spec.cold = Some(cold);
+    routing
+}
+
 pub(crate) fn target(service: &str, number: u8, domain: &str) -> Target {
     Target {
         incarnation: 1,
