Keep less urgent requests to a pace at loaded targets

Cause: with 59 VMs for a target, what a VM knows of its load is about half a second old. All VMs then fill the free slots that they know of at once, with any kind of request, and the urgent ones are late behind the others.

Change: below the first level, a VM keeps to its part of the speed of a loaded target, corrected towards the slots over half a second. Each level leaves half a saved request to the one before it. The most urgent requests in time are not held back, but count.

Measured: entry tests pass.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -5,6 +5,10 @@
 //! is worth little, so a queue is kept as short as the latency objective asks for. Requests that
 //! would be late anyway use only places that delay nobody, and a small guaranteed share.
 //!
+//! Many entry VMs share each target, and what one of them knows of the load is up to half a second
+//! old. Below the first level, each VM therefore also keeps to its part of the speed of a loaded
+//! target ([`Pace`]); otherwise all of them fill the places that the most urgent requests need.
+//!
 //! Requests have levels, and each level may queue half as deep as the one before it. The level is
 //! the rank of the route's priority among the routes of its service; a request that cannot be
 //! answered within its objective any more is treated like the next less urgent kind. The last
@@ -20,7 +24,8 @@
 use camphordale_fleet::{
     RouteName,
     Routing,
-    ServiceName, //
+    ServiceName,
+    TargetId, //
 };
 
 /// Fraction of the latency objective within which a response must be expected for a request to
@@ -41,6 +46,21 @@
 /// Guaranteed admissions that a level may save up, so that it does not fill a queue at once after a
 /// time without demand.
 const MAX_SAVED_SHARE: f64 = 1.0;
+/// Requests, as a multiple of the slots, from which a target counts as loaded. Below, half of the
+/// slots cover what other VMs send before the next load report.
+const LOADED_FRACTION: f64 = 0.5;
+/// Time in which the pace brings the load of a target back to its slots: about as long as it takes
+/// until a VM knows of the load, because a faster correction would oscillate.
+const PACE_CORRECTION_TIME: Duration = Duration::from_millis(500);
+/// Requests that a VM may save up at one target.
+const MAX_PACE_TOKENS: f64 = 2.0;
+/// Lowest number of saved requests: more urgent ones are sent without them, and later ones must not
+/// wait for long after a burst.
+const MIN_PACE_TOKENS: f64 = -3.0;
+/// Saved requests that each level leaves to the one before it.
+const RESERVED_TOKENS: f64 = 0.5;
+/// Time after which the pace at a target that got no requests is forgotten.
+const PACE_MEMORY: Duration = Duration::from_secs(10);
 /// Weight of one decision in the recent fraction of refused requests.
 const REFUSAL_WEIGHT: f64 = 1.0 / 32.0;
 /// Shortest suggested retry delay: a delay below the time to another VM and back only costs
@@ -156,11 +176,31 @@
     pub expected_latency: f64,
     /// Requests of this VM there.
     pub in_flight: usize,
+    /// What this VM may send there by its part of the target's speed.
+    pub pace: Pace,
     /// Whether the limits that are independent of the kind of request allow no more: this VM's
     /// share of the places, or its connections.
     pub is_full: bool,
 }
 
+/// What one VM may send to one target: its part of the speed of the target, with a correction that
+/// brings the load back to the slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Requests saved up; negative if more urgent requests exceeded the pace.
+    tokens: f64,
+    /// When they were counted.
+    at: Duration,
+}
+
+impl Pace {
+    /// The pace at a target that got no requests of this VM recently.
+    pub const UNUSED: Pace = Pace {
+        tokens: MAX_PACE_TOKENS,
+        at: Duration::ZERO,
+    };
+}
+
 /// Why a request was admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionClass {
@@ -183,6 +223,29 @@
     Refuse(Duration),
 }
 
+impl LoadEstimate {
+    /// Slots, requests beyond them with one more, and the latency of a request without a queue in
+    /// seconds.
+    fn queue(&self) -> (f64, f64, f64) {
+        let slots = f64::from(self.slots.max(1));
+        let queue = (self.load + 1.0 - slots).max(0.0);
+        (slots, queue, self.expected_latency / (1.0 + queue / slots))
+    }
+
+    /// The same estimate with the pace at this time. `vms` VMs send to the target.
+    pub(crate) fn paced(self, vms: u32, now: Duration) -> LoadEstimate {
+        let (slots, _, unit) = self.queue();
+        let correction = (slots - self.load) / PACE_CORRECTION_TIME.as_secs_f64();
+        let rate = (slots / unit + correction).max(0.0) / f64::from(vms.max(1));
+        let time = now.saturating_sub(self.pace.at).as_secs_f64();
+        let tokens = (self.pace.tokens + rate * time).min(MAX_PACE_TOKENS);
+        LoadEstimate {
+            pace: Pace { tokens, at: now },
+            ..self
+        }
+    }
+}
+
 impl Demand {
     /// Whether a response with this expected latency in seconds is likely to be in time.
     pub(crate) fn is_in_time(&self, expected: f64) -> bool {
@@ -208,9 +271,7 @@
     /// Requests by which the queue of a target, with one more, is longer than the request may find
     /// it; negative if it is shorter. Also the latency of a request without a queue in seconds.
     fn queue_excess(&self, target: &LoadEstimate) -> (f64, f64) {
-        let slots = f64::from(target.slots.max(1));
-        let queue = (target.load + 1.0 - slots).max(0.0);
-        let unit = target.expected_latency / (1.0 + queue / slots);
+        let (slots, queue, unit) = target.queue();
         let level = self.level(target.expected_latency);
         (queue - self.queue_limit(level, slots, unit), unit)
     }
@@ -228,7 +289,7 @@
     /// ```
     /// use std::time::Duration;
     /// use camphordale_entry::{
-    ///     Admission, AdmissionClass, AdmissionShares, Demand, LoadEstimate, UrgencyTable,
+    ///     Admission, AdmissionClass, AdmissionShares, Demand, LoadEstimate, Pace, UrgencyTable,
     /// };
     ///
     /// let objective = Duration::from_millis(500);
@@ -244,6 +305,7 @@
     ///     slots: 4,
     ///     expected_latency: 0.16,
     ///     in_flight: 0,
+    ///     pace: Pace::UNUSED,
     ///     is_full: false,
     /// };
     /// let admitted = Admission::Admit(AdmissionClass::InTime);
@@ -252,6 +314,9 @@
     pub fn decide(&self, target: &LoadEstimate, shares: &AdmissionShares) -> Admission {
         let expected = target.expected_latency;
         let level = self.level(expected);
+        let reserve = 1.0 + RESERVED_TOKENS * f64::from(level);
+        let is_loaded = target.load + 1.0 > f64::from(target.slots) * LOADED_FRACTION;
+        let is_ahead = level > 0 && is_loaded && target.pace.tokens < reserve;
         let (excess, _) = self.queue_excess(target);
         let drain = self.drain(target);
         if expected > self.remaining.as_secs_f64() * REMAINING_FRACTION {
@@ -264,7 +329,7 @@
                 false => Admission::Refuse(drain),
             };
         }
-        if excess <= 0.0 {
+        if excess <= 0.0 && !is_ahead {
             return Admission::Admit(match self.is_in_time(expected) {
                 true => AdmissionClass::InTime,
                 false => AdmissionClass::Late,
@@ -274,8 +339,10 @@
             return Admission::Admit(AdmissionClass::Guaranteed);
         }
         match target.in_flight > 0 || drain < self.may_wait {
-            true if !self.may_wait.is_zero() => Admission::Wait(drain.min(self.may_wait)),
-            _ => Admission::Refuse(drain),
+            true if self.may_wait.is_zero() => Admission::Refuse(drain),
+            true if is_ahead => Admission::Wait(self.may_wait),
+            true => Admission::Wait(drain.min(self.may_wait)),
+            false => Admission::Refuse(drain),
         }
     }
 }
@@ -307,22 +374,13 @@
 pub struct AdmissionShares {
     /// Guaranteed admissions saved up by the levels from the second on.
     saved: Vec<f64>,
+    /// Paces at single targets.
+    paces: HashMap<TargetId, Pace>,
     /// Recent fraction of refused requests.
     refused: f64,
     counts: AdmissionCounts,
 }
 
-/// Shares of a service without requests so far.
-pub(crate) static NO_SHARES: AdmissionShares = AdmissionShares {
-    saved: Vec::new(),
-    refused: 0.0,
-    counts: AdmissionCounts {
-        in_time: 0,
-        late: 0,
-        guaranteed: 0,
-    },
-};
-
 impl AdmissionShares {
     /// Whether a level has a guaranteed admission. The first level has none: nothing goes before it.
     fn has_guaranteed(&self, level: u32) -> bool {
@@ -332,6 +390,23 @@
             .is_some_and(|saved| *saved >= MAX_SAVED_SHARE)
     }
 
+    /// The pace of this VM at a target.
+    pub(crate) fn pace(&self, target: &str) -> Pace {
+        self.paces.get(target).copied().unwrap_or(Pace::UNUSED)
+    }
+
+    /// Records that a request was sent to a target, where the pace was this.
+    pub(crate) fn record_pace(&mut self, target: &TargetId, pace: Pace) {
+        let next = Pace {
+            tokens: (pace.tokens - 1.0).max(MIN_PACE_TOKENS),
+            ..pace
+        };
+        if self.paces.insert(target.clone(), next).is_none() {
+            let is_recent = |at: Duration| pace.at.saturating_sub(at) < PACE_MEMORY;
+            self.paces.retain(|_, other| is_recent(other.at));
+        }
+    }
+
     /// Records that a request was admitted at a target with this expected latency.
     pub fn record_admission(&mut self, demand: &Demand, expected: f64, class: AdmissionClass) {
         self.refused -= self.refused * REFUSAL_WEIGHT;
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -35,7 +35,6 @@
     admission::{
         AdmissionClass,
         Demand,
-        NO_SHARES,
         Urgency, //
     },
     evidence::{
@@ -342,21 +341,30 @@
         let shares = self.admissions.get(&request.service);
         self.routes.is_contended().then(|| AdmissionContext {
             demand: request.demand(now),
-            shares: shares.unwrap_or(&NO_SHARES),
+            shares,
         })
     }
 
-    /// Records that admission control admitted a request at a target with this expected latency.
+    /// Records that admission control admitted a request at a target, to which `vms` VMs send.
     fn record_admission(
         &mut self,
         id: RequestHandle,
-        (class, expected): (Option<AdmissionClass>, Duration),
+        target: &TargetId,
+        (class, vms): (Option<AdmissionClass>, u32),
         now: Duration,
     ) {
-        if let (Some(class), Some(request)) = (class, self.requests.get(&id)) {
-            let shares = self.admissions.entry(request.service.clone()).or_default();
-            shares.record_admission(&request.demand(now), expected.as_secs_f64(), class);
-        }
+        let (Some(class), Some(request)) = (class, self.requests.get(&id)) else {
+            return;
+        };
+        let Some(tracked) = self.targets.get(target) else {
+            return;
+        };
+        let context = self.selection_context(request, now);
+        let estimate = context.estimate(target, tracked, vms);
+        let demand = request.demand(now);
+        let shares = self.admissions.entry(request.service.clone()).or_default();
+        shares.record_admission(&demand, estimate.expected_latency, class);
+        shares.record_pace(target, estimate.pace);
     }
 
     /// Records how long a request may wait that is not admitted because of load.
@@ -388,7 +396,8 @@
         self.random = random;
         match pick {
             Ok(pick) => {
-                self.record_admission(id, (pick.class, pick.expected), now);
+                let vms = self.control_stream.entries.domain;
+                self.record_admission(id, &pick.id, (pick.class, vms), now);
                 if let Some(denied) = pick.denied {
                     self.want_right(&denied);
                 }
@@ -441,13 +450,13 @@
             return Err((Reason::HolderLost, NO_TARGET_RETRY_AFTER));
         }
         let holder_id = holder.id.clone();
-        let expected = Duration::from_secs_f64(tracked.expected_latency(now));
         match self
             .selection_context(request, now)
             .admits(&holder_id, tracked)
         {
             Ok(class) => {
-                self.record_admission(id, (class, expected), now);
+                let vms = self.control_stream.entries.all;
+                self.record_admission(id, &holder_id, (class, vms), now);
                 Ok(holder_id)
             }
             Err(SelectionError::Limited(denied)) => Err(self.limited(&denied)),
@@ -616,9 +625,9 @@
         };
         let remaining = request.caller_deadline.saturating_sub(now);
         let last = request.tried_targets.last();
-        let drain = match last.and_then(|id| self.targets.get(id)) {
-            Some(target) if reason == Reason::Shed => {
-                self.selection_context(request, now).drain_time(target)
+        let drain = match last.and_then(|id| Some((id, self.targets.get(id)?))) {
+            Some((id, tracked)) if reason == Reason::Shed => {
+                self.selection_context(request, now).drain_time(id, tracked)
             }
             _ => retry_after,
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,6 +39,7 @@
     AdmissionShares,
     Demand,
     LoadEstimate,
+    Pace,
     Urgency,
     UrgencyTable,
     UsualTimeouts, //
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -15,7 +15,8 @@
         AdmissionClass,
         AdmissionShares,
         Demand,
-        LoadEstimate, //
+        LoadEstimate,
+        Pace, //
     },
     limits::LimitSource,
     targets::{
@@ -92,8 +93,8 @@
 pub struct AdmissionContext<'a> {
     /// The request.
     pub demand: Demand,
-    /// What this VM admitted and refused of the service.
-    pub shares: &'a AdmissionShares,
+    /// What this VM admitted and refused of the service, if there was any request.
+    pub shares: Option<&'a AdmissionShares>,
 }
 
 /// Whether a target has a place for a request.
@@ -168,19 +169,27 @@
         tracked.in_flight() >= share as usize && !borrows
     }
 
-    /// What admission control knows of a target.
-    fn estimate(&self, tracked: &TrackedTarget, is_full: bool) -> LoadEstimate {
-        LoadEstimate {
+    /// What admission control knows of a target. `vms` VMs send to it.
+    pub(crate) fn estimate(
+        &self,
+        id: &TargetId,
+        tracked: &TrackedTarget,
+        vms: u32,
+    ) -> LoadEstimate {
+        let shares = self.admission.as_ref().and_then(|a| a.shares);
+        let estimate = LoadEstimate {
             load: tracked.load(self.now),
             slots: tracked.slots,
             expected_latency: tracked.expected_latency(self.now),
             in_flight: tracked.in_flight(),
-            is_full,
-        }
+            pace: shares.map_or(Pace::UNUSED, |shares| shares.pace(id)),
+            is_full: false,
+        };
+        estimate.paced(vms, self.now)
     }
 
     /// Whether a target has a place for the request. `vms` VMs send to it.
-    fn place(&self, tracked: &TrackedTarget, vms: u32) -> Place {
+    fn place(&self, id: &TargetId, tracked: &TrackedTarget, vms: u32) -> Place {
         let is_full = self.is_full(tracked, vms);
         let Some(admission) = &self.admission else {
             return match is_full {
@@ -188,8 +197,13 @@
                 false => Place::Free(None),
             };
         };
-        let target = self.estimate(tracked, is_full);
-        match admission.demand.decide(&target, admission.shares) {
+        let target = LoadEstimate {
+            is_full,
+            ..self.estimate(id, tracked, vms)
+        };
+        let none = AdmissionShares::default();
+        let shares = admission.shares.unwrap_or(&none);
+        match admission.demand.decide(&target, shares) {
             Admission::Admit(class) => Place::Free(Some(class)),
             Admission::Wait(time) => Place::Taken(Some((time, Some(time)))),
             Admission::Refuse(drain) => Place::Taken(Some((drain, None))),
@@ -197,8 +211,8 @@
     }
 
     /// Time in which the excess queue of a target drains, where admission control decides.
-    pub(crate) fn drain_time(&self, tracked: &TrackedTarget) -> Duration {
-        let target = self.estimate(tracked, false);
+    pub(crate) fn drain_time(&self, id: &TargetId, tracked: &TrackedTarget) -> Duration {
+        let target = self.estimate(id, tracked, self.entries.all);
         let admission = self.admission.as_ref();
         admission.map_or(Duration::ZERO, |admission| admission.demand.drain(&target))
     }
@@ -239,7 +253,7 @@
                 continue;
             }
             soonest = Some(soonest.map_or(expected, |other: f64| other.min(expected)));
-            let class = match self.place(tracked, self.entries.domain) {
+            let class = match self.place(id, tracked, self.entries.domain) {
                 Place::Free(class) => class,
                 Place::Taken(reason) => {
                     // A wait of none is less than any.
@@ -324,7 +338,7 @@
             return Err(SelectionError::Paused(rest));
         }
         let expected = tracked.expected_latency(self.now);
-        let class = match self.place(tracked, self.entries.all) {
+        let class = match self.place(id, tracked, self.entries.all) {
             Place::Free(class) if expected <= self.limit() => class,
             Place::Taken(Some((drain, wait))) => {
                 return Err(SelectionError::Overloaded { drain, wait });
--- a/crates/entry/tests/entry/admission.rs
+++ b/crates/entry/tests/entry/admission.rs
@@ -21,12 +21,19 @@
     AdmissionClass,
     AdmissionShares,
     Demand,
+    Event,
+    IncomingRequest,
     LoadEstimate,
+    Pace,
     Refusal,
     Urgency,
     UsualTimeouts, //
 };
-use camphordale_fleet::Routing;
+use camphordale_fleet::{
+    EntryCounts,
+    PeerMessage,
+    Routing, //
+};
 
 /// Digest of the history by the code before admission control.
 const BEFORE: u64 = 4_017_342_378_325_856_449;
@@ -152,6 +159,7 @@
         slots,
         expected_latency: 0.16 * (1.0 + ((load + 1.0 - f64::from(slots)) / 4.0).max(0.0)),
         in_flight: 1,
+        pace: Pace::UNUSED,
         is_full: false,
     }
 }
@@ -205,6 +213,49 @@
     assert_eq!(shares.counts().guaranteed, admitted);
 }
 
+/// Many VMs with old knowledge of the load: less urgent requests keep to this VM's part of the
+/// speed of a loaded target, more urgent ones do not wait for it.
+#[test]
+fn less_urgent_requests_keep_to_the_pace_of_a_loaded_target() {
+    let mut view = Harness::view();
+    let mut routing = contended();
+    // A second, more urgent kind at the keyed service.
+    let mut urgent = routing.routes[KEYED].clone();
+    urgent.spec.priority = 0;
+    urgent.spec.path_prefix = "/urgent/".into();
+    routing.routes.insert("urgent".into(), urgent);
+    view.routing = Some(routing.into());
+    let mut harness = Harness::with(view);
+    harness.receive(PeerMessage::Pong {
+        sent: ms(0),
+        entries: EntryCounts {
+            all: 50,
+            domain: 50,
+        },
+    });
+    // The holder reports three requests of other VMs, so there is a free slot.
+    let mut sent = 0;
+    for _ in 0..20 {
+        let (_, output) = harness.request(KEYED);
+        harness.now += ms(20);
+        if let Some((attempt, ..)) = output.sent.first() {
+            sent += 1;
+            harness.end_attempt(*attempt, complete_with(3, 0));
+        }
+    }
+    // About 25 requests per second of all 50 VMs: two are saved up, one is reserved.
+    assert!((1..=3).contains(&sent), "{sent}");
+    let urgent = harness.step(Event::Request(IncomingRequest {
+        handle: 900,
+        host: "a.example".into(),
+        path: "/urgent/x".into(),
+        caller_timeout: Some(ms(1500)),
+        key: Some(900),
+        fingerprint: 900,
+    }));
+    assert_eq!(urgent.sent.len(), 1);
+}
+
 /// A request that cannot be answered before its deadline is refused at once: its caller has the more
 /// time for another try.
 #[test]
