--- a/crates/entry/tests/entry/overload.rs
+++ b/crates/entry/tests/entry/overload.rs
@@ -1,9 +1,10 @@
-//! Several entry VMs and one holder of all keys under sustained overload: what callers get by
+//! Several entry VMs and few targets, or one holder of all keys, under sustained overload: what callers get by
 //! admission control, compared with the rule for other routings.
 
 use std::{
     cmp::Reverse,
     collections::{
+        BTreeMap,
         BinaryHeap,
         VecDeque, //
     },
@@ -13,6 +14,7 @@
 use crate::harness::{
     Harness,
     KEYED,
+    READS,
     StepOutput,
     contended,
     ms,
@@ -31,7 +33,8 @@
     EntryCounts,
     PeerMessage,
     RetryPolicy,
-    Routing, //
+    Routing,
+    TargetId, //
 };
 use rstest::rstest;
 
@@ -103,33 +106,55 @@
 /// Events in order of time. Ticks of a VM and the end of work at the holder.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
-    WorkDone { vm: usize, attempt: AttemptId },
+    WorkDone(TargetId, (usize, AttemptId)),
     NextCaller(usize),
     CallerReturns(usize),
     Tick(usize),
 }
 
+/// Attempts that run and wait at a target.
+#[derive(Default)]
+struct SimulatedTarget {
+    running: u32,
+    queue: VecDeque<(usize, AttemptId)>,
+}
+
+impl SimulatedTarget {
+    fn report(&self) -> LoadReport {
+        LoadReport {
+            running: self.running,
+            queued: self.queue.len() as u32,
+            slots: SLOTS,
+        }
+    }
+}
+
 struct Simulation {
     kinds: Vec<Kind>,
     vms: Vec<Harness>,
     happenings: BinaryHeap<Reverse<(Duration, u64, Happening)>>,
     callers: Vec<Caller>,
     served: Vec<Served>,
-    running: u32,
-    queue: VecDeque<(usize, AttemptId)>,
+    service: &'static str,
+    targets: BTreeMap<TargetId, SimulatedTarget>,
     random: u64,
     now: Duration,
 }
 
 impl Simulation {
-    fn new(kinds: Vec<Kind>, vms: usize, is_contended: bool) -> Simulation {
+    fn new(
+        service: &'static str,
+        mut kinds: Vec<Kind>,
+        vms: usize,
+        is_contended: bool,
+    ) -> Simulation {
         let mut view = Harness::view();
         let mut routing = match is_contended {
             true => contended(),
             false => Routing::clone(view.routing.as_ref().unwrap()),
         };
         for kind in &kinds {
-            let mut spec = route(KEYED, RetryPolicy::Idempotent);
+            let mut spec = route(service, RetryPolicy::Idempotent);
             spec.path_prefix = kind.path.into();
             spec.priority = kind.priority;
             spec.latency_objective = kind.objective;
@@ -138,7 +163,7 @@
             let item = ConfigResource { spec, document };
             routing.routes.insert(kind.path.into(), item);
         }
-        routing.routes.remove(KEYED);
+        routing.routes.remove(service);
         view.routing = Some(routing.into());
         let harness = |_| {
             let mut harness = Harness::with(view.clone());
@@ -150,14 +175,19 @@
             });
             harness
         };
+        // The rates of kinds are for one target; the service without keys has three.
+        let targets = if service == KEYED { 1.0 } else { 3.0 };
+        for kind in &mut kinds {
+            kind.per_s *= targets;
+        }
         let mut simulation = Simulation {
             served: kinds.iter().map(|_| Served::default()).collect(),
             kinds,
             vms: (0..vms).map(harness).collect(),
             happenings: BinaryHeap::new(),
             callers: Vec::new(),
-            running: 0,
-            queue: VecDeque::new(),
+            service,
+            targets: BTreeMap::new(),
             random: 42,
             now: ms(1000),
         };
@@ -212,15 +242,15 @@
                 }
                 Happening::NextCaller(_) => {}
                 Happening::CallerReturns(caller) => self.send(caller),
-                Happening::WorkDone { vm, attempt } => {
-                    self.running -= 1;
-                    if let Some((vm, attempt)) = self.queue.pop_front() {
-                        self.start(vm, attempt);
+                Happening::WorkDone(id, (vm, attempt)) => {
+                    let target = self.targets.get_mut(&id).unwrap();
+                    target.running -= 1;
+                    if let Some(next) = target.queue.pop_front() {
+                        self.start(&id, next);
                     }
-                    let load = Some(self.report());
                     let result = AttemptResult::Complete {
                         status: 200,
-                        load,
+                        load: Some(self.targets[&id].report()),
                         executed: true,
                     };
                     self.end_attempt(vm, attempt, result);
@@ -238,18 +268,10 @@
         self.served
     }
 
-    fn report(&self) -> LoadReport {
-        LoadReport {
-            running: self.running,
-            queued: self.queue.len() as u32,
-            slots: SLOTS,
-        }
-    }
-
-    fn start(&mut self, vm: usize, attempt: AttemptId) {
-        self.running += 1;
+    fn start(&mut self, id: &TargetId, attempt: (usize, AttemptId)) {
+        self.targets.entry(id.clone()).or_default().running += 1;
         let work = self.work();
-        self.schedule(work, Happening::WorkDone { vm, attempt });
+        self.schedule(work, Happening::WorkDone(id.clone(), attempt));
     }
 
     fn end_attempt(&mut self, vm: usize, attempt: AttemptId, result: AttemptResult) {
@@ -270,7 +292,7 @@
             host: "a.example".into(),
             path: kind.path.into(),
             caller_timeout: Some(left),
-            key: Some(caller as u16),
+            key: (self.service == KEYED).then_some(caller as u16),
             fingerprint: caller as u128,
         }));
         self.handle(vm, output);
@@ -300,15 +322,18 @@
             }
         }
         for attempt in output.cancelled {
-            self.queue.retain(|queued| *queued != (vm, attempt));
+            for target in self.targets.values_mut() {
+                target.queue.retain(|queued| *queued != (vm, attempt));
+            }
         }
-        for (attempt, ..) in output.sent {
-            if self.running < SLOTS {
-                self.start(vm, attempt);
-            } else if self.queue.len() < MAX_QUEUED {
-                self.queue.push_back((vm, attempt));
+        for (attempt, _, id) in output.sent {
+            let target = self.targets.entry(id.clone()).or_default();
+            if target.running < SLOTS {
+                self.start(&id, (vm, attempt));
+            } else if target.queue.len() < MAX_QUEUED {
+                target.queue.push_back((vm, attempt));
             } else {
-                let load = Some(self.report());
+                let load = Some(target.report());
                 let status = 503;
                 self.end_attempt(vm, attempt, AttemptResult::NotExecuted { status, load });
             }
@@ -325,16 +350,22 @@
     timeout: Duration::from_secs(4),
 };
 
-/// Overload of 1.5 times at one holder, with callers that come back: two thirds of them can be
+/// Overload of 1.5 times at one holder or three targets, with callers that come back: two thirds of them can be
 /// served, and a late response is worth a ninth. Guards against a queue that makes all late. With 8
 /// VMs, two thirds of what can be served should be in time. 59 VMs learn of the load late, by 25
 /// responses per second among all of them, and no load summary: a third.
 #[rstest]
-#[case(8, 0.44)]
-#[case(59, 0.22)]
-fn overload_of_one_holder_leaves_most_responses_in_time(#[case] vms: usize, #[case] least: f64) {
-    let before = &Simulation::new(vec![STATUS_READS], vms, false).run()[0];
-    let served = &Simulation::new(vec![STATUS_READS], vms, true).run()[0];
+#[case(KEYED, 8, 0.44)]
+#[case(KEYED, 59, 0.22)]
+#[case(READS, 8, 0.44)]
+#[case(READS, 59, 0.22)]
+fn overload_leaves_most_responses_in_time(
+    #[case] service: &'static str,
+    #[case] vms: usize,
+    #[case] least: f64,
+) {
+    let before = &Simulation::new(service, vec![STATUS_READS], vms, false).run()[0];
+    let served = &Simulation::new(service, vec![STATUS_READS], vms, true).run()[0];
     let in_time = served.share_in_time();
     assert!(in_time > 1.3 * before.share_in_time(), "{in_time}");
     assert!(in_time > least, "{in_time}");
@@ -351,17 +382,18 @@
 
 /// Load below the capacity. Guards against refusals that the load does not call for.
 #[rstest]
-#[case(8)]
-#[case(59)]
-fn light_load_is_served_as_well_as_before(#[case] vms: usize) {
+#[case(KEYED, 8)]
+#[case(KEYED, 59)]
+#[case(READS, 8)]
+fn light_load_is_served_as_well_as_before(#[case] service: &'static str, #[case] vms: usize) {
     let light = || {
         vec![Kind {
             per_s: 18.0,
             ..STATUS_READS
         }]
     };
-    let before = &Simulation::new(light(), vms, false).run()[0];
-    let served = &Simulation::new(light(), vms, true).run()[0];
+    let before = &Simulation::new(service, light(), vms, false).run()[0];
+    let served = &Simulation::new(service, light(), vms, true).run()[0];
     assert!(served.share_in_time() > before.share_in_time() - 0.03);
     assert!(served.share() > 0.97, "{}", served.share());
 }
@@ -369,9 +401,13 @@
 /// Two kinds of one service under overload. The more urgent one is not served less often by more
 /// than 5 in 100, and does not earn a smaller share of its value by more than 15 in 100.
 #[rstest]
-#[case(8)]
-#[case(59)]
-fn urgent_kind_is_served_at_least_as_often_as_the_other(#[case] vms: usize) {
+#[case(KEYED, 8)]
+#[case(KEYED, 59)]
+#[case(READS, 8)]
+fn urgent_kind_is_served_at_least_as_often_as_the_other(
+    #[case] service: &'static str,
+    #[case] vms: usize,
+) {
     let per_s = 19.0;
     let kinds = vec![
         Kind {
@@ -380,7 +416,7 @@
         },
         ARCHIVE_READS,
     ];
-    let served = Simulation::new(kinds, vms, true).run();
+    let served = Simulation::new(service, kinds, vms, true).run();
     assert!(served[0].share() > served[1].share() - 0.05, "{served:?}");
     let value = |served: &Served, late| {
         served.share_in_time() + late * (served.share() - served.share_in_time())
@@ -394,10 +430,14 @@
 /// The urgent kind alone exceeds the capacity. Guards against starvation of the other one: it gets
 /// about its guaranteed twentieth of the admissions, 1.25 of its 19 requests per second.
 #[rstest]
-#[case(8)]
-#[case(59)]
-fn less_urgent_kind_is_not_starved_by_an_overload_of_the_urgent_one(#[case] vms: usize) {
-    let served = Simulation::new(vec![STATUS_READS, ARCHIVE_READS], vms, true).run();
+#[case(KEYED, 8)]
+#[case(KEYED, 59)]
+#[case(READS, 8)]
+fn less_urgent_kind_is_not_starved_by_an_overload_of_the_urgent_one(
+    #[case] service: &'static str,
+    #[case] vms: usize,
+) {
+    let served = Simulation::new(service, vec![STATUS_READS, ARCHIVE_READS], vms, true).run();
     let share = served[1].share();
     assert!(share > 1.0 / 19.0, "{share}");
     assert!(served[0].share() > share, "{served:?}");
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -9,6 +9,7 @@
 };
 
 use camphordale_entry::{
+    AdmissionCounts,
     AttemptId,
     AttemptResult,
     Config,
@@ -226,6 +227,21 @@
         grace_over || (self.requests.is_empty() && context.event_loop.caller_connections() == 0)
     }
 
+    /// Publishes the admissions by class, where admission control decides.
+    fn measure_admissions(&self, context: &ProcessContext) {
+        let counts = self.entry.admission_counts();
+        if counts == AdmissionCounts::default() {
+            return;
+        }
+        for (kind, count) in [
+            ("admitted-in-time", counts.in_time),
+            ("admitted-late", counts.late),
+            ("admitted-guaranteed", counts.guaranteed),
+        ] {
+            context.metrics.set_gauge(kind, count);
+        }
+    }
+
     fn on_io_event(&mut self, event: IoEvent, now: Duration, context: &mut ProcessContext) {
         match event {
             IoEvent::Request {
@@ -239,7 +255,10 @@
                 request,
             } => {
                 let response = match listener_kind {
-                    ListenerKind::Metrics => context.metrics_response(&request),
+                    ListenerKind::Metrics => {
+                        self.measure_admissions(context);
+                        context.metrics_response(&request)
+                    }
                     _ if !self.adapter.is_readiness_probe(&request) => {
                         Response::text(404, "not found")
                     }
