--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -414,10 +414,10 @@
     }
 
     /// The holder of the request's key in the view, whether it is reachable or not.
-    pub(super) fn holder_of(&self, request: &ActiveRequest) -> Option<TargetId> {
+    pub(super) fn holder_of(&self, request: &ActiveRequest) -> Option<&TargetId> {
         let map = self.view.keys.get(&request.service)?;
         let holder = map.find(request.key?).holder.as_ref()?;
-        Some(holder.id.clone())
+        Some(&holder.id)
     }
 
     /// Selects the holder of a key.
@@ -649,7 +649,7 @@
             .tried_targets
             .last()
             .cloned()
-            .or_else(|| self.holder_of(request));
+            .or_else(|| self.holder_of(request).cloned());
         let tracked = target
             .as_deref()
             .and_then(|target| self.targets.get(target));
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -196,7 +196,8 @@
             };
             let fits = self.requests.get(&id).is_some_and(|request| {
                 let holder = self.holder_of(request);
-                now >= request.retry_at && (!is_keyed || holder.as_deref() == Some(target))
+                let may_fit = !is_keyed || holder.is_some_and(|holder| **holder == *target);
+                now >= request.retry_at && may_fit
             });
             if !fits {
                 continue;
--- a/crates/entry/tests/entry/admission.rs
+++ b/crates/entry/tests/entry/admission.rs
@@ -20,10 +20,12 @@
     Admission,
     AdmissionClass,
     AdmissionShares,
+    AttemptResult,
     Demand,
     Event,
     IncomingRequest,
     LoadEstimate,
+    LoadReport,
     Pace,
     Refusal,
     Urgency,
@@ -34,6 +36,7 @@
     PeerMessage,
     Routing, //
 };
+use rstest::rstest;
 
 /// Digest of the history by the code before admission control.
 const BEFORE: u64 = 4_017_342_378_325_856_449;
@@ -270,6 +273,40 @@
     assert!(refused[0].1 >= ms(30), "{refused:?}");
 }
 
+/// A holder that rejects requests because it is full. Guards against second attempts that it rejects
+/// as well, at the cost of the retry budget; with free slots, the second attempt is sent at once. The
+/// caller comes back when the queue has drained: 20 requests on 4 slots, of 150 ms each.
+#[rstest]
+#[case(4, 16, 0)]
+#[case(1, 0, 1)]
+fn full_holder_gets_no_second_attempt(
+    #[case] running: u32,
+    #[case] queued: u32,
+    #[case] attempts: usize,
+) {
+    let mut harness = deployment(true);
+    let (_, output) = harness.request(KEYED);
+    let load = Some(LoadReport {
+        running,
+        queued,
+        slots: 4,
+    });
+    let status = 503;
+    let output = harness.end_attempt(
+        output.sent[0].0,
+        AttemptResult::NotExecuted { status, load },
+    );
+    assert_eq!(output.sent.len(), attempts);
+    for (_, retry_after) in promised(&output) {
+        // A third of the caller's 1,500 ms at most.
+        assert!(
+            (ms(250)..=ms(500)).contains(&retry_after),
+            "{retry_after:?}"
+        );
+    }
+    assert_eq!(output.refused.len(), 1 - attempts);
+}
+
 /// A hot key with many waiting requests: a place goes to the one whose objective ends first, not
 /// to the one that came first, and not to a caller whose objective has passed.
 #[test]
