--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -248,6 +248,7 @@
             return;
         }
         self.routes.sync(routing);
+        self.usual_timeouts.retain(routing);
         let is_contended = self.routes.is_contended();
         self.targets.set_contended(is_contended);
         self.handovers.set_contended(is_contended);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `routes` | matching of host and path to a service |
 //! | `targets` | latency, load and failures of each target as seen by this VM |
 //! | `selection` | target selection and admission |
+//! | `admission` | admission control under load, for contended routings |
 //! | `domain_overflow` | how many requests leave a failure domain, and where they go |
 //! | `evidence` | what shows that a request was not executed, and the promise that rests on it |
 //! | `link` | share of the VM's link for long responses |
@@ -20,6 +21,7 @@
 //! | `limits` | limits that targets set on the requests of all entry VMs |
 //! | `control_stream` | the stream from the control leader |
 
+mod admission;
 mod control_stream;
 mod domain_overflow;
 mod entry;
@@ -32,6 +34,18 @@
 mod selection;
 mod targets;
 
+pub use admission::{
+    Admission,
+    AdmissionClass,
+    AdmissionCounts,
+    AdmissionShares,
+    Demand,
+    LoadEstimate,
+    Pace,
+    Urgency,
+    UrgencyTable,
+    UsualTimeouts, //
+};
 pub use control_stream::{
     ControlStream,
     ControlStreamEffect, //
@@ -74,6 +88,7 @@
 pub use retry_budget::RetryBudget;
 pub use routes::RouteTable;
 pub use selection::{
+    AdmissionContext,
     DepartureReason,
     Selection,
     SelectionContext,
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod admission;
 mod cold;
 mod control_stream;
 mod crashes;
@@ -12,6 +13,7 @@
 mod load;
 mod loads;
 mod outside_numbers;
+mod overload;
 mod requests;
 mod statements;
 mod uncontended;
