State the time that a report of demand covers

After a time without a leader the first report of an entry VM contains the requests of seconds, and the leader took them for those of 300 ms: a demand several times too high, for all VMs at once. The report now states the time that it covers, and the first report of a VM sets its rate.

Tested in tests/service_demand.rs: after a gap of 1.5 s the demand is within 0.8 to 1.3 of that before.

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -15,7 +15,7 @@
 };
 
 /// Interval between pings.
-const PING_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(300);
 /// Time without a message after which another control VM is tried: three pings, or three round
 /// trips if these take longer on a loaded link. A new stream would wait in the same queue.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/entry/src/entry/loads.rs
+++ b/crates/entry/src/entry/loads.rs
@@ -30,7 +30,10 @@
     RequestHandle, //
 };
 use crate::{
-    control_stream::ControlStreamEffect,
+    control_stream::{
+        ControlStreamEffect,
+        PING_INTERVAL, //
+    },
     domain_overflow::{
         Departure,
         DepartureDraw,
@@ -119,6 +122,8 @@
 pub(super) struct DomainLoads {
     taken: BTreeMap<ServiceName, Taken>,
     work: BTreeMap<(TargetTag, Bodies), Work>,
+    /// When the counts of requests began.
+    counted_from: Option<Duration>,
     departed: DepartureCounts,
     /// The last summary of the demand, and when it was received.
     demand: Vec<ServiceLoad>,
@@ -140,6 +145,13 @@
         received_at.is_some_and(|at| now.saturating_sub(at) <= MAX_SUMMARY_AGE)
     }
 
+    /// The time that the counts cover, in milliseconds.
+    fn take_covered(&mut self, now: Duration) -> u16 {
+        let counted_from = self.counted_from.replace(now);
+        let covered = counted_from.map_or(PING_INTERVAL, |from| now.saturating_sub(from));
+        u16::try_from(covered.as_millis()).unwrap_or(u16::MAX)
+    }
+
     fn take_demand(&mut self) -> Vec<ServiceDemand> {
         let taken = std::mem::take(&mut self.taken).into_iter();
         let demand = taken.map(|(service, taken)| ServiceDemand {
@@ -187,6 +199,7 @@
         unreachable.truncate(MAX_REPORTED_TARGETS);
         let message = PeerMessage::TargetLoads {
             loads: self.targets.take_loads(MAX_REPORTED_TARGETS, now),
+            covered_ms: self.domain_loads.take_covered(now),
             demand: self.domain_loads.take_demand(),
             work: self.domain_loads.take_work(),
             unreachable,
--- a/crates/entry/tests/departures.rs
+++ b/crates/entry/tests/departures.rs
@@ -288,15 +288,17 @@
             }
             PeerMessage::TargetLoads {
                 loads,
+                covered_ms,
                 demand,
                 work,
                 unreachable,
             } => {
                 let domain = DOMAINS[vm / VMS_PER_DOMAIN].into();
+                let covered = Duration::from_millis(u64::from(covered_ms));
                 self.loads.record(&loads, self.now);
                 self.loads.record_unreachable(&unreachable, self.now);
                 self.demand
-                    .record((vm as u64, &domain), &demand, &work, self.now);
+                    .record((vm as u64, &domain), (&demand, covered), &work, self.now);
             }
             _ => {}
         }
--- a/crates/entry/tests/domain_overflow.rs
+++ b/crates/entry/tests/domain_overflow.rs
@@ -303,9 +303,9 @@
                     took_ms: (f64::from(short) * WORK * 1000.0) as u32,
                 };
                 let domain = domain.into();
-                let vm = number as u64;
+                let (vm, covered) = (number as u64, Duration::from_millis(20));
                 self.demand
-                    .record((vm, &domain), &[demand], &[work], self.now);
+                    .record((vm, &domain), (&[demand], covered), &[work], self.now);
                 let requests = (rate * WORK).round() as u16;
                 let age = LoadAge::new(Duration::ZERO).unwrap();
                 self.loads
--- a/crates/fleet/src/control/loads.rs
+++ b/crates/fleet/src/control/loads.rs
@@ -35,6 +35,7 @@
 /// What an entry VM reports.
 pub(super) struct LoadReport<'a> {
     pub(super) loads: &'a [TargetLoad],
+    pub(super) covered: Duration,
     pub(super) demand: &'a [ServiceDemand],
     pub(super) work: &'a [TargetWork],
     pub(super) unreachable: &'a [TargetTag],
@@ -57,8 +58,12 @@
         }
         news.merger.record(report.loads, now);
         news.merger.record_unreachable(report.unreachable, now);
-        news.demand
-            .record((conn, &stream.domain), report.demand, report.work, now);
+        news.demand.record(
+            (conn, &stream.domain),
+            (report.demand, report.covered),
+            report.work,
+            now,
+        );
     }
 
     /// Tells the entry VMs the loads that changed. An empty summary is sent too: it shows that the
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -241,12 +241,14 @@
             }
             PeerMessage::TargetLoads {
                 loads,
+                covered_ms,
                 demand,
                 work,
                 unreachable,
             } => {
                 let report = LoadReport {
                     loads: &loads,
+                    covered: Duration::from_millis(u64::from(covered_ms)),
                     demand: &demand,
                     work: &work,
                     unreachable: &unreachable,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -200,6 +200,9 @@
     TargetLoads {
         /// The newest load of each target that responded since the last report.
         loads: Vec<TargetLoad>,
+        /// Time in milliseconds since the last report. It is longer than a ping interval after a time
+        /// without a leader.
+        covered_ms: u16,
         /// Requests for plain services since the last report.
         demand: Vec<ServiceDemand>,
         /// Responses of targets of plain services since the last report.
--- a/crates/fleet/src/service_demand.rs
+++ b/crates/fleet/src/service_demand.rs
@@ -37,9 +37,7 @@
 const DEMAND_TIME: Duration = Duration::from_millis(500);
 /// Time after the first report before the demand is stated: each entry VM has reported twice.
 const MIN_DEMAND_TIME: Duration = Duration::from_millis(600);
-/// Time that the first report of an entry VM is taken to cover: the interval of pings.
-const FIRST_REPORT_TIME: Duration = Duration::from_millis(300);
-/// Least time that a report is taken to cover. Shorter ones count as a moment with many requests.
+/// Least time that a report covers. Shorter ones count as a moment with many requests.
 const MIN_REPORT_TIME: Duration = Duration::from_millis(1);
 /// Time without a report after which the demand at an entry VM counts no more: three pings. Its
 /// callers go to other VMs.
@@ -166,16 +164,17 @@
 #[derive(Clone, Debug)]
 struct VmDemand {
     domain: Domain,
-    reported_at: Duration,
+    reported_at: Option<Duration>,
     rates: BTreeMap<ServiceName, Rates>,
 }
 
 impl VmDemand {
-    fn record(&mut self, demand: &[ServiceDemand], now: Duration) {
-        let interval = now.saturating_sub(self.reported_at).max(MIN_REPORT_TIME);
-        let interval = interval.as_secs_f64();
-        self.reported_at = now;
-        let weight = 1.0 - (-interval / DEMAND_TIME.as_secs_f64()).exp();
+    fn record(&mut self, demand: &[ServiceDemand], covered: Duration, now: Duration) {
+        let interval = covered.max(MIN_REPORT_TIME).as_secs_f64();
+        let weight = match self.reported_at.replace(now) {
+            Some(_) => 1.0 - (-interval / DEMAND_TIME.as_secs_f64()).exp(),
+            None => 1.0,
+        };
         for rates in self.rates.values_mut() {
             rates.short *= 1.0 - weight;
             rates.large *= 1.0 - weight;
@@ -256,21 +255,22 @@
 }
 
 impl DemandMerger {
-    /// Adopts the report of an entry VM in `domain`. `vm` is any number that only this VM has.
+    /// Adopts the report of an entry VM in `domain`, which covers the time since its last one. `vm` is
+    /// any number that only this VM has.
     pub fn record(
         &mut self,
         (vm, domain): (u64, &Domain),
-        demand: &[ServiceDemand],
+        (demand, covered): (&[ServiceDemand], Duration),
         work: &[TargetWork],
         now: Duration,
     ) {
         self.started_at.get_or_insert(now);
         let vm = self.vms.entry(vm).or_insert_with(|| VmDemand {
             domain: domain.clone(),
-            reported_at: now.saturating_sub(FIRST_REPORT_TIME),
+            reported_at: None,
             rates: BTreeMap::new(),
         });
-        vm.record(demand, now);
+        vm.record(demand, covered, now);
         for work in work {
             let Some(service) = self.services.get(&work.tag) else {
                 continue;
@@ -320,8 +320,10 @@
     ) -> Vec<ServiceLoad> {
         let mut targets: BTreeMap<&ServiceName, BTreeMap<&Domain, TargetSums>> = BTreeMap::new();
         let mut services = BTreeMap::new();
-        self.vms
-            .retain(|_, vm| now.saturating_sub(vm.reported_at) <= SILENCE_TIME);
+        self.vms.retain(|_, vm| {
+            vm.reported_at
+                .is_some_and(|at| now.saturating_sub(at) <= SILENCE_TIME)
+        });
         for (id, target) in &view.targets {
             if view.is_keyed(&target.service) {
                 continue;
--- a/crates/fleet/tests/control/loads.rs
+++ b/crates/fleet/tests/control/loads.rs
@@ -107,6 +107,7 @@
         };
         let message = PeerMessage::TargetLoads {
             loads: vec![load],
+            covered_ms: 300,
             demand: Vec::new(),
             work: Vec::new(),
             unreachable: Vec::new(),
--- a/crates/fleet/tests/load_summary.rs
+++ b/crates/fleet/tests/load_summary.rs
@@ -72,6 +72,7 @@
     PeerMessage::TargetLoads {
         work: work.collect(),
         loads,
+        covered_ms: 300,
         demand: vec![ServiceDemand {
             service: "service-0".into(),
             short: 4,
--- a/crates/fleet/tests/service_demand.rs
+++ b/crates/fleet/tests/service_demand.rs
@@ -95,10 +95,10 @@
                 self.loads
                     .record(&[TargetLoad { tag, requests, age }], self.now);
                 self.demand
-                    .record((VM, &"a".into()), &[], &[work], self.now);
+                    .record((VM + 1, &"a".into()), (&[], STEP), &[work], self.now);
             }
             self.demand
-                .record((VM, &"a".into()), &[demand], &[], self.now);
+                .record((VM, &"a".into()), (&[demand], STEP), &[], self.now);
             self.demand.summarize(&self.view, &self.loads, self.now);
         }
     }
@@ -131,6 +131,26 @@
     assert_eq!(f64::from(fleet.summary("b").short), 0.0);
 }
 
+/// Guards against a demand that is several times too high after a change of leader, because the first
+/// report covers the time without a leader.
+#[test]
+fn a_report_after_a_gap_covers_the_gap() {
+    let mut fleet = Fleet::new();
+    fleet.run(ms(5000), 40, 1.0);
+    let before = fleet.slots();
+    fleet.now += ms(1500);
+    let demand = ServiceDemand {
+        service: "s".into(),
+        short: 60,
+        large: 0,
+    };
+    fleet
+        .demand
+        .record((VM, &"a".into()), (&[demand], ms(1500)), &[], fleet.now);
+    let ratio = fleet.slots() / before;
+    assert!((0.8..=1.3).contains(&ratio), "{ratio}");
+}
+
 /// A threefold burst is known after about a second, and its end too.
 #[test]
 fn a_burst_is_known_within_a_second() {
