Test that demand counts in the domain of its stream

Nothing tested the path from a report on a stream to the summary of the leader. The new test reports 100 requests per second on a stream of domain a, finds their demand there, and none after 1.5 s without reports.

--- a/crates/fleet/tests/control/loads.rs
+++ b/crates/fleet/tests/control/loads.rs
@@ -18,10 +18,17 @@
         LoadAge,
         TargetLoad,
         target_tag, //
+    },
+    service_demand::{
+        Bodies,
+        ServiceDemand,
+        ServiceLoad,
+        TargetWork, //
     }, //
 };
 
 use crate::cluster::{
+    announce,
     config,
     member,
     ms, //
@@ -32,6 +39,8 @@
     control: Control,
     now: Duration,
     sent: Vec<(Box<[u64]>, Vec<TargetLoad>)>,
+    /// The demand in the last summary.
+    demand: Vec<ServiceLoad>,
 }
 
 fn change(cold: Option<WarmUp>) -> Change {
@@ -66,6 +75,7 @@
             control: control.unwrap(),
             now: ms(0),
             sent: Vec::new(),
+            demand: Vec::new(),
         };
         leader.wait(ms(2000));
         let call = Call::Change(Box::new(change));
@@ -88,8 +98,11 @@
             match effect {
                 Effect::Broadcast {
                     conns,
-                    message: PeerMessage::LoadSummary { loads, .. },
-                } => self.sent.push((conns, loads)),
+                    message: PeerMessage::LoadSummary { loads, demand },
+                } => {
+                    self.sent.push((conns, loads));
+                    self.demand = demand;
+                }
                 Effect::Stream {
                     message: PeerMessage::LoadSummary { .. },
                     ..
@@ -99,20 +112,38 @@
         }
     }
 
+    /// An entry VM reports this load of the target `t1`, and that its callers sent 30 requests, which
+    /// took 200 ms each.
     fn report(&mut self, conn: u64, requests: u16) {
-        let load = TargetLoad {
-            tag: target_tag("t1", 1),
-            requests,
-            age: LoadAge::new(ms(0)).unwrap(),
-        };
+        let tag = target_tag("t1", 1);
         let message = PeerMessage::TargetLoads {
-            loads: vec![load],
+            loads: vec![TargetLoad {
+                tag,
+                requests,
+                age: LoadAge::new(ms(0)).unwrap(),
+            }],
             covered_ms: 300,
-            demand: Vec::new(),
-            work: Vec::new(),
+            demand: vec![ServiceDemand {
+                service: "s".into(),
+                short: 30,
+                large: 0,
+            }],
+            work: vec![TargetWork {
+                tag,
+                bodies: Bodies::Short,
+                answered: 30,
+                took_ms: 6000,
+            }],
             unreachable: Vec::new(),
         };
         self.step(Event::Stream { conn, message });
+        let message = PeerMessage::Ping {
+            sent: self.now,
+            index: 0,
+            load: Vec::new(),
+            latencies: Vec::new(),
+        };
+        self.step(Event::Stream { conn, message });
     }
 
     /// Lets time pass. Returns the summaries sent since the last time.
@@ -146,6 +177,40 @@
     assert!(sent[1..].iter().all(|(_, loads)| loads.is_empty()));
 }
 
+/// Guards against demand that counts in another domain than that of the stream it came on.
+#[test]
+fn the_demand_of_a_domain_is_that_of_its_streams() {
+    let warm_up = WarmUp {
+        time: ms(3000),
+        rate: RequestRate::try_from(5.7).unwrap(),
+    };
+    let mut leader = Leader::new(change(Some(warm_up)));
+    let call = announce(1, 1, false);
+    leader.step(Event::Call { token: 2, call });
+    for _ in 0..10 {
+        leader.report(1, 3);
+        leader.wait(ms(300));
+    }
+    let [service] = &leader.demand[..] else {
+        panic!("{:?}", leader.demand);
+    };
+    let [domain] = &service.domains[..] else {
+        panic!("{service:?}");
+    };
+    assert_eq!((&*service.service, &*domain.domain), ("s", "a"));
+    // 100 requests per second, corrected by the slots in use.
+    let slots = f64::from(domain.short);
+    assert!((5.0..=24.0).contains(&slots), "{slots}");
+    // Without reports the demand counts no more.
+    leader.wait(ms(1500));
+    assert!(
+        leader
+            .demand
+            .iter()
+            .all(|service| { service.domains.iter().all(|d| f64::from(d.short) == 0.0) })
+    );
+}
+
 /// Guards against new messages in a deployment that does not call for them.
 #[test]
 fn there_are_no_summaries_for_an_uncontended_routing() {
