--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -229,6 +229,7 @@
             }
             Command::Evacuate { domain, order } => {
                 self.on_evacuation_order(domain, *order, now, out);
+                self.domain_loads.capacity_changed();
                 self.confirm_view(now, out);
             }
             Command::Member(_) | Command::Forget(_) => return,
--- a/crates/fleet/tests/service_demand.rs
+++ b/crates/fleet/tests/service_demand.rs
@@ -27,6 +27,8 @@
     Duration::from_millis(count)
 }
 
+/// The only entry VM.
+const VM: u64 = 1;
 /// Interval of the reports of a domain's entry VMs together.
 const STEP: Duration = Duration::from_millis(100);
 
@@ -86,13 +88,17 @@
                     answered: (count / 4).max(1),
                     took_ms: (took * 1000.0 * f64::from((count / 4).max(1))) as u32,
                 };
+                // Stated when a request has just ended.
                 let requests = (per_target * 10.0 * took).round() as u16;
+                let requests = requests.saturating_sub(1);
                 let age = LoadAge::new(ms(0)).unwrap();
                 self.loads
                     .record(&[TargetLoad { tag, requests, age }], self.now);
-                self.demand.record(&"a".into(), &[], &[work], self.now);
+                self.demand
+                    .record((VM + 1, &"a".into()), (&[], STEP), &[work], self.now);
             }
-            self.demand.record(&"a".into(), &[demand], &[], self.now);
+            self.demand
+                .record((VM, &"a".into()), (&[demand], STEP), &[], self.now);
             self.demand.summarize(&self.view, &self.loads, self.now);
         }
     }
@@ -125,6 +131,26 @@
     assert_eq!(f64::from(fleet.summary("b").short), 0.0);
 }
 
+/// Guards against a demand that is several times too high after a change of leader, because the first
+/// report covers the time without a leader.
+#[test]
+fn a_report_after_a_gap_covers_the_gap() {
+    let mut fleet = Fleet::new();
+    fleet.run(ms(5000), 40, 1.0);
+    let before = fleet.slots();
+    fleet.now += ms(1500);
+    let demand = ServiceDemand {
+        service: "s".into(),
+        short: 60,
+        large: 0,
+    };
+    fleet
+        .demand
+        .record((VM, &"a".into()), (&[demand], ms(1500)), &[], fleet.now);
+    let ratio = fleet.slots() / before;
+    assert!((0.8..=1.3).contains(&ratio), "{ratio}");
+}
+
 /// A threefold burst is known after about a second, and its end too.
 #[test]
 fn a_burst_is_known_within_a_second() {
