Keep reporting failed connections after a leader is lost

Cause: an entry VM sent no TargetStatements and ColdTargets for 16 s if its stream was closed while it had a report that the leader had not confirmed by the reply to a later ping. This is meant for control VMs of an older version, which close the stream on an unknown message. But each report counted, also on a stream on which the leader had confirmed one, so the loss of a leader silenced up to all VMs that wanted rights or had a new stream. The leader sends suspicions only on streams on which it received a report, so these VMs did not hear of them either: when a target crashed and came back cold under its id, each VM that had not found it down itself sent to it as to a warm target, until the announcement.

Change: once a leader has confirmed a report on a stream, the end of that stream has another cause. The first unconfirmed stream that ends stops no reports; from the second in succession on they stop for 1 s, doubled up to 16 s. An unconfirmed report of a stream that ended otherwise no longer counts for the next stream.

The two new tests fail without the change. Tests of camphordale-entry pass; of other crates, none were run.

--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -47,9 +47,13 @@
 /// Time between two such messages, for each entry VM of the fleet: the leader gets at most a thousand
 /// a second.
 const ASK_INTERVAL_PER_VM: Duration = Duration::from_millis(1);
-/// Time without reports after the control VM closed the stream on one: a control VM of an older
-/// version closes the stream on a message that it does not know.
-const UNKNOWN_MESSAGE_PAUSE: Duration = Duration::from_secs(16);
+/// Time without reports after the control VM closed the stream on one for the second time in
+/// succession, doubled each further time: a control VM of an older version closes the stream on a
+/// message that it does not know. A leader that ends closes it too, and without reports a target that
+/// comes back cold gets requests from all VMs that have not found it down themselves.
+const MIN_UNKNOWN_MESSAGE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest time without reports.
+const MAX_UNKNOWN_MESSAGE_PAUSE: Duration = Duration::from_secs(16);
 /// Fraction of a pause by which the return of callers is spread.
 const PAUSE_SPREAD: f64 = 0.5;
 /// Targets in one message.
@@ -79,6 +83,10 @@
     cold_wanted: BTreeSet<TargetId>,
     /// When the first report on this stream was sent, until the leader has replied to a later ping.
     unconfirmed_since: Option<Duration>,
+    /// Whether the leader of this stream has replied after it had read a report.
+    is_confirmed: bool,
+    /// Streams in succession that the control VM closed without having confirmed a report.
+    closed_unconfirmed: u32,
     paused_until: Duration,
     /// Limits of the cold targets of services with a warm-up rate.
     cold_limits: HashMap<ServiceName, RequestRate>,
@@ -91,13 +99,20 @@
     pub(super) fn confirm(&mut self, sent: Duration) {
         if self.unconfirmed_since.is_some_and(|since| sent > since) {
             self.unconfirmed_since = None;
+            self.is_confirmed = true;
+            self.closed_unconfirmed = 0;
         }
     }
 
     /// Handles the end of a stream that the control VM closed.
     pub(super) fn on_stream_closed(&mut self, now: Duration) {
-        if self.unconfirmed_since.take().is_some() {
-            self.paused_until = now + UNKNOWN_MESSAGE_PAUSE;
+        if self.unconfirmed_since.take().is_none() {
+            return;
+        }
+        self.closed_unconfirmed = self.closed_unconfirmed.saturating_add(1);
+        if let Some(doublings) = self.closed_unconfirmed.checked_sub(2) {
+            let pause = MIN_UNKNOWN_MESSAGE_PAUSE.saturating_mul(2u32.saturating_pow(doublings));
+            self.paused_until = now + pause.min(MAX_UNKNOWN_MESSAGE_PAUSE);
         }
     }
 }
@@ -241,6 +256,8 @@
         let reports = &mut self.statement_reports;
         if !self.control_stream.is_established() || now < reports.paused_until {
             reports.reported_all = false;
+            reports.unconfirmed_since = None;
+            reports.is_confirmed = false;
             reports.changed.clear();
             reports.failed.clear();
             reports.cold_wanted.clear();
@@ -297,7 +314,11 @@
             return;
         }
         let reports = &mut self.statement_reports;
-        reports.unconfirmed_since.get_or_insert(now);
+        // A control VM that has confirmed one report knows the message, so a later end of the stream has
+        // another cause.
+        if !reports.is_confirmed {
+            reports.unconfirmed_since.get_or_insert(now);
+        }
         if !rights.is_empty() {
             reports.asked_at = now;
         }
--- a/crates/entry/tests/entry/statements.rs
+++ b/crates/entry/tests/entry/statements.rs
@@ -12,6 +12,7 @@
 };
 use camphordale_fleet::{
     Command,
+    EntryCounts,
     PeerMessage,
     TargetState, //
 };
@@ -91,6 +92,60 @@
     leaving.flatten().map(|holder| holder.id.clone()).collect()
 }
 
+fn is_report(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::TargetStatements { .. })
+}
+
+fn snapshot(harness: &Harness) -> PeerMessage {
+    PeerMessage::Snapshot(Box::new(harness.entry.view().clone()))
+}
+
+/// Guards against an entry VM that loses its stream again and again, because a control VM of an older
+/// version closes it on a message that it does not know.
+#[test]
+fn reports_pause_when_the_control_vm_closes_the_stream_on_them() {
+    let mut harness = Harness::new();
+    harness.step(Event::StreamClosed);
+    let mut reports = 1;
+    for _ in 0..600 {
+        harness.now += ms(100);
+        let snapshot = snapshot(&harness);
+        if harness.receive(snapshot).messages.iter().any(is_report) {
+            reports += 1;
+            harness.step(Event::StreamClosed);
+        }
+    }
+    // Within a minute: two at once, then after 1, 2, 4, 8, 16 and 16 seconds.
+    assert!((6..=8).contains(&reports), "{reports}");
+}
+
+/// Guards against an entry VM that reports no failed connections to a new leader, and hears of none,
+/// because the former leader ended while it had an unconfirmed report.
+#[test]
+fn the_end_of_a_leader_stops_no_reports() {
+    // The leader ends right after the first report on its stream.
+    let mut harness = Harness::new();
+    harness.step(Event::StreamClosed);
+    harness.advance(ms(100));
+    let next = snapshot(&harness);
+    assert!(harness.receive(next).messages.iter().any(is_report));
+    // Each leader ends right after a later report, of a target that leaves.
+    for _ in 0..3 {
+        let sent = harness.now + ms(1);
+        harness.now += ms(300);
+        let entries = EntryCounts { all: 1, domain: 1 };
+        harness.receive(PeerMessage::Pong { sent, entries });
+        let (_, output) = harness.request(READS);
+        let attempt = output.sent[0].0;
+        let output = answer(&mut harness, attempt, LEAVING, complete(200));
+        assert!(output.messages.iter().any(is_report));
+        harness.step(Event::StreamClosed);
+        harness.advance(ms(100));
+        let next = snapshot(&harness);
+        assert!(harness.receive(next).messages.iter().any(is_report));
+    }
+}
+
 /// Guards against requests that reach a target long after it said that it leaves, because control
 /// says nothing or says otherwise.
 #[test]
