--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -57,6 +57,9 @@
 /// Time after a report in which the momentary slowdown of a machine counts. Neighbours of a target
 /// slow it down for about this time at once.
 const SLOWDOWN_FADE_TIME: Duration = Duration::from_millis(400);
+/// Weight of a higher slowdown in the usual one of a target's machine. Neighbours slow a machine down
+/// for a fifth of the time; a machine that has become slower is known after some tens of responses.
+const SLOWDOWN_RISE_WEIGHT: f64 = 0.03;
 /// Weight of what is known beforehand about a target's latency, as a number of its responses. The
 /// work per request is log-normal with a sigma of about 0.8, and the logarithms of the speeds of
 /// targets differ by about 0.4; (0.8 / 0.4)^2 responses tell as much as the usual latency.
@@ -72,7 +75,8 @@
 /// Least weight of one response in the mean latency of a service.
 const SERVICE_LATENCY_WEIGHT: f64 = 0.02;
 
-/// How long work takes on a target's machine at the moment, relative to the usual time.
+/// How long work takes on a target's machine at the moment, relative to the usual time of its
+/// service: by the speed of the machine, and by what its neighbours take.
 ///
 /// ```
 /// use camphordale_entry::Slowdown;
@@ -193,6 +197,9 @@
     told_latency: Option<f64>,
     /// Momentary slowdown of the target's machine in the last load report.
     momentary_slowdown: Slowdown,
+    /// What the target states for its machine when no neighbour slows it down, once it has stated
+    /// anything.
+    usual_slowdown: Option<f64>,
     /// Fraction of recent attempts that failed.
     failure_rate: f64,
     /// Attempts of this VM in flight.
@@ -230,6 +237,7 @@
             assumed_latency: DEFAULT_LATENCY.as_secs_f64(),
             told_latency: None,
             momentary_slowdown: Slowdown::default(),
+            usual_slowdown: None,
             failure_rate: 0.0,
             in_flight: BTreeMap::new(),
             unreported: (0, 0.0),
@@ -369,12 +377,13 @@
         1.0 + BUSY_SLOWDOWN * busy * busy + wait * wait_fraction
     }
 
-    /// Factor by which the target's machine slows down the next request. A report loses its weight
+    /// Factor by which neighbours of the target slow down the next request. A report loses its weight
     /// within [`SLOWDOWN_FADE_TIME`].
     pub fn momentary_slowdown(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
         let weight = (1.0 - age / SLOWDOWN_FADE_TIME.as_secs_f64()).max(0.0);
-        1.0 + (self.momentary_slowdown.factor() - 1.0) * weight
+        let usual = self.usual_slowdown.unwrap_or(1.0);
+        1.0 + (self.momentary_slowdown.factor() / usual - 1.0) * weight
     }
 
     /// Records the latency of a response in seconds. `weight` is its weight in the mean.
@@ -420,10 +429,23 @@
             let requests = u16::try_from(report.running.saturating_add(report.queued));
             self.unshared_load = Some((requests.unwrap_or(u16::MAX), now));
             self.slots = report.slots.max(1);
-            self.momentary_slowdown = report.slowdown;
+            self.record_slowdown(report.slowdown);
         }
     }
 
+    /// Records the slowdown that the target states for its machine. It has two factors: the speed of
+    /// the machine, and what its neighbours take at the moment. Neighbours only slow it down, so the
+    /// lowest recent value is the speed.
+    fn record_slowdown(&mut self, stated: Slowdown) {
+        self.momentary_slowdown = stated;
+        let stated = stated.factor();
+        let usual = match self.usual_slowdown {
+            Some(usual) if stated > usual => usual + (stated - usual) * SLOWDOWN_RISE_WEIGHT,
+            Some(_) | None => stated,
+        };
+        self.usual_slowdown = Some(usual);
+    }
+
     /// Name of the incarnation in load summaries.
     pub fn tag(&self) -> TargetTag {
         self.tag
@@ -463,14 +485,28 @@
 struct ServiceLatency {
     /// Mean in seconds.
     mean: f64,
+    /// Mean on a machine of usual speed without neighbours, in seconds.
+    work: f64,
     responses: u32,
+    /// Whether targets state the slowdown of their machines. One that states none counts as 1.
+    states_slowdown: bool,
 }
 
 impl ServiceLatency {
-    fn record(&mut self, took: f64) {
+    /// Records a latency in seconds, and returns what it shows of its target, whose machine usually
+    /// has the slowdown `usual`.
+    fn record(&mut self, took: f64, report: Option<LoadReport>, usual: Option<f64>) -> f64 {
+        let stated = report.map_or(Slowdown::default(), |report| report.slowdown);
+        self.states_slowdown |= stated != Slowdown::default();
         self.responses = self.responses.saturating_add(1);
         let weight = (1.0 / f64::from(self.responses)).max(SERVICE_LATENCY_WEIGHT);
+        self.work += (took / stated.factor() - self.work) * weight;
+        let took = match usual {
+            Some(usual) if self.states_slowdown => self.work * usual,
+            Some(_) | None => took,
+        };
         self.mean += (took - self.mean) * weight;
+        took
     }
 }
 
@@ -754,10 +790,9 @@
             // sent the request.
             let reported = report.map_or(0.0, LoadReport::total);
             let elapsed = now.saturating_sub(started.sent_at).as_secs_f64();
-            let momentary = report.map_or(1.0, |report| report.slowdown.factor());
             if !self.is_contended {
                 let slowdown = started.slowdown.max(tracked.slowdown_at(reported));
-                let took = elapsed / (slowdown * momentary);
+                let took = elapsed / slowdown;
                 let mean = tracked.mean_latency();
                 tracked.record_latency(took, mean, LATENCY_WEIGHT);
                 return Duration::from_secs_f64(took);
@@ -766,7 +801,7 @@
                 Some(_) => tracked.slowdown_with(reported, EXPLAINED_WAIT_FRACTION),
                 None => started.slowdown,
             };
-            let took = elapsed / (slowdown * momentary);
+            let took = elapsed / slowdown;
             let service = match self.service_latencies.get_mut(&tracked.service) {
                 Some(service) => service,
                 None => {
@@ -774,7 +809,9 @@
                     self.service_latencies.entry(name).or_default()
                 }
             };
-            service.record(took);
+            // Work per request varies by more than a target's speed, so where targets state their
+            // speed, it tells the latency of one better than its own responses do.
+            let took = service.record(took, report, tracked.usual_slowdown);
             let prior = match tracked.responses {
                 0 => service.mean,
                 _ => tracked.mean_latency,
