Evacuate a failure domain in the daemon: orders, state and planner

Cause: operators of the daemon could only declare a domain lost, which is true only if nothing runs there any more. Work on a domain that still runs needs its shards to leave by release.

Change: Command::Evacuate starts or ends the evacuation of a domain.

The planner has a domain release all its shards and places none there. The commands `domain evacuate` and `domain readmit` send the orders. Requests without a key still go to the targets of the domain, as the help of the command says.

No run with processes yet.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -115,6 +115,12 @@
     DeclareLost(DomainArgs),
     #[options(help = "let a failure domain that was declared lost take part again")]
     Return(DomainArgs),
+    #[options(
+        help = "send nothing new to the targets of a failure domain; its shards move, but requests without a key still go there"
+    )]
+    Evacuate(DomainArgs),
+    #[options(help = "end the evacuation of a failure domain, so that it takes part again")]
+    Readmit(DomainArgs),
 }
 
 #[derive(Debug, Options)]
--- a/crates/cli/src/commands/actions.rs
+++ b/crates/cli/src/commands/actions.rs
@@ -58,6 +58,8 @@
     ) = match require_command(command)? {
         Domain::DeclareLost(args) => (args, "lost"),
         Domain::Return(args) => (args, "return"),
+        Domain::Evacuate(args) => (args, "evacuate"),
+        Domain::Readmit(args) => (args, "readmit"),
     };
     let path = format!("/v1/domains/{}/{action}", encode(&domain));
     let by = operator.into();
--- a/crates/cli/tests/online.rs
+++ b/crates/cli/tests/online.rs
@@ -459,6 +459,10 @@
     json!({"done": "lost"}), "lost")]
 #[case("domain return north --operator asha", "POST /v1/domains/north/return",
     json!({"done": "back"}), "back")]
+#[case("domain evacuate a/b --operator asha", "POST /v1/domains/a%2Fb/evacuate",
+    json!({"done": "evacuated"}), "evacuated")]
+#[case("domain readmit north --operator asha", "POST /v1/domains/north/readmit",
+    json!({"done": "readmitted"}), "readmitted")]
 #[case("member add --vm 4 --operator asha", "POST /v1/members/add", json!({"done": "added"}), "added")]
 #[case("member remove --vm 4 --operator asha", "POST /v1/members/remove",
     json!({"done": "removed"}), "removed")]
--- a/crates/control/src/cache.rs
+++ b/crates/control/src/cache.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     Directory,
+    DomainOrders,
     Group,
     Home,
     HomeRanges,
@@ -59,7 +60,7 @@
     vms: Vec<VmInfo>,
     groups: Vec<(DomainName, Group)>,
     homes: Vec<(ServiceName, HomeRanges)>,
-    lost: Vec<DomainName>,
+    orders: DomainOrders,
 }
 
 /// Result of merging a directory: which parts were newer and have been merged.
@@ -73,7 +74,7 @@
     pub groups: bool,
     /// The homes.
     pub homes: bool,
-    /// The lost domains.
+    /// The domains declared lost or evacuated.
     pub lost: bool,
     /// Why the directory was rejected as a whole.
     pub rejected: Option<Box<str>>,
@@ -124,7 +125,7 @@
         outcome.vms = replace_if_newer(&mut self.vms, &mut versions.vms, directory.vms);
         outcome.groups = replace_if_newer(&mut self.groups, &mut versions.groups, directory.groups);
         outcome.homes = replace_if_newer(&mut self.homes, &mut versions.homes, directory.homes);
-        outcome.lost = replace_if_newer(&mut self.lost, &mut versions.lost, directory.lost);
+        outcome.lost = replace_if_newer(&mut self.orders, &mut versions.lost, directory.lost);
         outcome
     }
 
@@ -222,7 +223,12 @@
 
     /// Returns the domains declared lost.
     pub fn lost(&self) -> &[DomainName] {
-        &self.lost
+        &self.orders.lost
+    }
+
+    /// Returns the domains under evacuation.
+    pub fn evacuated(&self) -> &[DomainName] {
+        &self.orders.evacuated
     }
 
     /// Returns the parts that are newer than `have`, for a VM that requests them from this one.
@@ -242,7 +248,7 @@
             vms: newer(own.vms, have.vms).then(|| versioned(own.vms, &self.vms)),
             groups: newer(own.groups, have.groups).then(|| versioned(own.groups, &self.groups)),
             homes: newer(own.homes, have.homes).then(|| versioned(own.homes, &self.homes)),
-            lost: newer(own.lost, have.lost).then(|| versioned(own.lost, &self.lost)),
+            lost: newer(own.lost, have.lost).then(|| versioned(own.lost, &self.orders)),
         }
     }
 }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -98,6 +98,26 @@
         /// Seconds since the Unix epoch.
         at: u64,
     },
+    /// An operator orders or ends the evacuation of a domain.
+    Evacuate {
+        /// The domain.
+        domain: DomainName,
+        /// Whether the evacuation starts or ends.
+        order: EvacuationOrder,
+        /// The operator.
+        by: OperatorName,
+        /// Seconds since the Unix epoch.
+        at: u64,
+    },
+}
+
+/// An operator's order about the evacuation of a domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationOrder {
+    /// Nothing new is to be sent to the targets of the domain.
+    Start,
+    /// The domain takes part again.
+    End,
 }
 
 /// The home of one shard.
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -27,7 +27,7 @@
     pub groups: u64,
     /// Of the homes of shards.
     pub homes: u64,
-    /// Of the domains declared lost.
+    /// Of the domains declared lost or evacuated.
     pub lost: u64,
 }
 
@@ -42,6 +42,57 @@
     }
 }
 
+/// The domains about which an operator's order is in force.
+///
+/// It is encoded as one list of names: the lost domains, and only if there are evacuated ones, an
+/// empty name and the evacuated domains. Without an evacuation the encoding is that of the version
+/// that knew no evacuations, and that version can read the list in any case. No domain that can be
+/// evacuated has an empty name.
+///
+/// # Examples
+///
+/// ```
+/// use camphordale_control::DomainOrders;
+///
+/// let orders = DomainOrders { lost: vec!["east".into()], evacuated: vec!["north".into()] };
+/// let names = Vec::from(orders.clone());
+/// assert_eq!(names, ["east".into(), "".into(), "north".into()]);
+/// assert_eq!(DomainOrders::from(names), orders);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<DomainName>", into = "Vec<DomainName>")]
+pub struct DomainOrders {
+    /// The domains declared lost, in order.
+    pub lost: Vec<DomainName>,
+    /// The domains under evacuation, in order.
+    pub evacuated: Vec<DomainName>,
+}
+
+impl From<Vec<DomainName>> for DomainOrders {
+    fn from(mut names: Vec<DomainName>) -> Self {
+        let separator = names.iter().position(|name| name.is_empty());
+        let evacuated = match separator {
+            Some(at) => names.split_off(at).split_off(1),
+            None => Vec::new(),
+        };
+        DomainOrders {
+            lost: names,
+            evacuated,
+        }
+    }
+}
+
+impl From<DomainOrders> for Vec<DomainName> {
+    fn from(orders: DomainOrders) -> Self {
+        let mut names = orders.lost;
+        if !orders.evacuated.is_empty() {
+            names.push("".into());
+            names.extend(orders.evacuated);
+        }
+        names
+    }
+}
+
 /// A part of a directory with its version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Versioned<Content> {
@@ -65,8 +116,8 @@
     pub groups: Option<Versioned<Vec<(DomainName, Group)>>>,
     /// The homes of shards, ordered by service.
     pub homes: Option<Versioned<Vec<(ServiceName, HomeRanges)>>>,
-    /// The domains declared lost, in order.
-    pub lost: Option<Versioned<Vec<DomainName>>>,
+    /// The domains declared lost or evacuated.
+    pub lost: Option<Versioned<DomainOrders>>,
 }
 
 impl Directory {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 pub use command::{
     Command,
     DomainReport,
+    EvacuationOrder,
     Group,
     Home,
     HomeChange,
@@ -35,6 +36,7 @@
 };
 pub use directory::{
     Directory,
+    DomainOrders,
     Versioned,
     Versions, //
 };
--- a/crates/control/src/planner/homes.rs
+++ b/crates/control/src/planner/homes.rs
@@ -156,6 +156,7 @@
         for side in SIDES {
             self.assign_first_homes(side);
             for domain in &names {
+                self.release_evacuated(domain, side);
                 self.release_starved(domain, side);
             }
             self.rebalance(side);
@@ -180,7 +181,9 @@
         }
         let since = *self.plan.unassigned_since.entry(side).or_insert(self.now);
         let known = self.state.domains();
-        let expected = known.iter().filter(|name| !self.state.is_lost(name));
+        let expected = known
+            .iter()
+            .filter(|name| !self.state.is_lost(name) && !self.state.is_evacuated(name));
         // Shards of hot keys follow hashed shards, which already have homes.
         let any_hashed = unassigned.iter().any(|index| *index < self.service.shards);
         let complete = expected.count() <= candidates.len();
@@ -271,6 +274,19 @@
         }
     }
 
+    /// Asks a domain under evacuation to release the shards of a side, if another domain can serve
+    /// them. Shards with a requested move keep its destination.
+    fn release_evacuated(&mut self, domain: &DomainName, side: Side) {
+        if !self.state.is_evacuated(domain) || self.reporting(domain).is_none() {
+            return;
+        }
+        let candidates = self.candidates(side);
+        if !candidates.is_empty() {
+            let shards = self.not_moving(self.plan.shards.homed_in(domain, side));
+            self.distribute(&shards, &candidates, false);
+        }
+    }
+
     /// Asks a domain to release the shards of a side for which it has had no targets for
     /// `starvation_timeout`.
     fn release_starved(&mut self, domain: &DomainName, side: Side) {
@@ -377,7 +393,9 @@
                 continue;
             };
             let settled = home.next.is_none() && base.next.is_none();
-            if settled && home.domain != base.domain && self.reporting(&base.domain).is_some() {
+            let accepts =
+                self.reporting(&base.domain).is_some() && !self.state.is_evacuated(&base.domain);
+            if settled && home.domain != base.domain && accepts {
                 let to = base.domain.clone();
                 self.propose_change(index, to, false);
             }
@@ -407,7 +425,8 @@
             let domain = planned.or_else(|| self.home(base).map(|home| &home.domain));
             let old = self.home(*index).map(|home| &home.domain);
             let fallback = candidates.first().map(|candidate| &candidate.domain);
-            let to = domain.filter(|domain| Some(*domain) != old);
+            let to =
+                domain.filter(|domain| Some(*domain) != old && !self.state.is_evacuated(domain));
             let to = if old.is_some() { to.or(fallback) } else { to };
             if let Some(to) = to.cloned() {
                 self.propose_change(*index, to, immediate);
@@ -447,10 +466,12 @@
             .then_some(status)
     }
 
-    /// Returns the reporting domains that have targets for `side` of the service.
+    /// Returns the reporting domains that have targets for `side` of the service and are not under
+    /// evacuation.
     fn candidates(&self, side: Side) -> Vec<CandidateDomain> {
         let domains = self.domains.keys();
         domains
+            .filter(|domain| !self.state.is_evacuated(domain))
             .filter_map(|domain| {
                 let slots = self.reporting(domain)?.slots(&self.service.name, side);
                 (slots > 0).then(|| CandidateDomain {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -25,6 +25,8 @@
     AuditTrail,
     Command,
     Directory,
+    DomainOrders,
+    EvacuationOrder,
     Group,
     Home,
     HomeChange,
@@ -44,6 +46,9 @@
 
 /// Format version, the first byte of an encoded state.
 const SNAPSHOT_FORMAT: u8 = 1;
+/// Tag before the evacuations, which follow the other parts of an encoded state if any evacuation
+/// was ever ordered.
+const EVACUATIONS_TAG: u8 = 1;
 /// Maximum number of voters of a domain group.
 const MAX_VOTERS: usize = 5;
 /// Maximum length of a recorded operator action, in bytes.
@@ -91,6 +96,13 @@
     /// Lowest bundle version that each domain's group may have in force.
     in_force: BTreeMap<DomainName, u64>,
     audit: AuditTrail,
+    /// Domains for which an evacuation was ever ordered, with the last order. Ended evacuations are
+    /// kept, because their end must be acknowledged again if it is repeated.
+    ///
+    /// They are not part of the derived encoding, so that a state without them keeps the encoding
+    /// of the version that knew none.
+    #[serde(skip)]
+    evacuations: BTreeMap<DomainName, EvacuationOrder>,
 }
 
 impl State {
@@ -106,6 +118,7 @@
             lost: BTreeMap::new(),
             in_force: BTreeMap::new(),
             audit: AuditTrail::new(),
+            evacuations: BTreeMap::new(),
         }
     }
 
@@ -181,6 +194,12 @@
                 version,
             } => self.record_in_force(domain, *term, *version),
             Command::RecordAction { action, by, at } => self.record_action(action, by, *at),
+            Command::Evacuate {
+                domain,
+                order,
+                by,
+                at,
+            } => self.evacuate(domain, *order, by, *at),
         }
     }
 
@@ -298,6 +317,34 @@
         Outcome::Done
     }
 
+    fn evacuate(
+        &mut self,
+        domain: &DomainName,
+        order: EvacuationOrder,
+        by: &str,
+        at: u64,
+    ) -> Outcome {
+        let last = self.evacuations.get(domain).copied();
+        if last == Some(order) {
+            return Outcome::Done;
+        }
+        let known = !domain.is_empty() && self.domains().contains(domain);
+        if last.is_none() && !known {
+            return precondition_failed(format!("domain {domain} is not known"));
+        }
+        if last.is_none() && order == EvacuationOrder::End {
+            return precondition_failed(format!("domain {domain} was never evacuated"));
+        }
+        self.evacuations.insert(domain.clone(), order);
+        self.versions.lost = self.index;
+        let action = match order {
+            EvacuationOrder::Start => "evacuated",
+            EvacuationOrder::End => "readmitted",
+        };
+        self.append_audit(at, by, format!("domain {domain} {action}"));
+        Outcome::Done
+    }
+
     fn record_action(&mut self, action: &str, by: &str, at: u64) -> Outcome {
         if action.len() > MAX_ACTION_BYTES {
             return precondition_failed(format!("a note has at most {MAX_ACTION_BYTES} bytes"));
@@ -343,7 +390,10 @@
                     .map(|(name, history)| (name.clone(), history.homes.clone()))
                     .collect()
             }),
-            lost: newer(own.lost, have.lost, || self.lost.keys().cloned().collect()),
+            lost: newer(own.lost, have.lost, || DomainOrders {
+                lost: self.lost.keys().cloned().collect(),
+                evacuated: self.evacuated().cloned().collect(),
+            }),
         }
     }
 
@@ -424,6 +474,19 @@
         self.lost.get(domain).copied()
     }
 
+    /// Returns whether a domain is under evacuation.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuations.get(domain) == Some(&EvacuationOrder::Start)
+    }
+
+    /// Returns the domains under evacuation, in order.
+    pub fn evacuated(&self) -> impl Iterator<Item = &DomainName> {
+        let orders = self.evacuations.iter();
+        orders
+            .filter(|(_, order)| **order == EvacuationOrder::Start)
+            .map(|(domain, _)| domain)
+    }
+
     /// Returns all domains with a registered VM, a group or a home.
     pub fn domains(&self) -> BTreeSet<DomainName> {
         let vms = self.registry.iter().map(|info| &info.domain);
@@ -456,8 +519,13 @@
 
     /// Encodes a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_extend(self, vec![SNAPSHOT_FORMAT])
-            .expect("all parts of the state have an encoding")
+        const ENCODABLE: &str = "all parts of the state have an encoding";
+        let mut bytes = postcard::to_extend(self, vec![SNAPSHOT_FORMAT]).expect(ENCODABLE);
+        if !self.evacuations.is_empty() {
+            bytes.push(EVACUATIONS_TAG);
+            bytes = postcard::to_extend(&self.evacuations, bytes).expect(ENCODABLE);
+        }
+        bytes
     }
 
     /// Decodes a snapshot.
@@ -473,6 +541,12 @@
         };
         let (state, rest) =
             postcard::take_from_bytes::<State>(bytes).map_err(|cause| error(&cause.to_string()))?;
+        let (evacuations, rest) = match rest.split_first() {
+            Some((&EVACUATIONS_TAG, rest)) => {
+                postcard::take_from_bytes(rest).map_err(|cause| error(&cause.to_string()))?
+            }
+            _ => (BTreeMap::new(), rest),
+        };
         if !rest.is_empty() {
             return Err(error("trailing bytes after the state"));
         }
@@ -487,6 +561,7 @@
         Ok(State {
             chain: chain
                 .ok_or_else(|| error("the latest bundle does not match its version and digest"))?,
+            evacuations,
             ..state
         })
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -10,6 +10,7 @@
 };
 use camphordale_control::{
     Command,
+    EvacuationOrder,
     State, //
 };
 use camphordale_types::{
@@ -132,3 +133,12 @@
     let (domain, by) = (domain.into(), "op-1".into());
     Command::ReturnDomain { domain, by, at: 0 }
 }
+
+pub fn evacuate(domain: &str, order: EvacuationOrder) -> Command {
+    Command::Evacuate {
+        domain: domain.into(),
+        order,
+        by: "op-1".into(),
+        at: 0,
+    }
+}
--- a/crates/control/tests/decode.rs
+++ b/crates/control/tests/decode.rs
@@ -5,11 +5,14 @@
 use camphordale_control::{
     Command,
     DirectoryCache,
+    EvacuationOrder,
     HomeChange,
+    Outcome,
     State,
     Versions, //
 };
 use common::{
+    evacuate,
     first_bundle,
     operators,
     signed,
@@ -125,3 +128,47 @@
     bytes[0] = 2;
     assert!(State::decode(&bytes).is_err());
 }
+
+/// Guards against a deployment without evacuations whose snapshot or directory the version before
+/// could not read: the digests are those of the encodings of that version.
+#[test]
+fn encodings_without_evacuations_are_unchanged() {
+    let state = state();
+    let directory = postcard::to_stdvec(&state.directory(&Versions::default())).unwrap();
+    let digest = |bytes: &[u8]| blake3::hash(bytes).to_hex()[..16].to_owned();
+    assert_eq!(
+        (digest(&state.encode()), digest(&directory)),
+        ("a2d9a89c4cdf144f".into(), "63e50deed049d6d5".into())
+    );
+}
+
+/// Guards against evacuations that a snapshot or a directory loses or mixes with lost domains, and
+/// against a snapshot that is cut off within them or continues after them.
+#[test]
+fn evacuations_survive_encoding() {
+    let mut state = state();
+    let plain = state.encode();
+    state.apply(10, &evacuate("east", EvacuationOrder::Start));
+    state.apply(11, &evacuate("west", EvacuationOrder::Start));
+    state.apply(12, &evacuate("west", EvacuationOrder::End));
+    let bytes = state.encode();
+    let mut decoded = State::decode(&bytes).unwrap();
+    assert_eq!(decoded, state);
+    // The ended evacuation is kept: its end is acknowledged again.
+    let repeated = evacuate("west", EvacuationOrder::End);
+    assert_eq!(decoded.apply(13, &repeated), Outcome::Done);
+    assert!(bytes.len() < plain.len() + 500);
+    for length in bytes.len() - 13..bytes.len() {
+        let accepted = State::decode(&bytes[..length]);
+        assert!(accepted.is_err(), "{length} of {} bytes", bytes.len());
+    }
+    assert!(State::decode(&[&bytes[..], &[0]].concat()).is_err());
+
+    let directory = postcard::to_stdvec(&state.directory(&Versions::default())).unwrap();
+    let mut cache = DirectoryCache::new(0);
+    cache.merge(postcard::from_bytes(&directory).unwrap());
+    assert_eq!(
+        (cache.lost(), cache.evacuated()),
+        (&["west".into()][..], &["east".into()][..])
+    );
+}
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -9,6 +9,7 @@
     Command,
     Directory,
     DirectoryCache,
+    EvacuationOrder,
     HomeChange,
     Outcome,
     State,
@@ -18,6 +19,7 @@
 use camphordale_types::Digest;
 use common::{
     declare_lost,
+    evacuate,
     next_bundle,
     operators,
     return_domain,
@@ -68,6 +70,8 @@
                     changes: (0..8).map(change).collect(),
                 }
             }
+            _ if state.is_evacuated(&domain) => evacuate(&domain, EvacuationOrder::End),
+            _ if rng.random_bool(0.3) => evacuate(&domain, EvacuationOrder::Start),
             _ if state.is_lost(&domain) => return_domain(&domain),
             _ => declare_lost(&domain),
         };
@@ -105,7 +109,10 @@
             (versions.vms, format!("{:?}", cache.vms())),
             (versions.groups, format!("{:?}", cache.groups())),
             (versions.homes, format!("{:?}", cache.all_homes())),
-            (versions.lost, format!("{:?}", cache.lost())),
+            (
+                versions.lost,
+                format!("{:?} {:?}", cache.lost(), cache.evacuated()),
+            ),
         ]
     }
 
--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -10,6 +10,7 @@
 use camphordale_control::{
     Command,
     DomainReport,
+    EvacuationOrder,
     Home,
     HomeChange,
     Outcome,
@@ -25,6 +26,7 @@
 };
 use common::{
     declare_lost,
+    evacuate,
     next_bundle,
     operators,
     return_domain,
@@ -650,3 +652,111 @@
     let ranges = world.state.homes("berths").unwrap().ranges().len();
     assert!(ranges <= 20, "{ranges} ranges");
 }
+
+/// The shards of `domain` with a requested move, as its group reports them once it has released
+/// them.
+fn requested(world: &World, domain: &str) -> Vec<(u32, u64)> {
+    let homes = world.state.homes("berths").expect("a service");
+    homes
+        .iter()
+        .filter(|(_, home)| &*home.domain == domain && home.next.is_some())
+        .map(|(index, home)| (index, home.since))
+        .collect()
+}
+
+/// Guards against an evacuation that takes shards from a domain without its release, which would
+/// lose idempotency records, that skips the shards of hot keys or of the new side, or that stops
+/// with a change of the control leader.
+#[test]
+fn an_evacuated_domain_releases_all_its_shards_to_other_domains() {
+    let mut world = World::new();
+    world.submit(|bundle| {
+        bundle.services[0].new_percent = 50;
+        bundle.services[0].hot_keys = vec!["pier-3".into(), "pier-4".into()];
+    });
+    world.slots = [("east", (6, 6)), ("north", (6, 6)), ("west", (6, 6))].into();
+    world.run(STEP * 4);
+    let before = world.count("east");
+    assert!(before > 0);
+    world.apply(&evacuate("east", EvacuationOrder::Start));
+    world.proposed.clear();
+    world.run(STEP);
+    assert_eq!(requested(&world, "east").len(), before);
+    for command in &world.proposed {
+        let Command::SetHomes { changes, .. } = command else {
+            panic!("{command:?}");
+        };
+        let planned = |change: &HomeChange| !change.immediate && &*change.to != "east";
+        assert!(changes.iter().all(planned), "{changes:?}");
+    }
+    assert!(world.planner.renews_lease("east"));
+    world.change_leader();
+    world.parked.insert("east", requested(&world, "east"));
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.count("east"), 0);
+    // It stays empty, also when the others are imbalanced and have few slots.
+    world.slots = [("east", (600, 600)), ("north", (1, 1)), ("west", (6, 6))].into();
+    world.run(Duration::from_secs(60));
+    assert_eq!(world.count("east"), 0);
+}
+
+/// Guards against first homes, shards of lost domains and released shards that are placed in a
+/// domain under evacuation.
+#[test]
+fn no_shard_is_placed_in_an_evacuated_domain() {
+    let mut world = World::new();
+    world.apply(&evacuate("east", EvacuationOrder::Start));
+    world.submit(|_| {});
+    world.slots = [("east", (60, 0)), ("north", (6, 0)), ("west", (6, 0))].into();
+    // The domain is not waited for, unlike one that has not reported targets yet.
+    world.run(STEP * 4);
+    let shards = world.service().shard_count() as usize;
+    assert_eq!(world.homes().len(), shards);
+    assert_eq!(world.count("east"), 0);
+    // Shards that north releases were to go to west, which is evacuated meanwhile.
+    world.slots.insert("north", (0, 0));
+    world.until_proposal(Duration::from_secs(10)).unwrap();
+    world.apply(&evacuate("west", EvacuationOrder::Start));
+    world.slots.insert("north", (6, 0));
+    world.parked.insert("north", requested(&world, "north"));
+    world.run(STEP * 4);
+    assert!(requested(&world, "north").is_empty());
+    world.parked.clear();
+    world.parked.insert("west", requested(&world, "west"));
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.count("north"), shards);
+    // The only domain that is not under evacuation is lost.
+    world.slots.remove("north");
+    world.run(Duration::from_secs(60));
+    assert_eq!(world.count("north"), shards);
+}
+
+/// Guards against moves in circles while every domain is under evacuation, and against a domain
+/// that gets no shards after its evacuation has ended.
+#[test]
+fn a_domain_takes_part_again_after_its_evacuation() {
+    let mut world = World::running(|bundle| bundle.services[0].shards = 120);
+    let domains = ["east", "north", "west"];
+    for domain in domains {
+        world.apply(&evacuate(domain, EvacuationOrder::Start));
+    }
+    world.run(Duration::from_secs(30));
+    assert_eq!(world.proposed, []);
+    for domain in ["east", "north"] {
+        world.apply(&evacuate(domain, EvacuationOrder::End));
+    }
+    for _ in 0..4 {
+        world.parked.insert("west", requested(&world, "west"));
+        world.run(STEP);
+    }
+    assert_eq!((world.count("west"), world.count("east")), (0, 60));
+    world.parked.clear();
+    world.apply(&evacuate("west", EvacuationOrder::End));
+    world.slots.insert("west", (60, 0));
+    world.until_proposal(Duration::from_secs(60)).unwrap();
+    for domain in ["east", "north"] {
+        world.parked.insert(domain, requested(&world, domain));
+    }
+    world.run(STEP);
+    assert_eq!(world.count("west"), 100);
+}
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -17,6 +17,7 @@
 use camphordale_control::{
     AuditEntry,
     Command,
+    EvacuationOrder,
     Home,
     HomeChange,
     Outcome,
@@ -157,6 +158,18 @@
         last.unwrap_or(false)
     }
 
+    /// The last order about the evacuation of a domain that took effect.
+    fn evacuation(&self, domain: &str) -> Option<EvacuationOrder> {
+        self.find(|_, command| match command {
+            Command::Evacuate {
+                domain: name,
+                order,
+                ..
+            } if **name == *domain => Some(*order),
+            _ => None,
+        })
+    }
+
     fn term(&self, domain: &str) -> u64 {
         let formed = self.find(|index, command| match command {
             Command::FormGroup { domain: name, .. } if **name == *domain => Some(index),
@@ -282,6 +295,11 @@
             Command::RemoveVm { vm, .. } if self.current(*vm).is_none() => Err(Outcome::Done),
             Command::DeclareLost { domain, .. } if self.lost(domain) => Err(Outcome::Done),
             Command::ReturnDomain { domain, .. } if !self.lost(domain) => Err(Outcome::Done),
+            Command::Evacuate { domain, order, .. } => match self.evacuation(domain) {
+                Some(last) if last == *order => Err(Outcome::Done),
+                Some(_) => Ok(Outcome::Done),
+                None => precondition(*order == EvacuationOrder::Start && self.knows(domain)),
+            },
             _ => Ok(Outcome::Done),
         };
         if result.is_ok() {
@@ -347,7 +365,7 @@
         let rng = &mut self.rng;
         let (at, kind, number) = (
             rng.random_range(0..1000),
-            rng.random_range(0..20),
+            rng.random_range(0..22),
             rng.random_range(0..8),
         );
         let domain: Box<str> = (*DOMAINS.choose(rng).expect("not empty")).into();
@@ -386,6 +404,18 @@
                     version,
                 }
             }
+            19..=20 => {
+                let order = match rng.random() {
+                    true => EvacuationOrder::Start,
+                    false => EvacuationOrder::End,
+                };
+                Command::Evacuate {
+                    domain,
+                    order,
+                    by,
+                    at,
+                }
+            }
             _ => Command::RecordAction {
                 action: "checked the backups".into(),
                 by,
@@ -479,6 +509,8 @@
         let term = state.group(domain).map_or(0, |group| group.term);
         assert_eq!(term, model.term(domain));
         assert_eq!(state.is_lost(domain), model.lost(domain));
+        let evacuated = model.evacuation(domain) == Some(EvacuationOrder::Start);
+        assert_eq!(state.is_evacuated(domain), evacuated);
         let lease = state
             .serving_bound(domain, "berths")
             .and_then(|bound| bound.lease);
@@ -498,6 +530,7 @@
         | Command::RemoveVm { at, .. }
         | Command::DeclareLost { at, .. }
         | Command::ReturnDomain { at, .. }
+        | Command::Evacuate { at, .. }
         | Command::RecordAction { at, .. } => Some(*at),
         _ => None,
     });
@@ -610,3 +643,47 @@
     assert_eq!(version(7), None);
     assert_eq!(version(41), None);
 }
+
+/// Guards against an evacuation of a mistyped domain that is acknowledged, a repeated order with
+/// another answer or a second record, and refused orders that change anything.
+#[test]
+fn evacuation_orders_are_idempotent_and_refused_without_effect() {
+    let mut state = State::new(operators(1, &[1]));
+    state.apply(1, &Command::RegisterVm(vm(1, 1, "east")));
+    state.apply(2, &Command::RegisterVm(vm(2, 1, "west")));
+    let (start, end) = (EvacuationOrder::Start, EvacuationOrder::End);
+    let untouched = (state.versions(), state.encode()[2..].to_vec());
+    for (index, (domain, order, text)) in [
+        ("nrth", start, "domain nrth is not known"),
+        ("nrth", end, "domain nrth is not known"),
+        ("", start, "domain  is not known"),
+        ("east", end, "domain east was never evacuated"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let outcome = state.apply(3 + index as u64, &common::evacuate(domain, order));
+        let refused = Rejection::PreconditionFailed(text.into());
+        assert_eq!(outcome, Outcome::Rejected(refused));
+        assert_eq!((state.versions(), state.encode()[2..].to_vec()), untouched);
+    }
+    for (index, order) in (10..).zip([start, start, end, end, start]) {
+        let outcome = state.apply(index, &common::evacuate("east", order));
+        assert_eq!(outcome, Outcome::Done);
+        assert_eq!(state.is_evacuated("east"), order == start);
+    }
+    // The order is acknowledged again after the last VM of the domain was removed.
+    let remove = Command::RemoveVm {
+        vm: 1,
+        by: "op-1".into(),
+        at: 0,
+    };
+    state.apply(20, &remove);
+    assert_eq!(
+        state.apply(21, &common::evacuate("east", start)),
+        Outcome::Done
+    );
+    let actions: Vec<&str> = state.audit().iter().map(|entry| &*entry.action).collect();
+    let (evacuated, readmitted) = ("domain east evacuated", "domain east readmitted");
+    assert_eq!(actions, [evacuated, readmitted, evacuated, "VM 1 removed"]);
+}
--- a/crates/daemon/src/operator_listener.rs
+++ b/crates/daemon/src/operator_listener.rs
@@ -45,6 +45,7 @@
 use camphordale_control::{
     AuditEntry,
     Command as ControlCommand,
+    EvacuationOrder,
     HomeChange,
     Outcome as ControlOutcome,
     Rejection, //
@@ -160,6 +161,14 @@
                 let command = ControlCommand::ReturnDomain { domain, by, at };
                 self.execute(command, &format!("domain {name} may take part again"))
             }
+            ("POST", ["v1", "domains", name, "evacuate"]) => {
+                let done = format!("domain {name} is evacuated: its shards move to other domains");
+                self.order_evacuation(request, name, EvacuationOrder::Start, &done)
+            }
+            ("POST", ["v1", "domains", name, "readmit"]) => {
+                let done = format!("domain {name} may take part again");
+                self.order_evacuation(request, name, EvacuationOrder::End, &done)
+            }
             ("GET", ["v1", "explain"]) => Ok(json_response(&self.explain(request)?)),
             ("GET", ["v1", "audit"]) => Ok(json_response(&self.audit(request)?)),
             ("GET", ["v1", "members"]) => Ok(json_response(&self.members()?)),
@@ -179,6 +188,23 @@
         }
     }
 
+    fn order_evacuation(
+        &self,
+        request: &Request,
+        domain: &str,
+        order: EvacuationOrder,
+        done: &str,
+    ) -> HandlerResult<Response> {
+        let by = parse_body::<ActionRequest>(request)?.by;
+        let command = ControlCommand::Evacuate {
+            domain: domain.into(),
+            order,
+            by,
+            at: unix_time(),
+        };
+        self.execute(command, done)
+    }
+
     fn readiness(&self) -> Response {
         let draining = self.draining.load(Ordering::Relaxed);
         let status = self.data_plane.with_router(|router| router.status());
@@ -455,15 +481,20 @@
     fn move_shard(&self, request: &Request) -> HandlerResult<Response> {
         let requested: MoveRequest = parse_body(request)?;
         let (service, index) = (requested.service.clone(), requested.shard);
+        let to = requested.to.clone();
         let found = self.inspect(move |node, _| {
             let cache = node.directory().cache();
             let version = cache.bundle().map_or(0, |bundle| bundle.version);
             let home = cache.home(&service, index);
-            home.map(|home| (home.since, version))
+            let evacuated = cache.evacuated().contains(&to);
+            home.map(|home| (home.since, version, evacuated))
         })?;
-        let Some((expected, bundle)) = found else {
+        let Some((expected, bundle, evacuated)) = found else {
             return refuse(404, "move", "the shard has no home");
         };
+        if evacuated {
+            return refuse(409, "move", "the domain is under evacuation");
+        }
         let record = ControlCommand::RecordAction {
             action: format!(
                 "move {}/{} to {}",
