Send nothing new to the targets of an evacuated domain

Cause: an evacuation moved the shards of a domain, but requests without a key still went to its targets, and so did requests with a key while no other domain had targets for them.

Change: entry VMs get the evacuated domains as an event of the router. A VM of such a domain forwards requests without a key to VMs of other domains, including those that wait for a slot or a connection. A domain without targets of the service refuses them at once, and the next one is tried. The help of `domain evacuate` no longer names the exception.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -116,7 +116,7 @@
     #[options(help = "let a failure domain that was declared lost take part again")]
     Return(DomainArgs),
     #[options(
-        help = "send nothing new to the targets of a failure domain; its shards move, but requests without a key still go there"
+        help = "send nothing new to the targets of a failure domain; its shards move to others"
     )]
     Evacuate(DomainArgs),
     #[options(help = "end the evacuation of a failure domain, so that it takes part again")]
--- a/crates/daemon/src/entry_loop.rs
+++ b/crates/daemon/src/entry_loop.rs
@@ -223,6 +223,9 @@
         if let RouteEvent::Directory { .. } = &event {
             publish_addresses(self.handle.addresses(), &self.node);
         }
+        if let RouteEvent::Evacuated { domains } = &event {
+            info!(self.log, "evacuated domains changed"; "domains" => domains.join(","));
+        }
         self.data_plane.handle_router_event(event);
     }
 }
--- a/crates/daemon/src/operator_listener.rs
+++ b/crates/daemon/src/operator_listener.rs
@@ -162,7 +162,8 @@
                 self.execute(command, &format!("domain {name} may take part again"))
             }
             ("POST", ["v1", "domains", name, "evacuate"]) => {
-                let done = format!("domain {name} is evacuated: its shards move to other domains");
+                let done =
+                    format!("domain {name} is evacuated: nothing new is to be sent to its targets");
                 self.order_evacuation(request, name, EvacuationOrder::Start, &done)
             }
             ("POST", ["v1", "domains", name, "readmit"]) => {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -49,6 +49,8 @@
 pub(crate) struct DirectoryChanges {
     pub(crate) bundle: Option<(SignedBundle, Bundle)>,
     pub(crate) homes: bool,
+    /// The domains under evacuation.
+    pub(crate) evacuated: bool,
     pub(crate) rejected: Option<Box<str>>,
 }
 
@@ -137,9 +139,11 @@
     }
 
     pub(crate) fn merge(&mut self, directory: Directory) -> DirectoryChanges {
+        let evacuated = self.cache.evacuated().to_vec();
         let merged = self.cache.merge(directory);
         let mut changes = DirectoryChanges {
             homes: merged.homes || merged.vms || merged.bundle,
+            evacuated: evacuated != self.cache.evacuated(),
             rejected: merged.rejected,
             ..DirectoryChanges::default()
         };
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -254,6 +254,11 @@
                 self.put_in_force(u64::MAX, out);
             }
         }
+        // A router that learns of an evacuation before its first directory has just started.
+        if changes.evacuated {
+            let domains = self.directory.cache().evacuated().to_vec();
+            out.push(EntryEffect::Route(RouteEvent::Evacuated { domains }));
+        }
         if changes.homes {
             out.push(EntryEffect::Route(self.directory.route_event()));
         }
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -119,7 +119,8 @@
         }
         let Some(index) = request.shard else {
             let pool = self.services[request.service_index].pool(request.side);
-            let usable = self.has_lease() && pool.members.contains(&target_id);
+            let usable =
+                self.has_lease() && !self.is_evacuated() && pool.members.contains(&target_id);
             return usable.then_some(()).ok_or(WriteObstacle::Requeue);
         };
         let state = &self.services[request.service_index];
--- a/crates/route/src/forward.rs
+++ b/crates/route/src/forward.rs
@@ -46,7 +46,25 @@
             .retain(|vm, peer| peer.in_flight > 0 || vms.iter().any(|v| v.vm == *vm));
     }
 
-    fn is_avoided(&self, vm: VmId, now: Duration) -> bool {
+    /// Returns whether no directory with entry VMs has been applied yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entry_vms.is_empty()
+    }
+
+    /// Returns the domains with entry VMs, in no particular order.
+    pub(crate) fn domains(&self) -> impl Iterator<Item = &DomainName> {
+        self.entry_vms.keys()
+    }
+
+    /// Returns the domain of an entry VM.
+    pub(crate) fn domain_of(&self, vm: VmId) -> Option<&DomainName> {
+        let mut domains = self.entry_vms.iter();
+        domains
+            .find(|(_, vms)| vms.contains(&vm))
+            .map(|(domain, _)| domain)
+    }
+
+    pub(crate) fn is_avoided(&self, vm: VmId, now: Duration) -> bool {
         let failed = self.peers.get(&vm).and_then(|p| p.failed_at);
         failed.is_some_and(|at| now < at + UNREACHABLE_BACKOFF)
     }
@@ -166,6 +184,7 @@
                 }
             }
             AttemptResult::Redirect { vm: None } => self.route_after_delay(id),
+            AttemptResult::NotRun(NotRun::NoTarget) if self.try_other_domain(id, vm) => {}
             AttemptResult::NotRun(reason) => {
                 if !is_transient(reason) || !self.may_retry(id) {
                     return self.refuse(id, reason);
@@ -208,6 +227,7 @@
     /// Replaces the shard homes and the VMs by those of a new directory.
     pub(crate) fn apply_directory(&mut self, homes: Vec<ShardHomes>, vms: &[VmLocation]) {
         self.peers.replace(vms);
+        self.update_alternatives();
         for service_homes in homes {
             let service_index = self.service_index_of(&service_homes.service);
             self.services[service_index].homes = service_homes.domains;
--- a/crates/route/src/keyed.rs
+++ b/crates/route/src/keyed.rs
@@ -27,6 +27,7 @@
                 NotRun::NoLease
             }
             BlockReason::BackingOff => NotRun::Deadline,
+            BlockReason::Evacuated => NotRun::NoTarget,
             _ => NotRun::NoOwner,
         }
     }
@@ -53,6 +54,14 @@
         }
     }
 
+    /// Returns why requests of a service may not be sent to targets of this domain; `None` if they
+    /// may.
+    fn send_obstacle(&self, service_index: usize) -> Option<BlockReason> {
+        let evacuated = self.has_release_timed_out();
+        self.lease_obstacle(service_index)
+            .or_else(|| evacuated.then_some(BlockReason::Evacuated))
+    }
+
     /// Returns where a request for the shard goes according to the view, without a check of leases.
     fn owner_destination(&self, (service_index, index): ShardKey) -> Destination {
         let state = &self.services[service_index];
@@ -88,7 +97,7 @@
     /// Returns where a request for the shard goes, with leases checked.
     pub(crate) fn destination(&self, key: ShardKey) -> Destination {
         match self.owner_destination(key) {
-            Destination::Target(target) => match self.lease_obstacle(key.0) {
+            Destination::Target(target) => match self.send_obstacle(key.0) {
                 None => Destination::Target(target),
                 // Without a valid lease the view may be out of date, so the directory decides.
                 Some(blocked) => match self.services[key.0].home(key.1) {
@@ -125,6 +134,7 @@
                     self.dispatch_keyed(target);
                 }
             }
+            Destination::Blocked(BlockReason::Evacuated) => self.refuse(id, NotRun::NoTarget),
             Destination::Blocked(_) => {
                 self.enqueue(id, key);
             }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod attempts;
 mod balance;
+mod evacuation;
 mod forward;
 mod health;
 mod keyed;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -14,6 +14,7 @@
 use crate::{
     Counters, Effect, Event,
     balance::Candidate,
+    evacuation::Evacuations,
     forward::Peers,
     lease::Lease,
     queue::ShardKey,
@@ -87,6 +88,7 @@
     pub(crate) loaded_shards: Vec<ShardKey>,
     pub(crate) report_due: Duration,
     pub(crate) peers: Peers,
+    pub(crate) evacuations: Evacuations,
     pub(crate) counters: Counters,
     /// Reused buffer for the choice of a target.
     pub(crate) candidates: Vec<Candidate>,
@@ -125,6 +127,7 @@
             loaded_shards: Vec::new(),
             report_due: Duration::ZERO,
             peers: Peers::default(),
+            evacuations: Evacuations::default(),
             counters: Counters::default(),
             candidates: Vec::new(),
             effects: Vec::new(),
@@ -179,6 +182,7 @@
             Event::View(view) => self.apply_view(view),
             Event::Bundle(bundle) => self.apply_bundle(bundle),
             Event::Directory { homes, vms } => self.apply_directory(homes, &vms),
+            Event::Evacuated { domains } => self.apply_evacuations(domains),
             Event::TargetLoad { target, load } => {
                 if let Some(target) = self.targets.get_mut(&target)
                     && load.is_finite()
--- a/crates/route/src/status.rs
+++ b/crates/route/src/status.rs
@@ -143,6 +143,9 @@
     /// The domain has been cut off from the control group for longer than the domain lease.
     #[error("the domain lease of the service has run out")]
     DomainLease,
+    /// The domain is under evacuation and has had time to release the shard.
+    #[error("the domain is under evacuation")]
+    Evacuated,
     /// New requests to the owner are not sent for now, after failures.
     #[error("requests to the owner are held back after failures")]
     BackingOff,
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -126,6 +126,11 @@
         /// All VMs.
         vms: Vec<VmLocation>,
     },
+    /// The set of domains under evacuation changed.
+    Evacuated {
+        /// All domains under evacuation.
+        domains: Vec<DomainName>,
+    },
     /// A target reported its load.
     TargetLoad {
         /// The target.
--- a/crates/route/src/unkeyed.rs
+++ b/crates/route/src/unkeyed.rs
@@ -19,7 +19,18 @@
         };
         let (service_index, side, origin) = (request.service_index, request.side, request.origin);
         let (deadline, start_by) = (request.deadline, request.start_by);
+        if self.is_evacuated() {
+            return self.route_to_other_domain(id, service_index);
+        }
         let pool = self.services[service_index].pool(side);
+        if let Origin::Vm { vm, .. } = origin
+            && pool.members.is_empty()
+            && let Some(domain) = self.peers.domain_of(vm)
+            && *domain != self.config.domain
+        {
+            // The other domain is under evacuation and tries the next one.
+            return self.refuse(id, NotRun::NoTarget);
+        }
         if let Some(vm) = pool.delegate {
             return match origin {
                 Origin::Caller => self.forward(id, vm),
