--- a/crates/control/src/planner/homes.rs
+++ b/crates/control/src/planner/homes.rs
@@ -422,7 +422,13 @@
         for index in hot {
             let base = hashed_shard_of(self.service, *index);
             let planned = self.changes.get(&base).map(|change| &change.to);
-            let domain = planned.or_else(|| self.home(base).map(|home| &home.domain));
+            let domain = planned.or_else(|| {
+                let home = self.home(base)?;
+                // Of a large service, a hashed shard may be asked to move one command earlier.
+                let next = home.next.as_ref();
+                let next = next.filter(|_| self.state.is_evacuated(&home.domain));
+                Some(next.unwrap_or(&home.domain))
+            });
             let old = self.home(*index).map(|home| &home.domain);
             let fallback = candidates.first().map(|candidate| &candidate.domain);
             let to =
--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -760,3 +760,35 @@
     world.run(STEP);
     assert_eq!(world.count("west"), 100);
 }
+
+/// Guards against a hot key whose shard goes to another domain than the shard to which the key
+/// hashes, because one command cannot move all shards of a large service.
+#[test]
+fn hot_keys_of_a_large_service_leave_an_evacuated_domain_together() {
+    let names: Vec<Box<str>> = (0..20).map(|i| format!("quay-{i}").into()).collect();
+    let mut world = World::new();
+    world.submit(|bundle| {
+        bundle.services[0].shards = 20_000;
+        bundle.services[0].hot_keys = names.clone();
+    });
+    world.slots = [("east", (6, 0)), ("north", (6, 0)), ("west", (6, 0))].into();
+    world.run(Duration::from_secs(2));
+    let before = world.count("east");
+    assert!(before > 6_000);
+    // Most shards go to west, the last candidate.
+    world.slots = [("east", (6, 0)), ("north", (1, 0)), ("west", (60, 0))].into();
+    world.run(STEP);
+    world.apply(&evacuate("east", EvacuationOrder::Start));
+    world.run(Duration::from_secs(2));
+    assert_eq!(requested(&world, "east").len(), before);
+    let service = world.service();
+    let home = |index| world.state.home("berths", index).unwrap();
+    for (key, index) in names.iter().zip(service.shards..) {
+        let base = home(service.hashed_shard(key));
+        assert_eq!(
+            (&home(index).domain, &home(index).next),
+            (&base.domain, &base.next),
+            "{key}"
+        );
+    }
+}
