Make admission by objectives a setting, and recognize returning callers

So it is a setting, off unless asked for.

Change: the setting admission (capacity or objective); a caller counts as returning if its timeout is 20 ms shorter than the usual one of the route.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -27,6 +27,7 @@
     ServiceName,
     TargetId, //
 };
+use serde::Deserialize;
 
 /// Fraction of the latency objective within which a response must be expected for a request to
 /// queue. The work of requests varies: with a log-normal spread (sigma 0.8) of work whose mean is a
@@ -88,6 +89,19 @@
 /// Weight of one shorter timeout in the usual timeout.
 const TIMEOUT_WEIGHT: u32 = 32;
 
+/// What decides on requests to a loaded target if the routing is contended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum AdmissionRule {
+    /// Every request that is expected to be answered within its objective has a place, until the
+    /// target has two and a half requests per slot.
+    #[default]
+    Capacity,
+    /// The queue of a target is kept as short as the objectives ask for, and urgent requests may
+    /// queue deeper. Under overload more responses are in time and fewer requests are served.
+    Objective,
+}
+
 /// Urgency of a route among the routes of its service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Urgency {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -56,6 +56,7 @@
 use crate::{
     admission::{
         AdmissionCounts,
+        AdmissionRule,
         AdmissionShares,
         UsualTimeouts, //
     },
@@ -112,6 +113,8 @@
     /// How long keyed requests may still be sent to the targets of a domain after this VM learnt of
     /// its evacuation.
     pub evacuation_grace: Duration,
+    /// What decides on requests to a loaded target if the routing is contended.
+    pub admission: AdmissionRule,
     /// Bounds on the requests to a cold target.
     pub warm_up: WarmUpBounds,
     /// Rate of the VM's link in bytes per second, if it is known.
@@ -583,6 +586,7 @@
     ///     retry_extra: 10.0,
     ///     drain_grace: Duration::from_secs(1),
     ///     evacuation_grace: Duration::from_secs(4),
+    ///     admission: camphordale_entry::AdmissionRule::default(),
     ///     warm_up: WarmUpBounds::default(),
     ///     link_rate: None,
     ///     seed: 7,
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -35,6 +35,7 @@
 use crate::{
     admission::{
         AdmissionClass,
+        AdmissionRule,
         Demand,
         Urgency, //
     },
@@ -61,6 +62,9 @@
 const HEDGE_FRACTION: f64 = 0.6;
 /// A caller timeout below this fraction of the route's timeout marks a retry by the caller.
 const RETRY_TIMEOUT_FRACTION: f64 = 0.9;
+/// Shortest time after which a caller comes back. A smaller difference from the usual timeout may be
+/// the time that a request took to arrive.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 /// Suggested retry delay while this VM has no routing.
 const NO_ROUTING_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Suggested retry delay if a service has no target or a key has no holder.
@@ -217,12 +221,13 @@
             budget.deposit();
         }
         let caller_timeout = incoming.caller_timeout.unwrap_or(route.timeout);
-        let is_retry = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
         let deadline = arrived_at + caller_timeout.min(route.timeout);
         let elapsed = match self.routes.is_contended() {
             true => self.time_since_first_try(&name, &route, caller_timeout),
             false => Duration::ZERO,
         };
+        let is_short = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
+        let is_retry = is_short || elapsed >= MIN_RETRY_TIME;
         let urgency = self.routes.urgency(&service, &route);
         let may_be_cut =
             |shutdown: Shutdown| arrived_at >= shutdown.notice_ends && deadline > shutdown.ends_at;
@@ -343,14 +348,19 @@
         }
     }
 
-    /// Inputs of admission control, if the routing is contended.
+    /// Whether admission control bounds the queues of targets.
+    pub(super) fn bounds_queues(&self) -> bool {
+        self.config.admission == AdmissionRule::Objective && self.routes.is_contended()
+    }
+
+    /// Inputs of admission control, if it bounds the queues of targets.
     fn admission_context<'a>(
         &'a self,
         request: &'a ActiveRequest,
         now: Duration,
     ) -> Option<AdmissionContext<'a>> {
         let shares = self.admissions.get(&request.service);
-        self.routes.is_contended().then(|| AdmissionContext {
+        self.bounds_queues().then(|| AdmissionContext {
             demand: request.demand(now),
             shares,
         })
@@ -552,7 +562,7 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        let is_contended = self.routes.is_contended();
+        let bounds_queues = self.bounds_queues();
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -561,7 +571,7 @@
             _ => PARK_DIVISOR,
         });
         let until = match (reason, request.queue_wait) {
-            (Reason::Full | Reason::HolderFull, wait) if is_contended => match wait {
+            (Reason::Full | Reason::HolderFull, wait) if bounds_queues => match wait {
                 Some(wait) => until.min(now + wait.max(MIN_QUEUE_WAIT)),
                 // Waiting here cannot help.
                 None if !request.cancelled => now,
@@ -583,7 +593,7 @@
             return self.park(id, until, now);
         }
         let retry_after = match reason {
-            Reason::Full | Reason::HolderFull if is_contended => retry_after,
+            Reason::Full | Reason::HolderFull if bounds_queues => retry_after,
             Reason::Full | Reason::HolderFull | Reason::LinkFull | Reason::Limited => {
                 retry_after.clamp(FULL_RETRY_AFTER.0, FULL_RETRY_AFTER.1)
             }
@@ -609,7 +619,7 @@
             Reason::Full | Reason::HolderFull | Reason::Shed | Reason::NoHolder
         );
         let in_flight = !request.in_flight.is_empty();
-        let retry_after = match is_load && self.routes.is_contended() {
+        let retry_after = match is_load && self.bounds_queues() {
             true => self.spread_retry(id, reason, retry_after, now),
             false => retry_after,
         };
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -296,7 +296,7 @@
         let service = request.service.clone();
         let target = match request.key {
             // A holder that was full rejects the next attempt too, unless it has a place by now.
-            Some(key) if reason == Reason::Shed && self.routes.is_contended() => {
+            Some(key) if reason == Reason::Shed && self.bounds_queues() => {
                 self.select_holder(id, key, now).ok()
             }
             // Only the holder of the key can execute the request, so a retry goes there again.
--- a/crates/entry/src/evidence.rs
+++ b/crates/entry/src/evidence.rs
@@ -87,6 +87,7 @@
 ///     retry_extra: 10.0,
 ///     drain_grace: Duration::from_secs(1),
 ///     evacuation_grace: Duration::from_secs(4),
+///     admission: camphordale_entry::AdmissionRule::default(),
 ///     warm_up: camphordale_fleet::WarmUpBounds::default(),
 ///     link_rate: None,
 ///     seed: 7,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,6 +38,7 @@
     Admission,
     AdmissionClass,
     AdmissionCounts,
+    AdmissionRule,
     AdmissionShares,
     Demand,
     LoadEstimate,
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -378,7 +378,7 @@
     }
 
     /// Factor by which neighbours of the target slow down the next request. A report loses its weight
-    /// within [`SLOWDOWN_FADE_TIME`].
+    /// within 400 ms.
     pub fn momentary_slowdown(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
         let weight = (1.0 - age / SLOWDOWN_FADE_TIME.as_secs_f64()).max(0.0);
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -189,6 +189,7 @@
             retry_extra: 500.0,
             drain_grace: ms(1000),
             evacuation_grace: ms(4000),
+            admission: camphordale_entry::AdmissionRule::Capacity,
             warm_up: camphordale_fleet::WarmUpBounds::default(),
             link_rate: None,
             seed: seed + number,
--- a/crates/entry/tests/departures.rs
+++ b/crates/entry/tests/departures.rs
@@ -178,6 +178,7 @@
                 retry_extra: 10.0,
                 drain_grace: Duration::from_secs(1),
                 evacuation_grace: Duration::from_secs(4),
+                admission: camphordale_entry::AdmissionRule::Capacity,
                 warm_up: camphordale_fleet::WarmUpBounds::default(),
                 link_rate: None,
                 seed: number as u64,
--- a/crates/entry/tests/entry/harness.rs
+++ b/crates/entry/tests/entry/harness.rs
@@ -222,6 +222,7 @@
             retry_extra: 50.0,
             drain_grace: ms(1000),
             evacuation_grace: ms(4000),
+            admission: camphordale_entry::AdmissionRule::Objective,
             warm_up: camphordale_fleet::WarmUpBounds::default(),
             link_rate: Some(200_000.0),
             seed,
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -440,6 +440,7 @@
             retry_extra: 50.0,
             drain_grace: ms(1000),
             evacuation_grace: ms(4000),
+            admission: camphordale_entry::AdmissionRule::Capacity,
             warm_up: BOUNDS,
             link_rate: None,
             seed: self.random.random(),
--- a/crates/entry/tests/registry_updates.rs
+++ b/crates/entry/tests/registry_updates.rs
@@ -125,6 +125,7 @@
         retry_extra: 60.0,
         drain_grace: Duration::from_millis(1000),
         evacuation_grace: Duration::from_secs(4),
+        admission: camphordale_entry::AdmissionRule::Capacity,
         warm_up: camphordale_fleet::WarmUpBounds::default(),
         link_rate: None,
         seed: 1,
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -161,6 +161,7 @@
             retry_ratio: role_settings.retry_ratio,
             retry_extra: role_settings.retry_extra,
             drain_grace: role_settings.drain_timeout / 2,
+            admission: settings.tuning.admission,
             evacuation_grace: role_settings
                 .evacuation_timeout
                 .saturating_sub(EVACUATION_MARGIN),
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use camphordale_entry::AdmissionRule;
 use camphordale_fleet::{
     Domain,
     WarmUpBounds, //
@@ -173,6 +174,8 @@
     pub apply_timeout: Duration,
     /// Maximum number of log lines of one kind per second.
     pub log_lines: u32,
+    /// What decides on requests to a loaded target if the routing is contended.
+    pub admission: AdmissionRule,
 }
 
 /// The YAML settings file for [`Tuning`]. A missing field has its default.
@@ -204,6 +207,8 @@
     pub apply_wait_ms: Duration,
     /// Maximum number of log lines of one kind per second.
     pub log_lines: u32,
+    /// What decides on requests to a loaded target if the routing is contended.
+    pub admission: AdmissionRule,
 }
 
 impl Default for TuningFile {
@@ -217,6 +222,7 @@
             member_silence_ms: Duration::from_millis(3500),
             apply_wait_ms: Duration::from_millis(500),
             log_lines: 100,
+            admission: AdmissionRule::default(),
         }
     }
 }
@@ -293,6 +299,7 @@
             member_timeout: raw.member_silence_ms,
             apply_timeout: raw.apply_wait_ms,
             log_lines: raw.log_lines,
+            admission: raw.admission,
         })
     }
 }
