State the work of the target in the test of the pace

Cause: since latencies are learned from the first responses, the immediate responses of the test made its target a fast one, which has no pace. The test now tells the latency that it assumed, 150 ms, as the leader does; its bounds are unchanged. Measured: the ten admission tests pass.

--- a/crates/entry/tests/entry/admission.rs
+++ b/crates/entry/tests/entry/admission.rs
@@ -236,6 +236,8 @@
             domain: 50,
         },
     });
+    // The responses below come at once, but the leader knows how long the work takes.
+    harness.receive(PeerMessage::TargetLatencies(vec![("keyed-0".into(), 150)]));
     // The holder reports three requests of other VMs, so there is a free slot.
     let mut sent = 0;
     for _ in 0..20 {
