--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -65,7 +65,8 @@
     NoReply,
 }
 
-/// An accepted change, leave or order of an operator that is acknowledged once the entry VMs have it.
+/// An accepted change, leave or order of an operator that is acknowledged once the entry VMs have
+/// it.
 pub(super) struct PendingAck {
     pub(super) token: CallToken,
     index: u64,
@@ -517,8 +518,8 @@
         self.acknowledge_changes(now, out);
     }
 
-    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream have, or whose wait has
-    /// timed out.
+    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream
+    /// have, or whose wait has timed out.
     pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.pending_acks.is_empty() {
             return;
