Add review case 10: a request that crashes its upstreams goes on

Cause: a heartbeat that is received 0.5 s or more after the report of a crash takes the crash back, although it was sent before; heartbeats may arrive seconds late. So a request that crashes each upstream that runs it is never quarantined.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases that are scripts.
 
+mod deadly;
 mod flapping;
 mod replaced;
 mod silent;
@@ -15,6 +16,7 @@
 /// Runs a case by its name. Without `trouble`, it does the same without the disruption.
 pub fn run(name: &str, record: Record, trouble: bool) -> Result<Verdict, String> {
     match name {
+        "deadly" => deadly::run(record, trouble),
         "replaced" => replaced::run(record, trouble),
         "silent" => silent::run(record, trouble),
         "slow-reader" => slow_reader::run(record, trouble),
--- a/review/standin-2/src/proxy.rs
+++ b/review/standin-2/src/proxy.rs
@@ -9,8 +9,34 @@
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     thread,
+    time::{Duration, Instant},
 };
 
+/// Passes calls to `at` on to `to`, each on a connection of its own, late by `delay`. What has been
+/// sent arrives although its sender has ended meanwhile.
+pub fn pass_late(at: SocketAddr, to: SocketAddr, delay: Duration) -> std::io::Result<()> {
+    let listener = TcpListener::bind(at)?;
+    thread::spawn(move || {
+        for mut from in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let opened = Instant::now();
+                let mut sent = Vec::new();
+                // The sender waits for a second, less than the delay, and closes.
+                let _ = from.set_read_timeout(Some(delay));
+                let _ = from.read_to_end(&mut sent);
+                thread::sleep(delay.saturating_sub(opened.elapsed()));
+                if let Ok(mut onward) = TcpStream::connect(to)
+                    && onward.write_all(&sent).is_ok()
+                {
+                    let _ = onward.set_read_timeout(Some(Duration::from_secs(1)));
+                    let _ = onward.read(&mut [0; 4096]);
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
 #[derive(Clone, Default)]
 pub struct Network {
     /// Number of times that the open connections have gone silent.
--- a/review/standin-2/src/upstream.rs
+++ b/review/standin-2/src/upstream.rs
@@ -1,7 +1,7 @@
 //! An upstream as a process of its own: it announces itself, takes grants, and runs requests.
 //!
 //! What it does with a request stands in its path, as segments of a letter and a number:
-//! `w` milliseconds of work, `b` bytes of the answer.
+//! `w` milliseconds of work, `b` bytes of the answer, `c` milliseconds until it crashes the upstream.
 
 use std::{
     collections::HashMap,
@@ -344,6 +344,11 @@
             request.first,
             work.as_millis()
         ));
+        if let Some(crash) = segment(path, 'c') {
+            thread::sleep(Duration::from_millis(crash));
+            say(&format!("crash {id}"));
+            std::process::exit(1);
+        }
         let until = Instant::now() + work;
         let mut left = false;
         let mut probe = [0; 1];
