Report members that lag, and messages that have no address

The message to an unknown member was dropped without a trace, and the leader showed the member as a learner like any other. The loss of tolerance showed at the next lost disk, when nobody led any more.

Change: the leader reports a member that has not reached, within catch_up_s, the index that was committed at the beginning, and again once it has ("member lags behind the log", gauge lagging-members). A dropped message is counted (member-unaddressed) and logged once until the address is known ("no address of a member"). The cluster of the tests starts VMs from their seeds and their stored list, as the process does; it told each of them all members before, which is why no test found the fault.

--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -158,6 +158,7 @@
         target_timeout: ms(20_000),
         warm_up: BOUNDS,
         member_timeout: ms(3500),
+        catch_up: Duration::from_secs(4),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
         domains: Vec::new(),
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod heartbeats;
 mod loads;
+mod member_lag;
 mod members;
 mod rebalance;
 mod statements;
@@ -50,6 +51,7 @@
     crashes::CrashNews,
     heartbeats::DelayedAnswer,
     loads::LoadNews,
+    member_lag::MemberLag,
     members::MemberTable,
     rebalance::LoadStats,
     statements::StatementNews,
@@ -107,6 +109,7 @@
     crash_news: CrashNews,
     statement_news: StatementNews,
     load_news: LoadNews,
+    member_lag: MemberLag,
     /// Newest proposed record of each target, until it is committed. What a target calls for next is
     /// judged by it.
     proposed_targets: BTreeMap<TargetId, Target>,
@@ -281,6 +284,12 @@
         }
     }
 
+    /// Number of members that lag behind the log ([`LogEvent::Lagging`]); 0 unless this VM leads.
+    pub fn lagging_members(&self) -> usize {
+        let leader = self.leader_state.as_ref();
+        leader.map_or(0, |leader| leader.member_lag.count())
+    }
+
     /// Whether this VM is the leader and has applied the state of its term.
     pub fn is_leader(&self) -> bool {
         self.leader_state.is_some()
@@ -305,6 +314,7 @@
         }
         if self.leader_state.is_some() {
             self.maintain_members(now, out);
+            self.report_lagging_members(now, out);
             self.forget_silent_targets(now, out);
             self.maintain_key_leases(now, out);
             self.send_delayed_answers(now, out);
@@ -544,6 +554,7 @@
             crash_news: CrashNews::default(),
             statement_news: StatementNews::default(),
             load_news: LoadNews::default(),
+            member_lag: MemberLag::default(),
         });
         self.member_table.become_leader(now);
         self.report_role(term, Some(self.config.member.id), out);
@@ -581,12 +592,14 @@
         self.member_table.find(leader)
     }
 
-    fn send_raft(&self, to: MemberId, message: raft::Message, out: &mut Vec<Effect>) {
-        let Some(member) = self.member_table.find(to) else {
-            return;
+    fn send_raft(&mut self, to: MemberId, message: raft::Message, out: &mut Vec<Effect>) {
+        let Some(to_address) = self.member_table.address(to) else {
+            let repeated = !self.member_table.unaddressed.insert(to);
+            let member = to;
+            return out.push(Effect::Log(LogEvent::Unaddressed { member, repeated }));
         };
         out.push(Effect::Send {
-            to: member.peer,
+            to: to_address,
             message: PeerMessage::Raft {
                 from: self.config.member.id,
                 to,
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -66,6 +66,8 @@
     pub warm_up: WarmUpBounds,
     /// Silence after which a voter is replaced by a member that is up to date.
     pub member_timeout: Duration,
+    /// Time in which a member that was away catches up with the log.
+    pub catch_up: Duration,
     /// Maximum time for which an accepted change waits for confirmation by the entry VMs.
     pub apply_timeout: Duration,
     /// Failure domains of the deployment, as far as the settings name them. Operators may order
@@ -254,6 +256,25 @@
         /// Learners: members that receive the log but do not vote.
         learners: Vec<MemberId>,
     },
+    /// A member lags behind the log for longer than it takes to catch up, or no longer does. The
+    /// leader reports it once each way.
+    Lagging {
+        /// The member.
+        member: MemberId,
+        /// Whether it lags behind.
+        lagging: bool,
+        /// Committed entries that it is not known to have.
+        missing: u64,
+        /// Time since its last message.
+        silence: Duration,
+    },
+    /// A message to a member was dropped, because its address is not known.
+    Unaddressed {
+        /// The member.
+        member: MemberId,
+        /// Whether an earlier message to it was dropped since its address was last known.
+        repeated: bool,
+    },
     /// Number of entry VMs with a stream, after one was opened or closed.
     Entries(usize),
     /// A snapshot or command could not be encoded or decoded.
--- a/crates/fleet/src/control/members.rs
+++ b/crates/fleet/src/control/members.rs
@@ -1,8 +1,12 @@
 //! Membership of the control group: known control VMs, joining and replacement.
 
 use std::{
-    collections::BTreeMap,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration,
 };
 
 use camphordale_raft::{
@@ -14,6 +18,7 @@
 use super::{
     Control,
     Effect,
+    LogEvent,
     calls::Pending, //
 };
 use crate::{
@@ -45,6 +50,8 @@
     /// Whether the stored list differs.
     unsaved: bool,
     last_heard: BTreeMap<MemberId, Duration>,
+    /// Members to which messages were dropped, because their addresses are not known.
+    pub(super) unaddressed: BTreeSet<MemberId>,
     join_requests: BTreeMap<MemberId, (Member, Duration)>,
     next_join: Duration,
     next_maintenance: Duration,
@@ -59,6 +66,7 @@
             known,
             unsaved: false,
             last_heard: BTreeMap::new(),
+            unaddressed: BTreeSet::new(),
             join_requests: BTreeMap::new(),
             next_join: Duration::ZERO,
             next_maintenance: Duration::ZERO,
@@ -70,6 +78,13 @@
         self.known.get(&id)
     }
 
+    /// Peer address of a member to which a message is sent.
+    pub(super) fn address(&mut self, id: MemberId) -> Option<SocketAddr> {
+        let address = self.known.get(&id)?.peer;
+        self.unaddressed.remove(&id);
+        Some(address)
+    }
+
     pub(super) fn to_vec(&self) -> Vec<Member> {
         self.known.values().cloned().collect()
     }
@@ -164,7 +179,7 @@
         if self.is_member() && self.raft.leader().is_some() {
             return;
         }
-        let addresses: std::collections::BTreeSet<_> = self
+        let addresses: BTreeSet<_> = self
             .member_table
             .known
             .values()
@@ -209,6 +224,32 @@
         }
     }
 
+    /// Reports members that do not catch up with the log: until they do, the group bears fewer losses
+    /// than it has members for.
+    pub(super) fn report_lagging_members(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let Some(leader) = &mut self.leader_state else {
+            return;
+        };
+        let members = self.raft.members();
+        let committed = self.raft.commit_index();
+        let is_member = |id| members.voters.contains(&id) || members.learners.contains(&id);
+        leader.member_lag.retain(is_member);
+        for id in members.voters.union(&members.learners) {
+            let matched = self.raft.match_index(*id).unwrap_or(0);
+            let progress = (matched, committed);
+            let limit = self.config.catch_up;
+            let changed = leader.member_lag.observe(*id, progress, limit, now);
+            out.extend(changed.map(|lagging| {
+                Effect::Log(LogEvent::Lagging {
+                    member: *id,
+                    lagging,
+                    missing: committed.saturating_sub(matched),
+                    silence: self.member_table.silence(*id, now),
+                })
+            }));
+        }
+    }
+
     /// The next membership change. The Raft group rejects it while another one is in progress.
     fn next_change(&self, now: Duration) -> Option<MembershipChange> {
         let members = self.raft.members();
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -77,6 +77,7 @@
         target_timeout: ms(20_000),
         warm_up: camphordale_fleet::WarmUpBounds::default(),
         member_timeout: ms(3500),
+        catch_up: Duration::from_secs(4),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
         domains: vec!["a".into(), "b".into()],
@@ -130,6 +131,8 @@
 pub(crate) struct TestVm {
     pub(crate) member: Member,
     pub(crate) disk: RecoveredState,
+    /// The control VMs that this one stored.
+    pub(crate) stored: Vec<Member>,
     pub(crate) control: Option<Control>,
     /// Whether the disk refuses every write.
     pub(crate) disk_full: bool,
@@ -143,6 +146,7 @@
         TestVm {
             member,
             disk: RecoveredState::default(),
+            stored: Vec::new(),
             control: None,
             disk_full: false,
             reopen_at: None,
@@ -154,6 +158,10 @@
     pub(crate) random: StdRng,
     pub(crate) now: Duration,
     pub(crate) vms: BTreeMap<SocketAddr, TestVm>,
+    /// Control VMs that the settings of VMs that start name, with ids that follow from the addresses.
+    pub(crate) seeds: Vec<Member>,
+    /// Changes of state that VMs reported.
+    pub(crate) events: Vec<(SocketAddr, LogEvent)>,
     /// Pairs of addresses between which messages are blocked.
     pub(crate) blocked: BTreeSet<(SocketAddr, SocketAddr)>,
     pub(crate) loss: f64,
@@ -181,6 +189,8 @@
             random: StdRng::seed_from_u64(seed),
             now: ms(0),
             vms: BTreeMap::new(),
+            seeds: members.clone(),
+            events: Vec::new(),
             blocked: BTreeSet::new(),
             loss: 0.0,
             log_limit: 16 << 20,
@@ -198,6 +208,7 @@
             let vm = TestVm {
                 member: member.clone(),
                 disk,
+                stored: Vec::new(),
                 control: None,
                 disk_full: false,
                 reopen_at: None,
@@ -210,13 +221,14 @@
 
     pub(crate) fn start(&mut self, at: SocketAddr) {
         let seed = self.random.random();
-        let known_members: Vec<Member> = self.vms.values().map(|vm| vm.member.clone()).collect();
+        let mut known_members = self.seeds.clone();
         let vm = self.vms.get_mut(&at).unwrap();
         let config = Config {
             log_limit: self.log_limit,
             ..config(vm.member.clone(), seed)
         };
         vm.reopen_at = None;
+        known_members.extend(vm.stored.clone());
         vm.control = Some(Control::new(config, vm.disk.clone(), known_members).unwrap());
     }
 
@@ -234,6 +246,7 @@
         vm.disk_full = false;
         vm.member.id = id;
         vm.disk = RecoveredState::default();
+        vm.stored.clear();
         self.start(at);
     }
 
@@ -282,6 +295,13 @@
                 Effect::Log(LogEvent::Moving { range, next, .. }) => {
                     self.moving.push((range, next.id));
                 }
+                Effect::Log(event @ (LogEvent::Lagging { .. } | LogEvent::Unaddressed { .. })) => {
+                    self.events.push((at, event));
+                }
+                Effect::StoreMembers(members) => {
+                    let vm = self.vms.get_mut(&at).unwrap();
+                    vm.stored = members;
+                }
                 Effect::Stream { message, .. } | Effect::Broadcast { message, .. }
                     if self.entry.0 == Some(at) =>
                 {
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -9,6 +9,7 @@
 mod full_disks;
 mod heartbeats;
 mod loads;
+mod membership;
 mod randomized;
 mod scenarios;
 mod tokens;
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -116,6 +116,7 @@
         target_timeout: ms(20_000),
         warm_up: camphordale_fleet::WarmUpBounds::default(),
         member_timeout: ms(3500),
+        catch_up: Duration::from_secs(4),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
         domains: Vec::new(),
--- a/crates/fleet/tests/uneven_targets.rs
+++ b/crates/fleet/tests/uneven_targets.rs
@@ -229,6 +229,7 @@
         heartbeat_interval: ms(80),
         target_timeout: ms(20_000),
         member_timeout: ms(3500),
+        catch_up: Duration::from_secs(4),
         apply_timeout: ms(500),
         log_limit: 16 << 20,
         view_limit: 64 << 20,
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -206,6 +206,7 @@
         target_timeout: tuning.target_timeout,
         warm_up: settings.warm_up,
         member_timeout: tuning.member_timeout,
+        catch_up: role_settings.catch_up,
         apply_timeout: tuning.apply_timeout,
         domains: role_settings.domains.clone(),
         log_limit: settings
@@ -367,6 +368,8 @@
         }
         let evacuated = evacuations.evacuated().count() as u64;
         context.metrics.set_gauge("evacuated-domains", evacuated);
+        let lagging = self.control.lagging_members() as u64;
+        context.metrics.set_gauge("lagging-members", lagging);
     }
 
     /// The accepted changes that this member knows, as JSON, oldest first.
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -40,6 +40,8 @@
         LogEvent::Withheld { .. } => "withheld",
         LogEvent::Order { .. } => "order",
         LogEvent::Members { .. } => "members",
+        LogEvent::Lagging { .. } => "member-lagging",
+        LogEvent::Unaddressed { .. } => "member-unaddressed",
         LogEvent::Entries(_) => "entries",
         LogEvent::Codec(_) => "codec",
     };
@@ -98,6 +100,18 @@
             "target" => &*holder.id, "answer" => format!("{answer:?}")),
         LogEvent::Members { voters, learners } => info!(logger, "members";
             "voters" => format!("{voters:?}"), "learners" => format!("{learners:?}")),
+        LogEvent::Lagging {
+            member,
+            lagging,
+            missing,
+            silence,
+        } => info!(logger, "member lags behind the log"; "member" => member,
+            "lagging" => lagging, "missing" => missing, "silent_ms" => silence.as_millis() as u64),
+        LogEvent::Unaddressed {
+            member,
+            repeated: false,
+        } => warn!(logger, "no address of a member"; "member" => member),
+        LogEvent::Unaddressed { .. } => {}
         LogEvent::Entries(count) => info!(logger, "entry VMs"; "count" => count),
         LogEvent::Codec(what) => warn!(logger, "encoding or decoding failed"; "what" => what),
     }
--- a/crates/reactor/src/settings.rs
+++ b/crates/reactor/src/settings.rs
@@ -105,6 +105,8 @@
     pub bootstrap: bool,
     /// Number of control VMs that may be lost at a time.
     pub tolerated_failures: usize,
+    /// Time in which a control VM that was away catches up with the others.
+    pub catch_up: Duration,
     /// Longest key lease that targets accept.
     pub max_lease: Duration,
     /// Time between two announcements of a target.
@@ -128,6 +130,7 @@
     ///     data_dir: "/data".into(),
     ///     bootstrap: false,
     ///     tolerated_failures: 1,
+    ///     catch_up: Duration::from_secs(4),
     ///     max_lease: Duration::from_secs(10),
     ///     announcement_interval: Duration::from_millis(900),
     ///     domains: Vec::new(),
