Keep newer knowledge of the control VMs while an older state is caught up

Change: lists of control VMs carry the index of the last command that they reflect, in messages and on disk; a VM never goes back to an older one. Seeds stay known. The leader sends its list to members that do not answer, candidates name themselves to voters, and a member without the address of its leader asks for the list.

--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -29,6 +29,7 @@
     Fingerprint,
     LeaseReport,
     LeaseTimes,
+    MemberList,
     PeerMessage,
     TargetId, //
 };
@@ -218,7 +219,12 @@
             view_limit: 64 << 20,
             seed: self.random.random(),
         };
-        let control = Control::new(config, self.disk.clone(), vec![control_member()]);
+        let control = Control::new(
+            config,
+            self.disk.clone(),
+            vec![control_member()],
+            MemberList::default(),
+        );
         self.control = Some(control.unwrap());
     }
 
--- a/crates/entry/tests/limits/world.rs
+++ b/crates/entry/tests/limits/world.rs
@@ -31,6 +31,7 @@
     LeaseReport,
     LeaseTimes,
     Member,
+    MemberList,
     PeerMessage,
     RequestRate,
     RetryPolicy,
@@ -165,7 +166,7 @@
         view_limit: 64 << 20,
         seed: 1,
     };
-    Control::new(config, disk, vec![member()]).unwrap()
+    Control::new(config, disk, vec![member()], MemberList::default()).unwrap()
 }
 
 fn routing(cold: Option<WarmUp>) -> Change {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -69,6 +69,7 @@
         LeaseTable,
         OrderId, //
     },
+    member_list::MemberList,
     message::{
         Member,
         PeerMessage, //
@@ -185,8 +186,8 @@
         })
     }
 
-    /// Starts a member from its durable state. `known_members` lists the control VMs that were
-    /// stored by an earlier process or are named in the settings.
+    /// Starts a member from its durable state. `seeds` are the control VMs in the settings, `stored`
+    /// those that an earlier process knew ([`Effect::StoreMembers`]).
     ///
     /// # Errors
     ///
@@ -194,7 +195,8 @@
     pub fn new(
         config: Config,
         recovered: RecoveredState,
-        known_members: Vec<Member>,
+        seeds: Vec<Member>,
+        stored: MemberList,
     ) -> Result<Control, postcard::Error> {
         let state = match &recovered.snapshot {
             Some(snapshot) => postcard::from_bytes(&snapshot.data)?,
@@ -213,7 +215,7 @@
             },
             recovered,
         );
-        let member_table = MemberTable::new(known_members, &state.view);
+        let member_table = MemberTable::new(seeds, stored, &state.view);
         let recent_updates = RecentUpdates::new(applied, &state.view);
         Ok(Control {
             config,
@@ -241,6 +243,7 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.on_tick(now, &mut out),
+            Event::Seeds(seeds) => self.member_table.set_seeds(seeds),
             Event::Peer(message) => self.on_peer_message(message, now, &mut out),
             Event::Stream { conn, message } => self.on_stream_message(conn, message, now, &mut out),
             Event::StreamClosed(conn) => self.on_stream_closed(conn, &mut out),
@@ -598,6 +601,14 @@
             let member = to;
             return out.push(Effect::Log(LogEvent::Unaddressed { member, repeated }));
         };
+        if matches!(message, raft::Message::RequestVote { .. }) {
+            // A voter that was away may not know a candidate that joined meanwhile.
+            let own = vec![self.config.member.clone()];
+            out.push(Effect::Send {
+                to: to_address,
+                message: PeerMessage::MemberList(MemberList::partial(own)),
+            });
+        }
         out.push(Effect::Send {
             to: to_address,
             message: PeerMessage::Raft {
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -21,6 +21,7 @@
         OrderId, //
     },
     keys::KeyRange,
+    member_list::MemberList,
     message::{
         Member,
         PeerMessage, //
@@ -142,6 +143,8 @@
 pub enum Event {
     /// The timer fired.
     Tick,
+    /// The control VMs in the settings changed.
+    Seeds(Vec<Member>),
     /// A message from another control VM, or from one that wants to join.
     Peer(PeerMessage),
     /// A message on the stream of an entry VM.
@@ -336,7 +339,7 @@
         send_before: Duration,
     },
     /// Store the list of known control VMs.
-    StoreMembers(Vec<Member>),
+    StoreMembers(MemberList),
     /// Log and count a change of state.
     Log(LogEvent),
 }
--- a/crates/fleet/src/control/members.rs
+++ b/crates/fleet/src/control/members.rs
@@ -22,6 +22,7 @@
     calls::Pending, //
 };
 use crate::{
+    member_list::MemberList,
     message::{
         Member,
         PeerMessage, //
@@ -32,7 +33,7 @@
     },
 };
 
-/// Interval between requests to join.
+/// Interval between requests to join, and between lists for members that do not answer.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between the leader's membership checks.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
@@ -47,6 +48,11 @@
 /// Control VMs known to this one.
 pub(super) struct MemberTable {
     known: BTreeMap<MemberId, Member>,
+    /// Index of the last command that `known` reflects. The state of this VM may be older: the leader
+    /// names the members to one that is about to get a snapshot and the log after it.
+    index: u64,
+    /// Control VMs in the settings.
+    seeds: Vec<Member>,
     /// Whether the stored list differs.
     unsaved: bool,
     last_heard: BTreeMap<MemberId, Duration>,
@@ -54,24 +60,38 @@
     pub(super) unaddressed: BTreeSet<MemberId>,
     join_requests: BTreeMap<MemberId, (Member, Duration)>,
     next_join: Duration,
+    next_list: Duration,
     next_maintenance: Duration,
     elected_at: Duration,
 }
 
 impl MemberTable {
-    pub(super) fn new(known_members: Vec<Member>, view: &View) -> MemberTable {
-        let mut known: BTreeMap<_, _> = known_members.into_iter().map(|m| (m.id, m)).collect();
-        known.extend(view.members.clone());
-        MemberTable {
-            known,
+    pub(super) fn new(seeds: Vec<Member>, stored: MemberList, view: &View) -> MemberTable {
+        let mut table = MemberTable {
+            known: BTreeMap::new(),
+            index: 0,
+            seeds: Vec::new(),
             unsaved: false,
             last_heard: BTreeMap::new(),
             unaddressed: BTreeSet::new(),
             join_requests: BTreeMap::new(),
             next_join: Duration::ZERO,
+            next_list: Duration::ZERO,
             next_maintenance: Duration::ZERO,
             elected_at: Duration::ZERO,
-        }
+        };
+        table.sync(view);
+        table.learn(stored);
+        table.set_seeds(seeds);
+        table.unsaved = false;
+        table
+    }
+
+    /// Sets the control VMs in the settings. They stay known whatever lists arrive, as a VM that
+    /// knows only others that are gone has nothing else to go by.
+    pub(super) fn set_seeds(&mut self, seeds: Vec<Member>) {
+        self.learn(MemberList::partial(seeds.clone()));
+        self.seeds = seeds;
     }
 
     pub(super) fn find(&self, id: MemberId) -> Option<&Member> {
@@ -85,23 +105,50 @@
         Some(address)
     }
 
-    pub(super) fn to_vec(&self) -> Vec<Member> {
-        self.known.values().cloned().collect()
+    pub(super) fn to_list(&self) -> MemberList {
+        MemberList {
+            members: self.known.values().cloned().collect(),
+            index: self.index,
+        }
+    }
+
+    /// Adopts a newer list. A partial one adds members.
+    pub(super) fn learn(&mut self, list: MemberList) {
+        let MemberList { members, index } = list;
+        let members = members.into_iter().map(|member| (member.id, member));
+        if index > self.index {
+            self.replace(index, members.collect());
+        } else if index == 0 {
+            let before = self.known.len();
+            for (id, member) in members {
+                self.known.entry(id).or_insert(member);
+            }
+            self.unsaved |= self.known.len() != before;
+        }
     }
 
-    /// Replaces the known members by those of the view.
+    /// Adopts the members of the view, which may be older than what this VM was told.
     pub(super) fn sync(&mut self, view: &View) {
-        if self.known != view.members {
-            self.known.clone_from(&view.members);
-            self.unsaved = true;
+        if view.index > self.index {
+            self.replace(view.index, view.members.clone());
+        } else if self.index == 0 {
+            self.learn(MemberList::partial(
+                view.members.values().cloned().collect(),
+            ));
         }
     }
 
+    fn replace(&mut self, index: u64, members: BTreeMap<MemberId, Member>) {
+        self.index = index;
+        self.unsaved = true;
+        self.known = members;
+    }
+
     /// The members to store, if they changed since the last call. Members that join together cost
     /// one write, during which a leader sends no heartbeats.
-    pub(super) fn take_unsaved(&mut self) -> Option<Vec<Member>> {
+    pub(super) fn take_unsaved(&mut self) -> Option<MemberList> {
         let unsaved = std::mem::take(&mut self.unsaved);
-        unsaved.then(|| self.to_vec())
+        unsaved.then(|| self.to_list())
     }
 
     pub(super) fn become_leader(&mut self, now: Duration) {
@@ -130,13 +177,7 @@
                 self.member_table.last_heard.insert(from, now);
                 self.step_raft(raft::Event::Receive { from, message }, now, out);
             }
-            PeerMessage::MemberList(members) => {
-                let before = self.member_table.known.len();
-                for member in members {
-                    self.member_table.known.entry(member.id).or_insert(member);
-                }
-                self.member_table.unsaved |= self.member_table.known.len() != before;
-            }
+            PeerMessage::MemberList(list) => self.member_table.learn(list),
             PeerMessage::Join(member) => self.join(member, now, out),
             _ => {}
         }
@@ -150,7 +191,7 @@
             // The new member may not know the addresses of the others.
             out.push(Effect::Send {
                 to: member.peer,
-                message: PeerMessage::MemberList(self.member_table.to_vec()),
+                message: PeerMessage::MemberList(self.member_table.to_list()),
             });
             self.member_table
                 .join_requests
@@ -169,20 +210,22 @@
         members.voters.contains(&id) || members.learners.contains(&id)
     }
 
-    /// Requests to join while this VM is not a member, or is one without a leader: it may have been
-    /// removed without being notified.
+    /// Requests to join while this VM is not a member, or is one without a leader, or does not know the
+    /// address of its leader: it may have been removed, or others may have joined, without its being
+    /// notified.
     pub(super) fn request_membership(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if now < self.member_table.next_join {
             return;
         }
         self.member_table.next_join = now + JOIN_INTERVAL;
-        if self.is_member() && self.raft.leader().is_some() {
+        if self.is_member() && self.leader_member().is_some() {
             return;
         }
-        let addresses: BTreeSet<_> = self
-            .member_table
+        let table = &self.member_table;
+        let addresses: BTreeSet<_> = table
             .known
             .values()
+            .chain(&table.seeds)
             .map(|member| member.peer)
             .filter(|peer| *peer != self.config.member.peer)
             .collect();
@@ -194,12 +237,34 @@
         }
     }
 
+    /// Sends the members that do not answer the list of control VMs, as they may not know where to
+    /// reply. A VM at the same address that lost its disk learns where to request to join.
+    fn inform_silent_members(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if now < self.member_table.next_list {
+            return;
+        }
+        self.member_table.next_list = now + JOIN_INTERVAL;
+        let members = self.raft.members();
+        let table = &self.member_table;
+        let silent = members.voters.union(&members.learners).filter(|id| {
+            let is_silent = table.silence(**id, now) > MAX_REACHABLE_SILENCE;
+            is_silent && **id != self.config.member.id
+        });
+        for member in silent.filter_map(|id| table.find(*id)) {
+            out.push(Effect::Send {
+                to: member.peer,
+                message: PeerMessage::MemberList(table.to_list()),
+            });
+        }
+    }
+
     /// Adds control VMs that request to join, and replaces lost voters.
     pub(super) fn maintain_members(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if now < self.member_table.next_maintenance {
             return;
         }
         self.member_table.next_maintenance = now + MAINTENANCE_INTERVAL;
+        self.inform_silent_members(now, out);
         let recent = |at: Duration| now.saturating_sub(at) < JOIN_REQUEST_LIFETIME;
         self.member_table
             .join_requests
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `keys` | key ranges and their holders |
 //! | `state` | the replicated state machine |
 //! | `message` | messages between VMs |
+//! | `member_list` | control VMs as one of them knows them |
 //! | `control` | the reducer of a control VM |
 //! | `evacuation` | failure domains to whose targets nothing is sent |
 //! | `crash_evidence` | requests that crash the targets that execute them |
@@ -31,6 +32,7 @@
 pub mod key_leases;
 mod keys;
 pub mod load_summary;
+mod member_list;
 mod message;
 mod registry;
 mod request_limits;
@@ -81,6 +83,7 @@
     KeyMap,
     KeyRange, //
 };
+pub use member_list::MemberList;
 pub use message::{
     EntryCounts,
     KeyLoad,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -22,6 +22,7 @@
         TargetLoad,
         TargetTag, //
     },
+    member_list::MemberList,
     registry::{
         Holder,
         TargetId, //
@@ -99,8 +100,10 @@
         /// The message.
         message: Message,
     },
-    /// Control VMs known to the sender.
-    MemberList(Vec<Member>),
+    /// Control VMs known to the sender. The leader sends it to VMs that request to join and to members
+    /// that do not answer, and a candidate names itself to the voters: the recipient may not know
+    /// where to reply.
+    MemberList(MemberList),
     /// Request of a control VM to join the group; forwarded to the leader.
     Join(Member),
     /// Request of an entry VM for the leader's view and its updates.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -27,6 +27,7 @@
     Limits,
     LogEvent,
     Member,
+    MemberList,
     PeerMessage,
     Reply,
     Routing,
@@ -132,7 +133,7 @@
     pub(crate) member: Member,
     pub(crate) disk: RecoveredState,
     /// The control VMs that this one stored.
-    pub(crate) stored: Vec<Member>,
+    pub(crate) stored: MemberList,
     pub(crate) control: Option<Control>,
     /// Whether the disk refuses every write.
     pub(crate) disk_full: bool,
@@ -146,7 +147,7 @@
         TestVm {
             member,
             disk: RecoveredState::default(),
-            stored: Vec::new(),
+            stored: MemberList::default(),
             control: None,
             disk_full: false,
             reopen_at: None,
@@ -208,7 +209,7 @@
             let vm = TestVm {
                 member: member.clone(),
                 disk,
-                stored: Vec::new(),
+                stored: MemberList::default(),
                 control: None,
                 disk_full: false,
                 reopen_at: None,
@@ -221,15 +222,14 @@
 
     pub(crate) fn start(&mut self, at: SocketAddr) {
         let seed = self.random.random();
-        let mut known_members = self.seeds.clone();
         let vm = self.vms.get_mut(&at).unwrap();
         let config = Config {
             log_limit: self.log_limit,
             ..config(vm.member.clone(), seed)
         };
         vm.reopen_at = None;
-        known_members.extend(vm.stored.clone());
-        vm.control = Some(Control::new(config, vm.disk.clone(), known_members).unwrap());
+        let (disk, stored) = (vm.disk.clone(), vm.stored.clone());
+        vm.control = Some(Control::new(config, disk, self.seeds.clone(), stored).unwrap());
     }
 
     pub(crate) fn stop(&mut self, at: SocketAddr) {
@@ -246,7 +246,7 @@
         vm.disk_full = false;
         vm.member.id = id;
         vm.disk = RecoveredState::default();
-        vm.stored.clear();
+        vm.stored = MemberList::default();
         self.start(at);
     }
 
--- a/crates/fleet/tests/control/crashes.rs
+++ b/crates/fleet/tests/control/crashes.rs
@@ -10,6 +10,7 @@
     Event,
     Fingerprint,
     Holder,
+    MemberList,
     PeerMessage, //
 };
 
@@ -59,7 +60,12 @@
     fn new() -> Leader {
         let only = member(1, 1);
         let recovered = Control::bootstrap_state(vec![only.clone()]).unwrap();
-        let control = Control::new(config(only.clone(), 1), recovered, vec![only]);
+        let control = Control::new(
+            config(only.clone(), 1),
+            recovered,
+            vec![only],
+            MemberList::default(),
+        );
         let mut leader = Leader {
             control: control.unwrap(),
             now: ms(0),
--- a/crates/fleet/tests/control/loads.rs
+++ b/crates/fleet/tests/control/loads.rs
@@ -10,6 +10,7 @@
     Effect,
     Event,
     KeyDelivery,
+    MemberList,
     PeerMessage,
     RequestRate,
     Service,
@@ -70,7 +71,12 @@
     fn new(change: Change) -> Leader {
         let only = member(1, 1);
         let recovered = Control::bootstrap_state(vec![only.clone()]).unwrap();
-        let control = Control::new(config(only.clone(), 1), recovered, vec![only]);
+        let control = Control::new(
+            config(only.clone(), 1),
+            recovered,
+            vec![only],
+            MemberList::default(),
+        );
         let mut leader = Leader {
             control: control.unwrap(),
             now: ms(0),
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -12,6 +12,7 @@
     KeyDelivery,
     KeyLoad,
     KeyRange,
+    MemberList,
     PeerMessage,
     Reply,
     Service,
@@ -523,19 +524,20 @@
 fn members_that_become_known_together_are_stored_once() {
     let own = member(1, 1);
     let disk = Control::bootstrap_state(vec![own.clone()]).unwrap();
-    let mut control = Control::new(config(own, 1), disk, Vec::new()).unwrap();
+    let mut control =
+        Control::new(config(own, 1), disk, Vec::new(), MemberList::default()).unwrap();
     control.step(Event::Tick, ms(0));
     let mut stored = Vec::new();
     for number in 2..12 {
-        let book = vec![member(number, u64::from(number))];
-        let effects = control.step(Event::Peer(PeerMessage::MemberList(book)), ms(10));
+        let list = MemberList::partial(vec![member(number, u64::from(number))]);
+        let effects = control.step(Event::Peer(PeerMessage::MemberList(list)), ms(10));
         stored.extend(effects);
     }
     stored.extend(control.step(Event::Tick, ms(20)));
     stored.extend(control.step(Event::Tick, ms(40)));
     stored.retain(|effect| matches!(effect, Effect::StoreMembers(_)));
     match stored.as_slice() {
-        [Effect::StoreMembers(members)] => assert_eq!(members.len(), 11),
+        [Effect::StoreMembers(list)] => assert_eq!(list.members.len(), 11),
         other => panic!("{other:?}"),
     }
 }
@@ -546,7 +548,8 @@
 fn entry_vms_that_subscribe_together_share_one_view() {
     let own = member(1, 1);
     let disk = Control::bootstrap_state(vec![own.clone()]).unwrap();
-    let mut control = Control::new(config(own, 1), disk, Vec::new()).unwrap();
+    let mut control =
+        Control::new(config(own, 1), disk, Vec::new(), MemberList::default()).unwrap();
     control.step(Event::Tick, ms(0));
     let mut effects = Vec::new();
     for conn in 1..=100 {
--- a/crates/fleet/tests/control/tokens.rs
+++ b/crates/fleet/tests/control/tokens.rs
@@ -9,6 +9,7 @@
     Effect,
     Event,
     FencingToken,
+    MemberList,
     Order, //
 };
 
@@ -37,7 +38,13 @@
     fn new() -> SoleVm {
         let own = member(1, 1);
         let disk = Control::bootstrap_state(vec![own.clone()]).unwrap();
-        let control = Control::new(config(own.clone(), 1), disk, vec![own]).unwrap();
+        let control = Control::new(
+            config(own.clone(), 1),
+            disk,
+            vec![own],
+            MemberList::default(),
+        )
+        .unwrap();
         SoleVm {
             control,
             now: ms(0),
--- a/crates/fleet/tests/large_fleet/fleet.rs
+++ b/crates/fleet/tests/large_fleet/fleet.rs
@@ -28,6 +28,7 @@
     LeaseReport,
     LeaseTimes,
     Member,
+    MemberList,
     Order,
     OrderId,
     PeerMessage,
@@ -159,7 +160,7 @@
     }
 
     fn start(disk: RecoveredState, targets: usize, entries: usize, now: Duration) -> Fleet {
-        let control = Control::new(config(), disk, vec![member()]).unwrap();
+        let control = Control::new(config(), disk, vec![member()], MemberList::default()).unwrap();
         let mut fleet = Fleet {
             now,
             view: View::default(),
--- a/crates/fleet/tests/large_fleet/retention.rs
+++ b/crates/fleet/tests/large_fleet/retention.rs
@@ -11,6 +11,7 @@
     Effect,
     Event,
     KeyDelivery,
+    MemberList,
     PeerMessage,
     Reply,
     RetryPolicy,
@@ -129,7 +130,13 @@
     }
 
     fn start(disk: RecoveredState, now: Duration, version: u64) -> ControlVm {
-        let control = Control::new(config(), disk.clone(), vec![member()]).unwrap();
+        let control = Control::new(
+            config(),
+            disk.clone(),
+            vec![member()],
+            MemberList::default(),
+        )
+        .unwrap();
         let mut vm = ControlVm {
             control,
             disk,
--- a/crates/fleet/tests/uneven_targets.rs
+++ b/crates/fleet/tests/uneven_targets.rs
@@ -32,6 +32,7 @@
     LeaseTimes,
     LogEvent,
     Member,
+    MemberList,
     Order,
     OrderId,
     PeerMessage,
@@ -270,7 +271,7 @@
     /// All targets hold equal parts of the keys, and there is no traffic yet.
     fn new(contended: bool, seed: u64) -> Simulation {
         let disk = Control::bootstrap_state(vec![member()]).unwrap();
-        let control = Control::new(config(), disk, vec![member()]).unwrap();
+        let control = Control::new(config(), disk, vec![member()], MemberList::default()).unwrap();
         let target = |number: usize| TestTarget {
             // Neighbours in the order of keys differ, as they do in a deployment.
             speed: [0.5, 1.0, 1.5, 1.0][number * 7 % TARGETS % 4],
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -18,6 +18,7 @@
     Event,
     LeaseTimes,
     Member,
+    MemberList,
     OrderConnection,
     OrderId,
     PeerMessage,
@@ -112,7 +113,7 @@
     store: Option<Store>,
     storage_failure: Option<Duration>,
     /// The control VMs that this one knows.
-    members_file: RetriedFile<Vec<Member>>,
+    members_file: RetriedFile<MemberList>,
     /// Effects that are not carried out yet.
     effects: Vec<Effect>,
     calls: HashMap<CallToken, PendingCall>,
@@ -142,7 +143,7 @@
     }
 }
 
-fn members_file(role_settings: &ControlSettings) -> AtomicFile<Vec<Member>> {
+fn members_file(role_settings: &ControlSettings) -> AtomicFile<MemberList> {
     AtomicFile::new(role_settings.data_dir.join(MEMBERS_FILE))
 }
 
@@ -184,8 +185,7 @@
             ..DurableWrite::default()
         })?;
     }
-    let mut known_members = seeds;
-    known_members.extend(members_file(role_settings).read()?.unwrap_or_default());
+    let stored = members_file(role_settings).read()?.unwrap_or_default();
     let tuning = &settings.tuning;
     let config = Config {
         member: Member {
@@ -217,7 +217,7 @@
             .map_or(DEFAULT_VIEW_LIMIT, |memory| memory / VIEW_DIVISOR),
         seed: rand::random(),
     };
-    let control = Control::new(config, recovered, known_members)
+    let control = Control::new(config, recovered, seeds, stored)
         .map_err(|error| ProcessError::State(error.to_string().into()))?;
     Ok(OpenedState {
         control,
@@ -317,8 +317,8 @@
         }
         self.settings.seeds.clone_from(&settings.seeds);
         let seeds = settings.seeds.iter();
-        let book = seeds.map(|seed| seed_member(&settings, *seed)).collect();
-        self.step(Event::Peer(PeerMessage::MemberList(book)), context);
+        let seeds = seeds.map(|seed| seed_member(&settings, *seed)).collect();
+        self.step(Event::Seeds(seeds), context);
         info!(context.logger, "seeds changed"; "seeds" => settings.seeds.len());
     }
 
@@ -446,7 +446,7 @@
     fn step(&mut self, event: Event, context: &ProcessContext) {
         let work = match &event {
             Event::Tick => Work::Timer,
-            Event::Peer(_) => Work::Consensus,
+            Event::Peer(_) | Event::Seeds(_) => Work::Consensus,
             Event::Stream { .. } | Event::StreamClosed(_) => Work::Stream,
             Event::Call { .. } => Work::Call,
             Event::OrderAnswered { .. } => Work::Answer,
@@ -626,7 +626,8 @@
     matches!(
         event,
         IoEvent::PeerMessage {
-            message: PeerMessage::Raft { .. },
+            // A list may say where to reply to the message after it.
+            message: PeerMessage::Raft { .. } | PeerMessage::MemberList(_),
             ..
         }
     )
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -21,6 +21,7 @@
     Command,
     ConfigResource,
     Limits,
+    MemberList,
     PeerMessage, //
 };
 use camphordale_http::Response;
@@ -461,7 +462,7 @@
 /// Opens a connection from `client` to `server` and returns its ids at both ends.
 fn connect(server: &mut Fixture, client: &mut Fixture, address: SocketAddr) -> (u64, u64) {
     let local = client.event_loop.connect_peer(address, ms(5000)).unwrap();
-    let hello = PeerMessage::MemberList(Vec::new());
+    let hello = PeerMessage::MemberList(MemberList::default());
     client.event_loop.send(local, &hello);
     let end = server.clock.now() + WAIT_LIMIT;
     while server.clock.now() < end {
