Try a quarantined request again before it is refused for good

Cause: three incarnations that close the connection quarantine a request, also if they are lives of one target, or end together. A target that ends takes down all that it was executing. Only a completion clears the request, and the quarantine kept it from all targets; 400 tells callers not to come back, so nothing could show that it is sound. Ruled out: avoidance of the target (callers would get 503, and other pages of its keys too). Ruled out as mends: three different targets, or a longer window (a request that crashes its holder, which keeps its id, would never be refused), and a quarantine that ends sooner.

Change: the leader lets one entry VM send one such request to one target: 2.5 s after the last crash, 10 s after a trial that crashed or had no result, and 600 s after two that crashed; three in all, as BUDGET allows. A completion clears it everywhere. The refusal is final once a trial has crashed and three targets have, two of them apart in time, or once two trials have. Until then callers get 503 with the time to the next trial. A request with a refuted crash gets no trial: with late signs of life it has crashed more targets than are counted. A new leader gives none until the entry VMs have told it what they know. Without a leader none is made.

Tests changed: entry/crashes and entry/entry expected a final refusal with no trial at all, which is the fault. They now hold that one trial is made and crashes one target, and that no more follow over two changes of leader; the bounds on other crashes, and no send later than contact_ms after the third crash, stay. fleet/control passes one more field.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -30,7 +30,8 @@
     ServiceName,
     TargetId,
     View,
-    WarmUpBounds, //
+    WarmUpBounds,
+    crash_trials::TrialNumber, //
 };
 use rand::{
     SeedableRng,
@@ -402,6 +403,22 @@
     Refused(Decision),
     /// A request is retried.
     Retried(Decision),
+    /// The leader gave this VM a trial of a quarantined request.
+    Trial {
+        /// The request that is sent; `None` if none waits any more.
+        request: Option<RequestHandle>,
+        /// Its fingerprint.
+        fingerprint: Fingerprint,
+        /// Number of the trial.
+        number: TrialNumber,
+    },
+    /// A target completed a quarantined request, which is no longer refused.
+    Cleared {
+        /// The request.
+        request: RequestHandle,
+        /// Its fingerprint.
+        fingerprint: Fingerprint,
+    },
     /// The control stream was established or lost.
     Control {
         /// Whether the stream is established.
--- a/crates/entry/src/entry/crashes.rs
+++ b/crates/entry/src/entry/crashes.rs
@@ -2,8 +2,11 @@
 //! control leader.
 
 use std::{
-    collections::BTreeSet,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
 };
 
 use camphordale_fleet::{
@@ -13,12 +16,19 @@
     Holder,
     PeerMessage,
     TargetId,
-    Verdict, //
+    Verdict,
+    crash_trials::{
+        TrialEnd,
+        TrialNews,
+        TrialNumber,
+        TrialOrder, //
+    }, //
 };
 
 use super::{
     Effect,
     Entry,
+    LogEvent,
     Reason,
     RequestHandle, //
 };
@@ -33,8 +43,15 @@
 const MIN_PAUSE: Duration = Duration::from_secs(1);
 /// Longest time without reports.
 const MAX_PAUSE: Duration = Duration::from_secs(16);
-/// Suggested retry delay of a quarantined request while its crashes may still be refuted.
+/// Suggested retry delay of a quarantined request while its crashes may still be refuted, or the
+/// result of a trial may arrive, and the shortest one until its next trial.
 const UNSETTLED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest suggested retry delay of a request that may be tried again.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Interval at which this VM asks for a trial of the same request.
+const TRIAL_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a request waits for the reply of the leader.
+const TRIAL_WAIT: Duration = Duration::from_millis(250);
 
 /// The evidence of this VM, and what the leader has to be told.
 #[derive(Default)]
@@ -47,6 +64,16 @@
     unconfirmed_since: Option<Duration>,
     pause: Duration,
     paused_until: Duration,
+    /// When this VM last asked for a trial of a request.
+    trial_requests: BTreeMap<Fingerprint, Duration>,
+    /// Requests for trials that are to be sent.
+    wanted: BTreeSet<Fingerprint>,
+}
+
+/// Reports for one message to the leader.
+struct Report {
+    records: Vec<CrashRecord>,
+    trials: Vec<TrialNews>,
 }
 
 impl CrashReports {
@@ -72,11 +99,13 @@
         self.changed.insert(fingerprint);
     }
 
-    /// Records that a target completed a request.
-    pub(super) fn record_completion(&mut self, fingerprint: Fingerprint, now: Duration) {
+    /// Records that a target completed a request. Returns whether it was quarantined.
+    pub(super) fn record_completion(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
+        let verdict = self.evidence.verdict(fingerprint);
         if self.evidence.record_completion(fingerprint, now) {
             self.changed.insert(fingerprint);
         }
+        verdict == Verdict::Quarantined
     }
 
     /// Records that a request was refused because of the evidence.
@@ -86,8 +115,48 @@
         }
     }
 
+    /// Records how a trial that this VM was given ended, and reports it.
+    pub(super) fn end_trial(
+        &mut self,
+        fingerprint: Fingerprint,
+        number: TrialNumber,
+        end: TrialEnd,
+    ) {
+        self.evidence.end_trial(fingerprint, number, end);
+        self.changed.insert(fingerprint);
+    }
+
+    /// Asks for a trial of a request, unless this VM has just done so. Returns until when the request
+    /// may wait for the reply; `None` if no leader can be asked.
+    fn request_trial(&mut self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
+        if !self.reported_all {
+            return None;
+        }
+        let asked = self.trial_requests.get(&fingerprint);
+        let recent = asked.filter(|at| now < **at + TRIAL_REQUEST_INTERVAL);
+        let asked_at = recent.copied().unwrap_or(now);
+        if recent.is_none() {
+            self.trial_requests.insert(fingerprint, now);
+            self.wanted.insert(fingerprint);
+        }
+        Some(asked_at + TRIAL_WAIT)
+    }
+
+    /// Time until a refused request may be served: until its crashes are refuted, or a trial.
+    fn retry_after(&self, fingerprint: Fingerprint, now: Duration) -> Duration {
+        let evidence = &self.evidence;
+        if !evidence.is_settled(fingerprint, now) || evidence.is_being_tried(fingerprint, now) {
+            return UNSETTLED_RETRY_AFTER;
+        }
+        let next_trial = self.evidence.next_trial(fingerprint);
+        let wait = next_trial.map_or(MAX_RETRY_AFTER, |at| at.saturating_sub(now));
+        wait.clamp(UNSETTLED_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
     pub(super) fn expire(&mut self, now: Duration) {
         self.evidence.expire(now);
+        self.trial_requests
+            .retain(|_, at| now < *at + TRIAL_REQUEST_INTERVAL);
     }
 
     /// Handles the reply to a ping: the leader has read what was sent before it.
@@ -108,7 +177,7 @@
 
     /// Takes the reports that are due. The first one on a stream is sent even if it is empty: it
     /// says that this VM takes evidence from the leader.
-    fn take_reports(&mut self, is_established: bool, now: Duration) -> Vec<Vec<CrashRecord>> {
+    fn take_reports(&mut self, is_established: bool, now: Duration) -> Vec<Report> {
         if !is_established {
             self.unconfirmed_since = None;
             self.reported_all = false;
@@ -116,10 +185,13 @@
         if !is_established || now < self.paused_until {
             self.reported_all = false;
             self.changed.clear();
+            self.wanted.clear();
             return Vec::new();
         }
         let is_first = !std::mem::replace(&mut self.reported_all, true);
-        let changed = std::mem::take(&mut self.changed);
+        let mut changed = std::mem::take(&mut self.changed);
+        let wanted = std::mem::take(&mut self.wanted);
+        changed.extend(&wanted);
         if !is_first && changed.is_empty() {
             return Vec::new();
         }
@@ -128,13 +200,25 @@
             false => changed.into_iter().collect(),
         };
         self.unconfirmed_since.get_or_insert(now);
-        let due = due.into_iter();
-        let records: Vec<CrashRecord> = due
-            .filter_map(|fingerprint| self.evidence.record(fingerprint, now))
-            .collect();
-        match records.is_empty() {
-            true => vec![records],
-            false => records.chunks(MAX_REPORTED).map(<[_]>::to_vec).collect(),
+        let report = |due: &[Fingerprint]| Report {
+            records: due
+                .iter()
+                .filter_map(|fingerprint| self.evidence.record(*fingerprint, now))
+                .collect(),
+            trials: due
+                .iter()
+                .filter_map(|fingerprint| {
+                    let order = match wanted.contains(fingerprint) {
+                        true => TrialOrder::Request,
+                        false => TrialOrder::Known,
+                    };
+                    self.evidence.trial_news(*fingerprint, order, now)
+                })
+                .collect(),
+        };
+        match due.is_empty() {
+            true => vec![report(&due)],
+            false => due.chunks(MAX_REPORTED).map(report).collect(),
         }
     }
 }
@@ -143,9 +227,12 @@
     /// Sends the leader the evidence that has changed in this step.
     pub(super) fn report_crashes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let is_established = self.control_stream.is_established();
-        for records in self.crashes.take_reports(is_established, now) {
-            let alive = Vec::new();
-            let message = PeerMessage::CrashEvidence { records, alive };
+        for report in self.crashes.take_reports(is_established, now) {
+            let message = PeerMessage::CrashEvidence {
+                records: report.records,
+                alive: Vec::new(),
+                trials: report.trials,
+            };
             out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
         }
     }
@@ -155,6 +242,7 @@
         &mut self,
         records: &[CrashRecord],
         alive: &[(Holder, Duration)],
+        trials: &[TrialNews],
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -165,26 +253,70 @@
         for (holder, age) in alive {
             evidence.refute(holder, now.saturating_sub(*age));
         }
+        for news in trials {
+            evidence.merge_trials(news, now);
+        }
+        for news in trials {
+            match (news.order, news.trials.last()) {
+                (TrialOrder::Grant, Some(number)) => {
+                    self.on_trial_granted(news.fingerprint, number, now, out);
+                }
+                _ => self.refuse_waiting(news.fingerprint, now, out),
+            }
+        }
         for record in records {
             self.refuse_waiting(record.fingerprint, now, out);
         }
     }
 
-    /// Refuses the waiting requests of a fingerprint if it is quarantined.
+    /// Sends a waiting request as the trial that the leader gave. Without one, the trial is given
+    /// back.
+    fn on_trial_granted(
+        &mut self,
+        fingerprint: Fingerprint,
+        number: TrialNumber,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let found = self.waiting().find(|id| {
+            let request = self.requests.get(id);
+            request.is_some_and(|r| r.fingerprint == fingerprint && !r.may_run())
+        });
+        out.push(Effect::Log(LogEvent::Trial {
+            request: found,
+            fingerprint,
+            number,
+        }));
+        let Some(id) = found else {
+            return self
+                .crashes
+                .end_trial(fingerprint, number, TrialEnd::Unsent);
+        };
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.trial = Some(number);
+        }
+        self.dispatch(id, now, out);
+        self.refuse_waiting(fingerprint, now, out);
+    }
+
+    /// Refuses the waiting requests of a fingerprint if it is quarantined. Those that waited for a
+    /// trial go on if it no longer is.
     pub(super) fn refuse_waiting(
         &mut self,
         fingerprint: Fingerprint,
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        if self.crashes.evidence.verdict(fingerprint) == Verdict::Quarantined {
+        let is_quarantined = self.crashes.evidence.verdict(fingerprint) == Verdict::Quarantined;
+        if is_quarantined || self.crashes.trial_requests.contains_key(&fingerprint) {
             self.retry_where(now, out, |request| request.fingerprint == fingerprint);
         }
     }
 
     /// Refuses a request that has crashed too many targets, or that may have run once and is under
-    /// suspicion. Returns whether it did. While the targets may still turn out to live, because they
-    /// were full and reset connections, the caller may come back.
+    /// suspicion, or lets it wait for a trial. Returns whether it did. The caller may come back while
+    /// the targets may still turn out to live, because they were full and reset connections, and
+    /// until the trials have shown that the request crashes targets.
     pub(super) fn refuse_quarantined(
         &mut self,
         id: RequestHandle,
@@ -196,15 +328,40 @@
         };
         let fingerprint = request.fingerprint;
         let may_have_run = request.execution.evidence().is_none();
+        let is_trial = request.trial.is_some();
         let evidence = &self.crashes.evidence;
         let reason = match evidence.verdict(fingerprint) {
             Verdict::Clear => return false,
             Verdict::Suspect if !may_have_run => return false,
-            Verdict::Quarantined if evidence.is_settled(fingerprint, now) => Reason::Quarantined,
+            Verdict::Quarantined if is_trial => return false,
+            Verdict::Quarantined if evidence.is_final(fingerprint, now) => Reason::Quarantined,
+            Verdict::Quarantined if !may_have_run && self.await_trial(id, now) => return true,
             Verdict::Suspect | Verdict::Quarantined => Reason::Suspected,
         };
         self.crashes.record_refusal(fingerprint, now);
-        self.refuse(id, reason, UNSETTLED_RETRY_AFTER, now, out);
+        let retry_after = self.crashes.retry_after(fingerprint, now);
+        self.refuse(id, reason, retry_after, now, out);
         true
     }
+
+    /// Lets a request wait for a trial if one is due. Returns whether it waits.
+    fn await_trial(&mut self, id: RequestHandle, now: Duration) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let next_trial = self.crashes.evidence.next_trial(request.fingerprint);
+        if next_trial.is_none_or(|at| now < at) {
+            return false;
+        }
+        let until = self.crashes.request_trial(request.fingerprint, now);
+        let Some(until) = until.map(|until| until.min(request.deadline)) else {
+            return false;
+        };
+        let waits = now < until;
+        if waits {
+            request.retry_at = Duration::ZERO;
+            self.park(id, until, now);
+        }
+        waits
+    }
 }
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -14,7 +14,11 @@
     Route,
     RouteName,
     ServiceName,
-    TargetId, //
+    TargetId,
+    crash_trials::{
+        TrialEnd,
+        TrialNumber, //
+    }, //
 };
 use rand::Rng;
 
@@ -120,6 +124,8 @@
     pub(super) hedge_at: Option<Duration>,
     /// The random choice whether it leaves its failure domain, once there is a plan.
     pub(super) departure_draw: Option<DepartureDraw>,
+    /// The trial of a quarantined request that this one is, until something of it was sent.
+    pub(super) trial: Option<TrialNumber>,
     /// Whether the caller has disconnected.
     pub(super) caller_disconnected: bool,
     /// Whether an attempt was cancelled to speed up a handover. Such a request is not refused
@@ -264,6 +270,7 @@
                 retry_at: Duration::ZERO,
                 hedge_at: None,
                 departure_draw: None,
+                trial: None,
                 caller_disconnected: false,
                 cancelled: false,
             },
@@ -717,6 +724,12 @@
             return;
         };
         self.timers.remove(&(request.deadline, id));
+        if let Some(number) = request.trial
+            && request.in_flight.is_empty()
+        {
+            self.crashes
+                .end_trial(request.fingerprint, number, TrialEnd::Unsent);
+        }
         for (attempt, holder) in request.in_flight {
             self.attempts.remove(&attempt);
             if Some(attempt) != forwarded {
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use camphordale_fleet::TargetId;
+use camphordale_fleet::{
+    TargetId,
+    crash_trials::TrialEnd, //
+};
 
 use super::{
     AttemptId,
@@ -65,6 +68,8 @@
         let route_name = request.route_name.clone();
         let is_long = self.link.expected(&route_name).is_some();
         let ended_at = holder.id.clone();
+        let is_unsent = matches!(result, AttemptResult::Failed { sent: false, .. });
+        let trial = request.trial.take_if(|_| !is_unsent);
         match result {
             AttemptResult::Complete {
                 status,
@@ -84,8 +89,11 @@
                     .attempt_completed(target, attempt, failed, load, now);
                 self.record_work(target, large, took);
                 // A target may respond before it has executed the request.
-                if executed && !failed {
-                    self.crashes.record_completion(fingerprint, now);
+                if executed && !failed && self.crashes.record_completion(fingerprint, now) {
+                    out.push(Effect::Log(LogEvent::Cleared {
+                        request: id,
+                        fingerprint,
+                    }));
                 }
                 self.on_response(id, (attempt, holder.id), failed, now, out);
             }
@@ -124,6 +132,10 @@
                 }
                 if sent && closed {
                     self.crashes.record_crash(fingerprint, &holder, now);
+                    if let Some(number) = trial {
+                        self.crashes
+                            .end_trial(fingerprint, number, TrialEnd::Crashed);
+                    }
                     self.refuse_waiting(fingerprint, now, out);
                 }
                 match sent {
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -114,8 +114,12 @@
                 self.handovers.end(&service, (from, to));
                 self.retry_range(&service, (from, to), now, out);
             }
-            PeerMessage::CrashEvidence { records, alive } if is_established => {
-                self.on_crash_evidence(&records, &alive, now, out);
+            PeerMessage::CrashEvidence {
+                records,
+                alive,
+                trials,
+            } if is_established => {
+                self.on_crash_evidence(&records, &alive, &trials, now, out);
             }
             PeerMessage::TargetStatements {
                 sent,
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Waiting requests in the order in which they are tried.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = RequestHandle> {
+        self.parked.iter().map(|key| key.request)
+    }
+
     /// Removes a request from those that wait.
     pub(super) fn unpark(&mut self, id: RequestHandle) {
         let request = self.requests.get_mut(&id);
@@ -296,7 +301,7 @@
     where
         Fits: Fn(&ActiveRequest) -> bool,
     {
-        let waiting: Vec<RequestHandle> = self.parked.iter().map(|key| key.request).collect();
+        let waiting: Vec<RequestHandle> = self.waiting().collect();
         for id in waiting {
             if self.requests.get(&id).is_some_and(&fits) {
                 self.dispatch(id, now, out);
--- a/crates/entry/tests/crashes/world.rs
+++ b/crates/entry/tests/crashes/world.rs
@@ -31,7 +31,8 @@
     LeaseTimes,
     MemberList,
     PeerMessage,
-    TargetId, //
+    TargetId,
+    crash_evidence::SETTLE_AFTER, //
 };
 use camphordale_raft::RecoveredState;
 use rand::{
@@ -540,6 +541,15 @@
         late.count()
     }
 
+    /// Targets that the deadly request crashed after the crashes that quarantined it were settled.
+    pub(crate) fn trials(&self) -> usize {
+        let Some(third) = self.crashes.get(2) else {
+            return 0;
+        };
+        let crashes = self.deadly_crashes.iter();
+        crashes.filter(|at| **at > *third + SETTLE_AFTER).count()
+    }
+
     /// Number of requests, other than the deadly one, with this outcome.
     pub(crate) fn innocents<Fits>(&self, fits: Fits) -> usize
     where
--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -21,8 +21,14 @@
         CrashEvidence,
         CrashRecord,
         Fingerprint,
+        SETTLE_AFTER,
         Verdict, //
     },
+    crash_trials::{
+        RefutedCrashes,
+        TrialNews,
+        TrialOrder, //
+    },
     message::PeerMessage,
     registry::Holder,
 };
@@ -42,6 +48,7 @@
     shared: BTreeSet<Fingerprint>,
     changed: BTreeSet<Fingerprint>,
     alive: BTreeMap<Holder, Duration>,
+    refuted: RefutedCrashes,
     next_broadcast: Duration,
 }
 
@@ -57,6 +64,9 @@
     /// Drops crashes of an incarnation that is alive.
     pub(super) fn refute(&mut self, holder: &Holder, alive_at: Duration) {
         let changed = self.evidence.refute(holder, alive_at);
+        for fingerprint in &changed {
+            self.refuted.record(*fingerprint, alive_at);
+        }
         let is_shared = |fingerprint| self.shared.contains(fingerprint);
         if changed.iter().any(is_shared) {
             self.alive.insert(holder.clone(), alive_at);
@@ -66,6 +76,7 @@
     /// Takes the next message to all entry VMs. A request that became quarantined goes first.
     fn take_broadcast(&mut self, now: Duration) -> Option<PeerMessage> {
         self.evidence.expire(now);
+        self.refuted.expire(now);
         if now < self.next_broadcast || (self.changed.is_empty() && self.alive.is_empty()) {
             return None;
         }
@@ -73,10 +84,12 @@
         let mut changed: Vec<Fingerprint> = self.changed.iter().copied().collect();
         changed.sort_by_key(|fingerprint| std::cmp::Reverse(self.evidence.verdict(*fingerprint)));
         changed.truncate(MAX_BROADCAST);
-        let mut records = Vec::new();
+        let (mut records, mut trials) = (Vec::new(), Vec::new());
         for fingerprint in changed {
             self.changed.remove(&fingerprint);
             records.extend(self.evidence.record(fingerprint, now));
+            let known = TrialOrder::Known;
+            trials.extend(self.evidence.trial_news(fingerprint, known, now));
             self.shared.insert(fingerprint);
         }
         self.shared
@@ -87,7 +100,11 @@
         {
             alive.push((holder, now.saturating_sub(at)));
         }
-        Some(PeerMessage::CrashEvidence { records, alive })
+        Some(PeerMessage::CrashEvidence {
+            records,
+            alive,
+            trials,
+        })
     }
 
     /// What every entry VM must know.
@@ -118,6 +135,9 @@
         let mut correction = Correction::default();
         for record in records {
             let fingerprint = record.fingerprint;
+            if record.completed.is_some() {
+                self.crash_news.refuted.clear(fingerprint);
+            }
             if self.crash_news.evidence.merge(record, now) {
                 self.crash_news.record_change(fingerprint);
             }
@@ -136,6 +156,35 @@
         }
         correction
     }
+
+    /// Adds what an entry VM knows of trials, and answers its requests for them.
+    fn add_trials(&mut self, news: &[TrialNews], now: Duration) -> Vec<TrialNews> {
+        let crash_news = &mut self.crash_news;
+        let mut answers = Vec::new();
+        for news in news {
+            let fingerprint = news.fingerprint;
+            if crash_news.evidence.merge_trials(news, now) {
+                crash_news.record_change(fingerprint);
+            }
+            if news.order != TrialOrder::Request {
+                continue;
+            }
+            // A new leader may not have heard yet of the last trial.
+            let may_begin =
+                now >= self.elected_at + SETTLE_AFTER && !crash_news.refuted.contains(fingerprint);
+            let evidence = &mut crash_news.evidence;
+            let begun = may_begin && evidence.begin_trial(fingerprint, now).is_some();
+            let order = match begun {
+                true => TrialOrder::Grant,
+                false => TrialOrder::Known,
+            };
+            answers.extend(evidence.trial_news(fingerprint, order, now));
+            if begun {
+                crash_news.record_change(fingerprint);
+            }
+        }
+        answers
+    }
 }
 
 impl Control {
@@ -144,6 +193,7 @@
         &mut self,
         conn: u64,
         records: &[CrashRecord],
+        trials: &[TrialNews],
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
@@ -152,6 +202,7 @@
             return;
         };
         let mut correction = leader.add_evidence(records, now);
+        let mut trials = leader.add_trials(trials, now);
         let news = &mut leader.crash_news;
         // Older entry VMs close the stream on such a message, and do not send one either.
         if !std::mem::replace(&mut stream.takes_evidence, true) {
@@ -164,8 +215,15 @@
             .filter_map(|fingerprint| news.evidence.record(*fingerprint, now))
             .collect();
         let alive: Vec<(Holder, Duration)> = correction.alive.into_iter().collect();
-        if !records.is_empty() || !alive.is_empty() {
-            let message = PeerMessage::CrashEvidence { records, alive };
+        let corrected = correction.fingerprints.iter();
+        trials
+            .extend(corrected.filter_map(|f| news.evidence.trial_news(*f, TrialOrder::Known, now)));
+        if !records.is_empty() || !alive.is_empty() || !trials.is_empty() {
+            let message = PeerMessage::CrashEvidence {
+                records,
+                alive,
+                trials,
+            };
             out.push(Effect::Stream { conn, message });
         }
     }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -223,8 +223,10 @@
                 }
                 self.acknowledge_changes(now, out);
             }
-            PeerMessage::CrashEvidence { records, .. } => {
-                self.on_crash_evidence(conn, &records, now, out);
+            PeerMessage::CrashEvidence {
+                records, trials, ..
+            } => {
+                self.on_crash_evidence(conn, &records, &trials, now, out);
             }
             PeerMessage::TargetStatements {
                 sent,
--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -5,7 +5,10 @@
 //! everywhere once it has crashed [`QUARANTINE_CRASHES`] incarnations of targets.
 //!
 //! A target that crashes ends all requests that it was executing, so one crash proves nothing about
-//! a single request. A request that completes anywhere afterwards is cleared.
+//! a single request. A request that completes anywhere afterwards is cleared. One that is refused is
+//! tried again a few times ([`crash_trials`]) before the refusal is final.
+//!
+//! [`crash_trials`]: crate::crash_trials
 
 use std::{
     collections::{
@@ -20,7 +23,21 @@
     Serialize, //
 };
 
-use crate::registry::Holder;
+use crate::{
+    crash_trials::{
+        FINAL_CRASHED_TRIALS,
+        REPEATED_TRIAL_DELAY,
+        TrialEnd,
+        TrialNews,
+        TrialNumber,
+        TrialOrder,
+        Trials, //
+    },
+    registry::{
+        Holder,
+        TargetId, //
+    },
+};
 
 /// Identifies a request across retries of its caller and across entry VMs: a hash of everything
 /// that determines how a target executes it.
@@ -36,6 +53,9 @@
 /// A crash that has not been refuted after this time has happened: a target that lives announces
 /// itself about every second, and the leader tells the entry VMs.
 pub const SETTLE_AFTER: Duration = Duration::from_millis(2500);
+/// Crashes that follow each other within this time may have one cause, such as the loss of a failure
+/// domain.
+pub const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 /// Evidence below a quarantine is dropped after this time without a further crash.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(120);
 /// A quarantine ends after this time in which the request was not received anywhere.
@@ -78,6 +98,9 @@
     /// Earlier crashes do not count. It is kept so that they are not learnt again from another VM.
     completed_at: Option<Duration>,
     touched_at: Duration,
+    trials: Trials,
+    /// When the last trial began.
+    tried_at: Duration,
 }
 
 impl Record {
@@ -106,13 +129,39 @@
         has_room
     }
 
-    /// Returns whether a crash was dropped.
+    /// Returns whether a crash or trials were dropped.
     fn complete(&mut self, at: Duration) -> bool {
         let completed = self.completed_at.map_or(at, |known| known.max(at));
         self.completed_at = Some(completed);
         let before = self.crashes.len();
         self.crashes.retain(|_, crashed| *crashed > completed);
-        self.crashes.len() != before
+        let has_trials = self.trials != Trials::default() && self.tried_at <= completed;
+        if has_trials {
+            self.trials = Trials::default();
+        }
+        self.crashes.len() != before || has_trials
+    }
+
+    /// Whether several targets crashed, not all for one reason: at least two of them at different
+    /// times. Crashes of one target may be due to the target.
+    fn has_independent_crashes(&self) -> bool {
+        let ids: BTreeSet<&TargetId> = self.crashes.keys().map(|holder| &holder.id).collect();
+        let are_apart = |(one, at): (&Holder, &Duration)| {
+            let others = self.crashes.iter();
+            let mut apart = others.filter(|(_, other)| at.abs_diff(**other) > COMMON_CAUSE_WINDOW);
+            apart.any(|(other, _)| other.id != one.id)
+        };
+        ids.len() >= QUARANTINE_CRASHES && self.crashes.iter().any(are_apart)
+    }
+
+    /// When the next trial is due, if there is one.
+    fn next_trial(&self) -> Option<Duration> {
+        if !self.is_quarantined() {
+            return None;
+        }
+        let last_crash = self.crashes.values().max().copied().unwrap_or_default();
+        let delay = self.trials.delay()?;
+        Some(last_crash.max(self.tried_at) + delay)
     }
 }
 
@@ -321,6 +370,127 @@
         })
     }
 
+    /// Whether the request is refused for good: a target crashed in a trial, and either several targets
+    /// crashed that do not have one cause, or a later trial ended in a crash too.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_fleet::{Holder, crash_evidence::CrashEvidence, crash_trials::TrialEnd};
+    ///
+    /// let mut evidence = CrashEvidence::default();
+    /// for (at, id) in [(1, "a"), (2, "b"), (3, "c")] {
+    ///     let holder = Holder { id: id.into(), incarnation: 1 };
+    ///     evidence.record_crash(7, &holder, Duration::from_secs(at));
+    /// }
+    /// let now = Duration::from_secs(6);
+    /// assert!(!evidence.is_final(7, now));
+    /// let number = evidence.begin_trial(7, now).ok_or("not due")?;
+    /// evidence.end_trial(7, number, TrialEnd::Crashed);
+    /// assert!(evidence.is_final(7, now));
+    /// # Ok::<(), &str>(())
+    /// ```
+    pub fn is_final(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        let Some(record) = self.records.get(&fingerprint) else {
+            return false;
+        };
+        let enough = match record.has_independent_crashes() {
+            true => 1,
+            false => FINAL_CRASHED_TRIALS,
+        };
+        record.trials.crashed() >= enough && self.is_settled(fingerprint, now)
+    }
+
+    /// When the next trial of a quarantined request is due; `None` if it gets none.
+    pub fn next_trial(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        self.records.get(&fingerprint)?.next_trial()
+    }
+
+    /// Whether the result of a trial may arrive soon.
+    pub fn is_being_tried(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        self.records.get(&fingerprint).is_some_and(|record| {
+            let is_recent = now < record.tried_at + REPEATED_TRIAL_DELAY;
+            is_recent && record.trials.sent() > record.trials.crashed()
+        })
+    }
+
+    /// Begins a trial if one is due. Only the leader does so.
+    pub fn begin_trial(&mut self, fingerprint: Fingerprint, now: Duration) -> Option<TrialNumber> {
+        let due = self.next_trial(fingerprint)? <= now;
+        due.then(|| {
+            self.edit(fingerprint, |record| {
+                record.tried_at = now;
+                record.trials.begin()
+            })
+        })
+    }
+
+    /// Records how a trial ended that did not complete.
+    pub fn end_trial(&mut self, fingerprint: Fingerprint, number: TrialNumber, end: TrialEnd) {
+        if self.contains(fingerprint) {
+            self.edit(fingerprint, |record| record.trials.end(number, end));
+        }
+    }
+
+    /// Adds what another VM knows about the trials of a request. Returns whether there is news.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_fleet::{
+    ///     Holder, crash_evidence::CrashEvidence, crash_trials::TrialOrder,
+    /// };
+    ///
+    /// let mut leader = CrashEvidence::default();
+    /// for id in ["a", "b", "c"] {
+    ///     let holder = Holder { id: id.into(), incarnation: 1 };
+    ///     leader.record_crash(7, &holder, Duration::from_secs(1));
+    /// }
+    /// let mut entry = leader.clone();
+    /// let now = leader.next_trial(7).ok_or("no trial")?;
+    /// leader.begin_trial(7, now).ok_or("not due")?;
+    /// let grant = leader.trial_news(7, TrialOrder::Grant, now).ok_or("no news")?;
+    /// assert!(entry.merge_trials(&grant, now));
+    /// assert!(entry.next_trial(7) > Some(now));
+    /// # Ok::<(), &str>(())
+    /// ```
+    pub fn merge_trials(&mut self, news: &TrialNews, now: Duration) -> bool {
+        if !self.contains(news.fingerprint) {
+            return false;
+        }
+        let tried_at = now.saturating_sub(news.age);
+        self.edit(news.fingerprint, |record| {
+            // A completion ends the trials before it.
+            if record
+                .completed_at
+                .is_some_and(|completed| tried_at <= completed)
+            {
+                return false;
+            }
+            let is_news = record.trials.join(news.trials);
+            if is_news {
+                record.tried_at = record.tried_at.max(tried_at);
+            }
+            is_news
+        })
+    }
+
+    /// The trials of a request for another VM, with what is asked of it; `None` if there are none and
+    /// nothing is asked.
+    pub fn trial_news(
+        &self,
+        fingerprint: Fingerprint,
+        order: TrialOrder,
+        now: Duration,
+    ) -> Option<TrialNews> {
+        let record = self.records.get(&fingerprint)?;
+        let is_empty = record.trials == Trials::default() && order == TrialOrder::Known;
+        (!is_empty).then(|| TrialNews {
+            fingerprint,
+            trials: record.trials,
+            age: now.saturating_sub(record.tried_at),
+            order,
+        })
+    }
+
     /// The incarnations that ended while they had the request.
     pub fn crashed(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Holder> {
         let record = self.records.get(&fingerprint);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `control` | the reducer of a control VM |
 //! | `evacuation` | failure domains to whose targets nothing is sent |
 //! | `crash_evidence` | requests that crash the targets that execute them |
+//! | `crash_trials` | trials of such requests before a refusal is final |
 //! | `request_limits` | limits that targets set on the requests of all entry VMs together |
 //! | `load_summary` | load of targets by the reports of all entry VMs |
 //! | `warm_up` | which targets are cold, and the limit on requests to one |
@@ -28,6 +29,7 @@
 pub mod balance;
 mod control;
 pub mod crash_evidence;
+pub mod crash_trials;
 mod evacuation;
 pub mod key_leases;
 mod keys;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,10 @@
 
 use crate::{
     crash_evidence::CrashRecord,
+    crash_trials::{
+        self,
+        TrialNews, //
+    },
     evacuation,
     keys::Key,
     load_summary::{
@@ -183,6 +187,10 @@
         /// Incarnations that announced themselves after a reported crash, and the time since. Only
         /// the leader knows them.
         alive: Vec<(Holder, Duration)>,
+        /// Trials of requests that are refused. They follow the records of their requests, in this
+        /// message or an earlier one.
+        #[serde(deserialize_with = "crash_trials::deserialize_last")]
+        trials: Vec<TrialNews>,
     },
     /// What targets state about themselves in responses, and rights to send requests to those with a
     /// limit, between an entry VM and the leader. An entry VM sends it when its stream is
--- a/crates/fleet/tests/crash_evidence/main.rs
+++ b/crates/fleet/tests/crash_evidence/main.rs
@@ -5,3 +5,4 @@
 mod histories;
 mod naive;
 mod store;
+mod trials;
--- a/crates/fleet/tests/crash_evidence/store.rs
+++ b/crates/fleet/tests/crash_evidence/store.rs
@@ -174,6 +174,7 @@
         let message = PeerMessage::CrashEvidence {
             records: (0..records).map(record).collect(),
             alive: Vec::new(),
+            trials: Vec::new(),
         };
         message.encode().unwrap().len()
     };
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -5,7 +5,8 @@
     Decision,
     Evidence,
     LogEvent,
-    Reason, //
+    Reason,
+    RequestHandle, //
 };
 use camphordale_http::Response;
 use slog::{
@@ -64,6 +65,29 @@
                     self.log_decision(&context.logger, "repeated", &decision);
                 }
             }
+            LogEvent::Trial {
+                request,
+                fingerprint,
+                number,
+            } => {
+                context.metrics.count_event("trial");
+                if context.may_log("trial") {
+                    info!(context.logger, "trial of a quarantined request";
+                        "request" => request.map(|request| self.request_id(request)),
+                        "fingerprint" => format!("{fingerprint:032x}"), "number" => number);
+                }
+            }
+            LogEvent::Cleared {
+                request,
+                fingerprint,
+            } => {
+                context.metrics.count_event("cleared");
+                if context.may_log("cleared") {
+                    info!(context.logger, "quarantined request completed";
+                        "request" => self.request_id(request),
+                        "fingerprint" => format!("{fingerprint:032x}"));
+                }
+            }
             LogEvent::Control { live, view } => {
                 context.metrics.count_event("control");
                 info!(context.logger, "stream from control"; "live" => live, "view" => view);
@@ -181,11 +205,17 @@
         }
     }
 
+    /// Id of a request by its caller.
+    fn request_id(&self, request: RequestHandle) -> &str {
+        let active = self.requests.get(&request);
+        active
+            .and_then(|active| active.fields.id.as_deref())
+            .unwrap_or("-")
+    }
+
     fn log_decision(&self, logger: &Logger, message: &'static str, decision: &Decision) {
         let active = self.requests.get(&decision.request);
-        let id = active
-            .and_then(|active| active.fields.id.as_deref())
-            .unwrap_or("-");
+        let id = self.request_id(decision.request);
         let stats = decision.target_stats.as_ref();
         let crashed = (!decision.crashed.is_empty()).then(|| decision.crashed.join(","));
         info!(logger, "{}", message;
