Forget with a whole view that a target was draining

Callers would see requests for the keys of a target refused (no-holder) although it is ready: when it had drained and started again under its id while an entry VM had no stream, and that VM then got the whole view.

Cause: replace_view added targets that drain to draining_since, and never took away those that no longer do; updates do both.

Change: a whole view replaces what is known of draining targets.

Measured: entry/requests, a_whole_view_ends_the_draining_of_a_target, fails before (nothing is sent) and passes now.

--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -8,6 +8,7 @@
     KeyLoad,
     Outcome,
     PeerMessage,
+    TargetId,
     TargetLatency,
     View, //
 };
@@ -173,7 +174,10 @@
         self.view = view;
         self.targets.sync(&self.view);
         self.domain_loads.capacity_changed();
-        for (id, target) in &self.view.targets {
+        let targets = &self.view.targets;
+        let accepts = |id: &TargetId| targets.get(id).is_none_or(|t| t.state.accepts_requests());
+        self.draining_since.retain(|id, _| !accepts(id));
+        for (id, target) in targets {
             if !target.state.accepts_requests() {
                 self.draining_since
                     .entry(id.clone())
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -312,6 +312,30 @@
     assert_eq!(&*only_attempt(&harness.advance(ms(10))).1, "keyed-0");
 }
 
+/// Guards against a target that drained and started again under its id, and whose keys are refused
+/// after a whole view.
+#[test]
+fn a_whole_view_ends_the_draining_of_a_target() {
+    let mut harness = Harness::new();
+    let mut draining = target(KEYED, 21, "a");
+    draining.state = TargetState::Draining;
+    harness.receive(PeerMessage::Update {
+        index: 11,
+        command: Box::new(Command::Announce {
+            id: "keyed-0".into(),
+            target: draining,
+        }),
+    });
+    harness.advance(ms(1500));
+    let (_, output) = harness.request(KEYED);
+    assert!(output.sent.is_empty());
+    let mut view = Harness::view();
+    view.index = 20;
+    harness.receive(PeerMessage::Snapshot(Box::new(view)));
+    let (_, output) = harness.request(KEYED);
+    assert_eq!(output.sent.len(), 1);
+}
+
 #[test]
 fn a_draining_target_gets_no_new_requests() {
     let mut harness = Harness::new();
