Leave the work on a moving key to end

What callers saw: 502 after a planned stop had begun, though their target had been at work on the request. Without a stop the same requests were lost as well, as time-outs.

Cause: Entry::cancel_overdue broke off attempts of idempotent requests 200 ms after their holder was told to release the key, on the promise that they are repeated. The repetition waits for a handover of unknown length, and any later obstacle ends the request: its deadline, a connection that a loaded holder resets (unreached), a retry budget.

Change: attempts are not cancelled for a handover. They end by themselves, at the deadline, or with their caller. Class of fault: work is given up before it is certain that it can be done again.

--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -128,9 +128,6 @@
     pub(super) trial: Option<TrialNumber>,
     /// Whether the caller has disconnected.
     pub(super) caller_disconnected: bool,
-    /// Whether an attempt was cancelled to speed up a handover. Such a request is not refused
-    /// before its deadline.
-    pub(super) cancelled: bool,
 }
 
 impl ActiveRequest {
@@ -163,10 +160,7 @@
 
     /// Time until which the request may wait: the latency objective divided by `divisor`.
     pub(super) fn wait_deadline(&self, divisor: u32) -> Duration {
-        match self.cancelled {
-            true => self.deadline,
-            false => self.arrived_at + self.route.latency_objective / divisor,
-        }
+        self.arrived_at + self.route.latency_objective / divisor
     }
 }
 
@@ -272,7 +266,6 @@
                 departure_draw: None,
                 trial: None,
                 caller_disconnected: false,
-                cancelled: false,
             },
         );
         self.dispatch(request, now, out);
@@ -581,8 +574,7 @@
             (Reason::Full | Reason::HolderFull, wait) if bounds_queues => match wait {
                 Some(wait) => until.min(now + wait.max(MIN_QUEUE_WAIT)),
                 // Waiting here cannot help.
-                None if !request.cancelled => now,
-                None => until,
+                None => now,
             },
             _ => until,
         };
@@ -594,8 +586,7 @@
                 | Reason::Evacuated
                 | Reason::Paused
         );
-        let may_change = request.cancelled || !is_settled;
-        if may_change && now < until {
+        if !is_settled && now < until {
             request.retry_at = Duration::ZERO;
             return self.park(id, until, now);
         }
@@ -757,12 +748,6 @@
             };
             return self.refuse(id, reason, NO_TARGET_RETRY_AFTER, now, out);
         }
-        if self.cancel_overdue(id, now, out) {
-            return;
-        }
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
         let retry_due = !request.retry_at.is_zero() && now >= request.retry_at;
         if request
             .parked_until
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -107,7 +107,6 @@
                 done: false,
             } if is_established => {
                 self.handovers.begin(&service, (from, to), now);
-                self.schedule_cancellation(&service, (from, to), now);
             }
             PeerMessage::Handover {
                 service, from, to, ..
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -11,15 +11,10 @@
     Effect,
     Entry,
     IncomingRequest,
-    LogEvent,
     Reason,
     RequestHandle,
     request::ActiveRequest, //
 };
-use crate::{
-    handovers::RELEASE_GRACE,
-    retry_budget::RetryBudget, //
-};
 
 /// A caller waits for the first routing for its timeout divided by this.
 const ROUTING_WAIT_DIVISOR: u32 = 4;
@@ -237,65 +232,6 @@
         });
     }
 
-    /// Schedules a check of the requests that run on a range when they should have ended, because
-    /// its holder was ordered to release it.
-    pub(super) fn schedule_cancellation(
-        &mut self,
-        service: &str,
-        (from, to): (Key, Key),
-        now: Duration,
-    ) {
-        let running = self.requests.iter().filter(|(_, request)| {
-            let inside = request.key.is_some_and(|key| from <= key && key <= to);
-            inside
-                && *request.service == *service
-                && !request.in_flight.is_empty()
-                && request.is_idempotent()
-        });
-        self.timers
-            .extend(running.map(|(id, _)| (now + RELEASE_GRACE, *id)));
-    }
-
-    /// Cancels attempts that delay the release of their key, if the request may be retried at the
-    /// next holder. Returns whether it did.
-    pub(super) fn cancel_overdue(
-        &mut self,
-        id: RequestHandle,
-        now: Duration,
-        out: &mut Vec<Effect>,
-    ) -> bool {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return false;
-        };
-        let key = request.key.unwrap_or_default();
-        let until = self.handovers.wait_until(&request.service, key, now);
-        let overdue = request.key.is_some()
-            && !request.in_flight.is_empty()
-            && request.is_idempotent()
-            && request.attempts_sent < request.route.max_attempts
-            && self.shutdown.is_none()
-            && !self.crashes.is_suspect(request.fingerprint)
-            && self.handovers.is_overdue(&request.service, key, now);
-        let Some(until) = until.filter(|_| overdue) else {
-            return false;
-        };
-        let budget = self.budgets.get_mut(&request.service);
-        if !budget.is_some_and(RetryBudget::take) {
-            return false;
-        }
-        for (attempt, holder) in std::mem::take(&mut request.in_flight) {
-            self.attempts.remove(&attempt);
-            self.targets.attempt_cancelled(&holder.id, attempt);
-            out.push(Effect::Cancel(attempt));
-        }
-        request.execution.record_possible();
-        request.cancelled = true;
-        let decision = self.decision(id, Reason::Moving, now);
-        out.extend(decision.map(|decision| Effect::Log(LogEvent::Retried(decision))));
-        self.await_handover(id, until, now, out);
-        true
-    }
-
     /// Tries the waiting requests for which `fits` returns `true`.
     pub(super) fn retry_where<Fits>(&mut self, now: Duration, out: &mut Vec<Effect>, fits: Fits)
     where
--- a/crates/entry/src/handovers.rs
+++ b/crates/entry/src/handovers.rs
@@ -15,8 +15,7 @@
 /// example because it is lost: about as long as the requests that run on the keys.
 const MAX_RELEASE_WAIT: Duration = Duration::from_millis(400);
 /// The same limit if the routing is contended. Where ranges move because their holder is saturated,
-/// its requests take longer, and those that may run once cannot be cancelled. The holder would reject
-/// a request that is sent meanwhile.
+/// its requests take longer. The holder would reject a request that is sent meanwhile.
 const CONTENDED_RELEASE_WAIT: Duration = Duration::from_millis(1000);
 /// Maximum time for which requests wait for the notice that a new holder has its keys: a few round
 /// trips between VMs of a region. After it the new holder is tried anyway.
@@ -24,9 +23,6 @@
 /// The same limit where the holder is told in the answer to its next announcement: about one
 /// interval between announcements.
 const MAX_CLAIM_WAIT: Duration = Duration::from_millis(1000);
-/// Time after which a running request that may be retried is cancelled, so that it does not delay
-/// the release; most requests take less.
-pub(crate) const RELEASE_GRACE: Duration = Duration::from_millis(200);
 
 #[derive(Debug)]
 struct Handover {
@@ -35,8 +31,6 @@
     to: Key,
     /// Time until which requests for the range wait.
     wait_until: Duration,
-    /// When the previous holder was ordered to release the range. `None` once it has.
-    releasing_since: Option<Duration>,
 }
 
 /// Key ranges that are moving between two holders.
@@ -64,7 +58,7 @@
             true => CONTENDED_RELEASE_WAIT,
             false => MAX_RELEASE_WAIT,
         };
-        self.set(service, range, now + wait, Some(now), now);
+        self.set(service, range, now + wait, now);
     }
 
     /// Sets whether the routing is contended. If it is, requests wait longer for a release.
@@ -84,17 +78,10 @@
             KeyDelivery::Heartbeat => MAX_CLAIM_WAIT,
             KeyDelivery::Call | KeyDelivery::Unkeyed => MAX_GRANT_WAIT,
         };
-        self.set(service, range, now + wait, None, now);
+        self.set(service, range, now + wait, now);
     }
 
-    fn set(
-        &mut self,
-        service: &str,
-        (from, to): (Key, Key),
-        wait_until: Duration,
-        releasing_since: Option<Duration>,
-        now: Duration,
-    ) {
+    fn set(&mut self, service: &str, (from, to): (Key, Key), wait_until: Duration, now: Duration) {
         self.end(service, (from, to));
         self.moving.retain(|handover| handover.wait_until > now);
         self.moving.push(Handover {
@@ -102,7 +89,6 @@
             from,
             to,
             wait_until,
-            releasing_since,
         });
     }
 
@@ -119,7 +105,6 @@
                 from,
                 to,
                 wait_until: handover.wait_until,
-                releasing_since: handover.releasing_since,
             };
             if handover.from < from {
                 rest.push(remainder(handover.from, from - 1));
@@ -139,23 +124,11 @@
 
     /// Time until which requests for a key wait, if the key is moving.
     pub fn wait_until(&self, service: &str, key: Key, now: Duration) -> Option<Duration> {
-        let found = self.find(service, key);
+        let found = self.moving.iter().find(|handover| {
+            *handover.service == *service && handover.from <= key && key <= handover.to
+        });
         found
             .map(|found| found.wait_until)
             .filter(|wait_until| *wait_until > now)
     }
-
-    /// Whether the holder of a key has been releasing it for longer than `RELEASE_GRACE`.
-    pub fn is_overdue(&self, service: &str, key: Key, now: Duration) -> bool {
-        let found = self
-            .find(service, key)
-            .and_then(|found| found.releasing_since);
-        found.is_some_and(|releasing_since| now >= releasing_since + RELEASE_GRACE)
-    }
-
-    fn find(&self, service: &str, key: Key) -> Option<&Handover> {
-        self.moving.iter().find(|handover| {
-            *handover.service == *service && handover.from <= key && key <= handover.to
-        })
-    }
 }
