Refuse waiting requests too that a stopping VM may cut off

What callers saw: a request that came before callers had noticed a stop, and waited for the first routing or for the next holder of its key, was sent afterwards with a deadline behind the end of the process, and its connection was closed without an answer when the process ended. One that came at that moment was refused.

Change: the check is made before each first sending, by the time of that sending, while it is certain that no target has executed the request. What may have been executed is repeated as before.

Evidence: entry/shutdown, two tests, both of which fail without the change: the request is sent to reads-0 and keyed-0. Ruled out in the reducer: a change of a route's timeout (the request keeps the route and the deadline of its arrival), and a second attempt of a request that came late (its deadline lies before the end, where it is answered).

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,7 @@
 mod loads;
 mod request;
 mod retry;
+mod shutdown;
 mod statements;
 mod view;
 mod waiting;
@@ -38,7 +39,6 @@
     rngs::StdRng, //
 };
 
-pub use self::loads::DepartureCounts;
 use self::{
     crashes::CrashReports,
     evacuation::EvacuationDeadlines,
@@ -54,6 +54,10 @@
         UnroutedRequest, //
     },
 };
+pub use self::{
+    loads::DepartureCounts,
+    shutdown::Shutdown, //
+};
 use crate::{
     admission::{
         AdmissionCounts,
@@ -546,15 +550,6 @@
     Log(LogEvent),
 }
 
-/// When a VM that is stopped serves what.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shutdown {
-    /// Until when new requests are served as before: callers have not noticed yet.
-    pub notice_ends: Duration,
-    /// When the process ends at the latest. It breaks off what is still in progress.
-    pub ends_at: Duration,
-}
-
 /// One entry VM.
 pub struct Entry {
     config: Config,
@@ -735,11 +730,6 @@
             .map_or(stream_deadline, |(at, _)| stream_deadline.min(*at))
     }
 
-    /// Begins the shutdown: requests in progress are finished and no attempts are cancelled.
-    pub fn begin_shutdown(&mut self, shutdown: Shutdown) {
-        self.shutdown = Some(shutdown);
-    }
-
     /// Replaces the addresses of control VMs from the settings.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.control_stream.set_seeds(seeds);
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -32,7 +32,6 @@
     Reason,
     Refusal,
     RequestHandle,
-    Shutdown,
     loads::bodies,
     waiting::ParkKey, //
 };
@@ -73,8 +72,6 @@
 const NO_ROUTING_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Suggested retry delay if a service has no target or a key has no holder.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Suggested retry delay while this VM stops: another one can serve the request at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Bounds of the suggested retry delay when targets are full.
 const FULL_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -235,12 +232,6 @@
         let is_short = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
         let is_retry = is_short || elapsed >= MIN_RETRY_TIME;
         let urgency = self.routes.urgency(&service, &route);
-        let may_be_cut =
-            |shutdown: Shutdown| arrived_at >= shutdown.notice_ends && deadline > shutdown.ends_at;
-        if self.shutdown.is_some_and(may_be_cut) {
-            let refusal = Refusal::NotRun(NotRun::before_dispatch(STOPPING_RETRY_AFTER));
-            return refuse(refusal, Reason::Stopping, index, out);
-        }
         self.timers.insert((deadline, request));
         self.requests.insert(
             request,
@@ -296,6 +287,12 @@
 
     /// Sends a request to a target, lets it wait for a moment, or refuses it.
     pub(super) fn dispatch(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let Err((reason, retry_after)) = self.check_shutdown(request, now) {
+            return self.refuse(id, reason, retry_after, now, out);
+        }
         if self.refuse_quarantined(id, now, out) {
             return;
         }
@@ -420,6 +417,7 @@
         let Some(request) = self.requests.get(&id) else {
             return Err((Reason::Expired, Duration::ZERO));
         };
+        self.check_shutdown(request, now)?;
         let context = self.selection_context(request, now);
         let pick = context.pick(&self.targets, &request.service, &mut random);
         self.random = random;
@@ -461,6 +459,7 @@
         let Some(request) = self.requests.get(&id) else {
             return Err((Reason::Expired, Duration::ZERO));
         };
+        self.check_shutdown(request, now)?;
         let none = (Reason::NoHolder, NO_TARGET_RETRY_AFTER);
         let map = self.view.keys.get(&request.service).ok_or(none)?;
         let holder = map.find(key).holder.as_ref().ok_or(none)?;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod outside_numbers;
 mod overload;
 mod requests;
+mod shutdown;
 mod statements;
 mod uncontended;
 mod uneven;
