Withdraw an exchange whose connection is still being opened

What callers saw: nothing yet; it is needed to refuse, before a process ends, what no target has. For an evacuation: a request whose connection took long to open was sent to a target of the domain after the order, though its attempt had been withdrawn.

Cause: withdraw_exchange looked only at exchanges that are queued for a pooled connection. One that waits for its own connection went on.

Change: an exchange whose connection is not established is failed as unsent too. Nothing of it is written before that, so this is certain.

--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -431,9 +431,16 @@
         }
     }
 
-    /// Fails an exchange that is queued for a connection, so that nothing of it is sent. One that has
-    /// a connection goes on.
+    /// Fails an exchange that waits for a connection, so that nothing of it is sent. One that has a
+    /// connection goes on.
     pub fn withdraw_exchange(&mut self, id: ExchangeId) {
+        if let Some(key) = self.exchanges.get(&id).copied() {
+            if !self.conns[key].connected {
+                let reason = "withdrawn while its connection was opened";
+                self.close_connection(key, FailureCause::Local, reason, self.clock.now());
+            }
+            return;
+        }
         let queued = self.pools.values_mut().find_map(|pool| {
             let at = pool.queued.iter().position(|exchange| exchange.id == id)?;
             pool.queued.remove(at)
--- a/crates/reactor/tests/failure_causes.rs
+++ b/crates/reactor/tests/failure_causes.rs
@@ -31,7 +31,12 @@
     Keyring, //
 };
 use rstest::rstest;
-use socket2::SockRef;
+use socket2::{
+    Domain,
+    SockRef,
+    Socket,
+    Type, //
+};
 
 /// Longest wait for an expected event.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
@@ -273,3 +278,23 @@
     drop(target.join().unwrap());
     assert!(fixture.run(WAIT_LIMIT).unwrap().sent);
 }
+
+/// Guards against a request that is sent after its target must not get any more, because its
+/// connection was being opened when it was withdrawn.
+#[test]
+fn an_exchange_whose_connection_does_not_open_is_withdrawn() {
+    // A listener with a full backlog answers no further connection.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let _fill = TcpStream::connect(address).unwrap();
+    let mut fixture = Fixture::new();
+    fixture.start_exchange(address, 0, WAIT_LIMIT);
+    assert_eq!(fixture.run(Duration::from_millis(20)), None);
+    fixture.event_loop.withdraw_exchange(1);
+    let failure = fixture.run(WAIT_LIMIT).unwrap();
+    assert!(!failure.sent, "{failure:?}");
+    assert_eq!(failure.cause, FailureCause::Local);
+}
