Refuse what no target has before a stopping VM ends

What callers saw: a connection closed without an answer at the end of a process that was told to stop, though no byte of the request had been sent: it waited for a connection to its target, for the next holder of its key or for the first routing. Repeats and second copies were sent in the last moments and cut off with the process.

Cause: the reducer did not know of the end. It held such requests until their deadlines, which lie behind it, and the process ended under them.

Change: from 50 ms before the end nothing is sent any more. Requests that wait are refused as stopping, attempts that wait for a connection are withdrawn and then refused as not run, and nothing begins to wait. What a target has goes on until the end. A withdrawn attempt tells nothing of its target, so it is not reported to the leader as a failed connection, which would make the target count as cold at all VMs.

Evidence: entry/shutdown, five tests, all of which fail without the part that they name: at the bound nothing was withdrawn or refused, a second copy was sent to reads-1, a VM without a routing kept the request, a request rejected with 421 began to wait, and the target was reported.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -573,6 +573,8 @@
     was_established: bool,
     was_ready: bool,
     shutdown: Option<Shutdown>,
+    /// When requests that no target has are refused, if this VM is stopped and has not done so.
+    last_send: Option<Duration>,
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
     crashes: CrashReports,
@@ -631,6 +633,7 @@
             was_established: false,
             was_ready: false,
             shutdown: None,
+            last_send: None,
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
@@ -724,10 +727,11 @@
 
     /// Time at which the next tick is due.
     pub fn next_deadline(&self) -> Duration {
-        let stream_deadline = self.control_stream.next_deadline();
-        self.timers
-            .first()
-            .map_or(stream_deadline, |(at, _)| stream_deadline.min(*at))
+        let request_timer = self.timers.first().map(|(at, _)| *at);
+        [request_timer, self.last_send]
+            .into_iter()
+            .flatten()
+            .fold(self.control_stream.next_deadline(), Duration::min)
     }
 
     /// Replaces the addresses of control VMs from the settings.
@@ -740,6 +744,7 @@
         self.plan_departures(now, out);
         self.crashes.expire(now);
         self.withdraw_keyed_attempts(now, out);
+        self.refuse_unsent(now, out);
         while let Some((at, request)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/entry/src/entry/shutdown.rs
+++ b/crates/entry/src/entry/shutdown.rs
@@ -1,13 +1,22 @@
-//! The end of a stopping VM: which requests it refuses.
+//! The end of a stopping VM: which requests it still sends, and which it refuses.
 
-use std::time::Duration;
+use std::{
+    cmp::Reverse,
+    time::Duration, //
+};
 
 use super::{
+    AttemptId,
+    Effect,
     Entry,
     Reason,
+    RequestHandle,
     request::ActiveRequest, //
 };
 
+/// Time before the end of the process in which nothing is sent to a target: the answers of the last
+/// moments must reach their callers.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
 /// Suggested retry delay while this VM stops: another one can serve the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -20,10 +29,24 @@
     pub ends_at: Duration,
 }
 
+impl Shutdown {
+    /// From when nothing is sent to a target any more.
+    pub(super) fn last_send(self) -> Duration {
+        self.ends_at.saturating_sub(REFUSAL_TIME)
+    }
+}
+
 impl Entry {
     /// Begins the shutdown: requests in progress are finished and no attempts are cancelled.
     pub fn begin_shutdown(&mut self, shutdown: Shutdown) {
         self.shutdown = Some(shutdown);
+        self.last_send = Some(shutdown.last_send());
+    }
+
+    /// Whether this VM is about to end, so that nothing is sent to a target any more.
+    pub(super) fn is_ending(&self, now: Duration) -> bool {
+        self.shutdown
+            .is_some_and(|shutdown| now >= shutdown.last_send())
     }
 
     /// Whether a request may still be sent to a target. Once callers have noticed the stop, one that
@@ -36,9 +59,26 @@
         let may_be_cut =
             |shutdown: Shutdown| now >= shutdown.notice_ends && request.deadline > shutdown.ends_at;
         let is_refused = !request.may_run() && self.shutdown.is_some_and(may_be_cut);
-        match is_refused {
+        match is_refused || self.is_ending(now) {
             true => Err((Reason::Stopping, STOPPING_RETRY_AFTER)),
             false => Ok(()),
         }
     }
+
+    /// Refuses what no target has, shortly before the process ends. Attempts that wait for a
+    /// connection are withdrawn; those that have one go on.
+    pub(super) fn refuse_unsent(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.last_send.take_if(|at| now >= *at).is_none() {
+            return;
+        }
+        self.resume_unrouted(now, out);
+        let waiting: Vec<RequestHandle> = self.waiting().collect();
+        for id in waiting {
+            self.dispatch(id, now, out);
+        }
+        // The last ones first: the end of an attempt lets the next one have a connection.
+        let mut attempts: Vec<AttemptId> = self.attempts.keys().copied().collect();
+        attempts.sort_unstable_by_key(|attempt| Reverse(*attempt));
+        out.extend(attempts.into_iter().map(Effect::Withdraw));
+    }
 }
--- a/crates/entry/src/entry/statements.rs
+++ b/crates/entry/src/entry/statements.rs
@@ -366,6 +366,10 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        // The attempt may have been withdrawn, which says nothing of its target.
+        if self.is_ending(now) {
+            return;
+        }
         let tracked = self.targets.get_mut(&holder.id);
         let Some(tracked) = tracked.filter(|t| t.incarnation == holder.incarnation) else {
             return;
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -65,7 +65,8 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        if self.view.routing.is_some() || self.unrouted.len() >= MAX_UNROUTED {
+        let may_wait = self.unrouted.len() < MAX_UNROUTED && !self.is_ending(now);
+        if self.view.routing.is_some() || !may_wait {
             return self.route_request(incoming, now, now, out);
         }
         let caller_timeout = incoming
@@ -126,6 +127,7 @@
     /// Lets a request wait until the given time, or until it is to be tried again.
     pub(super) fn park(&mut self, id: RequestHandle, until: Duration, now: Duration) {
         let is_contended = self.routes.is_contended();
+        let until = self.shutdown.map_or(until, |s| until.min(s.last_send()));
         if let Some(request) = self.requests.get_mut(&id) {
             request.parked_until = Some(until);
             let key = match is_contended {
--- a/crates/entry/tests/entry/shutdown.rs
+++ b/crates/entry/tests/entry/shutdown.rs
@@ -1,9 +1,10 @@
-//! The end of a VM that is stopped: what it no longer sends.
+//! The end of a VM that is stopped: what it no longer sends, and what it answers before it ends.
 
 use std::time::Duration;
 
 use camphordale_entry::{
     Reason,
+    Refusal,
     Shutdown, //
 };
 use camphordale_fleet::PeerMessage;
@@ -11,9 +12,14 @@
 use crate::harness::{
     Harness,
     KEYED,
+    ORDERS,
     READS,
     StepOutput,
+    complete,
+    contended,
+    failed,
     ms,
+    not_executed,
     promised, //
 };
 
@@ -72,3 +78,116 @@
     assert_eq!(promised(&output), [(late, ms(50))]);
     assert_eq!(reasons(&output), [Reason::Stopping]);
 }
+
+/// Guards against connections that a process closes without an answer at its end, though their
+/// requests were never sent to a target.
+#[test]
+fn the_end_of_a_stop_refuses_what_no_target_has() {
+    let mut harness = Harness::new();
+    let (_, output) = harness.request(READS);
+    let (at_work, ..) = output.sent[0];
+    let (read, output) = harness.request(READS);
+    let (queued_read, ..) = output.sent[0];
+    let (order, output) = harness.request(ORDERS);
+    let (queued_order, ..) = output.sent[0];
+    let (keyed, output) = harness.request(KEYED);
+    let (queued_keyed, ..) = output.sent[0];
+    harness.receive(handover(false));
+    let (waiting, _) = harness.request(KEYED);
+    stop(&mut harness, ms(0), ms(250));
+    assert_eq!(harness.advance(ms(150)).withdrawn, []);
+    assert!(harness.entry.next_deadline() <= harness.now + ms(50));
+    let output = harness.advance(ms(50));
+    assert_eq!(promised(&output), [(waiting, ms(50))]);
+    let mut withdrawn = output.withdrawn.clone();
+    withdrawn.sort_unstable();
+    // The event loop leaves the one that has a connection.
+    assert_eq!(
+        withdrawn,
+        [at_work, queued_read, queued_order, queued_keyed]
+    );
+    assert_eq!(output.cancelled, []);
+    for (attempt, request) in [(queued_read, read), (queued_order, order)] {
+        let output = harness.end_attempt(attempt, failed(false));
+        assert_eq!(output.sent, []);
+        assert_eq!(promised(&output), [(request, ms(50))]);
+        assert_eq!(reasons(&output), [Reason::Stopping]);
+    }
+    let output = harness.end_attempt(queued_keyed, failed(false));
+    assert_eq!(output.sent, []);
+    let [(refused, Refusal::NotRun(_))] = output.refused[..] else {
+        panic!("{:?}", output.refused);
+    };
+    assert_eq!(refused, keyed);
+    // The target may still answer.
+    assert_eq!(harness.advance(ms(20)).cancelled, []);
+    let output = harness.end_attempt(at_work, complete(200));
+    assert_eq!(output.forwarded.len(), 1);
+    assert_eq!(harness.entry.active_requests(), 0);
+}
+
+/// Guards against attempts that are begun in the last moment and cut off: requests that arrive then,
+/// and a second copy of a slow one.
+#[test]
+fn nothing_is_sent_at_the_end_of_a_stop() {
+    let mut harness = Harness::new();
+    let (_, output) = harness.request(READS);
+    assert_eq!(output.sent.len(), 1);
+    stop(&mut harness, ms(0), ms(400));
+    let (request, output) = harness.request_within(READS, ms(400));
+    let (shed, ..) = output.sent[0];
+    harness.advance(ms(350));
+    let output = harness.advance(ms(10));
+    assert_eq!(output.sent, [], "a second copy");
+    let (late, output) = harness.request_within(ORDERS, ms(30));
+    assert_eq!(output.sent, []);
+    assert_eq!(promised(&output), [(late, ms(50))]);
+    let output = harness.end_attempt(shed, not_executed(503));
+    assert_eq!(output.sent, []);
+    assert_eq!(promised(&output)[0].0, request);
+}
+
+/// Guards against a request that a VM without a routing takes in its last moment and never answers.
+#[test]
+fn a_vm_without_a_routing_answers_before_it_ends() {
+    let mut harness = Harness::without_view();
+    stop(&mut harness, ms(0), ms(200));
+    let (waiting, _) = harness.request(READS);
+    let output = harness.advance(ms(150));
+    assert_eq!(promised(&output)[0].0, waiting);
+    let (late, output) = harness.request(READS);
+    assert_eq!(promised(&output)[0].0, late);
+}
+
+/// Guards against a request that its holder rejects in the last moment, which waits for the next
+/// holder and is never answered.
+#[test]
+fn nothing_begins_to_wait_at_the_end_of_a_stop() {
+    let mut harness = Harness::new();
+    stop(&mut harness, ms(0), ms(300));
+    harness.advance(ms(110));
+    let (request, output) = harness.request_within(KEYED, ms(190));
+    harness.advance(ms(140));
+    let rejected = harness.end_attempt(output.sent[0].0, not_executed(421));
+    assert_eq!(rejected.sent, []);
+    assert!(harness.entry.next_deadline() <= harness.now);
+    assert_eq!(promised(&harness.advance(ms(0))), [(request, ms(50))]);
+}
+
+/// Guards against targets that count as cold at all VMs because a VM that ends gave up its attempts
+/// to connect to them.
+#[test]
+fn the_end_of_a_stop_reports_no_target_as_unreached() {
+    let mut view = Harness::view();
+    view.routing = Some(contended().into());
+    let mut harness = Harness::with(view);
+    let (_, output) = harness.request(READS);
+    stop(&mut harness, ms(0), ms(200));
+    let withdrawn = harness.advance(ms(150)).withdrawn;
+    assert_eq!(withdrawn, [output.sent[0].0]);
+    let ended = harness.end_attempt(withdrawn[0], failed(false));
+    let ticked = harness.advance(ms(20));
+    let mut messages = ended.messages.iter().chain(&ticked.messages);
+    let reported = messages.find(|message| matches!(message, PeerMessage::ColdTargets { .. }));
+    assert_eq!(reported, None);
+}
