Take the retry of a request before its attempt is aborted

Callers saw: a retryable request at work on a target that was silent for a moment ended as unknown, although the target answered later.

Cause: if a target failed a probe or was lost, or if its connections counted as dead, the router aborted all retryable requests in flight there. Only when an abort had taken effect did it ask the retry budget, the limit of attempts and the latest start. Each request that one of them refused had given up its attempt for nothing.

Of 32 requests at a target that fails a probe, 32 are aborted, the budget has retries for 20, and the 21st is refused with Unknown(Broken).

Change: the retry is taken first, and a request without one is left running. While the target is suspected or lost, each tick tries again, so that what is left moves as soon as the budget allows; once the target has responded, nothing more is aborted. Requests that were not written need no retry from the budget, as before, but have to have an attempt left.

Ruled out: more retries than the budget allows. The budget bounds the load of a failing system, and a request that stays costs nothing. Keyed requests whose sender changed or whose target is lost are aborted as before: another VM acts for their shards.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -99,6 +99,7 @@
             hops,
             written: false,
             aborted: false,
+            retry_taken: false,
             cancelled: false,
             unknown_outcome: None,
             record: None,
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -7,7 +7,6 @@
 
 use crate::{
     AttemptResult, Effect, Router, SendRequest,
-    health::Health,
     keyed::Destination,
     request::{ActiveRequest, Stage},
 };
@@ -48,6 +47,7 @@
         request.stage = Stage::Opening(target.info.id);
         request.attempts += 1;
         request.aborted = false;
+        request.retry_taken = false;
         request.started = self.now;
         if target.in_flight.is_empty() {
             target.health.record_start(self.now);
@@ -306,11 +306,11 @@
 
     /// Retries a request that may have run if its service allows that; otherwise refuses it.
     pub(crate) fn retry_unknown(&mut self, id: RequestId, unknown: Unknown) {
-        let retryable = self
-            .requests
-            .get(&id)
-            .is_some_and(|request| request.retryable);
-        if !retryable || !self.may_retry(id) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let retry_taken = std::mem::take(&mut request.retry_taken);
+        if !request.retryable || !(retry_taken || self.may_retry(id)) {
             return self.refuse_unknown(id, unknown);
         }
         self.counters.retries += 1;
@@ -352,25 +352,55 @@
         }
     }
 
+    /// Aborts the retryable requests in flight at a target for which `ends` is true, so that they
+    /// are sent again. A retry is taken for each that may have been written: one without a retry
+    /// would only be refused, and its attempt may still succeed.
+    fn abort_for_retry(&mut self, id: TargetId, ends: impl Fn(&ActiveRequest) -> bool) {
+        let Some(target) = self.targets.get(&id) else {
+            return;
+        };
+        let aborted: Vec<_> = target
+            .in_flight
+            .iter()
+            .filter(|(request_id, _)| {
+                let request = self.requests.get(request_id);
+                request.is_some_and(|r| r.retryable && !r.aborted && ends(r))
+            })
+            .copied()
+            .collect();
+        for (request_id, written) in aborted {
+            if written && !self.may_retry(request_id) {
+                continue;
+            }
+            if let Some(request) = self.requests.get_mut(&request_id) {
+                request.aborted = true;
+                request.retry_taken = written;
+                self.effects.push(Effect::Abort { id: request_id });
+            }
+        }
+    }
+
     /// Aborts retryable requests on dead connections to a live target, so that they are sent again
     /// on a new one.
-    pub(crate) fn reconnect_stuck(&mut self, id: TargetId) {
+    fn reconnect_stuck(&mut self, id: TargetId) {
         let Some(target) = self.targets.get(&id) else {
             return;
         };
-        let now = self.now;
-        let is_stuck = |health: &Health, request: &ActiveRequest| {
-            request.retryable && !request.aborted && health.is_stuck(request.started, now)
+        let (health, now) = (target.health.clone(), self.now);
+        self.abort_for_retry(id, |request| health.is_stuck(request.started, now));
+    }
+
+    /// Sends retryable requests in flight at a target again: elsewhere if the target may be frozen
+    /// or lost, or on a new connection if only theirs is dead.
+    pub(crate) fn retry_unanswered(&mut self, id: TargetId) {
+        let Some(target) = self.targets.get(&id) else {
+            return;
         };
-        let mut in_flight = target.in_flight.iter();
-        let any = in_flight.any(|(request_id, _)| {
-            let request = self.requests.get(request_id);
-            request.is_some_and(|request| is_stuck(&target.health, request))
-        });
-        if any {
-            let health = target.health.clone();
-            self.abort_all(id, |request| is_stuck(&health, request));
+        if target.is_lost() || target.health.is_suspect() {
+            // The shards of a keyed target have to move first.
+            self.abort_for_retry(id, |request| request.shard.is_none());
         }
+        self.reconnect_stuck(id);
     }
 
     /// Closes the pooled connections to a target and probes it on a new one.
@@ -395,13 +425,12 @@
         };
         let until = target.health.record_probe_result(alive, self.now);
         if alive {
-            self.reconnect_stuck(id);
+            self.retry_unanswered(id);
             return self.dispatch_target(id);
         }
         self.resume_timers.insert((until, id));
         self.counters.suspects += 1;
         self.effects.push(Effect::ReportSuspect { target: id });
-        // The target may be frozen, so requests that another target can run are sent elsewhere.
-        self.abort_all(id, |request| request.retryable && request.shard.is_none());
+        self.retry_unanswered(id);
     }
 }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -39,6 +39,8 @@
     probed_at: Option<Duration>,
     /// Start time of the last probe, if it succeeded.
     answered_probe: Option<Duration>,
+    /// Whether the last probe failed and the target has not responded since.
+    suspect: bool,
     backoff_until: Duration,
     backoff: Duration,
     /// Time at which a request last ended, or started with no other in flight.
@@ -63,6 +65,7 @@
         self.sample(elapsed, now);
         self.backoff = Duration::ZERO;
         self.broken_at = None;
+        self.suspect = false;
     }
 
     /// Records a refusal and starts a backoff; returns its end.
@@ -116,6 +119,7 @@
     /// Records the result of a probe and returns the end of the backoff that it causes.
     pub(crate) fn record_probe_result(&mut self, alive: bool, now: Duration) -> Duration {
         self.broken_at = None;
+        self.suspect = !alive;
         self.last_progress = now;
         self.answered_probe = if alive { self.probed_at } else { None };
         self.backoff_until = if alive { now } else { now + SUSPECT_BACKOFF };
@@ -129,6 +133,11 @@
             && now >= started + self.unresponsive_after()
     }
 
+    /// Returns whether the last probe failed and the target has not responded since.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
     /// Returns whether new requests are not sent for now.
     pub(crate) fn is_backing_off(&self, now: Duration) -> bool {
         now < self.backoff_until
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -41,6 +41,9 @@
     pub(crate) written: bool,
     /// Whether this VM aborted the current attempt.
     pub(crate) aborted: bool,
+    /// Whether a retry was taken from the budget for the request before its current attempt was
+    /// aborted.
+    pub(crate) retry_taken: bool,
     /// Whether the caller has disconnected.
     pub(crate) cancelled: bool,
     /// Outcome of an earlier attempt that may have run. The request is then not refused as
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -223,7 +223,7 @@
             self.start_probe(id);
         }
         for id in self.busy_targets.clone() {
-            self.reconnect_stuck(id);
+            self.retry_unanswered(id);
         }
         for service_index in 0..self.services.len() {
             for side in [Side::Old, Side::New] {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -184,7 +184,7 @@
         } else if lost {
             // No other VM takes over for an unkeyed target, so only requests that can run elsewhere
             // are aborted.
-            self.abort_all(id, |request| request.retryable);
+            self.retry_unanswered(id);
         }
     }
 
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -129,6 +129,93 @@
     assert_eq!(probes(&tick(&mut router, 1300)), 1);
 }
 
+/// Returns a router with 32 slots of its own on each target of service "u", and the requests that
+/// it has written to target 21, which are all of those in flight.
+fn busy_target() -> (Router, Vec<RequestId>) {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[1].slots = 64;
+    bundle.services[1].connections = 64;
+    router.step(Event::Bundle(bundle), ms(0));
+    let with_slots = |id| {
+        let mut target = target(id, "u", None);
+        target.info.spec.slots = 64;
+        target
+    };
+    let targets = vec![with_slots(21), with_slots(22)];
+    router.step(Event::View(change(2, targets, vec![])), ms(0));
+    let mut written = Vec::new();
+    let mut others = Vec::new();
+    for id in 0..64 {
+        for (id, target) in sends(&arrive(&mut router, request(id, "GET", "/u/list"), 0)) {
+            assert_eq!(ready(&mut router, id, 0), [Effect::Proceed { id }]);
+            match target {
+                21 => written.push(id),
+                _ => others.push(id),
+            }
+        }
+    }
+    assert_eq!((written.len(), others.len()), (32, 32));
+    for id in others {
+        done(&mut router, id, responded(), 1);
+    }
+    (router, written)
+}
+
+fn aborts(effects: &[Effect]) -> Vec<RequestId> {
+    let aborted = |effect: &Effect| match effect {
+        Effect::Abort { id } => Some(*id),
+        _ => None,
+    };
+    effects.iter().filter_map(aborted).collect()
+}
+
+/// Ends aborted requests. They must be sent again, to `target`.
+fn end_aborted(router: &mut Router, aborted: &[RequestId], target: TargetId, now: u64) {
+    for id in aborted {
+        let broken = AttemptResult::Unknown(Unknown::Broken);
+        let effects = done(router, *id, broken, now);
+        assert_eq!(sends(&effects), [(*id, target)], "{effects:?}");
+        ready(router, *id, now);
+    }
+}
+
+/// Guards against requests that are aborted at a target that may be frozen, and then refused
+/// because the retry budget is exhausted.
+#[test]
+fn requests_beyond_the_retry_budget_stay_at_a_suspected_target() {
+    let (mut router, written) = busy_target();
+    let alive = false;
+    let effects = router.step(Event::Probed { target: 21, alive }, ms(400));
+    let aborted = aborts(&effects);
+    end_aborted(&mut router, &aborted, 22, 401);
+    assert_eq!(aborted.len(), 20);
+    // The target resumes, and the requests left there get their responses.
+    for id in written.iter().filter(|id| !aborted.contains(id)) {
+        assert_eq!(done(&mut router, *id, responded(), 700), []);
+    }
+}
+
+/// Guards against requests that stay at a frozen target although the budget allows retries again.
+#[test]
+fn requests_leave_a_suspected_target_once_the_budget_allows() {
+    let (mut router, _) = busy_target();
+    let alive = false;
+    let effects = router.step(Event::Probed { target: 21, alive }, ms(100));
+    end_aborted(&mut router, &aborts(&effects), 22, 100);
+    assert_eq!(aborts(&tick(&mut router, 300)), []);
+    // Ten requests add one retry.
+    for id in 100..110 {
+        let sent = sends(&arrive(&mut router, request(id, "GET", "/u/list"), 300));
+        assert_eq!(sent, [(id, 22)]);
+        ready(&mut router, id, 300);
+        done(&mut router, id, responded(), 301);
+    }
+    let aborted = aborts(&tick(&mut router, 310));
+    assert_eq!(aborted.len(), 1);
+    end_aborted(&mut router, &aborted, 22, 311);
+}
+
 /// Guards against a shard that moves while requests still run at its old owner.
 #[test]
 fn release_waits_for_requests_in_flight() {
