Abort at a suspected target only what another target can run now

Callers saw: requests at work on a target that was silent for a moment were cut off and then waited, in a queue behind others or with no other target at all, until their time ran out.

Cause: a target that failed a probe, or whose lease expired, lost all retryable unkeyed requests, whether or not another target had a free slot for them. In an evacuated domain, requests that another VM had forwarded were aborted too, though a VM does not redirect what may have run: such a request could only be refused.

Evidence: both new tests fail on the code before.

Change: a request that may have been written is aborted once it would be sent on at once: another target that suits its deadline has a free slot that no queued request and no earlier abort takes, or it can be forwarded to another domain or to the VM that has the slots. The others stay, and each tick looks again. Requests that were not written are aborted as before; nothing runs for them.

Ruled out: counting room in the queue. Its wait is an estimate, and a request whose time ends there has lost the attempt that may have answered. The price is that under a load that fills all other targets, requests at a target that does not resume end as unknown at their deadlines instead of waiting in that queue.

--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -9,6 +9,7 @@
     AttemptResult, Effect, Router, SendRequest,
     keyed::Destination,
     request::{ActiveRequest, Stage},
+    target::Target,
 };
 
 /// Upper bound of attempts per request, sends and forwards together.
@@ -352,42 +353,36 @@
         }
     }
 
-    /// Aborts the retryable requests in flight at a target for which `ends` is true, so that they
-    /// are sent again. A retry is taken for each that may have been written: one without a retry
-    /// would only be refused, and its attempt may still succeed.
-    fn abort_for_retry(&mut self, id: TargetId, ends: impl Fn(&ActiveRequest) -> bool) {
-        let Some(target) = self.targets.get(&id) else {
+    /// Aborts an attempt at a target so that the request is sent again. A retry is taken for one that
+    /// may have been written: without a retry it would only be refused, and its attempt may still
+    /// succeed.
+    fn abort_for_retry(&mut self, id: RequestId, written: bool) {
+        if written && !self.may_retry(id) {
             return;
-        };
-        let aborted: Vec<_> = target
-            .in_flight
-            .iter()
-            .filter(|(request_id, _)| {
-                let request = self.requests.get(request_id);
-                request.is_some_and(|r| r.retryable && !r.aborted && ends(r))
-            })
-            .copied()
-            .collect();
-        for (request_id, written) in aborted {
-            if written && !self.may_retry(request_id) {
-                continue;
-            }
-            if let Some(request) = self.requests.get_mut(&request_id) {
-                request.aborted = true;
-                request.retry_taken = written;
-                self.effects.push(Effect::Abort { id: request_id });
-            }
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.aborted = true;
+            request.retry_taken = written;
+            self.effects.push(Effect::Abort { id });
         }
     }
 
-    /// Aborts retryable requests on dead connections to a live target, so that they are sent again
-    /// on a new one.
-    fn reconnect_stuck(&mut self, id: TargetId) {
-        let Some(target) = self.targets.get(&id) else {
-            return;
+    /// Returns the retryable requests in flight at a target for which `ends` is true, and whether
+    /// they may have been written.
+    fn retryable_at(
+        &self,
+        target: &Target,
+        ends: impl Fn(&ActiveRequest) -> bool,
+    ) -> Vec<(RequestId, bool)> {
+        let is_retryable = |id: &RequestId| {
+            let request = self.requests.get(id);
+            request.is_some_and(|r| r.retryable && !r.aborted && ends(r))
         };
-        let (health, now) = (target.health.clone(), self.now);
-        self.abort_for_retry(id, |request| health.is_stuck(request.started, now));
+        let in_flight = target.in_flight.iter();
+        in_flight
+            .filter(|(id, _)| is_retryable(id))
+            .copied()
+            .collect()
     }
 
     /// Sends retryable requests in flight at a target again: elsewhere if the target may be frozen
@@ -396,11 +391,22 @@
         let Some(target) = self.targets.get(&id) else {
             return;
         };
+        let now = self.now;
         if target.is_lost() || target.health.is_suspect() {
             // The shards of a keyed target have to move first.
-            self.abort_for_retry(id, |request| request.shard.is_none());
+            let unkeyed = self.retryable_at(target, |request| request.shard.is_none());
+            for (request_id, written) in unkeyed {
+                if !written || self.can_run_elsewhere(request_id, id) {
+                    self.abort_for_retry(request_id, written);
+                }
+            }
+        } else {
+            let health = &target.health;
+            let stuck = self.retryable_at(target, |r| health.is_stuck(r.started, now));
+            for (request_id, written) in stuck {
+                self.abort_for_retry(request_id, written);
+            }
         }
-        self.reconnect_stuck(id);
     }
 
     /// Closes the pooled connections to a target and probes it on a new one.
--- a/crates/route/src/balance.rs
+++ b/crates/route/src/balance.rs
@@ -27,11 +27,13 @@
 const REFUSAL_WEIGHT: f64 = 1.0;
 
 impl Candidate {
-    /// Returns whether the target has a free slot for this VM.
-    fn has_free_slot(&self) -> bool {
+    /// Returns the number of requests that this VM may send to the target now.
+    pub(crate) fn free_slots(&self) -> u32 {
         // Rounded up, because a target that gets no request never completes its warm-up.
         let allowed = (f64::from(self.share) * self.warm_up_factor).ceil();
-        f64::from(self.in_flight) < allowed.min(f64::from(self.share))
+        (allowed as u32)
+            .min(self.share)
+            .saturating_sub(self.in_flight)
     }
 
     /// Returns the expected cost of one more request.
@@ -51,7 +53,7 @@
     let mut best: Option<(f64, TargetId)> = None;
     for i in 0..count {
         let candidate = &candidates[(start % count + i) % count];
-        if !candidate.has_free_slot() {
+        if candidate.free_slots() == 0 {
             continue;
         }
         let cost = candidate.cost();
--- a/crates/route/src/evacuation.rs
+++ b/crates/route/src/evacuation.rs
@@ -91,7 +91,7 @@
 
     /// Returns a VM of a domain that is not known to lack targets of the service, preferably one
     /// that has not failed recently.
-    fn alternative_vm(&mut self, service_index: usize) -> Option<VmId> {
+    pub(crate) fn alternative_vm(&mut self, service_index: usize) -> Option<VmId> {
         let start = self.random() as usize;
         let count = self.evacuations.alternatives.len();
         let mut fallback = None;
--- a/crates/route/src/forward.rs
+++ b/crates/route/src/forward.rs
@@ -11,7 +11,7 @@
 };
 
 /// Upper bound of forwards of one request.
-const MAX_HOPS: u8 = 3;
+pub(crate) const MAX_HOPS: u8 = 3;
 /// Time for which a VM that could not be reached is not preferred.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(1);
 /// Delay before a request is routed again when the other VM did not know the sender.
--- a/crates/route/src/unkeyed.rs
+++ b/crates/route/src/unkeyed.rs
@@ -8,6 +8,7 @@
 use crate::{
     Origin, Router,
     balance::{Candidate, choose},
+    forward::MAX_HOPS,
     request::QueueKind,
 };
 
@@ -98,21 +99,33 @@
     ) -> Option<TargetId> {
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
+        candidates.extend(self.usable_targets(service_index, side, deadline));
+        let start = self.random() as usize;
+        let target = choose(&candidates, start);
+        self.candidates = candidates;
+        target
+    }
+
+    /// Returns the targets that a request with `deadline` may be sent to once they have a free slot.
+    fn usable_targets(
+        &self,
+        service_index: usize,
+        side: Side,
+        deadline: Duration,
+    ) -> impl Iterator<Item = Candidate> {
         let left = deadline.saturating_sub(self.now).as_secs_f64();
         let state = &self.services[service_index];
         let warm_up = state.service.as_ref().map_or(Duration::ZERO, |s| s.warm_up);
         let members = &state.pool(side).members;
-        for id in members {
-            let Some(target) = self.targets.get(id) else {
-                continue;
-            };
+        members.iter().filter_map(move |id| {
+            let target = self.targets.get(id)?;
             let health = &target.health;
             let latency = health.latency(self.now);
             // Waiting for another target is better than one that is expected to miss the deadline.
             if health.is_backing_off(self.now) || (latency > left && members.len() > 1) {
-                continue;
+                return None;
             }
-            candidates.push(Candidate {
+            Some(Candidate {
                 target: *id,
                 in_flight: target.in_flight.len() as u32,
                 share: target.limit,
@@ -120,12 +133,46 @@
                 refusals: health.refusals(self.now),
                 load: f64::from(health.load),
                 warm_up_factor: health.warm_up_factor(warm_up, self.now),
-            });
+            })
+        })
+    }
+
+    /// Returns whether an unkeyed request that is in flight at a target would be sent elsewhere at
+    /// once if it were aborted.
+    pub(crate) fn can_run_elsewhere(&mut self, id: RequestId, at: TargetId) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let (service_index, side, deadline) =
+            (request.service_index, request.side, request.deadline);
+        // A request that another VM forwarded would be redirected, which is refused if it may have run.
+        let may_forward = request.origin == Origin::Caller && request.hops < MAX_HOPS;
+        if self.is_evacuated() {
+            return may_forward && self.alternative_vm(service_index).is_some();
         }
-        let start = self.random() as usize;
-        let target = choose(&candidates, start);
-        self.candidates = candidates;
-        target
+        let pool = self.services[service_index].pool(side);
+        if pool.delegate.is_some() {
+            return may_forward;
+        }
+        if !self.has_lease() {
+            return false;
+        }
+        let others = self.usable_targets(service_index, side, deadline);
+        let free: u32 = others
+            .filter(|candidate| candidate.target != at)
+            .map(|candidate| candidate.free_slots())
+            .sum();
+        free as usize > pool.queue.len() + self.pending_retries(service_index, side)
+    }
+
+    /// Returns the number of requests of a side whose attempts were aborted and have not ended.
+    fn pending_retries(&self, service_index: usize, side: Side) -> usize {
+        let targets = self.targets.values();
+        let in_flight = targets
+            .filter(|t| t.service_index == service_index && t.info.spec.side == side)
+            .flat_map(|t| &t.in_flight);
+        let aborted = in_flight.filter(|(id, _)| self.requests.get(id).is_some_and(|r| r.aborted));
+        aborted.count()
     }
 
     /// Sends queued requests of a side while a target has a free slot.
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -216,6 +216,54 @@
     end_aborted(&mut router, &aborted, 22, 311);
 }
 
+/// Guards against requests that are aborted at a target that may be frozen while no other target
+/// can run them, and against requests that stay there although another target can.
+#[test]
+fn requests_leave_a_suspected_target_for_free_slots_only() {
+    let (mut router, written) = busy_target();
+    let mut others = Vec::new();
+    for id in 100..132 {
+        let sent = sends(&arrive(&mut router, request(id, "GET", "/u/list"), 10));
+        assert_eq!(sent, [(id, 22)]);
+        ready(&mut router, id, 10);
+        others.push(id);
+    }
+    let alive = false;
+    let effects = router.step(Event::Probed { target: 21, alive }, ms(20));
+    assert_eq!(aborts(&effects), []);
+    assert_eq!(aborts(&tick(&mut router, 30)), []);
+    // A slot that a queued request takes is not free.
+    assert_eq!(arrive(&mut router, request(200, "GET", "/u/list"), 40), []);
+    done(&mut router, others[0], responded(), 41);
+    assert_eq!(aborts(&tick(&mut router, 42)), []);
+    done(&mut router, others[1], responded(), 43);
+    done(&mut router, others[2], responded(), 43);
+    let aborted = aborts(&tick(&mut router, 44));
+    assert_eq!(aborted, written[..2]);
+    end_aborted(&mut router, &aborted, 22, 45);
+    for id in &written[2..] {
+        assert_eq!(done(&mut router, *id, responded(), 300), []);
+    }
+}
+
+/// Guards against an abort of a forwarded request that can only be refused afterwards, as a VM
+/// does not redirect what may have run.
+#[test]
+fn forwarded_request_stays_at_a_suspected_target_of_an_evacuated_domain() {
+    let mut router = router();
+    let mut forwarded = request(1, "GET", "/u/list");
+    forwarded.origin = Origin::Vm { vm: 2, hops: 1 };
+    let sent = sends(&arrive(&mut router, forwarded, 0));
+    let target = sent[0].1;
+    ready(&mut router, 1, 0);
+    let domains = vec!["east".into()];
+    router.step(Event::Evacuated { domains }, ms(1));
+    let alive = false;
+    let effects = router.step(Event::Probed { target, alive }, ms(400));
+    assert_eq!(effects, [Effect::ReportSuspect { target }]);
+    assert_eq!(done(&mut router, 1, responded(), 600), []);
+}
+
 /// Guards against a shard that moves while requests still run at its old owner.
 #[test]
 fn release_waits_for_requests_in_flight() {
