Move a long request to a new connection at most once

Callers saw: a retryable request that takes a few seconds at a live target never ended, though its deadline allowed it: its work was cut off and begun again each second.

Cause: a request without a response for long counts as stuck on a dead connection when its target has answered a probe on a newer one. A request that simply takes long looks the same on each connection, so it was aborted again after each probe, as long as it had attempts.

Evidence: the new test fails on the code before: one request at a target that answers every probe is aborted at 300, 1300 and 2300 ms.

Change: a request is aborted for its connection once. If it is unanswered on a second connection as well, the connection is not the reason, and the attempt runs until its deadline.

Ruled out: comparing with the latency of the target. It is known only as an average, and the limit of eight times the average is what long requests exceed. Two dead connections in a row are as good as excluded: a probe closes the idle connections of the pool.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -100,6 +100,7 @@
             written: false,
             aborted: false,
             retry_taken: false,
+            reconnected: false,
             cancelled: false,
             unknown_outcome: None,
             record: None,
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -402,9 +402,15 @@
             }
         } else {
             let health = &target.health;
-            let stuck = self.retryable_at(target, |r| health.is_stuck(r.started, now));
+            // A request that is unanswered on a second connection too takes long.
+            let stuck = self.retryable_at(target, |request| {
+                !request.reconnected && health.is_stuck(request.started, now)
+            });
             for (request_id, written) in stuck {
                 self.abort_for_retry(request_id, written);
+                if let Some(request) = self.requests.get_mut(&request_id) {
+                    request.reconnected = request.aborted;
+                }
             }
         }
     }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -44,6 +44,8 @@
     /// Whether a retry was taken from the budget for the request before its current attempt was
     /// aborted.
     pub(crate) retry_taken: bool,
+    /// Whether an attempt was aborted because its connection seemed dead while the target was alive.
+    pub(crate) reconnected: bool,
     /// Whether the caller has disconnected.
     pub(crate) cancelled: bool,
     /// Outcome of an earlier attempt that may have run. The request is then not refused as
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -264,6 +264,31 @@
     assert_eq!(done(&mut router, 1, responded(), 600), []);
 }
 
+/// Guards against a request that takes long at a live target and is aborted and begun again until
+/// its attempts are exhausted.
+#[test]
+fn long_request_moves_to_a_new_connection_once() {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[0].deadline = ms(10_000);
+    put_in_force(&mut router, bundle, 0);
+    write(&mut router, keyed(1, "GET", 0), 11, 0);
+    let mut aborted = Vec::new();
+    for now in (0..8000).step_by(100) {
+        let mut effects = tick(&mut router, now);
+        if probes(&effects) > 0 {
+            let (target, alive) = (11, true);
+            effects.extend(router.step(Event::Probed { target, alive }, ms(now + 1)));
+        }
+        for id in aborts(&effects) {
+            aborted.push(now);
+            end_aborted(&mut router, &[id], 11, now + 2);
+        }
+    }
+    assert_eq!(aborted, [300]);
+    assert_eq!(done(&mut router, 1, responded(), 8000), []);
+}
+
 /// Guards against a shard that moves while requests still run at its old owner.
 #[test]
 fn release_waits_for_requests_in_flight() {
