Let a caller pause while it takes its response

Callers saw: a response that its target had finished was cut off with a reset if the caller did not read for about two seconds while it arrived.

Cause: every accepted connection had a TCP_USER_TIMEOUT of 1.5 s. It covers unacknowledged data, and on Linux also a receive window that stays closed: the system breaks the connection at the first probe after that time. The event loop itself lets a caller pause for the idle timeout (15 s by default), but the system acted first. A link that was down for 1.5 s had the same effect.

Change: accepted HTTP connections get the time that they may be idle, which the timer of the event loop enforces for what is still in its buffers. So a caller that stops reading is closed within the same bound as before the system could act, and the memory for such responses is bounded as before.

Ruled out: no timeout at all, as it would leave what the system buffers for a dead caller to its own default of many minutes. Connections to targets and to other VMs keep 1.5 s, which detects a dead link.

--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -33,8 +33,9 @@
 const MAX_PIPELINED_INPUT_BYTES: usize = 128 << 10;
 /// Bytes of capacity that an empty output buffer keeps; a larger buffer is shrunk to it.
 const MAX_IDLE_BUFFER_BYTES: usize = 32 << 10;
-/// Time after which unacknowledged data breaks a connection (`TCP_USER_TIMEOUT`).
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which unacknowledged data breaks a connection to a target or another VM
+/// (`TCP_USER_TIMEOUT`).
+pub(super) const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// The exchange in progress on a connection to a target.
 pub(super) struct ActiveExchange {
@@ -157,11 +158,12 @@
         }
     }
 
-    /// Sets the socket options that every connection needs.
-    pub(super) fn configure(socket: &TcpStream) -> io::Result<()> {
+    /// Sets the socket options that every connection needs. The system breaks the connection if
+    /// data is not acknowledged, or the other side has no room for it, for `user_timeout`.
+    pub(super) fn configure(socket: &TcpStream, user_timeout: Duration) -> io::Result<()> {
         let socket = SockRef::from(socket);
         socket.set_tcp_nodelay(true)?;
-        socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+        socket.set_tcp_user_timeout(Some(user_timeout))
     }
 
     /// Checks whether the connection is established.
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -13,7 +13,8 @@
     ConnId, EventLoop, FailureCause, IoEvent,
     conn::{
         Conn,
-        ConnKind, //
+        ConnKind,
+        TCP_USER_TIMEOUT, //
     },
 };
 use crate::peer_connection::PeerConnection;
@@ -58,7 +59,7 @@
         now: Duration,
     ) -> Option<usize> {
         let socket = TcpStream::connect(to).ok()?;
-        Conn::configure(&socket).ok()?;
+        Conn::configure(&socket, TCP_USER_TIMEOUT).ok()?;
         let mut output = Vec::new();
         let protocol =
             PeerConnection::new(Role::Client, &self.keyring, rand::random(), &mut output);
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -12,7 +12,8 @@
     ConnId, EventLoop, FailureCause, IoEvent, ListenerKind, MAX_CALLER_CONNECTIONS,
     conn::{
         Conn,
-        ConnKind, //
+        ConnKind,
+        TCP_USER_TIMEOUT, //
     },
     memory::NO_MEMORY_STATUS,
     pacing::CONNECTION_OVERHEAD_BYTES,
@@ -54,7 +55,15 @@
             self.link_out.spend(CONNECTION_OVERHEAD_BYTES, now);
             let full = listener_kind == ListenerKind::Callers
                 && self.caller_connections >= MAX_CALLER_CONNECTIONS;
-            if full || Conn::configure(&socket).is_err() {
+            // A client may pause while it takes a response, as long as it may be idle.
+            let user_timeout = match listener_kind {
+                ListenerKind::Peers => TCP_USER_TIMEOUT,
+                ListenerKind::Callers
+                | ListenerKind::Readiness
+                | ListenerKind::Control
+                | ListenerKind::Metrics => self.limits.idle_timeout + IDLE_SLACK,
+            };
+            if full || Conn::configure(&socket, user_timeout).is_err() {
                 self.stats.refused += 1;
                 continue;
             }
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -13,7 +13,8 @@
     conn::{
         ActiveExchange,
         Conn,
-        ConnKind, //
+        ConnKind,
+        TCP_USER_TIMEOUT, //
     },
     pacing::CONNECTION_OVERHEAD_BYTES,
 };
@@ -156,7 +157,7 @@
                 return self.fail_exchange(&exchange, cause, &error.to_string());
             }
         };
-        if let Err(error) = Conn::configure(&socket) {
+        if let Err(error) = Conn::configure(&socket, TCP_USER_TIMEOUT) {
             return self.fail_exchange(&exchange, FailureCause::Local, &error.to_string());
         }
         self.stats.opened += 1;
--- a/crates/reactor/tests/memory.rs
+++ b/crates/reactor/tests/memory.rs
@@ -37,6 +37,8 @@
 const BUFFER_LIMIT: usize = 24 << 20;
 /// Length of a body of which only one fits.
 const LONG: usize = 600 << 10;
+/// Time for which a caller does not read, far below the idle timeout.
+const PAUSE: Duration = Duration::from_secs(4);
 /// Longest time until something expected is seen, on a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
@@ -253,6 +255,29 @@
     );
 }
 
+/// Guards against a response that is cut off because its caller does not read for a while: the
+/// system breaks a connection whose window stays closed for `TCP_USER_TIMEOUT`.
+#[test]
+fn a_response_waits_for_a_caller_that_pauses() {
+    const LENGTH: usize = 16 << 20;
+    let mut fixture = Fixture::new();
+    let mut stream = fixture.connect();
+    stream.write_all(&head(0)).unwrap();
+    fixture.turn_until("a request", |f| !f.requests.is_empty());
+    let (conn, _) = fixture.requests.remove(0);
+    let response = Response::new(200, vec![b'x'; LENGTH]);
+    fixture.event_loop.respond(conn, &response);
+    let resumed = fixture.clock.now() + PAUSE;
+    fixture.turn_until("the end of the pause", |f| f.clock.now() >= resumed);
+    let (mut taken, mut buffer) = (0, vec![0; 1 << 17]);
+    fixture.turn_until("a whole response", |_| {
+        let count = stream.read(&mut buffer);
+        assert!(!matches!(count, Ok(0)), "{taken} bytes taken");
+        taken += count.unwrap_or(0);
+        taken >= LENGTH
+    });
+}
+
 /// Guards against memory that callers fill by taking their responses slowly.
 #[test]
 fn responses_that_are_not_taken_are_bounded() {
