--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -7,9 +7,9 @@
 
 use crate::{
     AttemptResult, Effect, Router, SendRequest,
-    health::Health,
     keyed::Destination,
     request::{ActiveRequest, Stage},
+    target::Target,
 };
 
 /// Upper bound of attempts per request, sends and forwards together.
@@ -48,6 +48,7 @@
         request.stage = Stage::Opening(target.info.id);
         request.attempts += 1;
         request.aborted = false;
+        request.retry_taken = false;
         request.started = self.now;
         if target.in_flight.is_empty() {
             target.health.record_start(self.now);
@@ -306,11 +307,11 @@
 
     /// Retries a request that may have run if its service allows that; otherwise refuses it.
     pub(crate) fn retry_unknown(&mut self, id: RequestId, unknown: Unknown) {
-        let retryable = self
-            .requests
-            .get(&id)
-            .is_some_and(|request| request.retryable);
-        if !retryable || !self.may_retry(id) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let retry_taken = std::mem::take(&mut request.retry_taken);
+        if !request.retryable || !(retry_taken || self.may_retry(id)) {
             return self.refuse_unknown(id, unknown);
         }
         self.counters.retries += 1;
@@ -352,24 +353,65 @@
         }
     }
 
-    /// Aborts retryable requests on dead connections to a live target, so that they are sent again
-    /// on a new one.
-    pub(crate) fn reconnect_stuck(&mut self, id: TargetId) {
+    /// Aborts an attempt at a target so that the request is sent again. A retry is taken for one that
+    /// may have been written: without a retry it would only be refused, and its attempt may still
+    /// succeed.
+    fn abort_for_retry(&mut self, id: RequestId, written: bool) {
+        if written && !self.may_retry(id) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.aborted = true;
+            request.retry_taken = written;
+            self.effects.push(Effect::Abort { id });
+        }
+    }
+
+    /// Returns the retryable requests in flight at a target for which `ends` is true, and whether
+    /// they may have been written.
+    fn retryable_at(
+        &self,
+        target: &Target,
+        ends: impl Fn(&ActiveRequest) -> bool,
+    ) -> Vec<(RequestId, bool)> {
+        let is_retryable = |id: &RequestId| {
+            let request = self.requests.get(id);
+            request.is_some_and(|r| r.retryable && !r.aborted && ends(r))
+        };
+        let in_flight = target.in_flight.iter();
+        in_flight
+            .filter(|(id, _)| is_retryable(id))
+            .copied()
+            .collect()
+    }
+
+    /// Sends retryable requests in flight at a target again: elsewhere if the target may be frozen
+    /// or lost, or on a new connection if only theirs is dead.
+    pub(crate) fn retry_unanswered(&mut self, id: TargetId) {
         let Some(target) = self.targets.get(&id) else {
             return;
         };
         let now = self.now;
-        let is_stuck = |health: &Health, request: &ActiveRequest| {
-            request.retryable && !request.aborted && health.is_stuck(request.started, now)
-        };
-        let mut in_flight = target.in_flight.iter();
-        let any = in_flight.any(|(request_id, _)| {
-            let request = self.requests.get(request_id);
-            request.is_some_and(|request| is_stuck(&target.health, request))
-        });
-        if any {
-            let health = target.health.clone();
-            self.abort_all(id, |request| is_stuck(&health, request));
+        if target.is_lost() || target.health.is_suspect() {
+            // The shards of a keyed target have to move first.
+            let unkeyed = self.retryable_at(target, |request| request.shard.is_none());
+            for (request_id, written) in unkeyed {
+                if !written || self.can_run_elsewhere(request_id, id) {
+                    self.abort_for_retry(request_id, written);
+                }
+            }
+        } else {
+            let health = &target.health;
+            // A request that is unanswered on a second connection too takes long.
+            let stuck = self.retryable_at(target, |request| {
+                !request.reconnected && health.is_stuck(request.started, now)
+            });
+            for (request_id, written) in stuck {
+                self.abort_for_retry(request_id, written);
+                if let Some(request) = self.requests.get_mut(&request_id) {
+                    request.reconnected = request.aborted;
+                }
+            }
         }
     }
 
@@ -395,13 +437,12 @@
         };
         let until = target.health.record_probe_result(alive, self.now);
         if alive {
-            self.reconnect_stuck(id);
+            self.retry_unanswered(id);
             return self.dispatch_target(id);
         }
         self.resume_timers.insert((until, id));
         self.counters.suspects += 1;
         self.effects.push(Effect::ReportSuspect { target: id });
-        // The target may be frozen, so requests that another target can run are sent elsewhere.
-        self.abort_all(id, |request| request.retryable && request.shard.is_none());
+        self.retry_unanswered(id);
     }
 }
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -129,6 +129,166 @@
     assert_eq!(probes(&tick(&mut router, 1300)), 1);
 }
 
+/// Returns a router with 32 slots of its own on each target of service "u", and the requests that
+/// it has written to target 21, which are all of those in flight.
+fn busy_target() -> (Router, Vec<RequestId>) {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[1].slots = 64;
+    bundle.services[1].connections = 64;
+    router.step(Event::Bundle(bundle), ms(0));
+    let with_slots = |id| {
+        let mut target = target(id, "u", None);
+        target.info.spec.slots = 64;
+        target
+    };
+    let targets = vec![with_slots(21), with_slots(22)];
+    router.step(Event::View(change(2, targets, vec![])), ms(0));
+    let mut written = Vec::new();
+    let mut others = Vec::new();
+    for id in 0..64 {
+        for (id, target) in sends(&arrive(&mut router, request(id, "GET", "/u/list"), 0)) {
+            assert_eq!(ready(&mut router, id, 0), [Effect::Proceed { id }]);
+            match target {
+                21 => written.push(id),
+                _ => others.push(id),
+            }
+        }
+    }
+    assert_eq!((written.len(), others.len()), (32, 32));
+    for id in others {
+        done(&mut router, id, responded(), 1);
+    }
+    (router, written)
+}
+
+fn aborts(effects: &[Effect]) -> Vec<RequestId> {
+    let aborted = |effect: &Effect| match effect {
+        Effect::Abort { id } => Some(*id),
+        _ => None,
+    };
+    effects.iter().filter_map(aborted).collect()
+}
+
+/// Ends aborted requests. They must be sent again, to `target`.
+fn end_aborted(router: &mut Router, aborted: &[RequestId], target: TargetId, now: u64) {
+    for id in aborted {
+        let broken = AttemptResult::Unknown(Unknown::Broken);
+        let effects = done(router, *id, broken, now);
+        assert_eq!(sends(&effects), [(*id, target)], "{effects:?}");
+        ready(router, *id, now);
+    }
+}
+
+/// Guards against requests that are aborted at a target that may be frozen, and then refused
+/// because the retry budget is exhausted.
+#[test]
+fn requests_beyond_the_retry_budget_stay_at_a_suspected_target() {
+    let (mut router, written) = busy_target();
+    let alive = false;
+    let effects = router.step(Event::Probed { target: 21, alive }, ms(400));
+    let aborted = aborts(&effects);
+    end_aborted(&mut router, &aborted, 22, 401);
+    assert_eq!(aborted.len(), 20);
+    // The target resumes, and the requests left there get their responses.
+    for id in written.iter().filter(|id| !aborted.contains(id)) {
+        assert_eq!(done(&mut router, *id, responded(), 700), []);
+    }
+}
+
+/// Guards against requests that stay at a frozen target although the budget allows retries again.
+#[test]
+fn requests_leave_a_suspected_target_once_the_budget_allows() {
+    let (mut router, _) = busy_target();
+    let alive = false;
+    let effects = router.step(Event::Probed { target: 21, alive }, ms(100));
+    end_aborted(&mut router, &aborts(&effects), 22, 100);
+    assert_eq!(aborts(&tick(&mut router, 300)), []);
+    // Ten requests add one retry.
+    for id in 100..110 {
+        let sent = sends(&arrive(&mut router, request(id, "GET", "/u/list"), 300));
+        assert_eq!(sent, [(id, 22)]);
+        ready(&mut router, id, 300);
+        done(&mut router, id, responded(), 301);
+    }
+    let aborted = aborts(&tick(&mut router, 310));
+    assert_eq!(aborted.len(), 1);
+    end_aborted(&mut router, &aborted, 22, 311);
+}
+
+/// Guards against requests that are aborted at a target that may be frozen while no other target
+/// can run them, and against requests that stay there although another target can.
+#[test]
+fn requests_leave_a_suspected_target_for_free_slots_only() {
+    let (mut router, written) = busy_target();
+    let mut others = Vec::new();
+    for id in 100..132 {
+        let sent = sends(&arrive(&mut router, request(id, "GET", "/u/list"), 10));
+        assert_eq!(sent, [(id, 22)]);
+        ready(&mut router, id, 10);
+        others.push(id);
+    }
+    let alive = false;
+    let effects = router.step(Event::Probed { target: 21, alive }, ms(20));
+    assert_eq!(aborts(&effects), []);
+    assert_eq!(aborts(&tick(&mut router, 30)), []);
+    // A slot that a queued request takes is not free.
+    assert_eq!(arrive(&mut router, request(200, "GET", "/u/list"), 40), []);
+    done(&mut router, others[0], responded(), 41);
+    assert_eq!(aborts(&tick(&mut router, 42)), []);
+    done(&mut router, others[1], responded(), 43);
+    done(&mut router, others[2], responded(), 43);
+    let aborted = aborts(&tick(&mut router, 44));
+    assert_eq!(aborted, written[..2]);
+    end_aborted(&mut router, &aborted, 22, 45);
+    for id in &written[2..] {
+        assert_eq!(done(&mut router, *id, responded(), 300), []);
+    }
+}
+
+/// Guards against an abort of a forwarded request that can only be refused afterwards, as a VM
+/// does not redirect what may have run.
+#[test]
+fn forwarded_request_stays_at_a_suspected_target_of_an_evacuated_domain() {
+    let mut router = router();
+    let mut forwarded = request(1, "GET", "/u/list");
+    forwarded.origin = Origin::Vm { vm: 2, hops: 1 };
+    let sent = sends(&arrive(&mut router, forwarded, 0));
+    let target = sent[0].1;
+    ready(&mut router, 1, 0);
+    let domains = vec!["east".into()];
+    router.step(Event::Evacuated { domains }, ms(1));
+    let alive = false;
+    let effects = router.step(Event::Probed { target, alive }, ms(400));
+    assert_eq!(effects, [Effect::ReportSuspect { target }]);
+    assert_eq!(done(&mut router, 1, responded(), 600), []);
+}
+
+/// Guards against a request that takes long at a live target and is aborted and begun again until
+/// its attempts are exhausted.
+#[test]
+fn long_request_moves_to_a_new_connection_once() {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[0].deadline = ms(10_000);
+    put_in_force(&mut router, bundle, 0);
+    write(&mut router, keyed(1, "GET", 0), 11, 0);
+    let mut aborted = Vec::new();
+    for now in (0..8000).step_by(100) {
+        let mut effects = tick(&mut router, now);
+        if probes(&effects) > 0 {
+            let (target, alive) = (11, true);
+            effects.extend(router.step(Event::Probed { target, alive }, ms(now + 1)));
+        }
+        for id in aborts(&effects) {
+            aborted.push(now);
+            end_aborted(&mut router, &[id], 11, now + 2);
+        }
+    }
+    assert_eq!(aborted, [300]);
+    assert_eq!(done(&mut router, 1, responded(), 8000), []);
+}
+
 /// Guards against a shard that moves while requests still run at its old owner.
 #[test]
 fn release_waits_for_requests_in_flight() {
