Write out responses before a stopping entry VM ends

What callers saw: a response cut off, or none, at the end of a process that was told to stop, though the target had finished it. Beyond its first 16 KB a response is written in portions below the rate of the link, and behind short ones: 200 kB take 0.7 s on a link of 2.2 Mbit/s. What was not written when the process ended was lost.

Cause: the end of the process dropped the event loop with its buffers.

Change: in the last 100 ms of its time a stopping entry VM writes its responses without pacing, so that the system delivers what the sockets take after the process has ended. Its other traffic is over by then.

Evidence: reactor/pacing, a_process_that_ends_writes_out_its_responses: without the call the caller gets the first portion only. What remains: a caller that takes less than its socket holds until the end is cut off.

--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -89,6 +89,8 @@
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(2600);
 /// Time reserved at the end of the grace period, before the process is killed.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(300);
+/// Time before the end of the process from which responses are written out without pacing.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time after the deadline of an attempt at which its exchange fails too.
 const DEADLINE_SLACK: Duration = Duration::from_millis(200);
 
@@ -258,8 +260,11 @@
             return false;
         }
         context.event_loop.close_idle_callers();
-        let grace_over = now + SHUTDOWN_RESERVE >= since + self.grace_period;
-        grace_over || (self.requests.is_empty() && context.event_loop.caller_connections() == 0)
+        let ends_at = (since + self.grace_period).saturating_sub(SHUTDOWN_RESERVE);
+        if now + FLUSH_TIME >= ends_at {
+            context.event_loop.write_out_responses();
+        }
+        now >= ends_at || (self.requests.is_empty() && context.event_loop.caller_connections() == 0)
     }
 
     /// Publishes the admissions by class, where admission control decides.
--- a/crates/reactor/src/event_loop/server.rs
+++ b/crates/reactor/src/event_loop/server.rs
@@ -261,4 +261,24 @@
             }
         }
     }
+
+    /// Writes what clients have not taken of their responses, as far as their sockets take it. For a
+    /// process that is about to end: from now on nothing is paced.
+    pub fn write_out_responses(&mut self) {
+        let now = self.clock.now();
+        self.set_link_rate(None);
+        let is_unwritten = |conn: &Conn| match &conn.kind {
+            ConnKind::HttpServer { .. } => !conn.output_is_empty(),
+            ConnKind::Target { .. } | ConnKind::Peer { .. } => false,
+        };
+        let unwritten: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| is_unwritten(conn))
+            .map(|(key, _)| key)
+            .collect();
+        for key in unwritten {
+            self.flush(key, now);
+        }
+    }
 }
--- a/crates/reactor/tests/pacing.rs
+++ b/crates/reactor/tests/pacing.rs
@@ -142,6 +142,20 @@
     assert!(took >= Duration::from_millis(350), "{took:?}");
 }
 
+/// Guards against a response that is cut off by the end of the process, though its target has
+/// finished it: most of it waits for its turn on the link.
+#[test]
+fn a_process_that_ends_writes_out_its_responses() {
+    let mut fixture = Fixture::new();
+    let (conn, caller) = fixture.request();
+    let body: Vec<u8> = (0..200_000u32).map(|at| at as u8).collect();
+    let response = Response::new(200, body.clone());
+    fixture.event_loop.respond(conn, &response);
+    fixture.event_loop.write_out_responses();
+    drop(fixture);
+    assert!(caller.join().unwrap().ends_with(&body));
+}
+
 #[test]
 fn a_short_response_passes_a_long_one() {
     let mut fixture = Fixture::new();
