Judge a repetition by the end of a stopping VM, not only its deadline

What callers saw: the response of a target, a failure, was withheld for a repetition at another target, which the end of the process cut off: a closed connection in place of a response. In the same way a request was admitted to a queue that takes longer than the process lives.

Cause: admission, second attempts and repetitions took the deadline as the time that a target has, though a stopping process may end before it.

Change: the time left is that until the deadline or the end, whichever comes first.

--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -148,11 +148,11 @@
     }
 
     /// The request as admission control sees it.
-    fn demand(&self, now: Duration) -> Demand {
+    fn demand(&self, remaining: Duration, now: Duration) -> Demand {
         Demand {
             urgency: self.urgency,
             objective_left: self.objective_at.saturating_sub(now),
-            remaining: self.deadline.saturating_sub(now),
+            remaining,
             is_repeated: self.attempts_sent > 0,
             may_wait: self.wait_deadline(PARK_DIVISOR).saturating_sub(now),
         }
@@ -338,7 +338,7 @@
             entries: self.control_stream.entries,
             max_connections: service.map_or(1, |item| item.spec.max_connections),
             latency_objective: request.route.latency_objective,
-            remaining: request.deadline.saturating_sub(now),
+            remaining: self.time_left(request, now),
             is_retry: request.is_retry,
             tried_targets: &request.tried_targets,
             evacuations: &self.view.evacuations,
@@ -365,7 +365,7 @@
     ) -> Option<AdmissionContext<'a>> {
         let shares = self.admissions.get(&request.service);
         self.bounds_queues().then(|| AdmissionContext {
-            demand: request.demand(now),
+            demand: request.demand(self.time_left(request, now), now),
             shares,
         })
     }
@@ -386,7 +386,7 @@
         };
         let context = self.selection_context(request, now);
         let estimate = context.estimate(target, tracked, vms);
-        let demand = request.demand(now);
+        let demand = request.demand(self.time_left(request, now), now);
         let shares = self.admissions.entry(request.service.clone()).or_default();
         shares.record_admission(&demand, estimate.expected_latency, class);
         shares.record_pace(target, estimate.pace);
--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -304,7 +304,7 @@
         if request.may_run() && self.crashes.is_suspect(request.fingerprint) {
             return false;
         }
-        let remaining = request.deadline.saturating_sub(now);
+        let remaining = self.time_left(request, now);
         let service = request.service.clone();
         let target = match request.key {
             // A holder that was full rejects the next attempt too, unless it has a place by now.
--- a/crates/entry/src/entry/shutdown.rs
+++ b/crates/entry/src/entry/shutdown.rs
@@ -49,6 +49,12 @@
             .is_some_and(|shutdown| now >= shutdown.last_send())
     }
 
+    /// Time in which a target can respond to a request: until its deadline or the end of the process.
+    pub(super) fn time_left(&self, request: &ActiveRequest, now: Duration) -> Duration {
+        let ends_at = self.shutdown.map_or(Duration::MAX, |s| s.ends_at);
+        request.deadline.min(ends_at).saturating_sub(now)
+    }
+
     /// Whether a request may still be sent to a target. Once callers have noticed the stop, one that
     /// no target has is refused if the process may end before its deadline.
     pub(super) fn check_shutdown(
--- a/crates/entry/tests/entry/shutdown.rs
+++ b/crates/entry/tests/entry/shutdown.rs
@@ -191,3 +191,20 @@
     let reported = messages.find(|message| matches!(message, PeerMessage::ColdTargets { .. }));
     assert_eq!(reported, None);
 }
+
+/// Guards against a response that is withheld for a repetition that the end of the process cuts off.
+#[test]
+fn a_repetition_that_cannot_end_in_time_is_not_sent() {
+    let mut harness = Harness::new();
+    for _ in 0..12 {
+        let (_, output) = harness.request(READS);
+        harness.advance(ms(300));
+        harness.end_attempt(output.sent[0].0, complete(200));
+    }
+    let (request, output) = harness.request(READS);
+    stop(&mut harness, ms(0), ms(300));
+    harness.advance(ms(150));
+    let output = harness.end_attempt(output.sent[0].0, complete(500));
+    assert_eq!(output.sent, []);
+    assert_eq!(output.forwarded, [request]);
+}
