Send nothing again to a holder at the end of a stop

What callers saw: a request that failed at the holder of its key in the last 50 ms before the end of a stopping VM was sent there again and cut off, in place of the 502 that was known by then.

Cause: a repetition with a key goes to the former target without a selection, and so past the check of the end.

Change: Entry::retry repeats nothing from then on.

Evidence: entry/shutdown, a_keyed_request_is_not_repeated_at_the_end_of_ a_stop: without the change the request is sent to keyed-0 again.

--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -298,7 +298,8 @@
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        if request.caller_disconnected || request.attempts_sent >= request.route.max_attempts {
+        let may_repeat = !request.caller_disconnected && !self.is_ending(now);
+        if !may_repeat || request.attempts_sent >= request.route.max_attempts {
             return false;
         }
         if request.may_run() && self.crashes.is_suspect(request.fingerprint) {
--- a/crates/entry/tests/entry/shutdown.rs
+++ b/crates/entry/tests/entry/shutdown.rs
@@ -208,3 +208,22 @@
     assert_eq!(output.sent, []);
     assert_eq!(output.forwarded, [request]);
 }
+
+/// Guards against a request that is sent to its holder again in the last moment and cut off. Its caller
+/// learns that it may have been executed.
+#[test]
+fn a_keyed_request_is_not_repeated_at_the_end_of_a_stop() {
+    let mut harness = Harness::new();
+    // A fast target: the time left would do for a repetition.
+    for _ in 0..12 {
+        let (_, output) = harness.request(KEYED);
+        harness.advance(ms(10));
+        harness.end_attempt(output.sent[0].0, complete(200));
+    }
+    let (request, output) = harness.request(KEYED);
+    stop(&mut harness, ms(0), ms(200));
+    harness.advance(ms(150));
+    let output = harness.end_attempt(output.sent[0].0, failed(true));
+    assert_eq!(output.sent, []);
+    assert_eq!(output.refused, [(request, Refusal::Unknown)]);
+}
