--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -298,13 +298,14 @@
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        if request.caller_disconnected || request.attempts_sent >= request.route.max_attempts {
+        let may_repeat = !request.caller_disconnected && !self.is_ending(now);
+        if !may_repeat || request.attempts_sent >= request.route.max_attempts {
             return false;
         }
         if request.may_run() && self.crashes.is_suspect(request.fingerprint) {
             return false;
         }
-        let remaining = request.deadline.saturating_sub(now);
+        let remaining = self.time_left(request, now);
         let service = request.service.clone();
         let target = match request.key {
             // A holder that was full rejects the next attempt too, unless it has a place by now.
--- a/crates/entry/tests/entry/shutdown.rs
+++ b/crates/entry/tests/entry/shutdown.rs
@@ -191,3 +191,39 @@
     let reported = messages.find(|message| matches!(message, PeerMessage::ColdTargets { .. }));
     assert_eq!(reported, None);
 }
+
+/// Guards against a response that is withheld for a repetition that the end of the process cuts off.
+#[test]
+fn a_repetition_that_cannot_end_in_time_is_not_sent() {
+    let mut harness = Harness::new();
+    for _ in 0..12 {
+        let (_, output) = harness.request(READS);
+        harness.advance(ms(300));
+        harness.end_attempt(output.sent[0].0, complete(200));
+    }
+    let (request, output) = harness.request(READS);
+    stop(&mut harness, ms(0), ms(300));
+    harness.advance(ms(150));
+    let output = harness.end_attempt(output.sent[0].0, complete(500));
+    assert_eq!(output.sent, []);
+    assert_eq!(output.forwarded, [request]);
+}
+
+/// Guards against a request that is sent to its holder again in the last moment and cut off. Its caller
+/// learns that it may have been executed.
+#[test]
+fn a_keyed_request_is_not_repeated_at_the_end_of_a_stop() {
+    let mut harness = Harness::new();
+    // A fast target: the time left would do for a repetition.
+    for _ in 0..12 {
+        let (_, output) = harness.request(KEYED);
+        harness.advance(ms(10));
+        harness.end_attempt(output.sent[0].0, complete(200));
+    }
+    let (request, output) = harness.request(KEYED);
+    stop(&mut harness, ms(0), ms(200));
+    harness.advance(ms(150));
+    let output = harness.end_attempt(output.sent[0].0, failed(true));
+    assert_eq!(output.sent, []);
+    assert_eq!(output.refused, [(request, Refusal::Unknown)]);
+}
