Keep a response that precedes a failure of its connection

Callers saw: a request was answered as failed, or sent again, although its target had responded. Seen with a target that sheds a long request: it responds, and closes the connection while the body is still being written.

Cause: what a target leaves unread makes its system reset the connection. The next write, or a further read in the same turn, then fails, and the event loop closed the connection at once. The response that had arrived before the reset was still in the socket or in the input buffer, and was dropped.

Evidence: both cases of the new test fail on the code before, with ExchangeError { sent: true, received: false, cause: Closed }.

Change: before a connection to a target is closed for a failed read or write, what has arrived is parsed. A complete response ends the exchange. The failure is not taken for the end of a response without a length, and the connection carries no further exchange.

Ruled out: handling readable events before writable ones. The read would find the response, but a write also fails outside of events, when a paced body goes on or an exchange starts.

--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -445,10 +445,7 @@
         };
         let written = match conn.flush(allowance) {
             Ok(written) => written,
-            Err(error) => {
-                let cause = FailureCause::from_io(&error);
-                return self.close_connection(key, cause, &error.to_string(), now);
-            }
+            Err(error) => return self.fail_connection(key, &error, now),
         };
         self.link_out.spend(written, now);
         if written > 0 {
@@ -478,10 +475,7 @@
         };
         let outcome = match conn.read(&mut self.scratch, read_closed, allowance) {
             Ok(outcome) => outcome,
-            Err(error) => {
-                let cause = FailureCause::from_io(&error);
-                return self.close_connection(key, cause, &error.to_string(), now);
-            }
+            Err(error) => return self.fail_connection(key, &error, now),
         };
         self.link_in.spend(outcome.bytes, now);
         if outcome.has_more {
@@ -499,6 +493,19 @@
         self.account(key, now);
     }
 
+    /// Closes a connection after a failed read or write. A response that the target has sent before
+    /// counts.
+    fn fail_connection(&mut self, key: usize, error: &io::Error, now: Duration) {
+        let conn = &mut self.conns[key];
+        conn.failed = true;
+        let id = conn.id;
+        self.read_last_response(key, now);
+        if self.key_of(id).is_some() {
+            let cause = FailureCause::from_io(error);
+            self.close_connection(key, cause, &error.to_string(), now);
+        }
+    }
+
     /// Closes a connection and queues the event that reports it.
     fn close_connection(&mut self, key: usize, cause: FailureCause, reason: &str, now: Duration) {
         let Some(mut conn) = self.conns.try_remove(key) else {
--- a/crates/reactor/src/event_loop/conn.rs
+++ b/crates/reactor/src/event_loop/conn.rs
@@ -103,6 +103,8 @@
     pub(super) closing: bool,
     /// Whether the write side is shut down.
     pub(super) write_closed: bool,
+    /// Whether a read or write failed, so that the connection carries no further exchange.
+    pub(super) failed: bool,
     pub(super) input: Vec<u8>,
     pub(super) output: Vec<u8>,
     /// What follows `output`, and how much of it is written.
@@ -144,6 +146,7 @@
             kind,
             closing: false,
             write_closed: false,
+            failed: false,
             input: Vec::new(),
             output: Vec::new(),
             output_body: None,
--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -16,7 +16,10 @@
         ConnKind,
         TCP_USER_TIMEOUT, //
     },
-    pacing::CONNECTION_OVERHEAD_BYTES,
+    pacing::{
+        CONNECTION_OVERHEAD_BYTES,
+        READ_TURN_BYTES, //
+    },
 };
 use crate::client_connection::{
     ClientConnection,
@@ -284,7 +287,7 @@
                 *active = None;
                 *stored = keep_alive.or(*stored);
                 // No request can follow one that was written only partially.
-                let reusable = reusable && !eof && conn.output_is_empty();
+                let reusable = reusable && !eof && !conn.failed && conn.output_is_empty();
                 self.exchanges.remove(&id);
                 self.io_events.push(IoEvent::ExchangeEnded {
                     id,
@@ -300,6 +303,24 @@
         }
     }
 
+    /// Takes the response of a target from a connection that has failed, if all of it has arrived.
+    pub(super) fn read_last_response(&mut self, key: usize, now: Duration) {
+        let conn = &mut self.conns[key];
+        if !matches!(
+            conn.kind,
+            ConnKind::Target {
+                active: Some(_),
+                ..
+            }
+        ) {
+            return;
+        }
+        // The connection has failed already; what was read before a further error is kept.
+        let _ = conn.read(&mut self.scratch, true, READ_TURN_BYTES);
+        // A failure is no end of a response without a length.
+        self.on_target_readable(key, false, now);
+    }
+
     /// Starts the next queued exchange on a free connection, or returns it to the pool.
     fn release_connection(&mut self, key: usize, now: Duration) {
         let conn = &self.conns[key];
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -210,6 +210,42 @@
     assert!(failure.sent && failure.received, "{failure:?}");
 }
 
+/// Guards against a response that is lost because its connection fails right after it: a target that
+/// sheds a long request responds and closes the connection while the body is being written.
+#[rstest]
+#[case::write_fails(32 << 20)]
+#[case::read_fails(1)]
+fn a_response_that_precedes_a_failure_is_kept(#[case] length: usize) {
+    let (listener, address) = target_listener();
+    let mut fixture = Fixture::new();
+    let mut bytes = format!("PUT / HTTP/1.1\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+    bytes.resize(bytes.len() + length, b'x');
+    fixture.event_loop.start_exchange(Exchange {
+        id: 1,
+        address,
+        bytes,
+        body: None,
+        expected: ExpectedResponse {
+            request_id: Some(("request-id".into(), "r1".into())),
+            ..ExpectedResponse::default()
+        },
+        connection: ConnectionUse::Pooled { limit: 1 },
+        deadline: fixture.clock.now() + WAIT_LIMIT,
+    });
+    let mut stream = accept(&listener);
+    // Fills the buffers of both sockets.
+    for _ in 0..10 {
+        let next = fixture.clock.now() + ms(10);
+        fixture.event_loop.wait(next).unwrap();
+    }
+    stream.write_all(&response(1)).unwrap();
+    // The reset that unread input causes follows the response.
+    drop(stream);
+    let (id, result) = fixture.next_exchange();
+    assert_eq!((id, result.unwrap().body), (1, b"ok".to_vec()));
+    assert_eq!(fixture.event_loop.idle_target_connections(), 0);
+}
+
 #[test]
 fn a_refused_connection_fails_the_exchange_as_unsent() {
     let (listener, address) = target_listener();
