End a stopping VM before a short grace period is over

What callers saw: with a grace period under about 2.9 s an entry VM would be killed with all requests in progress, unanswered.

Cause: for 2.6 s after the signal the process did not look at the end of its grace period at all; it waited for callers to notice the stop.

Change: Shutdown::new derives both times, and the wait ends with the grace period at the latest. The process keeps the one Shutdown that it gives to the reducer, instead of deriving its end a second time.

Evidence: found by reading. a_short_grace_period_ends_before_the_process_is_ killed asks for the order of the times, which the former constants did not keep (2.6 s of notice, an end after 1.7 s).

--- a/crates/entry/src/entry/shutdown.rs
+++ b/crates/entry/src/entry/shutdown.rs
@@ -14,6 +14,11 @@
     request::ActiveRequest, //
 };
 
+/// Time after a termination signal for which a VM still serves new connections: until callers have
+/// noticed that it is not ready and no longer connect to it.
+const NOTICE_TIME: Duration = Duration::from_millis(2600);
+/// Time reserved at the end of the grace period, before the process is killed.
+const KILL_RESERVE: Duration = Duration::from_millis(300);
 /// Time before the end of the process in which nothing is sent to a target: the answers of the last
 /// moments must reach their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(50);
@@ -30,6 +35,24 @@
 }
 
 impl Shutdown {
+    /// The shutdown of a process that was told to stop at `now` and is killed `grace_period` later.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_entry::Shutdown;
+    ///
+    /// let shutdown = Shutdown::new(Duration::from_secs(10), Duration::from_secs(6));
+    /// assert_eq!(shutdown.notice_ends, Duration::from_millis(12_600));
+    /// assert_eq!(shutdown.ends_at, Duration::from_millis(15_700));
+    /// ```
+    pub fn new(now: Duration, grace_period: Duration) -> Shutdown {
+        let ends_at = now + grace_period.saturating_sub(KILL_RESERVE);
+        Shutdown {
+            notice_ends: ends_at.min(now + NOTICE_TIME),
+            ends_at,
+        }
+    }
+
     /// From when nothing is sent to a target any more.
     pub(super) fn last_send(self) -> Duration {
         self.ends_at.saturating_sub(REFUSAL_TIME)
--- a/crates/entry/tests/entry/shutdown.rs
+++ b/crates/entry/tests/entry/shutdown.rs
@@ -45,6 +45,15 @@
     decisions.map(|decision| decision.reason).collect()
 }
 
+/// Guards against a process that is killed while it still waits for callers to notice its stop: no
+/// request in progress would be answered or refused.
+#[test]
+fn a_short_grace_period_ends_before_the_process_is_killed() {
+    let shutdown = Shutdown::new(ms(1000), ms(2000));
+    assert!(shutdown.notice_ends <= shutdown.ends_at);
+    assert!(shutdown.ends_at < ms(3000));
+}
+
 /// Guards against a request that waits for the first routing until callers have noticed the stop, is
 /// sent then, and cut off at the end of the process.
 #[test]
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -84,11 +84,6 @@
 /// Part of the evacuation time in which no request is sent any more to the holder of its key: the
 /// update may take as long to reach this VM as a request to reach the target.
 const EVACUATION_MARGIN: Duration = Duration::from_secs(1);
-/// Time after a termination signal for which the VM still serves new connections: until callers
-/// have noticed that it is not ready and no longer connect to it.
-const SHUTDOWN_NOTICE: Duration = Duration::from_millis(2600);
-/// Time reserved at the end of the grace period, before the process is killed.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(300);
 /// Time before the end of the process from which responses are written out without pacing.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time after the deadline of an attempt at which its exchange fails too.
@@ -127,7 +122,7 @@
     control_stream: Option<ConnId>,
     next_handle: RequestHandle,
     next_tick: Duration,
-    stopping_since: Option<Duration>,
+    shutdown: Option<Shutdown>,
     grace_period: Duration,
     routing_version: u64,
     turn: TurnTimes,
@@ -180,7 +175,7 @@
             control_stream: None,
             next_handle: 0,
             next_tick: Duration::ZERO,
-            stopping_since: None,
+            shutdown: None,
             grace_period: role_settings.grace_period,
             routing_version: 0,
             turn: TurnTimes::default(),
@@ -211,8 +206,7 @@
                     self.next_tick = now + TICK_INTERVAL;
                 }
                 self.step(Event::Tick, now, context);
-                let closing =
-                    self.stopping_since.is_some() || self.entry.should_close_connections(now);
+                let closing = self.shutdown.is_some() || self.entry.should_close_connections(now);
                 context.event_loop.set_close_after_response(closing);
                 let retention = match self.entry.is_contended() {
                     true => IdleRetention::Stated {
@@ -247,24 +241,22 @@
         if !context.signals.stop_requested() {
             return false;
         }
-        let since = *self.stopping_since.get_or_insert_with(|| {
+        let shutdown = *self.shutdown.get_or_insert_with(|| {
             info!(context.logger, "stopping"; "requests" => self.requests.len());
             context.event_loop.set_close_after_response(true);
-            self.entry.begin_shutdown(Shutdown {
-                notice_ends: now + SHUTDOWN_NOTICE,
-                ends_at: now + self.grace_period.saturating_sub(SHUTDOWN_RESERVE),
-            });
-            now
+            let shutdown = Shutdown::new(now, self.grace_period);
+            self.entry.begin_shutdown(shutdown);
+            shutdown
         });
-        if now < since + SHUTDOWN_NOTICE {
+        if now < shutdown.notice_ends {
             return false;
         }
         context.event_loop.close_idle_callers();
-        let ends_at = (since + self.grace_period).saturating_sub(SHUTDOWN_RESERVE);
-        if now + FLUSH_TIME >= ends_at {
+        if now + FLUSH_TIME >= shutdown.ends_at {
             context.event_loop.write_out_responses();
         }
-        now >= ends_at || (self.requests.is_empty() && context.event_loop.caller_connections() == 0)
+        let is_idle = self.requests.is_empty() && context.event_loop.caller_connections() == 0;
+        is_idle || now >= shutdown.ends_at
     }
 
     /// Publishes the admissions by class, where admission control decides.
@@ -305,7 +297,7 @@
                     _ if !self.adapter.is_readiness_probe(&request) => {
                         Response::text(404, "not found")
                     }
-                    _ if self.entry.is_ready(now) && self.stopping_since.is_none() => {
+                    _ if self.entry.is_ready(now) && self.shutdown.is_none() => {
                         Response::text(200, "ready")
                     }
                     _ => Response::text(503, "not ready"),
