Start or end each exchange that waits for a connection

Callers saw nothing of this yet, as the entry process cancels an attempt at its deadline, before its exchange expires. A request that waits behind such an exchange is passed on late or not at all.

Cause: when a connection to a target closed, one exchange was taken from the queue of the pool. If its deadline had passed, or a connection could not even be begun, nothing started the rest of the queue, and with no connection left nothing did later. When a connection became free instead, expired exchanges were dropped without an event.

Evidence: both cases of the new test fail on the code before. After a close no second connection is opened; after a response the expired exchange does not end.

Change: both paths take the next exchange in the same way, which ends expired ones with an event, and without a connection the queue is worked off until one is begun.

Ruled out: failing the whole queue if one connection cannot be begun. While others are open, what waits is started on them.

--- a/crates/reactor/src/event_loop/targets.rs
+++ b/crates/reactor/src/event_loop/targets.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -336,16 +337,14 @@
         };
         let (address, connection, keep_alive) = (*address, *connection, *keep_alive);
         let timeout = self.idle_retention.timeout(keep_alive);
-        if matches!(connection, ConnectionUse::Pooled { .. })
-            && let Some(pool) = self.pools.get_mut(&address)
-        {
-            while let Some(next) = pool.queued.pop_front() {
-                if next.deadline > now {
-                    return self.start_exchange_on(key, next, now);
-                }
+        if matches!(connection, ConnectionUse::Pooled { .. }) {
+            if let Some(next) = self.next_queued(address, now) {
+                return self.start_exchange_on(key, next, now);
+            }
+            if let Some(pool) = self.pools.get_mut(&address) {
+                pool.idle.push((now, id));
+                self.idle.insert((now, id));
             }
-            pool.idle.push((now, id));
-            self.idle.insert((now, id));
         }
         self.set_deadline(key, Some(now + timeout));
         self.limit_idle_connections(now);
@@ -436,20 +435,33 @@
             }
             !closed
         });
-        let next = pool.queued.pop_front();
-        if pool.open == 0 && next.is_none() {
+        self.start_queued(address, now);
+    }
+
+    /// Starts the next queued exchange on a new connection.
+    fn start_queued(&mut self, address: SocketAddr, now: Duration) {
+        while let Some(next) = self.next_queued(address, now) {
+            self.connect_target(next, now);
+            // With a connection, the rest of the queue is started when one becomes free.
+            if self.pools.get(&address).is_none_or(|pool| pool.open > 0) {
+                return;
+            }
+        }
+        if self.pools.get(&address).is_some_and(|pool| pool.open == 0) {
             self.pools.remove(&address);
         }
-        if let Some(next) = next {
+    }
+
+    /// Takes the next exchange from the queue of a pool, and fails those before it whose deadlines
+    /// have passed.
+    fn next_queued(&mut self, address: SocketAddr, now: Duration) -> Option<Exchange> {
+        loop {
+            let next = self.pools.get_mut(&address)?.queued.pop_front()?;
             if next.deadline > now {
-                self.connect_target(next, now);
-            } else {
-                self.fail_exchange(
-                    &next,
-                    FailureCause::TimedOut,
-                    "deadline passed while queued for a connection",
-                );
+                return Some(next);
             }
+            let reason = "deadline passed while queued for a connection";
+            self.fail_exchange(&next, FailureCause::TimedOut, reason);
         }
     }
 
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -95,6 +95,17 @@
     }
 
     fn start_exchange_over(&mut self, id: u64, address: SocketAddr, connection: ConnectionUse) {
+        let deadline = self.clock.now() + WAIT_LIMIT;
+        self.start_exchange_until(id, address, connection, deadline);
+    }
+
+    fn start_exchange_until(
+        &mut self,
+        id: u64,
+        address: SocketAddr,
+        connection: ConnectionUse,
+        deadline: Duration,
+    ) {
         self.event_loop.start_exchange(Exchange {
             id,
             address,
@@ -105,7 +116,7 @@
                 ..ExpectedResponse::default()
             },
             connection,
-            deadline: self.clock.now() + WAIT_LIMIT,
+            deadline,
         });
     }
 
@@ -288,6 +299,47 @@
     assert_eq!(fixture.event_loop.stats().opened, 1);
 }
 
+/// Guards against queued exchanges that are neither started nor ended: one whose deadline passes in
+/// the queue, and the one behind it, if the connection closes for which both wait.
+#[rstest]
+#[case::closes(false)]
+#[case::responds(true)]
+fn an_expired_exchange_ends_and_does_not_strand_the_next_one(#[case] responds: bool) {
+    let (listener, address) = target_listener();
+    let mut fixture = Fixture::new();
+    let connection = ConnectionUse::Pooled { limit: 1 };
+    let short = fixture.clock.now() + ms(50);
+    fixture.start_exchange(1, address, 1);
+    fixture.start_exchange_until(2, address, connection, short);
+    fixture.start_exchange(3, address, 1);
+    let mut stream = accept(&listener);
+    read_request_while_polling(&mut fixture, &mut stream);
+    std::thread::sleep(ms(60));
+    match responds {
+        true => stream.write_all(&response(1)).unwrap(),
+        false => stream.shutdown(std::net::Shutdown::Both).unwrap(),
+    }
+    // Both may end in the same turn.
+    let mut ended = Vec::new();
+    let limit = fixture.clock.now() + ms(500);
+    while ended.len() < 2 && fixture.clock.now() < limit {
+        let events = fixture.event_loop.wait(limit).unwrap();
+        ended.extend(events.into_iter().filter_map(|event| match event {
+            IoEvent::ExchangeEnded { id, result, .. } => Some((id, result.is_ok())),
+            _ => None,
+        }));
+    }
+    assert_eq!(ended, [(1, responds), (2, false)]);
+    if !responds {
+        assert_eq!(fixture.event_loop.stats().opened, 2);
+        stream = accept(&listener);
+    }
+    read_request_while_polling(&mut fixture, &mut stream);
+    stream.write_all(&response(3)).unwrap();
+    let (id, result) = fixture.next_exchange();
+    assert_eq!((id, result.unwrap().status), (3, 200));
+}
+
 #[test]
 fn responses_of_a_draining_process_close_their_connections() {
     let mut fixture = Fixture::new();
