--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,7 @@
 mod loads;
 mod request;
 mod retry;
+mod shutdown;
 mod statements;
 mod view;
 mod waiting;
@@ -38,7 +39,6 @@
     rngs::StdRng, //
 };
 
-pub use self::loads::DepartureCounts;
 use self::{
     crashes::CrashReports,
     evacuation::EvacuationDeadlines,
@@ -54,6 +54,10 @@
         UnroutedRequest, //
     },
 };
+pub use self::{
+    loads::DepartureCounts,
+    shutdown::Shutdown, //
+};
 use crate::{
     admission::{
         AdmissionCounts,
@@ -546,15 +550,6 @@
     Log(LogEvent),
 }
 
-/// When a VM that is stopped serves what.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shutdown {
-    /// Until when new requests are served as before: callers have not noticed yet.
-    pub notice_ends: Duration,
-    /// When the process ends at the latest. It breaks off what is still in progress.
-    pub ends_at: Duration,
-}
-
 /// One entry VM.
 pub struct Entry {
     config: Config,
@@ -578,6 +573,8 @@
     was_established: bool,
     was_ready: bool,
     shutdown: Option<Shutdown>,
+    /// When requests that no target has are refused, if this VM is stopped and has not done so.
+    last_send: Option<Duration>,
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
     crashes: CrashReports,
@@ -636,6 +633,7 @@
             was_established: false,
             was_ready: false,
             shutdown: None,
+            last_send: None,
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
@@ -729,15 +727,11 @@
 
     /// Time at which the next tick is due.
     pub fn next_deadline(&self) -> Duration {
-        let stream_deadline = self.control_stream.next_deadline();
-        self.timers
-            .first()
-            .map_or(stream_deadline, |(at, _)| stream_deadline.min(*at))
-    }
-
-    /// Begins the shutdown: requests in progress are finished and no attempts are cancelled.
-    pub fn begin_shutdown(&mut self, shutdown: Shutdown) {
-        self.shutdown = Some(shutdown);
+        let request_timer = self.timers.first().map(|(at, _)| *at);
+        [request_timer, self.last_send]
+            .into_iter()
+            .flatten()
+            .fold(self.control_stream.next_deadline(), Duration::min)
     }
 
     /// Replaces the addresses of control VMs from the settings.
@@ -750,6 +744,7 @@
         self.plan_departures(now, out);
         self.crashes.expire(now);
         self.withdraw_keyed_attempts(now, out);
+        self.refuse_unsent(now, out);
         while let Some((at, request)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -32,7 +32,6 @@
     Reason,
     Refusal,
     RequestHandle,
-    Shutdown,
     loads::bodies,
     waiting::ParkKey, //
 };
@@ -73,8 +72,6 @@
 const NO_ROUTING_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Suggested retry delay if a service has no target or a key has no holder.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Suggested retry delay while this VM stops: another one can serve the request at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Bounds of the suggested retry delay when targets are full.
 const FULL_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -128,9 +125,6 @@
     pub(super) trial: Option<TrialNumber>,
     /// Whether the caller has disconnected.
     pub(super) caller_disconnected: bool,
-    /// Whether an attempt was cancelled to speed up a handover. Such a request is not refused
-    /// before its deadline.
-    pub(super) cancelled: bool,
 }
 
 impl ActiveRequest {
@@ -163,10 +157,7 @@
 
     /// Time until which the request may wait: the latency objective divided by `divisor`.
     pub(super) fn wait_deadline(&self, divisor: u32) -> Duration {
-        match self.cancelled {
-            true => self.deadline,
-            false => self.arrived_at + self.route.latency_objective / divisor,
-        }
+        self.arrived_at + self.route.latency_objective / divisor
     }
 }
 
@@ -235,12 +226,6 @@
         let is_short = caller_timeout < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
         let is_retry = is_short || elapsed >= MIN_RETRY_TIME;
         let urgency = self.routes.urgency(&service, &route);
-        let may_be_cut =
-            |shutdown: Shutdown| arrived_at >= shutdown.notice_ends && deadline > shutdown.ends_at;
-        if self.shutdown.is_some_and(may_be_cut) {
-            let refusal = Refusal::NotRun(NotRun::before_dispatch(STOPPING_RETRY_AFTER));
-            return refuse(refusal, Reason::Stopping, index, out);
-        }
         self.timers.insert((deadline, request));
         self.requests.insert(
             request,
@@ -272,7 +257,6 @@
                 departure_draw: None,
                 trial: None,
                 caller_disconnected: false,
-                cancelled: false,
             },
         );
         self.dispatch(request, now, out);
@@ -296,6 +280,12 @@
 
     /// Sends a request to a target, lets it wait for a moment, or refuses it.
     pub(super) fn dispatch(&mut self, id: RequestHandle, now: Duration, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let Err((reason, retry_after)) = self.check_shutdown(request, now) {
+            return self.refuse(id, reason, retry_after, now, out);
+        }
         if self.refuse_quarantined(id, now, out) {
             return;
         }
@@ -420,6 +410,7 @@
         let Some(request) = self.requests.get(&id) else {
             return Err((Reason::Expired, Duration::ZERO));
         };
+        self.check_shutdown(request, now)?;
         let context = self.selection_context(request, now);
         let pick = context.pick(&self.targets, &request.service, &mut random);
         self.random = random;
@@ -461,6 +452,7 @@
         let Some(request) = self.requests.get(&id) else {
             return Err((Reason::Expired, Duration::ZERO));
         };
+        self.check_shutdown(request, now)?;
         let none = (Reason::NoHolder, NO_TARGET_RETRY_AFTER);
         let map = self.view.keys.get(&request.service).ok_or(none)?;
         let holder = map.find(key).holder.as_ref().ok_or(none)?;
@@ -581,8 +573,7 @@
             (Reason::Full | Reason::HolderFull, wait) if bounds_queues => match wait {
                 Some(wait) => until.min(now + wait.max(MIN_QUEUE_WAIT)),
                 // Waiting here cannot help.
-                None if !request.cancelled => now,
-                None => until,
+                None => now,
             },
             _ => until,
         };
@@ -594,8 +585,7 @@
                 | Reason::Evacuated
                 | Reason::Paused
         );
-        let may_change = request.cancelled || !is_settled;
-        if may_change && now < until {
+        if !is_settled && now < until {
             request.retry_at = Duration::ZERO;
             return self.park(id, until, now);
         }
@@ -757,12 +747,6 @@
             };
             return self.refuse(id, reason, NO_TARGET_RETRY_AFTER, now, out);
         }
-        if self.cancel_overdue(id, now, out) {
-            return;
-        }
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
         let retry_due = !request.retry_at.is_zero() && now >= request.retry_at;
         if request
             .parked_until
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -99,6 +99,8 @@
             hops,
             written: false,
             aborted: false,
+            retry_taken: false,
+            reconnected: false,
             cancelled: false,
             unknown_outcome: None,
             record: None,
