Repeat lost work at the current holder of its key

What callers saw: 502 with most of the time left, for a request that may be repeated. Its target failed it (the lease ended under the work, or the target was lost), and the repetition was answered with 421.

Cause: a repetition with a key went to the target of the attempt before, also if the key had moved while that ran. The former holder rejects it, and a request older than a quarter of its objective is then refused as no-holder.

Change: the repetition goes to the holder that the view names, and to the former target only if there is none.

Tests: lost_work_is_repeated_at_the_current_holder, both cases of which fail without the change (sent to keyed-0, expected: keyed-1).

--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -312,8 +312,12 @@
             Some(key) if reason == Reason::Shed && self.bounds_queues() => {
                 self.select_holder(id, key, now).ok()
             }
-            // Only the holder of the key can execute the request, so a retry goes there again.
-            Some(_) => request.tried_targets.last().cloned(),
+            // Only the holder of the key can execute the request. It may have changed meanwhile.
+            Some(_) => {
+                let holder = self.holder_of(request);
+                let holder = holder.filter(|holder| self.targets.get(holder).is_some());
+                holder.or(request.tried_targets.last()).cloned()
+            }
             None => self.select_target(id, now).ok(),
         };
         let Some(target) = target else {
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -499,6 +499,27 @@
     assert_eq!(output.refused, [(request, Refusal::TimedOut)]);
 }
 
+/// Guards against a repetition at the former holder of a key, which rejects it: the key moved while
+/// the request ran, and the work was lost.
+#[rstest]
+#[case(failed(true))]
+#[case(complete(500))]
+fn lost_work_is_repeated_at_the_current_holder(#[case] lost: AttemptResult) {
+    let mut harness = Harness::new();
+    let (request, output) = harness.request(KEYED);
+    let (first, _) = only_attempt(&output);
+    harness.receive(handover(false));
+    harness.advance(ms(100));
+    harness.receive(assigned());
+    harness.receive(handover(true));
+    let (second, holder) = only_attempt(&harness.end_attempt(first, lost));
+    assert_eq!(&*holder, "keyed-1");
+    assert_eq!(
+        harness.end_attempt(second, complete(200)).forwarded,
+        [request]
+    );
+}
+
 /// Guards against requests that are accepted shortly before a stopping VM ends and are then cut off:
 /// while few VMs of a domain are ready, callers are sent to those that are stopping as well.
 #[test]
