Assign keys without a holder also beside held ones

What callers saw: `no-holder` for most keys of a service, for good. The soak of stops under handovers showed it at its start on a slow disk (three starts that ended with "an answer: not seen within 30s").

Cause: the leader divides the keys of a new service by one Assign for each target. Raft sends a follower nothing more while entries are on their way to it, so the first Assign is committed a round trip before the others. If the leader is lost in between, the next one finds keys 0 to 10921 held. It skipped a service as soon as any range was held, and Lease::free_range passes over ranges without a holder, so nobody assigned the rest.

Change: the leader divides all keys as before and proposes the parts that have no holder. If none is held, these are the same commands as before.

Why no key gets two holders: - A grant is only sent for a lease whose range names a holder. That comes from the replicated state or from an Assign that was applied, so a range whose Assign is not committed cannot have been granted, by this leader or an earlier one. - No command takes the holder from a range: every Assign names one, and the keys of a lost holder name it until the next Assign. "No holder" means "never had one"; free_range and the wait for leases of a former leader are unchanged. - A leader acts once an entry of its own term is applied, so it knows each Assign of former leaders that can still be committed. Its own are awaited before it proposes more for the service, and Assign is applied only if all of its keys still have the previous holder, here none.

Ruled out: a divided service in one command would close the window too, but changes the log format, and leaves services that are partly assigned already without holders. Letting free_range return such ranges mixes keys that were never granted with those of lost holders, whose leases have to be waited for.

The soak with real processes was not run with the change.

--- a/crates/fleet/src/control/rebalance.rs
+++ b/crates/fleet/src/control/rebalance.rs
@@ -30,6 +30,7 @@
     key_leases::Lease,
     keys::{
         Key,
+        KeyMap,
         KeyRange, //
     },
     message::{
@@ -523,36 +524,44 @@
             .collect()
     }
 
-    /// Assigns the keys of services that have no holders yet.
+    /// Assigns the keys that have never had a holder. Keys of a lost holder still name it, so no
+    /// target can have a lease on these. Some may be held beside them if the leader before was lost
+    /// between the commits of its assignments.
     fn assign_initial_ranges(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let Some(leader) = &self.leader_state else {
             return;
         };
-        if now.saturating_sub(leader.elected_at) < INITIAL_ASSIGNMENT_DELAY {
+        let is_early = now.saturating_sub(leader.elected_at) < INITIAL_ASSIGNMENT_DELAY;
+        if is_early || !leader.load_stats.may_plan(now) {
             return;
         }
         for service in self.keyed_services() {
-            let map = self.state.view.keys.get(&service);
-            let held = map.is_some_and(|map| map.ranges().iter().any(|s| s.holder.is_some()));
-            let Some(leader) = &mut self.leader_state else {
-                return;
+            let unassigned = match self.state.view.keys.get(&service) {
+                Some(map) => map.unassigned(),
+                None => KeyMap::default().unassigned(),
             };
             // A second assignment while the first is still being committed would give two targets
             // the same keys.
             let in_progress =
                 |pending: &Pending| matches!(pending, Pending::Assign(name, _) if *name == service);
-            if held || !leader.load_stats.may_plan(now) || self.pending.values().any(in_progress) {
+            if unassigned.is_empty() || self.pending.values().any(in_progress) {
                 continue;
             }
             let candidates = self.candidates(&service, now);
             for planned in balance::divide(&candidates) {
-                let range = KeyRange {
-                    from: planned.from,
-                    to: planned.to,
-                    holder: Some(planned.next),
-                    handover: None,
-                };
-                self.assign(&service, None, range, now, out);
+                for (first, last) in &unassigned {
+                    let (from, to) = (planned.from.max(*first), planned.to.min(*last));
+                    if from > to {
+                        continue;
+                    }
+                    let range = KeyRange {
+                        from,
+                        to,
+                        holder: Some(planned.next.clone()),
+                        handover: None,
+                    };
+                    self.assign(&service, None, range, now, out);
+                }
             }
         }
     }
--- a/crates/fleet/src/keys.rs
+++ b/crates/fleet/src/keys.rs
@@ -74,6 +74,21 @@
         self.0.iter().filter(overlaps)
     }
 
+    /// First and last keys of the ranges without a holder, in key order.
+    ///
+    /// ```
+    /// use camphordale_fleet::{Holder, KeyMap, KeyRange};
+    ///
+    /// let mut map = KeyMap::default();
+    /// let holder = Some(Holder { id: "a".into(), incarnation: 1 });
+    /// map.assign(KeyRange { from: 10, to: 20, holder, handover: None });
+    /// assert_eq!(map.unassigned(), [(0, 9), (21, u16::MAX)]);
+    /// ```
+    pub fn unassigned(&self) -> Vec<(Key, Key)> {
+        let without_holder = self.0.iter().filter(|range| range.holder.is_none());
+        without_holder.map(|range| (range.from, range.to)).collect()
+    }
+
     /// Inserts `range` in place of the present ranges of its keys. A range that overlaps it only
     /// partly keeps its other keys.
     pub fn assign(&mut self, range: KeyRange) {
--- a/crates/fleet/tests/control/scenarios.rs
+++ b/crates/fleet/tests/control/scenarios.rs
@@ -1,6 +1,9 @@
 //! Scenarios of the control group.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr, //
+};
 
 use camphordale_fleet::{
     Call,
@@ -20,6 +23,7 @@
     TargetState,
     View, //
 };
+use rstest::rstest;
 
 use crate::cluster::{
     TestCluster,
@@ -254,6 +258,63 @@
     assert_eq!(width, 65536);
 }
 
+/// Guards against keys that stay without a holder for good because the leader was lost between the
+/// commits of the first assignments: the next one saw some keys held and assigned no others.
+#[rstest]
+fn all_keys_are_held_after_a_leader_is_lost_between_the_first_assignments(
+    #[values(KeyDelivery::Call, KeyDelivery::Heartbeat)] delivery: KeyDelivery,
+    #[values(21, 22, 23, 24, 25)] seed: u64,
+) {
+    let mut cluster = TestCluster::new(seed);
+    let mut first = keyed_change();
+    first.services[0].1.spec.keys = delivery;
+    cluster.ask(Call::Change(Box::new(first)));
+    let lost = cluster.leader().unwrap();
+    announce_targets(&mut cluster, 1);
+    let held = |cluster: &TestCluster, at: SocketAddr| -> Vec<KeyRange> {
+        let control = cluster.vms[&at].control.as_ref().unwrap();
+        let map = control.state().view.keys.get("s");
+        let ranges = map.into_iter().flat_map(|map| map.ranges());
+        ranges.filter(|r| r.holder.is_some()).cloned().collect()
+    };
+    let deadline = cluster.now + ms(5000);
+    while held(&cluster, lost).is_empty() {
+        assert!(cluster.now < deadline, "no keys were assigned");
+        cluster.run(ms(5));
+    }
+    let committed = held(&cluster, lost);
+    assert_eq!(committed.len(), 1, "the assignments were committed at once");
+    // The leader sends the other assignments once the first is acknowledged.
+    cluster.stop(lost);
+    cluster.in_transit.retain(|(_, from, ..)| *from != lost);
+    for sequence in 2..12 {
+        cluster.run(ms(500));
+        announce_targets(&mut cluster, sequence);
+    }
+    cluster.run(ms(500));
+    let leader = cluster.leader().unwrap();
+    let all = held(&cluster, leader);
+    let width: u32 = all.iter().map(KeyRange::width).sum();
+    assert_eq!(width, 65536, "{all:?}");
+    let kept = all.iter().find(|range| range.from == committed[0].from);
+    assert_eq!(kept.unwrap().holder, committed[0].holder);
+    let holders: BTreeSet<_> = all.iter().map(|range| &range.holder).collect();
+    assert_eq!(holders.len(), 6, "{all:?}");
+}
+
+/// Six targets announce themselves to the leader, if there is one.
+fn announce_targets(cluster: &mut TestCluster, sequence: u64) {
+    let Some(leader) = cluster.leader() else {
+        return;
+    };
+    for number in 0..6u64 {
+        let mut target = announcement(sequence, 100, false);
+        target.id = format!("t{number}").into();
+        target.address = format!("10.1.0.{}:80", number + 1).parse().unwrap();
+        cluster.call(leader, Call::Announce(Box::new(target)));
+    }
+}
+
 /// Guards against entry VMs that poll for a leader after a restart of the whole fleet and find it
 /// 100 to 300 ms after its election.
 #[test]
