Judge a keyed repetition by the end of a stopping VM too

What callers saw: a request with a key that its holder had not executed was sent there again late in a stop, though its deadline lies behind the end of the process, which would cut it off.

Cause: a repetition with a key goes to its holder without a selection, and so past the check of the end of the process, except in the last 50 ms.

Change: Entry::retry makes the whole check.

Tests: a_keyed_request_that_may_be_cut_is_not_repeated fails without the change (sent to keyed-0). the_end_of_a_stop_refuses_what_no_target_has asks for the order of the withdrawals now, which it had sorted away.

--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -298,7 +298,7 @@
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        let may_repeat = !request.caller_disconnected && !self.is_ending(now);
+        let may_repeat = !request.caller_disconnected && self.check_shutdown(request, now).is_ok();
         if !may_repeat || request.attempts_sent >= request.route.max_attempts {
             return false;
         }
--- a/crates/entry/src/entry/shutdown.rs
+++ b/crates/entry/src/entry/shutdown.rs
@@ -60,7 +60,7 @@
 }
 
 impl Entry {
-    /// Begins the shutdown: requests in progress are finished and no attempts are cancelled.
+    /// Begins the shutdown: what targets have is left to end.
     pub fn begin_shutdown(&mut self, shutdown: Shutdown) {
         self.shutdown = Some(shutdown);
         self.last_send = Some(shutdown.last_send());
--- a/crates/entry/tests/entry/shutdown.rs
+++ b/crates/entry/tests/entry/shutdown.rs
@@ -108,12 +108,11 @@
     assert!(harness.entry.next_deadline() <= harness.now + ms(50));
     let output = harness.advance(ms(50));
     assert_eq!(promised(&output), [(waiting, ms(50))]);
-    let mut withdrawn = output.withdrawn.clone();
-    withdrawn.sort_unstable();
-    // The event loop leaves the one that has a connection.
+    // The event loop leaves the one that has a connection. The end of an attempt would let one that
+    // began later have its connection.
     assert_eq!(
-        withdrawn,
-        [at_work, queued_read, queued_order, queued_keyed]
+        output.withdrawn,
+        [queued_keyed, queued_order, queued_read, at_work]
     );
     assert_eq!(output.cancelled, []);
     for (attempt, request) in [(queued_read, read), (queued_order, order)] {
@@ -156,6 +155,19 @@
     assert_eq!(promised(&output)[0].0, request);
 }
 
+/// Guards against a repetition that is cut off at the end of a stop: the request has a key, its holder
+/// did not execute it, and its deadline is behind the end.
+#[test]
+fn a_keyed_request_that_may_be_cut_is_not_repeated() {
+    let mut harness = Harness::new();
+    let (request, output) = harness.request(KEYED);
+    stop(&mut harness, ms(100), ms(1000));
+    harness.advance(ms(200));
+    let output = harness.end_attempt(output.sent[0].0, not_executed(503));
+    assert_eq!(output.sent, []);
+    assert_eq!(promised(&output)[0].0, request);
+}
+
 /// Guards against a request that a VM without a routing takes in its last moment and never answers.
 #[test]
 fn a_vm_without_a_routing_answers_before_it_ends() {
