Refuse lost work whose target is gone

What callers saw: no answer until the deadline, for a request whose target was removed while the work was lost.

Cause: Entry::retry took a repetition from the budget and logged it, but the target was no longer known, so that nothing was sent and nothing waited.

Change: a repetition needs a target that is known.

--- a/crates/entry/src/entry/retry.rs
+++ b/crates/entry/src/entry/retry.rs
@@ -314,9 +314,10 @@
             }
             // Only the holder of the key can execute the request. It may have changed meanwhile.
             Some(_) => {
-                let holder = self.holder_of(request);
-                let holder = holder.filter(|holder| self.targets.get(holder).is_some());
-                holder.or(request.tried_targets.last()).cloned()
+                let is_tracked = |id: &&TargetId| self.targets.get(id).is_some();
+                let holder = self.holder_of(request).filter(is_tracked);
+                let former = request.tried_targets.last().filter(is_tracked);
+                holder.or(former).cloned()
             }
             None => self.select_target(id, now).ok(),
         };
--- a/crates/entry/tests/entry/requests.rs
+++ b/crates/entry/tests/entry/requests.rs
@@ -520,6 +520,44 @@
     );
 }
 
+/// Guards against a request that counts as repeated though it is sent to no target: the one that lost
+/// its work was removed, and so is the next holder of its key.
+#[test]
+fn lost_work_without_a_target_is_refused() {
+    let mut harness = Harness::new();
+    let (request, output) = harness.request(KEYED);
+    let (attempt, _) = only_attempt(&output);
+    let mut view = Harness::view();
+    view.index = 20;
+    view.targets.retain(|id, _| !id.starts_with(KEYED));
+    harness.receive(PeerMessage::Snapshot(Box::new(view)));
+    let output = harness.end_attempt(attempt, failed(true));
+    assert_eq!(output.sent, []);
+    assert_eq!(output.refused, [(request, Refusal::Unknown)]);
+}
+
+/// Guards against a promise "not run" for a request that may have run at a former attempt: the
+/// holder of its key rejects the repetition until nothing else can be tried.
+#[test]
+fn a_rejected_repetition_of_lost_work_promises_nothing() {
+    let mut harness = Harness::new();
+    let (request, output) = harness.request_within(KEYED, ms(1000));
+    let mut output = harness.end_attempt(only_attempt(&output).0, failed(true));
+    let mut refused = Vec::new();
+    for _ in 0..60 {
+        for (attempt, ..) in std::mem::take(&mut output.sent) {
+            refused.extend(harness.end_attempt(attempt, not_executed(421)).refused);
+        }
+        output = harness.advance(ms(20));
+        refused.extend(output.refused.iter().copied());
+    }
+    let unknown = [Refusal::Unknown, Refusal::TimedOut];
+    assert!(
+        matches!(refused[..], [(id, ref refusal)] if id == request && unknown.contains(refusal)),
+        "{refused:?}"
+    );
+}
+
 /// Guards against requests that are accepted shortly before a stopping VM ends and are then cut off:
 /// while few VMs of a domain are ready, callers are sent to those that are stopping as well.
 #[test]
