Abort only what a suspected target had before its probe failed

What callers saw: work just begun at a target that served again was aborted at the next tick, and each time it was sent there.

Cause: the mark of a failed probe ends with a response only, and each tick aborted all that was in flight there.

Change: the mark has a time, and only requests that were sent before it are moved. What waits for a free slot is counted once a tick, and a tick stops when the retry budget is used up.

Open: a slot is not reserved for the request that is moved, so a new one that arrives before the abort has taken effect may have it.

--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -356,15 +356,18 @@
     /// Aborts an attempt at a target so that the request is sent again. A retry is taken for one that
     /// may have been written: without a retry it would only be refused, and its attempt may still
     /// succeed.
-    fn abort_for_retry(&mut self, id: RequestId, written: bool) {
+    /// Returns whether it is aborted.
+    fn abort_for_retry(&mut self, id: RequestId, written: bool) -> bool {
         if written && !self.may_retry(id) {
-            return;
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.aborted = true;
-            request.retry_taken = written;
-            self.effects.push(Effect::Abort { id });
+            return false;
         }
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        request.aborted = true;
+        request.retry_taken = written;
+        self.effects.push(Effect::Abort { id });
+        true
     }
 
     /// Returns the retryable requests in flight at a target for which `ends` is true, and whether
@@ -391,26 +394,55 @@
         let Some(target) = self.targets.get(&id) else {
             return;
         };
-        let now = self.now;
-        if target.is_lost() || target.health.is_suspect() {
-            // The shards of a keyed target have to move first.
-            let unkeyed = self.retryable_at(target, |request| request.shard.is_none());
-            for (request_id, written) in unkeyed {
-                if !written || self.can_run_elsewhere(request_id, id) {
-                    self.abort_for_retry(request_id, written);
-                }
+        match target.is_lost() || target.health.is_suspect() {
+            true => self.move_unanswered(id),
+            false => self.reconnect_stuck(id),
+        }
+    }
+
+    /// Sends unkeyed requests elsewhere that a target had before it was lost or failed a probe. The
+    /// shards of a keyed target have to move first.
+    fn move_unanswered(&mut self, id: TargetId) {
+        let Some(target) = self.targets.get(&id) else {
+            return;
+        };
+        let (now, health) = (self.now, &target.health);
+        let (service_index, side) = (target.service_index, target.info.spec.side);
+        let unanswered = self.retryable_at(target, |request| {
+            let may_move = request.attempts < MAX_ATTEMPTS && now < request.start_by;
+            let is_suspect = target.is_lost() || health.is_suspect_since(request.started);
+            request.shard.is_none() && may_move && is_suspect
+        });
+        if unanswered.is_empty() {
+            return;
+        }
+        let mut pending = self.pending_retries(service_index, side);
+        for (request_id, written) in unanswered {
+            if written && !self.can_run_elsewhere(request_id, id, pending) {
+                continue;
             }
-        } else {
-            let health = &target.health;
-            // A request that is unanswered on a second connection too takes long.
-            let stuck = self.retryable_at(target, |request| {
-                !request.reconnected && health.is_stuck(request.started, now)
-            });
-            for (request_id, written) in stuck {
-                self.abort_for_retry(request_id, written);
-                if let Some(request) = self.requests.get_mut(&request_id) {
-                    request.reconnected = request.aborted;
-                }
+            if !self.abort_for_retry(request_id, written) {
+                // The retry budget is used up.
+                return;
+            }
+            pending += 1;
+        }
+    }
+
+    /// Sends requests on dead connections to a live target again on a new connection.
+    fn reconnect_stuck(&mut self, id: TargetId) {
+        let Some(target) = self.targets.get(&id) else {
+            return;
+        };
+        let (now, health) = (self.now, &target.health);
+        // A request that is unanswered on a second connection too takes long.
+        let stuck = self.retryable_at(target, |request| {
+            !request.reconnected && health.is_stuck(request.started, now)
+        });
+        for (request_id, written) in stuck {
+            let is_aborted = self.abort_for_retry(request_id, written);
+            if let Some(request) = self.requests.get_mut(&request_id) {
+                request.reconnected = is_aborted;
             }
         }
     }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -39,8 +39,8 @@
     probed_at: Option<Duration>,
     /// Start time of the last probe, if it succeeded.
     answered_probe: Option<Duration>,
-    /// Whether the last probe failed and the target has not responded since.
-    suspect: bool,
+    /// When the last probe failed, if the target has not responded since.
+    suspected_at: Option<Duration>,
     backoff_until: Duration,
     backoff: Duration,
     /// Time at which a request last ended, or started with no other in flight.
@@ -65,7 +65,7 @@
         self.sample(elapsed, now);
         self.backoff = Duration::ZERO;
         self.broken_at = None;
-        self.suspect = false;
+        self.suspected_at = None;
     }
 
     /// Records a refusal and starts a backoff; returns its end.
@@ -119,7 +119,7 @@
     /// Records the result of a probe and returns the end of the backoff that it causes.
     pub(crate) fn record_probe_result(&mut self, alive: bool, now: Duration) -> Duration {
         self.broken_at = None;
-        self.suspect = !alive;
+        self.suspected_at = (!alive).then_some(now);
         self.last_progress = now;
         self.answered_probe = if alive { self.probed_at } else { None };
         self.backoff_until = if alive { now } else { now + SUSPECT_BACKOFF };
@@ -133,9 +133,14 @@
             && now >= started + self.unresponsive_after()
     }
 
+    /// Returns whether the target has failed a probe since `started` and not responded after it.
+    pub(crate) fn is_suspect_since(&self, started: Duration) -> bool {
+        self.suspected_at.is_some_and(|at| started <= at)
+    }
+
     /// Returns whether the last probe failed and the target has not responded since.
     pub(crate) fn is_suspect(&self) -> bool {
-        self.suspect
+        self.suspected_at.is_some()
     }
 
     /// Returns whether new requests are not sent for now.
--- a/crates/route/src/unkeyed.rs
+++ b/crates/route/src/unkeyed.rs
@@ -137,9 +137,14 @@
         })
     }
 
-    /// Returns whether an unkeyed request that is in flight at a target would be sent elsewhere at
-    /// once if it were aborted.
-    pub(crate) fn can_run_elsewhere(&mut self, id: RequestId, at: TargetId) -> bool {
+    /// Returns whether an unkeyed request that is in flight at a target has a free slot elsewhere, or
+    /// may be forwarded. `pending` attempts of its side are aborted and have not ended.
+    pub(crate) fn can_run_elsewhere(
+        &mut self,
+        id: RequestId,
+        at: TargetId,
+        pending: usize,
+    ) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
@@ -162,11 +167,11 @@
             .filter(|candidate| candidate.target != at)
             .map(|candidate| candidate.free_slots())
             .sum();
-        free as usize > pool.queue.len() + self.pending_retries(service_index, side)
+        free as usize > pool.queue.len() + pending
     }
 
     /// Returns the number of requests of a side whose attempts were aborted and have not ended.
-    fn pending_retries(&self, service_index: usize, side: Side) -> usize {
+    pub(crate) fn pending_retries(&self, service_index: usize, side: Side) -> usize {
         let targets = self.targets.values();
         let in_flight = targets
             .filter(|t| t.service_index == service_index && t.info.spec.side == side)
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -400,3 +400,56 @@
     );
     assert_eq!(router.step(Event::Tick, Duration::from_secs(9)), []);
 }
+
+/// Guards against work that is aborted at each tick at a target that serves again: it failed a probe,
+/// its back-off is over, and it has not responded yet.
+#[test]
+fn requests_sent_after_a_failed_probe_are_left_running() {
+    let (mut router, written) = busy_target();
+    for id in written {
+        done(&mut router, id, responded(), 2);
+    }
+    let alive = false;
+    router.step(Event::Probed { target: 21, alive }, ms(400));
+    tick(&mut router, 1500);
+    let mut begun = Vec::new();
+    for id in 300..310 {
+        let sent = sends(&arrive(&mut router, request(id, "GET", "/u/list"), 1500));
+        ready(&mut router, id, 1500);
+        begun.extend(sent.into_iter().filter(|(_, target)| *target == 21));
+    }
+    assert!(!begun.is_empty());
+    assert_eq!(aborts(&tick(&mut router, 1510)), []);
+}
+
+/// Guards against a VM that stalls while a target is silent: each tick looked at all requests in
+/// flight once for each request at that target. The bound is the interval of the ticks.
+#[test]
+fn a_tick_beside_a_silent_target_takes_less_than_its_interval() {
+    let mut router = router();
+    let mut bundle = bundle(2);
+    bundle.services[1].slots = 4096;
+    bundle.services[1].connections = 4096;
+    router.step(Event::Bundle(bundle), ms(0));
+    let with_slots = |id| {
+        let mut target = target(id, "u", None);
+        target.info.spec.slots = 4096;
+        target
+    };
+    let targets = vec![with_slots(21), with_slots(22)];
+    router.step(Event::View(change(2, targets, vec![])), ms(0));
+    for id in 0..4096 {
+        for (id, _) in sends(&arrive(&mut router, request(id, "GET", "/u/list"), 0)) {
+            ready(&mut router, id, 0);
+        }
+    }
+    let alive = false;
+    router.step(Event::Probed { target: 21, alive }, ms(20));
+    let ticks = (0..5).map(|_| {
+        let started = std::time::Instant::now();
+        tick(&mut router, 30);
+        started.elapsed()
+    });
+    let fastest = ticks.min().unwrap();
+    assert!(fastest < ms(10), "{fastest:?}");
+}
