--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -606,3 +606,49 @@
     }
     assert!(closed > 0, "the others fill the output");
 }
+
+/// Guards against a long request that is given up at a live target which does not read its body for a
+/// few seconds.
+///
+/// Listed in KNOWN-RED.txt; runs with CAMPHORDALE_KNOWN_RED=1.
+#[test]
+fn a_target_may_pause_while_it_reads_a_body() {
+    if !std::env::var("CAMPHORDALE_KNOWN_RED").is_ok_and(|value| value == "1") {
+        println!("KNOWN-RED: a_target_may_pause_while_it_reads_a_body is passed over");
+        return;
+    }
+    let (listener, address) = target_listener();
+    let mut fixture = Fixture::new();
+    let length = 200 << 10;
+    let mut bytes = format!("PUT / HTTP/1.1\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+    bytes.resize(bytes.len() + length, b'x');
+    let total = bytes.len();
+    fixture.event_loop.start_exchange(Exchange {
+        id: 1,
+        address,
+        bytes,
+        body: None,
+        expected: ExpectedResponse {
+            request_id: Some(("request-id".into(), "r1".into())),
+            ..ExpectedResponse::default()
+        },
+        connection: ConnectionUse::Pooled { limit: 1 },
+        deadline: fixture.clock.now() + WAIT_LIMIT,
+    });
+    let mut stream = accept(&listener);
+    let target = std::thread::spawn(move || {
+        std::thread::sleep(ms(4000));
+        let (mut taken, mut chunk) = (0, vec![0; 1 << 16]);
+        while taken < total {
+            match stream.read(&mut chunk) {
+                Ok(0) | Err(_) => return stream,
+                Ok(count) => taken += count,
+            }
+        }
+        stream.write_all(&response(1)).unwrap();
+        stream
+    });
+    let (_, result) = fixture.next_exchange();
+    drop(target.join().unwrap());
+    assert_eq!(result.unwrap().body, b"ok");
+}
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -453,3 +453,28 @@
     let fastest = ticks.min().unwrap();
     assert!(fastest < ms(10), "{fastest:?}");
 }
+
+/// Guards against a request that is aborted for a free slot elsewhere, which a new request then takes:
+/// it waits in a queue and may be refused there.
+///
+/// Listed in KNOWN-RED.txt; runs with CAMPHORDALE_KNOWN_RED=1.
+#[test]
+fn an_aborted_request_keeps_its_free_slot() {
+    if !std::env::var("CAMPHORDALE_KNOWN_RED").is_ok_and(|value| value == "1") {
+        println!("KNOWN-RED: an_aborted_request_keeps_its_free_slot is passed over");
+        return;
+    }
+    let (mut router, written) = busy_target();
+    for id in 100..132 {
+        arrive(&mut router, request(id, "GET", "/u/list"), 10);
+        ready(&mut router, id, 10);
+    }
+    let alive = false;
+    router.step(Event::Probed { target: 21, alive }, ms(20));
+    done(&mut router, 100, responded(), 41);
+    let aborted = aborts(&tick(&mut router, 42));
+    assert_eq!(aborted, written[..1]);
+    arrive(&mut router, request(300, "GET", "/u/list"), 42);
+    ready(&mut router, 300, 42);
+    end_aborted(&mut router, &aborted, 22, 43);
+}
