Name what is refused at the end of a stop

Wording only, from reading the diff as a newcomer: the time at which unsent requests are refused has a name of its own beside the last time to send, and the notice is the time of load balancers, not of callers.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -573,8 +573,8 @@
     was_established: bool,
     was_ready: bool,
     shutdown: Option<Shutdown>,
-    /// When requests that no target has are refused, if this VM is stopped and has not done so.
-    last_send: Option<Duration>,
+    /// When requests that are not sent yet are refused, if this VM is stopped and has not done so.
+    refuse_unsent_at: Option<Duration>,
     key_samples: BTreeMap<ServiceName, KeySample>,
     next_latency: Duration,
     crashes: CrashReports,
@@ -633,7 +633,7 @@
             was_established: false,
             was_ready: false,
             shutdown: None,
-            last_send: None,
+            refuse_unsent_at: None,
             key_samples: BTreeMap::new(),
             next_latency: Duration::ZERO,
             crashes: CrashReports::default(),
@@ -728,7 +728,7 @@
     /// Time at which the next tick is due.
     pub fn next_deadline(&self) -> Duration {
         let request_timer = self.timers.first().map(|(at, _)| *at);
-        [request_timer, self.last_send]
+        [request_timer, self.refuse_unsent_at]
             .into_iter()
             .flatten()
             .fold(self.control_stream.next_deadline(), Duration::min)
--- a/crates/entry/src/entry/shutdown.rs
+++ b/crates/entry/src/entry/shutdown.rs
@@ -14,8 +14,8 @@
     request::ActiveRequest, //
 };
 
-/// Time after a termination signal for which a VM still serves new connections: until callers have
-/// noticed that it is not ready and no longer connect to it.
+/// Time after a termination signal for which a VM still serves new connections: until load balancers
+/// have detected that it is not ready.
 const NOTICE_TIME: Duration = Duration::from_millis(2600);
 /// Time reserved at the end of the grace period, before the process is killed.
 const KILL_RESERVE: Duration = Duration::from_millis(300);
@@ -28,7 +28,7 @@
 /// When a VM that is stopped serves what.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Until when new requests are served as before: callers have not noticed yet.
+    /// Until when new requests are served as before: load balancers may not have detected the stop.
     pub notice_ends: Duration,
     /// When the process ends at the latest. It breaks off what is still in progress.
     pub ends_at: Duration,
@@ -60,10 +60,10 @@
 }
 
 impl Entry {
-    /// Begins the shutdown: what targets have is left to end.
+    /// Begins the shutdown: requests that were sent to a target are left to end.
     pub fn begin_shutdown(&mut self, shutdown: Shutdown) {
         self.shutdown = Some(shutdown);
-        self.last_send = Some(shutdown.last_send());
+        self.refuse_unsent_at = Some(shutdown.last_send());
     }
 
     /// Whether this VM is about to end, so that nothing is sent to a target any more.
@@ -78,8 +78,8 @@
         request.deadline.min(ends_at).saturating_sub(now)
     }
 
-    /// Whether a request may still be sent to a target. Once callers have noticed the stop, one that
-    /// no target has is refused if the process may end before its deadline.
+    /// Whether a request may still be sent to a target. Once load balancers have detected the stop,
+    /// one that no target can be executing is refused if the process may end before its deadline.
     pub(super) fn check_shutdown(
         &self,
         request: &ActiveRequest,
@@ -94,10 +94,10 @@
         }
     }
 
-    /// Refuses what no target has, shortly before the process ends. Attempts that wait for a
-    /// connection are withdrawn; those that have one go on.
+    /// Refuses requests that are not sent yet, shortly before the process ends. Attempts that wait for
+    /// a connection are withdrawn; those that have one go on.
     pub(super) fn refuse_unsent(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        if self.last_send.take_if(|at| now >= *at).is_none() {
+        if self.refuse_unsent_at.take_if(|at| now >= *at).is_none() {
             return;
         }
         self.resume_unrouted(now, out);
