Send long changes and views to entry VMs in parts that they ask for

What callers saw: after a change of 1,000 routes, entry VMs on links of 2 Mbit/s lost their control streams again and again, never got the change, served an eighth of their requests in time, and answered 404 for routes that were in force.

Nothing set a rate. A stream that was lost began again with the first byte, and leaves, moves of keys and replies to pings waited behind the message.

Change: what is long is a content: encoded without documents, compressed (miniz_oxide), identified by a digest of its bytes, which all control VMs derive alike. A VM asks for the rest, one part at a time, at a quarter of the rate of its link, and goes on where it was broken off, also with another leader. Commands after the change do not wait for it; the routing takes effect when it is complete. A VM without a view gets the whole view in the same way. Entry VMs of an older version are sent whole messages as before, and an entry VM falls back to whole messages if a control VM closes the connection after its handshake.

Ruled out: splitting messages below the reducer. It keeps the order of messages, so that moves wait for the change, and knows no content to go on with.

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -6,6 +6,7 @@
 };
 
 use camphordale_fleet::{
+    ContentKind,
     Domain,
     EntryCounts,
     KeyLoad,
@@ -54,9 +55,31 @@
 
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
-    Idle { until: Duration },
-    Subscribing { since: Duration },
-    Established { last_heard: Duration },
+    Idle {
+        until: Duration,
+    },
+    Subscribing {
+        since: Duration,
+    },
+    /// The whole view is being received.
+    Receiving {
+        progress_at: Duration,
+    },
+    Established {
+        progress_at: Duration,
+    },
+}
+
+/// How the leader is asked for its updates. A control VM of an older version closes the connection on
+/// a message that it does not know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    /// Long updates in parts.
+    Follow,
+    /// All updates after the index of the view.
+    Resubscribe,
+    /// The whole view in one message.
+    Subscribe,
 }
 
 /// Subscription to the view of the control leader.
@@ -71,6 +94,10 @@
     next_ping: Duration,
     /// Consecutive attempts without an established stream.
     failures: u32,
+    /// Form of the next request.
+    request: Request,
+    /// Whether a control VM has sent updates in parts to this process.
+    follows: bool,
     /// Recent time from a ping to its reply.
     round_trip: Duration,
     /// When the leader was last heard from.
@@ -93,6 +120,8 @@
             },
             next_ping: Duration::ZERO,
             failures: 0,
+            request: Request::Follow,
+            follows: false,
             round_trip: Duration::ZERO,
             last_heard: Duration::ZERO,
             entries: EntryCounts::default(),
@@ -119,8 +148,9 @@
         match self.phase {
             Phase::Idle { until } => until,
             Phase::Subscribing { since } => since + self.stretched(SUBSCRIBE_TIMEOUT),
-            Phase::Established { last_heard } => {
-                self.next_ping.min(last_heard + self.silence_timeout())
+            Phase::Receiving { progress_at } => progress_at + self.silence_timeout(),
+            Phase::Established { progress_at } => {
+                self.next_ping.min(progress_at + self.silence_timeout())
             }
         }
     }
@@ -150,8 +180,8 @@
                 self.failures += 1;
                 self.reconnect_later(now, out);
             }
-            Phase::Established { last_heard }
-                if now.saturating_sub(last_heard) >= self.silence_timeout() =>
+            Phase::Receiving { progress_at } | Phase::Established { progress_at }
+                if now.saturating_sub(progress_at) >= self.silence_timeout() =>
             {
                 self.reconnect_later(now, out);
             }
@@ -204,15 +234,19 @@
         let timeout = self.stretched(CONNECT_TIMEOUT);
         out.push(ControlStreamEffect::Connect { to, timeout });
         let (entry_id, domain, index) = (self.entry_id, self.domain.clone(), view.index);
-        // A control VM of an older version closes the connection on a message that it does not
-        // know, so every other attempt asks for the whole view.
-        let subscription = match index > 0 && self.failures.is_multiple_of(2) {
-            true => PeerMessage::Resubscribe {
+        let request = match self.request {
+            // Without a view there is nothing to go on from.
+            Request::Resubscribe if index == 0 => Request::Subscribe,
+            request => request,
+        };
+        let subscription = match request {
+            Request::Follow => self.follow_message(view),
+            Request::Resubscribe => PeerMessage::Resubscribe {
                 entry_id,
                 domain,
                 index,
             },
-            false => PeerMessage::Subscribe {
+            Request::Subscribe => PeerMessage::Subscribe {
                 entry_id,
                 domain,
                 index,
@@ -221,6 +255,34 @@
         out.push(ControlStreamEffect::Send(subscription));
     }
 
+    fn follow_message(&self, view: &View) -> PeerMessage {
+        PeerMessage::Follow {
+            entry_id: self.entry_id,
+            domain: self.domain.clone(),
+            index: view.index,
+            version: view.routing.as_ref().map_or(0, |routing| routing.version),
+        }
+    }
+
+    /// Asks for the updates after a view on the open connection.
+    pub fn follow(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
+        self.phase = Phase::Subscribing { since: now };
+        out.push(ControlStreamEffect::Send(self.follow_message(view)));
+    }
+
+    /// Whether the stream is established and the leader sends long updates in parts.
+    pub fn follows(&self) -> bool {
+        self.is_established() && self.follows && self.request == Request::Follow
+    }
+
+    /// Whether parts of contents may be asked for.
+    pub fn is_open(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Receiving { .. } | Phase::Established { .. }
+        )
+    }
+
     fn reconnect_later(&mut self, now: Duration, out: &mut Vec<ControlStreamEffect>) {
         self.phase = Phase::Idle {
             until: now + RECONNECT_DELAY,
@@ -240,6 +302,19 @@
         }
     }
 
+    /// Handles a connection that the control VM closed after the handshake. One of an older version
+    /// does so if it does not know the request.
+    pub fn on_rejected(&mut self, now: Duration) {
+        if matches!(self.phase, Phase::Subscribing { .. }) && !self.follows {
+            self.request = match self.request {
+                Request::Follow => Request::Resubscribe,
+                Request::Resubscribe => Request::Subscribe,
+                Request::Subscribe => Request::Follow,
+            };
+        }
+        self.on_closed(now);
+    }
+
     /// Handles a message. Returns whether it belongs to an established stream.
     pub fn on_message(
         &mut self,
@@ -262,19 +337,30 @@
             }
             PeerMessage::Snapshot(_) | PeerMessage::Resume { .. } => {
                 self.failures = 0;
-                self.phase = Phase::Established { last_heard: now };
+                self.follows |= self.request == Request::Follow;
+                self.phase = Phase::Established { progress_at: now };
                 self.last_heard = now;
                 true
             }
+            PeerMessage::Part(part) if matches!(part.content.kind, ContentKind::View { .. }) => {
+                self.failures = 0;
+                self.follows = true;
+                self.phase = Phase::Receiving { progress_at: now };
+                true
+            }
             PeerMessage::Pong { entries, sent } => {
                 self.entries = *entries;
                 self.record_round_trip(now.saturating_sub(*sent));
                 if self.is_established() {
-                    self.phase = Phase::Established { last_heard: now };
+                    self.phase = Phase::Established { progress_at: now };
                     self.last_heard = now;
                 }
                 true
             }
+            PeerMessage::Part(_) if self.is_established() => {
+                self.phase = Phase::Established { progress_at: now };
+                true
+            }
             _ => self.is_established(),
         }
     }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -83,6 +83,10 @@
         TargetStats,
         TargetTracker, //
     },
+    transfer::{
+        TransferStats,
+        Transfers, //
+    },
 };
 
 /// Age after which an unconfirmed view may name previous holders of keys. A change of the control
@@ -226,6 +230,8 @@
     Stream(PeerMessage),
     /// The control stream was closed.
     StreamClosed,
+    /// The control VM closed the connection of the stream after its handshake.
+    StreamRejected,
 }
 
 /// Why this VM responded itself, retried a request, or forwarded a response.
@@ -430,6 +436,10 @@
         /// Index of the view.
         view: u64,
     },
+    /// A content has arrived.
+    Transferred(TransferStats),
+    /// A content cannot be decoded, or does not fit to the view, so the whole view is asked for.
+    Unusable(Box<str>),
     /// The readiness of this VM for new callers changed.
     Ready {
         /// Whether it is ready.
@@ -570,6 +580,7 @@
     usual_timeouts: UsualTimeouts,
     next_attempt: AttemptId,
     control_stream: ControlStream,
+    transfers: Transfers,
     was_established: bool,
     was_ready: bool,
     shutdown: Option<Shutdown>,
@@ -630,6 +641,7 @@
                 config.domain.clone(),
                 config.seeds.clone(),
             ),
+            transfers: Transfers::new(config.link_rate),
             was_established: false,
             was_ready: false,
             shutdown: None,
@@ -663,11 +675,12 @@
             }
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
             Event::StreamClosed => {
-                self.crashes.on_stream_closed(now);
-                self.statement_reports.on_stream_closed(now);
-                self.load_reports.on_stream_closed(now);
                 self.control_stream.on_closed(now);
-                self.report_stream_state(&mut out);
+                self.on_stream_closed(now, &mut out);
+            }
+            Event::StreamRejected => {
+                self.control_stream.on_rejected(now);
+                self.on_stream_closed(now, &mut out);
             }
         }
         self.report_crashes(now, &mut out);
@@ -720,6 +733,11 @@
             || self.unrouted.iter().any(|u| u.incoming.handle == request)
     }
 
+    /// Bytes received of contents that are not in use yet, and bytes of these contents.
+    pub fn transfer_progress(&self) -> (usize, usize) {
+        self.transfers.progress()
+    }
+
     /// Whether the routing is contended ([`RouteTable::is_contended`]).
     pub fn is_contended(&self) -> bool {
         self.routes.is_contended()
@@ -728,7 +746,9 @@
     /// Time at which the next tick is due.
     pub fn next_deadline(&self) -> Duration {
         let request_timer = self.timers.first().map(|(at, _)| *at);
-        [request_timer, self.refuse_unsent_at]
+        let is_open = self.control_stream.is_open();
+        let next_pull = self.transfers.next_pull().filter(|_| is_open);
+        [request_timer, self.refuse_unsent_at, next_pull]
             .into_iter()
             .flatten()
             .fold(self.control_stream.next_deadline(), Duration::min)
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -7,6 +7,7 @@
     Key,
     KeyLoad,
     Outcome,
+    Part,
     PeerMessage,
     TargetId,
     TargetLatency,
@@ -21,7 +22,8 @@
 };
 use crate::{
     control_stream::ControlStreamEffect,
-    retry_budget::RetryBudget, //
+    retry_budget::RetryBudget,
+    transfer::Received, //
 };
 
 /// Maximum number of keys in one report of a service.
@@ -47,6 +49,9 @@
         if !self.control_stream.is_established() {
             self.load_reports.on_stream_left();
         }
+        if !self.control_stream.is_open() {
+            self.transfers.end_request();
+        }
         if self.control_stream.ping_due(now) {
             self.report_loads(now, out);
             let load = self.take_reports(now);
@@ -54,6 +59,7 @@
                 .ping(self.view.index, load, now, &mut effects);
         }
         out.extend(effects.into_iter().map(Effect::ControlStream));
+        self.pull_parts(now, out);
         self.report_stream_state(out);
         let ready = self.is_ready(now);
         if ready != self.was_ready {
@@ -87,6 +93,7 @@
                 self.replace_view(*view, last_heard, now, out);
             }
             PeerMessage::Resume { .. } if is_established => {
+                self.transfers.discard_view();
                 // Notices of moves may have been missed.
                 self.handovers.clear();
                 self.evacuations.on_resumed(last_heard);
@@ -100,6 +107,14 @@
             PeerMessage::Update { index, command } if is_established => {
                 self.apply_update(index, &command, now, out);
             }
+            PeerMessage::RoutingNotice { index, part } if is_established => {
+                self.view.index = self.view.index.max(index);
+                self.receive_part(part, now, out);
+            }
+            PeerMessage::Part(part) if is_established => {
+                self.transfers.end_request();
+                self.receive_part(part, now, out);
+            }
             PeerMessage::Handover {
                 service,
                 from,
@@ -152,9 +167,102 @@
             }
             _ => {}
         }
+        self.pull_parts(now, out);
+        self.report_stream_state(out);
+    }
+
+    /// Handles the loss of the connection to the leader.
+    pub(super) fn on_stream_closed(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.crashes.on_stream_closed(now);
+        self.statement_reports.on_stream_closed(now);
+        self.load_reports.on_stream_closed(now);
+        self.transfers.end_request();
         self.report_stream_state(out);
     }
 
+    /// Asks for the next part of a content if it is due.
+    fn pull_parts(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.control_stream.is_open()
+            && let Some(message) = self.transfers.pull(now)
+        {
+            out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
+        }
+    }
+
+    /// Takes a part of a content, and adopts what is complete.
+    fn receive_part(&mut self, part: Part, now: Duration, out: &mut Vec<Effect>) {
+        match self.transfers.receive(part, self.routing_version(), now) {
+            Received::Accepted => {}
+            Received::Gap => return self.follow_again(now, out),
+        }
+        if let Some((view, stats)) = self.transfers.take_view(now) {
+            out.push(Effect::Log(LogEvent::Transferred(stats)));
+            match view {
+                Ok(view) => {
+                    let last_heard = now.saturating_sub(self.control_stream.silence(now));
+                    self.replace_view(*view, last_heard, now, out);
+                }
+                Err(error) => {
+                    out.push(Effect::Log(LogEvent::Unusable(error.to_string().into())));
+                    self.close_stream(now, out);
+                }
+            }
+            if self.control_stream.is_open() {
+                self.follow_again(now, out);
+            }
+            return;
+        }
+        self.adopt_changes(now, out);
+    }
+
+    /// Applies the changes of the routing that have arrived.
+    fn adopt_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let old = self.routing_version();
+        while let Some((change, stats)) = self.transfers.take_change(self.routing_version(), now) {
+            out.push(Effect::Log(LogEvent::Transferred(stats)));
+            let reason = match change {
+                Ok(change) => match self.view.change_routing(&change) {
+                    Outcome::Done => continue,
+                    outcome => format!("{outcome:?}"),
+                },
+                Err(error) => error.to_string(),
+            };
+            out.push(Effect::Log(LogEvent::Unusable(reason.into())));
+            self.transfers.discard_changes();
+            // Only the whole view helps now.
+            self.view.index = 0;
+            return self.follow_again(now, out);
+        }
+        if self.routing_version() == old {
+            return;
+        }
+        self.routing_changed(old, now, out);
+        self.confirm_routing(now, out);
+        self.retry_parked(None, now, out);
+    }
+
+    /// Confirms the routing to the leader at once, because an operator waits for it.
+    fn confirm_routing(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.control_stream.follows() {
+            let message = PeerMessage::RoutingInForce(self.routing_version());
+            out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
+        }
+        self.confirm_view(now, out);
+    }
+
+    fn close_stream(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        out.push(Effect::ControlStream(ControlStreamEffect::Close));
+        self.control_stream.on_closed(now);
+    }
+
+    /// Asks the leader for what follows the view, on the open connection.
+    fn follow_again(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        self.transfers.end_request();
+        self.control_stream.follow(&self.view, now, &mut effects);
+        out.extend(effects.into_iter().map(Effect::ControlStream));
+    }
+
     fn replace_view(
         &mut self,
         view: View,
@@ -164,8 +272,7 @@
     ) {
         // An older leader may still reply; this VM never returns to an older view.
         if view.index < self.view.index {
-            out.push(Effect::ControlStream(ControlStreamEffect::Close));
-            self.control_stream.on_closed(now);
+            self.close_stream(now, out);
             return;
         }
         let old = self.routing_version();
@@ -211,7 +318,7 @@
         match command {
             Command::Change(_) => {
                 self.routing_changed(old, now, out);
-                self.confirm_view(now, out);
+                self.confirm_routing(now, out);
             }
             Command::Announce { id, target } => {
                 if target.state.accepts_requests() {
@@ -284,7 +391,7 @@
         self.resume_unrouted(now, out);
     }
 
-    /// Confirms the routing to the leader at once, because an operator waits for it.
+    /// Confirms the view to the leader at once, because an operator waits for it.
     fn confirm_view(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if !self.control_stream.is_established() {
             return;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `retry_budget` | limit on retries |
 //! | `limits` | limits that targets set on the requests of all entry VMs |
 //! | `control_stream` | the stream from the control leader |
+//! | `transfer` | contents from the control leader, in parts |
 
 mod admission;
 mod control_stream;
@@ -35,6 +36,7 @@
 mod routes;
 mod selection;
 mod targets;
+mod transfer;
 
 pub use admission::{
     Admission,
@@ -107,3 +109,8 @@
     TargetTracker,
     TrackedTarget, //
 };
+pub use transfer::{
+    Received,
+    TransferStats,
+    Transfers, //
+};
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -17,5 +17,6 @@
 mod requests;
 mod shutdown;
 mod statements;
+mod transfer;
 mod uncontended;
 mod uneven;
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod calls;
+mod contents;
 mod crashes;
 mod heartbeats;
 mod loads;
@@ -48,6 +49,7 @@
         LastAnnouncement,
         Pending, //
     },
+    contents::Contents,
     crashes::CrashNews,
     heartbeats::DelayedAnswer,
     loads::LoadNews,
@@ -127,6 +129,8 @@
     pub snapshot: usize,
     /// Updates for entry VMs that subscribe again.
     pub updates: usize,
+    /// Contents for entry VMs that take them in parts.
+    pub contents: usize,
 }
 
 /// One control VM.
@@ -147,6 +151,7 @@
     /// Entry VMs that were sent a view of their own since the last tick.
     single_views: u32,
     recent_updates: RecentUpdates,
+    contents: Contents,
     member_table: MemberTable,
     /// Version of the routing in force, and whether it is contended.
     contended: (Version, bool),
@@ -232,6 +237,7 @@
             awaiting_view: VecDeque::new(),
             single_views: 0,
             recent_updates,
+            contents: Contents::default(),
             member_table,
             contended: (0, false),
         })
@@ -284,6 +290,7 @@
             log: self.raft.log_bytes(),
             snapshot: self.raft.snapshot_bytes(),
             updates: self.recent_updates.bytes(),
+            contents: self.contents.bytes(),
         }
     }
 
@@ -511,6 +518,7 @@
                 self.state = state;
                 self.applied = snapshot.index;
                 self.recent_updates = RecentUpdates::new(snapshot.index, &self.state.view);
+                self.contents.clear();
                 self.member_table.sync(&self.state.view);
             }
             Err(_) => out.push(Effect::Log(LogEvent::Codec("snapshot cannot be decoded"))),
@@ -580,9 +588,11 @@
         let leader = self.leader_member().map(|member| member.peer);
         let awaiting = std::mem::take(&mut self.awaiting_view).into_iter();
         let awaiting = awaiting.map(|subscription| subscription.conn);
+        let pulling = self.contents.take_pullers();
         for conn in std::mem::take(&mut self.streams)
             .into_keys()
             .chain(awaiting)
+            .chain(pulling)
         {
             let message = PeerMessage::NotLeader { leader };
             out.push(Effect::Stream { conn, message });
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -539,6 +539,7 @@
         // An entry VM that waits for the view may act on the one it has.
         let awaiting = self.awaiting_view.iter().map(|other| other.index);
         let awaiting = awaiting.filter(|index| *index > 0);
+        let awaiting = awaiting.chain(self.contents.puller_indexes());
         let indexes = self.streams.values().map(|stream| stream.index);
         let oldest_index = indexes.chain(awaiting).min().unwrap_or(u64::MAX);
         let due: Vec<PendingAck> = self
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -13,18 +13,25 @@
     Control,
     Effect,
     LogEvent,
+    contents::FIRST_PART_BYTES,
     loads::LoadReport,
     statements::TargetStatements, //
 };
 use crate::{
+    content::{
+        Content,
+        KeptChange, //
+    },
     keys::Key,
     message::{
         EntryCounts,
         PeerMessage, //
     },
     routing::{
+        Change,
         Domain,
-        ServiceName, //
+        ServiceName,
+        Version, //
     },
     state::{
         Command,
@@ -106,10 +113,23 @@
         }
     }
 
-    /// The updates after `index`, or `None` if they are not all kept. A view without any state has
-    /// index 0.
+    /// Whether all updates after `index` are kept.
+    pub(super) fn reaches(&self, index: u64) -> bool {
+        index >= self.from
+    }
+
+    /// The updates after `index` for a VM with any state, or `None` if they are not all kept. A view
+    /// without any state has index 0.
     fn since(&self, index: u64) -> Option<Vec<(u64, Box<Command>)>> {
-        if index == 0 || index < self.from {
+        match index {
+            0 => None,
+            _ => self.after(index),
+        }
+    }
+
+    /// The updates after `index`, or `None` if they are not all kept.
+    pub(super) fn after(&self, index: u64) -> Option<Vec<(u64, Box<Command>)>> {
+        if !self.reaches(index) {
             return None;
         }
         let first = self.updates.partition_point(|(at, _)| *at <= index);
@@ -128,15 +148,25 @@
     postcard::serialize_with_flavor(view, Size::default()).unwrap_or(0)
 }
 
+/// How an entry VM subscribes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SubscriptionKind {
+    /// It needs the whole view.
+    Whole,
+    /// It can go on from its view.
+    Resuming,
+    /// It takes contents in parts, and acts on the routing of this version.
+    Following(Version),
+}
+
 /// A subscription of an entry VM.
 pub(super) struct Subscription {
     pub(super) conn: u64,
-    entry_id: u64,
-    domain: Domain,
+    pub(super) entry_id: u64,
+    pub(super) domain: Domain,
     /// Index of the entry VM's view.
     pub(super) index: u64,
-    /// Whether the entry VM can go on from its view.
-    resumes: bool,
+    pub(super) kind: SubscriptionKind,
 }
 
 /// A subscription received while no leader was known.
@@ -147,13 +177,15 @@
 
 /// The stream of one entry VM.
 pub(super) struct EntryStream {
-    entry_id: u64,
+    pub(super) entry_id: u64,
     pub(super) domain: Domain,
     /// Index of the entry VM's view.
     pub(super) index: u64,
     /// Index of the whole view that was sent and that the entry VM has not confirmed.
     awaits: Option<u64>,
-    last_heard: Duration,
+    /// Version of the routing on which the entry VM acts, if it takes contents in parts.
+    pub(super) routing: Option<Version>,
+    pub(super) last_heard: Duration,
     /// Whether the entry VM takes evidence on requests that crash their targets.
     pub(super) takes_evidence: bool,
     /// Whether the entry VM takes statements of targets and rights to send.
@@ -181,7 +213,7 @@
                     entry_id,
                     domain,
                     index,
-                    resumes: false,
+                    kind: SubscriptionKind::Whole,
                 };
                 self.subscribe(subscription, now, out);
             }
@@ -195,10 +227,36 @@
                     entry_id,
                     domain,
                     index,
-                    resumes: true,
+                    kind: SubscriptionKind::Resuming,
+                };
+                self.subscribe(subscription, now, out);
+            }
+            PeerMessage::Follow {
+                entry_id,
+                domain,
+                index,
+                version,
+            } => {
+                let subscription = Subscription {
+                    conn,
+                    entry_id,
+                    domain,
+                    index,
+                    kind: SubscriptionKind::Following(version),
                 };
                 self.subscribe(subscription, now, out);
             }
+            PeerMessage::Pull {
+                wanted,
+                offset,
+                length,
+            } => self.on_pull(conn, wanted, (offset, length), now, out),
+            PeerMessage::RoutingInForce(version) => {
+                if let Some(stream) = self.streams.get_mut(&conn) {
+                    stream.routing = Some(version);
+                    self.acknowledge_changes(now, out);
+                }
+            }
             PeerMessage::Ping {
                 sent,
                 index,
@@ -287,9 +345,12 @@
         self.streams.retain(|_, stream| stream.entry_id != entry_id);
         self.awaiting_view
             .retain(|other| other.entry_id != entry_id);
-        let updates = match subscription.resumes {
-            true => self.recent_updates.since(index),
-            false => None,
+        let updates = match subscription.kind {
+            SubscriptionKind::Following(version) => {
+                return self.follow(subscription, version, now, out);
+            }
+            SubscriptionKind::Resuming => self.recent_updates.since(index),
+            SubscriptionKind::Whole => None,
         };
         let Some(updates) = updates else {
             self.awaiting_view.push_back(subscription);
@@ -309,12 +370,21 @@
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
 
-    fn open_stream(&mut self, subscription: Subscription, awaits: Option<u64>, now: Duration) {
+    pub(super) fn open_stream(
+        &mut self,
+        subscription: Subscription,
+        awaits: Option<u64>,
+        now: Duration,
+    ) {
         let stream = EntryStream {
             entry_id: subscription.entry_id,
             domain: subscription.domain,
             index: subscription.index,
             awaits,
+            routing: match subscription.kind {
+                SubscriptionKind::Following(version) => Some(version),
+                SubscriptionKind::Whole | SubscriptionKind::Resuming => None,
+            },
             last_heard: now,
             takes_evidence: false,
             takes_statements: false,
@@ -394,6 +464,7 @@
         self.waiting
             .retain(|waiting| waiting.subscription.conn != conn);
         self.awaiting_view.retain(|other| other.conn != conn);
+        self.contents.on_stream_closed(conn);
         if self.streams.remove(&conn).is_some() {
             out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
         }
@@ -407,12 +478,50 @@
         encoded: Arc<[u8]>,
         out: &mut Vec<Effect>,
     ) {
-        if matches!(command, Command::Change(_)) {
-            self.recent_updates.measure(&self.state.view);
-        }
         self.recent_updates.push(index, encoded);
-        let command = Box::new(command);
-        self.broadcast(PeerMessage::Update { index, command }, out);
+        let notified = match &command {
+            Command::Change(change) => {
+                self.recent_updates.measure(&self.state.view);
+                self.stream_change(index, change, out)
+            }
+            _ => false,
+        };
+        let streams = self.streams.iter();
+        let streams = streams.filter(|(_, stream)| !notified || stream.routing.is_none());
+        let conns: Box<[u64]> = streams.map(|(conn, _)| *conn).collect();
+        if !conns.is_empty() {
+            let command = Box::new(command);
+            let message = PeerMessage::Update { index, command };
+            out.push(Effect::Broadcast { conns, message });
+        }
+    }
+
+    /// Sends a notice of the change at `index` to the entry VMs that take contents in parts. Returns
+    /// whether it has a content.
+    fn stream_change(&mut self, index: u64, change: &Change, out: &mut Vec<Effect>) -> bool {
+        let content = match Content::of_change(change) {
+            Ok(content) => content,
+            Err(_) => {
+                out.push(Effect::Log(LogEvent::Codec("change cannot be encoded")));
+                self.contents.changes.clear();
+                return false;
+            }
+        };
+        let part = content.part(0, FIRST_PART_BYTES);
+        self.contents.changes.push(KeptChange {
+            index,
+            base: change.base_version,
+            version: change.version,
+            content,
+        });
+        let streams = self.streams.iter();
+        let following = streams.filter(|(_, stream)| stream.routing.is_some());
+        let conns: Box<[u64]> = following.map(|(conn, _)| *conn).collect();
+        if !conns.is_empty() {
+            let message = PeerMessage::RoutingNotice { index, part };
+            out.push(Effect::Broadcast { conns, message });
+        }
+        true
     }
 
     /// Notifies the entry VMs that a range started or finished moving, so that they delay its
@@ -451,7 +560,8 @@
             .filter(|(_, stream)| silent(stream))
             .map(|(conn, _)| *conn)
             .collect();
-        for conn in conns {
+        let pulling = self.contents.silent_pullers(now, STREAM_TIMEOUT);
+        for conn in conns.into_iter().chain(pulling) {
             self.on_stream_closed(conn, out);
             out.push(Effect::CloseStream(conn));
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `balance` | which key ranges should move, and to which target |
 
 pub mod balance;
+mod content;
 mod control;
 pub mod crash_evidence;
 pub mod crash_trials;
@@ -43,6 +44,14 @@
 mod state;
 pub mod warm_up;
 
+pub use content::{
+    Content,
+    ContentError,
+    ContentId,
+    ContentKind,
+    ContentRef,
+    Part, //
+};
 pub use control::{
     Call,
     CallToken,
@@ -91,7 +100,8 @@
     KeyLoad,
     Member,
     PeerMessage,
-    TargetLatency, //
+    TargetLatency,
+    Wanted, //
 };
 pub use registry::{
     Address,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -15,6 +15,10 @@
 };
 
 use crate::{
+    content::{
+        ContentId,
+        Part, //
+    },
     crash_evidence::CrashRecord,
     crash_trials::{
         self,
@@ -34,7 +38,8 @@
     request_limits::StatedLimit,
     routing::{
         Domain,
-        ServiceName, //
+        ServiceName,
+        Version, //
     },
     service_demand::{
         ServiceDemand,
@@ -246,6 +251,50 @@
     /// the momentary slowdown of their machines. The leader tells all entry VMs if the routing is
     /// contended, as it knows them from the responses to all VMs.
     TargetLatencies(Vec<(TargetId, u16)>),
+    /// Request of an entry VM for the leader's updates, of which it takes long ones in parts. The
+    /// reply is [`PeerMessage::Resume`] with the updates after the index, and a notice of each change
+    /// of the routing after the version; or the first part of the whole view, after which the VM
+    /// follows from the index of that view.
+    Follow {
+        /// Random id of the process.
+        entry_id: u64,
+        /// Failure domain of the entry VM.
+        domain: Domain,
+        /// Index of the entry VM's view.
+        index: u64,
+        /// Version of its routing; 0 for none.
+        version: Version,
+    },
+    /// Notice of a change of the routing, in the place of its command, with the first part of its
+    /// content.
+    RoutingNotice {
+        /// Index of the command.
+        index: u64,
+        /// The first part of the content.
+        part: Part,
+    },
+    /// Part of a content that an entry VM asked for, or the first one of the whole view.
+    Part(Part),
+    /// Request of an entry VM for a part of a content.
+    Pull {
+        /// What it needs.
+        wanted: Wanted,
+        /// Position of the first byte.
+        offset: u32,
+        /// Number of bytes.
+        length: u32,
+    },
+    /// Version of the routing on which an entry VM acts from now on.
+    RoutingInForce(Version),
+}
+
+/// What an entry VM asks for with [`PeerMessage::Pull`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wanted {
+    /// The change on this version of the routing.
+    ChangeOn(Version),
+    /// The view with this content.
+    View(ContentId),
 }
 
 impl PeerMessage {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -179,7 +179,7 @@
                 self.members.remove(id);
                 Outcome::Done
             }
-            Command::Change(change) => self.change(change),
+            Command::Change(change) => self.change_routing(change),
             Command::Announce { id, target } => self.announce(id, target),
             Command::Remove { id, incarnation } => {
                 let known = self.targets.get(id);
@@ -212,7 +212,28 @@
         }
     }
 
-    fn change(&mut self, change: &Change) -> Outcome {
+    /// Applies a change of the routing. The index stays as it is.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use camphordale_fleet::{Change, Outcome, View};
+    ///
+    /// let change = Change {
+    ///     base_version: 3,
+    ///     version: 4,
+    ///     replace_all: false,
+    ///     routes: Vec::new(),
+    ///     services: Vec::new(),
+    ///     limits: None,
+    ///     removed_routes: Vec::new(),
+    ///     removed_services: Vec::new(),
+    ///     digest: [0; 16],
+    ///     received_ms: 0,
+    /// };
+    /// assert_eq!(View::default().change_routing(&change), Outcome::Stale { current: 0 });
+    /// ```
+    pub fn change_routing(&mut self, change: &Change) -> Outcome {
         let empty = Arc::default();
         let routing = self.routing.as_ref().unwrap_or(&empty);
         if change.base_version != routing.version {
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -47,6 +47,9 @@
 
 pub(crate) const TICK: Duration = Duration::from_millis(30);
 
+/// Connections from this number on are of entry VMs whose messages are kept for the test.
+pub(crate) const FIRST_WATCHED: u64 = 100;
+
 /// Delay before the storage is opened again after a failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -179,6 +182,8 @@
     pub(crate) next_token: CallToken,
     /// Whole views that the entry VM received.
     pub(crate) snapshots: usize,
+    /// Messages that were streamed to watched entry VMs, by connection.
+    pub(crate) watched: BTreeMap<u64, Vec<PeerMessage>>,
     /// View of an entry VM, and the VM to which it has a stream.
     pub(crate) entry: (Option<SocketAddr>, View),
 }
@@ -202,6 +207,7 @@
             replies: BTreeMap::new(),
             next_token: 0,
             snapshots: 0,
+            watched: BTreeMap::new(),
             entry: (None, View::default()),
         };
         for member in &members {
@@ -302,16 +308,29 @@
                     let vm = self.vms.get_mut(&at).unwrap();
                     vm.stored = members;
                 }
-                Effect::Stream { message, .. } | Effect::Broadcast { message, .. }
-                    if self.entry.0 == Some(at) =>
-                {
-                    self.on_entry_message(message);
+                Effect::Stream { conn, message } => {
+                    self.on_streamed(at, &[conn], message);
+                }
+                Effect::Broadcast { conns, message } => {
+                    self.on_streamed(at, &conns, message);
                 }
                 _ => {}
             }
         }
     }
 
+    fn on_streamed(&mut self, at: SocketAddr, conns: &[u64], message: PeerMessage) {
+        let (watched, others): (Vec<u64>, Vec<u64>) =
+            conns.iter().partition(|conn| **conn >= FIRST_WATCHED);
+        for conn in watched {
+            let messages = self.watched.entry(conn).or_default();
+            messages.push(message.clone());
+        }
+        if !others.is_empty() && self.entry.0 == Some(at) {
+            self.on_entry_message(message);
+        }
+    }
+
     pub(crate) fn on_entry_message(&mut self, message: PeerMessage) {
         let view = &mut self.entry.1;
         match message {
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod cold;
+mod contents;
 mod crashes;
 mod evacuation;
 mod full_disks;
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -345,7 +345,7 @@
                 }
                 message => self.step(Event::Stream { conn, message }, context),
             },
-            IoEvent::PeerClosed(conn) => self.step(Event::StreamClosed(conn), context),
+            IoEvent::PeerClosed { conn, .. } => self.step(Event::StreamClosed(conn), context),
             IoEvent::ExchangeEnded { id, result, reused } => {
                 self.on_order_response(id, result, reused, context)
             }
@@ -361,6 +361,7 @@
             ("log-bytes", retained.log as u64),
             ("snapshot-bytes", retained.snapshot as u64),
             ("recent-update-bytes", retained.updates as u64),
+            ("content-bytes", retained.contents as u64),
             ("log-file-bytes", file),
             ("peer-output-bytes", context.event_loop.peer_output() as u64),
         ] {
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -291,6 +291,10 @@
                         let evacuated = self.entry.view().evacuations.evacuated().count();
                         let metrics = &context.metrics;
                         metrics.set_gauge("evacuated-domains", evacuated as u64);
+                        let (received, length) = self.entry.transfer_progress();
+                        metrics.set_gauge("transfer-received-bytes", received as u64);
+                        metrics.set_gauge("transfer-missing-bytes", (length - received) as u64);
+                        metrics.set_gauge("routing-version", self.routing_version);
                         self.measure_admissions(context);
                         context.metrics_response(&request)
                     }
@@ -318,11 +322,15 @@
             IoEvent::PeerMessage { conn, message } if self.control_stream == Some(conn) => {
                 self.step(Event::Stream(message), now, context);
             }
-            IoEvent::PeerClosed(conn) if self.control_stream == Some(conn) => {
+            IoEvent::PeerClosed { conn, rejected } if self.control_stream == Some(conn) => {
                 self.control_stream = None;
-                self.step(Event::StreamClosed, now, context);
+                let event = match rejected {
+                    true => Event::StreamRejected,
+                    false => Event::StreamClosed,
+                };
+                self.step(event, now, context);
             }
-            IoEvent::PeerMessage { .. } | IoEvent::PeerClosed(_) => {}
+            IoEvent::PeerMessage { .. } | IoEvent::PeerClosed { .. } => {}
         }
     }
 
@@ -450,7 +458,7 @@
             Event::Tick => Work::Timer,
             Event::Request(_) | Event::CallerDisconnected(_) => Work::Request,
             Event::AttemptEnded { .. } | Event::TargetStated { .. } => Work::Answer,
-            Event::Stream(_) | Event::StreamClosed => Work::Stream,
+            Event::Stream(_) | Event::StreamClosed | Event::StreamRejected => Work::Stream,
         };
         let started = context.clock.now();
         self.carry_out(event, now, context);
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -172,6 +172,16 @@
                     context.metrics.count_departures(reason, count);
                 }
             }
+            LogEvent::Transferred(stats) => {
+                context.metrics.count_event("transfer");
+                info!(context.logger, "content received"; "content" => format!("{:?}", stats.kind),
+                    "bytes" => stats.length, "parts" => stats.parts,
+                    "took_ms" => stats.took.as_millis() as u64);
+            }
+            LogEvent::Unusable(reason) => {
+                context.metrics.count_event("unusable-content");
+                info!(context.logger, "content cannot be used"; "reason" => &*reason);
+            }
             LogEvent::Routing {
                 version,
                 view,
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -133,7 +133,12 @@
         message: PeerMessage,
     },
     /// A connection to another VM was closed.
-    PeerClosed(ConnId),
+    PeerClosed {
+        /// The connection.
+        conn: ConnId,
+        /// Whether the other VM closed it after the handshake.
+        rejected: bool,
+    },
 }
 
 /// Counters since the start of the process.
@@ -534,11 +539,14 @@
                 }
             }
             ConnKind::Target { .. } => self.on_target_closed(conn, cause, reason, now),
-            ConnKind::Peer { outbound, .. } => {
+            ConnKind::Peer { outbound, protocol } => {
                 if let Some(address) = outbound {
                     self.outbound.remove(&address);
                 }
-                self.io_events.push(IoEvent::PeerClosed(conn.id));
+                self.io_events.push(IoEvent::PeerClosed {
+                    conn: conn.id,
+                    rejected: protocol.is_ready() && cause == FailureCause::Closed,
+                });
             }
         }
     }
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -174,7 +174,7 @@
     let start = fixture.clock.now();
     let opened = fixture.event_loop.connect_peer(address, ms(250)).unwrap();
     fixture.wait_for(|event| match event {
-        IoEvent::PeerClosed(conn) => (conn == opened).then_some(()),
+        IoEvent::PeerClosed { conn, .. } => (conn == opened).then_some(()),
         _ => None,
     });
     let took = fixture.clock.now() - start;
@@ -593,7 +593,7 @@
             assert!(server.clock.now() < end, "{received} of {sent} messages");
             let next = server.clock.now() + ms(2);
             for event in server.event_loop.wait(next).unwrap() {
-                if let IoEvent::PeerClosed(conn) = event {
+                if let IoEvent::PeerClosed { conn, .. } = event {
                     assert_ne!(conn, conns[0], "the reader was closed");
                     closed += 1;
                 }
