Give the first view of an entry VM its whole link

Without a routing it has no callers to whom it would leave the rest. Now it asks at the rate of the link; a VM that has a routing asks as before. entry/transfer checks the time.

--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -183,7 +183,7 @@
     /// Asks for the next part of a content if it is due.
     fn pull_parts(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.control_stream.is_open()
-            && let Some(message) = self.transfers.pull(now)
+            && let Some(message) = self.transfers.pull(self.routing_version(), now)
         {
             out.push(Effect::ControlStream(ControlStreamEffect::Send(message)));
         }
--- a/crates/entry/src/transfer.rs
+++ b/crates/entry/src/transfer.rs
@@ -22,7 +22,7 @@
     Wanted, //
 };
 
-/// Share of the VM's link that contents may take.
+/// Share of the VM's link that contents may take while it serves callers.
 const LINK_SHARE: f64 = 0.25;
 /// Time in which a part passes the link at that share.
 const PART_TIME: Duration = Duration::from_millis(100);
@@ -98,16 +98,16 @@
 ///
 /// let content = Content::of_view(&View { index: 7, ..View::default() })?;
 /// let mut transfers = Transfers::new(Some(250_000.0));
-/// transfers.receive(content.part(0, 5), 0, Duration::ZERO);
-/// assert!(transfers.pull(Duration::ZERO).is_some(), "it asks for the rest");
-/// transfers.receive(content.part(5, usize::MAX), 0, Duration::ZERO);
+/// transfers.receive(content.part(0, 2), 0, Duration::ZERO);
+/// assert!(transfers.pull(0, Duration::ZERO).is_some(), "it asks for the rest");
+/// transfers.receive(content.part(2, usize::MAX), 0, Duration::ZERO);
 /// let (view, _) = transfers.take_view(Duration::ZERO).expect("complete");
 /// assert_eq!(view?.index, 7);
 /// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
 #[derive(Debug, Default)]
 pub struct Transfers {
-    /// Bytes per second that contents may take, if the rate of the link is known.
+    /// Bytes per second of the link, if they are known.
     rate: Option<f64>,
     changes: VecDeque<Transfer>,
     view: Option<Transfer>,
@@ -121,7 +121,7 @@
     /// Starts without transfers. `link_rate` is in bytes per second.
     pub fn new(link_rate: Option<f64>) -> Transfers {
         Transfers {
-            rate: link_rate.map(|rate| rate * LINK_SHARE),
+            rate: link_rate,
             ..Transfers::default()
         }
     }
@@ -235,8 +235,9 @@
         is_due.then_some(self.free_at)
     }
 
-    /// Asks for the next part if it is due.
-    pub fn pull(&mut self, now: Duration) -> Option<PeerMessage> {
+    /// Asks for the next part if it is due. A VM without a routing, whose version is 0, serves no
+    /// callers yet and takes its whole link.
+    pub fn pull(&mut self, version: Version, now: Duration) -> Option<PeerMessage> {
         if self.next_pull().is_none_or(|at| now < at) {
             return None;
         }
@@ -246,11 +247,13 @@
             ContentKind::View { .. } => Wanted::View(transfer.content.id),
         };
         let offset = transfer.received.len() as u32;
-        let part = self.rate.map_or(MAX_PART_BYTES, |rate| {
+        let share = if version == 0 { 1.0 } else { LINK_SHARE };
+        let rate = self.rate.map(|rate| rate * share);
+        let part = rate.map_or(MAX_PART_BYTES, |rate| {
             (rate * PART_TIME.as_secs_f64()).clamp(MIN_PART_BYTES, MAX_PART_BYTES)
         });
         let length = (part as u32).min(transfer.content.length - offset);
-        let passes = self.rate.map(|rate| f64::from(length) / rate);
+        let passes = rate.map(|rate| f64::from(length) / rate);
         self.free_at = now + Duration::from_secs_f64(passes.unwrap_or(0.0));
         self.is_asking = true;
         Some(PeerMessage::Pull {
--- a/crates/entry/tests/entry/transfer.rs
+++ b/crates/entry/tests/entry/transfer.rs
@@ -242,8 +242,12 @@
         _ => None,
     });
     assert_eq!(wanted, Some(Wanted::View(content.about().id)));
+    let begun = harness.now;
     transfer(&mut harness, output, &content, usize::MAX);
     assert_eq!(harness.entry.view().index, view.index);
+    // It has no callers yet to whom it would leave the link.
+    let passes = f64::from(content.about().length) / LINK_RATE;
+    assert!((harness.now - begun).as_secs_f64() < 1.5 * passes);
     let (_, output) = harness.request(READS);
     assert_eq!(output.sent.len(), 1);
     harness.receive(PeerMessage::Resume { index: view.index });
