Test the request that follows a rejected one

Two tests take its place. They keep what it asked for, that the whole view is asked for in the end from a control VM that does not know the other requests, and add what it could not tell: the whole order of the requests, that a connection which merely fails changes nothing, and that a control VM that has sent updates in parts is never asked in an older form.

--- a/crates/entry/tests/entry/control_stream.rs
+++ b/crates/entry/tests/entry/control_stream.rs
@@ -22,24 +22,21 @@
     ControlStream::new(1, "a".into(), seeds)
 }
 
-/// Advances the clock until the next attempt. Returns the limit of its connection, and whether it
-/// goes on from the view.
-fn next_attempt(stream: &mut ControlStream, view: &View, now: &mut Duration) -> (Duration, bool) {
+/// Advances the clock until the next attempt. Returns the limit of its connection, and its request.
+fn next_attempt(
+    stream: &mut ControlStream,
+    view: &View,
+    now: &mut Duration,
+) -> (Duration, PeerMessage) {
     loop {
         let mut effects = Vec::new();
         stream.tick(view, *now, &mut effects);
-        let limit = effects.iter().find_map(|effect| match effect {
-            ControlStreamEffect::Connect { timeout, .. } => Some(*timeout),
-            _ => None,
-        });
-        if let Some(limit) = limit {
-            let resumes = effects.iter().any(|effect| {
-                matches!(
-                    effect,
-                    ControlStreamEffect::Send(PeerMessage::Resubscribe { .. })
-                )
-            });
-            return (limit, resumes);
+        if let [
+            ControlStreamEffect::Connect { timeout, .. },
+            ControlStreamEffect::Send(request),
+        ] = &effects[..]
+        {
+            return (*timeout, request.clone());
         }
         *now += ms(10);
     }
@@ -68,22 +65,93 @@
     assert_eq!(limit, ms(250), "after an established stream");
 }
 
-/// A control VM of an older version closes the connection when it is asked to go on from a view.
+/// A request for the updates after a view, and how it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    Follow,
+    Resubscribe,
+    Subscribe,
+}
+
+fn next_request(stream: &mut ControlStream, view: &View, now: &mut Duration) -> Request {
+    let (_, request) = next_attempt(stream, view, now);
+    match request {
+        PeerMessage::Follow { .. } => Request::Follow,
+        PeerMessage::Resubscribe { .. } => Request::Resubscribe,
+        PeerMessage::Subscribe { .. } => Request::Subscribe,
+        other => panic!("no request: {other:?}"),
+    }
+}
+
+/// Guards against an entry VM that never gets a view from a control VM of an older version, which
+/// closes the connection on a request that it does not know.
 #[test]
-fn every_other_attempt_asks_for_the_whole_view() {
+fn a_rejected_request_is_made_in_another_form() {
     let (mut stream, mut now) = (stream(), ms(0));
     let view = View {
         index: 7,
         ..View::default()
     };
-    let resumes: Vec<bool> = (0..4)
+    let requests: Vec<Request> = (0..4)
         .map(|_| {
-            let (_, resumes) = next_attempt(&mut stream, &view, &mut now);
-            stream.on_closed(now);
-            resumes
+            let request = next_request(&mut stream, &view, &mut now);
+            stream.on_rejected(now);
+            request
         })
         .collect();
-    assert_eq!(resumes, [true, false, true, false]);
+    let expected = [
+        Request::Follow,
+        Request::Resubscribe,
+        Request::Subscribe,
+        Request::Follow,
+    ];
+    assert_eq!(requests, expected);
+    let whole = PeerMessage::Snapshot(Box::default());
+    for _ in 0..2 {
+        assert_ne!(next_request(&mut stream, &view, &mut now), Request::Follow);
+        stream.on_message(&whole, now, &mut Vec::new());
+        stream.on_closed(now);
+    }
+    assert_eq!(
+        next_request(&mut stream, &view, &mut now),
+        Request::Resubscribe,
+        "an established stream is lost for other reasons"
+    );
+}
+
+/// Guards against an entry VM that asks for the whole view again because its connections fail, which
+/// takes more of a link that is loaded already.
+#[test]
+fn a_connection_that_fails_does_not_change_the_request() {
+    let view = View {
+        index: 7,
+        ..View::default()
+    };
+    for rejections in 0..3 {
+        let (mut stream, mut now) = (stream(), ms(0));
+        for _ in 0..rejections {
+            next_request(&mut stream, &view, &mut now);
+            stream.on_rejected(now);
+        }
+        let first = next_request(&mut stream, &view, &mut now);
+        for _ in 0..4 {
+            stream.on_closed(now);
+            assert_eq!(next_request(&mut stream, &view, &mut now), first);
+        }
+    }
+    let (mut stream, mut now) = (stream(), ms(0));
+    next_request(&mut stream, &view, &mut now);
+    let resume = PeerMessage::Resume { index: view.index };
+    stream.on_message(&resume, now, &mut Vec::new());
+    for _ in 0..4 {
+        stream.on_rejected(now);
+        let request = next_request(&mut stream, &view, &mut now);
+        assert_eq!(
+            request,
+            Request::Follow,
+            "control has sent updates in parts"
+        );
+    }
 }
 
 /// Time after the last reply at which a stream is given up whose replies take `round_trip`.
