Count the bytes of a message as progress of its stream

What callers saw: an entry VM that could not receive a message within a time limit closed the stream and asked for the message again from its first byte, for ever.

Cause: silence was counted between complete messages, at both ends. An entry VM gave up a stream after 700 to 2,800 ms without the reply to its request, and after 900 to 3,000 ms without a pong. The leader gave up a VM after 2 s without a ping, and a VM sends no ping while it receives its view. Contents in parts keep messages short, but a control VM of an older version still sends a view or a change as one message, and reports of an entry VM pass the same links.

Change: the event loop reports bytes of an incomplete message (IoEvent::PeerProgress), and any byte pushes out the limit of a stream, at both ends. The limits stay as they are. Progress is no freshness: readiness depends on what the leader confirms, as before. A VM pings, with an empty report, while it receives a long reply, so that the leader hears of it, also one of an older version: it answers a ping of a VM that it has sent a view, and ignores one that it does not know.

Ruled out: longer limits, which only move the length at which a message starves.

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -17,14 +17,14 @@
 
 /// Interval between pings.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(300);
-/// Time without a message after which another control VM is tried: three pings, or three round
+/// Time without progress after which another control VM is tried: three pings, or three round
 /// trips if these take longer on a loaded link. A new stream would wait in the same queue.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest time without a message, however long round trips take.
+/// Longest time without progress, however long round trips take.
 const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Weight of one round trip in their mean while they get shorter; a longer one counts at once.
 const ROUND_TRIP_WEIGHT: f64 = 0.125;
-/// Time limit for the reply to a subscription. It doubles with each attempt that failed, since the
+/// Time without progress after which a subscription is given up. It doubles with each attempt that failed, since the
 /// queue of a narrow link may hold a connection back for longer.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit for opening a connection, which doubles likewise: enough for one retransmission of a
@@ -59,7 +59,10 @@
         until: Duration,
     },
     Subscribing {
-        since: Duration,
+        /// When the request was sent, or bytes of the reply were last received.
+        progress_at: Duration,
+        /// Whether the reply is being received.
+        answered: bool,
     },
     /// The whole view is being received.
     Receiving {
@@ -147,9 +150,17 @@
     pub fn next_deadline(&self) -> Duration {
         match self.phase {
             Phase::Idle { until } => until,
-            Phase::Subscribing { since } => since + self.stretched(SUBSCRIBE_TIMEOUT),
-            Phase::Receiving { progress_at } => progress_at + self.silence_timeout(),
-            Phase::Established { progress_at } => {
+            Phase::Subscribing {
+                progress_at,
+                answered,
+            } => {
+                let end = progress_at + self.stretched(SUBSCRIBE_TIMEOUT);
+                match answered {
+                    true => self.next_ping.min(end),
+                    false => end,
+                }
+            }
+            Phase::Receiving { progress_at } | Phase::Established { progress_at } => {
                 self.next_ping.min(progress_at + self.silence_timeout())
             }
         }
@@ -174,8 +185,8 @@
     pub fn tick(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
         match self.phase {
             Phase::Idle { until } if now >= until => self.connect(view, now, out),
-            Phase::Subscribing { since }
-                if now.saturating_sub(since) >= self.stretched(SUBSCRIBE_TIMEOUT) =>
+            Phase::Subscribing { progress_at, .. }
+                if now.saturating_sub(progress_at) >= self.stretched(SUBSCRIBE_TIMEOUT) =>
             {
                 self.failures += 1;
                 self.reconnect_later(now, out);
@@ -189,9 +200,15 @@
         }
     }
 
-    /// Whether a ping is due.
+    /// Whether a ping is due. The leader gives up a VM from which it hears nothing, also while the VM
+    /// receives a long reply.
     pub fn ping_due(&self, now: Duration) -> bool {
-        self.is_established() && now >= self.next_ping
+        let is_heard = match self.phase {
+            Phase::Idle { .. } => false,
+            Phase::Subscribing { answered, .. } => answered,
+            Phase::Receiving { .. } | Phase::Established { .. } => true,
+        };
+        is_heard && now >= self.next_ping
     }
 
     /// Sends a ping with the view index and the reports.
@@ -230,7 +247,10 @@
                 known[self.next % known.len()]
             }
         };
-        self.phase = Phase::Subscribing { since: now };
+        self.phase = Phase::Subscribing {
+            progress_at: now,
+            answered: false,
+        };
         let timeout = self.stretched(CONNECT_TIMEOUT);
         out.push(ControlStreamEffect::Connect { to, timeout });
         let (entry_id, domain, index) = (self.entry_id, self.domain.clone(), view.index);
@@ -266,7 +286,10 @@
 
     /// Asks for the updates after a view on the open connection.
     pub fn follow(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
-        self.phase = Phase::Subscribing { since: now };
+        self.phase = Phase::Subscribing {
+            progress_at: now,
+            answered: false,
+        };
         out.push(ControlStreamEffect::Send(self.follow_message(view)));
     }
 
@@ -290,6 +313,41 @@
         out.push(ControlStreamEffect::Close);
     }
 
+    /// Takes note of bytes of a message that is not complete yet. They keep the stream, but do not
+    /// confirm the view.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_entry::ControlStream;
+    /// use camphordale_fleet::View;
+    ///
+    /// let seeds = vec!["10.0.0.1:7000".parse()?];
+    /// let mut stream = ControlStream::new(1, "a".into(), seeds);
+    /// stream.tick(&View::default(), Duration::ZERO, &mut Vec::new());
+    /// let deadline = stream.next_deadline();
+    /// let now = Duration::from_millis(500);
+    /// stream.on_progress(now);
+    /// stream.ping(0, Default::default(), now, &mut Vec::new());
+    /// assert!(stream.next_deadline() > deadline);
+    /// assert_eq!(stream.silence(now), now);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn on_progress(&mut self, now: Duration) {
+        match &mut self.phase {
+            Phase::Idle { .. } => {}
+            Phase::Subscribing {
+                progress_at,
+                answered,
+            } => {
+                *progress_at = now;
+                *answered = true;
+            }
+            Phase::Receiving { progress_at } | Phase::Established { progress_at } => {
+                *progress_at = now;
+            }
+        }
+    }
+
     /// Handles the end of the connection.
     pub fn on_closed(&mut self, now: Duration) {
         if matches!(self.phase, Phase::Subscribing { .. }) {
@@ -322,6 +380,7 @@
         now: Duration,
         out: &mut Vec<ControlStreamEffect>,
     ) -> bool {
+        self.on_progress(now);
         match message {
             PeerMessage::NotLeader { leader } => {
                 self.leader_hint = *leader;
@@ -352,15 +411,10 @@
                 self.entries = *entries;
                 self.record_round_trip(now.saturating_sub(*sent));
                 if self.is_established() {
-                    self.phase = Phase::Established { progress_at: now };
                     self.last_heard = now;
                 }
                 true
             }
-            PeerMessage::Part(_) if self.is_established() => {
-                self.phase = Phase::Established { progress_at: now };
-                true
-            }
             _ => self.is_established(),
         }
     }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -228,6 +228,8 @@
     },
     /// A message on the control stream.
     Stream(PeerMessage),
+    /// Bytes of a message on the control stream were received that is not complete yet.
+    StreamProgress,
     /// The control stream was closed.
     StreamClosed,
     /// The control VM closed the connection of the stream after its handshake.
@@ -674,6 +676,7 @@
                 self.on_target_stated(attempt, statement, now, &mut out);
             }
             Event::Stream(message) => self.on_stream_message(message, now, &mut out),
+            Event::StreamProgress => self.control_stream.on_progress(now),
             Event::StreamClosed => {
                 self.control_stream.on_closed(now);
                 self.on_stream_closed(now, &mut out);
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -53,8 +53,13 @@
             self.transfers.end_request();
         }
         if self.control_stream.ping_due(now) {
-            self.report_loads(now, out);
-            let load = self.take_reports(now);
+            let load = match self.control_stream.is_established() {
+                true => {
+                    self.report_loads(now, out);
+                    self.take_reports(now)
+                }
+                false => Default::default(),
+            };
             self.control_stream
                 .ping(self.view.index, load, now, &mut effects);
         }
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -252,6 +252,7 @@
             Event::Seeds(seeds) => self.member_table.set_seeds(seeds),
             Event::Peer(message) => self.on_peer_message(message, now, &mut out),
             Event::Stream { conn, message } => self.on_stream_message(conn, message, now, &mut out),
+            Event::StreamProgress(conn) => self.record_progress(conn, now),
             Event::StreamClosed(conn) => self.on_stream_closed(conn, &mut out),
             Event::Call { token, call } => self.on_call(token, call, now, &mut out),
             Event::OrderAnswered { id, answer } => {
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -156,6 +156,8 @@
     },
     /// The connection of a stream was closed.
     StreamClosed(u64),
+    /// Bytes of a message of another VM were received that is not complete yet.
+    StreamProgress(u64),
     /// A call of an operator or a target.
     Call {
         /// Identifies the call.
--- a/crates/fleet/src/control/contents.rs
+++ b/crates/fleet/src/control/contents.rs
@@ -72,8 +72,13 @@
         self.pullers.remove(&conn);
     }
 
-    /// Connections of the entry VMs that need the whole view and have not asked for a part for
-    /// `timeout`.
+    pub(super) fn record_progress(&mut self, conn: u64, now: Duration) {
+        if let Some(puller) = self.pullers.get_mut(&conn) {
+            puller.last_heard = now;
+        }
+    }
+
+    /// Connections of the entry VMs that need the whole view and have sent nothing for `timeout`.
     pub(super) fn silent_pullers(&self, now: Duration, timeout: Duration) -> Vec<u64> {
         let silent = |puller: &Puller| now.saturating_sub(puller.last_heard) >= timeout;
         let pullers = self.pullers.iter();
@@ -167,11 +172,7 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        if let Some(stream) = self.streams.get_mut(&conn) {
-            stream.last_heard = now;
-        } else if let Some(puller) = self.contents.pullers.get_mut(&conn) {
-            puller.last_heard = now;
-        } else {
+        if !self.streams.contains_key(&conn) && !self.contents.pullers.contains_key(&conn) {
             return;
         }
         let content = match wanted {
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -39,7 +39,7 @@
     },
 };
 
-/// Time without a ping after which the stream of an entry VM is closed.
+/// Time without a byte from an entry VM after which its stream is closed.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(2000);
 
 /// Maximum time for which a subscription waits for a leader to become known, before the entry VM is
@@ -202,6 +202,7 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        self.record_progress(conn, now);
         match message {
             PeerMessage::Subscribe {
                 entry_id,
@@ -266,7 +267,6 @@
                 let Some(stream) = self.streams.get_mut(&conn) else {
                     return;
                 };
-                stream.last_heard = now;
                 stream.index = index;
                 stream.awaits = stream.awaits.filter(|awaited| index < *awaited);
                 let domain = stream.domain.clone();
@@ -460,6 +460,14 @@
         }
     }
 
+    /// Takes note of bytes from an entry VM.
+    pub(super) fn record_progress(&mut self, conn: u64, now: Duration) {
+        if let Some(stream) = self.streams.get_mut(&conn) {
+            stream.last_heard = now;
+        }
+        self.contents.record_progress(conn, now);
+    }
+
     pub(super) fn on_stream_closed(&mut self, conn: u64, out: &mut Vec<Effect>) {
         self.waiting
             .retain(|waiting| waiting.subscription.conn != conn);
@@ -551,7 +559,7 @@
         }
     }
 
-    /// Closes streams without recent pings.
+    /// Closes streams of entry VMs that have sent nothing for a time.
     pub(super) fn close_silent_streams(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let silent = |stream: &EntryStream| now.saturating_sub(stream.last_heard) >= STREAM_TIMEOUT;
         let conns: Vec<u64> = self
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -13,4 +13,5 @@
 mod membership;
 mod randomized;
 mod scenarios;
+mod streams;
 mod tokens;
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -345,6 +345,7 @@
                 }
                 message => self.step(Event::Stream { conn, message }, context),
             },
+            IoEvent::PeerProgress(conn) => self.step(Event::StreamProgress(conn), context),
             IoEvent::PeerClosed { conn, .. } => self.step(Event::StreamClosed(conn), context),
             IoEvent::ExchangeEnded { id, result, reused } => {
                 self.on_order_response(id, result, reused, context)
@@ -448,7 +449,9 @@
         let work = match &event {
             Event::Tick => Work::Timer,
             Event::Peer(_) | Event::Seeds(_) => Work::Consensus,
-            Event::Stream { .. } | Event::StreamClosed(_) => Work::Stream,
+            Event::Stream { .. } | Event::StreamProgress(_) | Event::StreamClosed(_) => {
+                Work::Stream
+            }
             Event::Call { .. } => Work::Call,
             Event::OrderAnswered { .. } => Work::Answer,
         };
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -322,6 +322,9 @@
             IoEvent::PeerMessage { conn, message } if self.control_stream == Some(conn) => {
                 self.step(Event::Stream(message), now, context);
             }
+            IoEvent::PeerProgress(conn) if self.control_stream == Some(conn) => {
+                self.step(Event::StreamProgress, now, context);
+            }
             IoEvent::PeerClosed { conn, rejected } if self.control_stream == Some(conn) => {
                 self.control_stream = None;
                 let event = match rejected {
@@ -330,7 +333,8 @@
                 };
                 self.step(event, now, context);
             }
-            IoEvent::PeerMessage { .. } | IoEvent::PeerClosed { .. } => {}
+            IoEvent::PeerMessage { .. } | IoEvent::PeerProgress(_) | IoEvent::PeerClosed { .. } => {
+            }
         }
     }
 
@@ -458,7 +462,10 @@
             Event::Tick => Work::Timer,
             Event::Request(_) | Event::CallerDisconnected(_) => Work::Request,
             Event::AttemptEnded { .. } | Event::TargetStated { .. } => Work::Answer,
-            Event::Stream(_) | Event::StreamClosed | Event::StreamRejected => Work::Stream,
+            Event::Stream(_)
+            | Event::StreamProgress
+            | Event::StreamClosed
+            | Event::StreamRejected => Work::Stream,
         };
         let started = context.clock.now();
         self.carry_out(event, now, context);
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -132,6 +132,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Bytes of a message of another VM were received that is not complete yet.
+    PeerProgress(ConnId),
     /// A connection to another VM was closed.
     PeerClosed {
         /// The connection.
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -25,8 +25,8 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The same limit for accepted connections, whose other end has its own.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Time without a message from the other VM after which a connection is closed. It does not apply
-/// to connections that this process opened only to send.
+/// Time without a byte from the other VM after which a connection is closed. It does not apply to
+/// connections that this process opened only to send.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of bytes of output buffered for another VM. If it is exceeded, the VM is assumed
 /// to have stopped reading, and the connection is closed.
@@ -203,6 +203,7 @@
                 // The peer sends nothing on a send-only connection after the handshake, so no
                 // idle timeout applies.
                 let is_ready = protocol.is_ready();
+                let is_receiving = protocol.is_receiving();
                 let send_only = outbound.is_some();
                 if is_ready {
                     let until = (!send_only).then_some(now + IDLE_TIMEOUT);
@@ -211,6 +212,9 @@
                 let messages = messages.into_iter();
                 self.io_events
                     .extend(messages.map(|message| IoEvent::PeerMessage { conn: id, message }));
+                if is_receiving {
+                    self.io_events.push(IoEvent::PeerProgress(id));
+                }
                 self.flush(key, now);
             }
             Err(error) => {
--- a/crates/reactor/src/peer_connection.rs
+++ b/crates/reactor/src/peer_connection.rs
@@ -53,6 +53,12 @@
         self.ready
     }
 
+    /// Whether a message has been received in part.
+    pub fn is_receiving(&self) -> bool {
+        let session = self.session.as_ref();
+        self.ready && session.is_some_and(|session| session.decoder.pending() > 0)
+    }
+
     /// Number of bytes that wait until the handshake is complete.
     pub fn queued_bytes(&self) -> usize {
         self.queue.iter().map(Vec::len).sum()
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -607,6 +607,39 @@
     assert!(closed > 0, "the others fill the output");
 }
 
+/// Guards against a stream that is given up while a long message arrives, because nothing shows that
+/// it does.
+#[test]
+fn the_bytes_of_a_long_message_are_reported() {
+    let mut server = Fixture::new();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let address = server.event_loop.listen(any, ListenerKind::Peers).unwrap();
+    let mut client = Fixture::new();
+    let (conn, local) = connect(&mut server, &mut client, address);
+    let mut receive = |bytes| {
+        client.event_loop.send(local, &long_message(bytes));
+        let mut progress = 0;
+        loop {
+            let next = client.clock.now() + ms(2);
+            client.event_loop.wait(next).unwrap();
+            let next = server.clock.now() + ms(2);
+            for event in server.event_loop.wait(next).unwrap() {
+                match event {
+                    IoEvent::PeerProgress(id) => {
+                        assert_eq!(id, conn);
+                        progress += 1;
+                    }
+                    IoEvent::PeerMessage { .. } => return progress,
+                    other => panic!("{other:?}"),
+                }
+            }
+        }
+    };
+    assert_eq!(receive(100), 0, "a short message is complete at once");
+    assert!(receive(4 << 20) > 0);
+    assert_eq!(receive(100), 0, "nothing is left of the long message");
+}
+
 /// Guards against a long request that is given up at a live target which does not read its body for a
 /// few seconds.
 ///
