--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -55,6 +55,14 @@
     bytes: usize,
 }
 
+/// A snapshot that was sent.
+#[derive(Clone, Copy, Debug)]
+struct SentSnapshot {
+    at: Duration,
+    /// Heartbeat round in which it was sent.
+    round: u64,
+}
+
 /// Replication progress of a follower.
 #[derive(Clone, Debug)]
 pub(crate) struct Progress {
@@ -64,8 +72,8 @@
     pub(crate) next_index: u64,
     /// Entries that were sent and are not acknowledged yet.
     in_flight: Option<InFlight>,
-    /// Time at which the snapshot was last sent.
-    snapshot_at: Option<Duration>,
+    /// The last sending of the snapshot that the follower needs.
+    snapshot: Option<SentSnapshot>,
     /// Latest heartbeat round that the follower acknowledged.
     pub(crate) acked_round: u64,
     /// Time of the follower's latest reply.
@@ -151,7 +159,7 @@
                     match_index: 0,
                     next_index: leader.first_index,
                     in_flight: None,
-                    snapshot_at: None,
+                    snapshot: None,
                     acked_round: 0,
                     replied_at: self.now,
                 });
@@ -189,13 +197,16 @@
         let (prev_index, entries) = match (prev, self.log.snapshot()) {
             (None, Some(snapshot)) => {
                 // A snapshot may take longer to transfer than a heartbeat interval, so it is sent
-                // again only after an election timeout, and to a follower that replies.
-                let due = |sent| {
-                    self.now.saturating_sub(sent) >= self.config.election_timeout
-                        && progress.replied_at > sent
+                // again only after an election timeout, and after a reply to a later round: as
+                // messages arrive in order, the snapshot was lost then. Replies to earlier ones may
+                // come while it is under way.
+                let due = |sent: SentSnapshot| {
+                    self.now.saturating_sub(sent.at) >= self.config.election_timeout
+                        && progress.acked_round > sent.round
                 };
-                if progress.snapshot_at.is_none_or(due) {
-                    progress.snapshot_at = Some(self.now);
+                if progress.snapshot.is_none_or(due) {
+                    let at = self.now;
+                    progress.snapshot = Some(SentSnapshot { at, round });
                     let snapshot = snapshot.clone();
                     out.push(Effect::Send {
                         to,
@@ -210,7 +221,7 @@
                 (snapshot.index, Vec::new())
             }
             (Some(prev), _) => {
-                progress.snapshot_at = None;
+                progress.snapshot = None;
                 let sends_entries = match progress.in_flight {
                     Some(in_flight) => {
                         let max_bytes = self.config.max_batch_bytes / RESENT_DIVISOR;
--- a/crates/raft/tests/raft/long_entries.rs
+++ b/crates/raft/tests/raft/long_entries.rs
@@ -209,3 +209,51 @@
     sent.collect(2, raft.step(Event::Receive { from, message }, ms(2500)));
     assert_eq!(sent.snapshots, 2);
 }
+
+/// Guards against a snapshot that is sent again from its first byte while it is under way, because
+/// replies to messages before it still arrive. Heartbeats and entries wait behind each copy.
+#[test]
+fn a_snapshot_under_way_is_not_sent_again_after_earlier_replies() {
+    let mut raft = leader();
+    let noop = last_index(&raft);
+    reply(&mut raft, 3, noop, 1, 501);
+    propose(&mut raft, 2 * MAX_BATCH_BYTES, 502);
+    let last = last_index(&raft);
+    reply(&mut raft, 3, last, 1, 503);
+    let (mut sent, mut at) = (Sent::default(), 503);
+    while sent.last_round() <= 1 {
+        at += 1;
+        sent.collect(2, raft.step(Event::Tick, ms(at)));
+    }
+    let earlier = sent.last_round();
+    let data = vec![1; 100];
+    raft.step(Event::Compact { index: last, data }, ms(at));
+    while sent.snapshots == 0 {
+        at += 1;
+        sent.collect(2, raft.step(Event::Tick, ms(at)));
+    }
+    sent.collect(2, reply(&mut raft, 2, 0, earlier, at + 1));
+    for at in at + 2..at + 2000 {
+        let mut other = Sent::default();
+        let effects = raft.step(Event::Tick, ms(at));
+        other.collect(3, effects.clone());
+        sent.collect(2, effects);
+        if other.last_round() > 0 {
+            reply(&mut raft, 3, last, other.last_round(), at);
+        }
+    }
+    assert_eq!((raft.role(), sent.snapshots), (Role::Leader, 1));
+    // A reply to a later message shows that it was lost.
+    let (from, round) = (2, sent.last_round());
+    let message = Message::AppendReply(AppendReply {
+        term: raft.term(),
+        success: false,
+        index: noop,
+        round,
+    });
+    sent.collect(
+        2,
+        raft.step(Event::Receive { from, message }, ms(at + 2000)),
+    );
+    assert_eq!(sent.snapshots, 2);
+}
