Tell a starting VM of cold targets before its view is complete

What it does to targets: after a restart of all entry VMs, a target that came back cold got 26 requests in a second, more than the bound. Cause: a view that is sent as one message follows the suspicions of the leader; a view in parts (part-core) came first, and the suspicions a round trip later, with the reply to the next request of the VM.

Change: the leader sends them before the part that completes a view. They are sent again when the VM follows, with what arose in between.

Test: cold::the_bound_holds_when_all_entry_vms_restart of entry's limits, unchanged. All 191 tests of entry's entry and 115 of fleet's control pass. One of limits still fails, as before: random_histories_respect_what_targets_state.

--- a/crates/fleet/src/control/contents.rs
+++ b/crates/fleet/src/control/contents.rs
@@ -19,7 +19,9 @@
     content::{
         Content,
         ContentId,
-        KeptChanges, //
+        ContentKind,
+        KeptChanges,
+        Part, //
     },
     message::{
         PeerMessage,
@@ -127,7 +129,7 @@
         let Some(messages) = missed.flatten() else {
             return self.offer_view(subscription, now, out);
         };
-        // A VM that has just started sends requests as soon as it has a view.
+        // Suspicions that arose since the view was sent, which no stream brought to the VM.
         if pulled && let Some(message) = self.suspicions(now) {
             out.push(Effect::Stream { conn, message });
         }
@@ -184,9 +186,8 @@
         };
         if let Some(content) = content {
             let length = MAX_PART_BYTES.min(length as usize);
-            let message = PeerMessage::Part(content.part(offset, length));
-            out.push(Effect::Stream { conn, message });
-            return;
+            let part = content.part(offset, length);
+            return self.send_part(conn, part, now, out);
         }
         // What it asks for is not kept any more.
         let subscription = match self.streams.remove(&conn) {
@@ -216,8 +217,8 @@
             out.push(Effect::CloseStream(conn));
             return;
         };
-        let message = PeerMessage::Part(content.part(0, FIRST_PART_BYTES));
-        out.push(Effect::Stream { conn, message });
+        let part = content.part(0, FIRST_PART_BYTES);
+        self.send_part(conn, part, now, out);
         let last_heard = now;
         let puller = Puller {
             subscription,
@@ -226,6 +227,21 @@
         self.contents.pullers.insert(conn, puller);
     }
 
+    /// Sends a part. A VM sends requests as soon as it has its whole view, so it is told before which
+    /// targets are suspected to be cold.
+    fn send_part(&self, conn: u64, part: Part, now: Duration, out: &mut Vec<Effect>) {
+        let end = part.offset as usize + part.bytes.len();
+        let ends_view = match part.content.kind {
+            ContentKind::View { .. } => end >= part.content.length as usize,
+            ContentKind::Change { .. } => false,
+        };
+        if ends_view && let Some(message) = self.suspicions(now) {
+            out.push(Effect::Stream { conn, message });
+        }
+        let message = PeerMessage::Part(part);
+        out.push(Effect::Stream { conn, message });
+    }
+
     /// The content of a recent view. Entry VMs that need it at about the same time, as after a restart
     /// of the fleet, share one, which is encoded once.
     fn current_view(&mut self) -> Option<&Content> {
