--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -6,6 +6,7 @@
 };
 
 use camphordale_fleet::{
+    ContentKind,
     Domain,
     EntryCounts,
     KeyLoad,
@@ -16,14 +17,14 @@
 
 /// Interval between pings.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(300);
-/// Time without a message after which another control VM is tried: three pings, or three round
+/// Time without progress after which another control VM is tried: three pings, or three round
 /// trips if these take longer on a loaded link. A new stream would wait in the same queue.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest time without a message, however long round trips take.
+/// Longest time without progress, however long round trips take.
 const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Weight of one round trip in their mean while they get shorter; a longer one counts at once.
 const ROUND_TRIP_WEIGHT: f64 = 0.125;
-/// Time limit for the reply to a subscription. It doubles with each attempt that failed, since the
+/// Time without progress after which a subscription is given up. It doubles with each attempt that failed, since the
 /// queue of a narrow link may hold a connection back for longer.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit for opening a connection, which doubles likewise: enough for one retransmission of a
@@ -54,9 +55,34 @@
 
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
-    Idle { until: Duration },
-    Subscribing { since: Duration },
-    Established { last_heard: Duration },
+    Idle {
+        until: Duration,
+    },
+    Subscribing {
+        /// When the request was sent, or bytes of the reply were last received.
+        progress_at: Duration,
+        /// Whether the reply is being received.
+        answered: bool,
+    },
+    /// The whole view is being received.
+    Receiving {
+        progress_at: Duration,
+    },
+    Established {
+        progress_at: Duration,
+    },
+}
+
+/// How the leader is asked for its updates. A control VM of an older version closes the connection on
+/// a message that it does not know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    /// Long updates in parts.
+    Follow,
+    /// All updates after the index of the view.
+    Resubscribe,
+    /// The whole view in one message.
+    Subscribe,
 }
 
 /// Subscription to the view of the control leader.
@@ -71,6 +97,10 @@
     next_ping: Duration,
     /// Consecutive attempts without an established stream.
     failures: u32,
+    /// Form of the next request.
+    request: Request,
+    /// Whether a control VM has sent updates in parts to this process.
+    follows: bool,
     /// Recent time from a ping to its reply.
     round_trip: Duration,
     /// When the leader was last heard from.
@@ -93,6 +123,8 @@
             },
             next_ping: Duration::ZERO,
             failures: 0,
+            request: Request::Follow,
+            follows: false,
             round_trip: Duration::ZERO,
             last_heard: Duration::ZERO,
             entries: EntryCounts::default(),
@@ -118,9 +150,18 @@
     pub fn next_deadline(&self) -> Duration {
         match self.phase {
             Phase::Idle { until } => until,
-            Phase::Subscribing { since } => since + self.stretched(SUBSCRIBE_TIMEOUT),
-            Phase::Established { last_heard } => {
-                self.next_ping.min(last_heard + self.silence_timeout())
+            Phase::Subscribing {
+                progress_at,
+                answered,
+            } => {
+                let end = progress_at + self.stretched(SUBSCRIBE_TIMEOUT);
+                match answered {
+                    true => self.next_ping.min(end),
+                    false => end,
+                }
+            }
+            Phase::Receiving { progress_at } | Phase::Established { progress_at } => {
+                self.next_ping.min(progress_at + self.silence_timeout())
             }
         }
     }
@@ -144,14 +185,14 @@
     pub fn tick(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
         match self.phase {
             Phase::Idle { until } if now >= until => self.connect(view, now, out),
-            Phase::Subscribing { since }
-                if now.saturating_sub(since) >= self.stretched(SUBSCRIBE_TIMEOUT) =>
+            Phase::Subscribing { progress_at, .. }
+                if now.saturating_sub(progress_at) >= self.stretched(SUBSCRIBE_TIMEOUT) =>
             {
                 self.failures += 1;
                 self.reconnect_later(now, out);
             }
-            Phase::Established { last_heard }
-                if now.saturating_sub(last_heard) >= self.silence_timeout() =>
+            Phase::Receiving { progress_at } | Phase::Established { progress_at }
+                if now.saturating_sub(progress_at) >= self.silence_timeout() =>
             {
                 self.reconnect_later(now, out);
             }
@@ -159,9 +200,15 @@
         }
     }
 
-    /// Whether a ping is due.
+    /// Whether a ping is due. The leader gives up a VM from which it hears nothing, also while the VM
+    /// receives a long reply.
     pub fn ping_due(&self, now: Duration) -> bool {
-        self.is_established() && now >= self.next_ping
+        let is_heard = match self.phase {
+            Phase::Idle { .. } => false,
+            Phase::Subscribing { answered, .. } => answered,
+            Phase::Receiving { .. } | Phase::Established { .. } => true,
+        };
+        is_heard && now >= self.next_ping
     }
 
     /// Sends a ping with the view index and the reports.
@@ -200,19 +247,26 @@
                 known[self.next % known.len()]
             }
         };
-        self.phase = Phase::Subscribing { since: now };
+        self.phase = Phase::Subscribing {
+            progress_at: now,
+            answered: false,
+        };
         let timeout = self.stretched(CONNECT_TIMEOUT);
         out.push(ControlStreamEffect::Connect { to, timeout });
         let (entry_id, domain, index) = (self.entry_id, self.domain.clone(), view.index);
-        // A control VM of an older version closes the connection on a message that it does not
-        // know, so every other attempt asks for the whole view.
-        let subscription = match index > 0 && self.failures.is_multiple_of(2) {
-            true => PeerMessage::Resubscribe {
+        let request = match self.request {
+            // Without a view there is nothing to go on from.
+            Request::Resubscribe if index == 0 => Request::Subscribe,
+            request => request,
+        };
+        let subscription = match request {
+            Request::Follow => self.follow_message(view),
+            Request::Resubscribe => PeerMessage::Resubscribe {
                 entry_id,
                 domain,
                 index,
             },
-            false => PeerMessage::Subscribe {
+            Request::Subscribe => PeerMessage::Subscribe {
                 entry_id,
                 domain,
                 index,
@@ -221,6 +275,37 @@
         out.push(ControlStreamEffect::Send(subscription));
     }
 
+    fn follow_message(&self, view: &View) -> PeerMessage {
+        PeerMessage::Follow {
+            entry_id: self.entry_id,
+            domain: self.domain.clone(),
+            index: view.index,
+            version: view.routing.as_ref().map_or(0, |routing| routing.version),
+        }
+    }
+
+    /// Asks for the updates after a view on the open connection.
+    pub fn follow(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
+        self.phase = Phase::Subscribing {
+            progress_at: now,
+            answered: false,
+        };
+        out.push(ControlStreamEffect::Send(self.follow_message(view)));
+    }
+
+    /// Whether the stream is established and the leader sends long updates in parts.
+    pub fn follows(&self) -> bool {
+        self.is_established() && self.follows && self.request == Request::Follow
+    }
+
+    /// Whether parts of contents may be asked for.
+    pub fn is_open(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Receiving { .. } | Phase::Established { .. }
+        )
+    }
+
     fn reconnect_later(&mut self, now: Duration, out: &mut Vec<ControlStreamEffect>) {
         self.phase = Phase::Idle {
             until: now + RECONNECT_DELAY,
@@ -228,6 +313,41 @@
         out.push(ControlStreamEffect::Close);
     }
 
+    /// Takes note of bytes of a message that is not complete yet. They keep the stream, but do not
+    /// confirm the view.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphordale_entry::ControlStream;
+    /// use camphordale_fleet::View;
+    ///
+    /// let seeds = vec!["10.0.0.1:7000".parse()?];
+    /// let mut stream = ControlStream::new(1, "a".into(), seeds);
+    /// stream.tick(&View::default(), Duration::ZERO, &mut Vec::new());
+    /// let deadline = stream.next_deadline();
+    /// let now = Duration::from_millis(500);
+    /// stream.on_progress(now);
+    /// stream.ping(0, Default::default(), now, &mut Vec::new());
+    /// assert!(stream.next_deadline() > deadline);
+    /// assert_eq!(stream.silence(now), now);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn on_progress(&mut self, now: Duration) {
+        match &mut self.phase {
+            Phase::Idle { .. } => {}
+            Phase::Subscribing {
+                progress_at,
+                answered,
+            } => {
+                *progress_at = now;
+                *answered = true;
+            }
+            Phase::Receiving { progress_at } | Phase::Established { progress_at } => {
+                *progress_at = now;
+            }
+        }
+    }
+
     /// Handles the end of the connection.
     pub fn on_closed(&mut self, now: Duration) {
         if matches!(self.phase, Phase::Subscribing { .. }) {
@@ -240,6 +360,19 @@
         }
     }
 
+    /// Handles a connection that the control VM closed after the handshake. One of an older version
+    /// does so if it does not know the request.
+    pub fn on_rejected(&mut self, now: Duration) {
+        if matches!(self.phase, Phase::Subscribing { .. }) && !self.follows {
+            self.request = match self.request {
+                Request::Follow => Request::Resubscribe,
+                Request::Resubscribe => Request::Subscribe,
+                Request::Subscribe => Request::Follow,
+            };
+        }
+        self.on_closed(now);
+    }
+
     /// Handles a message. Returns whether it belongs to an established stream.
     pub fn on_message(
         &mut self,
@@ -247,6 +380,7 @@
         now: Duration,
         out: &mut Vec<ControlStreamEffect>,
     ) -> bool {
+        self.on_progress(now);
         match message {
             PeerMessage::NotLeader { leader } => {
                 self.leader_hint = *leader;
@@ -262,15 +396,21 @@
             }
             PeerMessage::Snapshot(_) | PeerMessage::Resume { .. } => {
                 self.failures = 0;
-                self.phase = Phase::Established { last_heard: now };
+                self.follows |= self.request == Request::Follow;
+                self.phase = Phase::Established { progress_at: now };
                 self.last_heard = now;
                 true
             }
+            PeerMessage::Part(part) if matches!(part.content.kind, ContentKind::View { .. }) => {
+                self.failures = 0;
+                self.follows = true;
+                self.phase = Phase::Receiving { progress_at: now };
+                true
+            }
             PeerMessage::Pong { entries, sent } => {
                 self.entries = *entries;
                 self.record_round_trip(now.saturating_sub(*sent));
                 if self.is_established() {
-                    self.phase = Phase::Established { last_heard: now };
                     self.last_heard = now;
                 }
                 true
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod cold;
+mod contents;
 mod crashes;
 mod evacuation;
 mod full_disks;
@@ -12,4 +13,5 @@
 mod membership;
 mod randomized;
 mod scenarios;
+mod streams;
 mod tokens;
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -345,7 +345,8 @@
                 }
                 message => self.step(Event::Stream { conn, message }, context),
             },
-            IoEvent::PeerClosed(conn) => self.step(Event::StreamClosed(conn), context),
+            IoEvent::PeerProgress(conn) => self.step(Event::StreamProgress(conn), context),
+            IoEvent::PeerClosed { conn, .. } => self.step(Event::StreamClosed(conn), context),
             IoEvent::ExchangeEnded { id, result, reused } => {
                 self.on_order_response(id, result, reused, context)
             }
@@ -361,6 +362,7 @@
             ("log-bytes", retained.log as u64),
             ("snapshot-bytes", retained.snapshot as u64),
             ("recent-update-bytes", retained.updates as u64),
+            ("content-bytes", retained.contents as u64),
             ("log-file-bytes", file),
             ("peer-output-bytes", context.event_loop.peer_output() as u64),
         ] {
@@ -447,7 +449,9 @@
         let work = match &event {
             Event::Tick => Work::Timer,
             Event::Peer(_) | Event::Seeds(_) => Work::Consensus,
-            Event::Stream { .. } | Event::StreamClosed(_) => Work::Stream,
+            Event::Stream { .. } | Event::StreamProgress(_) | Event::StreamClosed(_) => {
+                Work::Stream
+            }
             Event::Call { .. } => Work::Call,
             Event::OrderAnswered { .. } => Work::Answer,
         };
