Refuse for good only on a routing that is surely the newest one

Cause: `Entry::route_request` answered 404 or 400 from whatever routing the VM had. Nothing asked whether the VM had been told of a newer one, whether its stream was established, or how old the last reply of the leader was.

The mend: `RoutingCertainty` keeps the newest version that notices told of, across streams, and when the last ping was sent to which the leader replied on an established stream. The leader sends the notice of a change before its reply to a later ping, so that reply vouches for all changes up to the sending. 404 and 400 need an established stream, a confirmation of less than 1.3 s (a change is in force 2 s after its acknowledgement; a leader that was replaced may reply for 0.7 s), and the newest version in force. Otherwise the refusal is 503, with the time that the missing parts still take at their share of the link, or that a new leader takes. Requests for routes that the VM has go on as before. A request whose routing should arrive within its wait for a first routing (a quarter of its timeout, at most 300 ms) waits for it instead. A VM that has missed a newer routing for 6 s without one arriving (4 s to the acknowledgement and 2 s) is not ready; if all are, the balancer uses all.

The refusals are named `routing-unsure` in logs and counters; the line `readiness` tells whether the routing was overdue.

Evidence: of the 16 tests of certainty.rs, 12 failed on the code before ("no promise: NotFound", "no promise: Malformed", "assertion failed: !harness.entry.is_ready(now)"). Now all 16 pass.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -65,6 +65,7 @@
         AdmissionShares,
         UsualTimeouts, //
     },
+    certainty::RoutingCertainty,
     control_stream::{
         ControlStream,
         ControlStreamEffect, //
@@ -97,7 +98,7 @@
 const UNKEYED_VIEW_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which the load balancer in front of the entry VMs detects that a VM is not ready: two
 /// probes, one per second.
-const READINESS_DETECTION_TIME: Duration = Duration::from_millis(2000);
+pub(crate) const READINESS_DETECTION_TIME: Duration = Duration::from_millis(2000);
 
 /// Number of a request of a caller, unique in this process.
 pub type RequestHandle = u64;
@@ -239,6 +240,8 @@
 pub enum Reason {
     /// This VM has no routing yet.
     NoRouting,
+    /// This VM is not sure that its routing is the newest one, so it cannot tell that no route matches.
+    UnsureRouting,
     /// No route matches.
     NoRoute,
     /// The service is keyed and the request has no key.
@@ -302,6 +305,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Reason::NoRouting => "no-routing",
+            Reason::UnsureRouting => "routing-unsure",
             Reason::NoRoute => "no-route",
             Reason::NoKey => "no-key",
             Reason::NoTarget => "no-target",
@@ -446,6 +450,8 @@
         ready: bool,
         /// Time since the last message from the leader.
         silence: Duration,
+        /// Whether a newer routing has been missing for too long.
+        overdue: bool,
     },
     /// The limit of a target is another one than before.
     Limit {
@@ -581,6 +587,7 @@
     next_attempt: AttemptId,
     control_stream: ControlStream,
     transfers: Transfers,
+    certainty: RoutingCertainty,
     was_established: bool,
     was_ready: bool,
     shutdown: Option<Shutdown>,
@@ -642,6 +649,7 @@
                 config.seeds.clone(),
             ),
             transfers: Transfers::new(config.link_rate),
+            certainty: RoutingCertainty::default(),
             was_established: false,
             was_ready: false,
             shutdown: None,
@@ -688,10 +696,12 @@
         out
     }
 
-    /// Whether the VM is ready for new callers: it can route requests and its view is not stale. A
-    /// VM that is not ready continues to serve its existing callers.
+    /// Whether the VM is ready for new callers: it can route requests, its view is not stale, and its
+    /// routing is not behind that of the other VMs. A VM that is not ready continues to serve its
+    /// existing callers.
     pub fn is_ready(&self, now: Duration) -> bool {
-        self.view.routing.is_some() && self.control_stream.silence(now) < self.view_timeout()
+        let is_fresh = self.control_stream.silence(now) < self.view_timeout();
+        self.view.routing.is_some() && is_fresh && !self.certainty.is_overdue(now)
     }
 
     /// How long the view may be used without confirmation from the control leader.
--- a/crates/entry/src/entry/request.rs
+++ b/crates/entry/src/entry/request.rs
@@ -42,6 +42,7 @@
         Demand,
         Urgency, //
     },
+    certainty::unsure_retry_after,
     domain_overflow::DepartureDraw,
     evidence::{
         Evidence,
@@ -170,46 +171,11 @@
         out: &mut Vec<Effect>,
     ) {
         let request = incoming.handle;
-        let refuse = |refusal, reason, view_index: u64, out: &mut Vec<Effect>| {
-            out.push(Effect::Log(LogEvent::Refused(Decision {
-                request,
-                reason,
-                service: None,
-                target: None,
-                attempts: 0,
-                queued: now.saturating_sub(arrived_at),
-                age: now.saturating_sub(arrived_at),
-                remaining: arrived_at
-                    .saturating_add(incoming.caller_timeout.unwrap_or_default())
-                    .saturating_sub(now),
-                key: incoming.key,
-                view_index,
-                target_stats: None,
-                crashed: Vec::new(),
-                evidence: Some(Evidence::Unsent),
-            })));
-            out.push(Effect::Refuse { request, refusal });
-        };
-        let index = self.view.index;
-        if self.view.routing.is_none() {
-            let refusal = Refusal::NotRun(NotRun::before_dispatch(NO_ROUTING_RETRY_AFTER));
-            return refuse(refusal, Reason::NoRouting, index, out);
-        }
-        let found = self.routes.find(&incoming.host, &incoming.path);
-        let Some((name, route)) = found.map(|(name, route)| (name.clone(), route.clone())) else {
-            return refuse(Refusal::NotFound, Reason::NoRoute, index, out);
-        };
-        let Some(service) = self.routes.pick(&name, &route) else {
-            return refuse(Refusal::NotFound, Reason::NoRoute, index, out);
-        };
-        let key = if self.view.is_keyed(&service) {
-            if incoming.key.is_none() {
-                return refuse(Refusal::Malformed, Reason::NoKey, index, out);
-            }
-            incoming.key
-        } else {
-            None
+        let (name, route, service) = match self.match_request(&incoming) {
+            Ok(matched) => matched,
+            Err(reason) => return self.on_unrouted((incoming, reason), arrived_at, now, out),
         };
+        let key = incoming.key.filter(|_| self.view.is_keyed(&service));
         match key {
             Some(key) => self.sample_key(&service, key),
             None => self.record_demand(&service, route.large_bodies),
@@ -262,6 +228,70 @@
         self.dispatch(request, now, out);
     }
 
+    /// The route and the service of a request by the routing of this VM, or why there is none.
+    fn match_request(
+        &mut self,
+        incoming: &IncomingRequest,
+    ) -> Result<(RouteName, Arc<Route>, ServiceName), Reason> {
+        if self.view.routing.is_none() {
+            return Err(Reason::NoRouting);
+        }
+        let found = self.routes.find(&incoming.host, &incoming.path);
+        let found = found.map(|(name, route)| (name.clone(), route.clone()));
+        let (name, route) = found.ok_or(Reason::NoRoute)?;
+        let service = self.routes.pick(&name, &route).ok_or(Reason::NoRoute)?;
+        if incoming.key.is_none() && self.view.is_keyed(&service) {
+            return Err(Reason::NoKey);
+        }
+        Ok((name, route, service))
+    }
+
+    /// Handles a request that the routing does not allow. It is refused for good only if the routing is
+    /// the newest one.
+    fn on_unrouted(
+        &mut self,
+        (incoming, mismatch): (IncomingRequest, Reason),
+        arrived_at: Duration,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_sure = self.control_stream.is_established() && self.certainty.is_sure(now);
+        let not_run = |retry_after| Refusal::NotRun(NotRun::before_dispatch(retry_after));
+        let (reason, refusal) = match mismatch {
+            Reason::NoRouting => (mismatch, not_run(NO_ROUTING_RETRY_AFTER)),
+            Reason::NoKey if is_sure => (mismatch, Refusal::Malformed),
+            Reason::NoRoute if is_sure => (mismatch, Refusal::NotFound),
+            _ => {
+                if let Some(until) = self.newer_routing_wait(&incoming, arrived_at, now) {
+                    return self.await_routing(incoming, arrived_at, until);
+                }
+                let silence = self.control_stream.silence(now);
+                let retry_after = unsure_retry_after(self.transfer_time(), silence);
+                (Reason::UnsureRouting, not_run(retry_after))
+            }
+        };
+        let request = incoming.handle;
+        let age = now.saturating_sub(arrived_at);
+        out.push(Effect::Log(LogEvent::Refused(Decision {
+            request,
+            reason,
+            service: None,
+            target: None,
+            attempts: 0,
+            queued: age,
+            age,
+            remaining: arrived_at
+                .saturating_add(incoming.caller_timeout.unwrap_or_default())
+                .saturating_sub(now),
+            key: incoming.key,
+            view_index: self.view.index,
+            target_stats: None,
+            crashed: Vec::new(),
+            evidence: Some(Evidence::Unsent),
+        })));
+        out.push(Effect::Refuse { request, refusal });
+    }
+
     /// Time since the first try of a caller, which shows in a timeout shorter than the usual one of
     /// the route. While that is unknown, it is taken to be the timeout of the route.
     fn time_since_first_try(
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -65,7 +65,13 @@
         if ready != self.was_ready {
             self.was_ready = ready;
             let silence = self.control_stream.silence(now);
-            out.push(Effect::Log(LogEvent::Ready { ready, silence }));
+            let overdue = self.certainty.is_overdue(now);
+            let event = LogEvent::Ready {
+                ready,
+                silence,
+                overdue,
+            };
+            out.push(Effect::Log(event));
         }
     }
 
@@ -157,6 +163,9 @@
                 self.targets.adopt_latencies(&latencies);
             }
             PeerMessage::Pong { entries, sent } => {
+                if self.control_stream.is_established() {
+                    self.certainty.confirm(sent);
+                }
                 self.evacuations.on_confirmed();
                 self.crashes.confirm(sent);
                 self.statement_reports.confirm(sent);
@@ -191,6 +200,7 @@
 
     /// Takes a part of a content, and adopts what is complete.
     fn receive_part(&mut self, part: Part, now: Duration, out: &mut Vec<Effect>) {
+        self.certainty.learn(&part.content, now);
         match self.transfers.receive(part, self.routing_version(), now) {
             Received::Accepted => {}
             Received::Gap => return self.follow_again(now, out),
@@ -362,6 +372,7 @@
         if routing.version == old {
             return;
         }
+        self.certainty.adopt(routing.version, now);
         self.routes.sync(routing);
         self.usual_timeouts.retain(routing);
         let is_contended = self.routes.is_contended();
--- a/crates/entry/src/entry/waiting.rs
+++ b/crates/entry/src/entry/waiting.rs
@@ -1,4 +1,4 @@
-//! Requests that wait: for the first routing, for a free slot, or for the next holder of a key.
+//! Requests that wait: for a routing, for a free slot, or for the next holder of a key.
 
 use std::time::Duration;
 
@@ -16,11 +16,11 @@
     request::ActiveRequest, //
 };
 
-/// A caller waits for the first routing for its timeout divided by this.
+/// A caller waits for a routing for its timeout divided by this.
 const ROUTING_WAIT_DIVISOR: u32 = 4;
-/// Maximum wait for the first routing: the duration of an election.
+/// Maximum wait for a routing: the duration of an election.
 const MAX_ROUTING_WAIT: Duration = Duration::from_millis(300);
-/// Maximum number of requests that wait for the first routing.
+/// Maximum number of requests that wait for a routing.
 const MAX_UNROUTED: usize = 256;
 /// Suggested retry delay if a key is still moving.
 const MOVING_RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -44,13 +44,19 @@
     request: RequestHandle,
 }
 
-/// A request that was received before the first routing.
+/// A request that was received before the routing that it needs.
 pub(super) struct UnroutedRequest {
     pub(super) incoming: IncomingRequest,
     arrived_at: Duration,
     until: Duration,
 }
 
+/// How long a request waits for a routing.
+fn routing_wait(incoming: &IncomingRequest) -> Duration {
+    let longest = MAX_ROUTING_WAIT * ROUTING_WAIT_DIVISOR;
+    incoming.caller_timeout.unwrap_or(longest).min(longest) / ROUTING_WAIT_DIVISOR
+}
+
 impl Entry {
     /// Handles a new request. Right after the start of this VM it waits for a moment: after a
     /// restart of the whole fleet the routing is about to arrive.
@@ -64,26 +70,53 @@
         if self.view.routing.is_some() || !may_wait {
             return self.route_request(incoming, now, now, out);
         }
-        let caller_timeout = incoming
-            .caller_timeout
-            .unwrap_or(MAX_ROUTING_WAIT * ROUTING_WAIT_DIVISOR);
-        let until = now + (caller_timeout / ROUTING_WAIT_DIVISOR).min(MAX_ROUTING_WAIT);
+        let until = now + routing_wait(&incoming);
+        self.await_routing(incoming, now, until);
+    }
+
+    /// Lets a request wait for the next routing.
+    pub(super) fn await_routing(
+        &mut self,
+        incoming: IncomingRequest,
+        arrived_at: Duration,
+        until: Duration,
+    ) {
         self.timers.insert((until, incoming.handle));
         self.unrouted.push(UnroutedRequest {
             incoming,
-            arrived_at: now,
+            arrived_at,
             until,
         });
     }
 
-    /// Resumes requests that waited for the first routing.
+    /// Until when a request waits for a newer routing than the one in force, if its content should
+    /// arrive in that time.
+    pub(super) fn newer_routing_wait(
+        &self,
+        incoming: &IncomingRequest,
+        arrived_at: Duration,
+        now: Duration,
+    ) -> Option<Duration> {
+        let until = arrived_at + routing_wait(incoming);
+        let arrives_at = now + self.transfer_time()?;
+        let may_wait = self.unrouted.len() < MAX_UNROUTED && !self.is_ending(now);
+        (may_wait && now < until && arrives_at <= until).then_some(until)
+    }
+
+    /// Time until the newest routing has arrived, if it is on its way.
+    pub(super) fn transfer_time(&self) -> Option<Duration> {
+        let is_open = self.control_stream.is_open();
+        self.transfers.time_left().filter(|_| is_open)
+    }
+
+    /// Resumes requests that waited for a routing.
     pub(super) fn resume_unrouted(&mut self, now: Duration, out: &mut Vec<Effect>) {
         for waiting in std::mem::take(&mut self.unrouted) {
             self.route_request(waiting.incoming, waiting.arrived_at, now, out);
         }
     }
 
-    /// Handles a request for which the first routing did not arrive in time.
+    /// Handles a request for which the routing did not arrive in time.
     pub(super) fn on_routing_timeout(
         &mut self,
         id: RequestHandle,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,8 +22,10 @@
 //! | `limits` | limits that targets set on the requests of all entry VMs |
 //! | `control_stream` | the stream from the control leader |
 //! | `transfer` | contents from the control leader, in parts |
+//! | `certainty` | whether the routing is the newest one, on which final refusals rest |
 
 mod admission;
+mod certainty;
 mod control_stream;
 mod domain_overflow;
 mod entry;
@@ -51,6 +53,10 @@
     UrgencyTable,
     UsualTimeouts, //
 };
+pub use certainty::{
+    RoutingCertainty,
+    unsure_retry_after, //
+};
 pub use control_stream::{
     ControlStream,
     ControlStreamEffect, //
--- a/crates/entry/src/transfer.rs
+++ b/crates/entry/src/transfer.rs
@@ -229,6 +229,17 @@
         })
     }
 
+    /// Time that the missing parts take at the share of the link of a VM that has a routing, if any are
+    /// missing. It is zero if the rate of the link is not known.
+    pub fn time_left(&self) -> Option<Duration> {
+        self.current()?;
+        let (received, length) = self.progress();
+        let missing = length.saturating_sub(received) as f64;
+        let rate = self.rate.map(|rate| rate * LINK_SHARE);
+        let time = rate.map(|rate| Duration::from_secs_f64(missing / rate));
+        Some(time.unwrap_or_default())
+    }
+
     /// When the next part is to be asked for, if one is missing and none is on its way.
     pub fn next_pull(&self) -> Option<Duration> {
         let is_due = !self.is_asking && self.current().is_some();
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod admission;
+mod certainty;
 mod cold;
 mod control_stream;
 mod crashes;
--- a/crates/reactor/src/entry_process/log.rs
+++ b/crates/reactor/src/entry_process/log.rs
@@ -92,10 +92,14 @@
                 context.metrics.count_event("control");
                 info!(context.logger, "stream from control"; "live" => live, "view" => view);
             }
-            LogEvent::Ready { ready, silence } => {
+            LogEvent::Ready {
+                ready,
+                silence,
+                overdue,
+            } => {
                 context.metrics.count_event("ready");
                 info!(context.logger, "readiness"; "ready" => ready,
-                    "silence_ms" => silence.as_millis() as u64);
+                    "silence_ms" => silence.as_millis() as u64, "routing_overdue" => overdue);
             }
             LogEvent::Limit {
                 target,
