Call a service or a failure domain unknown only while leadership is confirmed

What callers saw: a target that announces itself at a leader which was replaced and does not know it yet gets 400 "unknown service", although the next leader has acknowledged the change that adds the service; an operator gets 400 "unknown failure domain" for one that came with new targets. Both tell the caller that a repetition is in vain.

Cause: `Control::announce` and `evacuate` answer from the applied state of any VM that takes itself for the leader. It does so for two election timeouts without a majority, but its lease is over sooner, and then another leader may be ahead.

The mend: these two replies need an unexpired lease, before which no other member can lead; otherwise the reply is 503, so that the caller asks again, here or elsewhere. Not touched, because any later state has the same verdict: 412 and 400 on a change (versions only increase; see `State::review`), and 409 on an evacuation, which is decided when it is applied.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -146,6 +146,22 @@
         }
     }
 
+    /// Replies what the state of this leader says. Once its lease is over, another leader may know more.
+    fn reply_from_state(
+        &self,
+        token: CallToken,
+        reply: Reply,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let has_lease = self.raft.lease_expiry().is_some_and(|expiry| expiry > now);
+        let reply = match has_lease {
+            true => reply,
+            false => Reply::Unavailable("leadership is not confirmed"),
+        };
+        out.push(Effect::Reply { token, reply });
+    }
+
     /// Proposes an order about an evacuation. A repeated one is proposed as well: only the log tells
     /// whether another leader has accepted the opposite order in between.
     fn evacuate(
@@ -158,8 +174,7 @@
     ) {
         if !self.knows_domain(&domain) {
             let reply = Reply::Invalid("unknown failure domain".into());
-            out.push(Effect::Reply { token, reply });
-            return;
+            return self.reply_from_state(token, reply, now, out);
         }
         let command = Command::Evacuate {
             domain: domain.clone(),
@@ -225,8 +240,7 @@
         let routing = view.routing.as_ref();
         if routing.is_some_and(|r| !r.services.contains_key(&announcement.service)) {
             let reply = Reply::Invalid("unknown service".into());
-            out.push(Effect::Reply { token, reply });
-            return;
+            return self.reply_from_state(token, reply, now, out);
         }
         // Once any target announces its incarnation, an announcement without one cannot be genuine.
         let lacks_incarnation =
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod contents;
 mod crashes;
 mod evacuation;
+mod former_leader;
 mod full_disks;
 mod heartbeats;
 mod loads;
