Acknowledge the leave of an unknown target only while leadership is confirmed

What callers saw: requests sent to a target after its leave was acknowledged (DRAIN).

Cause: `Control::leave` acknowledges the leave of a target that it does not know, because nothing can be sent there. A leader that was replaced and does not know it yet does so for a target that registered at the next leader, whose entry VMs go on sending.

The mend: that acknowledgement needs an unexpired lease, as other negative replies from the state do; otherwise the reply is 503 and the target calls again. The leave of a known target was safe already: it waits for a majority.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -381,8 +381,7 @@
                 leader.departures.record(id, incarnation, now);
             }
             let reply = Reply::Done { is_leader: true };
-            out.push(Effect::Reply { token, reply });
-            return;
+            return self.reply_from_state(token, reply, now, out);
         };
         let mut target = target.clone();
         target.state = TargetState::Left;
--- a/crates/fleet/tests/control/former_leader.rs
+++ b/crates/fleet/tests/control/former_leader.rs
@@ -78,3 +78,33 @@
     let reply = cluster.reply(token);
     assert!(matches!(reply, Some(Reply::Unavailable(_))), "{reply:?}");
 }
+/// Guards against requests that are sent to a target whose leave was acknowledged by a leader that
+/// did not know that it was registered.
+#[rstest]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+fn a_former_leader_does_not_acknowledge_the_leave_of_an_unknown_target(#[case] seed: u64) {
+    let (mut cluster, former, next) = replaced_leader(seed);
+    let mut added = keyed_change();
+    (added.base_version, added.version) = (1, 2);
+    cluster.call(next, Call::Change(Box::new(added)));
+    cluster.run(ms(50));
+    cluster.call(next, announce(1, 100, false));
+    cluster.run(ms(50));
+    let registered = &cluster.vms[&next]
+        .control
+        .as_ref()
+        .unwrap()
+        .state()
+        .view
+        .targets;
+    assert!(registered.contains_key("t1"));
+    let leave = Call::Leave {
+        id: "t1".into(),
+        incarnation: Some(100),
+    };
+    let token = cluster.call(former, leave);
+    let reply = cluster.reply(token);
+    assert!(matches!(reply, Some(Reply::Unavailable(_))), "{reply:?}");
+}
