Refuse a service or a key for good only under a confirmed bundle

What callers saw, on the product's own interface: 404 `no-service` or 400 `no-key` from a VM that had lost its lease, or knew that its group had a newer bundle, for services that the bundle in force has.

Cause: `Router::resolve` takes any bundle, however old. Requests are only sent under a lease, which the domain leader grants to a VM with its bundle (`node/leases: a_vm_with_an_older_bundle_gets_no_lease`), but refusals did not need one.

The mend: without a lease, or with a bundle older than that of the group's view, both refusals become `no-lease`, which is 503.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -32,7 +32,18 @@
                 self.requests.insert(id, request);
                 self.route_request(id);
             }
-            Err(reason) => self.refuse_new(id, reason),
+            Err(reason) => self.refuse_new(id, self.confirmed_reason(reason)),
+        }
+    }
+
+    /// Returns the reason for a refusal. Those that rest on the bundle are final for a caller, so they
+    /// need a lease, which the domain leader grants only to a VM with its bundle.
+    fn confirmed_reason(&self, reason: NotRun) -> NotRun {
+        let version = self.bundle.as_ref().map(|bundle| bundle.version);
+        let is_confirmed = self.has_lease() && version >= Some(self.group.bundle_version);
+        match reason {
+            NotRun::NoService | NotRun::NoKey if !is_confirmed => NotRun::NoLease,
+            reason => reason,
         }
     }
 
