Refuse a quarantined request for good only after the leader could refute its crashes

What callers saw: 400 for a request that a VM took to crash its targets, given by a VM that was cut off from control before the leader could tell it that these targets live.

Cause: crashes count as settled 2.5 s after they were seen, by the clock alone: "a target that lives announces itself about every second, and the leader tells the entry VMs". A VM without a stream is told nothing.

The mend: the refusal is final if the crashes had settled when the ping was sent to which the leader replied last. What was settled before a VM was cut off stays final. Otherwise the refusal is `suspected`, 503 after 500 ms, and the request is still sent nowhere.

Tests: `a_refusal_is_not_final_while_crashes_cannot_be_refuted` failed on the code before with "no promise: Quarantined". The usual VM of these tests had heard the leader 11 s ago only; it now has a reply, and so has `a_refusal_is_final_once_the_crashes_can_hardly_be_refuted` at each of its moments, which are unchanged. `a_new_leader_is_told_everything` expected the final refusal before the new leader could reply to the report of the third crash, which is the fault; it now expects 503 before the reply and the refusal after it.

--- a/crates/entry/src/certainty.rs
+++ b/crates/entry/src/certainty.rs
@@ -80,6 +80,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(sent));
     }
 
+    /// When the last ping was sent to which the leader replied; zero if it has replied to none.
+    pub fn confirmed_at(&self) -> Duration {
+        self.confirmed_at.unwrap_or_default()
+    }
+
     /// Whether no newer routing can be in force, as long as the stream is established.
     pub fn is_sure(&self, now: Duration) -> bool {
         let is_recent = |at| now.saturating_sub(at) < MAX_CONFIRMATION_AGE;
--- a/crates/entry/src/entry/crashes.rs
+++ b/crates/entry/src/entry/crashes.rs
@@ -142,10 +142,17 @@
         Some(asked_at + TRIAL_WAIT)
     }
 
-    /// Time until a refused request may be served: until its crashes are refuted, or a trial.
-    fn retry_after(&self, fingerprint: Fingerprint, now: Duration) -> Duration {
+    /// Time until a refused request may be served: until its crashes are refuted, or a trial. The
+    /// leader's news until `told_until` are known.
+    fn retry_after(
+        &self,
+        fingerprint: Fingerprint,
+        told_until: Duration,
+        now: Duration,
+    ) -> Duration {
         let evidence = &self.evidence;
-        if !evidence.is_settled(fingerprint, now) || evidence.is_being_tried(fingerprint, now) {
+        let is_settled = evidence.is_settled(fingerprint, told_until);
+        if !is_settled || evidence.is_being_tried(fingerprint, now) {
             return UNSETTLED_RETRY_AFTER;
         }
         let next_trial = self.evidence.next_trial(fingerprint);
@@ -329,17 +336,21 @@
         let fingerprint = request.fingerprint;
         let may_have_run = request.execution.evidence().is_none();
         let is_trial = request.trial.is_some();
+        // The leader may have refuted crashes since its last reply.
+        let told_until = self.certainty.confirmed_at();
         let evidence = &self.crashes.evidence;
         let reason = match evidence.verdict(fingerprint) {
             Verdict::Clear => return false,
             Verdict::Suspect if !may_have_run => return false,
             Verdict::Quarantined if is_trial => return false,
-            Verdict::Quarantined if evidence.is_final(fingerprint, now) => Reason::Quarantined,
+            Verdict::Quarantined if evidence.is_final(fingerprint, told_until) => {
+                Reason::Quarantined
+            }
             Verdict::Quarantined if !may_have_run && self.await_trial(id, now) => return true,
             Verdict::Suspect | Verdict::Quarantined => Reason::Suspected,
         };
         self.crashes.record_refusal(fingerprint, now);
-        let retry_after = self.crashes.retry_after(fingerprint, now);
+        let retry_after = self.crashes.retry_after(fingerprint, told_until, now);
         self.refuse(id, reason, retry_after, now, out);
         true
     }
--- a/crates/entry/tests/entry/crashes.rs
+++ b/crates/entry/tests/entry/crashes.rs
@@ -10,6 +10,7 @@
 };
 use camphordale_fleet::{
     CrashRecord,
+    EntryCounts,
     Fingerprint,
     Holder,
     PeerMessage,
@@ -86,9 +87,19 @@
 fn late_harness() -> Harness {
     let mut harness = Harness::new();
     harness.now += ms(10_000);
+    confirm(&mut harness);
     harness
 }
 
+/// The reply of the leader to a ping that was sent just now.
+fn confirm(harness: &mut Harness) -> StepOutput {
+    let sent = harness.now;
+    harness.receive(PeerMessage::Pong {
+        sent,
+        entries: EntryCounts { all: 1, domain: 1 },
+    })
+}
+
 fn deadly(harness: &mut Harness, service: &str) -> (u64, StepOutput) {
     harness.request_like(service, DEADLY, ms(1500))
 }
@@ -145,9 +156,34 @@
     assert_eq!(output.decisions[0].reason, Reason::Suspected);
     assert_eq!(output.decisions[0].crashed.len(), 3);
     harness.advance(SETTLE_AFTER - ms(101));
+    confirm(&mut harness);
     let (request, output) = deadly(&mut harness, READS);
     assert_eq!(promised(&output), [(request, ms(500))]);
     harness.advance(ms(1));
+    confirm(&mut harness);
+    let (request, output) = deadly(&mut harness, READS);
+    assert_eq!(output.refused, [(request, Refusal::Quarantined)]);
+}
+
+/// Guards against a final refusal by a VM that was cut off before the crashes could be refuted: only
+/// the leader knows which targets live.
+#[test]
+fn a_refusal_is_not_final_while_crashes_cannot_be_refuted() {
+    let mut harness = late_harness();
+    let trials = crashed_trials(TrialOrder::Known);
+    harness.receive(evidence_of_age(3, ms(100), trials));
+    harness.step(Event::StreamClosed);
+    harness.advance(SETTLE_AFTER * 2);
+    let (request, output) = deadly(&mut harness, READS);
+    assert_eq!(promised(&output), [(request, ms(500))]);
+    assert_eq!(output.decisions[0].reason, Reason::Suspected);
+    harness.receive(PeerMessage::Resume { index: 10 });
+    confirm(&mut harness);
+    let (request, output) = deadly(&mut harness, READS);
+    assert_eq!(output.refused, [(request, Refusal::Quarantined)]);
+    // What was settled before the VM was cut off stays so.
+    harness.step(Event::StreamClosed);
+    harness.advance(SETTLE_AFTER);
     let (request, output) = deadly(&mut harness, READS);
     assert_eq!(output.refused, [(request, Refusal::Quarantined)]);
 }
@@ -280,7 +316,10 @@
     let records = reported(&output);
     assert_eq!(records.len(), 1);
     assert_eq!(records[0].crashes.len(), 3);
-    // Three crashes of which two were learnt from the leader are enough.
+    // Three crashes of which two were learnt from the leader are enough, once it could refute them.
+    let (request, output) = deadly(&mut harness, ORDERS);
+    assert_eq!(promised(&output), [(request, ms(500))]);
+    confirm(&mut harness);
     let (_, output) = deadly(&mut harness, ORDERS);
     assert_eq!(output.refused[0].1, Refusal::Quarantined);
 }
