Ask a control VM of an older version for the whole view only after two rejections

Cause: the form of a request changed with the first connection that was closed after its handshake, which a control VM that ends causes too, and stayed for the life of the process once it had changed, or never changed again once a control VM had sent contents. In a rolling upgrade a VM could be left without control, or with whole messages for good. Updates after an index (Resubscribe) also miss a change whose content had not arrived yet. Change: two rejections in a row count as an older version, which is asked for the whole view; every established stream starts anew with contents.

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -33,6 +33,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Number of times that these limits double at most.
 const MAX_DOUBLINGS: u32 = 2;
+/// Rejected requests after which a control VM is taken to be of an older version.
+const REJECTIONS_OF_OLDER_VERSION: u32 = 2;
+/// Rejected requests after which the forms of requests are tried from the first one on.
+const REJECTION_CYCLE: u32 = 3;
 /// Delay before the next control VM is tried. A control VM that knows no leader replies only after
 /// a wait.
 const RECONNECT_DELAY: Duration = Duration::from_millis(30);
@@ -73,15 +77,12 @@
     },
 }
 
-/// How the leader is asked for its updates. A control VM of an older version closes the connection on
-/// a message that it does not know.
+/// How the leader is asked for its updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Request {
-    /// Long updates in parts.
+    /// Long updates in parts, from the view on.
     Follow,
-    /// All updates after the index of the view.
-    Resubscribe,
-    /// The whole view in one message.
+    /// The whole view, and each update in one message, as control VMs of an older version send them.
     Subscribe,
 }
 
@@ -97,10 +98,10 @@
     next_ping: Duration,
     /// Consecutive attempts without an established stream.
     failures: u32,
-    /// Form of the next request.
+    /// Consecutive requests on which a control VM closed the connection.
+    rejections: u32,
+    /// Form of the last request.
     request: Request,
-    /// Whether a control VM has sent updates in parts to this process.
-    follows: bool,
     /// Recent time from a ping to its reply.
     round_trip: Duration,
     /// When the leader was last heard from.
@@ -123,8 +124,8 @@
             },
             next_ping: Duration::ZERO,
             failures: 0,
+            rejections: 0,
             request: Request::Follow,
-            follows: false,
             round_trip: Duration::ZERO,
             last_heard: Duration::ZERO,
             entries: EntryCounts::default(),
@@ -253,23 +254,16 @@
         };
         let timeout = self.stretched(CONNECT_TIMEOUT);
         out.push(ControlStreamEffect::Connect { to, timeout });
-        let (entry_id, domain, index) = (self.entry_id, self.domain.clone(), view.index);
-        let request = match self.request {
-            // Without a view there is nothing to go on from.
-            Request::Resubscribe if index == 0 => Request::Subscribe,
-            request => request,
+        self.request = match self.rejections % REJECTION_CYCLE {
+            REJECTIONS_OF_OLDER_VERSION => Request::Subscribe,
+            _ => Request::Follow,
         };
-        let subscription = match request {
+        let subscription = match self.request {
             Request::Follow => self.follow_message(view),
-            Request::Resubscribe => PeerMessage::Resubscribe {
-                entry_id,
-                domain,
-                index,
-            },
             Request::Subscribe => PeerMessage::Subscribe {
-                entry_id,
-                domain,
-                index,
+                entry_id: self.entry_id,
+                domain: self.domain.clone(),
+                index: view.index,
             },
         };
         out.push(ControlStreamEffect::Send(subscription));
@@ -295,7 +289,7 @@
 
     /// Whether the stream is established and the leader sends long updates in parts.
     pub fn follows(&self) -> bool {
-        self.is_established() && self.follows && self.request == Request::Follow
+        self.is_established() && self.request == Request::Follow
     }
 
     /// Whether parts of contents may be asked for.
@@ -361,14 +355,10 @@
     }
 
     /// Handles a connection that the control VM closed after the handshake. One of an older version
-    /// does so if it does not know the request.
+    /// does so on each request that it does not know, one that ends does so once.
     pub fn on_rejected(&mut self, now: Duration) {
-        if matches!(self.phase, Phase::Subscribing { .. }) && !self.follows {
-            self.request = match self.request {
-                Request::Follow => Request::Resubscribe,
-                Request::Resubscribe => Request::Subscribe,
-                Request::Subscribe => Request::Follow,
-            };
+        if matches!(self.phase, Phase::Subscribing { .. }) {
+            self.rejections += 1;
         }
         self.on_closed(now);
     }
@@ -396,14 +386,14 @@
             }
             PeerMessage::Snapshot(_) | PeerMessage::Resume { .. } => {
                 self.failures = 0;
-                self.follows |= self.request == Request::Follow;
+                self.rejections = 0;
                 self.phase = Phase::Established { progress_at: now };
                 self.last_heard = now;
                 true
             }
             PeerMessage::Part(part) if matches!(part.content.kind, ContentKind::View { .. }) => {
                 self.failures = 0;
-                self.follows = true;
+                self.rejections = 0;
                 self.phase = Phase::Receiving { progress_at: now };
                 true
             }
