Let an entry VM act on a received view only when it is up to date

What callers and targets would have seen: a VM that starts and gets its view in parts sent requests by it at once. The view is as old as its content, so requests went to targets that had left or been replaced, and what such a target stated, as a pause, was taken for its former process.

Cause: the view was used when its last part had come; suspicions and updates came a round trip later, after the resumption.

Change: the VM keeps the received view, asks for what follows it, and the leader sends suspicions and updates before the resumption, with which the view comes into use. Only a VM that already acts on a view gets the resumption first. This replaces the former order of suspicions before the last part.

Also: a VM whose routing does not take a change needs a whole view, and forgot the index of its own for that, so that an older view could replace it and an acknowledgement did not count it. It asks from nothing, and keeps its index. A view is only offered if the changes after its routing are kept too; a VM could receive the same view again and again.

--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -12,6 +12,7 @@
     KeyLoad,
     PeerMessage,
     TargetLatency,
+    Version,
     View, //
 };
 
@@ -86,6 +87,33 @@
     Subscribe,
 }
 
+/// From where an entry VM follows the leader.
+///
+/// ```
+/// use camphordale_entry::Position;
+/// use camphordale_fleet::View;
+///
+/// let view = View { index: 7, ..View::default() };
+/// assert_eq!(Position::from(&view), Position { index: 7, version: 0 });
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Index of the view; 0 if the VM needs a whole one.
+    pub index: u64,
+    /// Version of its routing; 0 for none.
+    pub version: Version,
+}
+
+impl From<&View> for Position {
+    fn from(view: &View) -> Position {
+        let routing = view.routing.as_ref();
+        Position {
+            index: view.index,
+            version: routing.map_or(0, |routing| routing.version),
+        }
+    }
+}
+
 /// Subscription to the view of the control leader.
 #[derive(Debug)]
 pub struct ControlStream {
@@ -182,10 +210,15 @@
         limit * 2u32.pow(self.failures.min(MAX_DOUBLINGS))
     }
 
-    /// Reconnects when the current phase has timed out.
-    pub fn tick(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
+    /// Reconnects when the current phase has timed out. `view` names the control VMs.
+    pub fn tick(
+        &mut self,
+        (view, position): (&View, Position),
+        now: Duration,
+        out: &mut Vec<ControlStreamEffect>,
+    ) {
         match self.phase {
-            Phase::Idle { until } if now >= until => self.connect(view, now, out),
+            Phase::Idle { until } if now >= until => self.connect((view, position), now, out),
             Phase::Subscribing { progress_at, .. }
                 if now.saturating_sub(progress_at) >= self.stretched(SUBSCRIBE_TIMEOUT) =>
             {
@@ -229,7 +262,12 @@
         }));
     }
 
-    fn connect(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
+    fn connect(
+        &mut self,
+        (view, position): (&View, Position),
+        now: Duration,
+        out: &mut Vec<ControlStreamEffect>,
+    ) {
         let mut known: Vec<SocketAddr> = view.members.values().map(|m| m.peer).collect();
         known.extend(self.seeds.iter().filter(|seed| {
             let seed: &SocketAddr = seed;
@@ -259,32 +297,37 @@
             _ => Request::Follow,
         };
         let subscription = match self.request {
-            Request::Follow => self.follow_message(view),
+            Request::Follow => self.follow_message(position),
             Request::Subscribe => PeerMessage::Subscribe {
                 entry_id: self.entry_id,
                 domain: self.domain.clone(),
-                index: view.index,
+                index: position.index,
             },
         };
         out.push(ControlStreamEffect::Send(subscription));
     }
 
-    fn follow_message(&self, view: &View) -> PeerMessage {
+    fn follow_message(&self, position: Position) -> PeerMessage {
         PeerMessage::Follow {
             entry_id: self.entry_id,
             domain: self.domain.clone(),
-            index: view.index,
-            version: view.routing.as_ref().map_or(0, |routing| routing.version),
+            index: position.index,
+            version: position.version,
         }
     }
 
     /// Asks for the updates after a view on the open connection.
-    pub fn follow(&mut self, view: &View, now: Duration, out: &mut Vec<ControlStreamEffect>) {
+    pub fn follow(
+        &mut self,
+        position: Position,
+        now: Duration,
+        out: &mut Vec<ControlStreamEffect>,
+    ) {
         self.phase = Phase::Subscribing {
             progress_at: now,
             answered: false,
         };
-        out.push(ControlStreamEffect::Send(self.follow_message(view)));
+        out.push(ControlStreamEffect::Send(self.follow_message(position)));
     }
 
     /// Whether the stream is established and the leader sends long updates in parts.
@@ -312,12 +355,12 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use camphordale_entry::ControlStream;
+    /// use camphordale_entry::{ControlStream, Position};
     /// use camphordale_fleet::View;
     ///
     /// let seeds = vec!["10.0.0.1:7000".parse()?];
     /// let mut stream = ControlStream::new(1, "a".into(), seeds);
-    /// stream.tick(&View::default(), Duration::ZERO, &mut Vec::new());
+    /// stream.tick((&View::default(), Position::default()), Duration::ZERO, &mut Vec::new());
     /// let deadline = stream.next_deadline();
     /// let now = Duration::from_millis(500);
     /// stream.on_progress(now);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -589,6 +589,10 @@
     next_attempt: AttemptId,
     control_stream: ControlStream,
     transfers: Transfers,
+    /// A whole view that was received, until it is up to date.
+    received_view: Option<Box<View>>,
+    /// Whether a change did not fit to the view, so that only a whole one helps.
+    needs_view: bool,
     certainty: RoutingCertainty,
     was_established: bool,
     was_ready: bool,
@@ -651,6 +655,8 @@
                 config.seeds.clone(),
             ),
             transfers: Transfers::new(config.link_rate),
+            received_view: None,
+            needs_view: false,
             certainty: RoutingCertainty::default(),
             was_established: false,
             was_ready: false,
--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -21,7 +21,10 @@
     LogEvent, //
 };
 use crate::{
-    control_stream::ControlStreamEffect,
+    control_stream::{
+        ControlStreamEffect,
+        Position, //
+    },
     retry_budget::RetryBudget,
     transfer::Received, //
 };
@@ -45,7 +48,9 @@
 impl Entry {
     pub(super) fn maintain_control_stream(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
-        self.control_stream.tick(&self.view, now, &mut effects);
+        let position = self.position();
+        self.control_stream
+            .tick((&self.view, position), now, &mut effects);
         if !self.control_stream.is_established() {
             self.load_reports.on_stream_left();
         }
@@ -105,6 +110,9 @@
             }
             PeerMessage::Resume { .. } if is_established => {
                 self.transfers.discard_view();
+                if let Some(view) = self.received_view.take() {
+                    self.replace_view(*view, last_heard, now, out);
+                }
                 // Notices of moves may have been missed.
                 self.handovers.clear();
                 self.evacuations.on_resumed(last_heard);
@@ -115,10 +123,18 @@
                 self.confirm_view(now, out);
                 self.retry_where(now, out, |_| true);
             }
-            PeerMessage::Update { index, command } if is_established => {
+            PeerMessage::Update { index, command } if !is_established => {
+                if let Some(view) = &mut self.received_view {
+                    view.apply(index, &command);
+                }
+            }
+            PeerMessage::RoutingNotice { index, part } if !is_established => {
+                self.complete_view(index, part, now, out);
+            }
+            PeerMessage::Update { index, command } => {
                 self.apply_update(index, &command, now, out);
             }
-            PeerMessage::RoutingNotice { index, part } if is_established => {
+            PeerMessage::RoutingNotice { index, part } => {
                 self.view.index = self.view.index.max(index);
                 self.receive_part(part, now, out);
             }
@@ -214,22 +230,39 @@
             out.push(Effect::Log(LogEvent::Transferred(stats)));
             match view {
                 Ok(view) => {
-                    let last_heard = now.saturating_sub(self.control_stream.silence(now));
-                    self.replace_view(*view, last_heard, now, out);
+                    self.received_view = Some(view);
+                    self.follow_again(now, out);
                 }
                 Err(error) => {
                     out.push(Effect::Log(LogEvent::Unusable(error.to_string().into())));
                     self.close_stream(now, out);
                 }
             }
-            if self.control_stream.is_open() {
-                self.follow_again(now, out);
-            }
             return;
         }
         self.adopt_changes(now, out);
     }
 
+    /// Applies a change of the routing to a view that was received and is not in use yet. A change
+    /// whose content is longer than the notice follows when the view is in use.
+    fn complete_view(&mut self, index: u64, part: Part, now: Duration, out: &mut Vec<Effect>) {
+        let Some(view) = &mut self.received_view else {
+            return;
+        };
+        self.certainty.learn(&part.content, now);
+        let version = |view: &View| view.routing.as_ref().map_or(0, |routing| routing.version);
+        self.transfers.receive(part, version(view), now);
+        view.index = view.index.max(index);
+        while let Some((change, stats)) = self.transfers.take_change(version(view), now) {
+            out.push(Effect::Log(LogEvent::Transferred(stats)));
+            let applied = change.is_ok_and(|change| view.change_routing(&change) == Outcome::Done);
+            if !applied {
+                // The version shows that it is missing, and it is asked for again.
+                break;
+            }
+        }
+    }
+
     /// Applies the changes of the routing that have arrived.
     fn adopt_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let old = self.routing_version();
@@ -244,8 +277,7 @@
             };
             out.push(Effect::Log(LogEvent::Unusable(reason.into())));
             self.transfers.discard_changes();
-            // Only the whole view helps now.
-            self.view.index = 0;
+            self.needs_view = true;
             return self.follow_again(now, out);
         }
         if self.routing_version() == old {
@@ -265,6 +297,15 @@
         self.confirm_view(now, out);
     }
 
+    /// From where the VM follows the leader.
+    fn position(&self) -> Position {
+        match &self.received_view {
+            Some(view) => Position::from(&**view),
+            None if self.needs_view => Position::default(),
+            None => Position::from(&self.view),
+        }
+    }
+
     fn close_stream(&mut self, now: Duration, out: &mut Vec<Effect>) {
         out.push(Effect::ControlStream(ControlStreamEffect::Close));
         self.control_stream.on_closed(now);
@@ -274,7 +315,8 @@
     fn follow_again(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
         self.transfers.end_request();
-        self.control_stream.follow(&self.view, now, &mut effects);
+        self.control_stream
+            .follow(self.position(), now, &mut effects);
         out.extend(effects.into_iter().map(Effect::ControlStream));
     }
 
@@ -290,6 +332,7 @@
             self.close_stream(now, out);
             return;
         }
+        self.needs_view = false;
         let old = self.routing_version();
         let last_heard = (self.view.index > 0).then_some(last_heard);
         self.view = view;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -59,7 +59,8 @@
 };
 pub use control_stream::{
     ControlStream,
-    ControlStreamEffect, //
+    ControlStreamEffect,
+    Position, //
 };
 pub use domain_overflow::{
     Departure,
--- a/crates/entry/tests/entry/control_stream.rs
+++ b/crates/entry/tests/entry/control_stream.rs
@@ -9,6 +9,7 @@
     ControlStream,
     ControlStreamEffect,
     Event, //
+    Position,
 };
 use camphordale_fleet::{
     Content,
@@ -37,7 +38,7 @@
 ) -> (Duration, PeerMessage) {
     loop {
         let mut effects = Vec::new();
-        stream.tick(view, *now, &mut effects);
+        stream.tick((view, Position::from(view)), *now, &mut effects);
         if let [
             ControlStreamEffect::Connect { timeout, .. },
             ControlStreamEffect::Send(request),
@@ -163,7 +164,7 @@
     let last = now;
     while stream.is_established() {
         now += ms(10);
-        stream.tick(&view, now, &mut Vec::new());
+        stream.tick((&view, Position::from(&view)), now, &mut Vec::new());
     }
     now - last
 }
@@ -209,7 +210,7 @@
 /// Whether the stream is given up.
 fn is_given_up(stream: &mut ControlStream, now: Duration) -> bool {
     let mut effects = Vec::new();
-    stream.tick(&View::default(), now, &mut effects);
+    stream.tick((&View::default(), Position::default()), now, &mut effects);
     effects.contains(&ControlStreamEffect::Close)
 }
 
--- a/crates/entry/tests/entry/transfer.rs
+++ b/crates/entry/tests/entry/transfer.rs
@@ -244,12 +244,77 @@
     assert_eq!(wanted, Some(Wanted::View(content.about().id)));
     let begun = harness.now;
     transfer(&mut harness, output, &content, usize::MAX);
-    assert_eq!(harness.entry.view().index, view.index);
     // It has no callers yet to whom it would leave the link.
     let passes = f64::from(content.about().length) / LINK_RATE;
     assert!((harness.now - begun).as_secs_f64() < 1.5 * passes);
+    let index = view.index;
+    harness.receive(PeerMessage::Resume { index });
+    assert_eq!(harness.entry.view().index, index);
     let (_, output) = harness.request(READS);
     assert_eq!(output.sent.len(), 1);
-    harness.receive(PeerMessage::Resume { index: view.index });
     assert!(harness.entry.is_ready(harness.now));
 }
+
+/// Guards against a VM that starts and sends requests to a target that has left, or by a routing that
+/// was replaced, since the content of its view was made.
+#[test]
+fn the_first_view_is_not_used_before_the_updates_after_it() {
+    let mut harness = Harness::without_view();
+    harness.advance(ms(0));
+    let view = Harness::view();
+    let index = view.index;
+    let content = Content::of_view(&view).unwrap();
+    let output = harness.receive(PeerMessage::Part(content.part(0, usize::MAX)));
+    let follows = |message: &PeerMessage| match message {
+        PeerMessage::Follow { index, version, .. } => Some((*index, *version)),
+        _ => None,
+    };
+    assert_eq!(output.messages.iter().find_map(follows), Some((index, 1)));
+    let (request, output) = harness.request(READS);
+    assert_eq!((output.sent.len(), output.refused.len()), (0, 0));
+    for number in 0..2 {
+        let output = harness.receive(PeerMessage::Update {
+            index: index + 1 + number,
+            command: Box::new(Command::Remove {
+                id: format!("{READS}-{number}").into(),
+                incarnation: 1,
+            }),
+        });
+        assert_eq!((output.sent.len(), output.refused.len()), (0, 0));
+    }
+    let short = Content::of_change(&change(1, 2, 1)).unwrap();
+    harness.receive(notice(index + 3, &short));
+    assert!(!harness.entry.is_ready(harness.now));
+    let output = harness.receive(PeerMessage::Resume { index });
+    let [(_, sent, target)] = &output.sent[..] else {
+        panic!("{:?}", output.sent);
+    };
+    assert_eq!((*sent, &**target), (request, "reads-2"));
+    assert_eq!(
+        (version(&harness), harness.entry.view().index),
+        (2, index + 3)
+    );
+}
+
+/// Guards against a VM that serves by an old view, or by none, after a change that does not fit to its
+/// routing.
+#[test]
+fn the_whole_view_replaces_one_that_a_change_does_not_fit() {
+    let mut harness = Harness::new();
+    let mut unknown = change(1, 2, 1);
+    unknown.routes[0].1.spec.split[0].service = "unknown".into();
+    let content = Content::of_change(&unknown).unwrap();
+    let output = harness.receive(notice(11, &content));
+    let whole = |message: &PeerMessage| matches!(message, PeerMessage::Follow { index: 0, .. });
+    assert!(output.messages.iter().any(whole), "{:?}", output.messages);
+    let (_, output) = harness.request(READS);
+    assert_eq!(output.sent.len(), 1, "by the view that it has");
+    let older = View {
+        index: 9,
+        ..Harness::view()
+    };
+    let content = Content::of_view(&older).unwrap();
+    harness.receive(PeerMessage::Part(content.part(0, usize::MAX)));
+    harness.receive(PeerMessage::Resume { index: 9 });
+    assert_eq!(harness.entry.view().index, 11, "never an older one");
+}
--- a/crates/fleet/src/control/contents.rs
+++ b/crates/fleet/src/control/contents.rs
@@ -19,9 +19,7 @@
     content::{
         Content,
         ContentId,
-        ContentKind,
-        KeptChanges,
-        Part, //
+        KeptChanges, //
     },
     message::{
         PeerMessage,
@@ -46,12 +44,20 @@
     last_heard: Duration,
 }
 
+/// A whole view with its content.
+struct KeptView {
+    index: u64,
+    /// Version of its routing; 0 for none.
+    version: Version,
+    content: Content,
+}
+
 /// Contents that are kept, and the entry VMs that ask for the whole view.
 #[derive(Default)]
 pub(super) struct Contents {
     pub(super) changes: KeptChanges,
     /// Oldest first.
-    views: VecDeque<(u64, Content)>,
+    views: VecDeque<KeptView>,
     /// By connection.
     pullers: BTreeMap<u64, Puller>,
 }
@@ -66,7 +72,7 @@
     /// Bytes of the contents.
     pub(super) fn bytes(&self) -> usize {
         let views = self.views.iter();
-        let views: usize = views.map(|(_, view)| view.about().length as usize).sum();
+        let views: usize = views.map(|view| view.content.about().length as usize).sum();
         self.changes.bytes() + views
     }
 
@@ -104,7 +110,7 @@
     }
 
     fn view(&self, id: &ContentId) -> Option<&Content> {
-        let mut views = self.views.iter().map(|(_, view)| view);
+        let mut views = self.views.iter().map(|view| &view.content);
         views.find(|view| view.about().id == *id)
     }
 }
@@ -126,12 +132,17 @@
         // A VM without any state has index 0, and so may the first view.
         let has_view = index > 0 || pulled;
         let missed = has_view.then(|| self.missed_messages(index, version));
-        let Some(messages) = missed.flatten() else {
+        let Some(mut messages) = missed.flatten() else {
             return self.offer_view(subscription, now, out);
         };
-        // Suspicions that arose since the view was sent, which no stream brought to the VM.
-        if pulled && let Some(message) = self.suspicions(now) {
-            out.push(Effect::Stream { conn, message });
+        let resume = PeerMessage::Resume { index };
+        match pulled {
+            // The VM begins to act on the view that it has received when it is up to date.
+            true => {
+                messages.splice(0..0, self.suspicions(now));
+                messages.push(resume);
+            }
+            false => messages.insert(0, resume),
         }
         let messages = messages.into_iter();
         out.extend(messages.map(|message| Effect::Stream { conn, message }));
@@ -142,12 +153,11 @@
     /// What an entry VM has missed whose view has the index, and its routing the version. `None` if it
     /// is not all kept.
     fn missed_messages(&self, index: u64, version: Version) -> Option<Vec<PeerMessage>> {
-        let routing = self.state.view.routing.as_ref();
-        let current = routing.map_or(0, |routing| routing.version);
+        let current = self.routing_version();
         let updates = self.recent_updates.after(index)?;
         let changes = self.contents.changes.since(version, current)?;
         let mut changes = changes.peekable();
-        let mut messages = vec![PeerMessage::Resume { index }];
+        let mut messages = Vec::new();
         let mut notify_until = |index: u64, messages: &mut Vec<PeerMessage>| {
             while let Some(change) = changes.next_if(|change| change.index <= index) {
                 let part = change.content.part(0, FIRST_PART_BYTES);
@@ -186,8 +196,9 @@
         };
         if let Some(content) = content {
             let length = MAX_PART_BYTES.min(length as usize);
-            let part = content.part(offset, length);
-            return self.send_part(conn, part, now, out);
+            let message = PeerMessage::Part(content.part(offset, length));
+            out.push(Effect::Stream { conn, message });
+            return;
         }
         // What it asks for is not kept any more.
         let subscription = match self.streams.remove(&conn) {
@@ -217,8 +228,8 @@
             out.push(Effect::CloseStream(conn));
             return;
         };
-        let part = content.part(0, FIRST_PART_BYTES);
-        self.send_part(conn, part, now, out);
+        let message = PeerMessage::Part(content.part(0, FIRST_PART_BYTES));
+        out.push(Effect::Stream { conn, message });
         let last_heard = now;
         let puller = Puller {
             subscription,
@@ -227,35 +238,34 @@
         self.contents.pullers.insert(conn, puller);
     }
 
-    /// Sends a part. A VM sends requests as soon as it has its whole view, so it is told before which
-    /// targets are suspected to be cold.
-    fn send_part(&self, conn: u64, part: Part, now: Duration, out: &mut Vec<Effect>) {
-        let end = part.offset as usize + part.bytes.len();
-        let ends_view = match part.content.kind {
-            ContentKind::View { .. } => end >= part.content.length as usize,
-            ContentKind::Change { .. } => false,
-        };
-        if ends_view && let Some(message) = self.suspicions(now) {
-            out.push(Effect::Stream { conn, message });
-        }
-        let message = PeerMessage::Part(part);
-        out.push(Effect::Stream { conn, message });
-    }
-
     /// The content of a recent view. Entry VMs that need it at about the same time, as after a restart
     /// of the fleet, share one, which is encoded once.
     fn current_view(&mut self) -> Option<&Content> {
         let index = self.state.view.index;
-        let is_recent = |(at, _): &(u64, Content)| {
-            index - at <= MAX_UPDATES_AFTER_VIEW && self.recent_updates.reaches(*at)
+        let version = self.routing_version();
+        let is_recent = |view: &KeptView| {
+            let changes = self.contents.changes.since(view.version, version);
+            index - view.index <= MAX_UPDATES_AFTER_VIEW
+                && self.recent_updates.reaches(view.index)
+                && changes.is_some()
         };
         if !self.contents.views.back().is_some_and(is_recent) {
             let content = Content::of_view(&self.state.view).ok()?;
-            self.contents.views.push_back((index, content));
+            let view = KeptView {
+                index,
+                version,
+                content,
+            };
+            self.contents.views.push_back(view);
             if self.contents.views.len() > MAX_VIEWS {
                 self.contents.views.pop_front();
             }
         }
-        self.contents.views.back().map(|(_, content)| content)
+        self.contents.views.back().map(|view| &view.content)
+    }
+
+    fn routing_version(&self) -> Version {
+        let routing = self.state.view.routing.as_ref();
+        routing.map_or(0, |routing| routing.version)
     }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -253,8 +253,8 @@
     TargetLatencies(Vec<(TargetId, u16)>),
     /// Request of an entry VM for the leader's updates, of which it takes long ones in parts. The
     /// reply is [`PeerMessage::Resume`] with the updates after the index, and a notice of each change
-    /// of the routing after the version; or the first part of the whole view, after which the VM
-    /// follows from the index of that view.
+    /// of the routing after the version; or the first part of the whole view. A VM that has received
+    /// the view follows on the same connection, and gets the updates before the resumption.
     Follow {
         /// Random id of the process.
         entry_id: u64,
