Show which versions the entry VMs have, and what an acknowledgement left behind

Neither logs nor metrics could tell whether a change of the routing had arrived at the entry VMs, how long its acknowledgement had waited, and how many VMs still acted on an older version then.

- Gauges on the leader: `newest-version`, `oldest-entry-version`, `entries-behind` and `entries-lost` (VMs that lost their stream a short time ago).
On every process of control, `longest-peer-output-bytes` beside the sum.
- A log line `acknowledged` for each acknowledgement with the time that it waited, the VMs that are behind and the oldest version on which one acts; counted as `acknowledged`, or `acknowledged-while-behind`.

What an entry VM acts on is read from its stream: the version that it told, or the one at its index if it takes whole updates. VMs that lose their stream are remembered for 3 s from their last message, by the id of the process.

The code of acknowledgements moves to `control/acks.rs`. When something is acknowledged does not change here.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -3,6 +3,7 @@
 //! Every control VM is a member of the Raft group. The leader serves operators and targets, streams
 //! the view to entry VMs and grants key leases; the other members redirect to it.
 
+mod acks;
 mod api;
 mod calls;
 mod contents;
@@ -34,6 +35,7 @@
     Snapshot, //
 };
 
+pub use self::acks::FleetVersions;
 pub use self::api::{
     Call,
     CallToken,
@@ -44,6 +46,7 @@
     Reply, //
 };
 use self::{
+    acks::Acks,
     calls::{
         Departures,
         LastAnnouncement,
@@ -142,7 +145,7 @@
     leader_state: Option<LeaderState>,
     role: (bool, u64, Option<MemberId>),
     pending: BTreeMap<u64, Pending>,
-    pending_acks: Vec<calls::PendingAck>,
+    acks: Acks,
     next_id: u64,
     streams: BTreeMap<u64, EntryStream>,
     waiting: Vec<WaitingSubscription>,
@@ -230,7 +233,7 @@
             leader_state: None,
             role: (false, 0, None),
             pending: BTreeMap::new(),
-            pending_acks: Vec::new(),
+            acks: Acks::default(),
             next_id: 0,
             streams: BTreeMap::new(),
             waiting: Vec::new(),
@@ -252,7 +255,7 @@
             Event::Seeds(seeds) => self.member_table.set_seeds(seeds),
             Event::Peer(message) => self.on_peer_message(message, now, &mut out),
             Event::Stream { conn, message } => self.on_stream_message(conn, message, now, &mut out),
-            Event::StreamClosed(conn) => self.on_stream_closed(conn, &mut out),
+            Event::StreamClosed(conn) => self.on_stream_closed(conn, now, &mut out),
             Event::Call { token, call } => self.on_call(token, call, now, &mut out),
             Event::OrderAnswered { id, answer } => {
                 self.on_order_answered(id, &answer, now, &mut out)
@@ -333,6 +336,7 @@
             self.share_loads(now, out);
             self.share_latencies(now, out);
             self.close_silent_streams(now, out);
+            self.acks.expire(now);
             self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
         }
@@ -579,9 +583,9 @@
             out.push(delayed.unavailable("leadership was lost"));
         }
         // These changes are committed, so they are acknowledged even after leadership is lost.
-        for ack in self.pending_acks.drain(..) {
+        for token in self.acks.take_calls() {
             out.push(Effect::Reply {
-                token: ack.token,
+                token,
                 reply: Reply::Done { is_leader: false },
             });
         }
--- /dev/null
+++ b/crates/fleet/src/control/acks.rs
@@ -0,0 +1,267 @@
+//! Acknowledgements of changes, leaves and orders of operators, which wait for the entry VMs.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use super::{
+    CallToken, Control, Effect, LogEvent, Reply,
+    heartbeats::LeaseRequest,
+    streams::{
+        EntryStream,
+        Subscription,
+        SubscriptionKind, //
+    },
+};
+use crate::routing::Version;
+
+/// Maximum time for which a target that leaves waits until the entry VMs know. It takes a reply
+/// within a second only.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time since the last message of an entry VM without a stream for which it may still act on what it
+/// has. It covers two failed attempts to subscribe again.
+const LOST_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// The part of the view on which an entry VM acts.
+#[derive(Clone, Copy)]
+pub(super) struct Held {
+    /// Index of the view, apart from the routing.
+    pub(super) index: u64,
+    /// Version of the routing, if the entry VM takes contents in parts. Others have the one of the
+    /// index.
+    pub(super) routing: Option<Version>,
+}
+
+impl Held {
+    /// Whether the entry VM has any view to act on.
+    pub(super) fn is_any(&self) -> bool {
+        self.index > 0
+    }
+}
+
+impl From<&EntryStream> for Held {
+    fn from(stream: &EntryStream) -> Held {
+        Held {
+            index: stream.index,
+            routing: stream.routing,
+        }
+    }
+}
+
+impl From<&Subscription> for Held {
+    fn from(subscription: &Subscription) -> Held {
+        Held {
+            index: subscription.index,
+            routing: match subscription.kind {
+                SubscriptionKind::Following(version) => Some(version),
+                SubscriptionKind::Whole | SubscriptionKind::Resuming => None,
+            },
+        }
+    }
+}
+
+/// An accepted change, leave or order of an operator that is acknowledged once the entry VMs have
+/// it.
+struct PendingAck {
+    token: CallToken,
+    index: u64,
+    /// Version of the routing, for a change.
+    version: Option<Version>,
+    committed_at: Duration,
+    deadline: Duration,
+    /// The announcement of the target that leaves, if it gets leases in the reply.
+    leases: Option<Box<LeaseRequest>>,
+}
+
+/// An entry VM without a stream.
+struct LostEntry {
+    held: Held,
+    last_heard: Duration,
+}
+
+/// Acknowledgements that wait, and the entry VMs that have lost their streams.
+#[derive(Default)]
+pub(super) struct Acks {
+    pending: Vec<PendingAck>,
+    /// By the ids of the processes.
+    lost: BTreeMap<u64, LostEntry>,
+}
+
+impl Acks {
+    /// Records that an entry VM has no stream any more.
+    pub(super) fn on_lost(&mut self, entry_id: u64, held: Held, last_heard: Duration) {
+        self.lost.insert(entry_id, LostEntry { held, last_heard });
+    }
+
+    /// Records that an entry VM has subscribed.
+    pub(super) fn on_subscribed(&mut self, entry_id: u64) {
+        self.lost.remove(&entry_id);
+    }
+
+    /// Forgets the entry VMs that have been silent for too long.
+    pub(super) fn expire(&mut self, now: Duration) {
+        self.lost
+            .retain(|_, lost| now.saturating_sub(lost.last_heard) < LOST_TIMEOUT);
+    }
+
+    /// Ends all waits. Returns their calls.
+    pub(super) fn take_calls(&mut self) -> impl Iterator<Item = CallToken> {
+        self.lost.clear();
+        std::mem::take(&mut self.pending)
+            .into_iter()
+            .map(|ack| ack.token)
+    }
+}
+
+/// Versions of the routing on which the entry VMs act, as the leader knows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetVersions {
+    /// The newest version.
+    pub newest: Version,
+    /// The oldest version on which an entry VM acts.
+    pub oldest: Version,
+    /// Number of entry VMs that act on an older version than the newest, including the lost ones.
+    pub behind: usize,
+    /// Number of entry VMs that lost their stream a short time ago and may act on what they have.
+    pub lost: usize,
+}
+
+impl Control {
+    /// Versions of the routing on which the entry VMs act. All are 0 unless this VM leads.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use camphordale_fleet::Control;
+    /// fn is_in_force(control: &Control) -> bool {
+    ///     control.fleet_versions().behind == 0
+    /// }
+    /// ```
+    pub fn fleet_versions(&self) -> FleetVersions {
+        if self.leader_state.is_none() {
+            return FleetVersions::default();
+        }
+        let routing = self.state.view.routing.as_ref();
+        let newest = routing.map_or(0, |routing| routing.version);
+        let versions = self.held_views().map(|held| self.version_of(held));
+        let mut fleet = FleetVersions {
+            newest,
+            oldest: newest,
+            behind: 0,
+            lost: self.acks.lost.len(),
+        };
+        for version in versions {
+            fleet.oldest = fleet.oldest.min(version);
+            fleet.behind += usize::from(version < newest);
+        }
+        fleet
+    }
+
+    /// What the entry VMs act on that have a stream, wait for a view, or lost their stream a short
+    /// time ago.
+    fn held_views(&self) -> impl Iterator<Item = Held> {
+        let streams = self.streams.values().map(Held::from);
+        let lost = self.acks.lost.values().map(|lost| lost.held);
+        streams.chain(self.waiting_views()).chain(lost)
+    }
+
+    /// What the entry VMs act on that wait for the whole view.
+    fn waiting_views(&self) -> impl Iterator<Item = Held> {
+        let waiting = self.awaiting_view.iter().chain(self.contents.pulling());
+        let waiting = waiting.map(Held::from);
+        waiting.filter(Held::is_any)
+    }
+
+    /// Version of the routing on which an entry VM acts.
+    fn version_of(&self, held: Held) -> Version {
+        let history = &self.state.history;
+        held.routing.unwrap_or_else(|| {
+            let later = history.partition_point(|change| change.index <= held.index);
+            let last = later.checked_sub(1).and_then(|last| history.get(last));
+            last.map_or(0, |change| change.version)
+        })
+    }
+
+    /// Acknowledges the change to a version of the routing, or another order, when the entry VMs have
+    /// it.
+    pub(super) fn acknowledge_order(
+        &mut self,
+        token: CallToken,
+        (index, version): (u64, Option<Version>),
+        deadline: Duration,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        self.acks.pending.push(PendingAck {
+            token,
+            index,
+            version,
+            committed_at: now,
+            deadline,
+            leases: None,
+        });
+        self.acknowledge_changes(now, out);
+    }
+
+    /// Acknowledges the leave of a target when the entry VMs know of it: from then on, none may
+    /// send requests to it for long.
+    pub(super) fn acknowledge_leave(
+        &mut self,
+        token: CallToken,
+        index: u64,
+        leases: Option<Box<LeaseRequest>>,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        self.acks.pending.push(PendingAck {
+            token,
+            index,
+            version: None,
+            committed_at: now,
+            deadline: now + LEAVE_TIMEOUT,
+            leases,
+        });
+        self.acknowledge_changes(now, out);
+    }
+
+    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream
+    /// have, or whose wait has timed out.
+    pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.acks.pending.is_empty() {
+            return;
+        }
+        let streams = self.streams.values().map(Held::from);
+        let indexes = streams.chain(self.waiting_views()).map(|held| held.index);
+        let oldest_index = indexes.min().unwrap_or(u64::MAX);
+        let due: Vec<PendingAck> = self
+            .acks
+            .pending
+            .extract_if(.., |ack| ack.index <= oldest_index || now >= ack.deadline)
+            .collect();
+        for ack in due {
+            out.push(Effect::Log(self.log_ack(&ack, now)));
+            match ack.leases {
+                Some(request) => self.answer_announcement(ack.token, &request, now, out),
+                None => out.push(Effect::Reply {
+                    token: ack.token,
+                    reply: Reply::Done { is_leader: true },
+                }),
+            }
+        }
+    }
+
+    fn log_ack(&self, ack: &PendingAck, now: Duration) -> LogEvent {
+        let is_behind = |held: &Held| match ack.version {
+            Some(version) => self.version_of(*held) < version,
+            None => held.index < ack.index,
+        };
+        LogEvent::Acknowledged {
+            index: ack.index,
+            version: ack.version,
+            waited: now.saturating_sub(ack.committed_at),
+            behind: self.held_views().filter(is_behind).count(),
+            oldest: self.fleet_versions().oldest,
+        }
+    }
+}
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -200,6 +200,19 @@
         /// Its result.
         outcome: Outcome,
     },
+    /// A change, leave or order of an operator was acknowledged.
+    Acknowledged {
+        /// Index of its command.
+        index: u64,
+        /// Version of the routing after a change.
+        version: Option<Version>,
+        /// Time since it was committed.
+        waited: Duration,
+        /// Entry VMs that may still act without it.
+        behind: usize,
+        /// Oldest version of the routing on which an entry VM acts.
+        oldest: Version,
+    },
     /// The result of an order about an evacuation is known.
     Evacuation {
         /// The domain.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -31,7 +31,8 @@
         Change,
         Domain,
         KeyDelivery,
-        ServiceName, //
+        ServiceName,
+        Version, //
     },
     state::{
         Command,
@@ -41,16 +42,13 @@
 
 /// Maximum number of registered targets. It bounds what unauthenticated announcements can add.
 const MAX_TARGETS: usize = 8192;
-/// Maximum time for which a target that leaves waits until the entry VMs know. It takes a reply
-/// within a second only.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(600);
 /// A target that left is removed after the target silence divided by this.
 const LEFT_TIMEOUT_DIVISOR: u32 = 2;
 
 /// What to do with the result of a proposal or read.
 pub(super) enum Pending {
-    /// Reply to the operator that submitted a change.
-    Change(CallToken),
+    /// Reply to the operator that submitted a change, with its version.
+    Change(CallToken, Version),
     /// Reply to the operator that reads the routing.
     Read(CallToken),
     /// Reply to the target whose state changed.
@@ -65,16 +63,6 @@
     NoReply,
 }
 
-/// An accepted change, leave or order of an operator that is acknowledged once the entry VMs have
-/// it.
-pub(super) struct PendingAck {
-    pub(super) token: CallToken,
-    index: u64,
-    deadline: Duration,
-    /// The announcement of the target that leaves, if it gets leases in the reply.
-    leases: Option<Box<LeaseRequest>>,
-}
-
 /// Targets that left before any of their announcements was registered. These may still arrive.
 #[derive(Default)]
 pub(super) struct Departures {
@@ -206,7 +194,7 @@
             return;
         }
         let command = Command::Change(Box::new(change));
-        self.propose(&command, Pending::Change(token), now, out);
+        self.propose(&command, Pending::Change(token, version), now, out);
     }
 
     fn announce(
@@ -440,7 +428,7 @@
     pub(super) fn on_proposal_dropped(&mut self, id: u64, out: &mut Vec<Effect>) {
         match self.pending.remove(&id) {
             Some(
-                Pending::Change(token)
+                Pending::Change(token, _)
                 | Pending::Read(token)
                 | Pending::Announce(token)
                 | Pending::Evacuate(token, _)
@@ -468,12 +456,12 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        let (token, index) = match pending {
-            Pending::Change(token) => (token, index),
+        let (token, index, version) = match pending {
+            Pending::Change(token, version) => (token, index, Some(version)),
             // A repeated order took effect at an earlier index, which the entry VMs may have.
             Pending::Evacuate(token, domain) => {
                 let changed_at = self.state.view.evacuations.changed_at(&domain);
-                (token, changed_at.unwrap_or(index))
+                (token, changed_at.unwrap_or(index), None)
             }
             Pending::Announce(token) => {
                 return self.acknowledge_leave(token, index, None, now, out);
@@ -497,65 +485,13 @@
         };
         let reply = match outcome {
             Outcome::Done | Outcome::Repeated => {
-                self.pending_acks.push(PendingAck {
-                    token,
-                    index,
-                    deadline: now + self.config.apply_timeout,
-                    leases: None,
-                });
-                self.acknowledge_changes(now, out);
-                return;
+                let deadline = now + self.config.apply_timeout;
+                return self.acknowledge_order(token, (index, version), deadline, now, out);
             }
             outcome => refusal(outcome),
         };
         out.push(Effect::Reply { token, reply });
     }
-
-    /// Acknowledges the leave of a target when the entry VMs know of it: from then on, none may
-    /// send requests to it for long.
-    fn acknowledge_leave(
-        &mut self,
-        token: CallToken,
-        index: u64,
-        leases: Option<Box<LeaseRequest>>,
-        now: Duration,
-        out: &mut Vec<Effect>,
-    ) {
-        self.pending_acks.push(PendingAck {
-            token,
-            index,
-            deadline: now + LEAVE_TIMEOUT,
-            leases,
-        });
-        self.acknowledge_changes(now, out);
-    }
-
-    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream
-    /// have, or whose wait has timed out.
-    pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        if self.pending_acks.is_empty() {
-            return;
-        }
-        // An entry VM that waits for the view may act on the one it has.
-        let awaiting = self.awaiting_view.iter().map(|other| other.index);
-        let awaiting = awaiting.filter(|index| *index > 0);
-        let awaiting = awaiting.chain(self.contents.puller_indexes());
-        let indexes = self.streams.values().map(|stream| stream.index);
-        let oldest_index = indexes.chain(awaiting).min().unwrap_or(u64::MAX);
-        let due: Vec<PendingAck> = self
-            .pending_acks
-            .extract_if(.., |ack| ack.index <= oldest_index || now >= ack.deadline)
-            .collect();
-        for ack in due {
-            match ack.leases {
-                Some(request) => self.answer_announcement(ack.token, &request, now, out),
-                None => out.push(Effect::Reply {
-                    token: ack.token,
-                    reply: Reply::Done { is_leader: true },
-                }),
-            }
-        }
-    }
 }
 
 /// The reply to an operator whose change or order was not accepted.
--- a/crates/fleet/src/control/contents.rs
+++ b/crates/fleet/src/control/contents.rs
@@ -68,8 +68,11 @@
         self.changes.bytes() + views
     }
 
-    pub(super) fn on_stream_closed(&mut self, conn: u64) {
-        self.pullers.remove(&conn);
+    /// The entry VM that asked for the whole view on a connection that was closed, and when it was
+    /// last heard from.
+    pub(super) fn on_stream_closed(&mut self, conn: u64) -> Option<(Subscription, Duration)> {
+        let puller = self.pullers.remove(&conn)?;
+        Some((puller.subscription, puller.last_heard))
     }
 
     /// Connections of the entry VMs that need the whole view and have not asked for a part for
@@ -86,14 +89,9 @@
         std::mem::take(&mut self.pullers).into_keys()
     }
 
-    /// Indexes of the views on which entry VMs act that ask for the whole view, as far as they have
-    /// any.
-    pub(super) fn puller_indexes(&self) -> impl Iterator<Item = u64> {
-        let indexes = self
-            .pullers
-            .values()
-            .map(|puller| puller.subscription.index);
-        indexes.filter(|index| *index > 0)
+    /// Entry VMs that ask for the whole view.
+    pub(super) fn pulling(&self) -> impl Iterator<Item = &Subscription> {
+        self.pullers.values().map(|puller| &puller.subscription)
     }
 
     fn view(&self, id: &ContentId) -> Option<&Content> {
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -13,6 +13,7 @@
     Control,
     Effect,
     LogEvent,
+    acks::Held,
     contents::FIRST_PART_BYTES,
     loads::LoadReport,
     statements::TargetStatements, //
@@ -342,6 +343,7 @@
             return;
         }
         let entry_id = subscription.entry_id;
+        self.acks.on_subscribed(entry_id);
         self.streams.retain(|_, stream| stream.entry_id != entry_id);
         self.awaiting_view
             .retain(|other| other.entry_id != entry_id);
@@ -460,12 +462,24 @@
         }
     }
 
-    pub(super) fn on_stream_closed(&mut self, conn: u64, out: &mut Vec<Effect>) {
+    pub(super) fn on_stream_closed(&mut self, conn: u64, now: Duration, out: &mut Vec<Effect>) {
         self.waiting
             .retain(|waiting| waiting.subscription.conn != conn);
-        self.awaiting_view.retain(|other| other.conn != conn);
-        self.contents.on_stream_closed(conn);
-        if self.streams.remove(&conn).is_some() {
+        let awaiting = self
+            .awaiting_view
+            .iter()
+            .position(|other| other.conn == conn);
+        let awaiting = awaiting.and_then(|at| self.awaiting_view.remove(at));
+        let pulling = self.contents.on_stream_closed(conn);
+        for (lost, last_heard) in awaiting.map(|lost| (lost, now)).into_iter().chain(pulling) {
+            let held = Held::from(&lost);
+            if held.is_any() {
+                self.acks.on_lost(lost.entry_id, held, last_heard);
+            }
+        }
+        if let Some(stream) = self.streams.remove(&conn) {
+            let held = Held::from(&stream);
+            self.acks.on_lost(stream.entry_id, held, stream.last_heard);
             out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
         }
     }
@@ -562,7 +576,7 @@
             .collect();
         let pulling = self.contents.silent_pullers(now, STREAM_TIMEOUT);
         for conn in conns.into_iter().chain(pulling) {
-            self.on_stream_closed(conn, out);
+            self.on_stream_closed(conn, now, out);
             out.push(Effect::CloseStream(conn));
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -59,6 +59,7 @@
     Control,
     Effect,
     Event,
+    FleetVersions,
     LogEvent,
     Reply,
     RetainedBytes, //
--- /dev/null
+++ b/crates/fleet/tests/control/acks.rs
@@ -0,0 +1,132 @@
+//! Acknowledgements, which promise that the entry VMs act on what was acknowledged.
+
+use std::net::SocketAddr;
+
+use camphordale_fleet::{
+    Call,
+    CallToken,
+    Event,
+    FleetVersions,
+    LogEvent,
+    PeerMessage,
+    Version, //
+};
+
+use crate::cluster::{
+    TestCluster,
+    change,
+    ms, //
+};
+
+/// A cluster at version 2 of the routing. The leader was elected long ago.
+struct Fleet {
+    cluster: TestCluster,
+    leader: SocketAddr,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let mut cluster = TestCluster::new(seed);
+        cluster.ask(Call::Change(Box::new(change(0, 2, 7))));
+        cluster.run(ms(4000));
+        cluster.acks.clear();
+        let leader = cluster.leader().unwrap();
+        Fleet { cluster, leader }
+    }
+
+    fn run(&mut self, time: u64) {
+        self.cluster.run(ms(time));
+    }
+
+    fn send(&mut self, conn: u64, message: PeerMessage) {
+        let event = Event::Stream { conn, message };
+        self.cluster.step(self.leader, event);
+    }
+
+    /// Subscribes an entry VM that takes contents in parts and has all but later versions.
+    fn follow(&mut self, conn: u64, version: Version) {
+        let message = PeerMessage::Follow {
+            entry_id: conn,
+            domain: "a".into(),
+            index: self.cluster.entry.1.index,
+            version,
+        };
+        self.send(conn, message);
+    }
+
+    /// Sends a ping of an entry VM that has all but the routing.
+    fn ping(&mut self, conn: u64) {
+        let message = PeerMessage::Ping {
+            sent: self.cluster.now,
+            index: self.cluster.entry.1.index,
+            load: Vec::new(),
+            latencies: Vec::new(),
+        };
+        self.send(conn, message);
+    }
+
+    fn close(&mut self, conn: u64) {
+        self.cluster.step(self.leader, Event::StreamClosed(conn));
+    }
+
+    fn submit(&mut self, base: Version, version: Version) -> CallToken {
+        let change = Box::new(change(base, version, version));
+        self.cluster.call(self.leader, Call::Change(change))
+    }
+
+    fn versions(&self) -> FleetVersions {
+        let leader = &self.cluster.vms[&self.leader];
+        leader.control.as_ref().unwrap().fleet_versions()
+    }
+}
+
+/// Guards against a change that is stuck on its way to some entry VMs, which nothing shows.
+#[test]
+fn the_leader_knows_which_versions_the_fleet_has() {
+    let mut fleet = Fleet::new(201);
+    fleet.follow(9, 2);
+    fleet.submit(2, 3);
+    fleet.run(400);
+    let with = |oldest, behind, lost| FleetVersions {
+        newest: 3,
+        oldest,
+        behind,
+        lost,
+    };
+    assert_eq!(fleet.versions(), with(2, 1, 0));
+    fleet.ping(9);
+    fleet.close(9);
+    assert_eq!(fleet.versions(), with(2, 1, 1));
+    fleet.follow(9, 2);
+    assert_eq!(fleet.versions(), with(2, 1, 0));
+    fleet.send(9, PeerMessage::RoutingInForce(3));
+    assert_eq!(fleet.versions(), with(3, 0, 0));
+    fleet.close(9);
+    assert_eq!(fleet.versions(), with(3, 0, 1));
+    fleet.run(3500);
+    assert_eq!(fleet.versions(), with(3, 0, 0));
+}
+
+/// Guards against an acknowledgement without any sign that entry VMs lacked the change.
+#[test]
+fn an_acknowledgement_is_logged_with_the_entry_vms_that_are_behind() {
+    let mut fleet = Fleet::new(202);
+    fleet.follow(9, 2);
+    fleet.submit(2, 3);
+    for _ in 0..10 {
+        fleet.run(100);
+        fleet.ping(9);
+    }
+    let [
+        LogEvent::Acknowledged {
+            version,
+            behind,
+            oldest,
+            ..
+        },
+    ] = fleet.cluster.acks[..]
+    else {
+        panic!("{:?}", fleet.cluster.acks);
+    };
+    assert_eq!((version, behind, oldest), (Some(3), 1, 2));
+}
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -166,6 +166,8 @@
     pub(crate) seeds: Vec<Member>,
     /// Changes of state that VMs reported.
     pub(crate) events: Vec<(SocketAddr, LogEvent)>,
+    /// Acknowledgements that VMs reported.
+    pub(crate) acks: Vec<LogEvent>,
     /// Pairs of addresses between which messages are blocked.
     pub(crate) blocked: BTreeSet<(SocketAddr, SocketAddr)>,
     pub(crate) loss: f64,
@@ -197,6 +199,7 @@
             vms: BTreeMap::new(),
             seeds: members.clone(),
             events: Vec::new(),
+            acks: Vec::new(),
             blocked: BTreeSet::new(),
             loss: 0.0,
             log_limit: 16 << 20,
@@ -304,6 +307,7 @@
                 Effect::Log(event @ (LogEvent::Lagging { .. } | LogEvent::Unaddressed { .. })) => {
                     self.events.push((at, event));
                 }
+                Effect::Log(event @ LogEvent::Acknowledged { .. }) => self.acks.push(event),
                 Effect::StoreMembers(members) => {
                     let vm = self.vms.get_mut(&at).unwrap();
                     vm.stored = members;
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod acks;
 mod cluster;
 mod cold;
 mod contents;
--- a/crates/reactor/src/control_process.rs
+++ b/crates/reactor/src/control_process.rs
@@ -355,6 +355,7 @@
 
     fn measure_retained(&self, context: &ProcessContext) {
         let retained = self.control.retained_bytes();
+        let fleet = self.control.fleet_versions();
         let file = self.store.as_ref().map_or(0, Store::size);
         let evacuations = &self.control.state().view.evacuations;
         for (kind, bytes) in [
@@ -364,6 +365,14 @@
             ("content-bytes", retained.contents as u64),
             ("log-file-bytes", file),
             ("peer-output-bytes", context.event_loop.peer_output() as u64),
+            (
+                "longest-peer-output-bytes",
+                context.event_loop.longest_peer_output() as u64,
+            ),
+            ("newest-version", fleet.newest),
+            ("oldest-entry-version", fleet.oldest),
+            ("entries-behind", fleet.behind as u64),
+            ("entries-lost", fleet.lost as u64),
         ] {
             context.metrics.set_gauge(kind, bytes);
         }
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -32,6 +32,8 @@
     let kind = match event {
         LogEvent::Role { .. } => "role",
         LogEvent::Change { .. } => "change",
+        LogEvent::Acknowledged { behind: 0, .. } => "acknowledged",
+        LogEvent::Acknowledged { .. } => "acknowledged-while-behind",
         LogEvent::Evacuation { .. } => "evacuation",
         LogEvent::Target { .. } => "target",
         LogEvent::Suspected { .. } => "suspected",
@@ -62,6 +64,14 @@
             outcome,
         } => info!(logger, "change decided"; "base" => base, "version" => version,
             "outcome" => format!("{outcome:?}")),
+        LogEvent::Acknowledged {
+            index,
+            version,
+            waited,
+            behind,
+            oldest,
+        } => info!(logger, "acknowledged"; "index" => index, "version" => version,
+            "waited_ms" => waited.as_millis() as u64, "behind" => behind, "oldest" => oldest),
         LogEvent::Evacuation {
             domain,
             order,
--- a/crates/reactor/src/event_loop/peers.rs
+++ b/crates/reactor/src/event_loop/peers.rs
@@ -183,6 +183,12 @@
         self.conns.iter().map(|(_, conn)| conn.peer_output()).sum()
     }
 
+    /// Largest number of bytes that are queued for one other VM.
+    pub fn longest_peer_output(&self) -> usize {
+        let lengths = self.conns.iter().map(|(_, conn)| conn.peer_output());
+        lengths.max().unwrap_or(0)
+    }
+
     /// Writes what was queued for other VMs.
     pub(super) fn flush_peers(&mut self, now: Duration) {
         for (key, id) in std::mem::take(&mut self.unflushed) {
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -589,6 +589,8 @@
         server.event_loop.send_all(&conns, &message);
         let output = server.event_loop.peer_output();
         assert!(output <= LIMIT * 5 / 4 + MESSAGE, "{output} bytes");
+        let longest = server.event_loop.longest_peer_output();
+        assert!((output.div_ceil(6)..=output).contains(&longest));
         while received < sent {
             assert!(server.clock.now() < end, "{received} of {sent} messages");
             let next = server.clock.now() + ms(2);
