Acknowledge a change by the version on which entry VMs act, not by an index

What callers saw: 404 for routes whose change the operator had been told was in force; the operator who repeated an accepted change waited for nothing.

Cause: a change waited for the index of its command. An entry VM that takes contents in parts has the index as soon as it has the notice of the change, and acts on the old routing until the content is complete. A repeated change has an index that is never streamed, so it waited for its whole time limit unless other updates came.

A change, also a repeated one, now waits until each entry VM acts on its version or a newer one. Leaves and evacuations wait for the index as before; they do not depend on the routing.

--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -74,6 +74,17 @@
     leases: Option<Box<LeaseRequest>>,
 }
 
+impl PendingAck {
+    /// Whether a VM has it that acts on a view of the index with the version of the routing. A
+    /// change is no part of the index: its content may arrive later.
+    fn is_met_by(&self, index: u64, version: Version) -> bool {
+        match self.version {
+            Some(awaited) => version >= awaited,
+            None => index >= self.index,
+        }
+    }
+}
+
 /// An entry VM without a stream.
 struct LostEntry {
     held: Held,
@@ -225,19 +236,24 @@
         self.acknowledge_changes(now, out);
     }
 
-    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream
-    /// have, or whose wait has timed out.
+    /// Acknowledges changes on which all entry VMs with a live stream act, leaves and orders of
+    /// operators that they have, or whose wait has timed out.
     pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.acks.pending.is_empty() {
             return;
         }
         let streams = self.streams.values().map(Held::from);
-        let indexes = streams.chain(self.waiting_views()).map(|held| held.index);
-        let oldest_index = indexes.min().unwrap_or(u64::MAX);
+        let (mut index, mut version) = (u64::MAX, Version::MAX);
+        for held in streams.chain(self.waiting_views()) {
+            index = index.min(held.index);
+            version = version.min(self.version_of(held));
+        }
         let due: Vec<PendingAck> = self
             .acks
             .pending
-            .extract_if(.., |ack| ack.index <= oldest_index || now >= ack.deadline)
+            .extract_if(.., |ack| {
+                ack.is_met_by(index, version) || now >= ack.deadline
+            })
             .collect();
         for ack in due {
             out.push(Effect::Log(self.log_ack(&ack, now)));
@@ -252,10 +268,7 @@
     }
 
     fn log_ack(&self, ack: &PendingAck, now: Duration) -> LogEvent {
-        let is_behind = |held: &Held| match ack.version {
-            Some(version) => self.version_of(*held) < version,
-            None => held.index < ack.index,
-        };
+        let is_behind = |held: &Held| !ack.is_met_by(held.index, self.version_of(*held));
         LogEvent::Acknowledged {
             index: ack.index,
             version: ack.version,
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -5,10 +5,15 @@
 use camphordale_fleet::{
     Call,
     CallToken,
+    Change,
+    ConfigResource,
     Event,
     FleetVersions,
+    KeyDelivery,
     LogEvent,
     PeerMessage,
+    Reply,
+    Service,
     Version, //
 };
 
@@ -18,6 +23,24 @@
     ms, //
 };
 
+const DONE: Reply = Reply::Done { is_leader: true };
+
+/// A change to a routing with the service of the targets.
+fn routing(base: Version, version: Version) -> Change {
+    let spec = Service {
+        health_path: "/health".into(),
+        max_connections: 10,
+        keys: KeyDelivery::Unkeyed,
+        warm_up: ms(0),
+        cold: None,
+    };
+    let document = "s".into();
+    Change {
+        services: vec![("s".into(), ConfigResource { spec, document })],
+        ..change(base, version, version)
+    }
+}
+
 /// A cluster at version 2 of the routing. The leader was elected long ago.
 struct Fleet {
     cluster: TestCluster,
@@ -27,7 +50,7 @@
 impl Fleet {
     fn new(seed: u64) -> Fleet {
         let mut cluster = TestCluster::new(seed);
-        cluster.ask(Call::Change(Box::new(change(0, 2, 7))));
+        cluster.ask(Call::Change(Box::new(routing(0, 2))));
         cluster.run(ms(4000));
         cluster.acks.clear();
         let leader = cluster.leader().unwrap();
@@ -70,10 +93,29 @@
     }
 
     fn submit(&mut self, base: Version, version: Version) -> CallToken {
-        let change = Box::new(change(base, version, version));
+        let change = Box::new(routing(base, version));
         self.cluster.call(self.leader, Call::Change(change))
     }
 
+    fn reply(&self, token: CallToken) -> Option<&Reply> {
+        self.cluster.reply(token)
+    }
+
+    /// Runs until a call has its reply, and returns the milliseconds. The entry VM that follows sends
+    /// pings.
+    fn time_to_reply(&mut self, token: CallToken) -> u64 {
+        let mut took = 0;
+        while self.reply(token).is_none() {
+            self.run(5);
+            took += 5;
+            if took % 100 == 0 {
+                self.ping(9);
+            }
+            assert!(took < 10_000, "no reply");
+        }
+        took
+    }
+
     fn versions(&self) -> FleetVersions {
         let leader = &self.cluster.vms[&self.leader];
         leader.control.as_ref().unwrap().fleet_versions()
@@ -130,3 +172,27 @@
     };
     assert_eq!((version, behind, oldest), (Some(3), 1, 2));
 }
+
+/// Guards against a change that is acknowledged as soon as its notice has arrived: the rest of the
+/// view runs ahead of the routing.
+#[test]
+fn a_change_is_not_acknowledged_for_an_index_that_runs_ahead_of_the_routing() {
+    let mut fleet = Fleet::new(203);
+    fleet.follow(9, 2);
+    let token = fleet.submit(2, 3);
+    fleet.run(200);
+    fleet.ping(9);
+    assert_eq!(fleet.reply(token), None, "before the VM acts on it");
+    fleet.send(9, PeerMessage::RoutingInForce(3));
+    assert_eq!(fleet.reply(token), Some(&DONE));
+}
+
+/// Guards against a repeated change that waits for its own index, which is never streamed.
+#[test]
+fn a_repeated_change_that_all_vms_have_is_acknowledged_at_once() {
+    let mut fleet = Fleet::new(211);
+    fleet.follow(9, 2);
+    fleet.ping(9);
+    let token = fleet.submit(0, 2);
+    assert!(fleet.time_to_reply(token) < 100);
+}
