Wait for entry VMs that lost their streams before an acknowledgement

Cause: only VMs with a stream were asked. With none left, nobody was waited for. On the trace: `entry VMs` falls from 58 to 34 within 70 ms while the change is under way.

A VM that loses its stream, also one that waits for the whole view, now counts with what it had until it subscribes again, or until 3 s after its last message. A process that was killed looks the same: acknowledgements within these 3 s take their time limit (`apply_wait_ms`, 600 ms for leaves), later ones do not.

Failed before: `a_change_waits_for_a_vm_that_has_lost_its_stream`, `a_leave_waits_for_a_vm_that_has_lost_its_stream` ("left: Some(Done { is_leader: true }), right: None") and `a_vm_that_was_killed_delays_ acknowledgements_for_three_seconds_only` ("assertion failed: (500..700) .contains(..)": it was not waited for). All tests of the crate pass.

--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -236,15 +236,15 @@
         self.acknowledge_changes(now, out);
     }
 
-    /// Acknowledges changes on which all entry VMs with a live stream act, leaves and orders of
-    /// operators that they have, or whose wait has timed out.
+    /// Acknowledges changes on which all entry VMs act, leaves and orders of operators that they have,
+    /// and those whose wait has timed out. A VM that lost its stream a short time ago counts too, as
+    /// it serves on.
     pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.acks.pending.is_empty() {
             return;
         }
-        let streams = self.streams.values().map(Held::from);
         let (mut index, mut version) = (u64::MAX, Version::MAX);
-        for held in streams.chain(self.waiting_views()) {
+        for held in self.held_views() {
             index = index.min(held.index);
             version = version.min(self.version_of(held));
         }
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -19,6 +19,7 @@
 
 use crate::cluster::{
     TestCluster,
+    announce,
     change,
     ms, //
 };
@@ -97,6 +98,14 @@
         self.cluster.call(self.leader, Call::Change(change))
     }
 
+    fn leave(&mut self) -> CallToken {
+        let leave = Call::Leave {
+            id: "t1".into(),
+            incarnation: Some(100),
+        };
+        self.cluster.call(self.leader, leave)
+    }
+
     fn reply(&self, token: CallToken) -> Option<&Reply> {
         self.cluster.reply(token)
     }
@@ -196,3 +205,50 @@
     let token = fleet.submit(0, 2);
     assert!(fleet.time_to_reply(token) < 100);
 }
+
+/// Guards against a change that is acknowledged although VMs that serve on have lost their streams,
+/// as all of them may have in a large change.
+#[test]
+fn a_change_waits_for_a_vm_that_has_lost_its_stream() {
+    let mut fleet = Fleet::new(204);
+    fleet.follow(9, 2);
+    fleet.close(9);
+    let token = fleet.submit(2, 3);
+    fleet.run(200);
+    assert_eq!(fleet.reply(token), None, "while the VM acts on version 2");
+    fleet.follow(9, 2);
+    fleet.run(100);
+    assert_eq!(fleet.reply(token), None, "while the VM acts on version 2");
+    fleet.send(9, PeerMessage::RoutingInForce(3));
+    assert_eq!(fleet.reply(token), Some(&DONE));
+}
+
+/// Guards against a leave that is acknowledged while a VM without a stream still sends requests to
+/// the target.
+#[test]
+fn a_leave_waits_for_a_vm_that_has_lost_its_stream() {
+    let mut fleet = Fleet::new(205);
+    fleet.cluster.ask(announce(1, 100, false));
+    fleet.run(500);
+    fleet.follow(9, 2);
+    fleet.close(9);
+    let token = fleet.leave();
+    fleet.run(200);
+    assert_eq!(fleet.reply(token), None, "while the VM does not know");
+    fleet.follow(9, 2);
+    fleet.run(50);
+    assert_eq!(fleet.reply(token), Some(&DONE));
+}
+
+/// Guards against acknowledgements that are all late because a VM was killed and does not come back.
+#[test]
+fn a_vm_that_was_killed_delays_acknowledgements_for_three_seconds_only() {
+    let mut fleet = Fleet::new(206);
+    fleet.follow(9, 2);
+    fleet.close(9);
+    let token = fleet.submit(2, 3);
+    assert!((500..700).contains(&fleet.time_to_reply(token)));
+    fleet.run(3000);
+    let token = fleet.submit(3, 4);
+    assert!(fleet.time_to_reply(token) < 200);
+}
