Let a new leader wait for the entry VMs that it does not know yet

What callers saw: after a change of leader, changes and leaves were acknowledged that entry VMs on their way to the new leader did not have.

Cause: a leader knows entry VMs only by their subscriptions, and it is elected before any has subscribed. It took no VM for all VMs.

For 1.5 s after its election a leader now acknowledges nothing before the time limit (`apply_wait_ms`, 600 ms for leaves): entry VMs notice the end of the former leader within 900 ms, an attempt to subscribe takes up to 950 ms, and the election takes a part of that. An acknowledgement in this time is later than before by half a second at most.

Failed before: `a_new_leader_waits_for_the_subscriptions_of_the_entry_vms` ("left: Some(Done { is_leader: true }), right: None: before all had time to subscribe").

--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -23,6 +23,11 @@
 /// has. It covers two failed attempts to subscribe again.
 const LOST_TIMEOUT: Duration = Duration::from_millis(3000);
 
+/// Time after an election in which entry VMs of the former leader may not have subscribed yet, and are
+/// not known. They notice its end within 900 ms, and an attempt to subscribe takes up to 950 ms; an
+/// election takes a part of that.
+const SUBSCRIPTION_PERIOD: Duration = Duration::from_millis(1500);
+
 /// The part of the view on which an entry VM acts.
 #[derive(Clone, Copy)]
 pub(super) struct Held {
@@ -238,11 +243,15 @@
 
     /// Acknowledges changes on which all entry VMs act, leaves and orders of operators that they have,
     /// and those whose wait has timed out. A VM that lost its stream a short time ago counts too, as
-    /// it serves on.
+    /// it serves on. So do VMs of the former leader, which a new one does not know.
     pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let Some(leader) = &self.leader_state else {
+            return;
+        };
         if self.acks.pending.is_empty() {
             return;
         }
+        let knows_fleet = now >= leader.elected_at + SUBSCRIPTION_PERIOD;
         let (mut index, mut version) = (u64::MAX, Version::MAX);
         for held in self.held_views() {
             index = index.min(held.index);
@@ -252,7 +261,8 @@
             .acks
             .pending
             .extract_if(.., |ack| {
-                ack.is_met_by(index, version) || now >= ack.deadline
+                let is_earned = knows_fleet && ack.is_met_by(index, version);
+                is_earned || now >= ack.deadline
             })
             .collect();
         for ack in due {
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -252,3 +252,23 @@
     let token = fleet.submit(3, 4);
     assert!(fleet.time_to_reply(token) < 200);
 }
+
+/// Guards against a new leader that knows no entry VM yet and acknowledges at once.
+#[test]
+fn a_new_leader_waits_for_the_subscriptions_of_the_entry_vms() {
+    let mut fleet = Fleet::new(207);
+    fleet.cluster.stop(fleet.leader);
+    while fleet.cluster.leader().is_none() {
+        fleet.run(5);
+    }
+    fleet.leader = fleet.cluster.leader().unwrap();
+    let token = fleet.submit(2, 3);
+    fleet.run(300);
+    assert_eq!(fleet.cluster.entry.1.routing.as_ref().unwrap().version, 3);
+    assert_eq!(fleet.reply(token), None, "before all had time to subscribe");
+    fleet.run(400);
+    assert_eq!(fleet.reply(token), Some(&DONE));
+    fleet.run(1500);
+    let token = fleet.submit(3, 4);
+    assert!(fleet.time_to_reply(token) < 200);
+}
