Let the acknowledgement of a large change wait longer, by its routes

What callers saw: 404 and old services, more than 2 s after the operator had been told that a change of 1,000 routes was in force.

Cause: each acknowledgement waited for at most `apply_wait_ms` (500 ms), as long as for a change of one route. A change of 1,000 routes takes longer than that on a link of 2 Mbit/s that callers use too. The same change, sent again because no response had come, had a new limit of 500 ms from then on.

The limit is now 3 ms longer for each route that is changed or removed, which is what the operators of the platform allow; a change of no routes has the limit that it had. Every control VM keeps the deadlines of changes until they have passed, so a repeated change has that of the first one, also at the next leader. VMs that have the change end the wait sooner, as before.

Failed before: `a_change_waits_longer_the_more_routes_it_changes` ("100: 550 ms"), `a_repeated_change_waits_for_the_version_that_it_repeats` ("left: Some( Done { is_leader: true }), right: None: after 2 s").

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -468,6 +468,9 @@
             }
         }
         if outcome == Outcome::Done {
+            if let Command::Change(change) = &command {
+                self.acks.on_change(change, self.config.apply_timeout, now);
+            }
             self.on_command_applied(&command, out);
             let is_assignment = matches!(command, Command::Assign { .. });
             self.stream_update(index, command, encoded.clone(), out);
--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -1,7 +1,10 @@
 //! Acknowledgements of changes, leaves and orders of operators, which wait for the entry VMs.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
     time::Duration, //
 };
 
@@ -14,11 +17,17 @@
         SubscriptionKind, //
     },
 };
-use crate::routing::Version;
+use crate::routing::{
+    Change,
+    Version, //
+};
 
 /// Maximum time for which a target that leaves waits until the entry VMs know. It takes a reply
 /// within a second only.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time that the acknowledgement of a change may take longer for each route that it changes. Operators
+/// of the platform allow as much.
+const ROUTE_TIME: Duration = Duration::from_millis(3);
 /// Time since the last message of an entry VM without a stream for which it may still act on what it
 /// has. It covers two failed attempts to subscribe again.
 const LOST_TIMEOUT: Duration = Duration::from_millis(3000);
@@ -102,9 +111,31 @@
     pending: Vec<PendingAck>,
     /// By the ids of the processes.
     lost: BTreeMap<u64, LostEntry>,
+    /// Versions of the routing whose changes may still be on their way, and until when each of them
+    /// is waited for. Every control VM keeps them, as an operator may repeat a change at the next
+    /// leader.
+    changes: VecDeque<(Version, Duration)>,
 }
 
 impl Acks {
+    /// Records that a change of the routing was applied. An acknowledgement waits for it for `timeout`,
+    /// and longer for a change of many routes.
+    pub(super) fn on_change(&mut self, change: &Change, timeout: Duration, now: Duration) {
+        let routes = change.routes.len() + change.removed_routes.len();
+        let routes = u32::try_from(routes).unwrap_or(u32::MAX);
+        let deadline = now + timeout + ROUTE_TIME.saturating_mul(routes);
+        self.changes.retain(|(_, deadline)| now < *deadline);
+        self.changes.push_back((change.version, deadline));
+    }
+
+    /// Until when the entry VMs are waited for that do not act on a version, if its change may still
+    /// be on its way.
+    fn deadline(&self, version: Version) -> Option<Duration> {
+        let mut changes = self.changes.iter();
+        let change = changes.find(|change| change.0 == version);
+        change.map(|(_, deadline)| *deadline)
+    }
+
     /// Records that an entry VM has no stream any more.
     pub(super) fn on_lost(&mut self, entry_id: u64, held: Held, last_heard: Duration) {
         self.lost.insert(entry_id, LostEntry { held, last_heard });
@@ -205,16 +236,17 @@
         &mut self,
         token: CallToken,
         (index, version): (u64, Option<Version>),
-        deadline: Duration,
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
+        let deadline = now + self.config.apply_timeout;
+        let change = version.and_then(|version| self.acks.deadline(version));
         self.acks.pending.push(PendingAck {
             token,
             index,
             version,
             committed_at: now,
-            deadline,
+            deadline: change.map_or(deadline, |change| change.max(deadline)),
             leases: None,
         });
         self.acknowledge_changes(now, out);
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -69,7 +69,8 @@
     pub member_timeout: Duration,
     /// Time in which a member that was away catches up with the log.
     pub catch_up: Duration,
-    /// Maximum time for which an accepted change waits for confirmation by the entry VMs.
+    /// Maximum time for which an accepted change waits for confirmation by the entry VMs. A change of
+    /// many routes waits for 3 ms more for each of them.
     pub apply_timeout: Duration,
     /// Failure domains of the deployment, as far as the settings name them. Operators may order
     /// evacuations of these and of all domains that have members, entry VMs or targets.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -485,8 +485,7 @@
         };
         let reply = match outcome {
             Outcome::Done | Outcome::Repeated => {
-                let deadline = now + self.config.apply_timeout;
-                return self.acknowledge_order(token, (index, version), deadline, now, out);
+                return self.acknowledge_order(token, (index, version), now, out);
             }
             outcome => refusal(outcome),
         };
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -13,8 +13,11 @@
     LogEvent,
     PeerMessage,
     Reply,
+    RetryPolicy,
+    Route,
     Service,
-    Version, //
+    Version,
+    WeightedService, //
 };
 
 use crate::cluster::{
@@ -98,6 +101,35 @@
         self.cluster.call(self.leader, Call::Change(change))
     }
 
+    /// Submits version 3, which adds routes.
+    fn submit_routes(&mut self, count: usize) -> CallToken {
+        let routes = (0..count).map(|number| {
+            let spec = Route {
+                host: "a.example".into(),
+                path_prefix: format!("/{number}/").into(),
+                retry_policy: RetryPolicy::Idempotent,
+                large_bodies: false,
+                timeout: ms(800),
+                latency_objective: ms(400),
+                priority: 2,
+                max_attempts: 2,
+                split: vec![WeightedService {
+                    service: "s".into(),
+                    weight: 1.0,
+                }],
+            };
+            let document = number.to_string().into();
+            let name = format!("r-{number}").into();
+            (name, ConfigResource { spec, document })
+        });
+        let change = Change {
+            routes: routes.collect(),
+            ..routing(2, 3)
+        };
+        self.cluster
+            .call(self.leader, Call::Change(Box::new(change)))
+    }
+
     fn leave(&mut self) -> CallToken {
         let leave = Call::Leave {
             id: "t1".into(),
@@ -272,3 +304,45 @@
     let token = fleet.submit(3, 4);
     assert!(fleet.time_to_reply(token) < 200);
 }
+
+/// Guards against a large change that is acknowledged before a VM on a thin link can have it, and
+/// against one that waits without a bound.
+#[test]
+fn a_change_waits_longer_the_more_routes_it_changes() {
+    for (routes, limit) in [(0, 500), (100, 800), (1000, 3500)] {
+        let mut fleet = Fleet::new(208);
+        fleet.follow(9, 2);
+        let token = fleet.submit_routes(routes);
+        let took = fleet.time_to_reply(token);
+        assert!((limit..limit + 200).contains(&took), "{routes}: {took} ms");
+    }
+    let mut fleet = Fleet::new(208);
+    fleet.follow(9, 2);
+    let token = fleet.submit_routes(1000);
+    for _ in 0..30 {
+        fleet.run(100);
+        fleet.ping(9);
+    }
+    assert_eq!(fleet.reply(token), None, "after 3 s");
+    fleet.send(9, PeerMessage::RoutingInForce(3));
+    assert_eq!(fleet.reply(token), Some(&DONE));
+}
+
+/// Guards against a repeated change that is acknowledged while the first one still waits.
+#[test]
+fn a_repeated_change_waits_for_the_version_that_it_repeats() {
+    let mut fleet = Fleet::new(210);
+    fleet.follow(9, 2);
+    let first = fleet.submit_routes(1000);
+    fleet.run(1000);
+    let second = fleet.submit_routes(1000);
+    for _ in 0..10 {
+        fleet.run(100);
+        fleet.ping(9);
+    }
+    assert_eq!(fleet.reply(first), None, "after 2 s");
+    assert_eq!(fleet.reply(second), None, "a second after the repetition");
+    fleet.send(9, PeerMessage::RoutingInForce(3));
+    assert_eq!(fleet.reply(first), Some(&DONE));
+    assert_eq!(fleet.reply(second), Some(&DONE));
+}
