Acknowledge nothing because leadership is lost

What callers saw: an operator whose change waited at a leader that lost its role was told at once that it was in force, and a target that it might end, while no entry VM had the change or the leave.

Cause: `step_down` acknowledged everything that waited, because it was committed. Committed says that it is kept; an acknowledgement says that the entry VMs act on it, and the leader that lost its role has given up their streams in the same step.

These calls now get 503, as those do whose proposal was dropped.

Failed before: `what_no_vm_has_is_not_acknowledged_when_leadership_is_lost` ("Some(Done { is_leader: false })"); it also sends both calls to the next leader, which acknowledges them. All tests of the crate pass.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -585,12 +585,11 @@
         for delayed in leader.delayed_answers {
             out.push(delayed.unavailable("leadership was lost"));
         }
-        // These changes are committed, so they are acknowledged even after leadership is lost.
+        // These calls took effect, but nobody waits for the entry VMs here any more. They are repeated
+        // at the next leader.
         for token in self.acks.take_calls() {
-            out.push(Effect::Reply {
-                token,
-                reply: Reply::Done { is_leader: false },
-            });
+            let reply = Reply::Unavailable("leadership was lost");
+            out.push(Effect::Reply { token, reply });
         }
         let leader = self.leader_member().map(|member| member.peer);
         let awaiting = std::mem::take(&mut self.awaiting_view).into_iter();
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -346,3 +346,34 @@
     assert_eq!(fleet.reply(first), Some(&DONE));
     assert_eq!(fleet.reply(second), Some(&DONE));
 }
+
+/// Guards against a change and a leave that are acknowledged because leadership is lost, while no
+/// entry VM has them.
+#[test]
+fn what_no_vm_has_is_not_acknowledged_when_leadership_is_lost() {
+    let mut fleet = Fleet::new(209);
+    fleet.cluster.ask(announce(1, 100, false));
+    fleet.run(500);
+    fleet.follow(9, 2);
+    let calls = [fleet.submit(2, 3), fleet.leave()];
+    fleet.run(100);
+    assert_eq!(fleet.versions().newest, 3);
+    for token in calls {
+        assert_eq!(fleet.reply(token), None);
+    }
+    fleet.cluster.vms.get_mut(&fleet.leader).unwrap().disk_full = true;
+    fleet.submit(3, 4);
+    assert_ne!(fleet.cluster.leader(), Some(fleet.leader));
+    for token in calls {
+        let reply = fleet.reply(token);
+        assert!(matches!(reply, Some(Reply::Unavailable(_))), "{reply:?}");
+    }
+    // The next leader acknowledges the same orders.
+    fleet.run(4000);
+    fleet.leader = fleet.cluster.leader().unwrap();
+    let calls = [fleet.submit(2, 3), fleet.leave()];
+    fleet.run(200);
+    for token in calls {
+        assert_eq!(fleet.reply(token), Some(&DONE));
+    }
+}
