Acknowledge a repeated leave when the entry VMs know of it, not at once

What callers saw: requests at a target that had been told that it might end.

Cause: a target that gets no response within a second sends its leave, or the announcement that it drains, again. The leader recognised it, by the record of the target or by the sequence, and acknowledged it at once, while the first one still waited for entry VMs; an announcement with a known sequence even before the first one was committed. The same happened at a new leader, which has the record and knows no entry VM.

Every control VM now keeps the index since when a target accepts no requests, and a repeated leave waits for that index as the first one does. One that is not committed yet is proposed again.

Failed before: `a_repeated_leave_waits_for_the_entry_vms` and `a_repeated_announcement_of_a_draining_target_waits_for_the_entry_vms` (sequences 2 and 3; "left: Some(Done { is_leader: true }), right: None: before the VM knows", and "before it is committed"). All tests of the crate pass.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -468,8 +468,19 @@
             }
         }
         if outcome == Outcome::Done {
-            if let Command::Change(change) = &command {
-                self.acks.on_change(change, self.config.apply_timeout, now);
+            match &command {
+                Command::Change(change) => {
+                    self.acks.on_change(change, self.config.apply_timeout, now);
+                }
+                Command::Announce { id, target } => {
+                    self.acks.retain_current(&self.state.view);
+                    self.acks.on_target(id, target, index);
+                }
+                Command::Remove { .. } => self.acks.retain_current(&self.state.view),
+                Command::Member(_)
+                | Command::Forget(_)
+                | Command::Assign { .. }
+                | Command::Evacuate { .. } => {}
             }
             self.on_command_applied(&command, out);
             let is_assignment = matches!(command, Command::Assign { .. });
@@ -526,6 +537,7 @@
                 self.applied = snapshot.index;
                 self.recent_updates = RecentUpdates::new(snapshot.index, &self.state.view);
                 self.contents.clear();
+                self.acks.on_restored();
                 self.member_table.sync(&self.state.view);
             }
             Err(_) => out.push(Effect::Log(LogEvent::Codec("snapshot cannot be decoded"))),
--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -17,9 +17,17 @@
         SubscriptionKind, //
     },
 };
-use crate::routing::{
-    Change,
-    Version, //
+use crate::{
+    registry::{
+        Holder,
+        Target,
+        TargetId, //
+    },
+    routing::{
+        Change,
+        Version, //
+    },
+    state::View,
 };
 
 /// Maximum time for which a target that leaves waits until the entry VMs know. It takes a reply
@@ -115,6 +123,9 @@
     /// is waited for. Every control VM keeps them, as an operator may repeat a change at the next
     /// leader.
     changes: VecDeque<(Version, Duration)>,
+    /// Targets that accept no requests any more, and the index since when they do not. It is not known
+    /// of those that a snapshot brought.
+    stopped: BTreeMap<Holder, u64>,
 }
 
 impl Acks {
@@ -128,6 +139,28 @@
         self.changes.push_back((change.version, deadline));
     }
 
+    /// Records that the registry has a new record of a target.
+    pub(super) fn on_target(&mut self, id: &TargetId, target: &Target, index: u64) {
+        let incarnation = target.incarnation;
+        let id = id.clone();
+        let holder = Holder { id, incarnation };
+        if target.state.accepts_requests() {
+            self.stopped.remove(&holder);
+        } else {
+            self.stopped.entry(holder).or_insert(index);
+        }
+    }
+
+    /// Forgets what is known of targets, as a snapshot replaces the registry.
+    pub(super) fn on_restored(&mut self) {
+        self.stopped.clear();
+    }
+
+    /// Forgets targets that are not registered any more.
+    pub(super) fn retain_current(&mut self, view: &View) {
+        self.stopped.retain(|holder, _| view.is_current(holder));
+    }
+
     /// Until when the entry VMs are waited for that do not act on a version, if its change may still
     /// be on its way.
     fn deadline(&self, version: Version) -> Option<Duration> {
@@ -252,6 +285,21 @@
         self.acknowledge_changes(now, out);
     }
 
+    /// Acknowledges a call of a target that is registered as leaving.
+    pub(super) fn acknowledge_known_leave(
+        &mut self,
+        token: CallToken,
+        holder: &Holder,
+        leases: Option<LeaseRequest>,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let leases = leases.map(Box::new);
+        let index = self.acks.stopped.get(holder).copied();
+        let index = index.unwrap_or(self.recent_updates.first_index());
+        self.acknowledge_leave(token, index, leases, now, out);
+    }
+
     /// Acknowledges the leave of a target when the entry VMs know of it: from then on, none may
     /// send requests to it for long.
     pub(super) fn acknowledge_leave(
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -239,6 +239,12 @@
                     >= (announcement.incarnation, announcement.sequence)
             });
         let registry_full = known.is_none() && view.targets.len() >= MAX_TARGETS;
+        if outdated && announcement.draining {
+            let incarnation = announcement.incarnation;
+            let id = announcement.id.clone();
+            let holder = Holder { id, incarnation };
+            return self.acknowledge_leave_again(token, &holder, now, out);
+        }
         if outdated || registry_full {
             let reply = Reply::Done { is_leader: true };
             out.push(Effect::Reply { token, reply });
@@ -293,7 +299,10 @@
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
             let request = LeaseRequest::new(announcement);
-            return self.answer_announcement(token, &request, now, out);
+            return match announcement.draining {
+                true => self.acknowledge_known_leave(token, &holder, Some(request), now, out),
+                false => self.answer_announcement(token, &request, now, out),
+            };
         }
         // Only a reply to a draining target must wait until the state is durable, because it
         // promises that no more requests will be sent. A target whose registration is lost
@@ -310,6 +319,34 @@
         self.propose_target(&announcement.id, target, then, now, out);
     }
 
+    /// Acknowledges an announcement of a target that leaves, which was received before. Nothing is
+    /// promised if the target has changed its mind since then.
+    fn acknowledge_leave_again(
+        &mut self,
+        token: CallToken,
+        holder: &Holder,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let leader = self.leader_state.as_ref();
+        let proposed = leader.and_then(|leader| leader.proposed_targets.get(&holder.id));
+        let is_durable = proposed.is_none();
+        let newest = proposed.or_else(|| self.state.view.targets.get(&holder.id));
+        let leaving = newest.filter(|newest| {
+            newest.incarnation == holder.incarnation && !newest.state.accepts_requests()
+        });
+        match leaving.cloned() {
+            None => {
+                let reply = Reply::Done { is_leader: true };
+                out.push(Effect::Reply { token, reply });
+            }
+            Some(_) if is_durable => self.acknowledge_known_leave(token, holder, None, now, out),
+            Some(target) => {
+                self.propose_target(&holder.id, target, Pending::Announce(token), now, out);
+            }
+        }
+    }
+
     /// Proposes a new record of a target.
     pub(super) fn propose_target(
         &mut self,
@@ -344,21 +381,28 @@
             .as_ref()
             .and_then(|leader| leader.proposed_targets.get(id));
         let is_durable = proposed.is_none();
-        let target = proposed
-            .or(known)
-            .filter(|newest| {
-                incarnation.is_none_or(|incarnation| incarnation == newest.incarnation)
-            })
-            .filter(|newest| !is_durable || newest.state != TargetState::Left);
-        let Some(target) = target else {
-            if let (Some(leader), Some(incarnation)) = (&mut self.leader_state, incarnation) {
-                leader.departures.record(id, incarnation, now);
-            }
+        let is_meant = |newest: &&Target| {
+            incarnation.is_none_or(|incarnation| incarnation == newest.incarnation)
+        };
+        let target = proposed.or(known).filter(is_meant).cloned();
+        let has_left = |target: &Target| is_durable && target.state == TargetState::Left;
+        let has_left = target.as_ref().is_some_and(has_left);
+        if (has_left || target.is_none())
+            && let (Some(leader), Some(incarnation)) = (&mut self.leader_state, incarnation)
+        {
+            leader.departures.record(id, incarnation, now);
+        }
+        let Some(mut target) = target else {
             let reply = Reply::Done { is_leader: true };
             out.push(Effect::Reply { token, reply });
             return;
         };
-        let mut target = target.clone();
+        if has_left {
+            let incarnation = target.incarnation;
+            let id = id.clone();
+            let holder = Holder { id, incarnation };
+            return self.acknowledge_known_leave(token, &holder, None, now, out);
+        }
         target.state = TargetState::Left;
         self.propose_target(id, target, Pending::Announce(token), now, out);
     }
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The index after which all updates are kept.
+    pub(super) fn first_index(&self) -> u64 {
+        self.from
+    }
+
     /// Whether all updates after `index` are kept.
     pub(super) fn reaches(&self, index: u64) -> bool {
         index >= self.from
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -19,6 +19,7 @@
     Version,
     WeightedService, //
 };
+use rstest::rstest;
 
 use crate::cluster::{
     TestCluster,
@@ -377,3 +378,53 @@
         assert_eq!(fleet.reply(token), Some(&DONE));
     }
 }
+
+/// Guards against a leave that is acknowledged at once because it was sent before, while the entry
+/// VMs do not know of it.
+#[test]
+fn a_repeated_leave_waits_for_the_entry_vms() {
+    let mut fleet = Fleet::new(212);
+    fleet.cluster.ask(announce(1, 100, false));
+    fleet.run(500);
+    fleet.follow(9, 2);
+    let first = fleet.leave();
+    fleet.run(100);
+    let second = fleet.leave();
+    fleet.run(100);
+    assert_eq!(fleet.reply(first), None, "before the VM knows");
+    assert_eq!(fleet.reply(second), None, "before the VM knows");
+    fleet.ping(9);
+    assert_eq!(fleet.reply(first), Some(&DONE));
+    assert_eq!(fleet.reply(second), Some(&DONE));
+    let token = fleet.leave();
+    assert_eq!(fleet.reply(token), Some(&DONE), "all VMs know");
+}
+
+/// Guards against a draining target whose next announcement is acknowledged at once, while the entry
+/// VMs do not know that it drains.
+#[rstest]
+fn a_repeated_announcement_of_a_draining_target_waits_for_the_entry_vms(
+    #[values(2, 3)] sequence: u64,
+) {
+    let mut fleet = Fleet::new(213);
+    fleet.cluster.ask(announce(1, 100, false));
+    fleet.run(500);
+    fleet.follow(9, 2);
+    let first = fleet.cluster.call(fleet.leader, announce(2, 100, true));
+    let early = fleet
+        .cluster
+        .call(fleet.leader, announce(sequence, 100, true));
+    assert_eq!(fleet.reply(early), None, "before it is committed");
+    fleet.run(100);
+    let late = fleet
+        .cluster
+        .call(fleet.leader, announce(sequence, 100, true));
+    fleet.run(100);
+    for token in [first, early, late] {
+        assert_eq!(fleet.reply(token), None, "before the VM knows");
+    }
+    fleet.ping(9);
+    for token in [first, early, late] {
+        assert_eq!(fleet.reply(token), Some(&DONE));
+    }
+}
