--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -9,13 +9,17 @@
 };
 
 use super::{
-    CallToken, Control, Effect, LogEvent, Reply,
+    CallToken,
+    Control,
+    Effect,
+    LogEvent,
+    Reply,
     heartbeats::LeaseRequest,
     streams::{
         EntryStream,
         Subscription,
         SubscriptionKind, //
-    },
+    }, //
 };
 use crate::{
     registry::{
@@ -39,7 +43,6 @@
 /// Time since the last message of an entry VM without a stream for which it may still act on what it
 /// has. It covers two failed attempts to subscribe again.
 const LOST_TIMEOUT: Duration = Duration::from_millis(3000);
-
 /// Time after an election in which entry VMs of the former leader may not have subscribed yet, and are
 /// not known. They notice its end within 900 ms, and an attempt to subscribe takes up to 950 ms; an
 /// election takes a part of that.
