Log acknowledgements by a new leader that does not know all entry VMs

An acknowledgement at its time limit within 1.5 s of an election was counted as if all entry VMs had what it is about, since those that have not subscribed yet are not known as behind. It now counts as `acknowledged-while-behind`, and its line says `new_leader`. `a_new_leader_waits_for_the_subscriptions_of_the_ entry_vms` checks it; without the field it does not compile.

--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -334,7 +334,7 @@
         if self.acks.pending.is_empty() {
             return;
         }
-        let knows_fleet = now >= leader.elected_at + SUBSCRIPTION_PERIOD;
+        let is_new = now < leader.elected_at + SUBSCRIPTION_PERIOD;
         let (mut index, mut version) = (u64::MAX, Version::MAX);
         for held in self.held_views() {
             index = index.min(held.index);
@@ -344,12 +344,12 @@
             .acks
             .pending
             .extract_if(.., |ack| {
-                let is_earned = knows_fleet && ack.is_met_by(index, version);
+                let is_earned = !is_new && ack.is_met_by(index, version);
                 is_earned || now >= ack.deadline
             })
             .collect();
         for ack in due {
-            out.push(Effect::Log(self.log_ack(&ack, now)));
+            out.push(Effect::Log(self.log_ack(&ack, is_new, now)));
             match ack.leases {
                 Some(request) => self.answer_announcement(ack.token, &request, now, out),
                 None => out.push(Effect::Reply {
@@ -360,7 +360,7 @@
         }
     }
 
-    fn log_ack(&self, ack: &PendingAck, now: Duration) -> LogEvent {
+    fn log_ack(&self, ack: &PendingAck, is_new: bool, now: Duration) -> LogEvent {
         let is_behind = |held: &Held| !ack.is_met_by(held.index, self.version_of(*held));
         LogEvent::Acknowledged {
             index: ack.index,
@@ -368,6 +368,7 @@
             waited: now.saturating_sub(ack.committed_at),
             behind: self.held_views().filter(is_behind).count(),
             oldest: self.fleet_versions().oldest,
+            is_new,
         }
     }
 }
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -213,6 +213,8 @@
         behind: usize,
         /// Oldest version of the routing on which an entry VM acts.
         oldest: Version,
+        /// Whether the leader is new, and does not know all entry VMs yet.
+        is_new: bool,
     },
     /// The result of an order about an evacuation is known.
     Evacuation {
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -304,6 +304,9 @@
     fleet.run(1500);
     let token = fleet.submit(3, 4);
     assert!(fleet.time_to_reply(token) < 200);
+    let acks = fleet.cluster.acks.iter();
+    let is_new = acks.map(|ack| matches!(ack, LogEvent::Acknowledged { is_new: true, .. }));
+    assert!(is_new.eq([true, false]), "{:?}", fleet.cluster.acks);
 }
 
 /// Guards against a large change that is acknowledged before a VM on a thin link can have it, and
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -32,7 +32,11 @@
     let kind = match event {
         LogEvent::Role { .. } => "role",
         LogEvent::Change { .. } => "change",
-        LogEvent::Acknowledged { behind: 0, .. } => "acknowledged",
+        LogEvent::Acknowledged {
+            behind: 0,
+            is_new: false,
+            ..
+        } => "acknowledged",
         LogEvent::Acknowledged { .. } => "acknowledged-while-behind",
         LogEvent::Evacuation { .. } => "evacuation",
         LogEvent::Target { .. } => "target",
@@ -70,8 +74,10 @@
             waited,
             behind,
             oldest,
+            is_new,
         } => info!(logger, "acknowledged"; "index" => index, "version" => version,
-            "waited_ms" => waited.as_millis() as u64, "behind" => behind, "oldest" => oldest),
+            "waited_ms" => waited.as_millis() as u64, "behind" => behind, "oldest" => oldest,
+            "new_leader" => is_new),
         LogEvent::Evacuation {
             domain,
             order,
