--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -3,6 +3,7 @@
 //! Every control VM is a member of the Raft group. The leader serves operators and targets, streams
 //! the view to entry VMs and grants key leases; the other members redirect to it.
 
+mod acks;
 mod api;
 mod calls;
 mod contents;
@@ -34,6 +35,7 @@
     Snapshot, //
 };
 
+pub use self::acks::FleetVersions;
 pub use self::api::{
     Call,
     CallToken,
@@ -44,6 +46,7 @@
     Reply, //
 };
 use self::{
+    acks::Acks,
     calls::{
         Departures,
         LastAnnouncement,
@@ -142,7 +145,7 @@
     leader_state: Option<LeaderState>,
     role: (bool, u64, Option<MemberId>),
     pending: BTreeMap<u64, Pending>,
-    pending_acks: Vec<calls::PendingAck>,
+    acks: Acks,
     next_id: u64,
     streams: BTreeMap<u64, EntryStream>,
     waiting: Vec<WaitingSubscription>,
@@ -230,7 +233,7 @@
             leader_state: None,
             role: (false, 0, None),
             pending: BTreeMap::new(),
-            pending_acks: Vec::new(),
+            acks: Acks::default(),
             next_id: 0,
             streams: BTreeMap::new(),
             waiting: Vec::new(),
@@ -253,7 +256,7 @@
             Event::Peer(message) => self.on_peer_message(message, now, &mut out),
             Event::Stream { conn, message } => self.on_stream_message(conn, message, now, &mut out),
             Event::StreamProgress(conn) => self.record_progress(conn, now),
-            Event::StreamClosed(conn) => self.on_stream_closed(conn, &mut out),
+            Event::StreamClosed(conn) => self.on_stream_closed(conn, now, &mut out),
             Event::Call { token, call } => self.on_call(token, call, now, &mut out),
             Event::OrderAnswered { id, answer } => {
                 self.on_order_answered(id, &answer, now, &mut out)
@@ -334,6 +337,7 @@
             self.share_loads(now, out);
             self.share_latencies(now, out);
             self.close_silent_streams(now, out);
+            self.acks.expire(now);
             self.send_waiting_views(now, out);
             self.acknowledge_changes(now, out);
         }
@@ -465,6 +469,20 @@
             }
         }
         if outcome == Outcome::Done {
+            match &command {
+                Command::Change(change) => {
+                    self.acks.on_change(change, self.config.apply_timeout, now);
+                }
+                Command::Announce { id, target } => {
+                    self.acks.retain_current(&self.state.view);
+                    self.acks.on_target(id, target, index);
+                }
+                Command::Remove { .. } => self.acks.retain_current(&self.state.view),
+                Command::Member(_)
+                | Command::Forget(_)
+                | Command::Assign { .. }
+                | Command::Evacuate { .. } => {}
+            }
             self.on_command_applied(&command, out);
             let is_assignment = matches!(command, Command::Assign { .. });
             self.stream_update(index, command, encoded.clone(), out);
@@ -520,6 +538,7 @@
                 self.applied = snapshot.index;
                 self.recent_updates = RecentUpdates::new(snapshot.index, &self.state.view);
                 self.contents.clear();
+                self.acks.on_restored();
                 self.member_table.sync(&self.state.view);
             }
             Err(_) => out.push(Effect::Log(LogEvent::Codec("snapshot cannot be decoded"))),
@@ -579,12 +598,11 @@
         for delayed in leader.delayed_answers {
             out.push(delayed.unavailable("leadership was lost"));
         }
-        // These changes are committed, so they are acknowledged even after leadership is lost.
-        for ack in self.pending_acks.drain(..) {
-            out.push(Effect::Reply {
-                token: ack.token,
-                reply: Reply::Done { is_leader: false },
-            });
+        // These calls took effect, but nobody waits for the entry VMs here any more. They are repeated
+        // at the next leader.
+        for token in self.acks.take_calls() {
+            let reply = Reply::Unavailable("leadership was lost");
+            out.push(Effect::Reply { token, reply });
         }
         let leader = self.leader_member().map(|member| member.peer);
         let awaiting = std::mem::take(&mut self.awaiting_view).into_iter();
--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -69,7 +69,8 @@
     pub member_timeout: Duration,
     /// Time in which a member that was away catches up with the log.
     pub catch_up: Duration,
-    /// Maximum time for which an accepted change waits for confirmation by the entry VMs.
+    /// Maximum time for which an accepted change waits for confirmation by the entry VMs. A change of
+    /// many routes waits for 3 ms more for each of them.
     pub apply_timeout: Duration,
     /// Failure domains of the deployment, as far as the settings name them. Operators may order
     /// evacuations of these and of all domains that have members, entry VMs or targets.
@@ -202,6 +203,21 @@
         /// Its result.
         outcome: Outcome,
     },
+    /// A change, leave or order of an operator was acknowledged.
+    Acknowledged {
+        /// Index of its command.
+        index: u64,
+        /// Version of the routing after a change.
+        version: Option<Version>,
+        /// Time since it was committed.
+        waited: Duration,
+        /// Entry VMs that may still act without it.
+        behind: usize,
+        /// Oldest version of the routing on which an entry VM acts.
+        oldest: Version,
+        /// Whether the leader is new, and does not know all entry VMs yet.
+        is_new: bool,
+    },
     /// The result of an order about an evacuation is known.
     Evacuation {
         /// The domain.
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -31,7 +31,8 @@
         Change,
         Domain,
         KeyDelivery,
-        ServiceName, //
+        ServiceName,
+        Version, //
     },
     state::{
         Command,
@@ -41,16 +42,13 @@
 
 /// Maximum number of registered targets. It bounds what unauthenticated announcements can add.
 const MAX_TARGETS: usize = 8192;
-/// Maximum time for which a target that leaves waits until the entry VMs know. It takes a reply
-/// within a second only.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(600);
 /// A target that left is removed after the target silence divided by this.
 const LEFT_TIMEOUT_DIVISOR: u32 = 2;
 
 /// What to do with the result of a proposal or read.
 pub(super) enum Pending {
-    /// Reply to the operator that submitted a change.
-    Change(CallToken),
+    /// Reply to the operator that submitted a change, with its version.
+    Change(CallToken, Version),
     /// Reply to the operator that reads the routing.
     Read(CallToken),
     /// Reply to the target whose state changed.
@@ -65,16 +63,6 @@
     NoReply,
 }
 
-/// An accepted change, leave or order of an operator that is acknowledged once the entry VMs have
-/// it.
-pub(super) struct PendingAck {
-    pub(super) token: CallToken,
-    index: u64,
-    deadline: Duration,
-    /// The announcement of the target that leaves, if it gets leases in the reply.
-    leases: Option<Box<LeaseRequest>>,
-}
-
 /// Targets that left before any of their announcements was registered. These may still arrive.
 #[derive(Default)]
 pub(super) struct Departures {
@@ -221,7 +209,7 @@
             return;
         }
         let command = Command::Change(Box::new(change));
-        self.propose(&command, Pending::Change(token), now, out);
+        self.propose(&command, Pending::Change(token, version), now, out);
     }
 
     fn announce(
@@ -265,6 +253,12 @@
                     >= (announcement.incarnation, announcement.sequence)
             });
         let registry_full = known.is_none() && view.targets.len() >= MAX_TARGETS;
+        if outdated && announcement.draining {
+            let incarnation = announcement.incarnation;
+            let id = announcement.id.clone();
+            let holder = Holder { id, incarnation };
+            return self.acknowledge_leave_again(token, &holder, now, out);
+        }
         if outdated || registry_full {
             let reply = Reply::Done { is_leader: true };
             out.push(Effect::Reply { token, reply });
@@ -319,7 +313,10 @@
         let by_heartbeat = view.key_delivery(&target.service) == KeyDelivery::Heartbeat;
         if known == Some(&target) {
             let request = LeaseRequest::new(announcement);
-            return self.answer_announcement(token, &request, now, out);
+            return match announcement.draining {
+                true => self.acknowledge_known_leave(token, &holder, Some(request), now, out),
+                false => self.answer_announcement(token, &request, now, out),
+            };
         }
         // Only a reply to a draining target must wait until the state is durable, because it
         // promises that no more requests will be sent. A target whose registration is lost
@@ -336,6 +333,34 @@
         self.propose_target(&announcement.id, target, then, now, out);
     }
 
+    /// Acknowledges an announcement of a target that leaves, which was received before. Nothing is
+    /// promised if the target has changed its mind since then.
+    fn acknowledge_leave_again(
+        &mut self,
+        token: CallToken,
+        holder: &Holder,
+        now: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let leader = self.leader_state.as_ref();
+        let proposed = leader.and_then(|leader| leader.proposed_targets.get(&holder.id));
+        let is_durable = proposed.is_none();
+        let newest = proposed.or_else(|| self.state.view.targets.get(&holder.id));
+        let leaving = newest.filter(|newest| {
+            newest.incarnation == holder.incarnation && !newest.state.accepts_requests()
+        });
+        match leaving.cloned() {
+            None => {
+                let reply = Reply::Done { is_leader: true };
+                out.push(Effect::Reply { token, reply });
+            }
+            Some(_) if is_durable => self.acknowledge_known_leave(token, holder, None, now, out),
+            Some(target) => {
+                self.propose_target(&holder.id, target, Pending::Announce(token), now, out);
+            }
+        }
+    }
+
     /// Proposes a new record of a target.
     pub(super) fn propose_target(
         &mut self,
@@ -370,20 +395,27 @@
             .as_ref()
             .and_then(|leader| leader.proposed_targets.get(id));
         let is_durable = proposed.is_none();
-        let target = proposed
-            .or(known)
-            .filter(|newest| {
-                incarnation.is_none_or(|incarnation| incarnation == newest.incarnation)
-            })
-            .filter(|newest| !is_durable || newest.state != TargetState::Left);
-        let Some(target) = target else {
-            if let (Some(leader), Some(incarnation)) = (&mut self.leader_state, incarnation) {
-                leader.departures.record(id, incarnation, now);
-            }
+        let is_meant = |newest: &&Target| {
+            incarnation.is_none_or(|incarnation| incarnation == newest.incarnation)
+        };
+        let target = proposed.or(known).filter(is_meant).cloned();
+        let has_left = |target: &Target| is_durable && target.state == TargetState::Left;
+        let has_left = target.as_ref().is_some_and(has_left);
+        if (has_left || target.is_none())
+            && let (Some(leader), Some(incarnation)) = (&mut self.leader_state, incarnation)
+        {
+            leader.departures.record(id, incarnation, now);
+        }
+        let Some(mut target) = target else {
             let reply = Reply::Done { is_leader: true };
             return self.reply_from_state(token, reply, now, out);
         };
-        let mut target = target.clone();
+        if has_left {
+            let incarnation = target.incarnation;
+            let id = id.clone();
+            let holder = Holder { id, incarnation };
+            return self.acknowledge_known_leave(token, &holder, None, now, out);
+        }
         target.state = TargetState::Left;
         self.propose_target(id, target, Pending::Announce(token), now, out);
     }
@@ -453,7 +485,7 @@
     pub(super) fn on_proposal_dropped(&mut self, id: u64, out: &mut Vec<Effect>) {
         match self.pending.remove(&id) {
             Some(
-                Pending::Change(token)
+                Pending::Change(token, _)
                 | Pending::Read(token)
                 | Pending::Announce(token)
                 | Pending::Evacuate(token, _)
@@ -481,12 +513,12 @@
         now: Duration,
         out: &mut Vec<Effect>,
     ) {
-        let (token, index) = match pending {
-            Pending::Change(token) => (token, index),
+        let (token, index, version) = match pending {
+            Pending::Change(token, version) => (token, index, Some(version)),
             // A repeated order took effect at an earlier index, which the entry VMs may have.
             Pending::Evacuate(token, domain) => {
                 let changed_at = self.state.view.evacuations.changed_at(&domain);
-                (token, changed_at.unwrap_or(index))
+                (token, changed_at.unwrap_or(index), None)
             }
             Pending::Announce(token) => {
                 return self.acknowledge_leave(token, index, None, now, out);
@@ -510,65 +542,12 @@
         };
         let reply = match outcome {
             Outcome::Done | Outcome::Repeated => {
-                self.pending_acks.push(PendingAck {
-                    token,
-                    index,
-                    deadline: now + self.config.apply_timeout,
-                    leases: None,
-                });
-                self.acknowledge_changes(now, out);
-                return;
+                return self.acknowledge_order(token, (index, version), now, out);
             }
             outcome => refusal(outcome),
         };
         out.push(Effect::Reply { token, reply });
     }
-
-    /// Acknowledges the leave of a target when the entry VMs know of it: from then on, none may
-    /// send requests to it for long.
-    fn acknowledge_leave(
-        &mut self,
-        token: CallToken,
-        index: u64,
-        leases: Option<Box<LeaseRequest>>,
-        now: Duration,
-        out: &mut Vec<Effect>,
-    ) {
-        self.pending_acks.push(PendingAck {
-            token,
-            index,
-            deadline: now + LEAVE_TIMEOUT,
-            leases,
-        });
-        self.acknowledge_changes(now, out);
-    }
-
-    /// Acknowledges changes, leaves and orders of operators that all entry VMs with a live stream
-    /// have, or whose wait has timed out.
-    pub(super) fn acknowledge_changes(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        if self.pending_acks.is_empty() {
-            return;
-        }
-        // An entry VM that waits for the view may act on the one it has.
-        let awaiting = self.awaiting_view.iter().map(|other| other.index);
-        let awaiting = awaiting.filter(|index| *index > 0);
-        let awaiting = awaiting.chain(self.contents.puller_indexes());
-        let indexes = self.streams.values().map(|stream| stream.index);
-        let oldest_index = indexes.chain(awaiting).min().unwrap_or(u64::MAX);
-        let due: Vec<PendingAck> = self
-            .pending_acks
-            .extract_if(.., |ack| ack.index <= oldest_index || now >= ack.deadline)
-            .collect();
-        for ack in due {
-            match ack.leases {
-                Some(request) => self.answer_announcement(ack.token, &request, now, out),
-                None => out.push(Effect::Reply {
-                    token: ack.token,
-                    reply: Reply::Done { is_leader: true },
-                }),
-            }
-        }
-    }
 }
 
 /// The reply to an operator whose change or order was not accepted.
--- a/crates/reactor/src/control_process/log.rs
+++ b/crates/reactor/src/control_process/log.rs
@@ -32,6 +32,12 @@
     let kind = match event {
         LogEvent::Role { .. } => "role",
         LogEvent::Change { .. } => "change",
+        LogEvent::Acknowledged {
+            behind: 0,
+            is_new: false,
+            ..
+        } => "acknowledged",
+        LogEvent::Acknowledged { .. } => "acknowledged-while-behind",
         LogEvent::Evacuation { .. } => "evacuation",
         LogEvent::Target { .. } => "target",
         LogEvent::Suspected { .. } => "suspected",
@@ -62,6 +68,16 @@
             outcome,
         } => info!(logger, "change decided"; "base" => base, "version" => version,
             "outcome" => format!("{outcome:?}")),
+        LogEvent::Acknowledged {
+            index,
+            version,
+            waited,
+            behind,
+            oldest,
+            is_new,
+        } => info!(logger, "acknowledged"; "index" => index, "version" => version,
+            "waited_ms" => waited.as_millis() as u64, "behind" => behind, "oldest" => oldest,
+            "new_leader" => is_new),
         LogEvent::Evacuation {
             domain,
             order,
