--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -268,6 +268,10 @@
     accepted_bundle: Option<(SignedBundle, Bundle)>,
     /// Version of the bundle in force.
     in_force: u64,
+    /// Version of the newest bundle part of the directory that a domain leader has named.
+    named_bundle: u64,
+    /// Whether the router was told that the bundle in force is outdated.
+    outdated: bool,
     /// Whether the VM is shutting down and ignores lease grants.
     leaving: bool,
     /// Whether the VM has given up its lease.
@@ -309,6 +313,8 @@
             sealed_term: 0,
             accepted_bundle: None,
             in_force: 0,
+            named_bundle: 0,
+            outdated: false,
             leaving: false,
             left: false,
             domain_leader: None,
@@ -367,6 +373,7 @@
             EntryEvent::SenderReport(report) => self.send_sender_report(report, now, &mut out),
             EntryEvent::Leave { busy } => self.leave(busy, now, &mut out),
         }
+        self.report_outdated(&mut out);
         out
     }
 
@@ -418,6 +425,17 @@
         }
     }
 
+    /// Tells the router when a bundle becomes known that is newer than the one in force, and when
+    /// it is in force.
+    fn report_outdated(&mut self, out: &mut Vec<EntryEffect>) {
+        let fetched = self.directory.versions().bundle;
+        let outdated = self.accepted_bundle.is_some() || self.named_bundle > fetched;
+        if outdated != self.outdated {
+            self.outdated = outdated;
+            out.push(EntryEffect::Route(RouteEvent::BundleOutdated(outdated)));
+        }
+    }
+
     fn send_cast(&self, to: VmId, cast: Cast, out: &mut Vec<EntryEffect>) {
         if let Some(address) = self.directory.address(to) {
             out.push(EntryEffect::Cast { to, address, cast });
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -140,6 +140,7 @@
                     self.put_in_force(bundle_version, out);
                     self.lease_renewed(nonce, lease, min_view, control_age, now, out);
                 }
+                self.named_bundle = self.named_bundle.max(versions.bundle);
                 self.fetch_directory(from, &versions, now);
             }
             Datagram::NotLeader { term, leader } => {
--- a/crates/node/tests/leases.rs
+++ b/crates/node/tests/leases.rs
@@ -168,6 +168,33 @@
     assert_eq!(sim.vms[&slow].max_in_force, 2);
 }
 
+/// Guards against a VM that tells callers for good that a service does not exist, although renewals
+/// name a newer bundle that it cannot fetch, or the bundle that it fetched is not in force yet.
+#[test]
+fn the_router_is_told_of_a_newer_bundle() {
+    let mut sim = Sim::serving(2, one_domain(5, 3), 2);
+    let slow = 5;
+    for other in 1..=4 {
+        sim.link_cuts.insert((slow, other, CutKind::Calls));
+    }
+    let is_told = |sim: &Sim| sim.process(slow).lease_state.outdated;
+    assert!(!is_told(&sim));
+    let voter = sim.control_leader().unwrap();
+    let reply = sim.submit(voter, 3);
+    assert!(matches!(reply, ControlReply::Applied(_)), "{reply:?}");
+    let took = sim.wait_until("the newer bundle to be known", ms(1_000), is_told);
+    println!("told after {took} ms");
+    for _ in 0..100 {
+        sim.advance(ms(20));
+        assert!(is_told(&sim), "bundle 2 is not in force");
+    }
+    sim.link_cuts.clear();
+    sim.wait_until("bundle 2", RECOVERY, |sim| {
+        assert!(is_told(sim) != (sim.vms[&slow].max_in_force == 2));
+        !is_told(sim)
+    });
+}
+
 /// Guards against an isolated domain leader that grants leases while another leader can exist: the
 /// last grant must be within the minimum election timeout after the last contact.
 #[test]
--- a/crates/node/tests/sim/lease_state.rs
+++ b/crates/node/tests/sim/lease_state.rs
@@ -23,6 +23,8 @@
     senders: BTreeMap<TargetId, Option<VmId>>,
     /// Number of revocations of the lease.
     pub revocations: u64,
+    /// Whether the VM knows of a bundle that is newer than the one in force.
+    pub outdated: bool,
 }
 
 impl LeaseState {
@@ -32,6 +34,7 @@
                 *self = LeaseState {
                     term,
                     revocations: self.revocations,
+                    outdated: self.outdated,
                     ..LeaseState::default()
                 };
             }
@@ -57,6 +60,7 @@
                     self.senders.remove(&gone);
                 }
             }
+            Event::BundleOutdated(outdated) => self.outdated = outdated,
             _ => {}
         }
     }
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -16,6 +16,9 @@
 const MAX_START_MARGIN: Duration = Duration::from_millis(20);
 /// Header that carries the caller's idempotency key.
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Age of the domain's last renewal with the control group from which the bundle in force may have
+/// been replaced without the domain's knowledge. Domain leaders renew four times in this time.
+const MAX_RENEWAL_AGE: Duration = Duration::from_secs(1);
 
 impl Router {
     /// Admits the request of [`Event::Request`].
@@ -24,7 +27,7 @@
         if self.requests.contains_key(&request.id) {
             return;
         }
-        let id = request.id;
+        let (id, origin) = (request.id, request.origin);
         self.counters.requests += 1;
         match self.resolve(request) {
             Ok(request) => {
@@ -32,7 +35,7 @@
                 self.requests.insert(id, request);
                 self.route_request(id);
             }
-            Err(reason) => self.refuse_new(id, reason),
+            Err(reason) => self.refuse_new(id, self.confirmed(reason, origin)),
         }
     }
 
@@ -115,12 +118,15 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return false;
         };
+        let origin = request.origin;
         let Some(service) = self.services[request.service_index].service.clone() else {
-            self.refuse(id, NotRun::NoService);
+            let reason = self.confirmed(NotRun::NoService, origin);
+            self.refuse(id, reason);
             return false;
         };
         if service.is_keyed() != request.shard.is_some() {
-            self.refuse(id, NotRun::NoService);
+            let reason = self.confirmed(NotRun::NoService, origin);
+            self.refuse(id, reason);
             return false;
         }
         if !Arc::ptr_eq(&service, &request.service) {
@@ -131,6 +137,29 @@
         }
         true
     }
+
+    /// Returns the refusal of a caller's request: a reason that the caller takes as final only if
+    /// it cannot be due to an outdated bundle. Other VMs get `reason` and decide by their own bundle.
+    fn confirmed(&self, reason: NotRun, origin: Origin) -> NotRun {
+        match reason {
+            NotRun::NoService | NotRun::NoKey
+                if origin == Origin::Caller && !self.is_bundle_confirmed() =>
+            {
+                NotRun::UnconfirmedBundle
+            }
+            _ => reason,
+        }
+    }
+
+    /// Returns whether the bundle in force is the newest one, as far as the domain and the control
+    /// group have told this VM a short time ago.
+    fn is_bundle_confirmed(&self) -> bool {
+        let version = self.bundle.as_ref().map_or(0, |bundle| bundle.version);
+        !self.bundle_outdated
+            && self.group.bundle_version <= version
+            && self.has_lease()
+            && self.lease.control_age(self.now) <= MAX_RENEWAL_AGE
+    }
 }
 
 fn idempotency_of(service: &Service, request: &Request) -> Option<Box<str>> {
--- a/crates/route/src/forward.rs
+++ b/crates/route/src/forward.rs
@@ -186,6 +186,11 @@
             AttemptResult::Redirect { vm: None } => self.route_after_delay(id),
             AttemptResult::NotRun(NotRun::NoTarget) if self.try_other_domain(id, vm) => {}
             AttemptResult::NotRun(reason) => {
+                // The bundle of this VM has the service, so one of the two VMs has an older bundle.
+                let reason = match reason {
+                    NotRun::NoService | NotRun::NoKey => NotRun::UnconfirmedBundle,
+                    reason => reason,
+                };
                 if !is_transient(reason) || !self.may_retry(id) {
                     return self.refuse(id, reason);
                 }
@@ -246,5 +251,6 @@
             | NotRun::NoBundle
             | NotRun::NoLease
             | NotRun::NoOwner
+            | NotRun::UnconfirmedBundle
     )
 }
--- a/crates/route/src/lease.rs
+++ b/crates/route/src/lease.rs
@@ -41,6 +41,11 @@
         self.expiry
     }
 
+    /// Returns the time since the domain last renewed its lease with the control group.
+    pub(crate) fn control_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.control_renewed)
+    }
+
     /// Returns whether the domain may still serve shards of `service`.
     pub(crate) fn domain_serves(&self, service: &Service, now: Duration) -> bool {
         service
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -69,6 +69,8 @@
     /// Time of the last event, since the process started.
     pub(crate) now: Duration,
     pub(crate) bundle: Option<Bundle>,
+    /// Whether a newer bundle is known that is not in force here.
+    pub(crate) bundle_outdated: bool,
     pub(crate) draining: bool,
     pub(crate) service_indices: HashMap<ServiceName, usize>,
     pub(crate) services: Vec<ServiceState>,
@@ -112,6 +114,7 @@
             config,
             now: Duration::ZERO,
             bundle: None,
+            bundle_outdated: false,
             draining: false,
             service_indices: HashMap::new(),
             services: Vec::new(),
@@ -181,6 +184,7 @@
             Event::LeaseLost => self.lease.revoke(),
             Event::View(view) => self.apply_view(view),
             Event::Bundle(bundle) => self.apply_bundle(bundle),
+            Event::BundleOutdated(outdated) => self.bundle_outdated = outdated,
             Event::Directory { homes, vms } => self.apply_directory(homes, &vms),
             Event::Evacuated { domains } => self.apply_evacuations(domains),
             Event::TargetLoad { target, load } => {
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -119,6 +119,8 @@
     View(View),
     /// A bundle came into force.
     Bundle(Bundle),
+    /// Whether this VM knows of a bundle that is newer than the one in force.
+    BundleOutdated(bool),
     /// The directory changed: home domains of shards, or VMs.
     Directory {
         /// Home domains of the shards of every keyed service.
--- a/crates/route/tests/forward.rs
+++ b/crates/route/tests/forward.rs
@@ -166,3 +166,37 @@
     let retries = router.counters().retries;
     assert!((100..=120).contains(&retries), "{retries} retries");
 }
+
+/// Guards against a caller that is told for good that a service does not exist, or that a key is
+/// missing, because the VM that the request was forwarded to has another bundle.
+#[rstest]
+fn other_bundle_of_the_next_vm_is_not_final(
+    #[values(NotRun::NoService, NotRun::NoKey)] reason: NotRun,
+) {
+    let mut router = router();
+    let effects = arrive(&mut router, keyed(1, "POST", 2), 0);
+    assert_eq!(forwards(&effects), [(1, 2, 1)]);
+    let mut refused = Vec::new();
+    for now in [5, 305, 605, 905, 1_205] {
+        refused.extend(done(&mut router, 1, AttemptResult::NotRun(reason), now));
+        refused.extend(tick(&mut router, now + 100));
+    }
+    refused.retain(|effect| matches!(effect, Effect::Refuse { .. }));
+    let [Effect::Refuse { refusal, .. }] = &refused[..] else {
+        panic!("{refused:?}");
+    };
+    let final_reasons = [NotRun::NoService, NotRun::NoKey].map(Refusal::NotRun);
+    assert!(!final_reasons.contains(refusal), "{refusal:?}");
+    assert!(matches!(refusal, Refusal::NotRun(_)), "{refusal:?}");
+}
+
+/// Guards against VMs of an earlier release that cannot decode the refusal of a forwarded request.
+#[test]
+fn forwarding_vm_gets_the_reason_as_before() {
+    let mut router = router();
+    router.step(Event::BundleOutdated(true), ms(0));
+    let mut request = request(1, "GET", "/other");
+    request.origin = Origin::Vm { vm: 4, hops: 1 };
+    let effects = arrive(&mut router, request, 0);
+    assert_eq!(effects, [not_run(1, NotRun::NoService)]);
+}
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -48,6 +48,7 @@
             NotRun::Shed => "shed",
             NotRun::Record => "record",
             NotRun::ShuttingDown => "shutting-down",
+            NotRun::UnconfirmedBundle => "unconfirmed-bundle",
         }
     }
 }
@@ -110,6 +111,10 @@
     /// The VM is shutting down.
     #[error("the VM is shutting down")]
     ShuttingDown,
+    /// The bundle in force on this VM has no such service or asks for a key, but a newer bundle may
+    /// not.
+    #[error("the VM may not have the newest bundle")]
+    UnconfirmedBundle,
 }
 
 /// Why the outcome of a request is unknown.
