--- a/crates/net/src/cast_queue.rs
+++ b/crates/net/src/cast_queue.rs
@@ -24,7 +24,10 @@
 
 use crate::{
     client::Shared,
-    connection::Connection,
+    connection::{
+        Connection,
+        Limit, //
+    },
     error::ConnectionError, //
 };
 
@@ -305,12 +308,11 @@
         for message in batch {
             self.connection.queue(FrameKind::Cast, message)?;
         }
-        let now = Instant::now();
         self.connection
-            .flush(now + shared.config.write_timeout)
+            .flush(Limit::Silence(shared.config.write_timeout))
             .map_err(|error| error.kind)?;
         self.sent += batch.len() as u64;
-        self.unacked_since.get_or_insert(now);
+        self.unacked_since.get_or_insert_with(Instant::now);
         shared.traffic.messages_out.add(batch.len());
         Ok(())
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -18,7 +18,10 @@
 use crate::{
     cast_queue::CastQueues,
     config::PeerClientConfig,
-    connection::Connection,
+    connection::{
+        Connection,
+        Limit, //
+    },
     counters::{
         ClientStats,
         Counter,
@@ -86,6 +89,59 @@
         timeout: Duration,
     ) -> Result<Vec<u8>, CallError> {
         let deadline = Instant::now() + timeout;
+        self.exchange(
+            to,
+            expected_vm,
+            request,
+            deadline,
+            Limit::Deadline(deadline),
+        )
+    }
+
+    /// Sends a short request whose reply may be long, and waits for the reply for as long as bytes
+    /// of it arrive: it fails after `silence` without one. See [`PeerClient::call`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use camphordale_net::{PeerClient, PeerClientConfig};
+    /// use camphordale_wire::{ClusterKey, Keyring};
+    ///
+    /// let keyring = Keyring::new(vec![ClusterKey { id: 1, secret: [7; 32] }], 1)?;
+    /// let client = PeerClient::new(PeerClientConfig::new(2, keyring));
+    /// // Nothing listens on the discard port.
+    /// let address = "127.0.0.1:9".parse()?;
+    /// let error = client.transfer(address, Some(1), b"all parts", Duration::from_secs(1));
+    /// assert!(error.is_err_and(|error| !error.maybe_delivered));
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] if no reply arrives. It tells whether the peer may have received the request.
+    pub fn transfer(
+        &self,
+        to: SocketAddr,
+        expected_vm: Option<u32>,
+        request: &[u8],
+        silence: Duration,
+    ) -> Result<Vec<u8>, CallError> {
+        let deadline = Instant::now() + silence;
+        self.exchange(to, expected_vm, request, deadline, Limit::Silence(silence))
+    }
+
+    /// Sends a request on a connection that is opened by `deadline`, and waits for the reply within
+    /// `limit`.
+    fn exchange(
+        &self,
+        to: SocketAddr,
+        expected_vm: Option<u32>,
+        request: &[u8],
+        deadline: Instant,
+        limit: Limit,
+    ) -> Result<Vec<u8>, CallError> {
         let failed = |operation, maybe_delivered, kind: CallErrorKind| {
             if let CallErrorKind::Connection(error) = &kind {
                 self.shared.traffic.refused.add(error.reason());
@@ -120,11 +176,11 @@
             return Err(failed(Operation::Handshake, false, kind));
         }
         connection
-            .write(FrameKind::Call, request, deadline)
+            .write(FrameKind::Call, request, limit)
             .map_err(|error| failed(Operation::Write, error.maybe_written, error.kind.into()))?;
         self.shared.traffic.messages_out.add(1);
         let frame = connection
-            .read(deadline)
+            .read(limit)
             .map_err(|error| failed(Operation::Read, true, error.into()))?;
         if frame.kind != FrameKind::Reply {
             return Err(failed(
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -25,13 +25,13 @@
     pub handshake_timeout: Duration,
     /// Maximum payload of a frame in bytes.
     pub max_payload: usize,
-    /// Time without a complete message after which a connection is closed. It exceeds the idle
+    /// Time without a byte from the client after which a connection is closed. It exceeds the idle
     /// timeout of clients (5 s), so that servers rarely close a connection that a client is about
     /// to use.
     pub idle_timeout: Duration,
-    /// Timeout for writing one frame.
+    /// Time without progress after which the writing of a frame is given up.
     pub write_timeout: Duration,
-    /// Maximum delay from the arrival of a cast to its acknowledgement.
+    /// Maximum delay from the arrival of a cast, or of a part of one, to an acknowledgement.
     pub ack_interval: Duration,
     /// Stack size of the thread of a connection, which runs the handler, in bytes.
     pub stack_size: usize,
@@ -94,7 +94,7 @@
     /// Time without an acknowledgement, while casts are outstanding, after which a connection is
     /// replaced.
     pub ack_timeout: Duration,
-    /// Timeout for writing one batch of casts.
+    /// Time without progress after which the writing of a batch of casts is given up.
     pub write_timeout: Duration,
     /// Delay after the first failed connection attempt of a writer. It doubles with each further
     /// failure.
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -65,6 +65,25 @@
     traffic: Arc<Traffic>,
 }
 
+/// Time limit of a read or write.
+#[derive(Clone, Copy)]
+pub(crate) enum Limit {
+    /// All bytes have to pass by this time.
+    Deadline(Instant),
+    /// Maximum time in which no byte passes.
+    Silence(Duration),
+}
+
+impl Limit {
+    /// Returns the deadline of the next byte.
+    fn next_byte(self) -> Instant {
+        match self {
+            Limit::Deadline(deadline) => deadline,
+            Limit::Silence(silence) => Instant::now() + silence,
+        }
+    }
+}
+
 /// A failed write, and whether any byte was written before the failure.
 pub(crate) struct WriteError {
     pub(crate) maybe_written: bool,
@@ -95,7 +114,7 @@
         )
         .map_err(at)?;
         connection
-            .write(FrameKind::Ready, b"", deadline)
+            .write(FrameKind::Ready, b"", Limit::Deadline(deadline))
             .map_err(|error| at(error.kind))?;
         connection.await_ready(deadline).map_err(at)?;
         connection.decoder.set_limit(max_payload);
@@ -121,7 +140,13 @@
             deadline,
             traffic,
         )?;
-        write_all(&connection.stream, &own_hello, deadline, traffic).map_err(|error| error.kind)?;
+        write_all(
+            &connection.stream,
+            &own_hello,
+            Limit::Deadline(deadline),
+            traffic,
+        )
+        .map_err(|error| error.kind)?;
         connection.await_ready(deadline)?;
         connection.decoder.set_limit(max_payload);
         Ok(connection)
@@ -129,7 +154,7 @@
 
     /// Tells the client that its connection is accepted.
     pub(crate) fn confirm(&mut self, deadline: Instant) -> Result<(), ConnectionError> {
-        self.write(FrameKind::Ready, b"", deadline)
+        self.write(FrameKind::Ready, b"", Limit::Deadline(deadline))
             .map_err(|error| error.kind)
     }
 
@@ -148,7 +173,8 @@
         let handshake = Handshake::new(role, vm, keyring, rand::random::<[u8; NONCE_LEN]>());
         let own_hello = handshake.hello();
         if role == Role::Client {
-            write_all(&stream, &own_hello, deadline, traffic).map_err(|error| error.kind)?;
+            write_all(&stream, &own_hello, Limit::Deadline(deadline), traffic)
+                .map_err(|error| error.kind)?;
         }
         let mut peer_hello = [0; HELLO_LEN];
         let mut filled = 0;
@@ -173,7 +199,7 @@
     }
 
     fn await_ready(&mut self, deadline: Instant) -> Result<(), ConnectionError> {
-        match self.read(deadline)?.kind {
+        match self.read(Limit::Deadline(deadline))?.kind {
             FrameKind::Ready => Ok(()),
             _ => Err(ConnectionError::Unexpected),
         }
@@ -184,13 +210,13 @@
         &mut self,
         kind: FrameKind,
         payload: &[u8],
-        deadline: Instant,
+        limit: Limit,
     ) -> Result<(), WriteError> {
         self.queue(kind, payload).map_err(|kind| WriteError {
             maybe_written: false,
             kind,
         })?;
-        self.flush(deadline)
+        self.flush(limit)
     }
 
     /// Encodes a frame for the next [`Connection::flush`]. A frame that exceeds the limit is
@@ -200,8 +226,8 @@
     }
 
     /// Writes the queued frames.
-    pub(crate) fn flush(&mut self, deadline: Instant) -> Result<(), WriteError> {
-        let result = write_all(&self.stream, &self.output, deadline, &self.traffic);
+    pub(crate) fn flush(&mut self, limit: Limit) -> Result<(), WriteError> {
+        let result = write_all(&self.stream, &self.output, limit, &self.traffic);
         self.output.clear();
         self.output.shrink_to(RETAINED_CAPACITY);
         result
@@ -209,16 +235,28 @@
 
     /// Reads one frame. After [`ConnectionError::Timeout`] the call can be repeated; no data is
     /// lost.
-    pub(crate) fn read(&mut self, deadline: Instant) -> Result<Frame, ConnectionError> {
+    pub(crate) fn read(&mut self, limit: Limit) -> Result<Frame, ConnectionError> {
         loop {
-            if let Some(frame) = self.decoder.next_frame()? {
+            if let Some(frame) = self.read_part(limit.next_byte())? {
                 return Ok(frame);
             }
-            let read = read_some(&self.stream, &mut self.read_buffer, deadline, &self.traffic)?;
-            self.decoder.push(&self.read_buffer[..read]);
         }
     }
 
+    /// Returns the next frame if it has arrived; otherwise waits for bytes, and returns the frame
+    /// if they complete it. After [`ConnectionError::Timeout`] the call can be repeated.
+    pub(crate) fn read_part(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<Frame>, ConnectionError> {
+        if let Some(frame) = self.decoder.next_frame()? {
+            return Ok(Some(frame));
+        }
+        let read = read_some(&self.stream, &mut self.read_buffer, deadline, &self.traffic)?;
+        self.decoder.push(&self.read_buffer[..read]);
+        Ok(self.decoder.next_frame()?)
+    }
+
     /// Returns one frame if all of it has arrived, without blocking.
     pub(crate) fn try_read(&mut self) -> Result<Option<Frame>, ConnectionError> {
         if let Some(frame) = self.decoder.next_frame()? {
@@ -244,6 +282,11 @@
         self.decoder.pending() > 0
     }
 
+    /// Returns the kind of the frame of which a part has arrived.
+    pub(crate) fn pending_kind(&self) -> Option<FrameKind> {
+        self.decoder.pending_kind()
+    }
+
     /// Whether an idle connection is still open and has no unexpected data to read.
     pub(crate) fn is_open(&self) -> bool {
         if self.decoder.pending() > 0 || self.stream.set_nonblocking(true).is_err() {
@@ -310,11 +353,12 @@
 fn write_all(
     mut stream: &TcpStream,
     bytes: &[u8],
-    deadline: Instant,
+    limit: Limit,
     traffic: &Traffic,
 ) -> Result<(), WriteError> {
     let mut written = 0;
     let mut write = || -> Result<(), ConnectionError> {
+        let mut deadline = limit.next_byte();
         while written < bytes.len() {
             stream.set_write_timeout(Some(remaining_timeout(deadline)?))?;
             match stream.write(&bytes[written..]) {
@@ -322,6 +366,7 @@
                 Ok(count) => {
                     traffic.bytes_out.add(count);
                     written += count;
+                    deadline = limit.next_byte();
                 }
                 Err(error) if would_block(&error) || error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -36,7 +36,10 @@
 
 use crate::{
     config::PeerServerConfig,
-    connection::Connection,
+    connection::{
+        Connection,
+        Limit, //
+    },
     connections::{
         ConnectionSlot,
         Connections, //
@@ -286,26 +289,30 @@
 
     fn serve_frames(&self, connection: &mut Connection) -> Result<(), ConnectionError> {
         let limits = &self.config.limits;
+        let write_limit = Limit::Silence(limits.write_timeout);
         let mut casts = 0_u64;
-        let mut acked = 0;
-        let mut ack_deadline = Instant::now();
+        // Time of the next acknowledgement, if casts have arrived since the last one. A part of a
+        // cast counts, so that the client does not give up a long one while it arrives.
+        let mut ack_due = None;
         let mut idle_deadline = Instant::now() + limits.idle_timeout;
         loop {
-            if casts > acked && Instant::now() >= ack_deadline {
-                let deadline = Instant::now() + limits.write_timeout;
+            if ack_due.is_some_and(|due| Instant::now() >= due) {
                 connection
-                    .write(FrameKind::Ack, &casts.to_be_bytes(), deadline)
+                    .write(FrameKind::Ack, &casts.to_be_bytes(), write_limit)
                     .map_err(|error| error.kind)?;
-                acked = casts;
+                ack_due = None;
             }
-            let ack_pending = casts > acked && ack_deadline < idle_deadline;
-            let frame = match connection.read(if ack_pending {
-                ack_deadline
-            } else {
-                idle_deadline
-            }) {
-                Ok(frame) => frame,
-                Err(ConnectionError::Timeout) if ack_pending => continue,
+            let ack_pending = ack_due.filter(|due| *due < idle_deadline);
+            let frame = match connection.read_part(ack_pending.unwrap_or(idle_deadline)) {
+                Ok(Some(frame)) => frame,
+                Ok(None) => {
+                    if connection.pending_kind() == Some(FrameKind::Cast) {
+                        ack_due.get_or_insert_with(|| Instant::now() + limits.ack_interval);
+                    }
+                    idle_deadline = Instant::now() + limits.idle_timeout;
+                    continue;
+                }
+                Err(ConnectionError::Timeout) if ack_pending.is_some() => continue,
                 // Closing an idle connection is not counted as a refusal.
                 Err(ConnectionError::Timeout) if !connection.is_inside_frame() => return Ok(()),
                 Err(error) => return Err(error),
@@ -319,16 +326,13 @@
                         self.panics.add(1);
                         return Ok(());
                     };
-                    let deadline = Instant::now() + limits.write_timeout;
                     connection
-                        .write(FrameKind::Reply, &reply, deadline)
+                        .write(FrameKind::Reply, &reply, write_limit)
                         .map_err(|error| error.kind)?;
                     self.traffic.messages_out.add(1);
                 }
                 FrameKind::Cast => {
-                    if casts == acked {
-                        ack_deadline = Instant::now() + limits.ack_interval;
-                    }
+                    ack_due.get_or_insert_with(|| Instant::now() + limits.ack_interval);
                     casts += 1;
                     let cast = || self.handler.cast(from, frame.payload);
                     if catch_unwind(AssertUnwindSafe(cast)).is_err() {
--- a/crates/net/tests/calls.rs
+++ b/crates/net/tests/calls.rs
@@ -40,6 +40,7 @@
     Role, //
 };
 use common::{
+    LONG_REPLY,
     Proxy,
     SERVER_VM,
     TEST_TIMEOUT,
@@ -362,3 +363,37 @@
     client.cast(address, b"a".to_vec());
     assert_eq!(listener.accept().unwrap().1.ip(), source);
 }
+
+#[test]
+fn long_reply_arrives_on_a_slow_link() {
+    // Guards against a reply that takes longer to arrive than any time limit, and is given up and
+    // asked for again from its first byte for ever.
+    let (handler, _control) = recording_handler();
+    let limits = ServerLimits {
+        idle_timeout: Duration::from_millis(400),
+        write_timeout: Duration::from_millis(400),
+        ..ServerLimits::default()
+    };
+    let server = server(handler.clone(), keyring(&[1], 1), limits);
+    let proxy = Proxy::start(server.local_addr());
+    proxy.set_rate(250_000);
+    // The reply takes 2 s on the link.
+    let limit = Duration::from_millis(400);
+    let reply = client(|_| {}).transfer(proxy.address, Some(SERVER_VM), b"long", limit);
+    assert_eq!(reply.map(|reply| reply.len()).ok(), Some(LONG_REPLY));
+    assert_eq!(handler.calls.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn silent_transfer_is_given_up() {
+    // Guards against a transfer that waits for good once the link stops inside the reply.
+    let (handler, control) = recording_handler();
+    let server = server(handler, keyring(&[1], 1), ServerLimits::default());
+    let started = Instant::now();
+    let error = client(|_| {})
+        .transfer(server.local_addr(), Some(SERVER_VM), b"wait", SHORT)
+        .unwrap_err();
+    assert!(error.maybe_delivered);
+    assert!(started.elapsed() < TEST_TIMEOUT / 2);
+    control.gate.send(()).unwrap();
+}
--- a/crates/net/tests/casts.rs
+++ b/crates/net/tests/casts.rs
@@ -7,6 +7,7 @@
 use std::{
     net::UdpSocket,
     sync::atomic::Ordering,
+    thread,
     time::{
         Duration,
         Instant, //
@@ -131,6 +132,52 @@
     assert_eq!(client.stats().connects, 1);
 }
 
+#[test]
+fn long_cast_arrives_on_a_slow_link() {
+    // Guards against a cast that takes longer to arrive than any time limit, and is given up and
+    // sent again from its first byte for ever.
+    let (handler, control) = recording_handler();
+    let limits = ServerLimits {
+        idle_timeout: Duration::from_millis(400),
+        ..ServerLimits::default()
+    };
+    let server = server(handler, keyring(&[1], 1), limits);
+    let proxy = Proxy::start(server.local_addr());
+    proxy.set_rate(250_000);
+    let client = client(|config| {
+        config.ack_timeout = Duration::from_millis(400);
+        config.write_timeout = Duration::from_millis(400);
+    });
+    // 2 s on the link.
+    let message = vec![7; 500_000];
+    client.cast(proxy.address, message.clone());
+    let received = control.messages.recv_timeout(Duration::from_secs(10));
+    assert!(
+        received == Ok((CLIENT_VM, message)),
+        "the cast was lost; {} connections",
+        client.stats().connects
+    );
+    assert_eq!(client.stats().connects, 1);
+}
+
+#[test]
+fn long_cast_is_given_up_when_it_stops() {
+    // Guards against a connection that is kept for good once the link stops inside a cast.
+    let (handler, _control) = recording_handler();
+    let server = server(handler, keyring(&[1], 1), ServerLimits::default());
+    let proxy = Proxy::start(server.local_addr());
+    proxy.set_rate(250_000);
+    let client = client(|config| config.ack_timeout = Duration::from_millis(400));
+    client.cast(proxy.address, vec![7; 500_000]);
+    eventually("a part of the cast", || proxy.recorded().len() > 100_000);
+    proxy.set_blocked(true);
+    eventually("the replacement", || {
+        client.cast(proxy.address, b"next".to_vec());
+        thread::sleep(Duration::from_millis(10));
+        proxy.accepted.load(Ordering::SeqCst) >= 2
+    });
+}
+
 #[test]
 fn replayed_and_old_datagrams_are_rejected() {
     // Guards against recorded lease renewals that are replayed, also after a restart of the sender.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -199,6 +199,13 @@
         self.buffer.len() - self.consumed
     }
 
+    /// Returns the kind of the frame of which a part was received. It is not authenticated before
+    /// the whole frame is.
+    pub fn pending_kind(&self) -> Option<FrameKind> {
+        let header = self.buffer[self.consumed..].first_chunk::<HEADER_LEN>()?;
+        FrameKind::from_code(header[4])
+    }
+
     /// Returns the next frame, if all of it was received. The header is checked as soon as it is
     /// complete, before the payload has arrived.
     ///
