--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -32,6 +32,15 @@
 }
 
 impl Versions {
+    /// Claims to have the newest version of each part, for a VM that asks for none.
+    pub const NEWEST: Versions = Versions {
+        bundle: u64::MAX,
+        vms: u64::MAX,
+        groups: u64::MAX,
+        homes: u64::MAX,
+        lost: u64::MAX,
+    };
+
     /// Returns whether every part is at least as new as in `other`.
     pub fn covers(&self, other: &Versions) -> bool {
         self.bundle >= other.bundle
--- a/crates/daemon/src/peer_calls.rs
+++ b/crates/daemon/src/peer_calls.rs
@@ -39,6 +39,7 @@
     pub(crate) to: VmId,
     pub(crate) address: SocketAddr,
     pub(crate) call: Call,
+    /// Time without a byte of the reply after which the call fails.
     pub(crate) timeout: Duration,
     /// Callback that gets the reply, or whether a failed call may have been delivered.
     pub(crate) on_reply: Box<dyn FnOnce(Result<Reply, bool>) + Send>,
@@ -103,7 +104,7 @@
 fn make_call(peers: &PeerClient, job: &CallJob) -> Result<Reply, bool> {
     let bytes = postcard::to_stdvec(&job.call).map_err(|_| false)?;
     let reply = peers
-        .call(job.address, Some(job.to), &bytes, job.timeout)
+        .transfer(job.address, Some(job.to), &bytes, job.timeout)
         .map_err(|err| err.maybe_delivered)?;
     postcard::from_bytes(&reply).map_err(|_| true)
 }
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use camphordale_control::Versions;
 use camphordale_types::VmId;
 
 use crate::{
@@ -17,7 +18,7 @@
     Reply, //
 };
 
-/// Timeout of one attempt.
+/// Time without progress after which an attempt is given up.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Delay between attempts.
@@ -132,7 +133,10 @@
         let mut due = DueCalls::default();
         let mut expired = Vec::new();
         for (&id, pending) in &mut self.pending {
-            if now >= pending.deadline {
+            // The reply to a call of the node may be on its way for longer than the deadline. An
+            // attempt without progress fails by itself.
+            let arriving = pending.in_flight && pending.origin == Origin::Internal;
+            if now >= pending.deadline && !arriving {
                 expired.push(id);
                 continue;
             }
@@ -172,6 +176,15 @@
         due
     }
 
+    /// Returns whether an attempt of a call that satisfies `predicate` is in flight.
+    pub(crate) fn is_in_flight<F>(&self, predicate: F) -> bool
+    where
+        F: Fn(&Call, Destination) -> bool,
+    {
+        let mut pending = self.pending.values();
+        pending.any(|pending| pending.in_flight && predicate(&pending.call, pending.destination))
+    }
+
     /// Records a failed attempt; `maybe_delivered` tells whether it may have arrived.
     pub(crate) fn attempt_failed(&mut self, id: CallId, maybe_delivered: bool, now: Duration) {
         let Some(pending) = self.pending.get_mut(&id) else {
@@ -210,7 +223,11 @@
         }
         Some(CompletedCall {
             origin: pending.origin,
-            is_report: matches!(pending.call, Call::Control(ControlCall::Report { .. })),
+            // Without the homes of shards, a reply does not renew the lease of the domain here.
+            is_report: matches!(
+                pending.call,
+                Call::Control(ControlCall::Report { versions, .. }) if versions != Versions::NEWEST
+            ),
             started,
         })
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -182,7 +182,7 @@
         address: SocketAddr,
         /// The call.
         call: Call,
-        /// Timeout of the call.
+        /// Time without progress after which the call fails.
         timeout: Duration,
     },
     /// Reply to a call.
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -15,11 +15,12 @@
         }
         let leads = self.member.as_ref().is_some_and(|m| m.is_leader(now));
         if leads {
-            if due(self.reported_at, REPORT_INTERVAL) {
+            if due(self.reported_at, REPORT_INTERVAL)
+                && let Some(versions) = self.wanted_versions()
+            {
                 self.reported_at = Some(now);
                 if let Some(member) = &self.member {
                     let report = member.report(&self.config.info.domain);
-                    let versions = self.directory.versions();
                     let call = ControlCall::Report {
                         report,
                         versions,
@@ -31,7 +32,10 @@
         } else {
             let renewed = self.session.renewed_at;
             let leaderless = renewed.is_none_or(|at| now >= at + LEADERLESS_TIMEOUT);
-            if leaderless && due(self.update_sent, REQUEST_INTERVAL) {
+            if leaderless
+                && due(self.update_sent, REQUEST_INTERVAL)
+                && let Some(versions) = self.wanted_versions()
+            {
                 self.update_sent = Some(now);
                 let term = self
                     .member
@@ -41,7 +45,7 @@
                     info: self.config.info.clone(),
                     term,
                     sealed: self.sealed_term >= term,
-                    versions: self.directory.versions(),
+                    versions,
                     in_force: self.in_force,
                 };
                 self.call_internal(Call::Control(call), Destination::Control, now);
@@ -49,6 +53,28 @@
         }
     }
 
+    /// Returns the versions of the directory parts to name to the control leader. While the parts
+    /// that an earlier call asked for are on their way, a further call asks for none, so that the
+    /// same content is not sent twice and control still hears of the domain. `None` if such a call
+    /// is on its way too.
+    fn wanted_versions(&self) -> Option<Versions> {
+        let asks_for = |newest: bool| {
+            self.calls.is_in_flight(|call, _| match call {
+                Call::Control(
+                    ControlCall::Report { versions, .. } | ControlCall::Leaderless { versions, .. },
+                ) => (*versions == Versions::NEWEST) == newest,
+                _ => false,
+            })
+        };
+        if !asks_for(false) {
+            Some(self.directory.versions())
+        } else if !asks_for(true) {
+            Some(Versions::NEWEST)
+        } else {
+            None
+        }
+    }
+
     pub(super) fn handle_call(
         &mut self,
         id: CallId,
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -199,8 +199,13 @@
         if recently || !self.directory.is_behind(versions) {
             return;
         }
+        let source = Destination::Vm(from);
+        let asked = |call: &Call, to| matches!(call, Call::Directory(_)) && to == source;
+        if self.calls.is_in_flight(asked) {
+            return;
+        }
         self.fetched_at = Some(now);
         let call = Call::Directory(self.directory.versions());
-        self.call_internal(call, Destination::Vm(from), now);
+        self.call_internal(call, source, now);
     }
 }
--- a/crates/node/tests/leases.rs
+++ b/crates/node/tests/leases.rs
@@ -195,6 +195,36 @@
     });
 }
 
+/// Submits a bundle whose transfer to a VM takes longer than any call may take without progress.
+fn submit_slow_bundle(seed: u64) -> Sim {
+    let mut sim = Sim::serving(seed, one_domain(5, 3), 2);
+    sim.transfer_time = 4_000;
+    let voter = sim.control_leader().unwrap();
+    let reply = sim.submit(voter, 3);
+    assert!(matches!(reply, ControlReply::Applied(_)), "{reply:?}");
+    sim
+}
+
+/// Guards against a bundle that is asked for again while it arrives and dropped when it has: on a
+/// slow link it is sent again and again, and the VM never has it.
+#[test]
+fn a_bundle_that_takes_long_is_sent_once() {
+    for seed in seeds(8) {
+        let mut sim = submit_slow_bundle(seed);
+        let took = sim.wait_until("bundle 2 on all VMs", ms(15_000), |sim| {
+            (1..=5).all(|vm| sim.vms[&vm].max_in_force == 2)
+        });
+        println!(
+            "seed {seed}: after {took} ms, transfers {:?}",
+            sim.transfers
+        );
+        for vm in 1..=5 {
+            let to_vm = sim.transfers.iter().filter(|&&(_, to)| to == vm);
+            assert!(to_vm.count() <= 1, "VM {vm}: {:?}", sim.transfers);
+        }
+    }
+}
+
 /// Guards against an isolated domain leader that grants leases while another leader can exist: the
 /// last grant must be within the minimum election timeout after the last contact.
 #[test]
--- a/crates/node/tests/sim/mod.rs
+++ b/crates/node/tests/sim/mod.rs
@@ -168,6 +168,11 @@
     pub loss_percent: u32,
     /// Longest delay of a message in steps.
     pub max_delay: u64,
+    /// Time in steps that a reply with a bundle takes to arrive. Its bytes arrive all the time, so
+    /// the call does not fail meanwhile.
+    pub transfer_time: u64,
+    /// Replies with a bundle: sending and receiving VM.
+    pub transfers: Vec<(VmId, VmId)>,
     key: SigningKey,
     /// Replies to calls of the test, by number.
     pub replies: BTreeMap<u64, Reply>,
@@ -237,6 +242,8 @@
             link_cuts: BTreeSet::new(),
             loss_percent: 0,
             max_delay: 2,
+            transfer_time: 0,
+            transfers: Vec::new(),
             key: SigningKey::from_bytes(&[1; 32]),
             replies: BTreeMap::new(),
             test_calls: 0,
--- a/crates/node/tests/sim/network.rs
+++ b/crates/node/tests/sim/network.rs
@@ -9,6 +9,7 @@
     ControlCall,
     ControlEffect,
     ControlEvent,
+    ControlReply,
     Datagram,
     EntryEffect,
     EntryEvent,
@@ -110,7 +111,7 @@
         // or the timeout.
         let (after, lost) = match down {
             true => (self.max_delay.max(1), Err(false)),
-            false => (timeout.as_millis() as u64, Err(true)),
+            false => (timeout.as_millis() as u64 + self.transfer_time, Err(true)),
         };
         let at = self.now + after;
         let back = Payload::Return(incarnation, id, lost);
@@ -134,8 +135,22 @@
             .and_then(|machine| machine.process.as_mut());
         match process.unwrap().pending_calls.remove(&id) {
             Some(Caller::Vm(to, incarnation, id)) => {
+                let has_bundle = match &reply {
+                    Reply::Directory(directory)
+                    | Reply::Control(ControlReply::DirectoryUpdate { directory, .. }) => {
+                        directory.bundle.is_some()
+                    }
+                    _ => false,
+                };
                 let back = Payload::Return(incarnation, id, Ok(reply));
-                self.send(vm, to, back);
+                if has_bundle && self.transfer_time > 0 {
+                    self.transfers.push((vm, to));
+                    let at = self.now + self.transfer_time;
+                    let (from, payload) = (vm, back);
+                    self.enqueue(at, Packet { from, to, payload });
+                } else {
+                    self.send(vm, to, back);
+                }
             }
             Some(Caller::Local(id)) => {
                 self.step_entry(
