Mark the member that a call names as sealed, not a later one

A VM that sealed a term whose leader is alive joins again as a new incarnation. A leaderless call from before is repeated after that, and the simulation marked the new incarnation as sealed. Control counts a seal only for the incarnation that the call names (replace_group in planner/groups.rs), and that one doesn't act again.

The check now marks the incarnation in the call. It is as strict: each seal that control can count is marked, when it is sent. With the removal of the member taken out of EntryNode::seal it still fails ("VM 3 takes part in sealed term 6").

--- a/crates/node/tests/sim/network.rs
+++ b/crates/node/tests/sim/network.rs
@@ -90,10 +90,13 @@
             .and_then(|machine| machine.process.as_mut());
         let process = process.unwrap();
         let incarnation = process.incarnation;
-        if let Call::Control(ControlCall::Leaderless { term, sealed, .. }) = &call
+        if let Call::Control(ControlCall::Leaderless {
+            info, term, sealed, ..
+        }) = &call
             && *sealed
         {
-            let member = domain_member_id(vm, process.entry.incarnation());
+            // A call that is repeated may be of an earlier incarnation.
+            let member = domain_member_id(vm, info.incarnation);
             process.sealed_terms.insert(member, *term);
         }
         if let (true, Call::Control(call)) = (to == vm, &call) {
