List as known red: no VM has a lease while a long bundle is on its way

The group puts a bundle in force 1 s after its leader has it (BUNDLE_SPREAD_TIMEOUT), and renews no lease of a VM without it, although the bundle is still arriving there. To wait for progress, the leader has to know of it, which needs a change of messages.

--- a/crates/node/tests/leases.rs
+++ b/crates/node/tests/leases.rs
@@ -225,6 +225,26 @@
     }
 }
 
+/// Guards against a domain that no VM serves while a bundle is on its way to its VMs: the group
+/// puts it in force after a fixed time, and a VM without it gets no lease.
+///
+/// Listed in KNOWN-RED.txt; runs with CAMPHORDALE_KNOWN_RED=1.
+#[test]
+fn leases_are_kept_while_a_bundle_is_on_its_way() {
+    if !std::env::var("CAMPHORDALE_KNOWN_RED").is_ok_and(|value| value == "1") {
+        println!("KNOWN-RED: leases_are_kept_while_a_bundle_is_on_its_way is passed over");
+        return;
+    }
+    for seed in seeds(8) {
+        let mut sim = submit_slow_bundle(seed);
+        for _ in 0..800 {
+            sim.advance(ms(20));
+            assert!(sim.all_leased(), "seed {seed}: no lease at {} ms", sim.now);
+        }
+        assert!((1..=5).all(|vm| sim.vms[&vm].max_in_force == 2));
+    }
+}
+
 /// Guards against an isolated domain leader that grants leases while another leader can exist: the
 /// last grant must be within the minimum election timeout after the last contact.
 #[test]
