--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -82,16 +82,19 @@
 pub(crate) struct CallTracker {
     pending: BTreeMap<CallId, PendingCall>,
     next: CallId,
+    /// This VM.
+    own: VmId,
     voters: Vec<VmId>,
     control_leader: Option<VmId>,
     next_voter: usize,
 }
 
 impl CallTracker {
-    pub(crate) fn new(voters: Vec<VmId>) -> Self {
+    pub(crate) fn new(own: VmId, voters: Vec<VmId>) -> Self {
         CallTracker {
             pending: BTreeMap::new(),
             next: 1,
+            own,
             voters,
             control_leader: None,
             next_voter: 0,
@@ -133,9 +136,11 @@
         let mut due = DueCalls::default();
         let mut expired = Vec::new();
         for (&id, pending) in &mut self.pending {
-            // The reply to a call of the node may be on its way for longer than the deadline. An
-            // attempt without progress fails by itself.
-            let arriving = pending.in_flight && pending.origin == Origin::Internal;
+            // The reply of another VM may be on its way for longer than the deadline. An attempt
+            // without progress fails by itself; the control role of this VM may not reply at all.
+            let arriving = pending.in_flight
+                && pending.origin == Origin::Internal
+                && pending.started.is_some_and(|(to, _)| to != self.own);
             if now >= pending.deadline && !arriving {
                 expired.push(id);
                 continue;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -320,7 +320,7 @@
             domain_leader: None,
             session: Session::default(),
             view: (0, 0),
-            calls: CallTracker::new(control),
+            calls: CallTracker::new(config.info.vm, control),
             control_confirmed: false,
             pending_renewal: None,
             own_renewal: None,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -6,9 +6,13 @@
 
 use camphordale_control::{
     Command,
-    Outcome, //
+    Outcome,
+    Versions, //
+};
+use camphordale_domain::{
+    LeaseConfig,
+    Outcome as DomainOutcome, //
 };
-use camphordale_domain::Outcome as DomainOutcome;
 use camphordale_node::{
     Call,
     ControlCall,
@@ -17,6 +21,10 @@
     ControlReply,
     DomainCall,
     DomainReply,
+    EntryConfig,
+    EntryEffect,
+    EntryEvent,
+    EntryNode,
     MemberList,
     Reply,
     member_id,
@@ -25,7 +33,8 @@
 use camphordale_types::{
     Side,
     TargetSpec,
-    VmId, //
+    VmId,
+    VmInfo, //
 };
 
 mod sim;
@@ -342,3 +351,48 @@
         .clone();
     assert!(ControlNode::new(config, disk, initial).is_err());
 }
+
+/// Guards against a VM that never asks for the directory again after its own control role stopped
+/// without a reply, as it does when its storage fails.
+#[test]
+fn a_call_to_the_own_control_role_that_gets_no_reply_ends() {
+    let own = 1;
+    let address = ([127, 0, 0, 1], 7001).into();
+    let mut node = EntryNode::new(EntryConfig {
+        info: VmInfo {
+            vm: own,
+            incarnation: 1,
+            domain: "north".into(),
+            inner: address,
+            outer: address,
+            entry: true,
+        },
+        control_voters: vec![(own, address)],
+        lease_config: LeaseConfig {
+            vm_lease: ms(500),
+            target_lease: ms(600),
+            stall: ms(100),
+        },
+        renew_interval: ms(100),
+        heartbeat_interval: ms(40),
+        election_timeout: ms(150),
+        max_voters: 3,
+        seed: 1,
+        bundle: None,
+    });
+    let is_update_request = |effect: &EntryEffect| match effect {
+        EntryEffect::Call {
+            call: Call::Control(ControlCall::Leaderless { versions, .. }),
+            ..
+        } => *versions != Versions::NEWEST,
+        _ => false,
+    };
+    let mut asked = Vec::new();
+    for now in (0..10_000).step_by(10) {
+        let effects = node.step(EntryEvent::Tick, ms(now));
+        if effects.iter().any(is_update_request) {
+            asked.push(now);
+        }
+    }
+    assert!(asked.len() >= 4, "asked at {asked:?} ms");
+}
