--- a/crates/node/tests/sim/cluster.rs
+++ b/crates/node/tests/sim/cluster.rs
@@ -44,6 +44,25 @@
         signed
     }
 
+    /// Returns a call that submits a bundle with `services` services.
+    pub fn long_bundle(&self, vm: VmId, services: u32) -> Call {
+        let next = self.next_bundle(vm, 4);
+        let mut bundle = camphordale_bundle::decode(&next.bytes).unwrap();
+        for number in 1..services {
+            let mut service = bundle.services[0].clone();
+            service.name = format!("berths-{number:04}").into();
+            service.route.prefix = format!("/{number:0300}").into();
+            bundle.services.push(service);
+        }
+        let mut signed = SignedBundle::new(&bundle);
+        signed.sign("amina", &self.key);
+        println!("bundle of {} bytes", signed.bytes.len());
+        Call::Control(ControlCall::Execute(Command::SubmitBundle {
+            signed,
+            at: 0,
+        }))
+    }
+
     /// Submits a bundle on a voter and waits for the reply.
     pub fn submit(&mut self, vm: VmId, slots: u32) -> ControlReply {
         let signed = self.next_bundle(vm, slots);
--- a/crates/node/tests/sim/mod.rs
+++ b/crates/node/tests/sim/mod.rs
@@ -171,6 +171,10 @@
     /// Time in steps that a reply with a bundle takes to arrive. Its bytes arrive all the time, so
     /// the call does not fail meanwhile.
     pub transfer_time: u64,
+    /// Rate of each link for casts, in bytes per step; 0 for no limit.
+    pub link_rate: u64,
+    /// Time in steps at which the casts sent so far have left a link.
+    link_free_at: BTreeMap<(VmId, VmId), u64>,
     /// Replies with a bundle: sending and receiving VM.
     pub transfers: Vec<(VmId, VmId)>,
     key: SigningKey,
@@ -243,6 +247,8 @@
             loss_percent: 0,
             max_delay: 2,
             transfer_time: 0,
+            link_rate: 0,
+            link_free_at: BTreeMap::new(),
             transfers: Vec::new(),
             key: SigningKey::from_bytes(&[1; 32]),
             replies: BTreeMap::new(),
