--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -141,6 +141,39 @@
     }
 }
 
+/// Guards against callers who are told that there is no such service, or that the key is missing, by a
+/// VM whose bundle may have been replaced: the leader renews no lease of one that is behind.
+#[rstest]
+#[case::no_service("/other", NotRun::NoService)]
+#[case::no_key("/k/", NotRun::NoKey)]
+fn nothing_is_refused_for_good_by_an_old_bundle(#[case] path: &str, #[case] final_reason: NotRun) {
+    let ask = |router: &mut Router, at| arrive(router, request(1, "GET", path), at);
+    let mut without_lease = Router::new(RouterConfig::new(VM, "east", 7));
+    without_lease.step(Event::Bundle(bundle(1)), ms(0));
+    let unconfirmed = [not_run(1, NotRun::UnconfirmedBundle)];
+    assert_eq!(ask(&mut without_lease, 0), unconfirmed);
+
+    let mut router = router();
+    assert_eq!(ask(&mut router, 3_599_999), [not_run(1, final_reason)]);
+    assert_eq!(
+        ask(&mut router, 3_600_000),
+        unconfirmed,
+        "its lease is over"
+    );
+
+    let mut router = common::router();
+    let mut newer = change(2, vec![], vec![]);
+    newer.bundle_version = 2;
+    router.step(Event::View(newer), ms(1));
+    assert_eq!(
+        ask(&mut router, 2),
+        unconfirmed,
+        "the group has a newer bundle"
+    );
+    router.step(Event::Bundle(bundle(2)), ms(3));
+    assert_eq!(ask(&mut router, 4), [not_run(1, final_reason)]);
+}
+
 /// Guards against a service that stays unconfirmed after the newer bundle has come into force.
 #[test]
 fn newest_bundle_refuses_for_good_again() {
