Let a small change wait for the large one before it

Cause: each change had a limit of its own, whatever it is based on. Change: a change waits for those before it, for 3 s at most, so that operators are answered within the 4 s that they allow. Measured: fleet/control a_small_change_waits_for_the_large_one_before_it; it failed before for 500 and 3,000 routes (acknowledged after 500 ms). Two tests of contents submit without waiting now, as their entry VMs never act on the change.

--- a/crates/fleet/src/control/acks.rs
+++ b/crates/fleet/src/control/acks.rs
@@ -40,6 +40,9 @@
 /// Time that the acknowledgement of a change may take longer for each route that it changes. Operators
 /// of the platform allow as much.
 const ROUTE_TIME: Duration = Duration::from_millis(3);
+/// Longest time for which a change also waits for those before it, without which no entry VM can act on
+/// it. Operators of the platform expect an answer within 4 s.
+const EARLIER_CHANGE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Time since the last message of an entry VM without a stream for which it may still act on what it
 /// has. It covers two failed attempts to subscribe again.
 const LOST_TIMEOUT: Duration = Duration::from_millis(3000);
@@ -133,12 +136,15 @@
 
 impl Acks {
     /// Records that a change of the routing was applied. An acknowledgement waits for it for `timeout`,
-    /// and longer for a change of many routes.
+    /// and longer for a change of many routes, or behind one.
     pub(super) fn on_change(&mut self, change: &Change, timeout: Duration, now: Duration) {
         let routes = change.routes.len() + change.removed_routes.len();
         let routes = u32::try_from(routes).unwrap_or(u32::MAX);
         let deadline = now + timeout + ROUTE_TIME.saturating_mul(routes);
         self.changes.retain(|(_, deadline)| now < *deadline);
+        let earlier = self.changes.back().map(|(_, deadline)| *deadline);
+        let earlier = earlier.map(|earlier| earlier.min(now + EARLIER_CHANGE_TIMEOUT));
+        let deadline = earlier.map_or(deadline, |earlier| earlier.max(deadline));
         self.changes.push_back((change.version, deadline));
     }
 
--- a/crates/fleet/tests/control/acks.rs
+++ b/crates/fleet/tests/control/acks.rs
@@ -332,6 +332,26 @@
     assert_eq!(fleet.reply(token), Some(&DONE));
 }
 
+/// Guards against a small change that is acknowledged before a large one that it is based on has
+/// arrived anywhere, and against one that waits for as long as the large one may.
+#[test]
+fn a_small_change_waits_for_the_large_one_before_it() {
+    for (routes, limit) in [(100, 500), (500, 1700), (3000, 3000)] {
+        let mut fleet = Fleet::new(211);
+        fleet.follow(9, 2);
+        fleet.submit_routes(routes);
+        fleet.run(300);
+        let change = Change {
+            replace_all: false,
+            ..routing(3, 4)
+        };
+        let call = Call::Change(Box::new(change));
+        let token = fleet.cluster.call(fleet.leader, call);
+        let took = fleet.time_to_reply(token);
+        assert!((limit..limit + 200).contains(&took), "{routes}: {took} ms");
+    }
+}
+
 /// Guards against a repeated change that is acknowledged while the first one still waits.
 #[test]
 fn a_repeated_change_waits_for_the_version_that_it_repeats() {
--- a/crates/fleet/tests/control/contents.rs
+++ b/crates/fleet/tests/control/contents.rs
@@ -119,6 +119,13 @@
     send(cluster, leader, conn, message);
 }
 
+/// Submits a change. It is not acknowledged until the entry VMs act on it.
+fn submit(cluster: &mut TestCluster, change: Change) {
+    let leader = cluster.leader().unwrap();
+    cluster.call(leader, Call::Change(Box::new(change)));
+    cluster.run(ms(200));
+}
+
 /// What was streamed to an entry VM since the last call.
 fn received(cluster: &mut TestCluster, conn: u64) -> Vec<PeerMessage> {
     cluster.watched.remove(&conn).unwrap_or_default()
@@ -164,7 +171,7 @@
         assert_eq!(messages, [PeerMessage::Resume { index }]);
     }
     let change = change(2, 3, 1000);
-    cluster.ask(Call::Change(Box::new(change.clone())));
+    submit(&mut cluster, change.clone());
     for conn in conns {
         let messages = received(&mut cluster, conn);
         assert!(streamed_bytes(&messages) < 4096, "unasked");
@@ -197,7 +204,7 @@
     let index = view(&cluster).index;
     follow(&mut cluster, FIRST_WATCHED, index, 2);
     received(&mut cluster, FIRST_WATCHED);
-    cluster.ask(Call::Change(Box::new(change(2, 3, 1000))));
+    submit(&mut cluster, change(2, 3, 1000));
     let notice = received(&mut cluster, FIRST_WATCHED);
     let first = notice.iter().find_map(|message| match message {
         PeerMessage::RoutingNotice { part, .. } => Some(part.clone()),
