Keep the updates before a long change for entry VMs that subscribe again

Cause: with contents in parts the length of the view was measured after the update had been kept. A change longer than the view before it, and than 256 KiB, dropped every kept update, itself included.

Change: the view is measured first, as before. A VM that takes contents gets the notice of a change from its content, so the leader no longer decodes the command of the change, with its documents, for each VM that subscribes.

--- a/crates/fleet/src/control/contents.rs
+++ b/crates/fleet/src/control/contents.rs
@@ -11,6 +11,7 @@
 use super::{
     Control, Effect, LogEvent,
     streams::{
+        MissedUpdate,
         Subscription,
         SubscriptionKind, //
     },
@@ -26,7 +27,6 @@
         Wanted, //
     },
     routing::Version,
-    state::Command,
 };
 
 /// Bytes of a content that are sent without being asked for. Most changes are shorter.
@@ -152,7 +152,7 @@
     /// is not all kept.
     fn missed_messages(&self, index: u64, version: Version) -> Option<Vec<PeerMessage>> {
         let current = self.routing_version();
-        let updates = self.recent_updates.after(index)?;
+        let updates = self.recent_updates.missed_since(index)?;
         let changes = self.contents.changes.since(version, current)?;
         let mut changes = changes.peekable();
         let mut messages = Vec::new();
@@ -164,10 +164,12 @@
             }
         };
         notify_until(index, &mut messages);
-        for (index, command) in updates {
-            match *command {
-                Command::Change(_) => notify_until(index, &mut messages),
-                _ => messages.push(PeerMessage::Update { index, command }),
+        for (index, update) in updates {
+            match update {
+                MissedUpdate::Change => notify_until(index, &mut messages),
+                MissedUpdate::Other(command) => {
+                    messages.push(PeerMessage::Update { index, command });
+                }
             }
         }
         Some(messages)
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -63,6 +63,33 @@
 /// Bytes of updates that are kept even if the view has fewer.
 const MIN_RECENT_BYTES: usize = 256 << 10;
 
+/// An update that is kept, with its encoded command.
+#[derive(Clone, Debug)]
+enum KeptUpdate {
+    /// A change of the routing. Entry VMs that take contents in parts do not need the command.
+    Change(Arc<[u8]>),
+    Other(Arc<[u8]>),
+}
+
+impl KeptUpdate {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            KeptUpdate::Change(bytes) | KeptUpdate::Other(bytes) => bytes,
+        }
+    }
+
+    fn command(&self) -> Option<Box<Command>> {
+        postcard::from_bytes(self.bytes()).ok().map(Box::new)
+    }
+}
+
+/// An update that an entry VM has missed which takes contents in parts.
+pub(super) enum MissedUpdate {
+    /// A change of the routing, which has a content.
+    Change,
+    Other(Box<Command>),
+}
+
 /// The last updates of the view. Every control VM keeps them, so that a new leader need not send the
 /// whole view to each entry VM.
 ///
@@ -72,7 +99,7 @@
     /// The updates after this index are kept.
     from: u64,
     /// Indexes and encoded commands.
-    updates: VecDeque<(u64, Arc<[u8]>)>,
+    updates: VecDeque<(u64, KeptUpdate)>,
     /// Bytes of these commands.
     bytes: usize,
     /// Bytes of the view.
@@ -102,14 +129,14 @@
     }
 
     /// Adds the encoded command at `index`.
-    fn push(&mut self, index: u64, command: Arc<[u8]>) {
-        self.bytes += command.len();
-        self.updates.push_back((index, command));
+    fn push(&mut self, index: u64, update: KeptUpdate) {
+        self.bytes += update.bytes().len();
+        self.updates.push_back((index, update));
         let max_bytes = self.view_bytes.max(MIN_RECENT_BYTES);
         while (self.updates.len() > MAX_RECENT_UPDATES || self.bytes > max_bytes)
-            && let Some((dropped, command)) = self.updates.pop_front()
+            && let Some((dropped, update)) = self.updates.pop_front()
         {
-            self.bytes -= command.len();
+            self.bytes -= update.bytes().len();
             self.from = dropped;
         }
     }
@@ -124,27 +151,36 @@
         index >= self.from
     }
 
-    /// The updates after `index` for a VM with any state, or `None` if they are not all kept. A view
-    /// without any state has index 0.
+    /// The updates after `index`, or `None` if they are not all kept. A view without any state has
+    /// index 0.
     fn since(&self, index: u64) -> Option<Vec<(u64, Box<Command>)>> {
-        match index {
-            0 => None,
-            _ => self.after(index),
+        if index == 0 {
+            return None;
         }
+        let updates = self.after(index)?;
+        updates
+            .map(|(at, update)| Some((*at, update.command()?)))
+            .collect()
     }
 
-    /// The updates after `index`, or `None` if they are not all kept.
-    pub(super) fn after(&self, index: u64) -> Option<Vec<(u64, Box<Command>)>> {
-        if !self.reaches(index) {
-            return None;
-        }
+    /// The updates after `index` for an entry VM that takes contents in parts, or `None` if they are
+    /// not all kept.
+    pub(super) fn missed_since(&self, index: u64) -> Option<Vec<(u64, MissedUpdate)>> {
+        let updates = self.after(index)?;
+        updates
+            .map(|(at, update)| {
+                let missed = match update {
+                    KeptUpdate::Change(_) => MissedUpdate::Change,
+                    KeptUpdate::Other(_) => MissedUpdate::Other(update.command()?),
+                };
+                Some((*at, missed))
+            })
+            .collect()
+    }
+
+    fn after(&self, index: u64) -> Option<impl Iterator<Item = &(u64, KeptUpdate)>> {
         let first = self.updates.partition_point(|(at, _)| *at <= index);
-        let updates = self.updates.range(first..);
-        let updates = updates.map(|(at, command)| {
-            let command = postcard::from_bytes(command).ok()?;
-            Some((*at, Box::new(command)))
-        });
-        updates.collect()
+        self.reaches(index).then(|| self.updates.range(first..))
     }
 }
 
@@ -505,13 +541,17 @@
         encoded: Arc<[u8]>,
         out: &mut Vec<Effect>,
     ) {
-        self.recent_updates.push(index, encoded);
         let notified = match &command {
             Command::Change(change) => {
+                // The limit of what is kept follows the view, of which the change is a part now.
                 self.recent_updates.measure(&self.state.view);
+                self.recent_updates.push(index, KeptUpdate::Change(encoded));
                 self.stream_change(index, change, out)
             }
-            _ => false,
+            _ => {
+                self.recent_updates.push(index, KeptUpdate::Other(encoded));
+                false
+            }
         };
         let streams = self.streams.iter();
         let streams = streams.filter(|(_, stream)| !notified || stream.routing.is_none());
--- a/crates/fleet/tests/control/contents.rs
+++ b/crates/fleet/tests/control/contents.rs
@@ -232,6 +232,24 @@
     assert!(Content::decode_change(&first.content, &bytes).is_ok());
 }
 
+/// Guards against an entry VM that is sent the whole view, several times as long as the change that it
+/// lacks, because it lost its stream while the change was on its way.
+#[test]
+fn an_entry_vm_that_lacks_a_long_change_is_not_sent_the_view() {
+    let mut cluster = cluster(35);
+    let index = view(&cluster).index;
+    submit(&mut cluster, change(2, 3, 3000));
+    cluster.ask(announce(2, 100, true));
+    follow(&mut cluster, FIRST_WATCHED, index, 2);
+    let messages = received(&mut cluster, FIRST_WATCHED);
+    let [resume, notice, update] = &messages[..] else {
+        panic!("{messages:?}");
+    };
+    assert_eq!(*resume, PeerMessage::Resume { index });
+    assert!(matches!(notice, PeerMessage::RoutingNotice { .. }));
+    assert!(matches!(update, PeerMessage::Update { .. }));
+}
+
 /// Guards against a VM that starts and never gets the whole view over a narrow link, or misses what
 /// changes while it receives the view.
 #[test]
