--- a/crates/standin/tests/protocols.rs
+++ b/crates/standin/tests/protocols.rs
@@ -100,7 +100,7 @@
         }
         expected.push(format!("| `{code}` | {outcome} |"));
     }
-    assert_eq!(expected.len(), 20);
+    assert_eq!(expected.len(), 21);
     let rows = |line: &&str| line.contains(" | not-run | ") || line.contains(" | unknown | ");
     let rows: Vec<&str> = PROTOCOL_DOC.lines().filter(rows).collect();
     assert_eq!(rows.len(), expected.len());
