--- a/crates/entry/src/entry/view.rs
+++ b/crates/entry/src/entry/view.rs
@@ -120,7 +120,7 @@
                     // A new leader has no reports of latencies.
                     self.targets.requeue_latencies();
                 }
-                self.confirm_view(now, out);
+                self.confirm_routing(now, out);
                 self.retry_where(now, out, |_| true);
             }
             PeerMessage::Update { index, command } if !is_established => {
--- a/crates/entry/tests/entry/transfer.rs
+++ b/crates/entry/tests/entry/transfer.rs
@@ -290,6 +290,8 @@
         panic!("{:?}", output.sent);
     };
     assert_eq!((*sent, &**target), (request, "reads-2"));
+    let confirmed = PeerMessage::RoutingInForce(2);
+    assert!(output.messages.contains(&confirmed), "an operator waits");
     assert_eq!(
         (version(&harness), harness.entry.view().index),
         (2, index + 3)
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -224,7 +224,8 @@
             recovered,
         );
         let member_table = MemberTable::new(seeds, stored, &state.view);
-        let recent_updates = RecentUpdates::new(applied, &state.view);
+        // Entries that are no commands have indexes too, and may stand behind the last command.
+        let recent_updates = RecentUpdates::new(state.view.index, &state.view);
         Ok(Control {
             config,
             raft,
@@ -536,7 +537,8 @@
             Ok(state) => {
                 self.state = state;
                 self.applied = snapshot.index;
-                self.recent_updates = RecentUpdates::new(snapshot.index, &self.state.view);
+                let view = &self.state.view;
+                self.recent_updates = RecentUpdates::new(view.index, view);
                 self.contents.clear();
                 self.acks.on_restored();
                 self.member_table.sync(&self.state.view);
--- a/crates/fleet/src/control/contents.rs
+++ b/crates/fleet/src/control/contents.rs
@@ -36,7 +36,7 @@
 /// Views that are kept: the newest one, and one before it for the transfers in progress.
 const MAX_VIEWS: usize = 2;
 /// Updates after a kept view up to which it is still sent to entry VMs that need one.
-const MAX_UPDATES_AFTER_VIEW: u64 = 64;
+const MAX_UPDATES_AFTER_VIEW: u64 = 256;
 
 /// An entry VM that asks for the whole view.
 struct Puller {
@@ -123,7 +123,8 @@
         out: &mut Vec<Effect>,
     ) {
         let (conn, index) = (subscription.conn, subscription.index);
-        let pulled = self.contents.pullers.remove(&conn).is_some();
+        let puller = self.contents.pullers.remove(&conn);
+        let pulled = puller.is_some();
         let entry_id = subscription.entry_id;
         let pullers = &mut self.contents.pullers;
         pullers.retain(|_, other| other.subscription.entry_id != entry_id);
@@ -144,7 +145,10 @@
         }
         let messages = messages.into_iter();
         out.extend(messages.map(|message| Effect::Stream { conn, message }));
-        self.open_stream(subscription, None, now);
+        // A VM that had a view acts on it until the resumption has arrived, and confirms the new one then.
+        let former = puller.map(|puller| puller.subscription);
+        let acted_on = former.filter(|former| former.index > 0);
+        self.open_stream(acted_on.unwrap_or(subscription), None, now);
         out.push(Effect::Log(LogEvent::Entries(self.streams.len())));
     }
 
--- a/crates/fleet/tests/control/contents.rs
+++ b/crates/fleet/tests/control/contents.rs
@@ -11,12 +11,18 @@
     ConfigResource,
     Content,
     ContentKind,
+    Control,
+    Effect,
     Event,
     KeyDelivery,
+    Member,
+    MemberList,
     PeerMessage,
+    Reply,
     RetryPolicy,
     Route,
     Service,
+    State,
     View,
     Wanted,
     WeightedService, //
@@ -31,6 +37,8 @@
     FIRST_WATCHED,
     TestCluster,
     announce,
+    config,
+    member,
     ms, //
 };
 
@@ -232,6 +240,75 @@
     assert!(Content::decode_change(&first.content, &bytes).is_ok());
 }
 
+/// Guards against entry VMs that are sent the whole view again and again after all control VMs have
+/// started from a snapshot whose last entry is no command, which keeps the leader from all else.
+#[test]
+fn a_view_from_a_snapshot_is_followed() {
+    let members: Vec<Member> = vec![member(1, 1)];
+    let mut state = State::default();
+    state.view.members.insert(1, members[0].clone());
+    state.view.index = 4;
+    let mut recovered = Control::bootstrap_state(members.clone()).unwrap();
+    let snapshot = recovered.snapshot.as_mut().unwrap();
+    (snapshot.index, snapshot.term) = (6, 1);
+    snapshot.data = postcard::to_stdvec(&state).unwrap();
+    recovered.hard_state.term = 1;
+    let stored = MemberList::default();
+    let config = config(members[0].clone(), 7);
+    let mut control = Control::new(config, recovered, members, stored).unwrap();
+    let mut now = ms(0);
+    for _ in 0..1000 {
+        now += ms(10);
+        control.step(Event::Tick, now);
+    }
+    assert!(control.is_leader());
+    let mut follow = |index: u64| {
+        let message = PeerMessage::Follow {
+            entry_id: 9,
+            domain: "a".into(),
+            index,
+            version: 0,
+        };
+        let effects = control.step(Event::Stream { conn: 9, message }, now);
+        let messages = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Stream { message, .. } => Some(message),
+            _ => None,
+        });
+        messages.collect::<Vec<PeerMessage>>()
+    };
+    let whole = |message: &PeerMessage| matches!(message, PeerMessage::Part(_));
+    assert!(follow(0).iter().any(whole));
+    let resume = PeerMessage::Resume { index: 4 };
+    assert_eq!(follow(4).last(), Some(&resume));
+}
+
+/// Guards against an acknowledgement of a change while an entry VM has received a view with it, and
+/// still acts on the view before.
+#[test]
+fn a_received_view_counts_when_it_is_confirmed() {
+    let mut cluster = cluster(36);
+    let leader = cluster.leader().unwrap();
+    let index = view(&cluster).index;
+    follow(&mut cluster, FIRST_WATCHED, index, 2);
+    let message = PeerMessage::Pull {
+        wanted: Wanted::View([0; 16]),
+        offset: 0,
+        length: 1,
+    };
+    // What it asks for is not kept, so it is offered the view.
+    send(&mut cluster, leader, FIRST_WATCHED, message);
+    let call = Call::Change(Box::new(change(2, 3, 1000)));
+    let token = cluster.call(leader, call);
+    cluster.run(ms(200));
+    let index = view(&cluster).index;
+    follow(&mut cluster, FIRST_WATCHED, index, 3);
+    assert_eq!(cluster.reply(token), None);
+    let message = PeerMessage::RoutingInForce(3);
+    send(&mut cluster, leader, FIRST_WATCHED, message);
+    cluster.run(ms(100));
+    assert_eq!(cluster.reply(token), Some(&Reply::Done { is_leader: true }));
+}
+
 /// Guards against an entry VM that is sent the whole view, several times as long as the change that it
 /// lacks, because it lost its stream while the change was on its way.
 #[test]
--- a/crates/reactor/src/entry_process.rs
+++ b/crates/reactor/src/entry_process.rs
@@ -293,7 +293,10 @@
                         metrics.set_gauge("evacuated-domains", evacuated as u64);
                         let (received, length) = self.entry.transfer_progress();
                         metrics.set_gauge("transfer-received-bytes", received as u64);
-                        metrics.set_gauge("transfer-missing-bytes", (length - received) as u64);
+                        metrics.set_gauge(
+                            "transfer-missing-bytes",
+                            length.saturating_sub(received) as u64,
+                        );
                         metrics.set_gauge("routing-version", self.routing_version);
                         self.measure_admissions(context);
                         context.metrics_response(&request)
