--- a/crates/entry/src/control_stream.rs
+++ b/crates/entry/src/control_stream.rs
@@ -25,8 +25,8 @@
 const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Weight of one round trip in their mean while they get shorter; a longer one counts at once.
 const ROUND_TRIP_WEIGHT: f64 = 0.125;
-/// Time without progress after which a subscription is given up. It doubles with each attempt that failed, since the
-/// queue of a narrow link may hold a connection back for longer.
+/// Time without progress after which a subscription is given up. It doubles with each attempt that
+/// failed, since the queue of a narrow link may hold a connection back for longer.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit for opening a connection, which doubles likewise: enough for one retransmission of a
 /// lost packet. A lost first packet (SYN), for example to a VM that is just starting, is
