Let the test of a received view fail without its mend

a_received_view_counts_when_it_is_confirmed passed with its mend taken out: it read the reply before a tick, when nothing acknowledges yet. It waits 100 ms now and fails without the mend (Some(Done) instead of None).

--- a/crates/fleet/tests/control/contents.rs
+++ b/crates/fleet/tests/control/contents.rs
@@ -302,6 +302,7 @@
     cluster.run(ms(200));
     let index = view(&cluster).index;
     follow(&mut cluster, FIRST_WATCHED, index, 3);
+    cluster.run(ms(100));
     assert_eq!(cluster.reply(token), None);
     let message = PeerMessage::RoutingInForce(3);
     send(&mut cluster, leader, FIRST_WATCHED, message);
